Add the design page, settings, service documents and the test frame

Change: design and glossary pages, INI settings and documents with typed sections, registry, clock, verdict and error types, command table, behave suite, formatter and linter. Conclusion: the other slices can be built side by side on this frame.

--- /dev/null
+++ b/features/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of yuccagauge, one folder of features for each slice."""
--- /dev/null
+++ b/yuccagauge/clock.py
@@ -0,0 +1,65 @@
+"""Time in whole milliseconds."""
+
+import time
+from typing import NewType, Protocol
+
+#: A point in time or a duration, in whole milliseconds.
+Millis = NewType('Millis', int)
+
+_NANOSECONDS_PER_MILLISECOND = 1_000_000
+
+
+class Clock(Protocol):
+    """The source of time that is passed to every object that needs it."""
+
+    def now(self) -> Millis:
+        """Return the monotonic time, in milliseconds from any origin."""
+
+    def wall(self) -> Millis:
+        """Return the wall time, in milliseconds since the Unix epoch."""
+
+
+class SystemClock:
+    """Read the time from the operating system."""
+
+    def now(self) -> Millis:
+        """Return the monotonic time of this process, in milliseconds."""
+        return Millis(time.monotonic_ns() // _NANOSECONDS_PER_MILLISECOND)
+
+    def wall(self) -> Millis:
+        """Return the wall time, in milliseconds since the Unix epoch."""
+        return Millis(time.time_ns() // _NANOSECONDS_PER_MILLISECOND)
+
+
+class ManualClock:
+    """Advance only when told to, for tests and the bench.
+
+    Parameters
+    ----------
+    start
+        The first value of both readings, in milliseconds.
+    """
+
+    def __init__(self, start: Millis = Millis(0)) -> None:
+        """Start both readings at the same value."""
+        self._now = start
+
+    def now(self) -> Millis:
+        """Return the simulated monotonic time, in milliseconds."""
+        return self._now
+
+    def wall(self) -> Millis:
+        """Return the simulated wall time, in milliseconds."""
+        return self._now
+
+    def advance(self, duration: Millis) -> None:
+        """Move the time forward.
+
+        Raises
+        ------
+        ValueError
+            If the duration is negative.
+        """
+        if duration < 0:
+            raise ValueError(f'cannot go back in time by {-duration} ms')
+        self._now = Millis(self._now + duration)
--- /dev/null
+++ b/yuccagauge/commands/check.py
@@ -0,0 +1,27 @@
+"""Commands that check files without running anything."""
+
+import yuccagauge
+from yuccagauge.commands.base import command
+from yuccagauge.settings.document import build_document
+from yuccagauge.settings.process import load_router_settings
+from yuccagauge.settings.reader import read_file
+
+
+@command('version')
+def version() -> str:
+    """Print the version."""
+    return yuccagauge.__version__
+
+
+@command('check-settings')
+def check_settings(path: str) -> str:
+    """Check a router's settings file."""
+    load_router_settings(path)
+    return f'{path}: ok'
+
+
+@command('check-document')
+def check_document(path: str) -> str:
+    """Check a service document."""
+    document = build_document(read_file(path), path)
+    return f'{path}: ok, digest {document.digest}'
--- /dev/null
+++ b/yuccagauge/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Process settings and service documents, in INI."""
