--- /dev/null
+++ b/yuccagauge/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Metrics and log lines for state changes."""
