--- /dev/null
+++ b/yuccagauge/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between routers: schema, codec and endpoints."""
--- /dev/null
+++ b/yuccagauge/wire/messages.capnp
@@ -0,0 +1,180 @@
+@0xbf5147cbbecf40c1;
+# Messages between routers. Fields are only ever added at the end of a
+# struct, and kind numbers are never used again; a receiver counts and
+# ignores kinds that it does not know.
+
+struct Envelope {
+  version @0 :UInt16;
+  kind @1 :UInt16;
+  # Name of the sending router.
+  sender @2 :Text;
+  # Correlates an answer with its question.
+  sequence @3 :UInt32;
+  body @4 :AnyPointer;
+}
+
+# An address is 4 or 16 bytes of IP number, then 2 bytes of port, big endian.
+
+struct MemberUpdate {
+  name @0 :Text;
+  peer @1 :Data;
+  dataCentre @2 :Text;
+  region @3 :Text;
+  incarnation @4 :UInt32;
+  # 0 alive, 1 suspect, 2 leaving, 3 dead.
+  state @5 :UInt8;
+  # Router that reports a suspicion, to count independent reports.
+  reporter @6 :Text;
+}
+
+struct Item {
+  topic @0 :UInt8;
+  key @1 :Data;
+  version @2 :UInt64;
+  value @3 :Data;
+  lifetimeMs @4 :UInt32;
+}
+
+struct Ping {
+  # Name of the member that has to answer.
+  target @0 :Text;
+  updates @1 :List(MemberUpdate);
+  items @2 :List(Item);
+}
+
+struct IndirectPing {
+  target @0 :Text;
+  peer @1 :Data;
+  updates @2 :List(MemberUpdate);
+  items @3 :List(Item);
+}
+
+struct Ack {
+  updates @0 :List(MemberUpdate);
+  items @1 :List(Item);
+}
+
+struct Nack {
+}
+
+struct Gossip {
+  updates @0 :List(MemberUpdate);
+  items @1 :List(Item);
+}
+
+struct EngineIdentity {
+  engine @0 :Data;
+  incarnation @1 :Text;
+  weightsVersion @2 :Text;
+  role @3 :Text;
+  totalBlocks @4 :UInt32;
+}
+
+struct LoadShare {
+  # Age of the oldest reading.
+  ageMs @0 :UInt32;
+  # 8 bytes for each engine, see peering/readings.py.
+  readings @1 :Data;
+  identities @2 :List(EngineIdentity);
+}
+
+struct DemandShare {
+  # 0 for a router's own demand, 1 for that of a data centre, 2 for the sum
+  # over the other data centres.
+  scope @0 :UInt8;
+  dataCentre @1 :Text;
+  # 6 bytes for each customer, see peering/demand.py.
+  demand @2 :Data;
+}
+
+struct StateSync {
+  updates @0 :List(MemberUpdate);
+  items @1 :List(Item);
+}
+
+struct DocumentRequest {
+  service @0 :Text;
+  above @1 :UInt64;
+}
+
+struct DocumentReply {
+  found @0 :Bool;
+  service @1 :Text;
+  version @2 :UInt64;
+  text @3 :Text;
+}
+
+struct HotPrefixRequest {
+  limit @0 :UInt16;
+}
+
+struct HotPrefix {
+  engine @0 :Data;
+  incarnation @1 :Text;
+  digest @2 :Data;
+  tokens @3 :UInt32;
+}
+
+struct HotPrefixReply {
+  prefixes @0 :List(HotPrefix);
+}
+
+struct EngineRequest {
+}
+
+struct EngineReply {
+  ageMs @0 :UInt32;
+  readings @1 :Data;
+  identities @2 :List(EngineIdentity);
+}
+
+struct ClaimForward {
+  customer @0 :Text;
+  service @1 :Text;
+  key @2 :Text;
+  fingerprint @3 :Data;
+  timeoutMs @4 :UInt32;
+}
+
+struct ClaimReply {
+  # Name of the decision, such as granted or held.
+  decision @0 :Text;
+  claimId @1 :Data;
+  status @2 :UInt16;
+  body @3 :Data;
+  shard @4 :UInt32;
+  detail @5 :Text;
+}
+
+struct ClaimSettle {
+  claimId @0 :Data;
+  keyDigest @1 :Data;
+  shard @2 :UInt32;
+  # Name of the step: release or complete.
+  step @3 :Text;
+  status @4 :UInt16;
+  body @5 :Data;
+}
+
+struct BurnPush {
+  origin @0 :Text;
+  # Compressed buckets, see burn/codec.py.
+  buckets @1 :Data;
+}
+
+struct BurnRequest {
+  origin @0 :Text;
+}
+
+struct BurnReply {
+  found @0 :Bool;
+  buckets @1 :Data;
+}
+
+struct Accepted {
+}
+
+struct Failed {
+  # One sentence for a log line.
+  reason @0 :Text;
+}
