Render the settings reference from the data classes

Cause: a hand-written page of keys, units and ranges falls behind the code. Change: `yuccagauge configuration` renders docs/configuration.md from the option fields, and a scenario compares the page with the code.

--- a/features/steps/settings_steps.py
+++ b/features/steps/settings_steps.py
@@ -13,6 +13,7 @@
     digest_sections,
 )
 from yuccagauge.settings.reader import read_file
+from yuccagauge.settings.reference import render_reference
 
 _SAMPLES = Path(__file__).parent.parent / 'settings'
 
@@ -111,3 +112,16 @@
     """Check that the change carries everything that differs."""
     result = apply_change(context.base, context.change)
     assert digest_sections(result) == digest_sections(context.sections)
+
+
+@when('the settings reference is rendered')
+def when_reference(context: Context) -> None:
+    """Render the page from the data classes."""
+    context.reference = render_reference()
+
+
+@then('it equals the file "{name}"')
+def then_equals_file(context: Context, name: str) -> None:
+    """Compare with the committed page."""
+    page = Path(__file__).parents[2] / name
+    assert page.read_text(encoding='utf-8') == context.reference
--- a/yuccagauge/commands/check.py
+++ b/yuccagauge/commands/check.py
@@ -5,6 +5,7 @@
 from yuccagauge.settings.document import build_document
 from yuccagauge.settings.process import load_router_settings
 from yuccagauge.settings.reader import read_file
+from yuccagauge.settings.reference import render_reference
 
 
 @command('version')
@@ -25,3 +26,9 @@
     """Check a service document."""
     document = build_document(read_file(path), path)
     return f'{path}: ok, digest {document.digest}'
+
+
+@command('configuration')
+def configuration() -> str:
+    """Print the reference page of all settings."""
+    return render_reference().rstrip()
