--- /dev/null
+++ b/yuccagauge/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Membership among routers, by SWIM with Lifeguard's extensions."""
