--- a/yuccagauge/standins/log.py
+++ b/yuccagauge/standins/log.py
@@ -94,8 +94,9 @@
         now = self._clock.now()
         elapsed = (now - self._updated) / _MILLISECONDS_PER_SECOND
         self._updated = now
-        tokens = rate if self._tokens is None else self._tokens
-        tokens = min(tokens + elapsed * rate, max(rate, 1))
+        capacity = max(rate, 1) if rate else 0
+        tokens = capacity if self._tokens is None else self._tokens
+        tokens = min(tokens + elapsed * rate, capacity)
         taken = tokens >= 1
         self._tokens = tokens - 1 if taken else tokens
         return taken
--- a/yuccagauge/standins/streams.py
+++ b/yuccagauge/standins/streams.py
@@ -38,14 +38,19 @@
         if not self.is_open or self._is_reached(self._limits.stall_after):
             return
         if self._is_reached(self._limits.cut_after):
-            self.cut()
+            # What was sent before the cut still has to arrive.
+            self._request.channel.loseConnection()
             return
         self._sent += 1
         self._request.write(frame)
 
     def finish(self) -> None:
         """End the response, unless a fault stops it."""
-        if self.is_open and not self._is_reached(self._limits.stall_after):
+        limits = self._limits
+        is_broken = self._is_reached(limits.stall_after) or self._is_reached(
+            limits.cut_after,
+        )
+        if self.is_open and not is_broken:
             self.done.callback(None)
 
     def cut(self) -> None:
