--- /dev/null
+++ b/yuccagauge/admission/open.py
@@ -0,0 +1,40 @@
+"""Admission of everything, for the baselines of the bench."""
+
+from collections.abc import Mapping
+
+from yuccagauge.admission.base import (
+    AdmissionPolicy,
+    AdmissionRequest,
+    admission_policies,
+)
+from yuccagauge.clock import Millis
+from yuccagauge.settings.document import ServiceDocument
+from yuccagauge.verdict import Refusal
+
+
+@admission_policies.register
+class OpenPolicy(AdmissionPolicy):
+    """Admits every request."""
+
+    name = 'open'
+
+    def configure(self, document: ServiceDocument, now: Millis) -> None:
+        """Ignore the limits."""
+
+    def set_peers(
+        self,
+        live_routers: int,
+        demand: Mapping[str, float],
+    ) -> None:
+        """Ignore the peers."""
+
+    def admit(  # noqa: WPS324
+        self,
+        request: AdmissionRequest,
+        now: Millis,
+    ) -> Refusal | None:
+        """Admit the request."""
+        return None  # noqa: WPS324
+
+    def finished(self, customer: str, now: Millis) -> None:
+        """Count nothing."""
--- /dev/null
+++ b/yuccagauge/load/table.py
@@ -0,0 +1,201 @@
+"""The load of all engines that a router may use."""
+
+from yuccagauge.clock import Millis
+from yuccagauge.load.base import EngineKey, EngineReport
+from yuccagauge.load.engine import EngineState, OwnRequest
+
+#: Prefill rate that is assumed until reports or usage tell, in tokens/ms.
+DEFAULT_PREFILL_RATE = 10.0
+
+#: An engine without a report for this long gets no work.
+REPORT_LIFETIME = Millis(15_000)
+
+#: An engine that refused a connection gets no work for this long.
+SUSPENSION = Millis(1000)
+
+
+class EngineTable:
+    """Reports, own requests in flight, and who may get work.
+
+    Parameters
+    ----------
+    prefill_rate
+        Prefill rate of an engine, in tokens/ms.
+    """
+
+    def __init__(self, prefill_rate: float = DEFAULT_PREFILL_RATE) -> None:
+        """Start without engines."""
+        self._prefill_rate = prefill_rate
+        self._engines: dict[EngineKey, EngineState] = {}
+        self._version = 0
+        self._usable: dict[str, tuple[int, Millis, tuple[EngineKey, ...]]] = {}
+
+    @property
+    def engines(self) -> tuple[EngineKey, ...]:
+        """All known engines, usable or not, in order of address."""
+        return tuple(sorted(self._engines))
+
+    @property
+    def prefill_rate(self) -> float:
+        """The prefill rate that estimates assume, in tokens/ms."""
+        return self._prefill_rate
+
+    def update(self, report: EngineReport, now: Millis) -> None:
+        """Take a report, from the engine itself or shared by a peer.
+
+        A report that is older than the one that is held is ignored.
+        """
+        state = self._engines.setdefault(report.engine, EngineState())
+        previous = state.report
+        if previous is not None:
+            if report.measured_at < previous.measured_at:
+                return
+            if previous.incarnation != report.incarnation:
+                state.restart()
+        state.accept(report, self._prefill_rate, now)
+        if _changes_use(previous, report):
+            state.suspended_until = Millis(0)
+            self._version += 1
+
+    def sent(
+        self,
+        engine: EngineKey,
+        request_id: str,
+        tokens: int,
+        now: Millis,
+    ) -> None:
+        """Count a request that is sent to an engine.
+
+        ``tokens`` are those that the engine has to compute: the prompt
+        without the part that it is expected to hold.
+        """
+        state = self._engines.setdefault(engine, EngineState())
+        state.requests[request_id] = OwnRequest(tokens, now)
+        state.add(tokens, self._prefill_rate, now)
+
+    def started(self, engine: EngineKey, request_id: str, now: Millis) -> None:
+        """Note the first token of a request, which ends its prefill."""
+        state = self._engines.get(engine)
+        if state is not None and request_id in state.requests:
+            state.requests[request_id].started = True
+
+    def finished(
+        self,
+        engine: EngineKey,
+        request_id: str,
+        now: Millis,
+    ) -> None:
+        """Forget a request that ended in whatever way."""
+        state = self._engines.get(engine)
+        if state is not None:
+            state.requests.pop(request_id, None)
+
+    def failed(self, engine: EngineKey, now: Millis) -> None:
+        """Suspend an engine that refused or broke a connection."""
+        state = self._engines.get(engine)
+        if state is not None:
+            state.suspended_until = Millis(now + SUSPENSION)
+            self._version += 1
+
+    def set_leaving(self, engine: EngineKey, leaving: bool) -> None:
+        """Take an engine out of use, or back into it."""
+        state = self._engines.setdefault(engine, EngineState())
+        state.leaving = leaving
+        self._version += 1
+
+    def forget(self, engine: EngineKey) -> None:
+        """Drop an engine that is no longer part of the service."""
+        self._engines.pop(engine, None)
+        self._version += 1
+
+    def usable(
+        self,
+        model_weights_version: str,
+        now: Millis,
+    ) -> tuple[EngineKey, ...]:
+        """Return the engines that may get work, in order of address.
+
+        The same tuple object is returned until something changes, so that
+        callers may keep what they derive from it.
+        """
+        held = self._usable.get(model_weights_version)
+        if held is not None and held[0] == self._version and now < held[1]:
+            return held[2]
+        return self._collect(model_weights_version, now)
+
+    def incarnation(self, engine: EngineKey) -> str:
+        """Return the incarnation in the last report; empty if none."""
+        state = self._engines.get(engine)
+        if state is None or state.report is None:
+            return ''
+        return state.report.incarnation
+
+    def report(self, engine: EngineKey) -> EngineReport | None:
+        """Return the last report of an engine."""
+        state = self._engines.get(engine)
+        return None if state is None else state.report
+
+    def in_flight(self, engine: EngineKey) -> int:
+        """Return the number of own requests that have not finished."""
+        state = self._engines.get(engine)
+        return 0 if state is None else len(state.requests)
+
+    def queue_ms(self, engine: EngineKey, now: Millis) -> float:
+        """Estimate how long a new request waits for its prefill, in ms."""
+        state = self._engines.get(engine)
+        if state is None:
+            return 0
+        rate = self._prefill_rate
+        return state.backlog(rate, now) / rate
+
+    def explain(self, engine: EngineKey, now: Millis) -> str:
+        """Say in one sentence whether the engine gets work, and why."""
+        state = self._engines.get(engine)
+        if state is None:
+            return 'unknown engine'
+        if state.report is None:
+            return 'gets no work: no load report so far'
+        age = now - state.report.measured_at
+        if state.is_leaving:
+            return 'gets no work: it is leaving'
+        if now < state.suspended_until:
+            return 'gets no work: it refused or broke a connection just now'
+        if age > REPORT_LIFETIME:
+            return f'gets no work: its last load report is {age} ms old'
+        queue = self.queue_ms(engine, now)
+        return (
+            f'gets work: weights version {state.report.weights_version}, '
+            f'queue {queue:.0f} ms, {len(state.requests)} own requests, '
+            f'report {age} ms old'
+        )
+
+    def _collect(self, version: str, now: Millis) -> tuple[EngineKey, ...]:
+        """Build the tuple for ``usable`` and note how long it holds."""
+        usable: list[EngineKey] = []
+        until = now + REPORT_LIFETIME
+        for engine, state in sorted(self._engines.items()):
+            report = state.report
+            if report is None or report.weights_version != version:
+                continue
+            ends = report.measured_at + REPORT_LIFETIME
+            if state.is_leaving or now > ends:
+                continue
+            if now < state.suspended_until:
+                until = min(until, state.suspended_until)
+                continue
+            until = min(until, ends + 1)
+            usable.append(engine)
+        found = tuple(usable)
+        held = self._usable.get(version)
+        if held is not None and held[2] == found:
+            found = held[2]
+        self._usable[version] = (self._version, Millis(until), found)
+        return found
+
+
+def _changes_use(previous: EngineReport | None, report: EngineReport) -> bool:
+    if previous is None:
+        return True
+    before = (previous.incarnation, previous.weights_version, previous.role)
+    after = (report.incarnation, report.weights_version, report.role)
+    return before != after
--- /dev/null
+++ b/yuccagauge/prefixes/__init__.py
@@ -0,0 +1,25 @@
+"""Prefix identity over nested levels, without the engine's tokenizer."""
+
+from yuccagauge.prefixes.base import (
+    Identity,
+    Message,
+    PrefixLevel,
+    PrefixScheme,
+    RequestPrefix,
+    prefix_schemes,
+)
+from yuccagauge.prefixes.blocks import BlocksScheme
+from yuccagauge.prefixes.messages import MessagesScheme
+from yuccagauge.prefixes.whole import WholeScheme
+
+__all__ = (
+    'BlocksScheme',
+    'Identity',
+    'Message',
+    'MessagesScheme',
+    'PrefixLevel',
+    'PrefixScheme',
+    'RequestPrefix',
+    'WholeScheme',
+    'prefix_schemes',
+)
--- /dev/null
+++ b/yuccagauge/prefixes/base.py
@@ -0,0 +1,113 @@
+"""Identity of a prompt prefix and the schemes that derive it."""
+
+import abc
+import functools
+import hashlib
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import ClassVar
+
+from yuccagauge.errors import NotFoundError
+from yuccagauge.registry import Registry
+
+#: Size of a level digest.
+DIGEST_BYTES = 16
+
+#: Mean size of a token; no tokenizer is at hand, so tokens are estimated.
+BYTES_PER_TOKEN = 4
+
+_KEY_BYTES = 32
+_LENGTH_BYTES = 8
+
+
+class SchemeNotFoundError(NotFoundError):
+    """No prefix scheme has this name."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Identity:
+    """What has to be equal before two prompts may share cached blocks."""
+
+    customer: str
+    model: str
+    adapter: str
+    weights_version: str
+
+    @property
+    def key(self) -> bytes:
+        """The key of all digests below this identity."""
+        return _identity_key(
+            self.customer,
+            self.model,
+            self.adapter,
+            self.weights_version,
+        )
+
+    @property
+    def salt(self) -> str:
+        """The ``cache_salt`` that engines mix into their block hashes."""
+        return hashlib.blake2b(
+            b'cache_salt',
+            key=self.key,
+            digest_size=DIGEST_BYTES,
+        ).hexdigest()
+
+
+@dataclass(frozen=True, slots=True)
+class Message:
+    """One message of a prompt."""
+
+    role: str
+    content: str
+
+
+@dataclass(frozen=True, slots=True)
+class PrefixLevel:
+    """One nested prefix of a prompt."""
+
+    #: Chained BLAKE2b-128, keyed by the identity.
+    digest: bytes
+    #: Estimated tokens from the start of the prompt to the end of the level.
+    tokens: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RequestPrefix:
+    """The nested prefixes of one prompt, shallowest first."""
+
+    identity: Identity
+    levels: tuple[PrefixLevel, ...]
+    #: Estimated tokens of the whole prompt.
+    prompt_tokens: int
+
+
+class PrefixScheme(abc.ABC):
+    """Cuts a prompt into levels; equal beginnings give equal levels."""
+
+    name: ClassVar[str]
+    aliases: ClassVar[tuple[str, ...]] = ()
+
+    @abc.abstractmethod
+    def derive(
+        self,
+        identity: Identity,
+        messages: Sequence[Message],
+    ) -> RequestPrefix:
+        """Return the levels of a prompt."""
+
+
+#: All prefix schemes by name.
+prefix_schemes: Registry[type[PrefixScheme]] = Registry(
+    'prefix scheme',
+    SchemeNotFoundError,
+)
+
+
+@functools.lru_cache(maxsize=1024)
+def _identity_key(*fields: str) -> bytes:
+    hasher = hashlib.blake2b(digest_size=_KEY_BYTES, person=b'yuccagauge-id')
+    for field in fields:
+        encoded = field.encode()
+        hasher.update(len(encoded).to_bytes(_LENGTH_BYTES, 'big'))
+        hasher.update(encoded)
+    return hasher.digest()
--- /dev/null
+++ b/yuccagauge/prefixes/chain.py
@@ -0,0 +1,56 @@
+"""The running hash over a prompt from which level digests are read."""
+
+import hashlib
+
+from yuccagauge.prefixes.base import (
+    BYTES_PER_TOKEN,
+    DIGEST_BYTES,
+    Identity,
+    PrefixLevel,
+)
+
+# Bytes that never occur in UTF-8, so no content can imitate a boundary.
+_START = b'\xff'
+_END = b'\xfe'
+
+
+class PrefixChain:
+    """Hashes messages in order and reads a level at any position.
+
+    Parameters
+    ----------
+    identity
+        Keys the hash, so that equal prompts of two customers differ.
+    """
+
+    def __init__(self, identity: Identity) -> None:
+        """Start before the first message."""
+        self._hasher = hashlib.blake2b(
+            key=identity.key,
+            digest_size=DIGEST_BYTES,
+        )
+        self._bytes = 0
+
+    @property
+    def tokens(self) -> int:
+        """The estimated tokens hashed so far, rounded up."""
+        return -(-self._bytes // BYTES_PER_TOKEN)
+
+    def open_message(self, role: str) -> None:
+        """Begin a message."""
+        encoded = role.encode()
+        self._hasher.update(_START + encoded + _START)
+        self._bytes += len(encoded)
+
+    def add(self, content: bytes | memoryview) -> None:
+        """Hash a part of the content of the open message."""
+        self._hasher.update(content)
+        self._bytes += len(content)
+
+    def close_message(self) -> None:
+        """End the open message."""
+        self._hasher.update(_END)
+
+    def level(self) -> PrefixLevel:
+        """Return the level that ends at the current position."""
+        return PrefixLevel(self._hasher.digest(), self.tokens)
