Release a claim whose late copies could take the key

A claim that was appended twice and lost may have a copy still on its way. After the holder's release that copy would win, and the key would be held by a claim that nobody uses. The loser now appends a release, which voids every later copy.

A claim that the log refused, or that was never appended, needs none.

--- a/yuccagauge/claims/batcher.py
+++ b/yuccagauge/claims/batcher.py
@@ -63,7 +63,7 @@
 class _Item:
     """One record on its way into the log."""
 
-    __slots__ = ('appended', 'record', 'state')
+    __slots__ = ('appended', 'attempts', 'record', 'state')
 
     def __init__(self, record: Record) -> None:
         """Wait for the next batch."""
@@ -71,6 +71,8 @@
         self.state = _State.WAITING
         #: Whether the record may be in the log, now or later.
         self.appended = False
+        #: How many appends carried it.
+        self.attempts = 0
 
 
 class Batcher:
@@ -147,10 +149,11 @@
         self._schedule()
 
     def confirm(self, record: Record) -> bool:
-        """Take note that a record was read; return whether it was ours."""
+        """Take note that a record was read; return if copies may follow."""
         identity = record_id(record)
         self._waiting.pop(identity, None)
-        return self._items.pop(identity, None) is not None
+        item = self._items.pop(identity, None)
+        return item is not None and item.attempts > 1
 
     def withdraw(self, claim: Claim) -> bool:
         """Stop appending a claim; return whether it may be in the log."""
@@ -228,6 +231,7 @@
                 break
         for item in batch:
             item.state = _State.FLYING
+            item.attempts += 1
             self._waiting.pop(record_id(item.record))
         return batch
 
@@ -239,6 +243,8 @@
         self._next()
 
     def _failed(self, failure: Failure, batch: list[_Item]) -> None:
+        if not batch:
+            self._tick_asked = True
         if failure.check(LogUnavailableError):
             self._refused(failure, batch)
             return
@@ -262,6 +268,7 @@
             self._counts['unavailable'] += 1
         for item in batch:
             identity = record_id(item.record)
+            item.attempts -= 1
             if self._items.get(identity) is item:
                 item.state = _State.WAITING
                 self._waiting[identity] = item
--- a/yuccagauge/claims/client.py
+++ b/yuccagauge/claims/client.py
@@ -27,7 +27,6 @@
     Mismatch,
     Outcome,
     Record,
-    Release,
     Replay,
     Unavailable,
     make_claim,
@@ -40,7 +39,7 @@
     encode_decision,
     encode_forwarded,
 )
-from yuccagauge.claims.shard import Shard, ShardOptions
+from yuccagauge.claims.shard import Shard, ShardOptions, release_of
 from yuccagauge.clock import Millis
 from yuccagauge.errors import YuccagaugeError
 from yuccagauge.logstream.base import Log
@@ -206,7 +205,7 @@
                 return decision
             appended = appended or decision.appended
         if appended:
-            self._submit(_release_of(claim))
+            self._submit(release_of(claim))
         return Unavailable(appended=appended)
 
     def release(self, granted: Granted) -> Deferred[None]:
@@ -214,7 +213,7 @@
 
         Fires when the release is in the log; it is retried until then.
         """
-        return self._submit(_release_of(granted))
+        return self._submit(release_of(granted))
 
     def complete(
         self,
@@ -379,13 +378,5 @@
                 self._shards[number].keep_time()
 
 
-def _release_of(claim: Claim | Granted) -> Release:
-    return Release(
-        key=claim.key,
-        claim_id=claim.claim_id,
-        key_time=claim.key_time,
-    )
-
-
 def _forward_timed_out(result: object, seconds: float) -> None:
     raise ForwardError(f'no answer within {seconds} s')
--- a/yuccagauge/claims/shard.py
+++ b/yuccagauge/claims/shard.py
@@ -18,6 +18,7 @@
     Mismatch,
     Outcome,
     Record,
+    Release,
     Replay,
     Unavailable,
     shard_stream,
@@ -149,15 +150,12 @@
     def claim(self, claim: Claim, timeout: Millis) -> Deferred[ClaimDecision]:
         """Claim a key; the decision comes within the timeout."""
         self._used_at = self._reactor.seconds()
-        appended = False
         decided = self._decide(claim)
         decided.addTimeout(timeout / _MILLISECONDS_PER_SECOND, self._reactor)
         try:
             decision = yield decided
         except (TimeoutError, LogError):
-            self._results.pop(claim.claim_id, None)
-            appended = self._batcher.withdraw(claim)
-            decision = Unavailable(appended=appended)
+            decision = Unavailable(appended=self._give_up(claim))
         self._counts[type(decision).__name__.lower()] += 1
         return decision
 
@@ -187,13 +185,22 @@
 
     def _read(self, offset: int, record: Record) -> None:
         result = self._ledger.apply(offset, record)
-        self._batcher.confirm(record)
+        has_copies = self._batcher.confirm(record)
         for done in self._recorded.pop(record_id(record), ()):
             done.callback(None)
-        if result is not None:
-            waiter = self._results.pop(record.claim_id, None)
-            if waiter is not None:
-                waiter.callback(result)
+        if result is None:
+            return
+        if has_copies and result is not ClaimResult.WON:
+            # A late copy must not take the key after its holder gave it up.
+            self.submit(release_of(record))
+        waiter = self._results.pop(record.claim_id, None)
+        if waiter is not None:
+            waiter.callback(result)
+
+    def _give_up(self, claim: Claim) -> bool:
+        if self._results.pop(claim.claim_id, None) is None:
+            return False
+        return self._batcher.withdraw(claim)
 
     @inlineCallbacks
     def _decide(self, claim: Claim) -> Deferred[ClaimDecision]:
@@ -257,3 +264,12 @@
             change: Deferred[None] = Deferred()
             self._changes.append(change)
             yield change
+
+
+def release_of(claim: Claim | Granted) -> Release:
+    """Return the record that gives a claim id up."""
+    return Release(
+        key=claim.key,
+        claim_id=claim.claim_id,
+        key_time=claim.key_time,
+    )
