Add the benchmark of the decisions on a virtual clock

Cause: placement and admission need figures that are the same in each run. Token buckets start full: each customer's first request at each router had been refused.

--- a/yuccagauge/admission/customer.py
+++ b/yuccagauge/admission/customer.py
@@ -38,9 +38,16 @@
         self.in_flight = 0
         self._section = section
         self._share = 1.0
-        self._requests = TokenBucket(0, 0, now)
-        self._tokens = TokenBucket(0, 0, now)
-        self.set_share(section, 1.0, now)
+        self._requests = TokenBucket(
+            section.requests_per_second,
+            section.requests_per_second * BURST_SECONDS,
+            now,
+        )
+        self._tokens = TokenBucket(
+            section.tokens_per_second,
+            section.tokens_per_second * BURST_SECONDS,
+            now,
+        )
 
     def set_share(
         self,
--- /dev/null
+++ b/yuccagauge/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmark of the decision classes on a virtual clock."""
--- /dev/null
+++ b/yuccagauge/bench/fleet.py
@@ -0,0 +1,94 @@
+"""The surroundings of the routers: engines, network, clock, measures."""
+
+from collections import defaultdict
+from typing import TYPE_CHECKING
+
+import numpy as np
+
+from yuccagauge.bench.engine import EngineFake
+from yuccagauge.bench.logfake import LogFake
+from yuccagauge.bench.loop import EventLoop
+from yuccagauge.bench.measures import Measures
+from yuccagauge.bench.trace import TracedRequest
+from yuccagauge.bench.workload import Workload
+from yuccagauge.load import EngineKey
+
+if TYPE_CHECKING:
+    from yuccagauge.bench.router import RouterSim
+
+_FIRST_PORT = 9000
+
+#: A cache event: kind, digest and cumulative tokens.
+CacheEvent = tuple[str, bytes, int]
+
+
+class Fleet:
+    """What all routers of a run share.
+
+    Parameters
+    ----------
+    workload
+        The workload.
+    seed
+        Seed of the run.
+    """
+
+    def __init__(self, workload: Workload, seed: int) -> None:
+        """Build engines and the network."""
+        self.workload = workload
+        self.loop = EventLoop()
+        self.log = LogFake(workload)
+        self.measures = Measures(workload)
+        self.random = np.random.default_rng((seed, 2))
+        #: Share of the events that are lost now.
+        self.event_loss = workload.signals.event_loss
+        #: Data centres that are cut off from all others.
+        self.cut_off: set[str] = set()
+        self.engines: dict[EngineKey, EngineFake] = {}
+        self._events: dict[EngineKey, list[CacheEvent]] = defaultdict(list)
+        for number in range(workload.engines.count):
+            self._add_engine(number)
+        self.all_engines = tuple(self.engines.values())
+
+    def data_centre(self, number: int) -> str:
+        """Return the data centre of the n-th engine or router."""
+        data_centres = self.workload.workload.data_centres
+        return data_centres[number % len(data_centres)]
+
+    def distance(self, one: str, other: str) -> float:
+        """Return the one-way network delay, in ms."""
+        return 0 if one == other else self.workload.workload.between_ms
+
+    def reaches(self, one: str, other: str) -> bool:
+        """Return whether the network joins two data centres now."""
+        return one == other or not self.cut_off & {one, other}
+
+    def prepare(self, router: 'RouterSim') -> None:
+        """Tell a router that starts what its settings and document say."""
+        for key, engine in self.engines.items():
+            router.table.set_distance(
+                key,
+                self.distance(router.data_centre, engine.data_centre),
+            )
+        attach = getattr(router.policy, 'attach', None)
+        if attach is not None:
+            attach(self, router.data_centre)
+
+    def answered(self, request: TracedRequest) -> None:
+        """Count a first token that a router passes to its client."""
+        client = self.workload.workload.client_ms
+        self.measures.answered(request, self.loop.time + client)
+
+    def take_events(self, engine: EngineKey) -> list[CacheEvent]:
+        """Return the events of an engine since the last call."""
+        return self._events.pop(engine, [])
+
+    def _add_engine(self, number: int) -> None:
+        key = EngineKey('127.0.0.1', _FIRST_PORT + number)
+        self.engines[key] = EngineFake(
+            key,
+            self.data_centre(number),
+            self.workload.engines,
+            self.loop,
+            lambda *event: self._events[key].append(event),
+        )
--- a/yuccagauge/load/table.py
+++ b/yuccagauge/load/table.py
@@ -27,6 +27,7 @@
         """Start without engines."""
         self._prefill_rate = prefill_rate
         self._engines: dict[EngineKey, EngineState] = {}
+        self._distances: dict[EngineKey, float] = {}
         self._version = 0
         self._usable: dict[str, tuple[int, Millis, tuple[EngineKey, ...]]] = {}
 
@@ -103,9 +104,18 @@
         state.leaving = leaving
         self._version += 1
 
+    def set_distance(self, engine: EngineKey, distance_ms: float) -> None:
+        """Take the one-way network delay to an engine, in ms."""
+        self._distances[engine] = distance_ms
+
+    def distance_ms(self, engine: EngineKey) -> float:
+        """Return the one-way network delay to an engine; 0 if not known."""
+        return self._distances.get(engine, 0)
+
     def forget(self, engine: EngineKey) -> None:
         """Drop an engine that is no longer part of the service."""
         self._engines.pop(engine, None)
+        self._distances.pop(engine, None)
         self._version += 1
 
     def usable(
--- a/yuccagauge/placement/base.py
+++ b/yuccagauge/placement/base.py
@@ -69,6 +69,9 @@
     name: ClassVar[str]
     aliases: ClassVar[tuple[str, ...]] = ()
 
+    #: Whether decisions gain from the cache events of the engines.
+    reads_events: ClassVar[bool] = False
+
     def __init__(
         self,
         table: EngineTable,
@@ -113,6 +116,7 @@
         queue = self._table.queue_ms(engine, now)
         missing = max(0, request.prefix.prompt_tokens - expected)
         cost = queue + missing / self._table.prefill_rate
+        cost += 2 * self._table.distance_ms(engine)
         return Candidate(engine, cost, expected, queue)
 
     def _decide(
--- a/yuccagauge/placement/cost.py
+++ b/yuccagauge/placement/cost.py
@@ -28,6 +28,7 @@
     """Chooses the candidate with the lowest expected cost."""
 
     name = 'cost'
+    reads_events = True
 
     _ring: Ring | None = None
     _members: tuple[EngineKey, ...] = ()
