Learn the prefill rate and consider every engine that matches

Cause: the first cost policy looked only at ring engines of the deepest levels and assumed a fixed prefill rate.

--- a/yuccagauge/bench/oracle.py
+++ b/yuccagauge/bench/oracle.py
@@ -18,7 +18,7 @@
     from yuccagauge.bench.fleet import Fleet
 
 #: Weight of the work that a recomputation takes from later requests.
-RECOMPUTE_WEIGHT = 1.0
+RECOMPUTE_WEIGHT = 2.0
 
 #: Cost of evicting a token that was used just now, in ms; it fades with
 #: the age of the level that would go.
--- a/yuccagauge/bench/router.py
+++ b/yuccagauge/bench/router.py
@@ -116,7 +116,12 @@
     def finished(self, flight: 'Flight', job: Job) -> None:
         """Learn from the usage, which comes with the end of an answer."""
         now = self.fleet.loop.now
-        self.table.finished(flight.engine.key, flight.name, now)
+        self.table.finished(
+            flight.engine.key,
+            flight.name,
+            now,
+            job.prefix.prompt_tokens - job.cached_tokens,
+        )
         self.view.observed(
             flight.engine.key,
             job.incarnation,
--- a/yuccagauge/cacheview/view.py
+++ b/yuccagauge/cacheview/view.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from yuccagauge.cacheview.base import HotPrefix
+from yuccagauge.cacheview.level import RATE_WINDOW, LevelState
 from yuccagauge.clock import Millis
 from yuccagauge.load.base import EngineKey
 from yuccagauge.prefixes.base import RequestPrefix
@@ -11,32 +12,27 @@
 #: Bound on the levels that a router remembers.
 MAXIMUM_LEVELS = 20_000
 
-#: Time over which the rate of a level is averaged.
-RATE_WINDOW = Millis(10_000)
+#: Age at which engines are taken to evict until events or usage tell.
+DEFAULT_LIFETIME = Millis(10_000)
 
-_MILLIS_PER_SECOND = 1000
+#: Bounds on the learned age.
+SHORTEST_LIFETIME = Millis(500)
+LONGEST_LIFETIME = Millis(120_000)
 
+#: Weight of one sample in the learned age.
+LIFETIME_WEIGHT = 0.02
 
-@dataclass(slots=True)
-class LevelState:
-    """What is known about one level digest."""
+_MILLIS_PER_SECOND = 1000
 
-    tokens: int
-    #: Holders and the time at which each was last known to hold the level.
-    holders: dict[tuple[EngineKey, str], Millis]
-    #: Requests in the window, decayed, at ``seen_at``.
-    uses: float = 0
-    seen_at: Millis = Millis(0)
 
-    def count(self, now: Millis) -> None:
-        """Count one request for the level."""
-        self.uses = self.decayed(now) + 1
-        self.seen_at = max(now, self.seen_at)
+@dataclass(frozen=True, slots=True)
+class Match:
+    """What one engine is expected to hold of a prompt."""
 
-    def decayed(self, now: Millis) -> float:
-        """Return the requests in the window that ends now."""
-        age = max(0, now - self.seen_at)
-        return self.uses * max(0, 1 - age / RATE_WINDOW)
+    #: Tokens of the deepest level.
+    tokens: int
+    #: Time since the engine was last known to use it, in ms.
+    age: int
 
 
 class CacheView:
@@ -53,11 +49,43 @@
         self._maximum = maximum_levels
         self._levels: OrderedDict[bytes, LevelState] = OrderedDict()
         self._incarnations: dict[EngineKey, str] = {}
+        self._lifetimes: dict[EngineKey, float] = {}
+        self._now = Millis(0)
 
     def __len__(self) -> int:
         """Return the number of levels."""
         return len(self._levels)
 
+    def lifetime(self, engine: EngineKey) -> float:
+        """Return the age at which an engine evicts what it does not use."""
+        return self._lifetimes.get(engine, DEFAULT_LIFETIME)
+
+    def matches(
+        self,
+        prefix: RequestPrefix,
+        now: Millis,
+    ) -> dict[EngineKey, Match]:
+        """Return what each engine is expected to hold, if anything.
+
+        A level that is known to be evicted ends the match, since engines
+        hold no level without its parents. A level that is not known does
+        not, since many events are never seen.
+        """
+        found: dict[EngineKey, Match] = {}
+        ended: set[EngineKey] = set()
+        for level in prefix.levels:
+            state = self._levels.get(level.digest)
+            if state is None:
+                continue
+            for engine, used_at in state.holders.items():
+                if engine in ended:
+                    continue
+                if used_at < 0:
+                    ended.add(engine)
+                elif now - used_at < self.lifetime(engine):
+                    found[engine] = Match(level.tokens, now - used_at)
+        return found
+
     def expected_tokens(
         self,
         engine: EngineKey,
@@ -65,12 +93,15 @@
         prefix: RequestPrefix,
     ) -> int:
         """Return how many tokens of the prompt the engine should hold."""
-        holder = (engine, incarnation)
-        for level in reversed(prefix.levels):
-            state = self._levels.get(level.digest)
-            if state is not None and holder in state.holders:
-                return level.tokens
-        return 0
+        if self._incarnations.get(engine) != incarnation:
+            return 0
+        match = self.matches(prefix, self._now).get(engine)
+        return 0 if match is None else match.tokens
+
+    def uses(self, digest: bytes, now: Millis) -> float:
+        """Return the recent requests for a level at this router."""
+        state = self._levels.get(digest)
+        return 0 if state is None else state.decayed(now)
 
     def observed(
         self,
@@ -82,7 +113,8 @@
     ) -> None:
         """Learn from the usage of an answer.
 
-        After a request the engine holds its whole prompt.
+        A level that was expected and not found shortens the lifetime; after
+        the request the engine holds the whole prompt.
         """
         self.expect(engine, incarnation, prefix, now)
 
@@ -94,16 +126,14 @@
         now: Millis,
     ) -> None:
         """Expect the engine to hold the prompt, since it is sent there."""
-        self._enter(engine, incarnation)
+        self._enter(engine, incarnation, now)
         for level in prefix.levels:
-            state = self._touch(level.digest, level.tokens)
-            state.holders[engine, incarnation] = now
-            state.count(now)
+            self._touch(level.digest, level.tokens).hold(engine, now)
 
-    def holders(self, digest: bytes) -> tuple[tuple[EngineKey, str], ...]:
-        """Return engines and incarnations that should hold a level."""
-        state = self._levels.get(digest)
-        return () if state is None else tuple(state.holders)
+    def count(self, prefix: RequestPrefix, now: Millis) -> None:
+        """Count a request for its levels."""
+        for level in prefix.levels:
+            self._touch(level.digest, level.tokens).count(now)
 
     def stored(
         self,
@@ -114,9 +144,8 @@
         now: Millis,
     ) -> None:
         """Take the event that an engine stored a level."""
-        self._enter(engine, incarnation)
-        state = self._touch(digest, tokens)
-        state.holders[engine, incarnation] = now
+        self._enter(engine, incarnation, now)
+        self._touch(digest, tokens).hold(engine, now)
 
     def evicted(
         self,
@@ -126,57 +155,81 @@
     ) -> None:
         """Take the event that an engine evicted a level."""
         state = self._levels.get(digest)
-        if state is not None:
-            state.holders.pop((engine, incarnation), None)
+        if state is None or self._incarnations.get(engine) != incarnation:
+            return
+        used_at = state.holders.get(engine, -1)
+        if used_at >= 0:
+            self._learn_lifetime(engine, self._now - used_at)
+        state.drop(engine, self._now)
 
     def gap(self, engine: EngineKey, now: Millis) -> None:
-        """Note that events of an engine were lost."""
+        """Note that events of an engine were lost.
+
+        Nothing is dropped: an expectation that is wrong costs time once,
+        and ends with its lifetime.
+        """
+        self._now = max(now, self._now)
 
     def forget(self, engine: EngineKey) -> None:
         """Drop everything that is expected of an engine."""
         self._incarnations.pop(engine, None)
         for state in self._levels.values():
-            gone = [holder for holder in state.holders if holder[0] == engine]
-            for holder in gone:
-                del state.holders[holder]
+            state.holders.pop(engine, None)
 
     def hot(self, limit: int) -> tuple[HotPrefix, ...]:
-        """Return the levels with most uses, to tell peers."""
+        """Return the levels with most uses and their holders, for peers."""
         used = sorted(
             self._levels.items(),
-            key=lambda entry: (-entry[1].uses, entry[0]),
+            key=lambda entry: (-entry[1].decayed(self._now), entry[0]),
         )
         found: list[HotPrefix] = []
         for digest, state in used[:limit]:
+            rate = state.decayed(self._now) * _MILLIS_PER_SECOND / RATE_WINDOW
             found.extend(
                 HotPrefix(
                     digest=digest,
                     tokens=state.tokens,
                     engine=engine,
-                    incarnation=incarnation,
-                    rate=state.uses * _MILLIS_PER_SECOND / RATE_WINDOW,
+                    incarnation=self._incarnations.get(engine, ''),
+                    rate=rate,
                 )
-                for engine, incarnation in state.holders
+                for engine, used_at in state.holders.items()
+                if used_at >= 0
             )
         return tuple(found[:limit])
 
     def preload(
         self,
         prefixes: tuple[HotPrefix, ...],
-        now: Millis = Millis(0),
+        now: Millis | None = None,
     ) -> None:
         """Take the hot levels of a peer."""
+        at = self._now if now is None else now
         for hot in prefixes:
             self.stored(
                 hot.engine,
                 hot.incarnation,
                 hot.digest,
                 hot.tokens,
-                now,
+                at,
             )
 
-    def _enter(self, engine: EngineKey, incarnation: str) -> None:
+    def _learn_lifetime(self, engine: EngineKey, age: float) -> None:
+        known = self.lifetime(engine)
+        learned = known + LIFETIME_WEIGHT * (age - known)
+        self._lifetimes[engine] = min(
+            max(learned, SHORTEST_LIFETIME),
+            LONGEST_LIFETIME,
+        )
+
+    def _enter(
+        self,
+        engine: EngineKey,
+        incarnation: str,
+        now: Millis,
+    ) -> None:
         """Drop what an earlier incarnation of the engine held."""
+        self._now = max(now, self._now)
         known = self._incarnations.get(engine)
         if known != incarnation:
             if known is not None:
@@ -186,7 +239,7 @@
     def _touch(self, digest: bytes, tokens: int) -> LevelState:
         state = self._levels.get(digest)
         if state is None:
-            state = LevelState(tokens, {})
+            state = LevelState(tokens)
             self._levels[digest] = state
             if len(self._levels) > self._maximum:
                 self._levels.popitem(last=False)
--- a/yuccagauge/load/engine.py
+++ b/yuccagauge/load/engine.py
@@ -19,7 +19,8 @@
 
     tokens: int
     sent_at: Millis
-    started: bool = False
+    #: Time of the first token, once it is there.
+    started_at: Millis | None = None
 
 
 class EngineState:
--- a/yuccagauge/load/table.py
+++ b/yuccagauge/load/table.py
@@ -3,9 +3,7 @@
 from yuccagauge.clock import Millis
 from yuccagauge.load.base import EngineKey, EngineReport
 from yuccagauge.load.engine import EngineState, OwnRequest
-
-#: Prefill rate that is assumed until reports or usage tell, in tokens/ms.
-DEFAULT_PREFILL_RATE = 10.0
+from yuccagauge.load.rate import DEFAULT_PREFILL_RATE, PrefillRate
 
 #: An engine without a report for this long gets no work.
 REPORT_LIFETIME = Millis(15_000)
@@ -20,12 +18,12 @@
     Parameters
     ----------
     prefill_rate
-        Prefill rate of an engine, in tokens/ms.
+        Prefill rate of an engine that is assumed at first, in tokens/ms.
     """
 
     def __init__(self, prefill_rate: float = DEFAULT_PREFILL_RATE) -> None:
         """Start without engines."""
-        self._prefill_rate = prefill_rate
+        self._rate = PrefillRate(prefill_rate)
         self._engines: dict[EngineKey, EngineState] = {}
         self._distances: dict[EngineKey, float] = {}
         self._version = 0
@@ -39,7 +37,7 @@
     @property
     def prefill_rate(self) -> float:
         """The prefill rate that estimates assume, in tokens/ms."""
-        return self._prefill_rate
+        return self._rate.tokens_per_ms
 
     def update(self, report: EngineReport, now: Millis) -> None:
         """Take a report, from the engine itself or shared by a peer.
@@ -53,7 +51,7 @@
                 return
             if previous.incarnation != report.incarnation:
                 state.restart()
-        state.accept(report, self._prefill_rate, now)
+        state.accept(report, self.prefill_rate, now)
         if _changes_use(previous, report):
             state.suspended_until = Millis(0)
             self._version += 1
@@ -72,24 +70,34 @@
         """
         state = self._engines.setdefault(engine, EngineState())
         state.requests[request_id] = OwnRequest(tokens, now)
-        state.add(tokens, self._prefill_rate, now)
+        state.add(tokens, self.prefill_rate, now)
 
     def started(self, engine: EngineKey, request_id: str, now: Millis) -> None:
         """Note the first token of a request, which ends its prefill."""
         state = self._engines.get(engine)
         if state is not None and request_id in state.requests:
-            state.requests[request_id].started = True
+            state.requests[request_id].started_at = now
 
     def finished(
         self,
         engine: EngineKey,
         request_id: str,
         now: Millis,
+        computed_tokens: int = 0,
     ) -> None:
-        """Forget a request that ended in whatever way."""
+        """Forget a request that ended in whatever way.
+
+        ``computed_tokens`` are the prompt tokens that the engine did not
+        find in its cache, by the usage of the answer; 0 if not known.
+        """
         state = self._engines.get(engine)
-        if state is not None:
-            state.requests.pop(request_id, None)
+        if state is None:
+            return
+        request = state.requests.pop(request_id, None)
+        if request is not None and request.started_at is not None:
+            waited = request.started_at - request.sent_at
+            network = 2 * self.distance_ms(engine)
+            self._rate.learn(computed_tokens, waited - network)
 
     def failed(self, engine: EngineKey, now: Millis) -> None:
         """Suspend an engine that refused or broke a connection."""
@@ -155,7 +163,7 @@
         state = self._engines.get(engine)
         if state is None:
             return 0
-        rate = self._prefill_rate
+        rate = self.prefill_rate
         return state.backlog(rate, now) / rate
 
     def explain(self, engine: EngineKey, now: Millis) -> str:
--- a/yuccagauge/prefixes/base.py
+++ b/yuccagauge/prefixes/base.py
@@ -79,6 +79,9 @@
     levels: tuple[PrefixLevel, ...]
     #: Estimated tokens of the whole prompt.
     prompt_tokens: int
+    #: How many of the levels end before the last message; what follows is
+    #: seldom asked for again before it is followed by another message.
+    stable_levels: int = 0
 
 
 class PrefixScheme(abc.ABC):
--- a/yuccagauge/prefixes/messages.py
+++ b/yuccagauge/prefixes/messages.py
@@ -40,7 +40,9 @@
         """Return the levels of a prompt."""
         chain = PrefixChain(identity)
         levels: list[PrefixLevel] = []
+        stable = 0
         for message in messages:
+            stable = len(levels)
             chain.open_message(message.role)
             levels.extend(_inner_levels(chain, message.content.encode()))
             chain.close_message()
@@ -49,6 +51,7 @@
             identity=identity,
             levels=_thin(levels),
             prompt_tokens=chain.tokens,
+            stable_levels=min(stable, MAXIMUM_LEVELS - 1),
         )
 
 
--- a/yuccagauge/prefixes/whole.py
+++ b/yuccagauge/prefixes/whole.py
@@ -36,4 +36,5 @@
             identity=identity,
             levels=tuple(levels),
             prompt_tokens=chain.tokens,
+            stable_levels=max(0, len(levels) - 1),
         )
