Add the load tool and the demonstration

Answers and plain calls have to be judged end to end. The load tool plans seeded traffic like both users', streams the answers, and compares them with the engine's deterministic function; the audit compares what callers were told with the records of engines and plain services. The demo runs the stand-ins and three routers in two data centres as processes, sends the traffic of both users and prints hit rate, time to first token and waste.

The demo needs the router command.

--- /dev/null
+++ b/yuccagauge/demo/fleet.py
@@ -0,0 +1,373 @@
+"""A fleet of stand-ins and routers in two data centres on loopback."""
+
+import contextlib
+import socket
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import treq
+from twisted.internet import defer, error, reactor, task
+from twisted.web.client import RequestTransmissionFailed, ResponseFailed
+
+from yuccagauge.adoption.publish import Accepted, publish
+from yuccagauge.demo.processes import (
+    ManagedProcess,
+    StandinProcess,
+    StartError,
+)
+from yuccagauge.loadgen.base import Profile
+from yuccagauge.logstream.client import LogClient
+from yuccagauge.settings.options import Endpoint
+from yuccagauge.settings.reader import RawSections
+
+_HOST = '127.0.0.1'
+_REGION = 'region-1'
+_DATA_CENTRES = ('centre-a', 'centre-b')
+_POLL_SECONDS = 0.1
+_READY_SECONDS = 30
+_NO_VERSION = -1
+
+#: Version of the weights at the start.
+WEIGHTS_VERSION = 'w1'
+
+_UNREACHABLE = (
+    error.ConnectError,
+    error.ConnectionClosed,
+    ResponseFailed,
+    RequestTransmissionFailed,
+    defer.TimeoutError,
+    defer.CancelledError,
+)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class FleetPlan:
+    """How many processes of each kind there are."""
+
+    routers: int = 3
+    #: For each user.
+    engines: int = 4
+    servers: int = 2
+    #: Sections of every engine.
+    engine: Mapping[str, str] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RouterPorts:
+    """Where one router listens."""
+
+    name: str
+    data_centre: str
+    callers: Endpoint
+    peers: Endpoint
+    admin: Endpoint
+
+
+class Fleet:
+    """All processes, and the documents of the users.
+
+    Parameters
+    ----------
+    directory
+        Where settings and output are kept.
+    profiles
+        The users.
+    plan
+        The numbers of processes.
+    """
+
+    def __init__(
+        self,
+        directory: Path,
+        profiles: tuple[Profile, ...],
+        plan: FleetPlan,
+    ) -> None:
+        """Choose ports without starting anything."""
+        self._directory = directory
+        self._profiles = profiles
+        self._plan = plan
+        self._platform: dict[str, StandinProcess] = {}
+        #: Backend servers by service, then with their data centres.
+        self._backends: dict[str, dict[StandinProcess, str]] = {}
+        self._routers: dict[str, ManagedProcess] = {}
+        self._ports = _choose_ports(plan.routers)
+        self._versions: dict[str, int] = {}
+
+    @property
+    def callers(self) -> tuple[Endpoint, ...]:
+        """Where the routers listen for callers."""
+        return tuple(ports.callers for ports in self._ports)
+
+    @property
+    def ports(self) -> tuple[RouterPorts, ...]:
+        """Where the routers listen."""
+        return self._ports
+
+    @property
+    def routers(self) -> Mapping[str, ManagedProcess]:
+        """The routers by name."""
+        return self._routers
+
+    @property
+    def platform(self) -> Mapping[str, StandinProcess]:
+        """The stand-ins of the platform by kind."""
+        return self._platform
+
+    @property
+    def versions(self) -> Mapping[str, int]:
+        """The last accepted version of each service."""
+        return self._versions
+
+    def backends(self, service: str) -> tuple[StandinProcess, ...]:
+        """Return the backend servers of a service."""
+        return tuple(self._backends[service])
+
+    @defer.inlineCallbacks
+    def start(self) -> defer.Deferred[None]:
+        """Start everything; fire when the routers serve.
+
+        Raises
+        ------
+        StartError
+            If a process ends, or is not ready in time.
+        """
+        for kind in ('log', 'vm-list', 'kept-kv', 'weight-store'):
+            self._platform[kind] = self._standin(kind, kind, {})
+        for profile in self._profiles:
+            self._start_backends(profile)
+        waiting = [one.when_ready() for one in self._standins()]
+        yield _all(waiting)
+        yield self._set_vm_list()
+        for router in self._ports:
+            self._start_router(router)
+        for profile in self._profiles:
+            yield self.publish_documents(profile, WEIGHTS_VERSION)
+        yield _all([self.when_serving(ports) for ports in self._ports])
+
+    @defer.inlineCallbacks
+    def close(self) -> defer.Deferred[None]:
+        """End the routers, then the stand-ins."""
+        yield _all([router.close() for router in self._routers.values()])
+        yield _all([standin.close() for standin in self._standins()])
+
+    @defer.inlineCallbacks
+    def publish_documents(
+        self,
+        profile: Profile,
+        weights_version: str,
+    ) -> defer.Deferred[None]:
+        """Publish both documents of a user.
+
+        Raises
+        ------
+        StartError
+            If one was not accepted.
+        """
+        documents = profile.documents(
+            self._endpoints(profile.model_service),
+            self._endpoints(profile.plain_service),
+            weights_version,
+        )
+        log = LogClient(self._platform['log'].endpoint, reactor)
+        for service, sections in documents.items():
+            replaces = self._versions.get(service, _NO_VERSION)
+            outcome = yield publish(log, service, replaces, sections)
+            if not isinstance(outcome, Accepted):
+                raise StartError(f'{service} was not published: {outcome}')
+            self._versions[service] = outcome.version
+        yield log.close()
+
+    @defer.inlineCallbacks
+    def when_serving(self, ports: RouterPorts) -> defer.Deferred[None]:
+        """Wait until a router has all documents in force.
+
+        Raises
+        ------
+        StartError
+            If it has not in time.
+        """
+        end = reactor.seconds() + _READY_SECONDS
+        while reactor.seconds() < end:
+            documents = yield self.documents_in_force(ports)
+            if documents == self._versions:
+                return
+            yield task.deferLater(reactor, _POLL_SECONDS, lambda: None)
+        raise StartError(f'{ports.name} does not serve; see {self._directory}')
+
+    @defer.inlineCallbacks
+    def documents_in_force(
+        self,
+        ports: RouterPorts,
+    ) -> defer.Deferred[dict[str, int]]:
+        """Return the versions in force on a router; empty if it is down."""
+        url = f'http://{ports.admin}/status'
+        try:
+            response = yield treq.get(url, timeout=2, persistent=False)
+            status = yield treq.json_content(response)
+        except _UNREACHABLE:
+            return {}
+        return {
+            service: document['version']
+            for service, document in status['documents'].items()
+        }
+
+    @defer.inlineCallbacks
+    def records(
+        self,
+        services: Iterable[str],
+    ) -> defer.Deferred[list[dict[str, Any]]]:
+        """Return the records of all backend servers of some services."""
+        found: list[dict[str, Any]] = []
+        for service in services:
+            for standin in self._backends[service]:
+                url = f'http://{standin.endpoint}/_records'
+                response = yield treq.get(url, persistent=False)
+                answer = yield treq.json_content(response)
+                found.extend(answer['records'])
+        return found
+
+    @defer.inlineCallbacks
+    def set_faults(
+        self,
+        standin: StandinProcess,
+        **knobs: Any,
+    ) -> defer.Deferred[bool]:
+        """Set knobs of a stand-in; return whether it could be reached."""
+        url = f'http://{standin.endpoint}/_faults'
+        try:
+            yield treq.put(url, json=knobs, timeout=2, persistent=False)
+        except _UNREACHABLE:
+            return False
+        return True
+
+    def _start_backends(self, profile: Profile) -> None:
+        engine = {
+            'models': profile.model,
+            'weights_version': WEIGHTS_VERSION,
+            **self._plan.engine,
+        }
+        self._backends[profile.model_service] = {
+            self._standin(
+                f'{profile.model_service}-{index}',
+                'engine',
+                {
+                    'engine': engine,
+                    'standin': {'seed': str(index)},
+                },
+            ): _data_centre(index)
+            for index in range(self._plan.engines)
+        }
+        self._backends[profile.plain_service] = {
+            self._standin(
+                f'{profile.plain_service}-{index}',
+                'plain',
+                {
+                    'standin': {'seed': str(index)},
+                },
+            ): _data_centre(index)
+            for index in range(self._plan.servers)
+        }
+
+    def _standin(
+        self,
+        name: str,
+        kind: str,
+        sections: RawSections,
+    ) -> StandinProcess:
+        standin = StandinProcess(name, self._directory, kind, sections)
+        standin.start()
+        return standin
+
+    def _standins(self) -> list[StandinProcess]:
+        found = list(self._platform.values())
+        for servers in self._backends.values():
+            found.extend(servers)
+        return found
+
+    def _endpoints(self, service: str) -> dict[Endpoint, str]:
+        servers = self._backends[service].items()
+        return {standin.endpoint: centre for standin, centre in servers}
+
+    @defer.inlineCallbacks
+    def _set_vm_list(self) -> defer.Deferred[None]:
+        vms = [
+            _vm(endpoint, centre, service)
+            for service in self._backends
+            for endpoint, centre in self._endpoints(service).items()
+        ]
+        vms.extend(
+            _vm(ports.peers, ports.data_centre, 'router')
+            for ports in self._ports
+        )
+        url = f'http://{self._platform["vm-list"].endpoint}/vms'
+        yield treq.put(url, json={'vms': vms}, persistent=False)
+
+    def _start_router(self, ports: RouterPorts) -> None:
+        others = [one.peers for one in self._ports if one is not ports]
+        settings = {
+            'router': {
+                'name': ports.name,
+                'region': _REGION,
+                'data_centre': ports.data_centre,
+                'listen': str(ports.callers),
+                'peer_listen': str(ports.peers),
+                'admin_listen': str(ports.admin),
+                'services': ', '.join(self._backends),
+                'drain_grace_ms': '300',
+            },
+            'peers': {'seeds': ', '.join(map(str, others))},
+            'platform': {
+                'log': str(self._platform['log'].endpoint),
+                'vm_list': str(self._platform['vm-list'].endpoint),
+                'kept_kv': str(self._platform['kept-kv'].endpoint),
+                'weight_store': str(self._platform['weight-store'].endpoint),
+            },
+        }
+        router = ManagedProcess(
+            ports.name,
+            self._directory,
+            ('router',),
+            settings,
+        )
+        router.start()
+        self._routers[ports.name] = router
+
+
+def _choose_ports(count: int) -> tuple[RouterPorts, ...]:
+    """Let the system choose; all are held until the last is chosen."""
+    with contextlib.ExitStack() as held:
+        sockets = [
+            held.enter_context(socket.socket()) for _ in range(3 * count)
+        ]
+        for bound in sockets:
+            bound.bind((_HOST, 0))
+        numbers = [one.getsockname()[1] for one in sockets]
+    return tuple(
+        RouterPorts(
+            name=f'router-{index}',
+            data_centre=_data_centre(index),
+            callers=Endpoint(_HOST, numbers[3 * index]),
+            peers=Endpoint(_HOST, numbers[3 * index + 1]),
+            admin=Endpoint(_HOST, numbers[3 * index + 2]),
+        )
+        for index in range(count)
+    )
+
+
+def _data_centre(index: int) -> str:
+    return _DATA_CENTRES[index % len(_DATA_CENTRES)]
+
+
+def _vm(endpoint: Endpoint, data_centre: str, service: str) -> dict[str, str]:
+    return {
+        'address': str(endpoint),
+        'data_centre': data_centre,
+        'service': service,
+        'state': 'live',
+    }
+
+
+def _all(waiting: list[defer.Deferred[Any]]) -> defer.Deferred[list[Any]]:
+    return defer.gatherResults(waiting, consumeErrors=True)
--- /dev/null
+++ b/yuccagauge/loadgen/run.py
@@ -0,0 +1,48 @@
+"""Send a plan in time and collect the outcomes."""
+
+from dataclasses import dataclass, field
+
+from twisted.internet import defer, reactor, task
+
+from yuccagauge.clock import Clock
+from yuccagauge.loadgen.base import ChatPlan, Plan
+from yuccagauge.loadgen.client import LoadClient
+from yuccagauge.loadgen.outcomes import CallOutcome, ChatOutcome
+
+_MILLISECONDS_PER_SECOND = 1000
+
+
+@dataclass(slots=True, kw_only=True)
+class LoadResult:
+    """The outcomes of a plan, in the order of their ends."""
+
+    chats: list[ChatOutcome] = field(default_factory=list)
+    calls: list[CallOutcome] = field(default_factory=list)
+
+
+@defer.inlineCallbacks
+def run_plans(
+    client: LoadClient,
+    plans: list[Plan],
+    clock: Clock,
+) -> defer.Deferred[LoadResult]:
+    """Send each request at its time; fire when all have ended."""
+    result = LoadResult()
+    started = clock.wall()
+    running: list[defer.Deferred[None]] = []
+    for plan in plans:
+        if isinstance(plan, ChatPlan):
+            work = _later(plan, client.chat, plan)
+            running.append(work.addCallback(result.chats.append))
+            continue
+        key = plan.key(started)
+        for _ in range(plan.copies):
+            work = _later(plan, client.call, plan, key)
+            running.append(work.addCallback(result.calls.append))
+    yield defer.gatherResults(running, consumeErrors=True)
+    return result
+
+
+def _later(plan: Plan, send: object, *arguments: object) -> defer.Deferred:
+    seconds = plan.at / _MILLISECONDS_PER_SECOND
+    return task.deferLater(reactor, seconds, send, *arguments)
--- a/yuccagauge/standins/chat.py
+++ b/yuccagauge/standins/chat.py
@@ -1,5 +1,6 @@
 """Parse a chat completion request as an engine receives it."""
 
+import hashlib
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
@@ -35,6 +36,11 @@
     customer: str
     adapter: str
 
+    @property
+    def sha256(self) -> str:
+        """The digest of the prompt, for records."""
+        return hashlib.sha256(prompt_bytes(self.turns)).hexdigest()
+
     def contains(self, text: str) -> bool:
         """Whether a text occurs in the prompt."""
         return any(text in turn.content for turn in self.turns)
--- a/yuccagauge/standins/engine.py
+++ b/yuccagauge/standins/engine.py
@@ -1,19 +1,11 @@
 """A model engine: its HTTP interface and its clock."""
 
-from dataclasses import dataclass
 from typing import Any
 
 from twisted.internet import defer, reactor, task
 from twisted.web.http import Request
 
 from yuccagauge.clock import Millis
-from yuccagauge.settings.options import (
-    float_option,
-    integer_option,
-    millis_option,
-    text_option,
-    words_option,
-)
 from yuccagauge.standins.base import (
     STANDINS,
     integer_argument,
@@ -24,6 +16,7 @@
 from yuccagauge.standins.batch import Batch, BatchRates, Emission, Sequence
 from yuccagauge.standins.chat import ChatRequest, level_blocks, parse_chat
 from yuccagauge.standins.engineorders import EngineOrders
+from yuccagauge.standins.enginesettings import EngineSection
 from yuccagauge.standins.engineshelf import EngineShelf
 from yuccagauge.standins.enginestate import EngineState
 from yuccagauge.standins.faults import EngineFaults
@@ -35,78 +28,6 @@
 #: A pause of the process longer than this is not made up for.
 _LONGEST_STEP_MS = 100
 _MAXIMUM_WAIT_MS = 60_000
-_MAXIMUM_RATE = 1_000_000_000
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class EngineSection:
-    """``[engine]``: what the engine runs and how fast."""
-
-    models: tuple[str, ...] = words_option(
-        'Models that are loaded at the start.',
-        default=('matcher-70b',),
-    )
-    adapters: tuple[str, ...] = words_option(
-        'Adapters that are loaded at the start.',
-        default=(),
-    )
-    weights_version: str = text_option(
-        'Version of the weights that is loaded at the start.',
-        default='w1',
-    )
-    role: str = text_option('Role at the start.', default='serve')
-    total_blocks: int = integer_option(
-        'Size of the prefix cache.',
-        default=4096,
-        minimum=1,
-        maximum=10_000_000,
-        unit='blocks',
-    )
-    prefill_tokens_per_second: float = float_option(
-        'Speed of computing prompts, shared by the batch.',
-        default=20_000,
-        minimum=1,
-        maximum=_MAXIMUM_RATE,
-        unit='tokens/s',
-    )
-    decode_tokens_per_second: float = float_option(
-        'Speed of each answer.',
-        default=100,
-        minimum=1,
-        maximum=1_000_000,
-        unit='tokens/s',
-    )
-    max_running: int = integer_option(
-        'Most sequences in the batch.',
-        default=32,
-        minimum=1,
-        maximum=10_000,
-    )
-    step_ms: Millis = millis_option(
-        'Time between two steps of the batch.',
-        default=Millis(5),
-        minimum=1,
-        maximum=1000,
-    )
-    resume_ms: Millis = millis_option(
-        'How long a stream without a connection is kept.',
-        default=Millis(10_000),
-        minimum=0,
-        maximum=600_000,
-    )
-    import_tokens_per_second: float = float_option(
-        'Speed of importing kept KV.',
-        default=200_000,
-        minimum=1,
-        maximum=_MAXIMUM_RATE,
-        unit='tokens/s',
-    )
-    load_ms: Millis = millis_option(
-        'Time that loading weights takes.',
-        default=Millis(200),
-        minimum=0,
-        maximum=600_000,
-    )
 
 
 @STANDINS.register
@@ -277,7 +198,7 @@
         self._streams[chat.request_id] = stream
         self._sequences[chat.request_id] = sequence
         self._batch.submit(sequence)
-        self._record_stream('started', sequence)
+        self._record_stream('started', sequence, prompt_sha256=chat.sha256)
         if not self._stepping.running:
             self._last_step = self._clock.now()
             interval = self._section.step_ms / _MILLISECONDS_PER_SECOND
@@ -336,6 +257,7 @@
         sequence.cached_tokens = self._shelf.tokens_of(cached)
         missing = sequence.prompt_tokens - sequence.cached_tokens
         sequence.missing_tokens = missing
+        self._record_stream('prefill', sequence, levels=sequence.levels)
 
     def _prefilled(self, sequence: Sequence) -> None:
         events = self._state.cache.store(sequence.chain)
@@ -349,6 +271,7 @@
         loss = self._faults.event_loss
         for event in events:
             self._state.events.add(event, now, loss)
+            self.record(event.kind, digest=event.digest, tokens=event.tokens)
 
     def _event_page(self, after: int) -> dict[str, Any]:
         shown_until = self._clock.wall() - self._faults.event_delay_ms
@@ -368,7 +291,12 @@
             'measured_ms': self._clock.wall(),
         }
 
-    def _record_stream(self, kind: str, sequence: Sequence) -> None:
+    def _record_stream(
+        self,
+        kind: str,
+        sequence: Sequence,
+        **fields: Any,
+    ) -> None:
         self.record(
             kind,
             request_id=sequence.request_id,
@@ -376,6 +304,7 @@
             prompt_tokens=sequence.prompt_tokens,
             cached_tokens=sequence.cached_tokens,
             emitted=sequence.emitted,
+            **fields,
         )
 
 
