--- a/yuccagauge/demo/fleet.py
+++ b/yuccagauge/demo/fleet.py
@@ -120,10 +120,6 @@
         """The last accepted version of each service."""
         return self._versions
 
-    def backends(self, service: str) -> tuple[StandinProcess, ...]:
-        """Return the backend servers of a service."""
-        return tuple(self._backends[service])
-
     @defer.inlineCallbacks
     def start(self) -> defer.Deferred[None]:
         """Start everything; fire when the routers serve.
@@ -165,11 +161,7 @@
         StartError
             If one was not accepted.
         """
-        documents = profile.documents(
-            self._endpoints(profile.model_service),
-            self._endpoints(profile.plain_service),
-            weights_version,
-        )
+        documents = self.documents(profile, weights_version)
         log = LogClient(self._platform['log'].endpoint, reactor)
         for service, sections in documents.items():
             replaces = self._versions.get(service, _NO_VERSION)
@@ -179,6 +171,35 @@
             self._versions[service] = outcome.version
         yield log.close()
 
+    def documents(
+        self,
+        profile: Profile,
+        weights_version: str = WEIGHTS_VERSION,
+    ) -> dict[str, RawSections]:
+        """Return both documents of a user by service."""
+        return profile.documents(
+            self._endpoints(profile.model_service),
+            self._endpoints(profile.plain_service),
+            weights_version,
+        )
+
+    def log_endpoint(self, ports: RouterPorts) -> Endpoint:
+        """Return where a router finds the log."""
+        return self._platform['log'].endpoint
+
+    def part(self, name: str) -> tuple[StandinProcess, ...]:
+        """Return the ``engines``, the ``servers`` or one platform kind."""
+        if name in self._platform:
+            return (self._platform[name],)
+        found: list[StandinProcess] = []
+        for profile in self._profiles:
+            services = {
+                'engines': profile.model_service,
+                'servers': profile.plain_service,
+            }
+            found.extend(self._backends[services[name]])
+        return tuple(found)
+
     @defer.inlineCallbacks
     def when_serving(self, ports: RouterPorts) -> defer.Deferred[None]:
         """Wait until a router has all documents in force.
@@ -319,7 +340,7 @@
             },
             'peers': {'seeds': ', '.join(map(str, others))},
             'platform': {
-                'log': str(self._platform['log'].endpoint),
+                'log': str(self.log_endpoint(ports)),
                 'vm_list': str(self._platform['vm-list'].endpoint),
                 'kept_kv': str(self._platform['kept-kv'].endpoint),
                 'weight_store': str(self._platform['weight-store'].endpoint),
