Judge each copy of a plain call by its request id

A copy that was told 'not run' went unnoticed if another copy of the same call was told the truth. The plain stand-in now records the request id under which it executed a call, and the audit compares each refusal with it. The scenario with 'lied-not-run' found nothing before.

--- a/features/loadgen/audit.feature
+++ b/features/loadgen/audit.feature
@@ -43,6 +43,7 @@
       | answered               | 2        | executed twice                |
       | answered, may-have-run | 1        |                               |
       | answered, not-run      | 1        |                               |
+      | answered, lied-not-run | 1        | false not-run                 |
       | not-run                | 1        | false not-run                 |
       | not-run, not-run       | 1        | false not-run                 |
       | not-run, may-have-run  | 1        |                               |
--- a/features/steps/loadgen_steps.py
+++ b/features/steps/loadgen_steps.py
@@ -29,6 +29,8 @@
 
 _VERSION = 'w2'
 _OLD_VERSION = 'w1'
+#: The request as which a call was executed.
+_RAN_AS = 'request-1'
 _STARTED = Millis(1_800_000_000_000)
 _DURATION = Millis(9000)
 
@@ -161,6 +163,9 @@
         outcome.answered_body = 'of another call'
     elif ending == 'broken':
         outcome.failure = 'ResponseFailed'
+    elif ending == 'lied-not-run':
+        outcome.verdict = 'not-run'
+        outcome.request_id = _RAN_AS
     else:
         outcome.verdict = ending
     return outcome
@@ -174,7 +179,11 @@
     outcomes = [
         call_outcome(context.plan, ending) for ending in endings.split(', ')
     ]
-    record = {'kind': 'executed', 'idempotency_key': outcomes[0].key}
+    record = {
+        'kind': 'executed',
+        'idempotency_key': outcomes[0].key,
+        'request_id': _RAN_AS,
+    }
     records = [record for _ in range(executed)]
     context.found = audit_calls(outcomes, records)
 
--- a/yuccagauge/loadgen/audit.py
+++ b/yuccagauge/loadgen/audit.py
@@ -59,15 +59,16 @@
     records
         Those of all plain services.
     """
-    executed = Counter(
-        record['idempotency_key']
-        for record in records
-        if record['kind'] == 'executed'
-    )
+    ran = [record for record in records if record['kind'] == 'executed']
+    executed = Counter(record['idempotency_key'] for record in ran)
+    ran_as = {record['request_id'] for record in ran}
     found: list[Violation] = []
     by_key: defaultdict[str, list[CallOutcome]] = defaultdict(list)
     for outcome in outcomes:
         found.extend(judge_call(outcome))
+        if outcome.is_not_run and outcome.request_id in ran_as:
+            detail = f'request {outcome.request_id}, code {outcome.code}'
+            found.append(Violation(kind='false not-run', detail=detail))
         by_key[outcome.key].append(outcome)
     for key, copies in by_key.items():
         kind = _judge_copies(copies, executed[key])
--- a/yuccagauge/standins/plain.py
+++ b/yuccagauge/standins/plain.py
@@ -68,6 +68,7 @@
             method=request.method.decode(),
             path=request.path.decode(),
             idempotency_key=request.getHeader('Idempotency-Key') or '',
+            request_id=request.getHeader('Yuccagauge-Request-Id') or '',
             body_sha256=hashlib.sha256(body).hexdigest(),
             status=self._faults.status,
         )
