--- a/yuccagauge/adoption/fold.py
+++ b/yuccagauge/adoption/fold.py
@@ -109,6 +109,34 @@
         return next(iter(accepted + found), None)
 
 
+def replaces_in_force(publication: Publication, base: Snapshot) -> bool:
+    """Return whether a publication was made from the version in force."""
+    return publication.replaces == base.version
+
+
+def has_digest(sections: RawSections, publication: Publication) -> bool:
+    """Return whether a publication gives the document that was meant."""
+    return digest_sections(sections) == publication.digest
+
+
+def is_covered(state: ConfigState, snapshot: Snapshot) -> bool:
+    """Return whether the reader has every record after a snapshot.
+
+    Otherwise a publication after the snapshot may have been trimmed.
+    """
+    return snapshot.as_of >= state.covered_from - 1
+
+
+def is_ahead(state: ConfigState, snapshot: Snapshot) -> bool:
+    """Return whether a snapshot is of a record that was not read yet."""
+    return snapshot.as_of >= state.position
+
+
+def is_higher(state: ConfigState, snapshot: Snapshot) -> bool:
+    """Return whether a snapshot raises the version in force."""
+    return snapshot.version > state.best.version
+
+
 def read_gap(state: ConfigState, first_offset: int) -> ConfigState:
     """Return the state after records below an offset were trimmed unread."""
     if first_offset <= state.position:
@@ -151,16 +179,13 @@
     """Return the state after a peer or an image offered a version.
 
     The offer anchors the reader if the reader has every record after
-    ``as_of``. Otherwise it counts only as a version that was in force. An
-    offer with a lower version is out of date or wrong, and ignored.
+    ``as_of``. Otherwise it counts only as a version that was in force.
     """
-    if snapshot.version < max(0, state.best.version):
-        return state
-    if not _is_valid(state, snapshot):
+    if snapshot.version == NO_VERSION or not _is_valid(state, snapshot):
         return state
-    if state.anchor is None and snapshot.as_of >= state.covered_from - 1:
+    if state.anchor is None and is_covered(state, snapshot):
         return _anchor(state, snapshot)
-    if snapshot.as_of >= state.position:
+    if is_ahead(state, snapshot):
         return _anchor(state, snapshot)
     return _raise_best(state, snapshot)
 
@@ -174,10 +199,10 @@
 
     The outcome is ``None`` if the publication takes effect.
     """
-    if publication.replaces != base.version:
+    if not replaces_in_force(publication, base):
         return base.sections, Lost(version=base.version)
     sections = apply_change(base.sections, publication.change)
-    if digest_sections(sections) != publication.digest:
+    if not has_digest(sections, publication):
         return base.sections, Invalid(reason='the digest does not match')
     try:
         check_document(service, sections)
@@ -274,7 +299,7 @@
 
 
 def _raise_best(state: ConfigState, snapshot: Snapshot) -> ConfigState:
-    if snapshot.version <= state.best.version:
+    if not is_higher(state, snapshot):
         return state
     return dataclasses.replace(state, best=snapshot)
 
--- a/yuccagauge/claims/ledger.py
+++ b/yuccagauge/claims/ledger.py
@@ -4,6 +4,7 @@
 the model checker replaces to see that it is needed:
 
 - the first claim for a key wins (``is_free``);
+- a call is sent only after its claim was read as the winner (``may_send``);
 - only the winner releases or answers its key (``is_owner``);
 - a claim id that was released never wins (``was_released``);
 - a key that a trimmed claim may hold is never granted (``is_expired``);
@@ -85,6 +86,15 @@
     return log_time is None or key_time > log_time + SKEW
 
 
+def may_send(result: ClaimResult) -> bool:
+    """Return whether the call of a claim may be sent.
+
+    The claim has to be read back from the log as the winner; a free key in
+    this router's view may be taken in the log already.
+    """
+    return result is ClaimResult.WON
+
+
 class Ledger:
     """Fold over one claim stream, in offset order."""
 
--- a/yuccagauge/claims/shard.py
+++ b/yuccagauge/claims/shard.py
@@ -25,7 +25,7 @@
 )
 from yuccagauge.claims.batcher import Batcher, BatcherOptions, record_id
 from yuccagauge.claims.codec import decode_batch
-from yuccagauge.claims.ledger import ClaimResult, Ledger
+from yuccagauge.claims.ledger import ClaimResult, Ledger, may_send
 from yuccagauge.clock import Millis
 from yuccagauge.logstream.backoff import Backoff
 from yuccagauge.logstream.base import Log, LogError, LogPage
@@ -230,7 +230,7 @@
         claim: Claim,
         result: ClaimResult,
     ) -> Deferred[ClaimDecision] | ClaimDecision:
-        if result is ClaimResult.WON:
+        if may_send(result):
             return Granted(
                 claim_id=claim.claim_id,
                 key=claim.key,
--- /dev/null
+++ b/yuccagauge/leases/__init__.py
@@ -0,0 +1,1 @@
+"""Leases on the log, and orders to engines under their fences."""
--- /dev/null
+++ b/yuccagauge/modelcheck/__init__.py
@@ -0,0 +1,1 @@
+"""Exhaustive checks of the protocols, to stated bounds."""
