Expire keys whose time ties with the floor

The model checker found a doubled call. A claim at log time T with a key time of T + SKEW counts, since the upper bound is inclusive. If the claim is trimmed while another record of the same millisecond is kept, the floor is T, and a reader that starts later took T + SKEW as not expired: it granted the key again.

--- a/yuccagauge/claims/ledger.py
+++ b/yuccagauge/claims/ledger.py
@@ -78,7 +78,7 @@
     ``floor`` is the log time of the oldest record that the ledger was built
     from, or ``None`` if nothing was trimmed before it.
     """
-    return floor is not None and key_time < floor + SKEW
+    return floor is not None and key_time <= floor + SKEW
 
 
 def is_early(key_time: Millis, log_time: Millis | None) -> bool:
