--- a/features/run.py
+++ b/features/run.py
@@ -4,6 +4,7 @@
 from pathlib import Path
 
 from behave.configuration import Configuration
+from behave.formatter.progress import ScenarioProgressFormatter
 from behave.model import Status
 from behave.runner import Runner
 
@@ -25,6 +26,8 @@
 
 def main(arguments: list[str]) -> int:
     """Run the features named by the arguments, or all; return the exit code."""
+    # behave 1.3.3 has no letter for this status and stops with a KeyError.
+    ScenarioProgressFormatter.dot_status.setdefault(Status.cleanup_error, 'C')
     configuration = Configuration(
         [*arguments, '--no-capture', '--format=progress', '--no-summary'],
     )
