Tell peers about placements, and age the view by computed tokens

Cause: with eight routers each sees an eighth of the placements and a quarter of the cache events, and places what it does not know again. Change: routers tell each other their placements within a byte budget; the view ages levels by the tokens that an engine computed since, as it evicts by what comes in and not by time; a stale deep level no longer hides a fresh shallow one.

--- a/yuccagauge/bench/simulation.py
+++ b/yuccagauge/bench/simulation.py
@@ -12,6 +12,7 @@
 from yuccagauge.bench.router import RouterSim
 from yuccagauge.bench.trace import TracedRequest
 from yuccagauge.bench.workload import Workload
+from yuccagauge.placement.notices import PlacementNotice
 
 #: Time between two polls of an engine's cache events, in ms.
 EVENT_POLL_MS = 100.0
@@ -82,6 +83,8 @@
                 functools.partial(self._emit, engine),
             )
         self._every(signals.peer_interval_ms, 0.5, self._exchange)
+        if signals.notice_interval_ms:
+            self._every(signals.notice_interval_ms, 0.5, self._tell_peers)
         self._every(LOG_POLL_MS, 0.5, self._read_log)
         for request in self._trace:
             loop.at(request.sent_at, functools.partial(self.send, request))
@@ -229,6 +232,36 @@
             if joined and live and peer is not router:
                 peer.view.preload(router.view.hot(HOT_PREFIXES), now)
 
+    def _tell_peers(self) -> None:
+        """Carry placement notices to all peers."""
+        for router in self.routers:
+            notices = router.policy.take_notices()
+            if not notices or not router.is_live:
+                continue
+            for peer in self.routers:
+                if peer is not router:
+                    self._tell(router, peer, notices)
+
+    def _tell(
+        self,
+        router: RouterSim,
+        peer: RouterSim,
+        notices: tuple[PlacementNotice, ...],
+    ) -> None:
+        if not self.fleet.reaches(router.data_centre, peer.data_centre):
+            return
+        size = sum(notice.size for notice in notices)
+        self.fleet.measures.events['notice_bytes'] += size
+
+        def deliver() -> None:
+            if peer.is_live:
+                peer.policy.hear(notices, self.fleet.loop.now)
+
+        self.fleet.loop.after(
+            self.fleet.distance(router.data_centre, peer.data_centre),
+            deliver,
+        )
+
     def _read_log(self) -> None:
         for router in self.routers:
             if router.is_live:
--- a/yuccagauge/bench/workload.py
+++ b/yuccagauge/bench/workload.py
@@ -222,8 +222,13 @@
         minimum=0,
         maximum=1,
     )
+    notice_interval_ms: Millis = millis_option(
+        'Time between two sends of placement notices; 0 sends none.',
+        minimum=0,
+        maximum=_MAXIMUM_TIME,
+    )
     peer_interval_ms: Millis = millis_option(
-        'Time between two exchanges with peers.',
+        'Time between two exchanges of hot prefixes with a peer.',
         minimum=1,
         maximum=_MAXIMUM_TIME,
     )
--- a/yuccagauge/cacheview/level.py
+++ b/yuccagauge/cacheview/level.py
@@ -9,6 +9,9 @@
 #: Holders that are remembered of one level; the oldest are dropped.
 MAXIMUM_HOLDERS = 16
 
+#: Stands in the place of the work clock when the level was evicted.
+EVICTED = -1.0
+
 
 class LevelState:
     """Holders and uses of one level.
@@ -24,9 +27,9 @@
     def __init__(self, tokens: int) -> None:
         """Start without holders."""
         self.tokens = tokens
-        #: Engines and when each was last known to use the level; a negative
-        #: time says that the engine evicted it then.
-        self.holders: dict[EngineKey, int] = {}
+        #: Engines with the time of the last known use, and the work clock of
+        #: the engine then; a negative clock says that it evicted the level.
+        self.holders: dict[EngineKey, tuple[Millis, float]] = {}
         #: Requests in the window, decayed, at ``seen_at``.
         self.uses: float = 0
         self.seen_at = Millis(0)
@@ -41,15 +44,16 @@
         age = max(0, now - self.seen_at)
         return self.uses * max(0, 1 - age / RATE_WINDOW)
 
-    def hold(self, engine: EngineKey, now: Millis) -> None:
-        """Note that an engine holds the level."""
+    def hold(self, engine: EngineKey, now: Millis, work: float) -> None:
+        """Note that an engine uses the level."""
         holders = self.holders
-        if holders.get(engine, 0) > now:
+        known = holders.get(engine)
+        if known is not None and known[0] > now:
             return
-        holders[engine] = now
+        holders[engine] = (now, work)
         if len(holders) > MAXIMUM_HOLDERS:
             del holders[min(holders, key=holders.__getitem__)]
 
     def drop(self, engine: EngineKey, now: Millis) -> None:
         """Note that an engine does not hold the level."""
-        self.holders[engine] = -max(1, now)
+        self.holders[engine] = (now, EVICTED)
--- a/yuccagauge/cacheview/view.py
+++ b/yuccagauge/cacheview/view.py
@@ -4,24 +4,36 @@
 from dataclasses import dataclass
 
 from yuccagauge.cacheview.base import HotPrefix
-from yuccagauge.cacheview.level import RATE_WINDOW, LevelState
+from yuccagauge.cacheview.level import EVICTED, RATE_WINDOW, LevelState
 from yuccagauge.clock import Millis
 from yuccagauge.load.base import EngineKey
-from yuccagauge.prefixes.base import RequestPrefix
+from yuccagauge.prefixes.base import PrefixLevel, RequestPrefix
 
 #: Bound on the levels that a router remembers.
 MAXIMUM_LEVELS = 20_000
 
-#: Age at which engines are taken to evict until events or usage tell.
-DEFAULT_LIFETIME = Millis(10_000)
+#: Tokens that an engine computes between the last use of a level and its
+#: eviction, until events tell. Engines evict by what comes in and not by
+#: time, so an idle engine keeps a level for long.
+DEFAULT_LIFETIME = 30_000.0
 
-#: Bounds on the learned age.
-SHORTEST_LIFETIME = Millis(500)
-LONGEST_LIFETIME = Millis(120_000)
+#: Bounds on the learned lifetime, in tokens.
+SHORTEST_LIFETIME = 1000.0
+LONGEST_LIFETIME = 10_000_000.0
 
-#: Weight of one sample in the learned age.
+#: Weight of one sample in the learned lifetime.
 LIFETIME_WEIGHT = 0.02
 
+# A level is surely held up to this share of the lifetime, and the chance
+# falls to its least value at the other share. It never falls to zero: with
+# no better engine known, an old holder is still the best guess.
+SURE_SHARE = 0.5
+DOUBTFUL_SHARE = 2.0
+LEAST_CHANCE = 0.1
+
+#: An eviction is older than a use this recent, since events are late.
+EVENT_GRACE = Millis(1000)
+
 _MILLIS_PER_SECOND = 1000
 
 
@@ -29,10 +41,13 @@
 class Match:
     """What one engine is expected to hold of a prompt."""
 
-    #: Tokens of the deepest level.
-    tokens: int
-    #: Time since the engine was last known to use it, in ms.
-    age: int
+    #: Expected tokens; less than the depth where levels may be gone.
+    tokens: float
+    #: Tokens from the start of the prompt to the end of the deepest level.
+    depth: int
+
+
+_NOTHING = Match(0, 0)
 
 
 class CacheView:
@@ -50,6 +65,8 @@
         self._levels: OrderedDict[bytes, LevelState] = OrderedDict()
         self._incarnations: dict[EngineKey, str] = {}
         self._lifetimes: dict[EngineKey, float] = {}
+        #: Tokens that each engine has computed, as far as is known.
+        self._work: dict[EngineKey, float] = {}
         self._now = Millis(0)
 
     def __len__(self) -> int:
@@ -57,13 +74,12 @@
         return len(self._levels)
 
     def lifetime(self, engine: EngineKey) -> float:
-        """Return the age at which an engine evicts what it does not use."""
+        """Return the tokens after which an engine evicts a level."""
         return self._lifetimes.get(engine, DEFAULT_LIFETIME)
 
     def matches(
         self,
         prefix: RequestPrefix,
-        now: Millis,
     ) -> dict[EngineKey, Match]:
         """Return what each engine is expected to hold, if anything.
 
@@ -77,13 +93,12 @@
             state = self._levels.get(level.digest)
             if state is None:
                 continue
-            for engine, used_at in state.holders.items():
-                if engine in ended:
-                    continue
-                if used_at < 0:
+            for engine, (_, work) in state.holders.items():
+                if work < 0:
                     ended.add(engine)
-                elif now - used_at < self.lifetime(engine):
-                    found[engine] = Match(level.tokens, now - used_at)
+                elif engine not in ended:
+                    known = found.get(engine, _NOTHING)
+                    found[engine] = self._deepen(engine, known, level, work)
         return found
 
     def expected_tokens(
@@ -95,8 +110,8 @@
         """Return how many tokens of the prompt the engine should hold."""
         if self._incarnations.get(engine) != incarnation:
             return 0
-        match = self.matches(prefix, self._now).get(engine)
-        return 0 if match is None else match.tokens
+        match = self.matches(prefix).get(engine)
+        return 0 if match is None else int(match.tokens)
 
     def uses(self, digest: bytes, now: Millis) -> float:
         """Return the recent requests for a level at this router."""
@@ -127,8 +142,13 @@
     ) -> None:
         """Expect the engine to hold the prompt, since it is sent there."""
         self._enter(engine, incarnation, now)
+        work = self._work.get(engine, 0)
         for level in prefix.levels:
-            self._touch(level.digest, level.tokens).hold(engine, now)
+            self._touch(level.digest, level.tokens).hold(engine, now, work)
+
+    def computed(self, engine: EngineKey, tokens: int) -> None:
+        """Count the tokens that a request makes an engine compute."""
+        self._work[engine] = self._work.get(engine, 0) + tokens
 
     def count(self, prefix: RequestPrefix, now: Millis) -> None:
         """Count a request for its levels."""
@@ -145,7 +165,8 @@
     ) -> None:
         """Take the event that an engine stored a level."""
         self._enter(engine, incarnation, now)
-        self._touch(digest, tokens).hold(engine, now)
+        work = self._work.get(engine, 0)
+        self._touch(digest, tokens).hold(engine, now, work)
 
     def evicted(
         self,
@@ -157,9 +178,11 @@
         state = self._levels.get(digest)
         if state is None or self._incarnations.get(engine) != incarnation:
             return
-        used_at = state.holders.get(engine, -1)
-        if used_at >= 0:
-            self._learn_lifetime(engine, self._now - used_at)
+        used_at, work = state.holders.get(engine, (self._now, EVICTED))
+        if work >= 0:
+            if self._now - used_at < EVENT_GRACE:
+                return
+            self._learn_lifetime(engine, self._work.get(engine, 0) - work)
         state.drop(engine, self._now)
 
     def gap(self, engine: EngineKey, now: Millis) -> None:
@@ -193,8 +216,8 @@
                     incarnation=self._incarnations.get(engine, ''),
                     rate=rate,
                 )
-                for engine, used_at in state.holders.items()
-                if used_at >= 0
+                for engine, (_, work) in state.holders.items()
+                if work >= 0
             )
         return tuple(found[:limit])
 
@@ -214,6 +237,21 @@
                 at,
             )
 
+    def _deepen(
+        self,
+        engine: EngineKey,
+        known: Match,
+        level: PrefixLevel,
+        work: float,
+    ) -> Match:
+        """Extend a match by a deeper level, as far as it may still be held."""
+        age = self._work.get(engine, 0) - work
+        relative = age / self.lifetime(engine)
+        chance = 1 - (relative - SURE_SHARE) / (DOUBTFUL_SHARE - SURE_SHARE)
+        chance = min(1, max(LEAST_CHANCE, chance))
+        gained = chance * max(0, level.tokens - known.depth)
+        return Match(known.tokens + gained, level.tokens)
+
     def _learn_lifetime(self, engine: EngineKey, age: float) -> None:
         known = self.lifetime(engine)
         learned = known + LIFETIME_WEIGHT * (age - known)
--- a/yuccagauge/load/table.py
+++ b/yuccagauge/load/table.py
@@ -72,6 +72,17 @@
         state.requests[request_id] = OwnRequest(tokens, now)
         state.add(tokens, self.prefill_rate, now)
 
+    def sent_by_peer(
+        self,
+        engine: EngineKey,
+        tokens: int,
+        sent_at: Millis,
+    ) -> None:
+        """Count a request that another router sent to an engine."""
+        state = self._engines.get(engine)
+        if state is not None:
+            state.add(tokens, self.prefill_rate, sent_at)
+
     def started(self, engine: EngineKey, request_id: str, now: Millis) -> None:
         """Note the first token of a request, which ends its prefill."""
         state = self._engines.get(engine)
--- a/yuccagauge/placement/base.py
+++ b/yuccagauge/placement/base.py
@@ -12,6 +12,7 @@
 from yuccagauge.errors import NotFoundError
 from yuccagauge.load.base import EngineKey
 from yuccagauge.load.table import EngineTable
+from yuccagauge.placement.notices import PlacementNotice
 from yuccagauge.prefixes.base import RequestPrefix
 from yuccagauge.registry import Registry
 
@@ -87,6 +88,17 @@
     def place(self, request: PlacementRequest, now: Millis) -> Decision:
         """Return the engines to try, best first."""
 
+    def take_notices(self) -> tuple[PlacementNotice, ...]:
+        """Return what peers should hear since the last call."""
+        return ()
+
+    def hear(
+        self,
+        notices: tuple[PlacementNotice, ...],
+        now: Millis,
+    ) -> None:
+        """Learn from the placements of a peer; most policies do not."""
+
     def _usable(
         self,
         request: PlacementRequest,
--- a/yuccagauge/placement/cost.py
+++ b/yuccagauge/placement/cost.py
@@ -2,9 +2,12 @@
 
 import itertools
 
-from yuccagauge.cacheview.view import Match
+import numpy as np
+
+from yuccagauge.cacheview.view import CacheView, Match
 from yuccagauge.clock import Millis
 from yuccagauge.load.base import EngineKey
+from yuccagauge.load.table import EngineTable
 from yuccagauge.placement.base import (
     MAXIMUM_CANDIDATES,
     Candidate,
@@ -13,6 +16,11 @@
     PlacementRequest,
     placement_policies,
 )
+from yuccagauge.placement.notices import (
+    NoticeOutbox,
+    PlacementNotice,
+    notice_levels,
+)
 from yuccagauge.placement.ring import Ring
 
 #: Engines that are considered from the ring order.
@@ -24,6 +32,9 @@
 #: Weight of the work that a recomputation takes from later requests.
 RECOMPUTE_WEIGHT = 2.0
 
+#: Bytes of notices that a router sends to each of its peers.
+NOTICE_BYTES_PER_SECOND = 1000.0
+
 _NO_MATCH = Match(0, 0)
 
 
@@ -34,8 +45,46 @@
     name = 'cost'
     reads_events = True
 
-    _ring: Ring | None = None
-    _members: tuple[EngineKey, ...] = ()
+    def __init__(
+        self,
+        table: EngineTable,
+        view: CacheView,
+        random: np.random.Generator,
+    ) -> None:
+        """Start without a ring; the first decision builds it."""
+        super().__init__(table, view, random)
+        self._ring: Ring | None = None
+        self._members: tuple[EngineKey, ...] = ()
+        self._outbox = NoticeOutbox(NOTICE_BYTES_PER_SECOND)
+
+    def take_notices(self) -> tuple[PlacementNotice, ...]:
+        """Return what peers should hear since the last call."""
+        return self._outbox.take()
+
+    def hear(
+        self,
+        notices: tuple[PlacementNotice, ...],
+        now: Millis,
+    ) -> None:
+        """Count a peer's sends and expect what they store."""
+        for notice in notices:
+            engine = notice.engine
+            if notice.incarnation != self._table.incarnation(engine):
+                continue
+            self._table.sent_by_peer(
+                engine,
+                notice.missing_tokens,
+                notice.placed_at,
+            )
+            self._view.computed(engine, notice.missing_tokens)
+            for level in notice.levels:
+                self._view.stored(
+                    engine,
+                    notice.incarnation,
+                    level.digest,
+                    level.tokens,
+                    notice.placed_at,
+                )
 
     def place(self, request: PlacementRequest, now: Millis) -> Decision:
         """Return the candidates in order of their cost."""
@@ -43,7 +92,7 @@
         if not usable:
             return Decision(())
         self._view.count(request.prefix, now)
-        matches = self._view.matches(request.prefix, now)
+        matches = self._view.matches(request.prefix)
         ranked = sorted(
             (
                 self._rank(request, engine, matches, now)
@@ -52,15 +101,30 @@
             key=lambda each: each[0],
         )
         best = tuple(each for _, each in ranked[:MAXIMUM_CANDIDATES])
-        chosen = best[0].engine
-        self._view.expect(
-            chosen,
-            self._table.incarnation(chosen),
-            request.prefix,
-            now,
-        )
+        self._note(request, best[0], now)
         return Decision(best)
 
+    def _note(
+        self,
+        request: PlacementRequest,
+        chosen: Candidate,
+        now: Millis,
+    ) -> None:
+        """Expect the prompt at the engine, and tell the peers."""
+        prefix = request.prefix
+        incarnation = self._table.incarnation(chosen.engine)
+        missing = max(0, prefix.prompt_tokens - chosen.expected_tokens)
+        self._view.computed(chosen.engine, missing)
+        self._view.expect(chosen.engine, incarnation, prefix, now)
+        notice = PlacementNotice(
+            engine=chosen.engine,
+            incarnation=incarnation,
+            levels=notice_levels(prefix),
+            missing_tokens=missing,
+            placed_at=now,
+        )
+        self._outbox.offer(notice, missing / max(1, prefix.prompt_tokens), now)
+
     def _rank(
         self,
         request: PlacementRequest,
@@ -69,7 +133,7 @@
         now: Millis,
     ) -> tuple[float, Candidate]:
         """Return what decides, and the candidate."""
-        expected = matches.get(engine, _NO_MATCH).tokens
+        expected = int(matches.get(engine, _NO_MATCH).tokens)
         queue = self._table.queue_ms(engine, now)
         missing = max(0, request.prefix.prompt_tokens - expected)
         work = missing / self._table.prefill_rate
