Place new prefixes by the recent work of the engines

Cause: a prefix that no engine holds went to its first engine on the ring whatever that engine already served, so long queues met idle engines. Change: the cost has a pressure that grows with the share of the last seconds that prefills took, and the fixed time of a prefill is learned.

--- a/yuccagauge/load/engine.py
+++ b/yuccagauge/load/engine.py
@@ -1,5 +1,6 @@
 """What a router knows about the load of one engine."""
 
+import math
 from collections import deque
 from dataclasses import dataclass
 
@@ -9,6 +10,9 @@
 #: Sends older than this are part of any report that can still arrive.
 SEND_MEMORY = Millis(10_000)
 
+#: Time over which the recent work of an engine is averaged.
+RECENT_WINDOW = Millis(5000)
+
 #: Bound on the remembered sends of one engine.
 MAXIMUM_SENDS = 512
 
@@ -37,6 +41,8 @@
         'requests',
         'suspended_until',
         '_backlog_tokens',
+        '_recent',
+        '_recent_at',
         '_backlog_at',
         '_sends',
     )
@@ -49,6 +55,8 @@
         self.suspended_until = Millis(0)
         self._backlog_tokens: float = 0
         self._backlog_at = Millis(0)
+        self._recent: float = 0
+        self._recent_at = Millis(0)
         self._sends: deque[tuple[Millis, float]] = deque(maxlen=MAXIMUM_SENDS)
 
     @property
@@ -71,9 +79,16 @@
         drained = rate * max(0, now - self._backlog_at)
         return max(0, self._backlog_tokens - drained)
 
+    def recent(self, now: Millis) -> float:
+        """Return the tokens sent in about the last window, decayed."""
+        age = max(0, now - self._recent_at)
+        return self._recent * math.exp(-age / RECENT_WINDOW)
+
     def add(self, tokens: float, rate: float, now: Millis) -> None:
         """Count a send of this router."""
         self._sends.append((now, tokens))
+        self._recent = self.recent(now) + tokens
+        self._recent_at = max(now, self._recent_at)
         self._grow(tokens, rate, now)
 
     def accept(self, report: EngineReport, rate: float, now: Millis) -> None:
--- a/yuccagauge/load/table.py
+++ b/yuccagauge/load/table.py
@@ -2,8 +2,8 @@
 
 from yuccagauge.clock import Millis
 from yuccagauge.load.base import EngineKey, EngineReport
-from yuccagauge.load.engine import EngineState, OwnRequest
-from yuccagauge.load.rate import DEFAULT_PREFILL_RATE, PrefillRate
+from yuccagauge.load.engine import RECENT_WINDOW, EngineState, OwnRequest
+from yuccagauge.load.rate import DEFAULT_PREFILL_RATE, PrefillSpeed
 
 #: An engine without a report for this long gets no work.
 REPORT_LIFETIME = Millis(15_000)
@@ -23,7 +23,7 @@
 
     def __init__(self, prefill_rate: float = DEFAULT_PREFILL_RATE) -> None:
         """Start without engines."""
-        self._rate = PrefillRate(prefill_rate)
+        self._speed = PrefillSpeed(prefill_rate)
         self._engines: dict[EngineKey, EngineState] = {}
         self._distances: dict[EngineKey, float] = {}
         self._version = 0
@@ -37,7 +37,7 @@
     @property
     def prefill_rate(self) -> float:
         """The prefill rate that estimates assume, in tokens/ms."""
-        return self._rate.tokens_per_ms
+        return self._speed.tokens_per_ms
 
     def update(self, report: EngineReport, now: Millis) -> None:
         """Take a report, from the engine itself or shared by a peer.
@@ -70,7 +70,7 @@
         """
         state = self._engines.setdefault(engine, EngineState())
         state.requests[request_id] = OwnRequest(tokens, now)
-        state.add(tokens, self.prefill_rate, now)
+        state.add(self._work(tokens), self.prefill_rate, now)
 
     def sent_by_peer(
         self,
@@ -81,7 +81,7 @@
         """Count a request that another router sent to an engine."""
         state = self._engines.get(engine)
         if state is not None:
-            state.add(tokens, self.prefill_rate, sent_at)
+            state.add(self._work(tokens), self.prefill_rate, sent_at)
 
     def started(self, engine: EngineKey, request_id: str, now: Millis) -> None:
         """Note the first token of a request, which ends its prefill."""
@@ -108,7 +108,7 @@
         if request is not None and request.started_at is not None:
             waited = request.started_at - request.sent_at
             network = 2 * self.distance_ms(engine)
-            self._rate.learn(computed_tokens, waited - network)
+            self._speed.learn(computed_tokens, waited - network)
 
     def failed(self, engine: EngineKey, now: Millis) -> None:
         """Suspend an engine that refused or broke a connection."""
@@ -177,6 +177,17 @@
         rate = self.prefill_rate
         return state.backlog(rate, now) / rate
 
+    def utilization(self, engine: EngineKey, now: Millis) -> float:
+        """Return the share of the last seconds that prefills took."""
+        state = self._engines.get(engine)
+        if state is None:
+            return 0
+        return state.recent(now) / (self.prefill_rate * RECENT_WINDOW)
+
+    def prefill_ms(self, tokens: float) -> float:
+        """Return the time that an engine needs to compute tokens, in ms."""
+        return tokens / self.prefill_rate + self._speed.fixed_ms
+
     def explain(self, engine: EngineKey, now: Millis) -> str:
         """Say in one sentence whether the engine gets work, and why."""
         state = self._engines.get(engine)
@@ -198,6 +209,10 @@
             f'report {age} ms old'
         )
 
+    def _work(self, tokens: float) -> float:
+        """Return tokens that take as long as a prefill with its fixed time."""
+        return tokens + self._speed.fixed_ms * self.prefill_rate
+
     def _collect(self, version: str, now: Millis) -> tuple[EngineKey, ...]:
         """Build the tuple for ``usable`` and note how long it holds."""
         usable: list[EngineKey] = []
--- a/yuccagauge/placement/cost.py
+++ b/yuccagauge/placement/cost.py
@@ -32,6 +32,12 @@
 #: Weight of the work that a recomputation takes from later requests.
 RECOMPUTE_WEIGHT = 2.0
 
+#: Expected wait of later requests at an engine that is half utilized, in ms.
+PRESSURE_MS = 100.0
+
+#: Utilization above which the pressure does not grow.
+MAXIMUM_UTILIZATION = 0.9
+
 #: Bytes of notices that a router sends to each of its peers.
 NOTICE_BYTES_PER_SECOND = 1000.0
 
@@ -136,10 +142,12 @@
         expected = int(matches.get(engine, _NO_MATCH).tokens)
         queue = self._table.queue_ms(engine, now)
         missing = max(0, request.prefix.prompt_tokens - expected)
-        work = missing / self._table.prefill_rate
+        work = self._table.prefill_ms(missing)
         cost = queue + work + 2 * self._table.distance_ms(engine)
         candidate = Candidate(engine, cost, expected, queue)
-        return cost + RECOMPUTE_WEIGHT * work, candidate
+        load = min(MAXIMUM_UTILIZATION, self._table.utilization(engine, now))
+        pressure = PRESSURE_MS * load / (1 - load)
+        return cost + RECOMPUTE_WEIGHT * work + pressure, candidate
 
     def _engines(
         self,
