Rebuild the cache view after a restart, and wait for a sign of life

Cause: after a restart of all routers nobody knew where prefixes were, and estimates with a low prefill rate refused requests; engines in a cut-off data centre were tried again each second at the cost of a connect timeout. Change: a router that starts reads the cache events that engines retain; a stored event counts after an eviction that was read before it; an engine that broke a connection waits for a report measured later, at most 10 s; the assumed prefill rate is 20 tokens/ms; a candidate that keeps the deadline goes before one that does not.

--- a/yuccagauge/bench/fleet.py
+++ b/yuccagauge/bench/fleet.py
@@ -1,6 +1,6 @@
 """The surroundings of the routers: engines, network, clock, measures."""
 
-from collections import defaultdict
+from collections import defaultdict, deque
 from typing import TYPE_CHECKING
 
 import numpy as np
@@ -18,6 +18,9 @@
 
 _FIRST_PORT = 9000
 
+#: Cache events that an engine retains, as the engine stand-in does.
+RETAINED_EVENTS = 20_000
+
 #: A cache event: kind, digest and cumulative tokens.
 CacheEvent = tuple[str, bytes, int]
 
@@ -46,6 +49,10 @@
         self.cut_off: set[str] = set()
         self.engines: dict[EngineKey, EngineFake] = {}
         self._events: dict[EngineKey, list[CacheEvent]] = defaultdict(list)
+        self._retained: dict[
+            EngineKey,
+            deque[tuple[float, str, CacheEvent]],
+        ] = defaultdict(lambda: deque(maxlen=RETAINED_EVENTS))
         for number in range(workload.engines.count):
             self._add_engine(number)
         self.all_engines = tuple(self.engines.values())
@@ -83,6 +90,21 @@
         """Return the events of an engine since the last call."""
         return self._events.pop(engine, [])
 
+    def retained_events(self, engine: EngineKey) -> list[CacheEvent]:
+        """Return the events that an engine still shows to a new reader."""
+        shown_until = self.loop.time - self.workload.signals.event_delay_ms
+        incarnation = self.engines[engine].incarnation
+        return [
+            event
+            for time, emitter, event in self._retained[engine]
+            if time <= shown_until and emitter == incarnation
+        ]
+
+    def _emit(self, key: EngineKey, event: CacheEvent) -> None:
+        self._events[key].append(event)
+        emitter = self.engines[key].incarnation
+        self._retained[key].append((self.loop.time, emitter, event))
+
     def _add_engine(self, number: int) -> None:
         key = EngineKey('127.0.0.1', _FIRST_PORT + number)
         self.engines[key] = EngineFake(
@@ -90,5 +112,5 @@
             self.data_centre(number),
             self.workload.engines,
             self.loop,
-            lambda *event: self._events[key].append(event),
+            lambda *event: self._emit(key, event),
         )
--- a/yuccagauge/bench/simulation.py
+++ b/yuccagauge/bench/simulation.py
@@ -124,11 +124,21 @@
             )
             if engine.is_alive and reachable:
                 router.table.update(engine.report(), self.fleet.loop.now)
+                self._replay(router, engine)
         now = self.fleet.loop.now
         for peer in peers:
             router.view.preload(peer.view.hot(HOT_PREFIXES), now)
         self._set_peers()
 
+    def _replay(self, router: RouterSim, engine: EngineFake) -> None:
+        """Let a router that starts read the events an engine retains."""
+        if not router.policy.reads_events:
+            return
+        events = self.fleet.retained_events(engine.key)
+        lost = self.fleet.random.random(len(events)) < self.fleet.event_loss
+        for index in np.flatnonzero(~lost):
+            self._apply(router, engine, engine.incarnation, events[index])
+
     def stop_router(self, router: RouterSim) -> None:
         """Stop a router; its clients send again elsewhere."""
         for request in router.stop():
--- a/yuccagauge/cacheview/view.py
+++ b/yuccagauge/cacheview/view.py
@@ -1,6 +1,7 @@
 """The expected cache contents, corrected by usage and by events."""
 
 from collections import OrderedDict
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from yuccagauge.cacheview.base import HotPrefix
@@ -141,9 +142,19 @@
         now: Millis,
     ) -> None:
         """Expect the engine to hold the prompt, since it is sent there."""
+        self.expect_levels(engine, incarnation, prefix.levels, now)
+
+    def expect_levels(
+        self,
+        engine: EngineKey,
+        incarnation: str,
+        levels: Iterable[PrefixLevel],
+        now: Millis,
+    ) -> None:
+        """Expect the engine to hold levels that a router sends to it."""
         self._enter(engine, incarnation, now)
         work = self._work.get(engine, 0)
-        for level in prefix.levels:
+        for level in levels:
             self._touch(level.digest, level.tokens).hold(engine, now, work)
 
     def computed(self, engine: EngineKey, tokens: int) -> None:
@@ -166,7 +177,9 @@
         """Take the event that an engine stored a level."""
         self._enter(engine, incarnation, now)
         work = self._work.get(engine, 0)
-        self._touch(digest, tokens).hold(engine, now, work)
+        # The event is late; an eviction that follows it has to count.
+        stored_at = Millis(now - EVENT_GRACE)
+        self._touch(digest, tokens).hold(engine, stored_at, work)
 
     def evicted(
         self,
@@ -183,7 +196,7 @@
             if self._now - used_at < EVENT_GRACE:
                 return
             self._learn_lifetime(engine, self._work.get(engine, 0) - work)
-        state.drop(engine, self._now)
+        state.drop(engine, Millis(self._now - EVENT_GRACE))
 
     def gap(self, engine: EngineKey, now: Millis) -> None:
         """Note that events of an engine were lost.
--- a/yuccagauge/load/engine.py
+++ b/yuccagauge/load/engine.py
@@ -36,6 +36,7 @@
     """
 
     __slots__ = (
+        'failed_at',
         'leaving',
         'report',
         'requests',
@@ -53,6 +54,7 @@
         self.requests: dict[str, OwnRequest] = {}
         self.leaving = False
         self.suspended_until = Millis(0)
+        self.failed_at = Millis(0)
         self._backlog_tokens: float = 0
         self._backlog_at = Millis(0)
         self._recent: float = 0
--- a/yuccagauge/load/rate.py
+++ b/yuccagauge/load/rate.py
@@ -1,7 +1,9 @@
 """The speed of prefills, learned from answers."""
 
-#: Prefill rate that is assumed at first, in tokens/ms.
-DEFAULT_PREFILL_RATE = 10.0
+#: Prefill rate that is assumed at first, in tokens/ms: that of a model of
+#: 70 B parameters on 8 accelerators. Too low a value refuses requests after
+#: a restart; too high a value costs balance until the first answers.
+DEFAULT_PREFILL_RATE = 20.0
 
 #: Prompts with less to compute are dominated by fixed costs.
 LEAST_TOKENS = 512
@@ -67,7 +69,7 @@
 
     def _learn_rate(self, sample: float) -> None:
         if not self._is_rate_learned:
-            self._rate = sample
+            self._rate = max(sample, self._rate)
             self._is_rate_learned = True
             return
         is_fast = sample > self._rate
--- a/yuccagauge/load/table.py
+++ b/yuccagauge/load/table.py
@@ -8,8 +8,9 @@
 #: An engine without a report for this long gets no work.
 REPORT_LIFETIME = Millis(15_000)
 
-#: An engine that refused a connection gets no work for this long.
-SUSPENSION = Millis(1000)
+#: An engine that refused or broke a connection gets no work until a report
+#: that was measured later shows that it is back, or for this long.
+SUSPENSION = Millis(10_000)
 
 
 class EngineTable:
@@ -52,9 +53,12 @@
             if previous.incarnation != report.incarnation:
                 state.restart()
         state.accept(report, self.prefill_rate, now)
-        if _changes_use(previous, report):
+        is_back = report.measured_at > state.failed_at
+        if state.suspended_until and is_back:
             state.suspended_until = Millis(0)
             self._version += 1
+        if _changes_use(previous, report):
+            self._version += 1
 
     def sent(
         self,
@@ -114,6 +118,7 @@
         """Suspend an engine that refused or broke a connection."""
         state = self._engines.get(engine)
         if state is not None:
+            state.failed_at = now
             state.suspended_until = Millis(now + SUSPENSION)
             self._version += 1
 
--- a/yuccagauge/placement/cost.py
+++ b/yuccagauge/placement/cost.py
@@ -83,14 +83,12 @@
                 notice.placed_at,
             )
             self._view.computed(engine, notice.missing_tokens)
-            for level in notice.levels:
-                self._view.stored(
-                    engine,
-                    notice.incarnation,
-                    level.digest,
-                    level.tokens,
-                    notice.placed_at,
-                )
+            self._view.expect_levels(
+                engine,
+                notice.incarnation,
+                notice.levels,
+                notice.placed_at,
+            )
 
     def place(self, request: PlacementRequest, now: Millis) -> Decision:
         """Return the candidates in order of their cost."""
@@ -99,12 +97,13 @@
             return Decision(())
         self._view.count(request.prefix, now)
         matches = self._view.matches(request.prefix)
+        left = request.deadline - now
         ranked = sorted(
             (
                 self._rank(request, engine, matches, now)
                 for engine in self._engines(request, usable, matches)
             ),
-            key=lambda each: each[0],
+            key=lambda each: (each[1].cost_ms > left, each[0]),
         )
         best = tuple(each for _, each in ranked[:MAXIMUM_CANDIDATES])
         self._note(request, best[0], now)
