--- a/features/steps/wire_steps.py
+++ b/features/steps/wire_steps.py
@@ -42,6 +42,7 @@
 _REQUEST = messages.DocumentRequest(service='matcher-llm', above=3)
 _BOUNDS = {'state': 255, 'topic': 255, 'scope': 255, 'status': 65535}
 _BOUNDS |= {'limit': 65535, 'version': 2**64 - 1, 'above': 2**64 - 1}
+_BOUNDS |= {'as_of': 2**64 - 1}
 
 
 def _field_values(name: str, hint: Any) -> st.SearchStrategy[Any]:
--- a/yuccagauge/wire/messages.capnp
+++ b/yuccagauge/wire/messages.capnp
@@ -101,7 +101,9 @@
   found @0 :Bool;
   service @1 :Text;
   version @2 :UInt64;
-  text @3 :Text;
+  # The document holds after the record with this offset.
+  asOf @3 :UInt64;
+  text @4 :Text;
 }
 
 struct HotPrefixRequest {
@@ -113,6 +115,8 @@
   incarnation @1 :Text;
   digest @2 :Data;
   tokens @3 :UInt32;
+  # Requests a second, in thousandths.
+  rateMilli @4 :UInt32;
 }
 
 struct HotPrefixReply {
@@ -129,31 +133,12 @@
 }
 
 struct ClaimForward {
-  customer @0 :Text;
-  service @1 :Text;
-  key @2 :Text;
-  fingerprint @3 :Data;
-  timeoutMs @4 :UInt32;
+  # A record of claims/records.capnp.
+  payload @0 :Data;
 }
 
 struct ClaimReply {
-  # Name of the decision, such as granted or held.
-  decision @0 :Text;
-  claimId @1 :Data;
-  status @2 :UInt16;
-  body @3 :Data;
-  shard @4 :UInt32;
-  detail @5 :Text;
-}
-
-struct ClaimSettle {
-  claimId @0 :Data;
-  keyDigest @1 :Data;
-  shard @2 :UInt32;
-  # Name of the step: release or complete.
-  step @3 :Text;
-  status @4 :UInt16;
-  body @5 :Data;
+  payload @0 :Data;
 }
 
 struct BurnPush {
--- a/yuccagauge/wire/messages.py
+++ b/yuccagauge/wire/messages.py
@@ -137,6 +137,8 @@
     found: bool
     service: str = ''
     version: int = 0
+    #: Offset of the last record that the document takes into account.
+    as_of: int = 0
     text: str = ''
 
 
@@ -156,6 +158,8 @@
     incarnation: str
     digest: bytes
     tokens: int
+    #: Requests a second, in thousandths.
+    rate_milli: int = 0
 
 
 @register(24)
@@ -185,39 +189,17 @@
 @register(27)
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ClaimForward(Message):
-    """Ask the preferred router of a shard for a claim."""
+    """Pass a claim on to the router preferred for its shard."""
 
-    customer: str
-    service: str
-    key: str
-    fingerprint: bytes
-    timeout_ms: int
+    payload: bytes
 
 
 @register(28)
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ClaimReply(Message):
-    """The decision on a claim."""
-
-    decision: str
-    claim_id: bytes = b''
-    status: int = 0
-    body: bytes = b''
-    shard: int = 0
-    detail: str = ''
+    """The decision on a forwarded claim."""
 
-
-@register(29)
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ClaimSettle(Message):
-    """Release or complete a granted claim."""
-
-    claim_id: bytes
-    key_digest: bytes
-    shard: int
-    step: str
-    status: int = 0
-    body: bytes = b''
+    payload: bytes
 
 
 @register(30)
