Add the request path: gateway, dispatch, quarantine, records, router

The project had decisions, claims and stand-ins, but no process that carried a call from its caller to a backend server.

Dispatch places model calls, follows their streams through faults by resume, replay and hedge, and runs plain calls by claim where they must not be repeated. The verdict of an attempt turns from "not run" to "may have run" in the transition that hands the first byte to the transport, which the router does itself on h11 connections. Requests that crash engines are quarantined. Decision records explain a request id and a backend server.

--- /dev/null
+++ b/yuccagauge/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The router process."""
--- /dev/null
+++ b/yuccagauge/daemon/enginewatch.py
@@ -0,0 +1,121 @@
+"""Polls the load of the engines that the documents in force name."""
+
+import json
+from typing import Any
+
+from twisted.internet.task import LoopingCall
+
+from yuccagauge.clock import Clock, Millis
+from yuccagauge.dispatch.base import BackendMessage, ResponseHead
+from yuccagauge.dispatch.connection import ConnectionPool
+from yuccagauge.dispatch.dispatcher import Dispatcher
+from yuccagauge.dispatch.exchange import Exchange
+from yuccagauge.dispatch.service import ServiceState
+from yuccagauge.load.base import EngineReport
+from yuccagauge.settings.options import Endpoint
+
+_PERIOD_SECONDS = 0.25
+_OK = 200
+_LOAD = BackendMessage(method='GET', path='/load')
+
+
+class _Poll:
+    """One reading of one engine."""
+
+    def __init__(
+        self,
+        service: ServiceState,
+        engine: Endpoint,
+        clock: Clock,
+    ) -> None:
+        self._service = service
+        self._engine = engine
+        self._clock = clock
+        self._body = bytearray()
+        self._status = 0
+
+    def head(self, head: ResponseHead) -> None:
+        """Keep the status."""
+        self._status = head.status
+
+    def data(self, data: bytes) -> None:
+        """Collect the report."""
+        self._body += data
+
+    def complete(self) -> None:
+        """Hand the report on."""
+        if self._status == _OK:
+            report = self._read(json.loads(self._body))
+            self._service.update(report, self._clock.now())
+
+    def lost(self, reason: str) -> None:
+        """Wait for the next reading."""
+
+    def _read(self, found: dict[str, Any]) -> EngineReport:
+        age = max(0, self._clock.wall() - int(found['measured_ms']))
+        return EngineReport(
+            engine=self._engine,
+            incarnation=found['incarnation'],
+            weights_version=found['weights_version'],
+            role=found['role'],
+            running=found['running'],
+            queued=found['queued'],
+            queued_tokens=found['queued_tokens'],
+            used_blocks=found['used_blocks'],
+            total_blocks=found['total_blocks'],
+            measured_at=Millis(self._clock.now() - age),
+        )
+
+
+class EngineWatch:
+    """Reads ``GET /load`` of every engine.
+
+    Parameters
+    ----------
+    pool
+        Opens connections.
+    dispatcher
+        Has the services whose engines are read.
+    reactor
+        Keeps time.
+    clock
+        The source of time.
+    """
+
+    def __init__(
+        self,
+        pool: ConnectionPool,
+        dispatcher: Dispatcher,
+        reactor: Any,
+        clock: Clock,
+    ) -> None:
+        """Read nothing before ``start``."""
+        self._pool = pool
+        self._dispatcher = dispatcher
+        self._clock = clock
+        self._polls = LoopingCall(self._poll)
+        self._polls.clock = reactor
+
+    def start(self) -> None:
+        """Begin to read."""
+        self._polls.start(_PERIOD_SECONDS)
+
+    def close(self) -> None:
+        """Read no more."""
+        if self._polls.running:
+            self._polls.stop()
+
+    def configure(self) -> None:
+        """Read at once after a document came into force."""
+        if self._polls.running:
+            self._polls.reset()
+            self._poll()
+
+    def _poll(self) -> None:
+        for service in self._dispatcher.services.values():
+            in_force = service.in_force
+            if in_force is None or in_force.document.service.kind == 'plain':
+                continue
+            for engine in in_force.document.backends:
+                poll = _Poll(service, engine, self._clock)
+                Exchange(self._pool, engine, _LOAD, poll).start(fresh=False)
--- /dev/null
+++ b/yuccagauge/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Attempts, streams, verdicts, retries and hedging of one call."""
--- /dev/null
+++ b/yuccagauge/dispatch/connection.py
@@ -0,0 +1,259 @@
+"""HTTP/1.1 connections to backend servers, and their pool.
+
+The router writes requests through these connections itself, because the
+verdict of a failed request depends on whether any of its bytes were handed
+to the transport.
+"""
+
+from collections import defaultdict, deque
+from collections.abc import Callable
+from typing import Any, Protocol
+
+import h11
+from twisted.internet.defer import Deferred, succeed
+from twisted.internet.endpoints import TCP4ClientEndpoint, TCP6ClientEndpoint
+from twisted.internet.interfaces import IStreamClientEndpoint
+from twisted.internet.protocol import Factory, connectionDone
+from twisted.internet.protocol import Protocol as TwistedProtocol
+from twisted.python.failure import Failure
+
+from yuccagauge.dispatch.base import BackendMessage, ResponseHead
+from yuccagauge.dispatch.errors import BackendProtocolError
+from yuccagauge.settings.options import Endpoint
+
+#: A backend server on the same continent accepts well within this time.
+_CONNECT_TIMEOUT_S = 1
+
+#: Idle connections kept for one backend server.
+_IDLE_CONNECTIONS = 64
+
+#: Seconds before an idle connection is closed; shorter than the idle limit
+#: of common HTTP servers, so that few requests meet a closing connection.
+_IDLE_S = 10
+
+
+class ResponseUser(Protocol):
+    """Hears the response to the one request that a connection carries."""
+
+    def head(self, head: ResponseHead) -> None:
+        """Take status and headers."""
+
+    def data(self, data: bytes) -> None:
+        """Take a part of the body."""
+
+    def complete(self) -> None:
+        """Take the end of a complete response."""
+
+    def lost(self, reason: str) -> None:
+        """Take the end of an incomplete response."""
+
+
+class Connection(TwistedProtocol):
+    """One connection that carries one request at a time."""
+
+    def __init__(self) -> None:
+        """Start without a request."""
+        self._parser = h11.Connection(h11.CLIENT)
+        self._user: ResponseUser | None = None
+        self._open = True
+        #: Tells the pool about the end of the connection.
+        self.on_close: Callable[[Connection], None] | None = None
+        self.idle_timer: Any = None
+
+    @property
+    def reusable(self) -> bool:
+        """Whether another request can be sent."""
+        return self._open and self._parser.our_state is h11.IDLE
+
+    def connectionMade(self) -> None:
+        """Send small messages without delay."""
+        self.transport.setTcpNoDelay(True)
+
+    def send(self, message: BackendMessage, user: ResponseUser) -> None:
+        """Hand a whole request to the transport.
+
+        From here on the backend server may run it.
+        """
+        self._user = user
+        self.transport.write(_encode(self._parser, message, self._host()))
+
+    def abort(self) -> None:
+        """Close at once; the user hears nothing more."""
+        self._user = None
+        self._open = False
+        self.transport.abortConnection()
+
+    def pause(self) -> None:
+        """Stop reading."""
+        if self._open:
+            self.transport.pauseProducing()
+
+    def resume(self) -> None:
+        """Read again."""
+        if self._open:
+            self.transport.resumeProducing()
+
+    def dataReceived(self, data: bytes) -> None:
+        """Parse a part of the response."""
+        if self._user is None:
+            # Bytes without a request would answer the next one.
+            self.abort()
+            return
+        try:
+            self._parser.receive_data(data)
+            self._drain()
+        except (h11.RemoteProtocolError, BackendProtocolError) as error:
+            self._fail(str(error))
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
+        """Report the end to the user and to the pool."""
+        self._open = False
+        if self._user is not None:
+            self._end_of_stream(reason)
+        if self.on_close is not None:
+            self.on_close(self)
+
+    def _drain(self) -> None:
+        while self._user is not None:
+            event = self._parser.next_event()
+            if event is h11.NEED_DATA or event is h11.PAUSED:
+                return
+            self._take(event)
+
+    def _take(self, event: Any) -> None:
+        if isinstance(event, h11.Data):
+            self._user.data(bytes(event.data))
+        elif isinstance(event, h11.Response):
+            headers = tuple(event.headers.raw_items())
+            head = ResponseHead(status=event.status_code, headers=headers)
+            self._user.head(head)
+        elif isinstance(event, h11.EndOfMessage):
+            self._finish()
+
+    def _finish(self) -> None:
+        user = self._user
+        self._user = None
+        surplus = self._parser.trailing_data[0]
+        if self._parser.our_state is h11.DONE and not surplus:
+            self._parser.start_next_cycle()
+        user.complete()
+
+    def _end_of_stream(self, reason: Failure) -> None:
+        try:
+            # A body without a length ends with the connection.
+            self._parser.receive_data(b'')
+            self._drain()
+        except (h11.RemoteProtocolError, BackendProtocolError):
+            self._fail(reason.getErrorMessage())
+            return
+        if self._user is not None:
+            self._fail(reason.getErrorMessage())
+
+    def _fail(self, reason: str) -> None:
+        user = self._user
+        self._user = None
+        if self._open:
+            self.abort()
+        if user is not None:
+            user.lost(reason)
+
+    def _host(self) -> str:
+        peer = self.transport.getPeer()
+        return str(Endpoint(peer.host, peer.port))
+
+
+def _encode(
+    parser: h11.Connection,
+    message: BackendMessage,
+    host: str,
+) -> bytes:
+    length = str(len(message.body)).encode()
+    headers = [
+        (b'Host', host.encode()),
+        *message.headers,
+        (b'Content-Length', length),
+    ]
+    head = parser.send(
+        h11.Request(
+            method=message.method,
+            target=message.path,
+            headers=headers,
+        ),
+    )
+    body = parser.send(h11.Data(data=message.body))
+    return head + body + parser.send(h11.EndOfMessage())
+
+
+def tcp_endpoint(reactor: Any, server: Endpoint) -> IStreamClientEndpoint:
+    """Return the way to a backend server without encryption."""
+    kind = TCP6ClientEndpoint if ':' in server.host else TCP4ClientEndpoint
+    return kind(reactor, server.host, server.port, timeout=_CONNECT_TIMEOUT_S)
+
+
+class ConnectionPool:
+    """Open connections by backend server.
+
+    Parameters
+    ----------
+    reactor
+        Gives connections and timers.
+    endpoint
+        Makes the way to a backend server.
+    """
+
+    def __init__(
+        self,
+        reactor: Any,
+        endpoint: Callable[[Any, Endpoint], IStreamClientEndpoint] = (
+            tcp_endpoint
+        ),
+    ) -> None:
+        """Start without connections."""
+        self._reactor = reactor
+        self._endpoint = endpoint
+        self._idle: dict[Endpoint, deque[Connection]] = defaultdict(deque)
+
+    def open(self, server: Endpoint, *, fresh: bool) -> Deferred[Connection]:
+        """Return an idle connection, or connect.
+
+        Parameters
+        ----------
+        fresh
+            Never reuse a connection: the backend server might be closing it
+            while the request is written, which ends in ``may have run``.
+        """
+        idle = self._idle[server]
+        while idle and not fresh:
+            connection = idle.pop()
+            connection.idle_timer.cancel()
+            if connection.reusable:
+                return succeed(connection)
+        endpoint = self._endpoint(self._reactor, server)
+        return endpoint.connect(Factory.forProtocol(Connection))
+
+    def give_back(self, server: Endpoint, connection: Connection) -> None:
+        """Keep a connection whose response was complete, or close it."""
+        idle = self._idle[server]
+        if not connection.reusable or len(idle) >= _IDLE_CONNECTIONS:
+            connection.abort()
+            return
+        connection.on_close = lambda closed: self._forget(server, closed)
+        connection.idle_timer = self._reactor.callLater(
+            _IDLE_S,
+            connection.abort,
+        )
+        idle.append(connection)
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for idle in self._idle.values():
+            while idle:
+                connection = idle.pop()
+                connection.idle_timer.cancel()
+                connection.abort()
+
+    def _forget(self, server: Endpoint, connection: Connection) -> None:
+        if connection in self._idle[server]:
+            self._idle[server].remove(connection)
+        if connection.idle_timer.active():
+            connection.idle_timer.cancel()
--- /dev/null
+++ b/yuccagauge/dispatch/exchange.py
@@ -0,0 +1,213 @@
+"""One request on one backend server, and its verdict.
+
+The verdict changes only in transitions: it turns from ``not run`` to ``may
+have run`` in the one that hands the first byte to the transport.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any, Protocol
+
+from automat import TypeMachineBuilder
+from twisted.internet.defer import CancelledError, Deferred
+from twisted.python.failure import Failure
+
+from yuccagauge.dispatch.base import BackendMessage, ResponseHead
+from yuccagauge.dispatch.connection import (
+    Connection,
+    ConnectionPool,
+    ResponseUser,
+)
+from yuccagauge.settings.options import Endpoint
+from yuccagauge.verdict import Verdict
+
+
+class ExchangeInputs(Protocol):
+    """What can happen to an exchange."""
+
+    def connected(self, connection: Connection) -> None:
+        """A connection is open."""
+
+    def refused(self, reason: str) -> None:
+        """No connection could be opened."""
+
+    def head(self, head: ResponseHead) -> None:
+        """Status and headers arrived."""
+
+    def data(self, data: bytes) -> None:
+        """A part of the body arrived."""
+
+    def complete(self) -> None:
+        """The response is complete."""
+
+    def lost(self, reason: str) -> None:
+        """The connection broke before the response was complete."""
+
+    def abandon(self) -> None:
+        """Nobody wants the response any more."""
+
+
+@dataclass(slots=True, kw_only=True)
+class _Core:
+    message: BackendMessage
+    user: ResponseUser
+    give_back: Callable[[Connection], None]
+    #: Changed by transitions alone.
+    verdict: Verdict = Verdict.NOT_RUN
+    connection: Connection | None = None
+    opening: Deferred | None = field(default=None)
+
+
+_builder = TypeMachineBuilder(ExchangeInputs, _Core)
+_connecting = _builder.state('connecting')
+_sent = _builder.state('sent')
+_answering = _builder.state('answering')
+_answered = _builder.state('answered')
+_not_sent = _builder.state('not_sent')
+_broken = _builder.state('broken')
+
+
+def _ignore_late(ended: Any) -> None:
+    """Make a state ignore whatever still arrives."""
+    ended.upon(ExchangeInputs.head).loop().returns(None)
+    ended.upon(ExchangeInputs.data).loop().returns(None)
+    ended.upon(ExchangeInputs.complete).loop().returns(None)
+    ended.upon(ExchangeInputs.lost).loop().returns(None)
+    ended.upon(ExchangeInputs.abandon).loop().returns(None)
+
+
+@_connecting.upon(ExchangeInputs.connected).to(_sent)
+def _send(
+    inputs: ExchangeInputs,
+    core: _Core,
+    connection: Connection,
+) -> None:
+    core.verdict = Verdict.MAY_HAVE_RUN
+    core.connection = connection
+    connection.send(core.message, inputs)
+
+
+@_connecting.upon(ExchangeInputs.refused).to(_not_sent)
+def _report_refused(inputs: ExchangeInputs, core: _Core, reason: str) -> None:
+    core.user.lost(reason)
+
+
+@_connecting.upon(ExchangeInputs.abandon).to(_not_sent)
+def _stop_connecting(inputs: ExchangeInputs, core: _Core) -> None:
+    if core.opening is not None:
+        core.opening.cancel()
+
+
+@_sent.upon(ExchangeInputs.head).to(_answering)
+def _report_head(
+    inputs: ExchangeInputs,
+    core: _Core,
+    head: ResponseHead,
+) -> None:
+    core.user.head(head)
+
+
+@_answering.upon(ExchangeInputs.data).loop()
+def _report_data(inputs: ExchangeInputs, core: _Core, data: bytes) -> None:
+    core.user.data(data)
+
+
+@_answering.upon(ExchangeInputs.complete).to(_answered)
+def _report_complete(inputs: ExchangeInputs, core: _Core) -> None:
+    core.verdict = Verdict.ANSWERED
+    core.give_back(core.connection)
+    core.user.complete()
+
+
+@_sent.upon(ExchangeInputs.lost).to(_broken)
+@_answering.upon(ExchangeInputs.lost).to(_broken)
+def _report_lost(inputs: ExchangeInputs, core: _Core, reason: str) -> None:
+    core.user.lost(reason)
+
+
+@_sent.upon(ExchangeInputs.abandon).to(_broken)
+@_answering.upon(ExchangeInputs.abandon).to(_broken)
+def _abort(inputs: ExchangeInputs, core: _Core) -> None:
+    core.connection.abort()
+
+
+@_not_sent.upon(ExchangeInputs.connected).loop()
+def _close_late(
+    inputs: ExchangeInputs,
+    core: _Core,
+    connection: Connection,
+) -> None:
+    connection.abort()
+
+
+_not_sent.upon(ExchangeInputs.refused).loop().returns(None)
+_ignore_late(_answered)
+_ignore_late(_not_sent)
+_ignore_late(_broken)
+
+_ExchangeMachine = _builder.build()
+
+
+class Exchange:
+    """Drives the state machine of one request on one backend server.
+
+    Parameters
+    ----------
+    pool
+        Opens the connection.
+    server
+        The backend server.
+    message
+        The request.
+    user
+        Hears the response, and ``lost`` with a reason if there is none.
+    """
+
+    def __init__(
+        self,
+        pool: ConnectionPool,
+        server: Endpoint,
+        message: BackendMessage,
+        user: ResponseUser,
+    ) -> None:
+        """Prepare without connecting."""
+        self._pool = pool
+        self._server = server
+        self._core = _Core(
+            message=message,
+            user=user,
+            give_back=self._give_back,
+        )
+        self._machine = _ExchangeMachine(self._core)
+
+    @property
+    def verdict(self) -> Verdict:
+        """Whether the backend server may have run the request."""
+        return self._core.verdict
+
+    def start(self, *, fresh: bool) -> None:
+        """Connect and send; ``fresh`` forbids a pooled connection."""
+        opening = self._pool.open(self._server, fresh=fresh)
+        self._core.opening = opening
+        opening.addCallbacks(self._machine.connected, self._refused)
+
+    def abandon(self) -> None:
+        """Drop whatever would still arrive."""
+        self._machine.abandon()
+
+    def pause(self) -> None:
+        """Stop reading from the backend server."""
+        if self._core.connection is not None:
+            self._core.connection.pause()
+
+    def resume(self) -> None:
+        """Read from the backend server again."""
+        if self._core.connection is not None:
+            self._core.connection.resume()
+
+    def _refused(self, failure: Failure) -> None:
+        if not failure.check(CancelledError):
+            self._machine.refused(failure.getErrorMessage())
+
+    def _give_back(self, connection: Connection) -> None:
+        self._pool.give_back(self._server, connection)
--- /dev/null
+++ b/yuccagauge/dispatch/plainattempt.py
@@ -0,0 +1,143 @@
+"""One attempt to get a whole answer from a server of a plain service."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from yuccagauge.dispatch.attempt import NOT_RUN_HEADER, Outcome
+from yuccagauge.dispatch.base import BackendMessage, Header, ResponseHead
+from yuccagauge.dispatch.connection import ConnectionPool
+from yuccagauge.dispatch.exchange import Exchange
+from yuccagauge.dispatch.recovery import Ending
+from yuccagauge.settings.options import Endpoint
+from yuccagauge.verdict import Verdict
+
+#: Answers are buffered whole, so that a broken one never reaches the caller
+#: in part; a longer one is refused.
+MAXIMUM_ANSWER_BYTES = 8_000_000
+
+_UNAVAILABLE = 503
+
+#: Headers that belong to one connection, or that the router sets itself.
+_OWN_HEADERS = frozenset(
+    (
+        b'connection',
+        b'content-length',
+        b'date',
+        b'keep-alive',
+        b'server',
+        b'transfer-encoding',
+        b'upgrade',
+        b'yuccagauge-not-run',
+        b'yuccagauge-verdict',
+    ),
+)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PlainPlan:
+    """What to send where."""
+
+    server: Endpoint
+    message: BackendMessage
+    #: Whether a 503 with ``Yuccagauge-Not-Run`` may be believed.
+    truthful: bool
+    #: Whether the call must not be repeated.
+    once: bool
+
+
+class PlainAttempt:
+    """Sends one call to a server and collects the answer.
+
+    Parameters
+    ----------
+    pool
+        Opens connections.
+    plan
+        What to send where.
+    ended
+        Called once with the outcome, unless the attempt was abandoned.
+    """
+
+    def __init__(
+        self,
+        pool: ConnectionPool,
+        plan: PlainPlan,
+        ended: Callable[['PlainAttempt', Outcome], None],
+    ) -> None:
+        """Prepare without sending."""
+        self._plan = plan
+        self._report = ended
+        self._head: ResponseHead | None = None
+        self._body = bytearray()
+        self._ended = False
+        self._exchange = Exchange(pool, plan.server, plan.message, self)
+
+    @property
+    def server(self) -> Endpoint:
+        """The server."""
+        return self._plan.server
+
+    @property
+    def verdict(self) -> Verdict:
+        """Whether the server may have run the call."""
+        return self._exchange.verdict
+
+    def start(self) -> None:
+        """Connect and send."""
+        self._exchange.start(fresh=self._plan.once)
+
+    def abandon(self) -> None:
+        """Drop whatever would still arrive, without a report."""
+        self._ended = True
+        self._exchange.abandon()
+
+    def head(self, head: ResponseHead) -> None:
+        """Keep status and headers."""
+        self._head = head
+
+    def data(self, data: bytes) -> None:
+        """Collect the body."""
+        self._body += data
+        if len(self._body) > MAXIMUM_ANSWER_BYTES and not self._ended:
+            self._exchange.abandon()
+            self._end(Ending.FAILED, Verdict.MAY_HAVE_RUN, 'answer too long')
+
+    def complete(self) -> None:
+        """Judge a complete answer."""
+        says_not_run = self._head.get(NOT_RUN_HEADER).lower() == 'true'
+        is_refusal = self._head.status == _UNAVAILABLE and says_not_run
+        if is_refusal and self._plan.truthful:
+            self._end(Ending.NOT_RUN, Verdict.NOT_RUN, 'refused as not run')
+        else:
+            self._end(Ending.DONE, Verdict.ANSWERED, '')
+
+    def lost(self, reason: str) -> None:
+        """Judge an answer that broke."""
+        verdict = self.verdict
+        is_not_run = verdict is Verdict.NOT_RUN
+        ending = Ending.NOT_RUN if is_not_run else Ending.BROKEN
+        self._end(ending, verdict, reason)
+
+    def _end(self, ending: Ending, verdict: Verdict, reason: str) -> None:
+        if self._ended:
+            return
+        self._ended = True
+        outcome = Outcome(
+            ending=ending,
+            verdict=verdict,
+            reason=reason,
+            status=self._head.status if self._head else 0,
+            headers=_passed_on(self._head),
+            body=bytes(self._body),
+        )
+        self._report(self, outcome)
+
+
+def _passed_on(head: ResponseHead | None) -> tuple[Header, ...]:
+    if head is None:
+        return ()
+    return tuple(
+        header
+        for header in head.headers
+        if header[0].lower() not in _OWN_HEADERS
+    )
--- /dev/null
+++ b/yuccagauge/dispatch/recording.py
@@ -0,0 +1,224 @@
+"""What is recorded while a model call runs: load, view, records, metrics."""
+
+from yuccagauge.clock import Millis
+from yuccagauge.dispatch import metrics
+from yuccagauge.dispatch.attempt import ModelAttempt, Outcome
+from yuccagauge.dispatch.base import Call
+from yuccagauge.dispatch.recovery import Ending
+from yuccagauge.dispatch.service import ServiceState
+from yuccagauge.dispatch.sse import usage_of
+from yuccagauge.explain.base import (
+    AttemptRecord,
+    CandidateRecord,
+    DecisionRecord,
+)
+from yuccagauge.placement.base import Decision
+from yuccagauge.verdict import Refusal, Verdict
+
+_MILLISECONDS_PER_SECOND = 1000
+_UNKNOWN = -1
+
+
+class RequestRecorder:
+    """Tells the service's state what becomes of one call.
+
+    Parameters
+    ----------
+    service
+        The state of the service.
+    call
+        The call.
+    """
+
+    def __init__(self, service: ServiceState, call: Call) -> None:
+        """Open the decision record."""
+        self._service = service
+        self._call = call
+        self._kinds: dict[int, tuple[str, Millis]] = {}
+        self._cached = _UNKNOWN
+        prefix = call.chat.prefix
+        self._log = service.around.decisions
+        self._log.add(
+            DecisionRecord(
+                request_id=call.request_id,
+                customer=call.customer,
+                service=call.service,
+                document_version=call.document_version,
+                weights_version=prefix.identity.weights_version,
+                priority=call.priority,
+                received_at=call.received_at,
+                deadline=call.deadline,
+                prompt_tokens=prefix.prompt_tokens,
+                levels=len(prefix.levels),
+            ),
+        )
+
+    def placed(self, decision: Decision) -> None:
+        """Record the candidates."""
+        candidates = tuple(
+            CandidateRecord(
+                backend_server=str(candidate.engine),
+                cost_ms=float(candidate.cost_ms),
+                expected_tokens=candidate.expected_tokens,
+                queue_ms=float(candidate.queue_ms),
+            )
+            for candidate in decision.candidates
+        )
+        self._log.change(self._call.request_id, candidates=candidates)
+
+    def started(self, attempt: ModelAttempt, kind: str) -> None:
+        """Count an attempt that is about to be sent."""
+        now = self._now()
+        self._kinds[id(attempt)] = (kind, now)
+        missing = self._call.chat.prefix.prompt_tokens
+        missing -= attempt.plan.expected_tokens
+        if attempt.plan.resumes:
+            missing = 0
+        self._service.quarantine.started(
+            self._call.fingerprint,
+            attempt.engine,
+        )
+        self._service.table_of(attempt.engine).sent(
+            attempt.engine,
+            self._call.request_id,
+            max(0, missing),
+            now,
+        )
+
+    def begun(self, attempt: ModelAttempt) -> None:
+        """Record the first token."""
+        now = self._now()
+        table = self._service.table_of(attempt.engine)
+        table.started(attempt.engine, self._call.request_id, now)
+        duration = Millis(now - self._call.received_at)
+        self._service.latency.record(duration)
+        self._log.change(
+            self._call.request_id,
+            time_to_first_token_ms=duration,
+        )
+        metrics.FIRST_TOKEN.record(
+            duration / _MILLISECONDS_PER_SECOND,
+            {'service': self._service.name},
+        )
+
+    def look_for_usage(
+        self,
+        attempt: ModelAttempt,
+        events: list[bytes],
+    ) -> None:
+        """Correct the cache view by the tokens an engine had cached."""
+        for event in events:
+            usage = usage_of(event)
+            if usage is not None:
+                self._take_usage(attempt, usage)
+
+    def ended(self, attempt: ModelAttempt, outcome: Outcome) -> None:
+        """Record an attempt that ended without a complete answer."""
+        self._release(attempt)
+        now = self._now()
+        engine = attempt.engine
+        # A stream that broke after it opened is resumed first, which tells
+        # whether the engine is up.
+        is_down = outcome.ending in {Ending.BROKEN, Ending.NOT_RUN}
+        if is_down and not attempt.opened:
+            self._service.table_of(engine).failed(engine, now)
+        if outcome.ending is Ending.BROKEN and attempt.was_sent:
+            table = self._service.table_of(engine)
+            self._service.quarantine.broke(
+                self._call.fingerprint,
+                engine,
+                attempt.incarnation or table.incarnation(engine),
+                now,
+            )
+        if outcome.ending is Ending.NOT_RUN and outcome.status:
+            # A truthful refusal of a healthy server means that it leaves.
+            self._service.rest(engine)
+        self._record(attempt, outcome.ending, outcome.verdict, outcome.reason)
+
+    def abandoned(self, attempt: ModelAttempt) -> None:
+        """Record an attempt that nobody waits for any more."""
+        self._release(attempt)
+        self._record(attempt, Ending.ABANDONED, attempt.verdict, '')
+
+    def finished(self, attempt: ModelAttempt) -> None:
+        """Record the attempt that completed the answer."""
+        self._release(attempt)
+        self._service.quarantine.completed(self._call.fingerprint)
+        self._record(attempt, Ending.DONE, Verdict.ANSWERED, '')
+
+    def refused(self, refusal: Refusal) -> None:
+        """Record which limit or rule ended the call."""
+        self._log.change(self._call.request_id, limit=refusal.code)
+
+    def closed(self, verdict: Verdict) -> None:
+        """Record the final verdict."""
+        self._log.change(self._call.request_id, verdict=verdict.value)
+        metrics.VERDICTS.add(
+            1,
+            {'service': self._service.name, 'verdict': verdict.value},
+        )
+
+    def _release(self, attempt: ModelAttempt) -> None:
+        self._service.quarantine.ended(self._call.fingerprint, attempt.engine)
+        self._service.table_of(attempt.engine).finished(
+            attempt.engine,
+            self._call.request_id,
+            self._now(),
+        )
+
+    def _take_usage(
+        self,
+        attempt: ModelAttempt,
+        usage: dict[str, object],
+    ) -> None:
+        details = usage.get('prompt_tokens_details') or {}
+        cached = int(details.get('cached_tokens') or 0)
+        self._cached = cached
+        self._service.view.observed(
+            attempt.engine,
+            attempt.incarnation,
+            self._call.chat.prefix,
+            cached,
+            self._now(),
+        )
+        prompt = int(usage.get('prompt_tokens') or 0)
+        name = self._service.name
+        metrics.PROMPT_TOKENS.add(cached, {'service': name, 'cached': True})
+        metrics.PROMPT_TOKENS.add(
+            max(0, prompt - cached),
+            {'service': name, 'cached': False},
+        )
+
+    def _record(
+        self,
+        attempt: ModelAttempt,
+        ending: Ending,
+        verdict: Verdict,
+        reason: str,
+    ) -> None:
+        kind, started_at = self._kinds.pop(id(attempt))
+        self._log.add_attempt(
+            self._call.request_id,
+            AttemptRecord(
+                backend_server=str(attempt.engine),
+                kind=kind,
+                ending=ending.value,
+                verdict=verdict.value,
+                reason=reason,
+                started_at=started_at,
+                duration_ms=Millis(self._now() - started_at),
+                expected_tokens=attempt.plan.expected_tokens,
+                cached_tokens=self._cached,
+            ),
+        )
+        metrics.ATTEMPTS.add(
+            1,
+            {
+                'service': self._service.name,
+                'kind': kind,
+                'ending': ending.value,
+            },
+        )
+
+    def _now(self) -> Millis:
+        return self._service.around.clock.now()
--- /dev/null
+++ b/yuccagauge/dispatch/sse.py
@@ -0,0 +1,103 @@
+"""Server-sent events: splitting a byte stream, and the fields we need."""
+
+import json
+import re
+from typing import Any
+
+from yuccagauge.dispatch.errors import BackendProtocolError
+
+#: An event that is longer than this is a fault of the engine.
+_MAXIMUM_EVENT_BYTES = 1_048_576
+
+_BLANK_LINE = b'\n\n'
+_DONE = re.compile(rb'^data: ?\[DONE\]\s*$', re.MULTILINE)
+_EVENT_ID = re.compile(rb'^id: ?(\d+)\r?$', re.MULTILINE)
+_PAYLOAD = re.compile(rb'^data: ?(.*?)\r?$', re.MULTILINE)
+_USAGE = b'"usage"'
+
+
+class EventSplitter:
+    """Cuts a byte stream into whole events, byte for byte."""
+
+    def __init__(self) -> None:
+        """Start at an event boundary."""
+        self._rest = b''
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """Return the events that became complete.
+
+        Raises
+        ------
+        BackendProtocolError
+            If an event does not end within its bound.
+        """
+        buffered = self._rest + data if self._rest else data
+        if b'\r' in buffered:
+            return self._feed_lines(buffered)
+        *whole, self._rest = buffered.split(_BLANK_LINE)
+        self._check_rest()
+        return [event + _BLANK_LINE for event in whole]
+
+    def _feed_lines(self, buffered: bytes) -> list[bytes]:
+        events: list[bytes] = []
+        start = 0
+        for match in re.finditer(rb'\r?\n\r?\n', buffered):
+            events.append(buffered[start : match.end()])
+            start = match.end()
+        self._rest = buffered[start:]
+        self._check_rest()
+        return events
+
+    def _check_rest(self) -> None:
+        if len(self._rest) > _MAXIMUM_EVENT_BYTES:
+            raise BackendProtocolError('an event does not end')
+
+
+def event_number(event: bytes) -> int | None:
+    """Return the number in the ``id`` field, or ``None``."""
+    match = _EVENT_ID.search(event)
+    return int(match.group(1)) if match else None
+
+
+def is_done(event: bytes) -> bool:
+    """Return whether this is the event that ends a complete answer."""
+    return b'[DONE]' in event and _DONE.search(event) is not None
+
+
+def payload(event: bytes) -> dict[str, Any]:
+    """Decode the JSON object in the ``data`` field.
+
+    Raises
+    ------
+    BackendProtocolError
+        If there is none.
+    """
+    text = b'\n'.join(_PAYLOAD.findall(event))
+    try:
+        decoded = json.loads(text)
+    except ValueError:
+        raise BackendProtocolError('an event has no JSON') from None
+    if not isinstance(decoded, dict):
+        raise BackendProtocolError('an event has no JSON object')
+    return decoded
+
+
+def usage_of(event: bytes) -> dict[str, Any] | None:
+    """Return the token counts that an event reports, or ``None``."""
+    if _USAGE not in event:
+        return None
+    found = payload(event).get('usage')
+    return found if isinstance(found, dict) else None
+
+
+def comparable(event: bytes) -> bytes:
+    """Return the part of an event that a replay has to repeat.
+
+    The usage depends on what the engine had cached, so two correct answers
+    may differ in it.
+    """
+    if _USAGE not in event:
+        return event
+    decoded = payload(event)
+    decoded.pop('usage', None)
+    return json.dumps(decoded, sort_keys=True).encode()
--- /dev/null
+++ b/yuccagauge/dispatch/timers.py
@@ -0,0 +1,51 @@
+"""Named timers of one request."""
+
+from collections.abc import Callable
+from typing import Any
+
+from yuccagauge.dispatch.base import CallLater
+
+_MILLISECONDS_PER_SECOND = 1000
+
+
+class Timers:
+    """At most one running timer for each name.
+
+    Parameters
+    ----------
+    call_later
+        The reactor's function.
+    """
+
+    def __init__(self, call_later: CallLater) -> None:
+        """Start without timers."""
+        self._call_later = call_later
+        self._timers: dict[str, Any] = {}
+
+    def start(
+        self,
+        name: str,
+        delay: float,
+        function: Callable[..., None],
+        *arguments: Any,
+    ) -> None:
+        """Call a function after some ms, instead of an earlier plan."""
+        self.stop(name)
+        seconds = max(0, delay) / _MILLISECONDS_PER_SECOND
+        self._timers[name] = self._call_later(seconds, function, *arguments)
+
+    def is_running(self, name: str) -> bool:
+        """Return whether a timer has still to fire."""
+        timer = self._timers.get(name)
+        return timer is not None and bool(timer.active())
+
+    def stop(self, name: str) -> None:
+        """Forget a plan, if there is one."""
+        timer = self._timers.pop(name, None)
+        if timer is not None and timer.active():
+            timer.cancel()
+
+    def close(self) -> None:
+        """Forget all plans."""
+        for name in tuple(self._timers):
+            self.stop(name)
--- /dev/null
+++ b/yuccagauge/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP interface for callers."""
