Repeat some plain calls later, as callers do who lost patience

All copies of a call were sent at the same time, so that only one of the two ways in which a call can be doubled was tried. Copies are now also sent 400 ms and 2.5 s after the first.

--- a/yuccagauge/loadgen/base.py
+++ b/yuccagauge/loadgen/base.py
@@ -22,7 +22,16 @@
 _RANDOM_B_BITS = 62
 _UUID_VERSION = 7
 _UUID_VARIANT = 2
-_MILLISECONDS_PER_SECOND = 1000
+#: Most callers send once; some repeat at once, or after losing patience.
+_COPIES = (
+    (Millis(0),),
+    (Millis(0),),
+    (Millis(0),),
+    (Millis(0),),
+    (Millis(0), Millis(0)),
+    (Millis(0), Millis(400)),
+    (Millis(0), Millis(2500)),
+)
 _WORDS = tuple(
     'dock shift crane berth pallet night crew line treaty clause ceded '
     'premium claim share layer limit stamp gate lorry cold clerk ledger'.split()
@@ -89,8 +98,8 @@
     body: bytes
     #: The random bits of the idempotency key.
     key_bits: int
-    #: How many copies are sent at the same time.
-    copies: int
+    #: When each copy is sent, after the time of the plan, in milliseconds.
+    copies: tuple[Millis, ...]
 
     @property
     def body_sha256(self) -> str:
@@ -210,7 +219,7 @@
             path=self.plain_path,
             body=body.encode(),
             key_bits=bits,
-            copies=self._random.choice((1, 1, 1, 2)),
+            copies=self._random.choice(_COPIES),
         )
 
     def _chat(self, number: int, at: Millis, customer: str) -> ChatPlan:
--- a/yuccagauge/loadgen/run.py
+++ b/yuccagauge/loadgen/run.py
@@ -32,17 +32,17 @@
     running: list[defer.Deferred[None]] = []
     for plan in plans:
         if isinstance(plan, ChatPlan):
-            work = _later(plan, client.chat, plan)
+            work = _later(plan.at, client.chat, plan)
             running.append(work.addCallback(result.chats.append))
             continue
         key = plan.key(started)
-        for _ in range(plan.copies):
-            work = _later(plan, client.call, plan, key)
+        for delay in plan.copies:
+            work = _later(plan.at + delay, client.call, plan, key)
             running.append(work.addCallback(result.calls.append))
     yield defer.gatherResults(running, consumeErrors=True)
     return result
 
 
-def _later(plan: Plan, send: object, *arguments: object) -> defer.Deferred:
-    seconds = plan.at / _MILLISECONDS_PER_SECOND
+def _later(at: int, send: object, *arguments: object) -> defer.Deferred:
+    seconds = at / _MILLISECONDS_PER_SECOND
     return task.deferLater(reactor, seconds, send, *arguments)
