End interrupted runs with an error and without leftovers

A demo or soak test that was interrupted left with 0, as if it had found nothing, and relied on the process group to end its processes. An interrupted run now exits with 1, and a fleet ends its processes by id before the reactor stops. Ports and planned requests move into modules of their own.

--- a/features/steps/loadgen_steps.py
+++ b/features/steps/loadgen_steps.py
@@ -14,15 +14,10 @@
 from yuccagauge.clock import Millis
 from yuccagauge.loadgen import load_profiles
 from yuccagauge.loadgen.audit import audit_calls, audit_chats
-from yuccagauge.loadgen.base import (
-    PROFILES,
-    CallPlan,
-    ChatPlan,
-    Plan,
-    Volume,
-)
+from yuccagauge.loadgen.base import PROFILES, Volume
 from yuccagauge.loadgen.events import EventParser, StreamedAnswer
 from yuccagauge.loadgen.outcomes import CallOutcome, ChatOutcome
+from yuccagauge.loadgen.plans import CallPlan, ChatPlan, Plan
 from yuccagauge.loadgen.waste import cache_figures
 from yuccagauge.settings.document import build_document
 from yuccagauge.settings.options import Endpoint
--- a/yuccagauge/demo/fleet.py
+++ b/yuccagauge/demo/fleet.py
@@ -1,7 +1,5 @@
 """A fleet of stand-ins and routers in two data centres on loopback."""
 
-import contextlib
-import socket
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -12,6 +10,7 @@
 from twisted.web.client import RequestTransmissionFailed, ResponseFailed
 
 from yuccagauge.adoption.publish import Accepted, publish
+from yuccagauge.demo.ports import RouterPorts, choose_ports, data_centre_of
 from yuccagauge.demo.processes import (
     ManagedProcess,
     StandinProcess,
@@ -22,9 +21,7 @@
 from yuccagauge.settings.options import Endpoint
 from yuccagauge.settings.reader import RawSections
 
-_HOST = '127.0.0.1'
 _REGION = 'region-1'
-_DATA_CENTRES = ('centre-a', 'centre-b')
 _POLL_SECONDS = 0.1
 _READY_SECONDS = 30
 _NO_VERSION = -1
@@ -54,17 +51,6 @@
     engine: Mapping[str, str] = field(default_factory=dict)
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class RouterPorts:
-    """Where one router listens."""
-
-    name: str
-    data_centre: str
-    callers: Endpoint
-    peers: Endpoint
-    admin: Endpoint
-
-
 class Fleet:
     """All processes, and the documents of the users.
 
@@ -92,7 +78,7 @@
         #: Backend servers by service, then with their data centres.
         self._backends: dict[str, dict[StandinProcess, str]] = {}
         self._routers: dict[str, ManagedProcess] = {}
-        self._ports = _choose_ports(plan.routers)
+        self._ports = choose_ports(plan.routers)
         self._versions: dict[str, int] = {}
 
     @property
@@ -129,6 +115,8 @@
         StartError
             If a process ends, or is not ready in time.
         """
+        # An interrupted run must not leave processes behind.
+        reactor.addSystemEventTrigger('before', 'shutdown', self.close)
         for kind in ('log', 'vm-list', 'kept-kv', 'weight-store'):
             self._platform[kind] = self._standin(kind, kind, {})
         for profile in self._profiles:
@@ -277,7 +265,7 @@
                     'engine': engine,
                     'standin': {'seed': str(index)},
                 },
-            ): _data_centre(index)
+            ): data_centre_of(index)
             for index in range(self._plan.engines)
         }
         self._backends[profile.plain_service] = {
@@ -287,7 +275,7 @@
                 {
                     'standin': {'seed': str(index)},
                 },
-            ): _data_centre(index)
+            ): data_centre_of(index)
             for index in range(self._plan.servers)
         }
 
@@ -356,31 +344,6 @@
         self._routers[ports.name] = router
 
 
-def _choose_ports(count: int) -> tuple[RouterPorts, ...]:
-    """Let the system choose; all are held until the last is chosen."""
-    with contextlib.ExitStack() as held:
-        sockets = [
-            held.enter_context(socket.socket()) for _ in range(3 * count)
-        ]
-        for bound in sockets:
-            bound.bind((_HOST, 0))
-        numbers = [one.getsockname()[1] for one in sockets]
-    return tuple(
-        RouterPorts(
-            name=f'router-{index}',
-            data_centre=_data_centre(index),
-            callers=Endpoint(_HOST, numbers[3 * index]),
-            peers=Endpoint(_HOST, numbers[3 * index + 1]),
-            admin=Endpoint(_HOST, numbers[3 * index + 2]),
-        )
-        for index in range(count)
-    )
-
-
-def _data_centre(index: int) -> str:
-    return _DATA_CENTRES[index % len(_DATA_CENTRES)]
-
-
 def _vm(endpoint: Endpoint, data_centre: str, service: str) -> dict[str, str]:
     return {
         'address': str(endpoint),
--- a/yuccagauge/demo/run.py
+++ b/yuccagauge/demo/run.py
@@ -5,14 +5,16 @@
 from collections.abc import Iterable
 from pathlib import Path
 
-from twisted.internet import defer, task
+from twisted.internet import defer
 
 from yuccagauge.clock import Millis, SystemClock
 from yuccagauge.demo.fleet import WEIGHTS_VERSION, Fleet, FleetPlan
+from yuccagauge.demo.processes import StartError
 from yuccagauge.loadgen import load_profiles
 from yuccagauge.loadgen.audit import audit_calls, audit_chats, count_executed
 from yuccagauge.loadgen.base import PROFILES, Profile, Volume
 from yuccagauge.loadgen.client import LoadClient
+from yuccagauge.loadgen.main import run_to_end
 from yuccagauge.loadgen.outcomes import Violation
 from yuccagauge.loadgen.report import LoadReport, report_load
 from yuccagauge.loadgen.run import LoadResult, run_plans
@@ -27,7 +29,7 @@
 def run() -> None:
     """Run the demonstration and leave the process with 0 or 1."""
     load_profiles()
-    task.react(lambda _: _run())
+    run_to_end(_run)
 
 
 @defer.inlineCallbacks
@@ -37,10 +39,12 @@
         fleet = Fleet(Path(directory), profiles, FleetPlan())
         try:
             violations = yield _demonstrate(fleet, profiles)
+        except StartError as error:
+            violations = [Violation(kind='not started', detail=str(error))]
         finally:
             yield fleet.close()
     for violation in violations:
-        _say(f'broken promise: {violation.kind}: {violation.detail}')
+        _say(f'failed: {violation.kind}: {violation.detail}')
     if violations:
         sys.exit(_EXIT_BROKEN)
     _say('no promise was broken')
--- a/yuccagauge/loadgen/client.py
+++ b/yuccagauge/loadgen/client.py
@@ -16,9 +16,10 @@
 )
 
 from yuccagauge.clock import Clock, Millis
-from yuccagauge.loadgen.base import CallPlan, ChatPlan, credential
+from yuccagauge.loadgen.base import credential
 from yuccagauge.loadgen.events import EventParser
 from yuccagauge.loadgen.outcomes import CallOutcome, ChatOutcome
+from yuccagauge.loadgen.plans import CallPlan, ChatPlan
 from yuccagauge.settings.options import Endpoint
 from yuccagauge.verdict import VERDICT_HEADER
 
--- a/yuccagauge/loadgen/command.py
+++ b/yuccagauge/loadgen/command.py
@@ -4,13 +4,14 @@
 import sys
 from dataclasses import asdict
 
-from twisted.internet import defer, task
+from twisted.internet import defer
 
 from yuccagauge.clock import Millis, SystemClock
 from yuccagauge.errors import SettingsError
 from yuccagauge.loadgen import load_profiles
 from yuccagauge.loadgen.base import PROFILES, Profile, Volume
 from yuccagauge.loadgen.client import LoadClient
+from yuccagauge.loadgen.main import run_to_end
 from yuccagauge.loadgen.outcomes import judge_call, judge_chat
 from yuccagauge.loadgen.report import report_load
 from yuccagauge.loadgen.run import run_plans
@@ -47,7 +48,7 @@
         requests=requests,
         duration=Millis(seconds * _MILLISECONDS_PER_SECOND),
     )
-    task.react(lambda _: _run(endpoints, kind(seed), volume, seed))
+    run_to_end(lambda: _run(endpoints, kind(seed), volume, seed))
 
 
 def _parse(routers: tuple[str, ...]) -> tuple[Endpoint, ...]:
--- a/yuccagauge/loadgen/outcomes.py
+++ b/yuccagauge/loadgen/outcomes.py
@@ -3,8 +3,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from yuccagauge.loadgen.base import CallPlan, ChatPlan
 from yuccagauge.loadgen.events import StreamedAnswer
+from yuccagauge.loadgen.plans import CallPlan, ChatPlan
 from yuccagauge.verdict import Verdict
 
 
--- a/yuccagauge/loadgen/run.py
+++ b/yuccagauge/loadgen/run.py
@@ -5,9 +5,9 @@
 from twisted.internet import defer, reactor, task
 
 from yuccagauge.clock import Clock
-from yuccagauge.loadgen.base import ChatPlan, Plan
 from yuccagauge.loadgen.client import LoadClient
 from yuccagauge.loadgen.outcomes import CallOutcome, ChatOutcome
+from yuccagauge.loadgen.plans import ChatPlan, Plan
 
 _MILLISECONDS_PER_SECOND = 1000
 
--- a/yuccagauge/soak/base.py
+++ b/yuccagauge/soak/base.py
@@ -9,7 +9,8 @@
 from twisted.internet import defer
 
 from yuccagauge.clock import Millis
-from yuccagauge.demo.fleet import Fleet, FleetPlan, RouterPorts
+from yuccagauge.demo.fleet import Fleet, FleetPlan
+from yuccagauge.demo.ports import RouterPorts
 from yuccagauge.errors import NotFoundError
 from yuccagauge.loadgen.base import Profile
 from yuccagauge.registry import Registry
--- a/yuccagauge/soak/run.py
+++ b/yuccagauge/soak/run.py
@@ -16,6 +16,7 @@
 from yuccagauge.loadgen.audit import audit_calls, audit_chats, count_executed
 from yuccagauge.loadgen.base import PROFILES, Profile, Volume
 from yuccagauge.loadgen.client import LoadClient
+from yuccagauge.loadgen.main import run_to_end
 from yuccagauge.loadgen.outcomes import Violation
 from yuccagauge.loadgen.report import report_load
 from yuccagauge.loadgen.run import LoadResult, run_plans
@@ -52,7 +53,7 @@
     """Run once, print the counts and leave the process with 0 or 1."""
     load_profiles()
     load_faults()
-    task.react(lambda _: _run(seconds, seed))
+    run_to_end(lambda: _run(seconds, seed))
 
 
 @defer.inlineCallbacks
