--- a/yuccagauge/soak/base.py
+++ b/yuccagauge/soak/base.py
@@ -111,10 +111,29 @@
     choice: float
 
 
-def plan_faults(seed: int, duration: Millis) -> list[PlannedFault]:
-    """Return the faults of a run in the order of their times."""
+def plan_faults(
+    seed: int,
+    duration: Millis,
+    kinds: tuple[str, ...] = (),
+) -> list[PlannedFault]:
+    """Return the faults of a run in the order of their times.
+
+    Parameters
+    ----------
+    seed
+        Decides all faults.
+    duration
+        The length of the run.
+    kinds
+        The kinds to choose from; all if there are none.
+
+    Raises
+    ------
+    FaultNotFoundError
+        If there is no such kind.
+    """
     random = Random(f'soak/{seed}')
-    names = FAULTS.names
+    names = kinds or FAULTS.names
     weights = [FAULTS.get(name).weight for name in names]
     found: list[PlannedFault] = []
     at = float(_LEAD_MS)
--- a/yuccagauge/soak/run.py
+++ b/yuccagauge/soak/run.py
@@ -4,7 +4,7 @@
 import sys
 import tempfile
 from collections import Counter
-from dataclasses import asdict
+from dataclasses import asdict, dataclass
 from pathlib import Path
 from typing import Any
 
@@ -21,7 +21,7 @@
 from yuccagauge.loadgen.report import report_load
 from yuccagauge.loadgen.run import LoadResult, run_plans
 from yuccagauge.soak import load_faults
-from yuccagauge.soak.base import SoakFleet, plan_faults
+from yuccagauge.soak.base import PlannedFault, SoakFleet, plan_faults
 from yuccagauge.soak.injector import Injector
 from yuccagauge.soak.versions import VersionWatch
 
@@ -32,7 +32,7 @@
 #: Lets calls end that their callers have given up.
 _SETTLE_SECONDS = 3
 _EXIT_BROKEN = 1
-_PLAN = FleetPlan(routers=3, engines=3, servers=2)
+_FLEET = FleetPlan(routers=3, engines=3, servers=2)
 
 #: Promises that every run reports, found broken or not.
 VIOLATION_KINDS = (
@@ -49,20 +49,59 @@
 )
 
 
-def run(seconds: int, seed: int) -> None:
-    """Run once, print the counts and leave the process with 0 or 1."""
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SoakPlan:
+    """What one run does."""
+
+    seed: int
+    duration: Millis
+    faults: tuple[PlannedFault, ...]
+
+    @property
+    def volume(self) -> Volume:
+        """The load of each user."""
+        seconds = self.duration // _MILLISECONDS_PER_SECOND
+        return Volume(
+            requests=seconds * _REQUESTS_PER_SECOND,
+            duration=self.duration,
+        )
+
+
+def run(seconds: int, seed: int, kinds: tuple[str, ...]) -> None:
+    """Run once, print the counts and leave the process with 0 or 1.
+
+    Parameters
+    ----------
+    seconds
+        The length of the load.
+    seed
+        Decides load and faults.
+    kinds
+        The kinds of faults to choose from; all if there are none.
+
+    Raises
+    ------
+    FaultNotFoundError
+        If there is no such kind.
+    """
     load_profiles()
     load_faults()
-    run_to_end(lambda: _run(seconds, seed))
+    duration = Millis(seconds * _MILLISECONDS_PER_SECOND)
+    plan = SoakPlan(
+        seed=seed,
+        duration=duration,
+        faults=tuple(plan_faults(seed, duration, kinds)),
+    )
+    run_to_end(lambda: _run(plan))
 
 
 @defer.inlineCallbacks
-def _run(seconds: int, seed: int) -> defer.Deferred[None]:
-    profiles = tuple(PROFILES.get(name)(seed) for name in PROFILES.names)
+def _run(plan: SoakPlan) -> defer.Deferred[None]:
+    profiles = tuple(PROFILES.get(name)(plan.seed) for name in PROFILES.names)
     with tempfile.TemporaryDirectory(prefix='yuccagauge-soak-') as directory:
-        fleet = SoakFleet(Path(directory), profiles, _PLAN)
+        fleet = SoakFleet(Path(directory), profiles, _FLEET)
         try:
-            counts = yield _soak(fleet, profiles, seconds, seed)
+            counts = yield _soak(fleet, profiles, plan)
         finally:
             yield fleet.close()
     sys.stdout.write(f'{json.dumps(counts, indent=2)}\n')
@@ -75,23 +114,17 @@
 def _soak(
     fleet: SoakFleet,
     profiles: tuple[Profile, ...],
-    seconds: int,
-    seed: int,
+    plan: SoakPlan,
 ) -> defer.Deferred[dict[str, Any]]:
     yield fleet.start()
     clock = SystemClock()
-    client = LoadClient(fleet.callers, clock, seed, _PATIENCE)
-    duration = Millis(seconds * _MILLISECONDS_PER_SECOND)
-    volume = Volume(
-        requests=seconds * _REQUESTS_PER_SECOND,
-        duration=duration,
-    )
-    watch = VersionWatch(fleet, profiles, seed)
+    client = LoadClient(fleet.callers, clock, plan.seed, _PATIENCE)
+    watch = VersionWatch(fleet, profiles, plan.seed)
     watch.start()
     injector = Injector(fleet, reactor)
-    injecting = injector.run(plan_faults(seed, duration))
+    injecting = injector.run(list(plan.faults))
     results = yield defer.gatherResults(
-        [run_plans(client, one.plans(volume), clock) for one in profiles],
+        [run_plans(client, one.plans(plan.volume), clock) for one in profiles],
     )
     yield injecting
     yield task.deferLater(reactor, _SETTLE_SECONDS, lambda: None)
@@ -100,8 +133,8 @@
     violations.extend(watch.violations)
     executed = yield _executed(fleet, profiles)
     return {
-        'seed': seed,
-        'seconds': seconds,
+        'seed': plan.seed,
+        'seconds': plan.duration // _MILLISECONDS_PER_SECOND,
         **_load_counts(results),
         'executed': executed,
         'published': watch.accepted,
