Cut routers and data centres off from the whole platform

Only the link to the log was cut, one router at a time. Each router now reaches the log, the VM list, the kept-KV store and the weight store through relays of its own, and all routers of a data centre can be cut off together.

--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -138,7 +138,7 @@
     """Run an injector on three overlapping faults, then one more."""
     load_faults()
     relay = context.counting = CountingRelay()
-    fleet = SimpleNamespace(routers={'r': None}, relays={'r': relay})
+    fleet = SimpleNamespace(routers={'r': None}, relays={'r': [relay]})
     times = ((0, 60), (20, 10), (30, 90), (130, 10))
     plan = [
         PlannedFault(
--- a/yuccagauge/demo/fleet.py
+++ b/yuccagauge/demo/fleet.py
@@ -26,6 +26,14 @@
 _READY_SECONDS = 30
 _NO_VERSION = -1
 
+#: Keys of a router's settings and the kinds of stand-ins behind them.
+_PLATFORM_KEYS = {
+    'log': 'log',
+    'vm_list': 'vm-list',
+    'kept_kv': 'kept-kv',
+    'weight_store': 'weight-store',
+}
+
 #: Version of the weights at the start.
 WEIGHTS_VERSION = 'w1'
 
@@ -117,7 +125,7 @@
         """
         # An interrupted run must not leave processes behind.
         reactor.addSystemEventTrigger('before', 'shutdown', self.close)
-        for kind in ('log', 'vm-list', 'kept-kv', 'weight-store'):
+        for kind in _PLATFORM_KEYS.values():
             self._platform[kind] = self._standin(kind, kind, {})
         for profile in self._profiles:
             self._start_backends(profile)
@@ -171,9 +179,9 @@
             weights_version,
         )
 
-    def log_endpoint(self, ports: RouterPorts) -> Endpoint:
-        """Return where a router finds the log."""
-        return self._platform['log'].endpoint
+    def platform_endpoint(self, kind: str, ports: RouterPorts) -> Endpoint:
+        """Return where a router finds one stand-in of the platform."""
+        return self._platform[kind].endpoint
 
     def part(self, name: str) -> tuple[StandinProcess, ...]:
         """Return the ``engines``, the ``servers`` or one platform kind."""
@@ -328,10 +336,8 @@
             },
             'peers': {'seeds': ', '.join(map(str, others))},
             'platform': {
-                'log': str(self.log_endpoint(ports)),
-                'vm_list': str(self._platform['vm-list'].endpoint),
-                'kept_kv': str(self._platform['kept-kv'].endpoint),
-                'weight_store': str(self._platform['weight-store'].endpoint),
+                key: str(self.platform_endpoint(kind, ports))
+                for key, kind in _PLATFORM_KEYS.items()
             },
         }
         router = ManagedProcess(
--- a/yuccagauge/soak/base.py
+++ b/yuccagauge/soak/base.py
@@ -1,6 +1,6 @@
 """Faults that the soak test injects, and the plan of one run."""
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from pathlib import Path
 from random import Random
@@ -30,7 +30,7 @@
 
 
 class SoakFleet(Fleet):
-    """A fleet in which each router reaches the log through a relay."""
+    """A fleet in which each router reaches the platform through relays."""
 
     def __init__(
         self,
@@ -40,26 +40,26 @@
     ) -> None:
         """Choose ports without starting anything."""
         super().__init__(directory, profiles, plan)
-        self._relays: dict[str, TcpRelay] = {}
+        self._relays: dict[str, list[TcpRelay]] = {}
 
     @property
-    def relays(self) -> Mapping[str, TcpRelay]:
-        """The links from the routers to the log, by router."""
+    def relays(self) -> Mapping[str, Sequence[TcpRelay]]:
+        """The links from the routers to the platform, by router."""
         return self._relays
 
-    def log_endpoint(self, ports: RouterPorts) -> Endpoint:
-        """Return the relay of a router."""
-        relay = TcpRelay(super().log_endpoint(ports))
+    def platform_endpoint(self, kind: str, ports: RouterPorts) -> Endpoint:
+        """Return a new relay of a router."""
+        relay = TcpRelay(super().platform_endpoint(kind, ports))
         relay.start()
-        self._relays[ports.name] = relay
+        self._relays.setdefault(ports.name, []).append(relay)
         return relay.endpoint
 
     @defer.inlineCallbacks
     def close(self) -> defer.Deferred[None]:
         """End all processes and relays."""
         yield super().close()
-        for relay in self._relays.values():
-            yield relay.close()
+        for relays in self._relays.values():
+            yield defer.gatherResults([relay.close() for relay in relays])
 
 
 class Fault:
--- a/yuccagauge/soak/routerfaults.py
+++ b/yuccagauge/soak/routerfaults.py
@@ -73,18 +73,38 @@
 
 @FAULTS.register
 class RouterPartition(RouterFault):
-    """The link from one router to the log is lost."""
+    """The links from one router to the platform are lost."""
 
     name = 'router-partition'
     weight = 3
 
     def begin(self) -> None:
-        """Cut the link."""
-        self._fleet.relays[self._target].cut()
+        """Cut the links."""
+        for router in self._target.split(','):
+            for relay in self._fleet.relays[router]:
+                relay.cut()
 
     def end(self) -> None:
-        """Heal the link."""
-        self._fleet.relays[self._target].heal()
+        """Heal the links."""
+        for router in self._target.split(','):
+            for relay in self._fleet.relays[router]:
+                relay.heal()
+
+
+@FAULTS.register
+class CentrePartition(RouterPartition):
+    """All routers of a data centre are cut off from the platform."""
+
+    name = 'centre-partition'
+    weight = 2
+
+    @classmethod
+    def targets(cls, fleet: SoakFleet) -> tuple[str, ...]:
+        """Return the routers of each data centre as one target."""
+        centres: dict[str, list[str]] = {}
+        for ports in fleet.ports:
+            centres.setdefault(ports.data_centre, []).append(ports.name)
+        return tuple(','.join(names) for names in centres.values())
 
 
 @FAULTS.register
