Bound the cost of a decision, and survive lost events and bad samples

Cause: a decision took 378 us with 733 engines against a bound of 200 us; one lost event hid everything below an evicted level; a prefill rate of 385 tokens/ms was learned from one request that had waited; copies that a partition made outlasted it. New command measure-decisions.

--- a/yuccagauge/cacheview/level.py
+++ b/yuccagauge/cacheview/level.py
@@ -27,9 +27,10 @@
     def __init__(self, tokens: int) -> None:
         """Start without holders."""
         self.tokens = tokens
-        #: Engines with the time of the last known use, and the work clock of
-        #: the engine then; a negative clock says that it evicted the level.
-        self.holders: dict[EngineKey, tuple[Millis, float]] = {}
+        #: Engines with the time of the last known use, the work clock of the
+        #: engine then, and the number of the update that told; a negative
+        #: clock says that the engine evicted the level.
+        self.holders: dict[EngineKey, tuple[Millis, float, int]] = {}
         #: Requests in the window, decayed, at ``seen_at``.
         self.uses: float = 0
         self.seen_at = Millis(0)
@@ -44,16 +45,22 @@
         age = max(0, now - self.seen_at)
         return self.uses * max(0, 1 - age / RATE_WINDOW)
 
-    def hold(self, engine: EngineKey, now: Millis, work: float) -> None:
+    def hold(
+        self,
+        engine: EngineKey,
+        now: Millis,
+        work: float,
+        update: int,
+    ) -> None:
         """Note that an engine uses the level."""
         holders = self.holders
         known = holders.get(engine)
         if known is not None and known[0] > now:
             return
-        holders[engine] = (now, work)
+        holders[engine] = (now, work, update)
         if len(holders) > MAXIMUM_HOLDERS:
             del holders[min(holders, key=holders.__getitem__)]
 
-    def drop(self, engine: EngineKey, now: Millis) -> None:
+    def drop(self, engine: EngineKey, now: Millis, update: int) -> None:
         """Note that an engine does not hold the level."""
-        self.holders[engine] = (now, EVICTED)
+        self.holders[engine] = (now, EVICTED, update)
--- a/yuccagauge/cacheview/view.py
+++ b/yuccagauge/cacheview/view.py
@@ -2,7 +2,6 @@
 
 from collections import OrderedDict
 from collections.abc import Iterable
-from dataclasses import dataclass
 
 from yuccagauge.cacheview.base import HotPrefix
 from yuccagauge.cacheview.level import EVICTED, RATE_WINDOW, LevelState
@@ -37,18 +36,7 @@
 
 _MILLIS_PER_SECOND = 1000
 
-
-@dataclass(frozen=True, slots=True)
-class Match:
-    """What one engine is expected to hold of a prompt."""
-
-    #: Expected tokens; less than the depth where levels may be gone.
-    tokens: float
-    #: Tokens from the start of the prompt to the end of the deepest level.
-    depth: int
-
-
-_NOTHING = Match(0, 0)
+_NOT_HELD = (Millis(0), EVICTED, 0)
 
 
 class CacheView:
@@ -69,6 +57,8 @@
         #: Tokens that each engine has computed, as far as is known.
         self._work: dict[EngineKey, float] = {}
         self._now = Millis(0)
+        #: Numbers what is learned, in the order in which it is learned.
+        self._update = 0
 
     def __len__(self) -> int:
         """Return the number of levels."""
@@ -78,28 +68,33 @@
         """Return the tokens after which an engine evicts a level."""
         return self._lifetimes.get(engine, DEFAULT_LIFETIME)
 
-    def matches(
-        self,
-        prefix: RequestPrefix,
-    ) -> dict[EngineKey, Match]:
-        """Return what each engine is expected to hold, if anything.
+    def matches(self, prefix: RequestPrefix) -> dict[EngineKey, float]:
+        """Return the tokens that each engine is expected to hold, if any.
 
-        A level that is known to be evicted ends the match, since engines
-        hold no level without its parents. A level that is not known does
-        not, since many events are never seen.
+        Engines hold no level without its parents. So an eviction ends the
+        match at levels that were last heard of before it; those heard of
+        later show that the parent is back, and that its event was lost.
         """
-        found: dict[EngineKey, Match] = {}
-        ended: set[EngineKey] = set()
+        found: dict[EngineKey, float] = {}
+        depths: dict[EngineKey, int] = {}
+        evictions: dict[EngineKey, int] = {}
+        clocks = self._work
         for level in prefix.levels:
             state = self._levels.get(level.digest)
             if state is None:
                 continue
-            for engine, (_, work) in state.holders.items():
+            tokens = level.tokens
+            for engine, (_, work, update) in state.holders.items():
+                evicted = evictions.get(engine, -1)
                 if work < 0:
-                    ended.add(engine)
-                elif engine not in ended:
-                    known = found.get(engine, _NOTHING)
-                    found[engine] = self._deepen(engine, known, level, work)
+                    evictions[engine] = max(evicted, update)
+                elif update > evicted:
+                    gained = tokens - depths.get(engine, 0)
+                    age = clocks.get(engine, 0) - work
+                    if age > self._sure_age(engine):
+                        gained *= self._chance(engine, age)
+                    found[engine] = found.get(engine, 0) + gained
+                    depths[engine] = tokens
         return found
 
     def expected_tokens(
@@ -111,8 +106,7 @@
         """Return how many tokens of the prompt the engine should hold."""
         if self._incarnations.get(engine) != incarnation:
             return 0
-        match = self.matches(prefix).get(engine)
-        return 0 if match is None else int(match.tokens)
+        return int(self.matches(prefix).get(engine, 0))
 
     def uses(self, digest: bytes, now: Millis) -> float:
         """Return the recent requests for a level at this router."""
@@ -154,17 +148,30 @@
         """Expect the engine to hold levels that a router sends to it."""
         self._enter(engine, incarnation, now)
         work = self._work.get(engine, 0)
+        self._update += 1
         for level in levels:
-            self._touch(level.digest, level.tokens).hold(engine, now, work)
+            state = self._touch(level.digest, level.tokens)
+            state.hold(engine, now, work, self._update)
 
     def computed(self, engine: EngineKey, tokens: int) -> None:
         """Count the tokens that a request makes an engine compute."""
         self._work[engine] = self._work.get(engine, 0) + tokens
 
-    def count(self, prefix: RequestPrefix, now: Millis) -> None:
-        """Count a request for its levels."""
+    def place(
+        self,
+        engine: EngineKey,
+        incarnation: str,
+        prefix: RequestPrefix,
+        now: Millis,
+    ) -> None:
+        """Count a request for its levels, and expect them at the engine."""
+        self._enter(engine, incarnation, now)
+        work = self._work.get(engine, 0)
+        self._update += 1
         for level in prefix.levels:
-            self._touch(level.digest, level.tokens).count(now)
+            state = self._touch(level.digest, level.tokens)
+            state.count(now)
+            state.hold(engine, now, work, self._update)
 
     def stored(
         self,
@@ -179,7 +186,9 @@
         work = self._work.get(engine, 0)
         # The event is late; an eviction that follows it has to count.
         stored_at = Millis(now - EVENT_GRACE)
-        self._touch(digest, tokens).hold(engine, stored_at, work)
+        self._update += 1
+        state = self._touch(digest, tokens)
+        state.hold(engine, stored_at, work, self._update)
 
     def evicted(
         self,
@@ -191,12 +200,14 @@
         state = self._levels.get(digest)
         if state is None or self._incarnations.get(engine) != incarnation:
             return
-        used_at, work = state.holders.get(engine, (self._now, EVICTED))
+        used_at, work, _ = state.holders.get(engine, _NOT_HELD)
         if work >= 0:
             if self._now - used_at < EVENT_GRACE:
                 return
             self._learn_lifetime(engine, self._work.get(engine, 0) - work)
-        state.drop(engine, Millis(self._now - EVENT_GRACE))
+        self._update += 1
+        evicted_at = Millis(self._now - EVENT_GRACE)
+        state.drop(engine, evicted_at, self._update)
 
     def gap(self, engine: EngineKey, now: Millis) -> None:
         """Note that events of an engine were lost.
@@ -229,7 +240,7 @@
                     incarnation=self._incarnations.get(engine, ''),
                     rate=rate,
                 )
-                for engine, (_, work) in state.holders.items()
+                for engine, (_, work, _) in state.holders.items()
                 if work >= 0
             )
         return tuple(found[:limit])
@@ -250,20 +261,14 @@
                 at,
             )
 
-    def _deepen(
-        self,
-        engine: EngineKey,
-        known: Match,
-        level: PrefixLevel,
-        work: float,
-    ) -> Match:
-        """Extend a match by a deeper level, as far as it may still be held."""
-        age = self._work.get(engine, 0) - work
+    def _sure_age(self, engine: EngineKey) -> float:
+        return SURE_SHARE * self._lifetimes.get(engine, DEFAULT_LIFETIME)
+
+    def _chance(self, engine: EngineKey, age: float) -> float:
+        """Return the chance that a level of this age is still held."""
         relative = age / self.lifetime(engine)
-        chance = 1 - (relative - SURE_SHARE) / (DOUBTFUL_SHARE - SURE_SHARE)
-        chance = min(1, max(LEAST_CHANCE, chance))
-        gained = chance * max(0, level.tokens - known.depth)
-        return Match(known.tokens + gained, level.tokens)
+        fade = (relative - SURE_SHARE) / (DOUBTFUL_SHARE - SURE_SHARE)
+        return max(LEAST_CHANCE, 1 - fade)
 
     def _learn_lifetime(self, engine: EngineKey, age: float) -> None:
         known = self.lifetime(engine)
--- a/yuccagauge/commands/bench.py
+++ b/yuccagauge/commands/bench.py
@@ -45,6 +45,24 @@
         Path(output).write_text(f'{text}\n', encoding='utf-8')
 
 
+@command('measure-decisions')
+def measure_decisions(output: str = '') -> None:
+    """Measure the time of one decision and the bytes of state.
+
+    Parameters
+    ----------
+    output
+        Where the JSON goes; nowhere if empty.
+    """
+    from yuccagauge.bench import deciding
+
+    figures = deciding.measure_decisions()
+    text = json.dumps(figures, indent=2)
+    _print(text)
+    if output:
+        Path(output).write_text(f'{text}\n', encoding='utf-8')
+
+
 def _split(names: str | tuple[str, ...]) -> tuple[str, ...]:
     """Return names that fire may have split already."""
     words = names.split(',') if isinstance(names, str) else names
--- a/yuccagauge/load/rate.py
+++ b/yuccagauge/load/rate.py
@@ -8,6 +8,9 @@
 #: Prompts with less to compute are dominated by fixed costs.
 LEAST_TOKENS = 512
 
+#: Bound on the fixed time, which queues would otherwise drive up, in ms.
+LONGEST_FIXED_MS = 50.0
+
 # An answer that waited in a queue shows too low a rate and too high a fixed
 # time, never the reverse, so samples on the fast side count more.
 _WEIGHT_FAST = 0.18
@@ -23,14 +26,12 @@
         Rate that is assumed without samples, in tokens/ms.
     """
 
-    __slots__ = ('_fixed', '_is_fixed_learned', '_is_rate_learned', '_rate')
+    __slots__ = ('_fixed', '_rate')
 
     def __init__(self, initial: float) -> None:
         """Start with the assumption."""
         self._rate = initial
         self._fixed: float = 0
-        self._is_rate_learned = False
-        self._is_fixed_learned = False
 
     @property
     def tokens_per_ms(self) -> float:
@@ -52,26 +53,28 @@
         first_token_ms
             Time from the send to the first token, without network delay.
         """
+        if first_token_ms <= 0:
+            return
         if computed_tokens < LEAST_TOKENS:
-            self._learn_fixed(computed_tokens, first_token_ms)
-        elif first_token_ms > self._fixed:
-            self._learn_rate(computed_tokens / (first_token_ms - self._fixed))
-
-    def _learn_fixed(self, tokens: int, first_token_ms: float) -> None:
-        sample = max(0, first_token_ms - tokens / self._rate)
-        if not self._is_fixed_learned:
-            self._fixed = sample
-            self._is_fixed_learned = True
+            sample = max(0, first_token_ms - computed_tokens / self._rate)
+            sample = min(sample, LONGEST_FIXED_MS)
+            self._fixed = _approach(
+                self._fixed,
+                sample,
+                is_fast=sample < self._fixed,
+            )
             return
-        is_fast = sample < self._fixed
-        weight = _WEIGHT_FAST if is_fast else _WEIGHT_SLOW
-        self._fixed += weight * (sample - self._fixed)
+        # At least half of the time is taken to depend on the tokens, so that
+        # a wrong fixed time cannot make the rate absurd.
+        time = max(first_token_ms - self._fixed, first_token_ms / 2)
+        sample = computed_tokens / time
+        self._rate = _approach(
+            self._rate,
+            sample,
+            is_fast=sample > self._rate,
+        )
 
-    def _learn_rate(self, sample: float) -> None:
-        if not self._is_rate_learned:
-            self._rate = max(sample, self._rate)
-            self._is_rate_learned = True
-            return
-        is_fast = sample > self._rate
-        weight = _WEIGHT_FAST if is_fast else _WEIGHT_SLOW
-        self._rate += weight * (sample - self._rate)
+
+def _approach(known: float, sample: float, *, is_fast: bool) -> float:
+    weight = _WEIGHT_FAST if is_fast else _WEIGHT_SLOW
+    return known + weight * (sample - known)
--- a/yuccagauge/load/table.py
+++ b/yuccagauge/load/table.py
@@ -27,13 +27,20 @@
         self._speed = PrefillSpeed(prefill_rate)
         self._engines: dict[EngineKey, EngineState] = {}
         self._distances: dict[EngineKey, float] = {}
+        self._known: tuple[EngineKey, ...] = ()
         self._version = 0
         self._usable: dict[str, tuple[int, Millis, tuple[EngineKey, ...]]] = {}
 
     @property
     def engines(self) -> tuple[EngineKey, ...]:
-        """All known engines, usable or not, in order of address."""
-        return tuple(sorted(self._engines))
+        """All known engines, usable or not, in order of address.
+
+        The same tuple object is returned until an engine is added or
+        forgotten.
+        """
+        if len(self._known) != len(self._engines):
+            self._known = tuple(sorted(self._engines))
+        return self._known
 
     @property
     def prefill_rate(self) -> float:
@@ -139,6 +146,7 @@
     def forget(self, engine: EngineKey) -> None:
         """Drop an engine that is no longer part of the service."""
         self._engines.pop(engine, None)
+        self._known = ()
         self._distances.pop(engine, None)
         self._version += 1
 
