Share limits by demand, survive overload, and test the decisions

Cause: equal shares starve a customer whose traffic is uneven. A test of an overload with returning clients showed a collapse that lasted: waiting requests taught a prefill rate of 7.5 tokens/ms where engines do 24, and placements expected prefixes that queues evict first. Features for prefixes, load, cacheview, placement, admission and bench. The scheme blocks cuts at message ends too: the end of a prompt had not matched its continuation.

--- /dev/null
+++ b/features/steps/cacheview_steps.py
@@ -0,0 +1,140 @@
+"""Steps for the expected cache contents."""
+
+from behave import given, then, when
+from behave.runner import Context
+from hypothesis import given as forall
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from yuccagauge.cacheview import CacheView
+from yuccagauge.load import EngineKey
+from yuccagauge.prefixes import Identity, PrefixLevel, RequestPrefix
+
+_ENGINE = EngineKey('127.0.0.1', 9000)
+_IDENTITY = Identity(
+    customer='c',
+    model='m',
+    adapter='',
+    weights_version='w',
+)
+
+
+def _prompt(name: str = '') -> RequestPrefix:
+    levels = tuple(
+        PrefixLevel(f'{name}{depth}'.encode(), depth * 1000)
+        for depth in (1, 2, 3)
+    )
+    return RequestPrefix(
+        identity=_IDENTITY,
+        levels=levels,
+        prompt_tokens=3000,
+        stable_levels=2,
+    )
+
+
+class _History:
+    """Applies the words of a history to a view."""
+
+    def __init__(self, view: CacheView) -> None:
+        self.view = view
+        self.now = 10_000
+        self.crashes = 0
+
+    @property
+    def incarnation(self) -> str:
+        return str(self.crashes)
+
+    def apply(self, word: str, prompt: RequestPrefix) -> None:
+        self.now += 10
+        if word == 'c':
+            self.crashes += 1
+        elif word == 'p':
+            self.view.place(_ENGINE, self.incarnation, prompt, self.now)
+        elif word == 'o':
+            self.view.observed(_ENGINE, self.incarnation, prompt, 0, self.now)
+        elif word == 'g':
+            self.view.gap(_ENGINE, self.now)
+        else:
+            self._event(word, prompt.levels[int(word[1]) - 1])
+
+    def expected(self, prompt: RequestPrefix) -> int:
+        return self.view.expected_tokens(_ENGINE, self.incarnation, prompt)
+
+    def _event(self, word: str, level: PrefixLevel) -> None:
+        if word[0] == 's':
+            self.view.stored(
+                _ENGINE,
+                self.incarnation,
+                level.digest,
+                level.tokens,
+                self.now,
+            )
+        else:
+            self.view.evicted(_ENGINE, self.incarnation, level.digest)
+
+
+@given(
+    'a cache view of a prompt with levels of 1000, 2000 and 3000 tokens',
+)
+def given_view(context: Context) -> None:
+    """Start with an empty view."""
+    context.history = _History(CacheView())
+
+
+@when('the cache view learns "{history}"')
+def when_learns(context: Context, history: str) -> None:
+    """Apply a history word by word."""
+    for word in history.split():
+        context.history.apply(word, _prompt())
+
+
+@when('the cache view learns ""')
+def when_learns_nothing(context: Context) -> None:
+    """Leave the view empty."""
+
+
+@when(
+    'the engine computes {tokens:d} tokens while the cache view sees level 2 '
+    'used',
+)
+def when_computes(context: Context, tokens: int) -> None:
+    """Age the deep level, and use the levels above it."""
+    view = context.history.view
+    view.computed(_ENGINE, tokens)
+    view.expect_levels(_ENGINE, '0', _prompt().levels[:2], 20_000)
+
+
+@then('the cache view expects {tokens:d} tokens')
+def then_expects(context: Context, tokens: int) -> None:
+    """Check the expectation."""
+    found = context.history.expected(_prompt())
+    assert found == tokens, found
+
+
+@then(
+    'no history makes a cache view of {bound:d} levels larger or its '
+    'expectation exceed the prompt',
+)
+def then_bounded(context: Context, bound: int) -> None:
+    """Guard against growth without bound and impossible expectations."""
+    word = st.sampled_from(['p', 'o', 'c', 'g', 's1', 's2', 's3', 'e1', 'e3'])
+
+    @settings(derandomize=True, database=None, deadline=None)
+    @forall(st.lists(st.tuples(word, st.integers(0, 9)), max_size=60))
+    def check(steps):
+        history = _History(CacheView(bound))
+        for step, name in steps:
+            prompt = _prompt(f'{name}/')
+            history.apply(step, prompt)
+            assert 0 <= history.expected(prompt) <= prompt.prompt_tokens
+            assert len(history.view) <= bound
+
+    check()
+
+
+@then('a new cache view that takes its hot prefixes expects {tokens:d} tokens')
+def then_preloaded(context: Context, tokens: int) -> None:
+    """Guard against a cold start beside warm peers."""
+    fresh = CacheView()
+    fresh.preload(context.history.view.hot(10), 20_000)
+    assert fresh.expected_tokens(_ENGINE, '0', _prompt()) == tokens
--- a/yuccagauge/admission/customer.py
+++ b/yuccagauge/admission/customer.py
@@ -6,6 +6,7 @@
     refuse,
 )
 from yuccagauge.admission.bucket import TokenBucket
+from yuccagauge.admission.demand import DemandMeter
 from yuccagauge.clock import Millis
 from yuccagauge.settings.document import CustomerSection
 from yuccagauge.verdict import Refusal
@@ -31,10 +32,18 @@
         Time at which the buckets are full.
     """
 
-    __slots__ = ('in_flight', '_section', '_share', '_requests', '_tokens')
+    __slots__ = (
+        'demand',
+        'in_flight',
+        '_requests',
+        '_section',
+        '_share',
+        '_tokens',
+    )
 
     def __init__(self, section: CustomerSection, now: Millis) -> None:
         """Start with the whole limits; ``set_share`` cuts them down."""
+        self.demand = DemandMeter()
         self.in_flight = 0
         self._section = section
         self._share = 1.0
--- a/yuccagauge/bench/fleet.py
+++ b/yuccagauge/bench/fleet.py
@@ -1,6 +1,7 @@
 """The surroundings of the routers: engines, network, clock, measures."""
 
 from collections import defaultdict, deque
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import numpy as np
@@ -48,6 +49,10 @@
         #: Data centres that are cut off from all others.
         self.cut_off: set[str] = set()
         self.engines: dict[EngineKey, EngineFake] = {}
+        #: Set by the simulation: sends a request from its client.
+        self.resend: Callable[[TracedRequest], None] = _send_nowhere
+        #: Returns of each client, and the time of the last.
+        self._returns: dict[int, tuple[int, float]] = {}
         self._events: dict[EngineKey, list[CacheEvent]] = defaultdict(list)
         self._retained: dict[
             EngineKey,
@@ -86,6 +91,20 @@
         client = self.workload.workload.client_ms
         self.measures.answered(request, self.loop.time + client)
 
+    def sent_at(self, request: TracedRequest) -> float:
+        """Return when the client sent the request for the last time."""
+        return self._returns.get(request.number, (0, request.sent_at))[1]
+
+    def come_back(self, request: TracedRequest, wait: float) -> bool:
+        """Send a refused request again later, if its client does that."""
+        count = self._returns.get(request.number, (0, 0))[0]
+        if count >= self.workload.arrivals.client_retries:
+            return False
+        time = self.loop.time + wait
+        self._returns[request.number] = (count + 1, time)
+        self.loop.at(time, lambda: self.resend(request))
+        return True
+
     def take_events(self, engine: EngineKey) -> list[CacheEvent]:
         """Return the events of an engine since the last call."""
         return self._events.pop(engine, [])
@@ -114,3 +133,7 @@
             self.loop,
             lambda *event: self._emit(key, event),
         )
+
+
+def _send_nowhere(request: TracedRequest) -> None:
+    raise RuntimeError('no simulation is attached')
--- a/yuccagauge/bench/router.py
+++ b/yuccagauge/bench/router.py
@@ -24,6 +24,7 @@
     PlacementRequest,
     placement_policies,
 )
+from yuccagauge.verdict import Refusal
 
 #: Time after which a connection to an unreachable engine is given up, in ms.
 CONNECT_TIMEOUT_MS = 250.0
@@ -182,7 +183,8 @@
         now = self.fleet.loop.now
         request = attempt.request
         deadline = Millis(
-            int(request.sent_at) + self.fleet.workload.workload.deadline_ms,
+            int(self.fleet.sent_at(request))
+            + self.fleet.workload.workload.deadline_ms,
         )
         decision = self.policy.place(
             PlacementRequest(
@@ -209,7 +211,7 @@
                 now,
             )
             if refusal is not None:
-                self._give_up(attempt, 'refused', f'refused_{refusal.code}')
+                self._refuse(attempt, refusal)
                 return
         self._send(attempt, best)
 
@@ -222,6 +224,15 @@
         self.table.sent(best.engine, flight.name, missing, now)
         flight.send()
 
+    def _refuse(self, attempt: Attempt, refusal: Refusal) -> None:
+        """Send the client away, or let it come back after Retry-After."""
+        request = attempt.request
+        if self.fleet.come_back(request, refusal.retry_after or 0):
+            self._open.pop(request.number, None)
+            self.fleet.measures.events[f'came_back_{refusal.code}'] += 1
+        else:
+            self._give_up(attempt, 'refused', f'refused_{refusal.code}')
+
     def _give_up(self, attempt: Attempt, status: str, counter: str) -> None:
         self._open.pop(attempt.request.number, None)
         self.fleet.measures.unanswered(attempt.request, status)
--- a/yuccagauge/bench/simulation.py
+++ b/yuccagauge/bench/simulation.py
@@ -57,6 +57,7 @@
     ) -> None:
         """Build the fleet and the routers."""
         self.fleet = Fleet(workload, seed)
+        self.fleet.resend = self.send
         self._trace = trace
         self.routers = [
             RouterSim(self.fleet, number, policy, seed)
--- a/yuccagauge/bench/workload.py
+++ b/yuccagauge/bench/workload.py
@@ -139,6 +139,12 @@
         minimum=0,
         maximum=5,
     )
+    client_retries: int = integer_option(
+        'Times that a client comes back after Retry-After.',
+        default=0,
+        minimum=0,
+        maximum=100,
+    )
     urgent_share: float = float_option(
         'Share of sessions at priority 1 instead of 5.',
         default=0,
--- a/yuccagauge/load/engine.py
+++ b/yuccagauge/load/engine.py
@@ -23,6 +23,8 @@
 
     tokens: int
     sent_at: Millis
+    #: Whether other requests were expected to be before it.
+    has_waited: bool
     #: Time of the first token, once it is there.
     started_at: Millis | None = None
 
--- a/yuccagauge/load/rate.py
+++ b/yuccagauge/load/rate.py
@@ -43,7 +43,13 @@
         """The time of a prefill that computes next to nothing, in ms."""
         return self._fixed
 
-    def learn(self, computed_tokens: int, first_token_ms: float) -> None:
+    def learn(
+        self,
+        computed_tokens: int,
+        first_token_ms: float,
+        *,
+        has_waited: bool = False,
+    ) -> None:
         """Take an answer.
 
         Parameters
@@ -52,27 +58,27 @@
             Prompt tokens that the engine did not find in its cache.
         first_token_ms
             Time from the send to the first token, without network delay.
+        has_waited
+            Whether the request was expected to wait. Such an answer can only
+            show that the engine is faster than was assumed; otherwise an
+            overload would look like slow engines and refuse what it need not.
         """
         if first_token_ms <= 0:
             return
         if computed_tokens < LEAST_TOKENS:
             sample = max(0, first_token_ms - computed_tokens / self._rate)
             sample = min(sample, LONGEST_FIXED_MS)
-            self._fixed = _approach(
-                self._fixed,
-                sample,
-                is_fast=sample < self._fixed,
-            )
+            is_fast = sample < self._fixed
+            if is_fast or not has_waited:
+                self._fixed = _approach(self._fixed, sample, is_fast=is_fast)
             return
         # At least half of the time is taken to depend on the tokens, so that
         # a wrong fixed time cannot make the rate absurd.
         time = max(first_token_ms - self._fixed, first_token_ms / 2)
         sample = computed_tokens / time
-        self._rate = _approach(
-            self._rate,
-            sample,
-            is_fast=sample > self._rate,
-        )
+        is_fast = sample > self._rate
+        if is_fast or not has_waited:
+            self._rate = _approach(self._rate, sample, is_fast=is_fast)
 
 
 def _approach(known: float, sample: float, *, is_fast: bool) -> float:
--- a/yuccagauge/load/table.py
+++ b/yuccagauge/load/table.py
@@ -2,6 +2,7 @@
 
 from yuccagauge.clock import Millis
 from yuccagauge.load.base import EngineKey, EngineReport
+from yuccagauge.load.bias import WorkBias
 from yuccagauge.load.engine import RECENT_WINDOW, EngineState, OwnRequest
 from yuccagauge.load.rate import DEFAULT_PREFILL_RATE, PrefillSpeed
 
@@ -25,6 +26,7 @@
     def __init__(self, prefill_rate: float = DEFAULT_PREFILL_RATE) -> None:
         """Start without engines."""
         self._speed = PrefillSpeed(prefill_rate)
+        self._bias = WorkBias()
         self._engines: dict[EngineKey, EngineState] = {}
         self._distances: dict[EngineKey, float] = {}
         self._known: tuple[EngineKey, ...] = ()
@@ -80,7 +82,8 @@
         without the part that it is expected to hold.
         """
         state = self._engines.setdefault(engine, EngineState())
-        state.requests[request_id] = OwnRequest(tokens, now)
+        has_waited = state.backlog(self.prefill_rate, now) > 0
+        state.requests[request_id] = OwnRequest(tokens, now, has_waited)
         state.add(self._work(tokens), self.prefill_rate, now)
 
     def sent_by_peer(
@@ -117,9 +120,15 @@
             return
         request = state.requests.pop(request_id, None)
         if request is not None and request.started_at is not None:
+            if computed_tokens > 0:
+                self._bias.learn(request.tokens, computed_tokens)
             waited = request.started_at - request.sent_at
             network = 2 * self.distance_ms(engine)
-            self._speed.learn(computed_tokens, waited - network)
+            self._speed.learn(
+                computed_tokens,
+                waited - network,
+                has_waited=request.has_waited,
+            )
 
     def failed(self, engine: EngineKey, now: Millis) -> None:
         """Suspend an engine that refused or broke a connection."""
@@ -223,8 +232,9 @@
         )
 
     def _work(self, tokens: float) -> float:
-        """Return tokens that take as long as a prefill with its fixed time."""
-        return tokens + self._speed.fixed_ms * self.prefill_rate
+        """Return tokens that take as long as the prefill is going to."""
+        expected = tokens * self._bias.factor
+        return expected + self._speed.fixed_ms * self.prefill_rate
 
     def _collect(self, version: str, now: Millis) -> tuple[EngineKey, ...]:
         """Build the tuple for ``usable`` and note how long it holds."""
--- a/yuccagauge/placement/cost.py
+++ b/yuccagauge/placement/cost.py
@@ -177,9 +177,10 @@
     ) -> list[EngineKey]:
         """Return the engines to consider, in ring order first."""
         banned = request.exclude
+        levels = request.prefix.levels
         order = (
             engine
-            for engine in self._ring.order(request.prefix.levels[0].digest)
+            for engine in self._ring.order(levels[0].digest if levels else b'')
             if engine in self._allowed and engine not in banned
         )
         found = dict.fromkeys(itertools.islice(order, RING_ENGINES))
--- a/yuccagauge/placement/rendezvous.py
+++ b/yuccagauge/placement/rendezvous.py
@@ -21,7 +21,8 @@
 
     def place(self, request: PlacementRequest, now: Millis) -> Decision:
         """Return the engines in rendezvous order of the first level."""
-        digest = request.prefix.levels[0].digest
+        levels = request.prefix.levels
+        digest = levels[0].digest if levels else b''
         ranked = sorted(
             self._usable(request, now),
             key=lambda engine: _weight(digest, engine),
--- a/yuccagauge/prefixes/blocks.py
+++ b/yuccagauge/prefixes/blocks.py
@@ -1,4 +1,4 @@
-"""Levels at fixed distances, whatever the messages are."""
+"""Levels at message boundaries and at fixed distances between them."""
 
 from collections.abc import Sequence
 
@@ -33,7 +33,9 @@
         """Return the levels of a prompt."""
         chain = PrefixChain(identity)
         levels: list[PrefixLevel] = []
+        stable = 0
         for message in messages:
+            stable = len(levels)
             chain.open_message(message.role)
             content = message.content.encode()
             for start in range(0, len(content), BLOCK_BYTES):
@@ -42,9 +44,13 @@
                 if len(block) == BLOCK_BYTES:
                     levels.append(chain.level())
             chain.close_message()
-        kept = (*levels[: MAXIMUM_LEVELS - 1], chain.level())
+            levels.append(chain.level())
+        kept = levels
+        if len(levels) > MAXIMUM_LEVELS:
+            kept = [*levels[: MAXIMUM_LEVELS - 1], levels[-1]]
         return RequestPrefix(
             identity=identity,
-            levels=kept,
+            levels=tuple(kept),
             prompt_tokens=chain.tokens,
+            stable_levels=min(stable, len(kept) - 1) if kept else 0,
         )
--- a/yuccagauge/prefixes/messages.py
+++ b/yuccagauge/prefixes/messages.py
@@ -16,9 +16,9 @@
 BLOCK_BYTES = 2048
 
 # The first cuts are every block; then four in each doubling of the length.
-# A shared part of n blocks is thus found to at least four fifths of n, with
-# a number of levels that grows with the logarithm of n, and the cuts depend
-# on the position alone, so they are equal wherever the text is equal.
+# Of a shared part all but a block or at least four fifths is thus found, with
+# a number of levels that grows with the logarithm of its length; the cuts
+# depend on the position alone, so they are equal wherever the text is equal.
 _DENSE_BLOCKS = 8
 _CUTS_PER_DOUBLING = 4
 
