--- a/yuccagauge/commands/fleet.py
+++ b/yuccagauge/commands/fleet.py
@@ -15,3 +15,11 @@
     if isinstance(sizes, str):
         numbers = tuple(int(size) for size in sizes.split(','))
     return render(measure_sizes(tuple(numbers), seed))
+
+
+@command('measure-peering')
+def measure_peering() -> str:
+    """Measure the exchange between routers against a node's budget."""
+    from yuccagauge.peering.measure import measure_peering as measure
+
+    return measure()
--- /dev/null
+++ b/yuccagauge/peering/__init__.py
@@ -0,0 +1,1 @@
+"""What routers tell each other beside their membership."""
