--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -14,20 +14,16 @@
 from twisted.web.server import Site
 
 from features.loop import wait_for_call, wait_until
-from yuccagauge.clock import Millis, SystemClock
+from features.membership_node import MembershipNode
+from yuccagauge.clock import Millis
 from yuccagauge.membership.base import Member, MemberState
 from yuccagauge.membership.items import ItemTable, ItemTopic
-from yuccagauge.membership.service import MembershipService
 from yuccagauge.membership.suspicion import Suspicion
 from yuccagauge.membership.table import MemberTable
 from yuccagauge.membership.virtual import VirtualNetwork
 from yuccagauge.membership.vmlist import ROUTER_SERVICE, VmListFollower
 from yuccagauge.settings.options import Endpoint
-from yuccagauge.settings.process import build_router_settings
-from yuccagauge.wire.client import PeerClient
-from yuccagauge.wire.datagram import DatagramEndpoint
 from yuccagauge.wire.messages import Item
-from yuccagauge.wire.server import PeerServer
 
 _PROPERTY = settings(derandomize=True, database=None, deadline=None)
 _FEW = settings(_PROPERTY, max_examples=15, phases=[Phase.generate])
@@ -308,50 +304,13 @@
     check()
 
 
-class _Node:
-    """A membership service with its endpoints on loopback."""
-
-    def __init__(self, name: str, seeds: str) -> None:
-        listen = Endpoint('127.0.0.1', 0)
-        self.server = PeerServer(reactor, listen, name)
-        self.server.start()
-        self.datagrams = DatagramEndpoint(reactor, self.server.endpoint, name)
-        self.datagrams.start()
-        self.client = PeerClient(reactor, name)
-        router = {'name': name, 'region': 'khomas', 'data_centre': 'khomas-a'}
-        router |= {'services': 'matcher-llm'}
-        addresses = ('listen', 'peer_listen', 'admin_listen')
-        router |= dict.fromkeys(addresses, '127.0.0.1:0')
-        raw = {
-            'router': router,
-            'platform': {'log': '127.0.0.1:1', 'vm_list': '127.0.0.1:1'},
-            'peers': {'probe_period_ms': '200', 'seeds': seeds},
-        }
-        self.service = MembershipService(
-            build_router_settings(raw, 'test'),
-            self.datagrams,
-            self.server,
-            self.client,
-            reactor,
-            SystemClock(),
-        )
-        self.service.start()
-
-    def close(self) -> Any:
-        """Close the service and its endpoints."""
-        self.service.close()
-        self.client.close()
-        self.datagrams.close()
-        return self.server.close()
-
-
 @given('{count:d} membership services with one seed')
 def given_services(context: Context, count: int) -> None:
     """Start them one after the other; the first one is the seed."""
-    context.nodes = [_Node('node-0', '')]
+    context.nodes = [MembershipNode('node-0', '')]
     seed = str(context.nodes[0].server.endpoint)
     for index in range(1, count):
-        context.nodes.append(_Node(f'node-{index}', seed))
+        context.nodes.append(MembershipNode(f'node-{index}', seed))
     for node in context.nodes:
         context.add_cleanup(wait_for_call, node.close)
     context.items = []
--- /dev/null
+++ b/yuccagauge/burn/__init__.py
@@ -0,0 +1,1 @@
+"""Service-level objectives: counts, burn rates, alerts and the report."""
--- /dev/null
+++ b/yuccagauge/commands/admin.py
@@ -0,0 +1,84 @@
+"""Commands that read the admin interfaces of running routers.
+
+Exit codes: 0 if all routers answered and agree, 1 if one did not answer or
+the versions in force differ, 2 after a mistake in the arguments.
+"""
+
+import sys
+from pathlib import Path
+from typing import Any
+
+from yuccagauge.commands.base import command
+from yuccagauge.errors import SettingsError
+
+#: Exit code when routers are missing or disagree.
+EXIT_INCOMPLETE = 1
+
+
+@command('status')
+def status(admin: str, json: bool = False) -> None:
+    """Show which version is in force where, and what is leaving."""
+    from yuccagauge.peering import admin as view
+
+    answers = view.ask_all(view.parse_addresses(admin), '/status')
+    text = view.as_json(answers) if json else view.render_status(answers)
+    is_complete = not view.find_disagreements(answers)
+    _finish(text, answers, is_complete=is_complete)
+
+
+@command('members')
+def members(admin: str, json: bool = False) -> None:
+    """Show the members of the fleet as the routers see them."""
+    from yuccagauge.peering import admin as view
+
+    answers = view.ask_all(view.parse_addresses(admin), '/members')
+    text = view.as_json(answers) if json else view.render_members(answers)
+    _finish(text, answers, is_complete=True)
+
+
+@command('report')
+def report(admin: str, output: str = '') -> None:
+    """Show burn rates and error budgets, or write them as an HTML page."""
+    from rich.console import Console
+
+    from yuccagauge.burn.page import print_report, render_page
+    from yuccagauge.burn.report import build_report
+    from yuccagauge.peering import admin as view
+
+    answers = view.ask_all(view.parse_addresses(admin), '/burn')
+    found = build_report(
+        answer.document for answer in answers if not answer.failure
+    )
+    if output:
+        _write(output, render_page(found))
+        text = f'{output}: written'
+    else:
+        print_report(found, Console())
+        text = ''
+    failures = [
+        f'{answer.address}: {answer.failure}'
+        for answer in answers
+        if answer.failure
+    ]
+    lines = filter(None, (text, *failures))
+    _finish('\n'.join(lines), answers, is_complete=True)
+
+
+def _write(path: str, text: str) -> None:
+    try:
+        Path(path).write_text(text, encoding='utf-8')
+    except OSError as error:
+        raise SettingsError(
+            'arguments',
+            '',
+            'output',
+            path,
+            f'a file that can be written ({error.strerror})',
+        ) from None
+
+
+def _finish(text: str, answers: Any, *, is_complete: bool) -> None:
+    if text:
+        sys.stdout.write(f'{text}\n')
+    if not is_complete or any(answer.failure for answer in answers):
+        sys.exit(EXIT_INCOMPLETE)
