--- a/yuccagauge/demo/fleet.py
+++ b/yuccagauge/demo/fleet.py
@@ -7,6 +7,7 @@
 
 import treq
 from twisted.internet import defer, error, reactor, task
+from twisted.python.failure import Failure
 from twisted.web.client import RequestTransmissionFailed, ResponseFailed
 
 from yuccagauge.adoption.publish import Accepted, publish
@@ -206,12 +207,14 @@
             If it has not in time.
         """
         end = reactor.seconds() + _READY_SECONDS
-        while reactor.seconds() < end:
+        router = self._routers[ports.name]
+        while router.is_running and reactor.seconds() < end:
             documents = yield self.documents_in_force(ports)
             if documents == self._versions:
                 return
             yield task.deferLater(reactor, _POLL_SECONDS, lambda: None)
-        raise StartError(f'{ports.name} does not serve; see {self._directory}')
+        state = 'does not serve' if router.is_running else 'has ended'
+        raise StartError(f'{ports.name} {state}: {router.last_errors}')
 
     @defer.inlineCallbacks
     def documents_in_force(
@@ -360,4 +363,10 @@
 
 
 def _all(waiting: list[defer.Deferred[Any]]) -> defer.Deferred[list[Any]]:
-    return defer.gatherResults(waiting, consumeErrors=True)
+    gathered = defer.gatherResults(waiting, consumeErrors=True)
+    return gathered.addErrback(_first_failure)
+
+
+def _first_failure(failure: Failure) -> Failure:
+    failure.trap(defer.FirstError)
+    return failure.value.subFailure
--- a/yuccagauge/demo/ports.py
+++ b/yuccagauge/demo/ports.py
@@ -1,12 +1,16 @@
 """Ports of the routers of a fleet on loopback."""
 
 import contextlib
+import random
 import socket
 from dataclasses import dataclass
 
 from yuccagauge.settings.options import Endpoint
 
 _HOST = '127.0.0.1'
+#: Below the range from which Linux gives out ports, 32768 to 60999.
+_FIRST_PORT = 10_000
+_LAST_PORT = 32_000
 _DATA_CENTRES = ('centre-a', 'centre-b')
 
 
@@ -22,14 +26,9 @@
 
 
 def choose_ports(count: int) -> tuple[RouterPorts, ...]:
-    """Let the system choose; all are held until the last is chosen."""
+    """Choose free ports; all are held until the last is chosen."""
     with contextlib.ExitStack() as held:
-        sockets = [
-            held.enter_context(socket.socket()) for _ in range(3 * count)
-        ]
-        for bound in sockets:
-            bound.bind((_HOST, 0))
-        numbers = [one.getsockname()[1] for one in sockets]
+        numbers = [_hold_port(held) for _ in range(3 * count)]
     return tuple(
         RouterPorts(
             name=f'router-{index}',
@@ -42,6 +41,22 @@
     )
 
 
+def _hold_port(held: contextlib.ExitStack) -> int:
+    """Bind a port that the system gives to nobody else by itself.
+
+    A port from the system's own range could be given to another process
+    between this choice and the start, or restart, of the router.
+    """
+    while True:
+        number = random.randrange(_FIRST_PORT, _LAST_PORT)
+        bound = held.enter_context(socket.socket())
+        try:
+            bound.bind((_HOST, number))
+        except OSError:
+            continue
+        return number
+
+
 def data_centre_of(index: int) -> str:
     """Return the data centre of the process with this number."""
     return _DATA_CENTRES[index % len(_DATA_CENTRES)]
--- a/yuccagauge/demo/processes.py
+++ b/yuccagauge/demo/processes.py
@@ -22,6 +22,7 @@
 _STDERR = 2
 #: After this, a process that ignores SIGTERM is killed.
 _TERMINATION_SECONDS = 8
+_SHOWN_CHARACTERS = 400
 
 
 class StartError(YuccagaugeError):
@@ -71,6 +72,14 @@
         """Whether the process has been started and has not ended."""
         return self._transport is not None and not self.ended.called
 
+    @property
+    def last_errors(self) -> str:
+        """The end of what it wrote to its error output, on one line."""
+        if not self._errors.exists():
+            return 'no error output'
+        text = self._errors.read_text(encoding='utf-8', errors='replace')
+        return ' '.join(text.split())[-_SHOWN_CHARACTERS:]
+
     def start(self) -> None:
         """Start the process, for the first time or again."""
         self.ready = defer.Deferred()
@@ -122,7 +131,7 @@
         """Note the end."""
         if not self.ready.called:
             message = f'{self._name} ended before it was ready'
-            self.ready.errback(StartError(f'{message}; see {self._errors}'))
+            self.ready.errback(StartError(f'{message}: {self.last_errors}'))
             self.ready.addErrback(lambda _: None)
         self.ended.callback(None)
 
--- a/yuccagauge/soak/run.py
+++ b/yuccagauge/soak/run.py
@@ -12,6 +12,7 @@
 
 from yuccagauge.clock import Millis, SystemClock
 from yuccagauge.demo.fleet import WEIGHTS_VERSION, FleetPlan
+from yuccagauge.demo.processes import StartError
 from yuccagauge.loadgen import load_profiles
 from yuccagauge.loadgen.audit import audit_calls, audit_chats, count_executed
 from yuccagauge.loadgen.base import PROFILES, Profile, Volume
@@ -102,6 +103,8 @@
         fleet = SoakFleet(Path(directory), profiles, _FLEET)
         try:
             counts = yield _soak(fleet, profiles, plan)
+        except StartError as error:
+            counts = {'seed': plan.seed, 'details': [str(error)]}
         finally:
             yield fleet.close()
     sys.stdout.write(f'{json.dumps(counts, indent=2)}\n')
