Hand on the whole set of leaving servers, and measure how items spread

A hook that was called once for each server could never take one back; it now gets the set by VM list and notices whenever that changes.

--- a/features/steps/peering_steps.py
+++ b/features/steps/peering_steps.py
@@ -293,15 +293,14 @@
         self.store = _Store()
         self.suspicions = _Suspicions()
         self.reports: list[EngineReport] = []
-        self.leaving: list[Endpoint] = []
+        self.leaving: list[frozenset[Endpoint]] = []
         self.preloaded: tuple[HotPrefix, ...] = ()
         self.demand: dict[str, float] = {}
         self.engine = engine
         router = {'name': name, 'region': 'khomas', 'data_centre': 'khomas-a'}
         router |= {'services': _SERVICE}
-        addresses = ('listen', 'admin_listen')
+        addresses = ('listen', 'peer_listen', 'admin_listen')
         router |= dict.fromkeys(addresses, '127.0.0.1:0')
-        router['peer_listen'] = f'127.0.0.1:{_free_port()}'
         raw = {
             'router': router,
             'platform': {'log': '127.0.0.1:1', 'vm_list': '127.0.0.1:1'},
@@ -351,13 +350,6 @@
     return json.dumps({**_LOAD, 'measured_ms': measured}).encode()
 
 
-def _free_port() -> int:
-    port = reactor.listenTCP(0, Site(Klein().resource()), interface='127.0.0.1')
-    number = port.getHost().port
-    wait_for_call(port.stopListening)
-    return number
-
-
 @given(
     '2 peering routers, the first one with a document at version {version:d}',
 )
@@ -434,7 +426,7 @@
 @then('the second peering router takes the server as leaving')
 def then_leaving(context: Context) -> None:
     """Wait for the notice."""
-    wait_until(lambda: context.second.leaving == [_SERVER])
+    wait_until(lambda: context.second.leaving == [frozenset((_SERVER,))])
 
 
 @when('a request crashes an engine at the first peering router')
--- a/yuccagauge/membership/measure.py
+++ b/yuccagauge/membership/measure.py
@@ -1,5 +1,6 @@
 """Measure the membership protocol on the virtual network."""
 
+import functools
 import statistics
 import time
 from collections.abc import Iterable
@@ -9,13 +10,17 @@
 
 from yuccagauge.clock import Millis
 from yuccagauge.membership.base import MemberState
+from yuccagauge.membership.items import ItemTopic
 from yuccagauge.membership.virtual import VirtualNetwork, VirtualRouter
+from yuccagauge.wire.messages import Item
 
 _SETTLE = Millis(20_000)
 _QUIET = Millis(120_000)
 _LIMIT = Millis(180_000)
 _STEP = Millis(20)
 _CRASHES = 5
+_ITEMS = 5
+_ITEM_LIFETIME = Millis(600_000)
 _LOSS = 0.02
 _PAUSE = Millis(2000)
 _PAUSE_EVERY = 10
@@ -35,6 +40,10 @@
     highest_rate: float
     #: CPU of one node for protocol and encoding, as a share of a core.
     cpu_share: float
+    #: Time until an item has reached all routers, in milliseconds: the
+    #: mean over several items, and the highest.
+    spread: float
+    longest_spread: float
     #: Time from a crash until the first, and until all, see it dead, in
     #: milliseconds; the mean over several crashes, and the highest.
     first_detection: float
@@ -62,6 +71,8 @@
         'mean B/s',
         'highest B/s',
         'CPU, % of a core',
+        'item reaches all, s',
+        'longest, s',
         'first sees crash, s',
         'all see crash, s',
         'longest, s',
@@ -75,6 +86,8 @@
             round(found.mean_rate),
             round(found.highest_rate),
             round(found.cpu_share * _PER_CENT, 3),
+            _seconds(found.spread),
+            _seconds(found.longest_spread),
             _seconds(found.first_detection),
             _seconds(found.full_detection),
             _seconds(found.longest_detection),
@@ -91,6 +104,7 @@
     join = network.run_until(network.is_converged, _LIMIT)
     network.run(_SETTLE)
     rates, cpu = _measure_quiet(network)
+    spreads = _measure_spread(network)
     first, full = _measure_crashes(network)
     suspected, dead = _measure_disturbed(network)
     return Measurement(
@@ -99,6 +113,8 @@
         mean_rate=statistics.mean(rates),
         highest_rate=max(rates),
         cpu_share=cpu,
+        spread=statistics.mean(spreads),
+        longest_spread=max(spreads),
         first_detection=statistics.mean(first),
         full_detection=statistics.mean(full),
         longest_detection=max(full),
@@ -122,6 +138,37 @@
     return rates, used / len(network.routers) / seconds
 
 
+def _measure_spread(network: VirtualNetwork) -> list[Millis]:
+    network.loss = _LOSS
+    spreads: list[Millis] = []
+    for version in range(1, _ITEMS + 1):
+        item = Item(
+            topic=int(ItemTopic.VERSION),
+            key=b'matcher-llm',
+            version=version,
+            lifetime_ms=_ITEM_LIFETIME,
+        )
+        network.spread(tuple(network.routers)[version], item)
+        taken = network.run_until(
+            functools.partial(_have_all, network, item),
+            _LIMIT,
+            _STEP,
+        )
+        if taken is None:
+            raise RuntimeError('an item did not reach all')
+        spreads.append(taken)
+    network.loss = 0
+    return spreads
+
+
+def _have_all(network: VirtualNetwork, item: Item) -> bool:
+    for router in network.routers.values():
+        held = router.swim.items.held(item.topic, network.now)
+        if not held or held[0].version < item.version:
+            return False
+    return True
+
+
 def _measure_crashes(
     network: VirtualNetwork,
 ) -> tuple[list[Millis], list[Millis]]:
--- a/yuccagauge/membership/virtual.py
+++ b/yuccagauge/membership/virtual.py
@@ -17,6 +17,7 @@
 from yuccagauge.settings.options import Endpoint
 from yuccagauge.wire.base import DATAGRAM_OVERHEAD, Message, Received
 from yuccagauge.wire.codec import encode
+from yuccagauge.wire.messages import Item
 
 _DATA_CENTRES = 9
 _DATA_CENTRES_PER_REGION = 3
@@ -141,6 +142,12 @@
         router.swim.leave(self.now)
         self._settle(router)
 
+    def spread(self, name: str, item: Item) -> None:
+        """Let a router spread an item."""
+        router = self.routers[name]
+        router.swim.spread(item, self.now)
+        self._settle(router)
+
     def run(self, duration: Millis) -> None:
         """Let virtual time pass, in milliseconds."""
         end = self.now + duration
--- a/yuccagauge/peering/hooks.py
+++ b/yuccagauge/peering/hooks.py
@@ -38,5 +38,7 @@
     demand: Callable[[], Mapping[str, float]]
     #: Takes the number of live routers and the fleet's demand.
     set_peers: Callable[[int, Mapping[str, float]], None]
-    #: Takes a backend server that is leaving.
-    leaving: Callable[[Endpoint], None]
+    #: Takes all backend servers that are leaving, by the VM list or by the
+    #: notice of any router, whenever that set changes. A server that is
+    #: no longer in it may be used again.
+    leaving: Callable[[frozenset[Endpoint]], None]
--- a/yuccagauge/peering/notices.py
+++ b/yuccagauge/peering/notices.py
@@ -59,18 +59,17 @@
     membership
         Spreads the notices.
     listener
-        Called with each server that a peer says is leaving.
+        Called after each notice of a peer.
     """
 
     def __init__(
         self,
         membership: MembershipService,
-        listener: Callable[[Endpoint], None],
+        listener: Callable[[], None],
     ) -> None:
         """Listen to peers."""
         self._membership = membership
         self._listener = listener
-        self._count = 0
         membership.add_item_listener(
             int(ItemTopic.LEAVING_SERVER),
             self._heard,
@@ -80,7 +79,7 @@
     def servers(self) -> tuple[Endpoint, ...]:
         """Servers that some router has found to be leaving."""
         held = self._membership.held(int(ItemTopic.LEAVING_SERVER))
-        return tuple(unpack_endpoint(item.key) for item in held)
+        return tuple(filter(None, map(_server, held)))
 
     def spread(self, server: Endpoint, wall: Millis) -> None:
         """Tell the other routers; a repeated notice prolongs it."""
@@ -96,11 +95,7 @@
         )
 
     def _heard(self, item: HeldItem) -> None:
-        try:
-            server = unpack_endpoint(item.key)
-        except ValueError:
-            return
-        self._listener(server)
+        self._listener()
 
 
 class SuspicionExchange:
@@ -157,6 +152,13 @@
         self._table.merge((suspicion,), now)
 
 
+def _server(item: HeldItem) -> Endpoint | None:
+    try:
+        return unpack_endpoint(item.key)
+    except ValueError:
+        return None
+
+
 def _key(fingerprint: bytes, incarnation: str) -> bytes:
     name: Any = incarnation.encode()
     return fingerprint[:_FINGERPRINT_BYTES] + name[:_MAXIMUM_INCARNATION]
--- a/yuccagauge/peering/service.py
+++ b/yuccagauge/peering/service.py
@@ -95,6 +95,7 @@
         self._is_warm = False
         self._has_to_assign = True
         self._rounds = 0
+        self._leaving_servers: frozenset[Endpoint] = frozenset()
 
     @property
     def membership(self) -> MembershipService:
@@ -137,7 +138,10 @@
             self._clock,
         )
         self._demand = DemandExchange(self._settings.router.data_centre)
-        self._leaving = LeavingNotices(self._membership, hooks.leaving)
+        self._leaving = LeavingNotices(
+            self._membership,
+            self._update_leaving,
+        )
         self._suspicions = SuspicionExchange(
             self._membership,
             hooks.quarantine,
@@ -147,7 +151,7 @@
         self._membership.add_listener(self._member_changed)
         self._vm_list.add_listener(self._take_vms)
         self._server.start()
-        self._datagrams.start()
+        self._datagrams.start(self._server.endpoint)
         self._membership.start()
         self._vm_list.start()
         self._repeat(self._round, ROUND_SECONDS)
@@ -165,6 +169,7 @@
     def notify_leaving(self, server: Endpoint) -> None:
         """Tell the others that this router found a server leaving."""
         self._leaving.spread(server, self._clock.wall())
+        self._update_leaving()
 
     def leave(self) -> None:
         """Tell the others that this router takes no new work soon."""
@@ -214,6 +219,7 @@
             self._engines.share()
         self._documents.spread()
         self._suspicions.spread()
+        self._update_leaving()
 
     def _share_demand(self) -> None:
         now = self._clock.now()
@@ -313,9 +319,14 @@
 
     def _take_vms(self, vms: tuple[Vm, ...]) -> None:
         self._membership.add_seeds(self._vm_list.router_seeds)
-        for vm in vms:
-            if vm.is_leaving:
-                self._hooks.leaving(vm.address)
+        self._update_leaving()
+
+    def _update_leaving(self) -> None:
+        named = {vm.address for vm in self._vm_list.vms if vm.is_leaving}
+        leaving = frozenset(named.union(self._leaving.servers))
+        if leaving != self._leaving_servers:
+            self._leaving_servers = leaving
+            self._hooks.leaving(leaving)
 
     def _reload(self) -> None:
         if self._tls is not None and self._tls.reload():
--- a/yuccagauge/wire/datagram.py
+++ b/yuccagauge/wire/datagram.py
@@ -63,8 +63,12 @@
         """Handle all datagrams of one message class."""
         self._handlers[message] = handler
 
-    def start(self) -> None:
-        """Open the socket."""
+    def start(self, listen: Endpoint | None = None) -> None:
+        """Open the socket, at another address than the given one if asked.
+
+        The TCP endpoint of a router with port 0 gets its port first.
+        """
+        self._listen = listen or self._listen
         self._port = self._reactor.listenUDP(
             self._listen.port,
             self,
