Keep a failing listener from stopping the protocols

An exception in a listener or a round would have ended the membership's timer or a loop for good. Such faults are now counted and logged by type and place.

--- a/features/membership/membership.feature
+++ b/features/membership/membership.feature
@@ -87,6 +87,7 @@
 
   Scenario: Routers join over UDP and TCP, and spread an item
     Given 3 membership services with one seed
+    And a membership listener that fails
     Then all membership services see 3 live members
     When the first membership service spreads an item
     Then the last membership service receives the item
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -320,6 +320,17 @@
     )
 
 
+@given('a membership listener that fails')
+def given_failing_listener(context: Context) -> None:
+    """A fault in another slice must not stop the protocol."""
+
+    def fail(change: Any) -> None:
+        raise RuntimeError('listener')
+
+    for node in context.nodes:
+        node.service.add_listener(fail)
+
+
 @then('all membership services see {count:d} live members')
 def then_all_live(context: Context, count: int) -> None:
     """Wait until the last one has joined."""
--- a/yuccagauge/burn/store.py
+++ b/yuccagauge/burn/store.py
@@ -18,6 +18,7 @@
 from yuccagauge.membership.service import MembershipService
 from yuccagauge.rendezvous import rank
 from yuccagauge.settings.document import ObjectiveSection
+from yuccagauge.telemetry.guard import guarded
 from yuccagauge.telemetry.meter import counter
 from yuccagauge.wire.base import Received
 from yuccagauge.wire.client import PeerClient
@@ -165,7 +166,7 @@
         self._client = client
         self._holders: frozenset[str] = frozenset()
         self._is_restored = False
-        self._loop = LoopingCall(self.push)
+        self._loop = LoopingCall(guarded(self.push, 'burn_push'))
         self._loop.clock = reactor
         server.add_handler(BurnPush, self._answer_push)
         server.add_handler(BurnRequest, self._answer_request)
--- a/yuccagauge/membership/service.py
+++ b/yuccagauge/membership/service.py
@@ -18,6 +18,7 @@
 from yuccagauge.membership.swim import Swim
 from yuccagauge.settings.options import Endpoint
 from yuccagauge.settings.process import RouterSettings
+from yuccagauge.telemetry.guard import guarded
 from yuccagauge.telemetry.journal import log_state_change
 from yuccagauge.telemetry.meter import counter, gauge
 from yuccagauge.wire.base import Received
@@ -96,6 +97,7 @@
         self._source = random.Random(f'{settings.router.name}{clock.wall()}')
         self._swim: Swim | None = None
         self._timer: Any = None
+        self._send = guarded(datagrams.send, 'membership_datagram')
         self._joining = LoopingCall(self._join)
         self._joining.clock = reactor
 
@@ -125,11 +127,12 @@
 
     def add_listener(self, listener: MemberListener) -> None:
         """Call a function after each change."""
-        self._listeners.append(listener)
+        self._listeners.append(guarded(listener, 'member_listener'))
 
     def add_item_listener(self, topic: int, listener: ItemListener) -> None:
         """Call a function with each new item of a topic from a peer."""
-        self._item_listeners.setdefault(topic, []).append(listener)
+        safe = guarded(listener, 'item_listener')
+        self._item_listeners.setdefault(topic, []).append(safe)
 
     def add_seeds(self, seeds: tuple[Endpoint, ...]) -> None:
         """Take further routers that may be asked to join."""
@@ -206,11 +209,9 @@
 
     def _settle(self) -> None:
         for outgoing in self._swim.take_outgoing():
-            self._datagrams.send(
-                outgoing.peer,
-                outgoing.message,
-                outgoing.sequence,
-            )
+            # A datagram that is too long, because of very long names, must
+            # not keep the protocol from going on.
+            self._send(outgoing.peer, outgoing.message, outgoing.sequence)
         for peer in self._swim.take_sync_peers():
             self._exchange(peer)
         for change in self._swim.take_changes():
--- a/yuccagauge/membership/vmlist.py
+++ b/yuccagauge/membership/vmlist.py
@@ -12,6 +12,7 @@
 
 from yuccagauge.errors import UnavailableError
 from yuccagauge.settings.options import Endpoint, parse_endpoint
+from yuccagauge.telemetry.guard import guarded
 from yuccagauge.telemetry.journal import log_state_change
 from yuccagauge.telemetry.meter import counter
 from yuccagauge.wire.http import NumericHttpClient
@@ -95,7 +96,7 @@
 
     def add_listener(self, listener: VmListener) -> None:
         """Call a function with each list that differs from the last."""
-        self._listeners.append(listener)
+        self._listeners.append(guarded(listener, 'vm_listener'))
 
     def start(self) -> None:
         """Begin to read."""
--- a/yuccagauge/peering/service.py
+++ b/yuccagauge/peering/service.py
@@ -21,6 +21,7 @@
 from yuccagauge.rendezvous import rank
 from yuccagauge.settings.options import Endpoint
 from yuccagauge.settings.process import RouterSettings
+from yuccagauge.telemetry.guard import guarded
 from yuccagauge.wire.base import Received
 from yuccagauge.wire.client import PeerClient
 from yuccagauge.wire.datagram import DatagramEndpoint
@@ -202,7 +203,8 @@
         )
 
     def _repeat(self, function: Any, seconds: float) -> None:
-        loop = LoopingCall(function)
+        # An exception would end the loop for good.
+        loop = LoopingCall(guarded(function, function.__name__))
         loop.clock = self._reactor
         loop.start(seconds, now=False)
         self._loops.append(loop)
--- /dev/null
+++ b/yuccagauge/telemetry/guard.py
@@ -0,0 +1,40 @@
+"""Keep a fault in one listener or round from stopping the others."""
+
+import functools
+import traceback
+from collections.abc import Callable
+from typing import Any
+
+from yuccagauge.telemetry.journal import log_state_change
+from yuccagauge.telemetry.meter import counter
+
+_FAULTS = counter(
+    'yuccagauge.internal.faults',
+    'Exceptions that no code expected, by place.',
+    '{fault}',
+)
+
+
+def guarded(function: Callable[..., Any], place: str) -> Callable[..., Any]:
+    """Return a function that counts and logs exceptions instead of raising.
+
+    The log line has the type and the line of code, but not the message,
+    which could hold what a caller sent.
+    """
+
+    @functools.wraps(function)
+    def call(*arguments: Any) -> Any:
+        try:
+            return function(*arguments)
+        except Exception as error:  # noqa: BLE001
+            frame = traceback.extract_tb(error.__traceback__)[-1]
+            _FAULTS.add(1, {'place': place})
+            log_state_change(
+                'internal_fault',
+                place=place,
+                error=type(error).__name__,
+                source=f'{frame.name}:{frame.lineno}',
+            )
+            return None
+
+    return call
