--- a/yuccagauge/demo/fleet.py
+++ b/yuccagauge/demo/fleet.py
@@ -1,7 +1,5 @@
 """A fleet of stand-ins and routers in two data centres on loopback."""
 
-import contextlib
-import socket
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -12,6 +10,7 @@
 from twisted.web.client import RequestTransmissionFailed, ResponseFailed
 
 from yuccagauge.adoption.publish import Accepted, publish
+from yuccagauge.demo.ports import RouterPorts, choose_ports, data_centre_of
 from yuccagauge.demo.processes import (
     ManagedProcess,
     StandinProcess,
@@ -22,13 +21,19 @@
 from yuccagauge.settings.options import Endpoint
 from yuccagauge.settings.reader import RawSections
 
-_HOST = '127.0.0.1'
 _REGION = 'region-1'
-_DATA_CENTRES = ('centre-a', 'centre-b')
 _POLL_SECONDS = 0.1
 _READY_SECONDS = 30
 _NO_VERSION = -1
 
+#: Keys of a router's settings and the kinds of stand-ins behind them.
+_PLATFORM_KEYS = {
+    'log': 'log',
+    'vm_list': 'vm-list',
+    'kept_kv': 'kept-kv',
+    'weight_store': 'weight-store',
+}
+
 #: Version of the weights at the start.
 WEIGHTS_VERSION = 'w1'
 
@@ -54,17 +59,6 @@
     engine: Mapping[str, str] = field(default_factory=dict)
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class RouterPorts:
-    """Where one router listens."""
-
-    name: str
-    data_centre: str
-    callers: Endpoint
-    peers: Endpoint
-    admin: Endpoint
-
-
 class Fleet:
     """All processes, and the documents of the users.
 
@@ -92,7 +86,7 @@
         #: Backend servers by service, then with their data centres.
         self._backends: dict[str, dict[StandinProcess, str]] = {}
         self._routers: dict[str, ManagedProcess] = {}
-        self._ports = _choose_ports(plan.routers)
+        self._ports = choose_ports(plan.routers)
         self._versions: dict[str, int] = {}
 
     @property
@@ -129,7 +123,9 @@
         StartError
             If a process ends, or is not ready in time.
         """
-        for kind in ('log', 'vm-list', 'kept-kv', 'weight-store'):
+        # An interrupted run must not leave processes behind.
+        reactor.addSystemEventTrigger('before', 'shutdown', self.close)
+        for kind in _PLATFORM_KEYS.values():
             self._platform[kind] = self._standin(kind, kind, {})
         for profile in self._profiles:
             self._start_backends(profile)
@@ -183,9 +179,9 @@
             weights_version,
         )
 
-    def log_endpoint(self, ports: RouterPorts) -> Endpoint:
-        """Return where a router finds the log."""
-        return self._platform['log'].endpoint
+    def platform_endpoint(self, kind: str, ports: RouterPorts) -> Endpoint:
+        """Return where a router finds one stand-in of the platform."""
+        return self._platform[kind].endpoint
 
     def part(self, name: str) -> tuple[StandinProcess, ...]:
         """Return the ``engines``, the ``servers`` or one platform kind."""
@@ -277,7 +273,7 @@
                     'engine': engine,
                     'standin': {'seed': str(index)},
                 },
-            ): _data_centre(index)
+            ): data_centre_of(index)
             for index in range(self._plan.engines)
         }
         self._backends[profile.plain_service] = {
@@ -287,7 +283,7 @@
                 {
                     'standin': {'seed': str(index)},
                 },
-            ): _data_centre(index)
+            ): data_centre_of(index)
             for index in range(self._plan.servers)
         }
 
@@ -340,10 +336,8 @@
             },
             'peers': {'seeds': ', '.join(map(str, others))},
             'platform': {
-                'log': str(self.log_endpoint(ports)),
-                'vm_list': str(self._platform['vm-list'].endpoint),
-                'kept_kv': str(self._platform['kept-kv'].endpoint),
-                'weight_store': str(self._platform['weight-store'].endpoint),
+                key: str(self.platform_endpoint(kind, ports))
+                for key, kind in _PLATFORM_KEYS.items()
             },
         }
         router = ManagedProcess(
@@ -356,31 +350,6 @@
         self._routers[ports.name] = router
 
 
-def _choose_ports(count: int) -> tuple[RouterPorts, ...]:
-    """Let the system choose; all are held until the last is chosen."""
-    with contextlib.ExitStack() as held:
-        sockets = [
-            held.enter_context(socket.socket()) for _ in range(3 * count)
-        ]
-        for bound in sockets:
-            bound.bind((_HOST, 0))
-        numbers = [one.getsockname()[1] for one in sockets]
-    return tuple(
-        RouterPorts(
-            name=f'router-{index}',
-            data_centre=_data_centre(index),
-            callers=Endpoint(_HOST, numbers[3 * index]),
-            peers=Endpoint(_HOST, numbers[3 * index + 1]),
-            admin=Endpoint(_HOST, numbers[3 * index + 2]),
-        )
-        for index in range(count)
-    )
-
-
-def _data_centre(index: int) -> str:
-    return _DATA_CENTRES[index % len(_DATA_CENTRES)]
-
-
 def _vm(endpoint: Endpoint, data_centre: str, service: str) -> dict[str, str]:
     return {
         'address': str(endpoint),
--- a/yuccagauge/load/rate.py
+++ b/yuccagauge/load/rate.py
@@ -8,6 +8,9 @@
 #: Prompts with less to compute are dominated by fixed costs.
 LEAST_TOKENS = 512
 
+#: Bound on the fixed time, which queues would otherwise drive up, in ms.
+LONGEST_FIXED_MS = 50.0
+
 # An answer that waited in a queue shows too low a rate and too high a fixed
 # time, never the reverse, so samples on the fast side count more.
 _WEIGHT_FAST = 0.18
@@ -23,14 +26,12 @@
         Rate that is assumed without samples, in tokens/ms.
     """
 
-    __slots__ = ('_fixed', '_is_fixed_learned', '_is_rate_learned', '_rate')
+    __slots__ = ('_fixed', '_rate')
 
     def __init__(self, initial: float) -> None:
         """Start with the assumption."""
         self._rate = initial
         self._fixed: float = 0
-        self._is_rate_learned = False
-        self._is_fixed_learned = False
 
     @property
     def tokens_per_ms(self) -> float:
@@ -42,7 +43,13 @@
         """The time of a prefill that computes next to nothing, in ms."""
         return self._fixed
 
-    def learn(self, computed_tokens: int, first_token_ms: float) -> None:
+    def learn(
+        self,
+        computed_tokens: int,
+        first_token_ms: float,
+        *,
+        has_waited: bool = False,
+    ) -> None:
         """Take an answer.
 
         Parameters
@@ -51,27 +58,29 @@
             Prompt tokens that the engine did not find in its cache.
         first_token_ms
             Time from the send to the first token, without network delay.
+        has_waited
+            Whether the request was expected to wait. Such an answer can only
+            show that the engine is faster than was assumed; otherwise an
+            overload would look like slow engines and refuse what it need not.
         """
-        if computed_tokens < LEAST_TOKENS:
-            self._learn_fixed(computed_tokens, first_token_ms)
-        elif first_token_ms > self._fixed:
-            self._learn_rate(computed_tokens / (first_token_ms - self._fixed))
-
-    def _learn_fixed(self, tokens: int, first_token_ms: float) -> None:
-        sample = max(0, first_token_ms - tokens / self._rate)
-        if not self._is_fixed_learned:
-            self._fixed = sample
-            self._is_fixed_learned = True
+        if first_token_ms <= 0:
             return
-        is_fast = sample < self._fixed
-        weight = _WEIGHT_FAST if is_fast else _WEIGHT_SLOW
-        self._fixed += weight * (sample - self._fixed)
-
-    def _learn_rate(self, sample: float) -> None:
-        if not self._is_rate_learned:
-            self._rate = max(sample, self._rate)
-            self._is_rate_learned = True
+        if computed_tokens < LEAST_TOKENS:
+            sample = max(0, first_token_ms - computed_tokens / self._rate)
+            sample = min(sample, LONGEST_FIXED_MS)
+            is_fast = sample < self._fixed
+            if is_fast or not has_waited:
+                self._fixed = _approach(self._fixed, sample, is_fast=is_fast)
             return
+        # At least half of the time is taken to depend on the tokens, so that
+        # a wrong fixed time cannot make the rate absurd.
+        time = max(first_token_ms - self._fixed, first_token_ms / 2)
+        sample = computed_tokens / time
         is_fast = sample > self._rate
-        weight = _WEIGHT_FAST if is_fast else _WEIGHT_SLOW
-        self._rate += weight * (sample - self._rate)
+        if is_fast or not has_waited:
+            self._rate = _approach(self._rate, sample, is_fast=is_fast)
+
+
+def _approach(known: float, sample: float, *, is_fast: bool) -> float:
+    weight = _WEIGHT_FAST if is_fast else _WEIGHT_SLOW
+    return known + weight * (sample - known)
