--- a/features/steps/wire_steps.py
+++ b/features/steps/wire_steps.py
@@ -20,7 +20,7 @@
 
 from features.loop import wait_for_call, wait_until
 from yuccagauge.clock import Millis
-from yuccagauge.errors import UnavailableError
+from yuccagauge.errors import SettingsError, UnavailableError
 from yuccagauge.settings.options import Endpoint
 from yuccagauge.settings.process import TlsSection
 from yuccagauge.wire import messages
@@ -34,7 +34,7 @@
     WireError,
 )
 from yuccagauge.wire.server import PeerServer
-from yuccagauge.wire.tls import PeerTls
+from yuccagauge.wire.tls import PeerTls, peer_tls
 
 _LOOPBACK = Endpoint('127.0.0.1', 0)
 _SOURCE = Endpoint('127.0.0.1', 7100)
@@ -228,6 +228,23 @@
     }
 
 
+@then('wire settings with only a certificate are refused')
+def then_partial_settings(context: Context) -> None:
+    """A forgotten key must not silently turn TLS off."""
+    try:
+        peer_tls(TlsSection(peer_certificate=__file__))
+    except SettingsError as error:
+        assert error.key == 'peer_key'
+        return
+    raise AssertionError('the settings were accepted')
+
+
+@then('wire settings without any file mean plain connections')
+def then_no_settings(context: Context) -> None:
+    """TLS between routers is optional."""
+    assert peer_tls(TlsSection()) is None
+
+
 @when("the wire server's certificate files are replaced by good ones")
 def when_replaced(context: Context) -> None:
     """Write new files and let the server read them."""
--- a/features/wire/wire.feature
+++ b/features/wire/wire.feature
@@ -58,6 +58,10 @@
       | client | wrong CA    | CertificateRefusedError | authority of ours |
       | client | wrong host  | PeerUnavailableError    | closed            |
 
+  Scenario: Settings that name only some certificate files are a mistake
+    Then wire settings with only a certificate are refused
+    And wire settings without any file mean plain connections
+
   Scenario: Certificates are replaced without a restart
     Given wire certificates where the server's is "expired"
     And a wire server that "answers"
--- a/yuccagauge/peering/service.py
+++ b/yuccagauge/peering/service.py
@@ -37,7 +37,7 @@
     LoadShare,
 )
 from yuccagauge.wire.server import PeerServer
-from yuccagauge.wire.tls import RELOAD_SECONDS, PeerTls
+from yuccagauge.wire.tls import RELOAD_SECONDS, peer_tls
 
 #: Time between two rounds of polls, shares and notices, in seconds.
 ROUND_SECONDS = 1
@@ -78,7 +78,7 @@
         self._settings = settings
         self._reactor = reactor
         self._clock = clock
-        self._tls = PeerTls(settings.tls) if settings.tls.peer_key else None
+        self._tls = peer_tls(settings.tls)
         self._server = PeerServer(reactor, listen, name, self._tls)
         self._client = PeerClient(reactor, name, self._tls)
         self._datagrams = DatagramEndpoint(reactor, listen, name)
--- a/yuccagauge/wire/tls.py
+++ b/yuccagauge/wire/tls.py
@@ -141,6 +141,21 @@
         return context
 
 
+def peer_tls(section: TlsSection) -> PeerTls | None:
+    """Return the certificates, or ``None`` if no peer file is named.
+
+    Settings that name only some of the files are a mistake, and must not
+    lead to plain connections.
+
+    Raises
+    ------
+    SettingsError
+        If a file is missing or cannot be used.
+    """
+    named = (section.peer_certificate, section.peer_key, section.peer_authority)
+    return PeerTls(section) if any(named) else None
+
+
 class _Creator:
     """What both sides share: the check of the IP number."""
 
