--- a/features/steps/peering_steps.py
+++ b/features/steps/peering_steps.py
@@ -2,6 +2,7 @@
 
 import itertools
 import json
+from collections import Counter
 from dataclasses import dataclass, replace
 from typing import Any
 
@@ -21,6 +22,7 @@
 from yuccagauge.clock import Millis, SystemClock
 from yuccagauge.load.base import EngineReport
 from yuccagauge.peering.demand import DemandExchange
+from yuccagauge.peering.engines import own_share
 from yuccagauge.peering.hooks import PeeringHooks
 from yuccagauge.peering.load import LoadExchange
 from yuccagauge.peering.notices import HeardSuspicion
@@ -33,6 +35,10 @@
 _ENGINE = Endpoint('10.0.0.1', 9101)
 _SERVER = Endpoint('10.0.0.2', 9102)
 _FINGERPRINT = b'0123456789abcdef'
+# As long as quarantine makes them: an address and 32 digits. Names that
+# were cut off once counted one crash twice.
+_CRASH = f'10.100.200.100:9101/{"1" * 32}'
+_CLEARED_CRASH = f'10.100.200.100:9101/{"1" * 31}2'
 _SERVICE = 'matcher-llm'
 _LOAD = {
     'incarnation': 'i1',
@@ -127,6 +133,43 @@
     assert (report.running, report.used_blocks) == (3, 53)
 
 
+def _divide(engines: list[Endpoint], names: list[str]) -> dict[Endpoint, str]:
+    owners: dict[Endpoint, str] = {}
+    for name in names:
+        for engine in own_share(engines, name, names):
+            assert engine not in owners, 'an engine has two owners'
+            owners[engine] = name
+    return owners
+
+
+@then(
+    'peering divides {engines:d} engines over {routers:d} routers, '
+    'each to one of them',
+)
+def then_divided(context: Context, engines: int, routers: int) -> None:
+    """An engine without a poller would have no load reports."""
+    context.engines = [
+        Endpoint(f'10.1.{index // 250}.{index % 250}', 9101)
+        for index in range(engines)
+    ]
+    context.names = [f'entry-{index}' for index in range(routers)]
+    context.owners = _divide(context.engines, context.names)
+    assert len(context.owners) == engines
+    shares = Counter(context.owners.values())
+    assert max(shares.values()) < 3 * engines / routers, shares
+
+
+@then('without one peering router only its engines move')
+def then_few_move(context: Context) -> None:
+    """A restart must not hand all engines to new pollers."""
+    gone = context.names[7]
+    rest = [name for name in context.names if name != gone]
+    after = _divide(context.engines, rest)
+    assert len(after) == len(context.engines)
+    for engine, name in context.owners.items():
+        assert name in {gone, after[engine]}
+
+
 @given(
     'peering demand in {centres:d} data centres of {routers:d} routers, '
     'each with {rate:d} requests/s',
@@ -293,15 +336,14 @@
         self.store = _Store()
         self.suspicions = _Suspicions()
         self.reports: list[EngineReport] = []
-        self.leaving: list[Endpoint] = []
+        self.leaving: list[frozenset[Endpoint]] = []
         self.preloaded: tuple[HotPrefix, ...] = ()
         self.demand: dict[str, float] = {}
         self.engine = engine
         router = {'name': name, 'region': 'khomas', 'data_centre': 'khomas-a'}
         router |= {'services': _SERVICE}
-        addresses = ('listen', 'admin_listen')
+        addresses = ('listen', 'peer_listen', 'admin_listen')
         router |= dict.fromkeys(addresses, '127.0.0.1:0')
-        router['peer_listen'] = f'127.0.0.1:{_free_port()}'
         raw = {
             'router': router,
             'platform': {'log': '127.0.0.1:1', 'vm_list': '127.0.0.1:1'},
@@ -351,13 +393,6 @@
     return json.dumps({**_LOAD, 'measured_ms': measured}).encode()
 
 
-def _free_port() -> int:
-    port = reactor.listenTCP(0, Site(Klein().resource()), interface='127.0.0.1')
-    number = port.getHost().port
-    wait_for_call(port.stopListening)
-    return number
-
-
 @given(
     '2 peering routers, the first one with a document at version {version:d}',
 )
@@ -434,7 +469,7 @@
 @then('the second peering router takes the server as leaving')
 def then_leaving(context: Context) -> None:
     """Wait for the notice."""
-    wait_until(lambda: context.second.leaving == [_SERVER])
+    wait_until(lambda: context.second.leaving == [frozenset((_SERVER,))])
 
 
 @when('a request crashes an engine at the first peering router')
@@ -443,8 +478,8 @@
     context.first.suspicions.own = (
         HeardSuspicion(
             fingerprint=_FINGERPRINT,
-            crashes=frozenset(('i1', 'i2')),
-            cleared=frozenset(('i2',)),
+            crashes=frozenset((_CRASH, _CLEARED_CRASH)),
+            cleared=frozenset((_CLEARED_CRASH,)),
             age=Millis(1000),
         ),
     )
@@ -456,7 +491,10 @@
     table = context.second.suspicions
     wait_until(lambda: len(table.heard) >= 2)
     crashes = {tuple(found.crashes): found.cleared for found in table.heard}
-    assert crashes == {('i1',): frozenset(), ('i2',): frozenset(('i2',))}
+    assert crashes == {
+        (_CRASH,): frozenset(),
+        (_CLEARED_CRASH,): frozenset((_CLEARED_CRASH,)),
+    }
     assert all(found.fingerprint == _FINGERPRINT for found in table.heard)
     assert all(1000 <= found.age < 30_000 for found in table.heard)
 
--- a/yuccagauge/peering/service.py
+++ b/yuccagauge/peering/service.py
@@ -8,7 +8,7 @@
 
 from yuccagauge.cacheview.base import HotPrefix
 from yuccagauge.clock import Clock, Millis
-from yuccagauge.membership.base import MemberChange
+from yuccagauge.membership.base import LIVE_STATES, MemberChange
 from yuccagauge.membership.service import MembershipService
 from yuccagauge.membership.vmlist import Vm, VmListFollower
 from yuccagauge.peering.demand import DemandExchange
@@ -21,6 +21,7 @@
 from yuccagauge.rendezvous import rank
 from yuccagauge.settings.options import Endpoint
 from yuccagauge.settings.process import RouterSettings
+from yuccagauge.telemetry.guard import guarded
 from yuccagauge.wire.base import Received
 from yuccagauge.wire.client import PeerClient
 from yuccagauge.wire.datagram import DatagramEndpoint
@@ -36,7 +37,7 @@
     LoadShare,
 )
 from yuccagauge.wire.server import PeerServer
-from yuccagauge.wire.tls import RELOAD_SECONDS, PeerTls
+from yuccagauge.wire.tls import RELOAD_SECONDS, peer_tls
 
 #: Time between two rounds of polls, shares and notices, in seconds.
 ROUND_SECONDS = 1
@@ -77,7 +78,7 @@
         self._settings = settings
         self._reactor = reactor
         self._clock = clock
-        self._tls = PeerTls(settings.tls) if settings.tls.peer_key else None
+        self._tls = peer_tls(settings.tls)
         self._server = PeerServer(reactor, listen, name, self._tls)
         self._client = PeerClient(reactor, name, self._tls)
         self._datagrams = DatagramEndpoint(reactor, listen, name)
@@ -95,6 +96,7 @@
         self._is_warm = False
         self._has_to_assign = True
         self._rounds = 0
+        self._leaving_servers: frozenset[Endpoint] = frozenset()
 
     @property
     def membership(self) -> MembershipService:
@@ -137,7 +139,10 @@
             self._clock,
         )
         self._demand = DemandExchange(self._settings.router.data_centre)
-        self._leaving = LeavingNotices(self._membership, hooks.leaving)
+        self._leaving = LeavingNotices(
+            self._membership,
+            self._update_leaving,
+        )
         self._suspicions = SuspicionExchange(
             self._membership,
             hooks.quarantine,
@@ -147,7 +152,7 @@
         self._membership.add_listener(self._member_changed)
         self._vm_list.add_listener(self._take_vms)
         self._server.start()
-        self._datagrams.start()
+        self._datagrams.start(self._server.endpoint)
         self._membership.start()
         self._vm_list.start()
         self._repeat(self._round, ROUND_SECONDS)
@@ -165,6 +170,7 @@
     def notify_leaving(self, server: Endpoint) -> None:
         """Tell the others that this router found a server leaving."""
         self._leaving.spread(server, self._clock.wall())
+        self._update_leaving()
 
     def leave(self) -> None:
         """Tell the others that this router takes no new work soon."""
@@ -197,7 +203,8 @@
         )
 
     def _repeat(self, function: Any, seconds: float) -> None:
-        loop = LoopingCall(function)
+        # An exception would end the loop for good.
+        loop = LoopingCall(guarded(function, function.__name__))
         loop.clock = self._reactor
         loop.start(seconds, now=False)
         self._loops.append(loop)
@@ -214,6 +221,7 @@
             self._engines.share()
         self._documents.spread()
         self._suspicions.spread()
+        self._update_leaving()
 
     def _share_demand(self) -> None:
         now = self._clock.now()
@@ -273,10 +281,14 @@
         )
 
     def _member_changed(self, change: MemberChange) -> None:
-        self._has_to_assign = True
         member = change.member
         own = self._membership.own
         is_near = member.data_centre == own.data_centre
+        was_live = change.previous in LIVE_STATES
+        is_live = member.is_live and not change.removed
+        # A suspicion that comes and goes does not move any engine.
+        if is_near and was_live != is_live:
+            self._has_to_assign = True
         if is_near and member.is_live and not self._is_warm:
             self._is_warm = True
             self._warm_up(member.peer)
@@ -313,9 +325,14 @@
 
     def _take_vms(self, vms: tuple[Vm, ...]) -> None:
         self._membership.add_seeds(self._vm_list.router_seeds)
-        for vm in vms:
-            if vm.is_leaving:
-                self._hooks.leaving(vm.address)
+        self._update_leaving()
+
+    def _update_leaving(self) -> None:
+        named = {vm.address for vm in self._vm_list.vms if vm.is_leaving}
+        leaving = frozenset(named.union(self._leaving.servers))
+        if leaving != self._leaving_servers:
+            self._leaving_servers = leaving
+            self._hooks.leaving(leaving)
 
     def _reload(self) -> None:
         if self._tls is not None and self._tls.reload():
