Test router processes and the graceful stop

Two router processes serve one document, a process that gets SIGTERM in the middle of a stream answers its health check with 503, still serves new calls, completes the stream and ends with 0. The quarantine is now one for all services of a router, as its entries are gossiped together. The three scenarios pass; they take 12 s because of process starts.

--- /dev/null
+++ b/features/steps/daemon_steps.py
@@ -0,0 +1,186 @@
+"""Steps for router processes."""
+
+import functools
+import http.client
+import json
+import signal
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+from typing import Any
+
+from behave import given, then, when
+from behave.runner import Context
+
+from features.loop import wait_until
+from features.router_fleet import (
+    Answer,
+    RouterFleet,
+    admin,
+    ask,
+    chat_body,
+    in_thread,
+)
+from yuccagauge.settings.options import Endpoint, parse_endpoint
+from yuccagauge.settings.reader import render
+
+_CHAT = '/v1/chat/completions'
+_DONE = b'data: [DONE]\n\n'
+_GRACE_MS = 1500
+#: The slow stream ends after the grace period: 16 to 40 tokens at 8 a second.
+_SLOW_TOKENS = 40
+_SLOW_RATE = 8
+
+
+class _Process:
+    """One ``yuccagauge`` process that prints where it listens."""
+
+    def __init__(self, context: Context, raw: Any, *command: str) -> None:
+        folder = tempfile.TemporaryDirectory()
+        context.add_cleanup(folder.cleanup)
+        path = Path(folder.name) / 'settings.ini'
+        path.write_text(render(raw), encoding='utf-8')
+        self.process = subprocess.Popen(
+            [sys.executable, '-m', 'yuccagauge', *command, str(path)],
+            stdout=subprocess.PIPE,
+            stderr=subprocess.DEVNULL,
+        )
+        context.add_cleanup(self.process.wait)
+        context.add_cleanup(self.process.kill)
+        self.ready = json.loads(in_thread(self.process.stdout.readline))
+
+    def endpoint(self, name: str) -> Endpoint:
+        """Return one of the addresses that it printed."""
+        return parse_endpoint(self.ready[name])
+
+
+class _Server:
+    """Stands for a process where the document needs its address."""
+
+    def __init__(self, endpoint: Endpoint) -> None:
+        self.endpoint = endpoint
+
+
+@given('two router processes before an engine process')
+def given_processes(context: Context) -> None:
+    """Start the platform here and the rest as processes."""
+    fleet = RouterFleet()
+    context.add_cleanup(fleet.close)
+    engine = _Process(
+        context,
+        {'engine': {'decode_tokens_per_second': str(_SLOW_RATE)}},
+        'standin',
+        'engine',
+    )
+    fleet.publish_model([_Server(engine.endpoint('address'))])
+    context.processes = []
+    for name in ('r1', 'r2'):
+        raw = fleet.settings(name)
+        raw['router']['drain_grace_ms'] = str(_GRACE_MS)
+        context.processes.append(_Process(context, raw, 'router'))
+    for process in context.processes:
+        wait_until(functools.partial(_serves, process))
+
+
+def _serves(process: _Process) -> bool:
+    return _chat(process).status == 200
+
+
+def _chat(process: _Process) -> Answer:
+    return ask(process.endpoint('listen'), 'POST', _CHAT, chat_body())
+
+
+@when('each router process is asked for a chat')
+def when_asked(context: Context) -> None:
+    """Ask both."""
+    context.answers = [_chat(process) for process in context.processes]
+
+
+@then('each of them answers with a whole stream')
+def then_whole(context: Context) -> None:
+    """Check the end of both."""
+    for answered in context.answers:
+        assert answered.body.endswith(_DONE), answered
+
+
+@then('each of them shows the same version in force')
+def then_versions(context: Context) -> None:
+    """Compare the status of both."""
+    documents = [
+        json.loads(
+            ask(process.endpoint('admin_listen'), 'GET', '/status').body,
+        )['documents']
+        for process in context.processes
+    ]
+    assert documents[0]['matcher-llm']['version'] == 0, documents
+    assert documents[0] == documents[1]
+
+
+@when('the first router process gets SIGTERM in the middle of a slow stream')
+def when_terminated(context: Context) -> None:
+    """Begin a stream and read its first bytes."""
+    context.router_process = context.processes[0]
+    endpoint = context.router_process.endpoint('listen')
+    context.slow = in_thread(_begin_stream, endpoint)
+    context.first_bytes = in_thread(context.slow.read, 1)
+    context.router_process.process.send_signal(signal.SIGTERM)
+
+
+def _begin_stream(endpoint: Endpoint) -> http.client.HTTPResponse:
+    connection = http.client.HTTPConnection(endpoint.host, endpoint.port)
+    headers = {'Authorization': 'Bearer walvis-bay'}
+    body = chat_body(max_tokens=_SLOW_TOKENS)
+    connection.request('POST', _CHAT, body, headers)
+    return connection.getresponse()
+
+
+@then('its health check answers 503 during the grace period')
+def then_unhealthy(context: Context) -> None:
+    """Wait until the signal has been handled."""
+    endpoint = context.router_process.endpoint('listen')
+    wait_until(lambda: ask(endpoint, 'GET', '/healthz').status == 503)
+
+
+@then('it still serves a new chat during the grace period')
+def then_serves(context: Context) -> None:
+    """Ask for a short stream."""
+    answered = _chat(context.router_process)
+    assert answered.body.endswith(_DONE), answered
+    assert answered.headers['connection'] == 'close'
+
+
+@then('its slow stream is complete')
+def then_complete(context: Context) -> None:
+    """Read the rest."""
+    found = context.first_bytes + in_thread(context.slow.read)
+    assert found.endswith(_DONE), found[-200:]
+
+
+@then('it ends with exit code 0')
+def then_ends(context: Context) -> None:
+    """Wait for the end of the process."""
+    assert in_thread(context.router_process.process.wait) == 0
+
+
+@when('the engine takes the role "{role}"')
+def when_role(context: Context, role: str) -> None:
+    """Order it."""
+    order = {'kind': 'set-role', 'role': role, 'fence': 1}
+    endpoint = context.engines[0].endpoint
+    answered = ask(endpoint, 'POST', '/orders', json.dumps(order).encode())
+    assert answered.status == 200, answered
+
+
+@then(
+    'the admin interface explains that the engine gets no work as "{reason}"',
+)
+def then_explained(context: Context, reason: str) -> None:
+    """Wait for the next load report."""
+    expected = f'gets no work: {reason}'
+
+    def explained() -> bool:
+        backends = admin(context.router, '/backends')['backends']
+        return backends[0]['explanation'] == expected
+
+    wait_until(explained)
--- a/yuccagauge/dispatch/service.py
+++ b/yuccagauge/dispatch/service.py
@@ -2,7 +2,7 @@
 
 import zlib
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any, Protocol
 
 import numpy as np
@@ -51,6 +51,7 @@
     data_centre: str
     #: Name of this router; seeds its random stream.
     router: str
+    quarantine: Quarantine = field(default_factory=Quarantine)
     #: Claims non-idempotent calls; ``None`` refuses them.
     claims: Any = None
     #: A running stream without an event for this long is taken for broken;
@@ -90,7 +91,6 @@
         self._name = name
         self.around = around
         self.view = CacheView()
-        self.quarantine = Quarantine()
         self.latency = LatencyWindow()
         self.budget = RetryBudget(0)
         self.servers = PlainServers(around.data_centre)
@@ -111,6 +111,11 @@
         """Name of the service."""
         return self._name
 
+    @property
+    def quarantine(self) -> Quarantine:
+        """Requests that crash backend servers, of all services."""
+        return self.around.quarantine
+
     @property
     def in_force(self) -> InForceDocument | None:
         """The document in force; ``None`` while none is known."""
