--- a/yuccagauge/loadgen/run.py
+++ b/yuccagauge/loadgen/run.py
@@ -5,9 +5,9 @@
 from twisted.internet import defer, reactor, task
 
 from yuccagauge.clock import Clock
-from yuccagauge.loadgen.base import ChatPlan, Plan
 from yuccagauge.loadgen.client import LoadClient
 from yuccagauge.loadgen.outcomes import CallOutcome, ChatOutcome
+from yuccagauge.loadgen.plans import ChatPlan, Plan
 
 _MILLISECONDS_PER_SECOND = 1000
 
@@ -32,17 +32,17 @@
     running: list[defer.Deferred[None]] = []
     for plan in plans:
         if isinstance(plan, ChatPlan):
-            work = _later(plan, client.chat, plan)
+            work = _later(plan.at, client.chat, plan)
             running.append(work.addCallback(result.chats.append))
             continue
         key = plan.key(started)
-        for _ in range(plan.copies):
-            work = _later(plan, client.call, plan, key)
+        for delay in plan.copies:
+            work = _later(plan.at + delay, client.call, plan, key)
             running.append(work.addCallback(result.calls.append))
     yield defer.gatherResults(running, consumeErrors=True)
     return result
 
 
-def _later(plan: Plan, send: object, *arguments: object) -> defer.Deferred:
-    seconds = plan.at / _MILLISECONDS_PER_SECOND
+def _later(at: int, send: object, *arguments: object) -> defer.Deferred:
+    seconds = at / _MILLISECONDS_PER_SECOND
     return task.deferLater(reactor, seconds, send, *arguments)
--- a/yuccagauge/soak/base.py
+++ b/yuccagauge/soak/base.py
@@ -1,6 +1,6 @@
 """Faults that the soak test injects, and the plan of one run."""
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from pathlib import Path
 from random import Random
@@ -9,7 +9,8 @@
 from twisted.internet import defer
 
 from yuccagauge.clock import Millis
-from yuccagauge.demo.fleet import Fleet, FleetPlan, RouterPorts
+from yuccagauge.demo.fleet import Fleet, FleetPlan
+from yuccagauge.demo.ports import RouterPorts
 from yuccagauge.errors import NotFoundError
 from yuccagauge.loadgen.base import Profile
 from yuccagauge.registry import Registry
@@ -29,7 +30,7 @@
 
 
 class SoakFleet(Fleet):
-    """A fleet in which each router reaches the log through a relay."""
+    """A fleet in which each router reaches the platform through relays."""
 
     def __init__(
         self,
@@ -39,26 +40,26 @@
     ) -> None:
         """Choose ports without starting anything."""
         super().__init__(directory, profiles, plan)
-        self._relays: dict[str, TcpRelay] = {}
+        self._relays: dict[str, list[TcpRelay]] = {}
 
     @property
-    def relays(self) -> Mapping[str, TcpRelay]:
-        """The links from the routers to the log, by router."""
+    def relays(self) -> Mapping[str, Sequence[TcpRelay]]:
+        """The links from the routers to the platform, by router."""
         return self._relays
 
-    def log_endpoint(self, ports: RouterPorts) -> Endpoint:
-        """Return the relay of a router."""
-        relay = TcpRelay(super().log_endpoint(ports))
+    def platform_endpoint(self, kind: str, ports: RouterPorts) -> Endpoint:
+        """Return a new relay of a router."""
+        relay = TcpRelay(super().platform_endpoint(kind, ports))
         relay.start()
-        self._relays[ports.name] = relay
+        self._relays.setdefault(ports.name, []).append(relay)
         return relay.endpoint
 
     @defer.inlineCallbacks
     def close(self) -> defer.Deferred[None]:
         """End all processes and relays."""
         yield super().close()
-        for relay in self._relays.values():
-            yield relay.close()
+        for relays in self._relays.values():
+            yield defer.gatherResults([relay.close() for relay in relays])
 
 
 class Fault:
@@ -110,10 +111,29 @@
     choice: float
 
 
-def plan_faults(seed: int, duration: Millis) -> list[PlannedFault]:
-    """Return the faults of a run in the order of their times."""
+def plan_faults(
+    seed: int,
+    duration: Millis,
+    kinds: tuple[str, ...] = (),
+) -> list[PlannedFault]:
+    """Return the faults of a run in the order of their times.
+
+    Parameters
+    ----------
+    seed
+        Decides all faults.
+    duration
+        The length of the run.
+    kinds
+        The kinds to choose from; all if there are none.
+
+    Raises
+    ------
+    FaultNotFoundError
+        If there is no such kind.
+    """
     random = Random(f'soak/{seed}')
-    names = FAULTS.names
+    names = kinds or FAULTS.names
     weights = [FAULTS.get(name).weight for name in names]
     found: list[PlannedFault] = []
     at = float(_LEAD_MS)
