--- a/yuccagauge/membership/probe.py
+++ b/yuccagauge/membership/probe.py
@@ -6,6 +6,7 @@
 from yuccagauge.clock import Millis
 from yuccagauge.membership.base import Member
 from yuccagauge.membership.table import MemberTable
+from yuccagauge.settings.options import Endpoint
 
 
 @dataclass(slots=True)
@@ -40,6 +41,17 @@
         return 1
 
 
+@dataclass(slots=True)
+class Relay:
+    """A ping that this router sent for another one."""
+
+    origin: Endpoint
+    sequence: int
+    nack_at: Millis
+    ends_at: Millis
+    is_nacked: bool = False
+
+
 class ProbeOrder:
     """Probe all live members in random order, then shuffle again.
 
--- a/yuccagauge/membership/swim.py
+++ b/yuccagauge/membership/swim.py
@@ -18,7 +18,7 @@
 )
 from yuccagauge.membership.items import HeldItem, ItemTable
 from yuccagauge.membership.options import SwimOptions
-from yuccagauge.membership.probe import Probe, ProbeOrder
+from yuccagauge.membership.probe import Probe, ProbeOrder, Relay
 from yuccagauge.membership.roster import Roster
 from yuccagauge.membership.table import MemberTable
 from yuccagauge.settings.options import Endpoint
@@ -46,17 +46,6 @@
     sequence: int
 
 
-@dataclass(slots=True)
-class _Relay:
-    """A ping that this router sent for another one."""
-
-    origin: Endpoint
-    sequence: int
-    nack_at: Millis
-    ends_at: Millis
-    is_nacked: bool = False
-
-
 class Swim:
     """One router's side of the protocol.
 
@@ -85,7 +74,7 @@
         self._source = source
         self._roster = Roster(own, options)
         self._order = ProbeOrder(source)
-        self._relays: dict[int, _Relay] = {}
+        self._relays: dict[int, Relay] = {}
         self._probe: Probe | None = None
         self._reconnects: set[int] = set()
         self._outgoing: list[Outgoing] = []
@@ -239,7 +228,7 @@
         message = received.message
         self._roster.merge(message.updates, message.items, now)
         sequence = self._next_sequence()
-        self._relays[sequence] = _Relay(
+        self._relays[sequence] = Relay(
             origin=received.source,
             sequence=received.sequence,
             nack_at=Millis(now + self._options.nack_timeout),
