--- a/yuccagauge/dispatch/connection.py
+++ b/yuccagauge/dispatch/connection.py
@@ -16,6 +16,10 @@
 from twisted.internet.protocol import Factory, connectionDone
 from twisted.internet.protocol import Protocol as TwistedProtocol
 from twisted.python.failure import Failure
+from twisted.web.http import (
+    _ChunkedTransferDecoder,
+    _MalformedChunkedDataError,
+)
 
 from yuccagauge.dispatch.base import BackendMessage, ResponseHead
 from yuccagauge.dispatch.errors import BackendProtocolError
@@ -31,6 +35,12 @@
 #: of common HTTP servers, so that few requests meet a closing connection.
 _IDLE_S = 10
 
+_PROTOCOL_ERRORS = (
+    h11.RemoteProtocolError,
+    BackendProtocolError,
+    _MalformedChunkedDataError,
+)
+
 
 class ResponseUser(Protocol):
     """Hears the response to the one request that a connection carries."""
@@ -56,6 +66,10 @@
         self._parser = h11.Connection(h11.CLIENT)
         self._user: ResponseUser | None = None
         self._open = True
+        # A chunked body is decoded by Twisted, which costs a third of h11
+        # for each chunk.
+        self._chunks: _ChunkedTransferDecoder | None = None
+        self._parts: list[bytes] = []
         #: Tells the pool about the end of the connection.
         self.on_close: Callable[[Connection], None] | None = None
         self.idle_timer: Any = None
@@ -100,9 +114,8 @@
             self.abort()
             return
         try:
-            self._parser.receive_data(data)
-            self._drain()
-        except (h11.RemoteProtocolError, BackendProtocolError) as error:
+            self._receive(data)
+        except _PROTOCOL_ERRORS as error:
             self._fail(str(error))
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
@@ -113,10 +126,35 @@
         if self.on_close is not None:
             self.on_close(self)
 
+    def _receive(self, data: bytes) -> None:
+        if self._chunks is not None:
+            self._decode(data)
+            return
+        self._parser.receive_data(data)
+        self._drain()
+
+    def _decode(self, data: bytes) -> None:
+        """Hand on the chunks that came together, then the end if it came."""
+        decoder = self._chunks
+        decoder.dataReceived(data)
+        parts = b''.join(self._parts)
+        self._parts.clear()
+        if parts and self._user is not None:
+            self._user.data(parts)
+        if self._chunks is None and self._user is not None:
+            user = self._user
+            self._user = None
+            user.complete()
+
+    def _end_chunks(self, surplus: bytes) -> None:
+        self._chunks = None
+        if self._parser.our_state is h11.DONE and not surplus:
+            self._parser = h11.Connection(h11.CLIENT)
+
     def _drain(self) -> None:
         """Hand on what was parsed; parts that came together go together."""
         parts: list[bytes] = []
-        while self._user is not None:
+        while self._user is not None and self._chunks is None:
             event = self._parser.next_event()
             if isinstance(event, h11.Data):
                 parts.append(bytes(event.data))
@@ -135,9 +173,20 @@
             headers = tuple(event.headers.raw_items())
             head = ResponseHead(status=event.status_code, headers=headers)
             self._user.head(head)
+            if head.get(b'transfer-encoding').lower() == 'chunked':
+                self._start_chunks()
         elif isinstance(event, h11.EndOfMessage):
             self._finish()
 
+    def _start_chunks(self) -> None:
+        self._chunks = _ChunkedTransferDecoder(
+            self._parts.append,
+            self._end_chunks,
+        )
+        received = self._parser.trailing_data[0]
+        if received:
+            self._decode(received)
+
     def _finish(self) -> None:
         user = self._user
         self._user = None
@@ -147,11 +196,14 @@
         user.complete()
 
     def _end_of_stream(self, reason: Failure) -> None:
+        if self._chunks is not None:
+            self._fail(reason.getErrorMessage())
+            return
         try:
             # A body without a length ends with the connection.
             self._parser.receive_data(b'')
             self._drain()
-        except (h11.RemoteProtocolError, BackendProtocolError):
+        except _PROTOCOL_ERRORS:
             self._fail(reason.getErrorMessage())
             return
         if self._user is not None:
--- a/yuccagauge/overhead/measure.py
+++ b/yuccagauge/overhead/measure.py
@@ -6,6 +6,7 @@
 import subprocess
 import sys
 import tempfile
+import time
 from collections.abc import Iterator, Sequence
 from contextlib import ExitStack, contextmanager
 from dataclasses import dataclass
@@ -61,6 +62,18 @@
     engines: tuple[Endpoint, ...]
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _CpuTimes:
+    """CPU time of the router, in seconds."""
+
+    #: For the answers of one token.
+    brief: float
+    #: For the full answers.
+    whole: float
+    #: Wall time of the full answers, with the last streams' end.
+    elapsed: float
+
+
 def measure(shape: LoadShape) -> OverheadReport:
     """Start everything as processes, load it, and stop it."""
     with ExitStack() as stack:
@@ -100,21 +113,26 @@
     request_cpu = _cpu_seconds(setup.router) - before
     direct = yield LoadRun(setup.engines, shape).run()
     before = _cpu_seconds(setup.router)
+    began_at = time.monotonic()
     routed = yield LoadRun([setup.listen], shape).run()
     whole_cpu = _cpu_seconds(setup.router) - before
-    return _report(shape, (brief, direct, routed), (request_cpu, whole_cpu))
+    cpu = _CpuTimes(
+        brief=request_cpu,
+        whole=whole_cpu,
+        elapsed=time.monotonic() - began_at,
+    )
+    return _report(shape, (brief, direct, routed), cpu)
 
 
 def _report(
     shape: LoadShape,
     results: tuple[LoadResult, LoadResult, LoadResult],
-    cpu: tuple[float, float],
+    cpu: _CpuTimes,
 ) -> OverheadReport:
-    brief, direct, routed = results
-    request_cpu, whole_cpu = cpu
-    per_request = request_cpu / (shape.rate * (shape.seconds + 1))
+    _, direct, routed = results
+    per_request = cpu.brief / (shape.rate * (shape.seconds + 1))
     calls = shape.rate * (shape.seconds + shape.warm_up)
-    chunk_cpu = whole_cpu - per_request * calls
+    chunk_cpu = cpu.whole - per_request * calls
     direct_p50, direct_p99 = _percentiles(direct)
     routed_p50, routed_p99 = _percentiles(routed)
     return OverheadReport(
@@ -125,7 +143,7 @@
         added_p99_ms=routed_p99 - direct_p99,
         cpu_per_request_us=per_request * _MICROSECONDS,
         cpu_per_chunk_us=chunk_cpu / (calls * shape.tokens) * _MICROSECONDS,
-        cpu_share=whole_cpu / (shape.seconds + shape.warm_up),
+        cpu_share=cpu.whole / cpu.elapsed,
         requests=routed.requests,
         incomplete=sum(result.incomplete for result in results),
     )
