Learn no lifetime from retained events, and count what has not started

Cause: while a router reads the retained events after a start, its work clock stands still, so each eviction taught a lifetime of zero; the view then doubted everything that it had just read. Change: an age of zero teaches nothing; the lifetime starts at half of the capacity that the load report gives. The new scenario fails without the change. With this change the overload scenario failed: 104 requests were admitted to one engine within 2 s, since each was expected to find its prefix. An engine with more than three own requests without a first token now counts a mean prefill for each. The steps of the hot prefix scenario now finish the requests that they send, as the dispatcher does; its checks are the same.

--- a/features/cacheview/cacheview.feature
+++ b/features/cacheview/cacheview.feature
@@ -30,6 +30,13 @@
   Scenario: A view keeps to its bound and survives any history
     Then no history makes a cache view of 20 levels larger or its expectation exceed the prompt
 
+  Scenario: Retained events that are read at a start teach no lifetime
+    Given a cache view of a prompt with levels of 1000, 2000 and 3000 tokens
+    When the cache view learns "s1 s2 s3 e3" 200 times
+    And the cache view learns "s1 s2 s3"
+    And the engine computes 2000 tokens for others
+    Then the cache view expects 3000 tokens
+
   Scenario: Peers start with the hot prefixes of a router
     Given a cache view of a prompt with levels of 1000, 2000 and 3000 tokens
     When the cache view learns "p"
--- a/features/steps/cacheview_steps.py
+++ b/features/steps/cacheview_steps.py
@@ -88,6 +88,19 @@
         context.history.apply(word, _prompt())
 
 
+@when('the cache view learns "{history}" {count:d} times')
+def when_repeats(context: Context, history: str, count: int) -> None:
+    """Apply a history again and again."""
+    for _ in range(count):
+        when_learns(context, history)
+
+
+@when('the engine computes {tokens:d} tokens for others')
+def when_others(context: Context, tokens: int) -> None:
+    """Age what the view holds."""
+    context.history.view.computed(_ENGINE, tokens)
+
+
 @when('the cache view learns ""')
 def when_learns_nothing(context: Context) -> None:
     """Leave the view empty."""
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -175,6 +175,8 @@
         engine = router.place('hot', now)[0]
         # Each request computes 400 tokens of its own, 20 ms of an engine.
         router.table.sent(engine, str(step), 400, now)
+        router.table.started(engine, str(step), now)
+        router.table.finished(engine, str(step), now)
         if step >= rate * 5:
             used.add(engine)
     context.placed_at = start + 12_000
--- a/yuccagauge/cacheview/view.py
+++ b/yuccagauge/cacheview/view.py
@@ -17,6 +17,10 @@
 #: time, so an idle engine keeps a level for long.
 DEFAULT_LIFETIME = 30_000.0
 
+#: The same as a share of the capacity, where that is known. Prefixes that
+#: are used again and again hold the rest.
+LIFETIME_OF_CAPACITY = 0.5
+
 #: Bounds on the learned lifetime, in tokens.
 SHORTEST_LIFETIME = 1000.0
 LONGEST_LIFETIME = 10_000_000.0
@@ -68,6 +72,11 @@
         """Return the tokens after which an engine evicts a level."""
         return self._lifetimes.get(engine, DEFAULT_LIFETIME)
 
+    def set_capacity(self, engine: EngineKey, tokens: int) -> None:
+        """Take the size of a cache, until evictions tell its lifetime."""
+        if engine not in self._lifetimes and tokens > 0:
+            self._lifetimes[engine] = LIFETIME_OF_CAPACITY * tokens
+
     def matches(self, prefix: RequestPrefix) -> dict[EngineKey, float]:
         """Return the tokens that each engine is expected to hold, if any.
 
@@ -204,7 +213,11 @@
         if work >= 0:
             if self._now - used_at < EVENT_GRACE:
                 return
-            self._learn_lifetime(engine, self._work.get(engine, 0) - work)
+            age = self._work.get(engine, 0) - work
+            # While retained events are read after a start nothing is known
+            # of the work between them, and all ages are zero.
+            if age > 0:
+                self._learn_lifetime(engine, age)
         self._update += 1
         evicted_at = Millis(self._now - EVENT_GRACE)
         state.drop(engine, evicted_at, self._update)
--- a/yuccagauge/load/engine.py
+++ b/yuccagauge/load/engine.py
@@ -43,6 +43,7 @@
         'report',
         'requests',
         'suspended_until',
+        'unstarted',
         '_backlog_tokens',
         '_recent',
         '_recent_at',
@@ -55,6 +56,8 @@
         self.report: EngineReport | None = None
         self.requests: dict[str, OwnRequest] = {}
         self.leaving = False
+        #: Own requests without a first token.
+        self.unstarted = 0
         self.suspended_until = Millis(0)
         self.failed_at = Millis(0)
         self._backlog_tokens: float = 0
@@ -109,6 +112,7 @@
     def restart(self) -> None:
         """Forget the work of an earlier incarnation."""
         self.requests.clear()
+        self.unstarted = 0
         self._sends.clear()
         self._backlog_tokens: float = 0
 
--- a/yuccagauge/load/table.py
+++ b/yuccagauge/load/table.py
@@ -6,6 +6,11 @@
 from yuccagauge.load.engine import RECENT_WINDOW, EngineState, OwnRequest
 from yuccagauge.load.rate import DEFAULT_PREFILL_RATE, PrefillSpeed
 
+#: With more own requests than this without a first token, an engine has at
+#: least a mean prefill to do for each. Expectations of cached prefixes, and
+#: reports that lag, would otherwise admit a burst as if it cost nothing.
+FEW_UNSTARTED = 3
+
 #: An engine without a report for this long gets no work.
 REPORT_LIFETIME = Millis(15_000)
 
@@ -83,6 +88,7 @@
         """
         state = self._engines.setdefault(engine, EngineState())
         has_waited = state.backlog(self.prefill_rate, now) > 0
+        state.unstarted += 1
         state.requests[request_id] = OwnRequest(tokens, now, has_waited)
         state.add(self._work(tokens), self.prefill_rate, now)
 
@@ -101,6 +107,8 @@
         """Note the first token of a request, which ends its prefill."""
         state = self._engines.get(engine)
         if state is not None and request_id in state.requests:
+            if state.requests[request_id].started_at is None:
+                state.unstarted -= 1
             state.requests[request_id].started_at = now
 
     def finished(
@@ -119,6 +127,8 @@
         if state is None:
             return
         request = state.requests.pop(request_id, None)
+        if request is not None and request.started_at is None:
+            state.unstarted -= 1
         if request is not None and request.started_at is not None:
             if computed_tokens > 0:
                 self._bias.learn(request.tokens, computed_tokens)
@@ -197,7 +207,11 @@
         if state is None:
             return 0
         rate = self.prefill_rate
-        return state.backlog(rate, now) / rate
+        queue = state.backlog(rate, now)
+        if state.unstarted > FEW_UNSTARTED:
+            uncounted = state.unstarted - FEW_UNSTARTED
+            queue = max(queue, uncounted * self._work(self._bias.mean_tokens))
+        return queue / rate
 
     def utilization(self, engine: EngineKey, now: Millis) -> float:
         """Return the share of the last seconds that prefills took."""
--- a/yuccagauge/placement/cost.py
+++ b/yuccagauge/placement/cost.py
@@ -49,6 +49,9 @@
 #: Utilization above which the pressure does not grow.
 MAXIMUM_UTILIZATION = 0.9
 
+#: Tokens of a cache block, as most engines are set up.
+TOKENS_PER_BLOCK = 16
+
 _DRAWN_AT_ONCE = 1024
 
 #: Bytes of notices that a router sends to each of its peers.
@@ -212,6 +215,10 @@
         if usable is not self._usable_engines:
             self._usable_engines = usable
             self._allowed = frozenset(usable)
+            for engine in usable:
+                report = self._table.report(engine)
+                capacity = report.total_blocks * TOKENS_PER_BLOCK
+                self._view.set_capacity(engine, capacity)
 
     def _draw(self, count: int) -> int:
         """Return a random index; numbers are drawn in blocks for speed."""
