--- a/yuccagauge/bench/deciding.py
+++ b/yuccagauge/bench/deciding.py
@@ -1,6 +1,7 @@
 """Time of one decision and bytes of state, against their sizes."""
 
 import functools
+import hashlib
 import statistics
 import time
 import tracemalloc
@@ -14,6 +15,7 @@
 from yuccagauge.load import EngineKey, EngineReport, EngineTable
 from yuccagauge.placement import CostPolicy, PlacementRequest
 from yuccagauge.prefixes import Identity, PrefixLevel, RequestPrefix
+from yuccagauge.prefixes.base import DIGEST_BYTES
 from yuccagauge.settings.document import ServiceDocument, parse_document
 
 #: Stated bound on one decision with the largest data centre, in us.
@@ -126,8 +128,8 @@
     names = [f'{first}', f'{first}/{second}', f'{number}']
     levels = tuple(
         PrefixLevel(
-            f'{names[depth * len(names) // LEVELS_PER_PROMPT]}:{depth}'.encode().ljust(
-                16
+            _digest(
+                f'{names[depth * len(names) // LEVELS_PER_PROMPT]}:{depth}'
             ),
             (depth + 1) * _TOKENS_PER_LEVEL,
         )
@@ -145,12 +147,17 @@
 def _view(levels: int) -> CacheView:
     view = CacheView(levels)
     for number in range(levels):
-        digest = number.to_bytes(16, 'big')
+        digest = _digest(str(number))
         key = EngineKey('10.0.0.1', number % LARGEST_DATA_CENTRE)
         view.stored(key, 'incarnation', digest, 1000, Millis(1))
     return view
 
 
+def _digest(name: str) -> bytes:
+    """Return a digest that differs from others in its first bytes."""
+    return hashlib.blake2b(name.encode(), digest_size=DIGEST_BYTES).digest()
+
+
 def _document(customers: int) -> ServiceDocument:
     sections = (
         f'[customer c{number}]\ncredential_sha256 = {number:064x}\n'
--- a/yuccagauge/cacheview/view.py
+++ b/yuccagauge/cacheview/view.py
@@ -9,6 +9,10 @@
 from yuccagauge.load.base import EngineKey
 from yuccagauge.prefixes.base import PrefixLevel, RequestPrefix
 
+#: Bytes of a digest by which levels are known. A collision costs one wrong
+#: expectation, and notices to peers carry no more than this.
+KEY_BYTES = 6
+
 #: Bound on the levels that a router remembers.
 MAXIMUM_LEVELS = 20_000
 
@@ -89,7 +93,7 @@
         evictions: dict[EngineKey, int] = {}
         clocks = self._work
         for level in prefix.levels:
-            state = self._levels.get(level.digest)
+            state = self._levels.get(level.digest[:KEY_BYTES])
             if state is None:
                 continue
             tokens = level.tokens
@@ -119,7 +123,7 @@
 
     def uses(self, digest: bytes, now: Millis) -> float:
         """Return the recent requests for a level at this router."""
-        state = self._levels.get(digest)
+        state = self._levels.get(digest[:KEY_BYTES])
         return 0 if state is None else state.decayed(now)
 
     def observed(
@@ -206,7 +210,7 @@
         digest: bytes,
     ) -> None:
         """Take the event that an engine evicted a level."""
-        state = self._levels.get(digest)
+        state = self._levels.get(digest[:KEY_BYTES])
         if state is None or self._incarnations.get(engine) != incarnation:
             return
         used_at, work, _ = state.holders.get(engine, _NOT_HELD)
@@ -306,12 +310,13 @@
             self._incarnations[engine] = incarnation
 
     def _touch(self, digest: bytes, tokens: int) -> LevelState:
-        state = self._levels.get(digest)
+        key = digest[:KEY_BYTES]
+        state = self._levels.get(key)
         if state is None:
             state = LevelState(tokens)
-            self._levels[digest] = state
+            self._levels[key] = state
             if len(self._levels) > self._maximum:
                 self._levels.popitem(last=False)
         else:
-            self._levels.move_to_end(digest)
+            self._levels.move_to_end(key)
         return state
--- a/yuccagauge/placement/notices.py
+++ b/yuccagauge/placement/notices.py
@@ -3,6 +3,7 @@
 from collections import deque
 from dataclasses import dataclass
 
+from yuccagauge.cacheview.view import KEY_BYTES
 from yuccagauge.clock import Millis
 from yuccagauge.load.base import EngineKey
 from yuccagauge.prefixes.base import PrefixLevel, RequestPrefix
@@ -10,7 +11,8 @@
 #: Bytes of a notice on the wire: engine index, tokens and time.
 NOTICE_BYTES = 8
 
-#: Bytes of each level on the wire: truncated digest and tokens.
+#: Bytes of each level on the wire: truncated digest, and tokens in 2 bytes
+#: as a multiple of 16.
 LEVEL_BYTES = 8
 
 #: Levels that a notice carries.
@@ -90,12 +92,17 @@
 
 
 def notice_levels(prefix: RequestPrefix) -> tuple[PrefixLevel, ...]:
-    """Return the levels that a notice carries, evenly from those shared."""
+    """Return the levels that a notice carries, evenly from those shared.
+
+    Digests are cut to the bytes by which cache views know levels.
+    """
     shared = prefix.levels[: prefix.stable_levels] or prefix.levels
     count = len(shared)
-    if count <= MAXIMUM_NOTICE_LEVELS:
-        return shared
-    steps = MAXIMUM_NOTICE_LEVELS - 1
+    if count > MAXIMUM_NOTICE_LEVELS:
+        steps = MAXIMUM_NOTICE_LEVELS - 1
+        shared = tuple(
+            shared[(count - 1) * step // steps] for step in range(steps + 1)
+        )
     return tuple(
-        shared[(count - 1) * step // steps] for step in range(steps + 1)
+        PrefixLevel(level.digest[:KEY_BYTES], level.tokens) for level in shared
     )
