--- a/yuccagauge/cacheview/view.py
+++ b/yuccagauge/cacheview/view.py
@@ -9,6 +9,10 @@
 from yuccagauge.load.base import EngineKey
 from yuccagauge.prefixes.base import PrefixLevel, RequestPrefix
 
+#: Bytes of a digest by which levels are known. A collision costs one wrong
+#: expectation, and notices to peers carry no more than this.
+KEY_BYTES = 6
+
 #: Bound on the levels that a router remembers.
 MAXIMUM_LEVELS = 20_000
 
@@ -17,6 +21,10 @@
 #: time, so an idle engine keeps a level for long.
 DEFAULT_LIFETIME = 30_000.0
 
+#: The same as a share of the capacity, where that is known. Prefixes that
+#: are used again and again hold the rest.
+LIFETIME_OF_CAPACITY = 0.5
+
 #: Bounds on the learned lifetime, in tokens.
 SHORTEST_LIFETIME = 1000.0
 LONGEST_LIFETIME = 10_000_000.0
@@ -68,6 +76,11 @@
         """Return the tokens after which an engine evicts a level."""
         return self._lifetimes.get(engine, DEFAULT_LIFETIME)
 
+    def set_capacity(self, engine: EngineKey, tokens: int) -> None:
+        """Take the size of a cache, until evictions tell its lifetime."""
+        if engine not in self._lifetimes and tokens > 0:
+            self._lifetimes[engine] = LIFETIME_OF_CAPACITY * tokens
+
     def matches(self, prefix: RequestPrefix) -> dict[EngineKey, float]:
         """Return the tokens that each engine is expected to hold, if any.
 
@@ -80,7 +93,7 @@
         evictions: dict[EngineKey, int] = {}
         clocks = self._work
         for level in prefix.levels:
-            state = self._levels.get(level.digest)
+            state = self._levels.get(level.digest[:KEY_BYTES])
             if state is None:
                 continue
             tokens = level.tokens
@@ -110,7 +123,7 @@
 
     def uses(self, digest: bytes, now: Millis) -> float:
         """Return the recent requests for a level at this router."""
-        state = self._levels.get(digest)
+        state = self._levels.get(digest[:KEY_BYTES])
         return 0 if state is None else state.decayed(now)
 
     def observed(
@@ -197,14 +210,18 @@
         digest: bytes,
     ) -> None:
         """Take the event that an engine evicted a level."""
-        state = self._levels.get(digest)
+        state = self._levels.get(digest[:KEY_BYTES])
         if state is None or self._incarnations.get(engine) != incarnation:
             return
         used_at, work, _ = state.holders.get(engine, _NOT_HELD)
         if work >= 0:
             if self._now - used_at < EVENT_GRACE:
                 return
-            self._learn_lifetime(engine, self._work.get(engine, 0) - work)
+            age = self._work.get(engine, 0) - work
+            # While retained events are read after a start nothing is known
+            # of the work between them, and all ages are zero.
+            if age > 0:
+                self._learn_lifetime(engine, age)
         self._update += 1
         evicted_at = Millis(self._now - EVENT_GRACE)
         state.drop(engine, evicted_at, self._update)
@@ -293,12 +310,13 @@
             self._incarnations[engine] = incarnation
 
     def _touch(self, digest: bytes, tokens: int) -> LevelState:
-        state = self._levels.get(digest)
+        key = digest[:KEY_BYTES]
+        state = self._levels.get(key)
         if state is None:
             state = LevelState(tokens)
-            self._levels[digest] = state
+            self._levels[key] = state
             if len(self._levels) > self._maximum:
                 self._levels.popitem(last=False)
         else:
-            self._levels.move_to_end(digest)
+            self._levels.move_to_end(key)
         return state
