--- a/yuccagauge/leases/engineport.py
+++ b/yuccagauge/leases/engineport.py
@@ -10,6 +10,7 @@
 from yuccagauge.clock import Millis
 from yuccagauge.errors import UnavailableError
 from yuccagauge.settings.options import Endpoint
+from yuccagauge.wire.http import NumericEndpointFactory
 
 _MILLISECONDS_PER_SECOND = 1000
 _OK = 200
@@ -63,7 +64,12 @@
         self._seconds = timeout / _MILLISECONDS_PER_SECOND
         self._pool = HTTPConnectionPool(reactor, persistent=True)
         self._pool.retryAutomatically = False
-        self._http = HTTPClient(Agent(reactor, pool=self._pool))
+        agent = Agent.usingEndpointFactory(
+            reactor,
+            NumericEndpointFactory(reactor),
+            self._pool,
+        )
+        self._http = HTTPClient(agent)
 
     @inlineCallbacks
     def state(self, engine: Endpoint) -> Deferred[EngineState]:
--- a/yuccagauge/logstream/client.py
+++ b/yuccagauge/logstream/client.py
@@ -28,6 +28,7 @@
     LogUnavailableError,
 )
 from yuccagauge.settings.options import Endpoint
+from yuccagauge.wire.http import NumericEndpointFactory
 
 __all__ = (
     'AppendReceipt',
@@ -76,10 +77,10 @@
         self._pool = HTTPConnectionPool(reactor, persistent=True)
         # An automatic second attempt would hide a doubled append.
         self._pool.retryAutomatically = False
-        agent = Agent(
+        agent = Agent.usingEndpointFactory(
             reactor,
-            connectTimeout=timeout / _MILLISECONDS_PER_SECOND,
-            pool=self._pool,
+            NumericEndpointFactory(reactor),
+            self._pool,
         )
         self._http = HTTPClient(agent)
         self._counts: Counter[str] = Counter()
