Do not serve by a checkpoint that may hide a publication

Cause: a checkpoint that arrived late, and whose following records had been trimmed, did not anchor a starting reader, but still put its old document in force. A router that restarted then served version 0 although version 1 had been in force everywhere.

Change: a checkpoint counts only if the reader has every record after it.

Conclusion: a starting reader without a covering checkpoint has no document until a peer offers one.

--- a/yuccagauge/adoption/fold.py
+++ b/yuccagauge/adoption/fold.py
@@ -277,7 +277,9 @@
         as_of=checkpoint.as_of,
         sections=checkpoint.sections,
     )
-    return offer(state, snapshot)
+    # A trimmed publication may have replaced the version of a checkpoint
+    # that is not covered, so a starting reader must not serve by it.
+    return offer(state, snapshot) if is_covered(state, snapshot) else state
 
 
 def _anchor(state: ConfigState, snapshot: Snapshot) -> ConfigState:
