Keep leaving servers out of use, write checkpoints, count objectives

Cause: the exchange hands over the whole set of leaving servers, and the daemon took it for one address, so a server on the VM list's leaving list kept getting work. No router wrote checkpoints, so a configuration could be trimmed from the log. Usage of answers did not reach the engine table, and nothing was counted towards the objectives. Change: the service state keeps the told set beside its own rests; 503 no_document with Retry-After while a document is missing; the first live router in rendezvous order writes checkpoints; computed tokens go to the engine table; samples of ended calls go to the burn store, and /burn serves them.

--- a/features/daemon/router.feature
+++ b/features/daemon/router.feature
@@ -21,3 +21,21 @@
     Given a routed model service with 1 engines
     When the engine takes the role "leaving"
     Then the admin interface explains that the engine gets no work as "it is leaving"
+
+  Scenario: A server that the VM list calls leaving gets no work until it is live
+    Given a routed model service with 2 engines
+    When the VM list calls the first engine "leaving"
+    Then the router takes the first engine out of use
+    And 6 routed chats all run on the second engine
+    When the VM list calls the first engine "live"
+    Then the router takes the first engine into use
+
+  Scenario: A router without a document does not call a credential unknown
+    Given a router whose services have no document
+    When it is asked for a chat with a credential that it cannot know
+    Then the chat is refused with 503, "not-run" and "no_document", to be retried
+
+  Scenario: Ended calls count towards the objectives of the document
+    Given a routed model service with an objective and 1 engines
+    When 3 routed chats are answered
+    Then the objective report of the router counts 3 requests
--- a/features/steps/daemon_steps.py
+++ b/features/steps/daemon_steps.py
@@ -23,6 +23,7 @@
     chat_body,
     in_thread,
 )
+from yuccagauge.burn.report import build_report
 from yuccagauge.settings.options import Endpoint, parse_endpoint
 from yuccagauge.settings.reader import render
 
@@ -208,3 +209,108 @@
         return backends[0]['explanation'] == expected
 
     wait_until(explained)
+
+
+@when('the VM list calls the first engine "{state}"')
+def when_listed(context: Context, state: str) -> None:
+    """Set the VM list of the scenario's platform."""
+    vm = {
+        'address': str(context.engines[0].endpoint),
+        'data_centre': 'khomas-a',
+        'service': 'matcher-llm',
+        'state': state,
+    }
+    endpoint = context.fleet.vm_list.endpoint
+    body = json.dumps({'vms': [vm]}).encode()
+    assert ask(endpoint, 'PUT', '/vms', body).status == 200
+
+
+@then('the router takes the first engine out of use')
+def then_out(context: Context) -> None:
+    """Wait until the router shows the engine as drained."""
+    engine = str(context.engines[0].endpoint)
+    wait_until(lambda: engine in _drained(context))
+
+
+@then('the router takes the first engine into use')
+def then_in(context: Context) -> None:
+    """Wait until the router no longer shows the engine as drained."""
+    engine = str(context.engines[0].endpoint)
+    wait_until(lambda: engine not in _drained(context))
+
+
+def _drained(context: Context) -> list[str]:
+    return admin(context.router, '/status')['drains']['matcher-llm']
+
+
+@then('{count:d} routed chats all run on the second engine')
+def then_second(context: Context, count: int) -> None:
+    """Read from the engines' records where the chats ran."""
+    before = len(context.engines[0].records)
+    for number in range(count):
+        body = chat_body(f'Does worker {number} match?')
+        answered = ask(context.router.endpoints[0], 'POST', _CHAT, body)
+        assert answered.body.endswith(_DONE), answered
+    assert len(context.engines[0].records) == before
+    kinds = [record['kind'] for record in context.engines[1].records]
+    assert kinds.count('started') >= count, kinds
+
+
+@given('a router whose services have no document')
+def given_bare_router(context: Context) -> None:
+    """Start a router before anything is published."""
+    fleet = RouterFleet()
+    context.add_cleanup(fleet.close)
+    context.router = fleet.router()
+
+
+@when('it is asked for a chat with a credential that it cannot know')
+def when_unknown(context: Context) -> None:
+    """Ask with the credential of the later document."""
+    endpoint = context.router.endpoints[0]
+    context.answered = ask(endpoint, 'POST', _CHAT, chat_body())
+
+
+@then(
+    'the chat is refused with {status:d}, "{verdict}" and "{code}", to be retried'
+)
+def then_refused(
+    context: Context,
+    status: int,
+    verdict: str,
+    code: str,
+) -> None:
+    """Check status, verdict, code and Retry-After."""
+    answered = context.answered
+    assert answered.status == status, answered
+    assert answered.verdict == verdict
+    assert answered.error['code'] == code
+    assert int(answered.headers['retry-after']) >= 1
+
+
+@given('a routed model service with an objective and {count:d} engines')
+def given_objective(context: Context, count: int) -> None:
+    """Start engines and a router under a document with an objective."""
+    fleet = RouterFleet()
+    context.add_cleanup(fleet.close)
+    engines = [fleet.standin('engine') for _ in range(count)]
+    objective = {'objective first': {'time_to_first_token_ms': '620'}}
+    fleet.publish_model(engines, **objective)
+    context.router = fleet.router()
+    fleet.wait_for_engines(count)
+
+
+@when('{count:d} routed chats are answered')
+def when_answered(context: Context, count: int) -> None:
+    """Ask for whole answers."""
+    for _ in range(count):
+        answered = ask(context.router.endpoints[0], 'POST', _CHAT, chat_body())
+        assert answered.body.endswith(_DONE), answered
+
+
+@then('the objective report of the router counts {count:d} requests')
+def then_counted(context: Context, count: int) -> None:
+    """Build the report from what the admin interface answers."""
+    report = build_report([admin(context.router, '/burn')])
+    assert report.summary, report
+    assert {line.requests for line in report.summary} == {count}
--- a/yuccagauge/daemon/admin.py
+++ b/yuccagauge/daemon/admin.py
@@ -7,6 +7,8 @@
 from twisted.web.http import Request
 
 from yuccagauge.adoption.store import DocumentStore
+from yuccagauge.burn.report import burn_document
+from yuccagauge.burn.store import BurnStore
 from yuccagauge.clock import Clock, Millis
 from yuccagauge.dispatch.dispatcher import Dispatcher
 from yuccagauge.dispatch.service import ServiceState
@@ -26,6 +28,7 @@
     dispatcher: Dispatcher
     store: DocumentStore
     membership: MembershipService
+    burn: BurnStore
     clock: Clock
     is_leaving: bool
 
@@ -47,6 +50,7 @@
         add('/metrics', methods=['GET'])(self._metrics)
         add('/status', methods=['GET'])(self._status)
         add('/members', methods=['GET'])(self._members)
+        add('/burn', methods=['GET'])(self._burn)
         add('/backends', methods=['GET'])(self._backends)
         add('/explain/<request_id>', methods=['GET'])(self._explain)
 
@@ -71,7 +75,7 @@
             if in_force is not None
         }
         drains = {
-            name: sorted(map(str, service.leaving))
+            name: [str(server) for server in sorted(service.leaving)]
             for name, service in router.dispatcher.services.items()
         }
         return _answer(
@@ -90,6 +94,10 @@
     def _members(self, request: Request) -> bytes:
         return _answer(request, members_document(self._router.membership))
 
+    def _burn(self, request: Request) -> bytes:
+        wall = self._router.clock.wall()
+        return _answer(request, burn_document(self._router.burn, wall))
+
     def _backends(self, request: Request) -> bytes:
         now = self._router.clock.now()
         found: list[dict[str, str]] = []
--- a/yuccagauge/daemon/hooks.py
+++ b/yuccagauge/daemon/hooks.py
@@ -102,9 +102,9 @@
         for service in self._services():
             service.set_peers(live, demand)
 
-    def _leaving(self, server: Endpoint) -> None:
-        for service in self._services_of(server):
-            service.rest(server)
+    def _leaving(self, servers: frozenset[Endpoint]) -> None:
+        for service in self._dispatcher.services.values():
+            service.set_leaving(servers)
 
     def _services(self) -> Iterator[ServiceState]:
         for service in self._dispatcher.services.values():
--- a/yuccagauge/daemon/router.py
+++ b/yuccagauge/daemon/router.py
@@ -8,6 +8,7 @@
 from twisted.web.server import Site
 
 from yuccagauge.adoption.store import DocumentStore, InForce, StoreOptions
+from yuccagauge.burn.store import BurnExchange, BurnStore
 from yuccagauge.claims.base import issue_key
 from yuccagauge.claims.client import ClaimClient, ClaimOptions
 from yuccagauge.clock import Clock, SystemClock
@@ -23,6 +24,7 @@
 from yuccagauge.logstream.client import LogClient
 from yuccagauge.membership.service import MembershipService
 from yuccagauge.peering.service import Peering
+from yuccagauge.rendezvous import rank
 from yuccagauge.settings.options import Endpoint
 from yuccagauge.settings.process import RouterSettings
 from yuccagauge.telemetry.journal import log_state_change
@@ -64,7 +66,10 @@
             settings.router.services,
             reactor,
             seed=settings.router.name,
-            options=StoreOptions(bootstrap=settings.bootstrap),
+            options=StoreOptions(
+                bootstrap=settings.bootstrap,
+                writes_checkpoints=self._writes_checkpoints,
+            ),
         )
         self._peering = Peering(settings, reactor, self._clock)
         self._claims = ClaimClient(
@@ -74,6 +79,14 @@
             forwarder=self._peering.forwarder,
             options=ClaimOptions(shards=settings.platform.claim_shards),
         )
+        self._burn = BurnStore(settings.router.name, self._clock)
+        self._burn_exchange = BurnExchange(
+            self._burn,
+            self._peering.membership,
+            self._peering.client,
+            self._peering.server,
+            reactor,
+        )
         self._pool = ConnectionPool(reactor)
         self._dispatcher = Dispatcher(
             settings.router.services,
@@ -85,6 +98,7 @@
                 data_centre=settings.router.data_centre,
                 router=settings.router.name,
                 claims=self._claims,
+                record_sample=self._burn.record,
             ),
         )
         self._gateway = Gateway(self._dispatcher, self._clock, issue_key)
@@ -112,6 +126,11 @@
         """The documents in force."""
         return self._store
 
+    @property
+    def burn(self) -> BurnStore:
+        """The counts for the service-level objectives."""
+        return self._burn
+
     @property
     def membership(self) -> MembershipService:
         """The routers of the fleet."""
@@ -143,6 +162,7 @@
         self._store.start()
         self._claims.start()
         self._engines.start()
+        self._burn_exchange.start()
         self._listen(self._settings.router.listen, self._callers)
         admin = Site(self._admin.resource)
         admin.noisy = False
@@ -158,6 +178,7 @@
         self._store.close()
         self._claims.close()
         self._engines.close()
+        self._burn_exchange.close()
         self._pool.close()
         closing = [maybeDeferred(port.stopListening) for port in self._ports]
         closing.append(maybeDeferred(self._peering.close))
@@ -181,6 +202,11 @@
         waiting.addCallback(lambda _: self._claims.drain(_CLAIM_DRAIN_MS))
         return waiting.addCallback(lambda _: self.close())
 
+    def _writes_checkpoints(self, service: str) -> bool:
+        """Return whether this router ranks first among the live ones."""
+        names = (member.name for member in self.membership.live())
+        return rank(names, service)[0] == self._settings.router.name
+
     def _listen(self, endpoint: Endpoint, site: Site) -> None:
         port = self._reactor.listenTCP(
             endpoint.port,
@@ -193,6 +219,10 @@
         self._dispatcher.services[in_force.service].configure(in_force)
         self._gateway.configure(in_force)
         self._engines.configure()
+        self._burn.configure(
+            in_force.service,
+            in_force.document.objectives,
+        )
         self._peering.configure()
         log_state_change(
             'document_in_force',
--- a/yuccagauge/dispatch/plainrecording.py
+++ b/yuccagauge/dispatch/plainrecording.py
@@ -1,5 +1,6 @@
 """What is recorded while a call of a plain service runs."""
 
+from yuccagauge.burn.base import RequestSample
 from yuccagauge.clock import Millis
 from yuccagauge.dispatch import metrics
 from yuccagauge.dispatch.attempt import Outcome
@@ -82,6 +83,14 @@
 
     def closed(self, verdict: Verdict) -> None:
         """Record the final verdict."""
+        self._service.around.record_sample(
+            RequestSample(
+                service=self._call.service,
+                customer=self._call.customer,
+                priority=self._call.priority,
+                is_answered=verdict is Verdict.ANSWERED,
+            ),
+        )
         self._log.change(self._call.request_id, verdict=verdict.value)
         metrics.VERDICTS.add(
             1,
--- a/yuccagauge/dispatch/recording.py
+++ b/yuccagauge/dispatch/recording.py
@@ -5,6 +5,7 @@
 from yuccagauge.dispatch.attempt import ModelAttempt, Outcome
 from yuccagauge.dispatch.base import Call
 from yuccagauge.dispatch.recovery import Ending
+from yuccagauge.dispatch.sampling import SampleBuilder
 from yuccagauge.dispatch.service import ServiceState
 from yuccagauge.dispatch.sse import usage_of
 from yuccagauge.explain.base import (
@@ -36,6 +37,9 @@
         self._call = call
         self._kinds: dict[int, tuple[str, Millis]] = {}
         self._cached = _UNKNOWN
+        #: Prompt tokens that the engine computed; 0 while not known.
+        self._computed = 0
+        self._sample = SampleBuilder(call)
         prefix = call.chat.prefix
         self._log = service.around.decisions
         self._log.add(
@@ -55,6 +59,7 @@
 
     def placed(self, decision: Decision) -> None:
         """Record the candidates."""
+        self._sample.placed(decision)
         candidates = tuple(
             CandidateRecord(
                 backend_server=str(candidate.engine),
@@ -88,6 +93,7 @@
     def begun(self, attempt: ModelAttempt) -> None:
         """Record the first token."""
         now = self._now()
+        self._sample.begun(now)
         table = self._service.table_of(attempt.engine)
         table.started(attempt.engine, self._call.request_id, now)
         duration = Millis(now - self._call.received_at)
@@ -142,6 +148,7 @@
 
     def finished(self, attempt: ModelAttempt) -> None:
         """Record the attempt that completed the answer."""
+        self._sample.finished(self._now())
         self._release(attempt)
         self._service.quarantine.completed(self._call.fingerprint)
         self._record(attempt, Ending.DONE, Verdict.ANSWERED, '')
@@ -152,6 +159,7 @@
 
     def closed(self, verdict: Verdict) -> None:
         """Record the final verdict."""
+        self._service.around.record_sample(self._sample.build(verdict))
         self._log.change(self._call.request_id, verdict=verdict.value)
         metrics.VERDICTS.add(
             1,
@@ -164,6 +172,7 @@
             attempt.engine,
             self._call.request_id,
             self._now(),
+            self._computed,
         )
 
     def _take_usage(
@@ -182,10 +191,13 @@
             self._now(),
         )
         prompt = int(usage.get('prompt_tokens') or 0)
+        self._computed = max(0, prompt - cached)
+        completion = int(usage.get('completion_tokens') or 0)
+        self._sample.used(prompt, cached, completion)
         name = self._service.name
         metrics.PROMPT_TOKENS.add(cached, {'service': name, 'cached': True})
         metrics.PROMPT_TOKENS.add(
-            max(0, prompt - cached),
+            self._computed,
             {'service': name, 'cached': False},
         )
 
--- a/yuccagauge/dispatch/service.py
+++ b/yuccagauge/dispatch/service.py
@@ -9,6 +9,7 @@
 
 from yuccagauge.admission import AdmissionPolicy, RetryBudget
 from yuccagauge.admission.base import AdmissionRequest, admission_policies
+from yuccagauge.burn.base import RequestSample
 from yuccagauge.cacheview.view import CacheView
 from yuccagauge.clock import Clock, Millis
 from yuccagauge.dispatch import metrics
@@ -56,6 +57,8 @@
     quarantine: Quarantine = field(default_factory=Quarantine)
     #: Claims non-idempotent calls; ``None`` refuses them.
     claims: Any = None
+    #: Takes the sample of each ended call, for the service objectives.
+    record_sample: Callable[[RequestSample], None] = lambda sample: None
     #: A running stream without an event for this long is taken for broken;
     #: the objective for the time between tokens is 60 ms.
     stall_time: Millis = Millis(2000)
@@ -105,6 +108,7 @@
         self._scheme: PrefixScheme | None = None
         self._in_force: InForceDocument | None = None
         self._resting: dict[Endpoint, Millis] = {}
+        self._leaving: frozenset[Endpoint] = frozenset()
         #: Called with a server that refused work.
         self.leaving_listeners: list[Callable[[Endpoint], None]] = []
 
@@ -136,7 +140,7 @@
     @property
     def leaving(self) -> frozenset[Endpoint]:
         """Backend servers that get no new work."""
-        return frozenset(self._resting)
+        return self._leaving.union(self._resting)
 
     def configure(self, in_force: InForceDocument) -> None:
         """Take a document that came into force."""
@@ -187,6 +191,13 @@
             report.measured_at,
         )
 
+    def set_leaving(self, servers: frozenset[Endpoint]) -> None:
+        """Take all servers that the VM list or peers call leaving."""
+        changed = servers ^ self._leaving
+        self._leaving = servers
+        for server in changed:
+            self._apply_leaving(server, leaving=server in self.leaving)
+
     def rest(self, server: Endpoint, *, spread: bool = False) -> None:
         """Give no work to a server that leaves, until that is old news.
 
@@ -304,7 +315,7 @@
         until = self._resting.get(server)
         if until is not None and self.around.clock.now() >= until:
             del self._resting[server]
-            self._apply_leaving(server, leaving=False)
+            self._apply_leaving(server, leaving=server in self._leaving)
 
     def _apply_leaving(self, server: Endpoint, *, leaving: bool) -> None:
         self.servers.set_leaving(server, leaving)
@@ -329,7 +340,7 @@
                     table.forget(engine)
                     self.view.forget(engine)
         self.servers.configure(backends)
-        for server in set(self._resting) & set(backends):
+        for server in self.leaving & set(backends):
             self._apply_leaving(server, leaving=True)
 
 
--- a/yuccagauge/gateway/app.py
+++ b/yuccagauge/gateway/app.py
@@ -3,7 +3,7 @@
 import hashlib
 import json
 import urllib.parse
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any
 
 import uuid6
@@ -19,7 +19,10 @@
 from yuccagauge.dispatch.model import REQUEST_ID_PREFIX
 from yuccagauge.dispatch.service import InForceDocument
 from yuccagauge.gateway import metrics
-from yuccagauge.gateway.authentication import Authenticator
+from yuccagauge.gateway.authentication import (
+    CREDENTIAL_UNKNOWN,
+    Authenticator,
+)
 from yuccagauge.gateway.chat import ChatBody, parse_chat
 from yuccagauge.gateway.headers import (
     IDEMPOTENCY_HEADER,
@@ -109,16 +112,14 @@
         return b'{"status": "ok"}'
 
     def _new_key(self, request: Request) -> bytes:
-        self._authenticator.customers(request.getHeader('Authorization'))
+        self._customers(request)
         request.setResponseCode(201)
         request.setHeader('Content-Type', 'application/json')
         request.setHeader('Cache-Control', 'no-store')
         return json.dumps({'idempotency_key': self._issue_key()}).encode()
 
     def _chat(self, request: Request) -> Deferred[None]:
-        customers = self._authenticator.customers(
-            request.getHeader('Authorization'),
-        )
+        customers = self._customers(request)
         body = parse_chat(request.content.read())
         service = self._service_of_model(body, customers)
         in_force = self._dispatcher.services[service].in_force
@@ -127,15 +128,33 @@
         call = self._chat_call(request, body, in_force, customer, section)
         return self._run(request, call)
 
+    def _customers(self, request: Request) -> Mapping[str, str]:
+        """Return the caller's name in each service.
+
+        While a document is missing, a credential may be one of its
+        customers', so that it cannot be called unknown.
+        """
+        header = request.getHeader('Authorization')
+        try:
+            return self._authenticator.customers(header)
+        except RefusedError as error:
+            missing = [
+                name
+                for name, state in self._dispatcher.services.items()
+                if state.in_force is None
+            ]
+            is_unknown = error.refusal.code == CREDENTIAL_UNKNOWN
+            if missing and is_unknown:
+                raise no_document(', '.join(missing)) from None
+            raise
+
     def _plain(
         self,
         request: Request,
         service: str,
         path: str,
     ) -> Deferred[None]:
-        customers = self._authenticator.customers(
-            request.getHeader('Authorization'),
-        )
+        customers = self._customers(request)
         state = self._dispatcher.services.get(service)
         if state is None:
             raise reject(404, 'unknown_service', f'no service {service}')
--- a/yuccagauge/gateway/authentication.py
+++ b/yuccagauge/gateway/authentication.py
@@ -8,6 +8,9 @@
 from yuccagauge.gateway.refusals import reject
 from yuccagauge.settings.document import ServiceDocument
 
+#: Code of the refusal of a credential that no document has.
+CREDENTIAL_UNKNOWN = 'credential_unknown'
+
 _SCHEME = 'bearer '
 
 #: Hexadecimal digits of a digest by which candidates are looked up.
@@ -68,5 +71,5 @@
             if hmac.compare_digest(holder.digest, digest)
         }
         if not found:
-            raise reject(401, 'credential_unknown', 'unknown credential')
+            raise reject(401, CREDENTIAL_UNKNOWN, 'unknown credential')
         return found
