Keep engines elsewhere known, count only service faults, explain by command

Cause: in a held demo, a router's view of the engines of the other data centre was 16.8 s old and ended their use: the exchange polls only the own data centre, so a lost data centre would have had no engines to fall back to. Refusals of keys in use burned the error budget of roster-api 137 times too fast. Operators had no command for a request id or a back end.

--- a/features/daemon/router.feature
+++ b/features/daemon/router.feature
@@ -39,3 +39,13 @@
     Given a routed model service with an objective and 1 engines
     When 3 routed chats are answered
     Then the objective report of the router counts 3 requests
+
+  Scenario: An engine elsewhere stays known while none here can be used
+    Given a routed model service whose only engine is in another data centre
+    When its load report is renewed
+    Then a routed chat runs on it
+
+  Scenario: A key in use does not count against the objectives
+    Given a routed plain service with an objective and a slow server
+    When a booking is sent twice with the same key
+    Then the objective report of the router counts 1 requests
--- a/features/router_fleet.py
+++ b/features/router_fleet.py
@@ -207,16 +207,17 @@
     **headers: str,
 ) -> Answer:
     """Send a request and read the whole response."""
-    return in_thread(_ask, endpoint, method, path, body, headers)
+    return in_thread(blocking_ask, endpoint, method, path, body, headers)
 
 
-def _ask(
+def blocking_ask(
     endpoint: Endpoint,
     method: str,
     path: str,
     body: bytes,
     headers: Mapping[str, str],
 ) -> Answer:
+    """Send a request from a thread beside the reactor's."""
     connection = http.client.HTTPConnection(
         endpoint.host,
         endpoint.port,
--- a/features/steps/daemon_steps.py
+++ b/features/steps/daemon_steps.py
@@ -14,12 +14,13 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from features.loop import wait_until
+from features.loop import join_thread, start_thread, wait_until
 from features.router_fleet import (
     Answer,
     RouterFleet,
     admin,
     ask,
+    blocking_ask,
     chat_body,
     in_thread,
 )
@@ -314,3 +315,69 @@
     report = build_report([admin(context.router, '/burn')])
     assert report.summary, report
     assert {line.requests for line in report.summary} == {count}
+
+
+@given('a routed model service whose only engine is in another data centre')
+def given_elsewhere(context: Context) -> None:
+    """Start one engine in khomas-b and a router in khomas-a."""
+    fleet = RouterFleet()
+    context.add_cleanup(fleet.close)
+    engine = fleet.standin('engine')
+    fleet.publish_model([engine], backend={'data_centre': 'khomas-b'})
+    context.engine = engine
+    context.router = fleet.router()
+    fleet.wait_for_engines(1)
+
+
+@when('its load report is renewed')
+def when_renewed(context: Context) -> None:
+    """Wait for a report that is younger than the first."""
+    first = _report_time(context)
+    wait_until(lambda: _report_time(context) > first)
+
+
+def _report_time(context: Context) -> int:
+    endpoint = context.engine.endpoint
+    service = context.router.dispatcher.services['matcher-llm']
+    return service.table_of(endpoint).report(endpoint).measured_at
+
+
+@then('a routed chat runs on it')
+def then_runs(context: Context) -> None:
+    """Ask for a whole answer."""
+    answered = ask(context.router.endpoints[0], 'POST', _CHAT, chat_body())
+    assert answered.body.endswith(_DONE), answered
+
+
+@given('a routed plain service with an objective and a slow server')
+def given_slow_server(context: Context) -> None:
+    """Start a server that takes a second for a call."""
+    fleet = RouterFleet()
+    context.add_cleanup(fleet.close)
+    server = fleet.standin('plain')
+    knobs = json.dumps({'delay_ms': 1000}).encode()
+    assert ask(server.endpoint, 'PUT', '/_faults', knobs).status == 200
+    objective = {'objective done': {'target': '0.99'}}
+    fleet.publish_plain([server], **objective)
+    context.router = fleet.router()
+
+
+@when('a booking is sent twice with the same key')
+def when_twice(context: Context) -> None:
+    """Send the second call while the first one runs."""
+    endpoint = context.router.endpoints[0]
+    keys = ask(endpoint, 'POST', '/v1/idempotency-keys')
+    headers = {'Idempotency_Key': json.loads(keys.body)['idempotency_key']}
+    found: list[Answer] = []
+    first = start_thread(lambda: found.append(_book(endpoint, headers)))
+    service = context.router.dispatcher.services['roster-api']
+    wait_until(lambda: context.router.dispatcher.running > 0)
+    wait_until(lambda: service.around.claims.counters.get('granted'))
+    assert in_thread(_book, endpoint, headers).status == 409
+    join_thread(first)
+    assert found[0].status == 200, found[0]
+
+
+def _book(endpoint: Endpoint, headers: dict[str, str]) -> Answer:
+    path = '/services/roster-api/bookings'
+    return blocking_ask(endpoint, 'POST', path, b'{"shift": 1}', headers)
--- a/yuccagauge/commands/admin.py
+++ b/yuccagauge/commands/admin.py
@@ -7,9 +7,11 @@
 import sys
 from pathlib import Path
 from typing import Any
+from urllib.parse import quote
 
 from yuccagauge.commands.base import command
 from yuccagauge.errors import SettingsError
+from yuccagauge.explain.text import render_backends, render_request
 
 #: Exit code when routers are missing or disagree.
 EXIT_INCOMPLETE = 1
@@ -64,6 +66,31 @@
     _finish('\n'.join(lines), answers, is_complete=True)
 
 
+@command('explain')
+def explain(request_id: str, admin: str, json: bool = False) -> None:
+    """Explain a request: candidates, attempts, limits and verdict."""
+    from yuccagauge.peering import admin as view
+
+    addresses = view.parse_addresses(admin)
+    answers = view.ask_all(addresses, f'/explain/{quote(request_id, safe="")}')
+    found = tuple(answer for answer in answers if not answer.failure)
+    if json or not found:
+        text = view.as_json(found or answers)
+    else:
+        text = render_request(found[0].document)
+    _finish(text, found or answers, is_complete=True)
+
+
+@command('backends')
+def backends(admin: str, json: bool = False) -> None:
+    """Say of each backend server whether it gets work, and why not."""
+    from yuccagauge.peering import admin as view
+
+    answers = view.ask_all(view.parse_addresses(admin), '/backends')
+    text = view.as_json(answers) if json else render_backends(answers)
+    _finish(text, answers, is_complete=True)
+
+
 def _write(path: str, text: str) -> None:
     try:
         Path(path).write_text(text, encoding='utf-8')
--- a/yuccagauge/commands/demo.py
+++ b/yuccagauge/commands/demo.py
@@ -4,8 +4,14 @@
 
 
 @command('demo')
-def demo() -> None:
-    """Run stand-ins and three routers, send traffic, print figures."""
+def demo(hold: int = 0) -> None:
+    """Run stand-ins and three routers, send traffic, print figures.
+
+    Parameters
+    ----------
+    hold
+        Seconds for which the fleet goes on, for trying other commands.
+    """
     from yuccagauge.demo.run import run
 
-    run()
+    run(hold)
--- a/yuccagauge/daemon/enginewatch.py
+++ b/yuccagauge/daemon/enginewatch.py
@@ -1,7 +1,8 @@
 """Reads engines that are not known yet, so that a new router serves at once.
 
 The exchange between routers polls each engine from one router of its data
-centre in rounds of a second; this covers the time before the first round.
+centre in rounds of a second; this covers the time before the first round,
+and engines of other data centres while no engine of this one can be used.
 """
 
 import json
@@ -20,6 +21,11 @@
 
 _PERIOD_SECONDS = 0.25
 _OK = 200
+
+#: Engines of other data centres that are read in one round, while no engine
+#: of this one can be used.
+_ELSEWHERE = 16
+
 _LOAD = BackendMessage(method='GET', path='/load')
 
 
@@ -97,6 +103,7 @@
         self._pool = pool
         self._dispatcher = dispatcher
         self._clock = clock
+        self._turn = 0
         self._polls = LoopingCall(self._poll)
         self._polls.clock = reactor
 
@@ -120,8 +127,29 @@
             in_force = service.in_force
             if in_force is None or in_force.document.service.kind == 'plain':
                 continue
-            for engine in in_force.document.backends:
-                if service.table_of(engine).report(engine) is not None:
-                    continue
+            for engine in self._unread(service):
                 poll = _Poll(service, engine, self._clock)
                 Exchange(self._pool, engine, _LOAD, poll).start(fresh=False)
+
+    def _unread(self, service: ServiceState) -> list[Endpoint]:
+        """Return the engines that the exchange between routers leaves out."""
+        backends = service.in_force.document.backends
+        here = [engine for engine in backends if service.is_here(engine)]
+        unknown = [
+            engine
+            for engine in here
+            if service.table_of(engine).report(engine) is None
+        ]
+        if service.has_engine_here(self._clock.now()):
+            return unknown
+        elsewhere = [engine for engine in backends if engine not in here]
+        return unknown + self._sample(elsewhere)
+
+    def _sample(self, engines: list[Endpoint]) -> list[Endpoint]:
+        """Return other engines in each round, so that all get a turn."""
+        count = len(engines)
+        self._turn += _ELSEWHERE
+        return [
+            engines[(self._turn + step) % count]
+            for step in range(min(count, _ELSEWHERE))
+        ]
--- a/yuccagauge/demo/run.py
+++ b/yuccagauge/demo/run.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 from pathlib import Path
 
-from twisted.internet import defer
+from twisted.internet import defer, reactor, task
 
 from yuccagauge.clock import Millis, SystemClock
 from yuccagauge.demo.fleet import WEIGHTS_VERSION, Fleet, FleetPlan
@@ -26,19 +26,27 @@
 _EXIT_BROKEN = 1
 
 
-def run() -> None:
-    """Run the demonstration and leave the process with 0 or 1."""
+def run(hold_seconds: int) -> None:
+    """Run the demonstration and leave the process with 0 or 1.
+
+    Parameters
+    ----------
+    hold_seconds
+        How long the fleet goes on after the traffic, for trying commands.
+    """
     load_profiles()
-    run_to_end(_run)
+    run_to_end(lambda: _run(hold_seconds))
 
 
 @defer.inlineCallbacks
-def _run() -> defer.Deferred[None]:
+def _run(hold_seconds: int) -> defer.Deferred[None]:
     profiles = tuple(PROFILES.get(name)(_SEED) for name in PROFILES.names)
     with tempfile.TemporaryDirectory(prefix='yuccagauge-demo-') as directory:
         fleet = Fleet(Path(directory), profiles, FleetPlan())
         try:
             violations = yield _demonstrate(fleet, profiles)
+            if hold_seconds:
+                yield _hold(fleet, hold_seconds)
         except StartError as error:
             violations = [Violation(kind='not started', detail=str(error))]
         finally:
@@ -68,6 +76,12 @@
     return violations
 
 
+def _hold(fleet: Fleet, seconds: int) -> defer.Deferred[None]:
+    admin = ','.join(str(ports.admin) for ports in fleet.ports)
+    _say(f'routers go on for {seconds} s; --admin={admin}')
+    return task.deferLater(reactor, seconds)
+
+
 @defer.inlineCallbacks
 def _judge(
     fleet: Fleet,
--- a/yuccagauge/dispatch/plainrecording.py
+++ b/yuccagauge/dispatch/plainrecording.py
@@ -12,6 +12,8 @@
 from yuccagauge.quarantine.base import crash_name
 from yuccagauge.verdict import Refusal, Verdict
 
+_FIRST_SERVER_ERROR = 500
+
 
 class PlainRecorder:
     """Tells the service's state what becomes of one call.
@@ -29,6 +31,7 @@
         self._service = service
         self._call = call
         self._kinds: dict[int, tuple[str, Millis]] = {}
+        self._is_sampled = True
         self._log = service.around.decisions
         self._log.add(
             DecisionRecord(
@@ -78,19 +81,25 @@
         self._record(attempt, Ending.ABANDONED, attempt.verdict, '')
 
     def refused(self, refusal: Refusal) -> None:
-        """Record which limit or rule ended the call."""
+        """Record which limit or rule ended the call.
+
+        A refusal below 500 is the caller's doing, such as a key in use or
+        a limit, and does not count against the objectives.
+        """
+        self._is_sampled = refusal.status >= _FIRST_SERVER_ERROR
         self._log.change(self._call.request_id, limit=refusal.code)
 
     def closed(self, verdict: Verdict) -> None:
         """Record the final verdict."""
-        self._service.around.record_sample(
-            RequestSample(
-                service=self._call.service,
-                customer=self._call.customer,
-                priority=self._call.priority,
-                is_answered=verdict is Verdict.ANSWERED,
-            ),
-        )
+        if self._is_sampled:
+            self._service.around.record_sample(
+                RequestSample(
+                    service=self._call.service,
+                    customer=self._call.customer,
+                    priority=self._call.priority,
+                    is_answered=verdict is Verdict.ANSWERED,
+                ),
+            )
         self._log.change(self._call.request_id, verdict=verdict.value)
         metrics.VERDICTS.add(
             1,
--- a/yuccagauge/dispatch/recording.py
+++ b/yuccagauge/dispatch/recording.py
@@ -18,6 +18,7 @@
 
 _MILLISECONDS_PER_SECOND = 1000
 _UNKNOWN = -1
+_FIRST_SERVER_ERROR = 500
 
 
 class RequestRecorder:
@@ -41,6 +42,7 @@
         self._computed = 0
         self._sample = SampleBuilder(call)
         prefix = call.chat.prefix
+        self._is_sampled = True
         self._log = service.around.decisions
         self._log.add(
             DecisionRecord(
@@ -154,12 +156,18 @@
         self._record(attempt, Ending.DONE, Verdict.ANSWERED, '')
 
     def refused(self, refusal: Refusal) -> None:
-        """Record which limit or rule ended the call."""
+        """Record which limit or rule ended the call.
+
+        A refusal below 500 is the caller's doing, such as a key in use or
+        a limit, and does not count against the objectives.
+        """
+        self._is_sampled = refusal.status >= _FIRST_SERVER_ERROR
         self._log.change(self._call.request_id, limit=refusal.code)
 
     def closed(self, verdict: Verdict) -> None:
         """Record the final verdict."""
-        self._service.around.record_sample(self._sample.build(verdict))
+        if self._is_sampled:
+            self._service.around.record_sample(self._sample.build(verdict))
         self._log.change(self._call.request_id, verdict=verdict.value)
         metrics.VERDICTS.add(
             1,
--- a/yuccagauge/dispatch/service.py
+++ b/yuccagauge/dispatch/service.py
@@ -174,11 +174,22 @@
 
     def table_of(self, engine: Endpoint) -> EngineTable:
         """Return the table that an engine is in."""
+        return self._tables[0 if self.is_here(engine) else 1]
+
+    def is_here(self, engine: Endpoint) -> bool:
+        """Return whether an engine is in the data centre of this router."""
         section = self._backend(engine)
-        is_here = section is None or (
+        return section is None or (
             section.data_centre == self.around.data_centre
         )
-        return self._tables[0 if is_here else 1]
+
+    def has_engine_here(self, now: Millis) -> bool:
+        """Return whether any engine of this data centre can get work."""
+        models = self._in_force.document.models.values()
+        return any(
+            self._tables[0].usable(model.weights_version, now)
+            for model in models
+        )
 
     def update(self, report: EngineReport, now: Millis) -> None:
         """Take a load report of an engine of the document."""
--- a/yuccagauge/loadgen/base.py
+++ b/yuccagauge/loadgen/base.py
@@ -117,11 +117,13 @@
         model = {
             'service': self._service_section(self.model_service, 'model'),
             f'model {self.model}': {'weights_version': weights_version},
+            'objective first-token': {'time_to_first_token_ms': '620'},
             **self._shared_sections(engines),
         }
         plain = {
             'service': self._service_section(self.plain_service, 'plain'),
             f'route POST {self.plain_path}': {'idempotent': 'no'},
+            'objective answered': {'target': '0.999'},
             **self._shared_sections(servers),
         }
         return {self.model_service: model, self.plain_service: plain}
