--- a/yuccagauge/commands/admin.py
+++ b/yuccagauge/commands/admin.py
@@ -74,10 +74,12 @@
     addresses = view.parse_addresses(admin)
     answers = view.ask_all(addresses, f'/explain/{quote(request_id, safe="")}')
     found = tuple(answer for answer in answers if not answer.failure)
-    if json or not found:
+    if json:
         text = view.as_json(found or answers)
-    else:
+    elif found:
         text = render_request(found[0].document)
+    else:
+        text = f'{request_id}: none of the routers that answered has a record'
     _finish(text, found or answers, is_complete=True)
 
 
