--- a/yuccagauge/dispatch/recording.py
+++ b/yuccagauge/dispatch/recording.py
@@ -1,27 +1,26 @@
 """What is recorded while a model call runs: load, view, records, metrics."""
 
+from yuccagauge.burn.base import RequestSample
 from yuccagauge.clock import Millis
 from yuccagauge.dispatch import metrics
 from yuccagauge.dispatch.attempt import ModelAttempt, Outcome
 from yuccagauge.dispatch.base import Call
+from yuccagauge.dispatch.recorder import Recorder
 from yuccagauge.dispatch.recovery import Ending
 from yuccagauge.dispatch.sampling import SampleBuilder
 from yuccagauge.dispatch.service import ServiceState
 from yuccagauge.dispatch.sse import usage_of
 from yuccagauge.explain.base import (
-    AttemptRecord,
     CandidateRecord,
-    DecisionRecord,
 )
 from yuccagauge.placement.base import Decision
-from yuccagauge.verdict import Refusal, Verdict
+from yuccagauge.verdict import Verdict
 
 _MILLISECONDS_PER_SECOND = 1000
 _UNKNOWN = -1
-_FIRST_SERVER_ERROR = 500
 
 
-class RequestRecorder:
+class RequestRecorder(Recorder):
     """Tells the service's state what becomes of one call.
 
     Parameters
@@ -34,29 +33,16 @@
 
     def __init__(self, service: ServiceState, call: Call) -> None:
         """Open the decision record."""
-        self._service = service
-        self._call = call
-        self._kinds: dict[int, tuple[str, Millis]] = {}
+        super().__init__(service, call)
         self._cached = _UNKNOWN
         #: Prompt tokens that the engine computed; 0 while not known.
         self._computed = 0
         self._sample = SampleBuilder(call)
         prefix = call.chat.prefix
-        self._is_sampled = True
-        self._log = service.around.decisions
-        self._log.add(
-            DecisionRecord(
-                request_id=call.request_id,
-                customer=call.customer,
-                service=call.service,
-                document_version=call.document_version,
-                weights_version=prefix.identity.weights_version,
-                priority=call.priority,
-                received_at=call.received_at,
-                deadline=call.deadline,
-                prompt_tokens=prefix.prompt_tokens,
-                levels=len(prefix.levels),
-            ),
+        self._open(
+            weights_version=prefix.identity.weights_version,
+            prompt_tokens=prefix.prompt_tokens,
+            levels=len(prefix.levels),
         )
 
     def placed(self, decision: Decision) -> None:
@@ -155,24 +141,8 @@
         self._service.quarantine.completed(self._call.fingerprint)
         self._record(attempt, Ending.DONE, Verdict.ANSWERED, '')
 
-    def refused(self, refusal: Refusal) -> None:
-        """Record which limit or rule ended the call.
-
-        A refusal below 500 is the caller's doing, such as a key in use or
-        a limit, and does not count against the objectives.
-        """
-        self._is_sampled = refusal.status >= _FIRST_SERVER_ERROR
-        self._log.change(self._call.request_id, limit=refusal.code)
-
-    def closed(self, verdict: Verdict) -> None:
-        """Record the final verdict."""
-        if self._is_sampled:
-            self._service.around.record_sample(self._sample.build(verdict))
-        self._log.change(self._call.request_id, verdict=verdict.value)
-        metrics.VERDICTS.add(
-            1,
-            {'service': self._service.name, 'verdict': verdict.value},
-        )
+    def _build_sample(self, verdict: Verdict) -> RequestSample:
+        return self._sample.build(verdict)
 
     def _release(self, attempt: ModelAttempt) -> None:
         self._service.quarantine.ended(self._call.fingerprint, attempt.engine)
@@ -216,29 +186,12 @@
         verdict: Verdict,
         reason: str,
     ) -> None:
-        kind, started_at = self._kinds.pop(id(attempt))
-        self._log.add_attempt(
-            self._call.request_id,
-            AttemptRecord(
-                backend_server=str(attempt.engine),
-                kind=kind,
-                ending=ending.value,
-                verdict=verdict.value,
-                reason=reason,
-                started_at=started_at,
-                duration_ms=Millis(self._now() - started_at),
-                expected_tokens=attempt.plan.expected_tokens,
-                cached_tokens=self._cached,
-            ),
-        )
-        metrics.ATTEMPTS.add(
-            1,
-            {
-                'service': self._service.name,
-                'kind': kind,
-                'ending': ending.value,
-            },
+        self._record_attempt(
+            attempt,
+            attempt.engine,
+            ending,
+            verdict,
+            reason,
+            expected_tokens=attempt.plan.expected_tokens,
+            cached_tokens=self._cached,
         )
-
-    def _now(self) -> Millis:
-        return self._service.around.clock.now()
--- a/yuccagauge/gateway/app.py
+++ b/yuccagauge/gateway/app.py
@@ -35,6 +35,7 @@
     reject,
     rejection,
     unexpected,
+    unknown_customer,
 )
 from yuccagauge.gateway.sink import HttpSink, refuse_request
 from yuccagauge.prefixes.base import Identity
@@ -161,7 +162,7 @@
         if state.in_force is None:
             raise no_document(service)
         if service not in customers:
-            raise _unknown_customer(service)
+            raise unknown_customer(service)
         call = self._plain_call(
             request,
             f'/{path}',
@@ -219,7 +220,7 @@
             if name in customers:
                 return name
         if offering:
-            raise _unknown_customer(offering[0])
+            raise unknown_customer(offering[0])
         raise reject(404, 'unknown_model', f'no model {body.model}')
 
     def _chat_call(
@@ -353,14 +354,6 @@
     return not body.adapter or body.adapter in model.adapters
 
 
-def _unknown_customer(service: str) -> RefusedError:
-    return reject(
-        403,
-        'unknown_customer',
-        f'the credential belongs to no customer of {service}',
-    )
-
-
 def _is_idempotent(
     document: ServiceDocument,
     method: str,
--- a/yuccagauge/gateway/refusals.py
+++ b/yuccagauge/gateway/refusals.py
@@ -35,6 +35,15 @@
     )
 
 
+def unknown_customer(service: str) -> RefusedError:
+    """Return the error for a credential that the service does not know."""
+    return reject(
+        403,
+        'unknown_customer',
+        f'the credential belongs to no customer of {service}',
+    )
+
+
 def unexpected() -> Refusal:
     """Return the answer to a call that met a fault of the router itself."""
     return Refusal(
