Use one reader of load reports and one way to block in tests

Change: the watch calls parse_report; the steps call run_blocking of features/loop.py; both copies are gone and no assertion changed.

--- a/features/router_fleet.py
+++ b/features/router_fleet.py
@@ -4,15 +4,13 @@
 import hashlib
 import http.client
 import json
-import threading
 from collections.abc import Callable, Mapping
-from concurrent.futures import Future
 from dataclasses import dataclass
 from typing import Any
 
 from twisted.internet import reactor
 
-from features.loop import wait_for_call, wait_until
+from features.loop import run_blocking, wait_for_call, wait_until
 from yuccagauge.adoption.publish import publish
 from yuccagauge.daemon.router import Router
 from yuccagauge.logstream.client import LogClient
@@ -183,22 +181,6 @@
     return {**found, **options}
 
 
-def in_thread(function: Callable[..., Any], *arguments: Any) -> Any:
-    """Run a blocking call beside the reactor; return its value."""
-    outcome: Future[Any] = Future()
-
-    def run() -> None:
-        try:
-            outcome.set_result(function(*arguments))
-        except Exception as error:
-            outcome.set_exception(error)
-
-    # The reactor's own thread pool would keep the process from ending.
-    threading.Thread(target=run, daemon=True).start()
-    wait_until(outcome.done)
-    return outcome.result()
-
-
 def ask(
     endpoint: Endpoint,
     method: str,
@@ -207,7 +189,7 @@
     **headers: str,
 ) -> Answer:
     """Send a request and read the whole response."""
-    return in_thread(blocking_ask, endpoint, method, path, body, headers)
+    return run_blocking(blocking_ask, endpoint, method, path, body, headers)
 
 
 def blocking_ask(
--- a/features/steps/daemon_steps.py
+++ b/features/steps/daemon_steps.py
@@ -14,7 +14,12 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from features.loop import join_thread, start_thread, wait_until
+from features.loop import (
+    join_thread,
+    run_blocking,
+    start_thread,
+    wait_until,
+)
 from features.router_fleet import (
     Answer,
     RouterFleet,
@@ -22,7 +27,6 @@
     ask,
     blocking_ask,
     chat_body,
-    in_thread,
 )
 from yuccagauge.burn.report import build_report
 from yuccagauge.settings.options import Endpoint, parse_endpoint
@@ -51,7 +55,7 @@
         )
         context.add_cleanup(self.process.wait)
         context.add_cleanup(self.process.kill)
-        self.ready = json.loads(in_thread(self.process.stdout.readline))
+        self.ready = json.loads(run_blocking(self.process.stdout.readline))
 
     def endpoint(self, name: str) -> Endpoint:
         """Return one of the addresses that it printed."""
@@ -148,8 +152,8 @@
     """Begin a stream and read its first bytes."""
     context.router_process = context.processes[0]
     endpoint = context.router_process.endpoint('listen')
-    context.slow = in_thread(_begin_stream, endpoint)
-    context.first_bytes = in_thread(context.slow.read, 1)
+    context.slow = run_blocking(_begin_stream, endpoint)
+    context.first_bytes = run_blocking(context.slow.read, 1)
     context.router_process.process.send_signal(signal.SIGTERM)
 
 
@@ -179,14 +183,14 @@
 @then('its slow stream is complete')
 def then_complete(context: Context) -> None:
     """Read the rest."""
-    found = context.first_bytes + in_thread(context.slow.read)
+    found = context.first_bytes + run_blocking(context.slow.read)
     assert found.endswith(_DONE), found[-200:]
 
 
 @then('it ends with exit code 0')
 def then_ends(context: Context) -> None:
     """Wait for the end of the process."""
-    assert in_thread(context.router_process.process.wait) == 0
+    assert run_blocking(context.router_process.process.wait) == 0
 
 
 @when('the engine takes the role "{role}"')
@@ -373,7 +377,7 @@
     service = context.router.dispatcher.services['roster-api']
     wait_until(lambda: context.router.dispatcher.running > 0)
     wait_until(lambda: service.around.claims.counters.get('granted'))
-    assert in_thread(_book, endpoint, headers).status == 409
+    assert run_blocking(_book, endpoint, headers).status == 409
     join_thread(first)
     assert found[0].status == 200, found[0]
 
--- a/features/steps/dispatch_streams_steps.py
+++ b/features/steps/dispatch_streams_steps.py
@@ -8,7 +8,7 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from features.loop import wait_for_call, wait_until
+from features.loop import run_blocking, wait_for_call, wait_until
 from features.router_fleet import (
     CREDENTIAL,
     RouterFleet,
@@ -16,7 +16,6 @@
     ask,
     chat,
     chat_body,
-    in_thread,
 )
 from features.scripted_server import Exchange, ScriptedServer, frames
 from yuccagauge.clock import Millis
@@ -377,7 +376,7 @@
     connection = _open_stream(context, chat_body(max_tokens=4000))
     found = b''
     while b'data: ' not in found:
-        found += in_thread(connection.recv, _MEGABYTE)
+        found += run_blocking(connection.recv, _MEGABYTE)
     connection.close()
 
 
@@ -449,7 +448,7 @@
     context.flood_sent = -1
     while context.flood_sent != context.floods[0].sent:
         context.flood_sent = context.floods[0].sent
-        in_thread(time.sleep, _QUIET_SECONDS)
+        run_blocking(time.sleep, _QUIET_SECONDS)
 
 
 @then('less than {size:d} MB have left the scripted engine')
@@ -461,7 +460,7 @@
 @then('the caller that reads on gets all of the routed stream')
 def then_all(context: Context) -> None:
     """Count the bytes up to the end mark."""
-    received = in_thread(_count_to_end, context.slow)
+    received = run_blocking(_count_to_end, context.slow)
     assert received > context.flood_size
 
 
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -7,14 +7,13 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from features.loop import wait_for_call, wait_until
+from features.loop import run_blocking, wait_for_call, wait_until
 from features.router_fleet import (
     CREDENTIAL,
     Answer,
     RouterFleet,
     ask,
     chat_body,
-    in_thread,
 )
 from features.scripted_server import Exchange, ScriptedServer, frames
 from yuccagauge.settings.options import Endpoint
@@ -150,7 +149,7 @@
     context.refused_before = _refusals(context)
     endpoint = context.router.endpoints[0]
     if name in _RAW_INPUTS:
-        context.answer = in_thread(
+        context.answer = run_blocking(
             _send_raw,
             endpoint,
             _RAW_INPUTS[name].encode(),
--- a/yuccagauge/daemon/enginewatch.py
+++ b/yuccagauge/daemon/enginewatch.py
@@ -5,18 +5,17 @@
 and engines of other data centres while no engine of this one can be used.
 """
 
-import json
 from typing import Any
 
 from twisted.internet.task import LoopingCall
 
-from yuccagauge.clock import Clock, Millis
+from yuccagauge.clock import Clock
 from yuccagauge.dispatch.base import BackendMessage, ResponseHead
 from yuccagauge.dispatch.connection import ConnectionPool
 from yuccagauge.dispatch.dispatcher import Dispatcher
 from yuccagauge.dispatch.exchange import Exchange
 from yuccagauge.dispatch.service import ServiceState
-from yuccagauge.load.base import EngineReport
+from yuccagauge.peering.polling import parse_report
 from yuccagauge.settings.options import Endpoint
 
 _PERIOD_SECONDS = 0.25
@@ -55,27 +54,13 @@
     def complete(self) -> None:
         """Hand the report on."""
         if self._status == _OK:
-            report = self._read(json.loads(self._body))
+            body = bytes(self._body)
+            report = parse_report(self._engine, body, self._clock)
             self._service.update(report, self._clock.now())
 
     def lost(self, reason: str) -> None:
         """Wait for the next reading."""
 
-    def _read(self, found: dict[str, Any]) -> EngineReport:
-        age = max(0, self._clock.wall() - int(found['measured_ms']))
-        return EngineReport(
-            engine=self._engine,
-            incarnation=found['incarnation'],
-            weights_version=found['weights_version'],
-            role=found['role'],
-            running=found['running'],
-            queued=found['queued'],
-            queued_tokens=found['queued_tokens'],
-            used_blocks=found['used_blocks'],
-            total_blocks=found['total_blocks'],
-            measured_at=Millis(self._clock.now() - age),
-        )
-
 
 class EngineWatch:
     """Reads ``GET /load`` of every engine.
