--- a/yuccagauge/clock.py
+++ b/yuccagauge/clock.py
@@ -23,8 +23,13 @@
     """Read the time from the operating system."""
 
     def now(self) -> Millis:
-        """Return the monotonic time of this process, in milliseconds."""
-        return Millis(time.monotonic_ns() // _NANOSECONDS_PER_MILLISECOND)
+        """Return the monotonic time of this process, in milliseconds.
+
+        It counts the time of a suspended VM, so that ages are true when the
+        VM wakes.
+        """
+        ticks = time.clock_gettime_ns(time.CLOCK_BOOTTIME)
+        return Millis(ticks // _NANOSECONDS_PER_MILLISECOND)
 
     def wall(self) -> Millis:
         """Return the wall time, in milliseconds since the Unix epoch."""
--- /dev/null
+++ b/yuccagauge/directory/__init__.py
@@ -0,0 +1,1 @@
+"""What is in force: routes, services, customers, servers, weights."""
--- /dev/null
+++ b/yuccagauge/directory/follower.py
@@ -0,0 +1,164 @@
+"""Follow the keyed topics of the store."""
+
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet.defer import CancelledError, Deferred, inlineCallbacks
+
+from yuccagauge.clock import Clock, Millis
+from yuccagauge.directory.state import Directory, Topic
+from yuccagauge.directory.store import (
+    KeyedStore,
+    StoreGapError,
+    StorePage,
+    StoreUnavailableError,
+)
+from yuccagauge.telemetry.journal import log_state_change
+
+_MILLISECONDS_PER_SECOND = 1000
+
+#: How long one read waits at the store for records. A connection that went
+#: silent is noticed after this time.
+READ_WAIT = Millis(3000)
+
+#: Time between two reads of the servers' entries, which every server writes
+#: about once a second. Each read costs a call, and a leaving server has to
+#: be known within two seconds.
+SERVER_READ_PAUSE = Millis(400)
+
+#: Time between two attempts while the store does not answer.
+RETRY_PAUSE = Millis(250)
+
+#: Share by which pauses vary, so that routers do not call together.
+PAUSE_JITTER = 0.5
+
+
+class TopicFollower:
+    """Keeps the directory up to date with one topic.
+
+    Parameters
+    ----------
+    topic
+        The topic.
+    store
+        Reads it.
+    directory
+        Takes the records.
+    reactor
+        Keeps time.
+    clock
+        The source of time.
+    draw
+        Draws a number from 0 to 1.
+    """
+
+    def __init__(
+        self,
+        topic: Topic,
+        store: KeyedStore,
+        directory: Directory,
+        reactor: Any,
+        clock: Clock,
+        draw: Callable[[], float],
+    ) -> None:
+        """Prepare without reading."""
+        self._topic = topic
+        self._store = store
+        self._directory = directory
+        self._reactor = reactor
+        self._clock = clock
+        self._draw = draw
+        self._running: Deferred[Any] | None = None
+        self._is_reached: bool | None = None
+        self._is_closed = False
+        self._answered_at = Millis(0)
+        #: Told about each entry that was written, by its key.
+        self.on_entry: Callable[[str], None] = lambda key: None
+
+    @property
+    def answered_at(self) -> Millis:
+        """When the store answered last."""
+        return self._answered_at
+
+    def start(self) -> None:
+        """Begin to follow."""
+        self._running = self._follow()
+        self._running.addErrback(
+            lambda failure: failure.trap(CancelledError),
+        )
+
+    def close(self) -> None:
+        """Stop following."""
+        self._is_closed = True
+        if self._running is not None:
+            self._running.cancel()
+
+    @inlineCallbacks
+    def _follow(self) -> Any:
+        needs_listing = True
+        while not self._is_closed:
+            try:
+                if needs_listing:
+                    yield self._list()
+                    needs_listing = False
+                else:
+                    yield self._read()
+            except StoreGapError:
+                log_state_change('store_gap', topic=self._topic.name)
+                needs_listing = True
+            except StoreUnavailableError as error:
+                self._note_unreachable(str(error))
+                yield self._pause(RETRY_PAUSE)
+
+    @inlineCallbacks
+    def _list(self) -> Any:
+        page = yield self._store.newest(self._topic)
+        self._note_reached()
+        now = self._clock.now()
+        self._directory.replace(
+            self._topic, page.records, page.next_offset, now
+        )
+        self._report(page)
+
+    @inlineCallbacks
+    def _read(self) -> Any:
+        offset = self._directory.mark(self._topic)
+        page = yield self._store.read(self._topic, offset, READ_WAIT)
+        self._note_reached()
+        now = self._clock.now()
+        self._directory.apply(self._topic, page.records, page.next_offset, now)
+        self._report(page)
+        if self._topic is Topic.SERVERS:
+            yield self._pause(SERVER_READ_PAUSE)
+
+    def _report(self, page: StorePage) -> None:
+        for record in page.records:
+            if record.value is not None:
+                self.on_entry(record.key)
+
+    def _pause(self, duration: Millis) -> Deferred[None]:
+        factor = 1 + PAUSE_JITTER * (self._draw() - 0.5)
+        waiting: Deferred[None] = Deferred(lambda _: timer.cancel())
+        timer = self._reactor.callLater(
+            factor * duration / _MILLISECONDS_PER_SECOND,
+            waiting.callback,
+            None,
+        )
+        return waiting
+
+    def _note_reached(self) -> None:
+        self._answered_at = self._clock.now()
+        self._directory.note_answer(self._answered_at)
+        if not self._is_reached:
+            self._is_reached = True
+            log_state_change('store_reached', topic=self._topic.name)
+
+    def _note_unreachable(self, reason: str) -> None:
+        self._directory.note_outage()
+        if self._is_reached is not False:
+            self._is_reached = False
+            log_state_change(
+                'store_lost',
+                topic=self._topic.name,
+                reason=reason,
+            )
--- /dev/null
+++ b/yuccagauge/directory/state.py
@@ -0,0 +1,213 @@
+"""The directory: decoded configuration, servers and weights targets."""
+
+import enum
+from collections.abc import Callable, Mapping
+from typing import Protocol
+
+from yuccagauge.clock import Millis
+from yuccagauge.directory.base import (
+    BackendServer,
+    Configuration,
+    WeightsTarget,
+)
+from yuccagauge.directory.records import KeyedRecord, KeyedRecords
+
+#: A server whose entry lapses around an outage of the store stays in use
+#: for this long after the store is back; a living server writes its entry
+#: again within about two seconds of the store's return.
+LAPSE_GRACE = Millis(2200)
+
+#: Time after an outage in which a lapsed entry may stem from the outage.
+OUTAGE_SHADOW = Millis(3000)
+
+
+@enum.unique
+class Topic(enum.IntEnum):
+    """The keyed topics that routers follow."""
+
+    OPERATIONS = 0
+    SERVERS = 1
+
+
+class RecordDecoder(Protocol):
+    """Turns records of the store into typed values."""
+
+    def decode_operation(
+        self,
+        key: str,
+        value: bytes,
+    ) -> Configuration | WeightsTarget | None:
+        """Return what the operator wrote; ``None`` for other records.
+
+        Raises
+        ------
+        RecordError
+            If the record cannot be understood.
+        """
+
+    def decode_server(self, key: str, value: bytes) -> BackendServer | None:
+        """Return the server; ``None`` if the entry names none to use."""
+
+
+#: Told after each change of the directory.
+ChangeListener = Callable[[], None]
+
+
+class Directory:
+    """What the router believes about configuration and servers.
+
+    Parameters
+    ----------
+    decoder
+        Reads the records.
+    """
+
+    def __init__(self, decoder: RecordDecoder) -> None:
+        """Know nothing yet."""
+        self._decoder = decoder
+        self._topics = {topic: KeyedRecords() for topic in Topic}
+        self._configuration: Configuration | None = None
+        self._servers: dict[str, BackendServer] = {}
+        self._targets: dict[str, int] = {}
+        self._target_times: dict[str, Millis] = {}
+        #: Servers whose entry lapsed in an outage, and until when they stay.
+        self._lapsed: dict[str, Millis] = {}
+        self._outage_ended: Millis | None = None
+        self._in_outage = False
+        self._listed: set[Topic] = set()
+        self.listeners: list[ChangeListener] = []
+
+    @property
+    def configuration(self) -> Configuration | None:
+        """The newest configuration, or ``None`` before the first one."""
+        return self._configuration
+
+    @property
+    def servers(self) -> Mapping[str, BackendServer]:
+        """All backend servers by id, the leaving ones too."""
+        return self._servers
+
+    @property
+    def targets(self) -> Mapping[str, int]:
+        """The newest named weights version of each model."""
+        return self._targets
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether configuration and servers are known."""
+        return self._configuration is not None and Topic.SERVERS in self._listed
+
+    def target_since(self, model: str) -> Millis:
+        """Return when the newest version of a model was heard of."""
+        return self._target_times.get(model, Millis(0))
+
+    def mark(self, topic: Topic) -> int:
+        """Return the offset below which everything has been applied."""
+        return self._topics[topic].mark
+
+    def newer_than(self, topic: Topic, mark: int) -> tuple[KeyedRecord, ...]:
+        """Return the records of a topic from an offset on."""
+        return self._topics[topic].newer_than(mark)
+
+    def note_outage(self) -> None:
+        """Remember that the store does not answer."""
+        self._in_outage = True
+
+    def note_answer(self, now: Millis) -> None:
+        """Remember that the store answers."""
+        if self._in_outage:
+            self._in_outage = False
+            self._outage_ended = now
+            until = Millis(now + LAPSE_GRACE)
+            self._lapsed = dict.fromkeys(self._lapsed, until)
+
+    def apply(
+        self,
+        topic: Topic,
+        records: tuple[KeyedRecord, ...],
+        mark: int,
+        now: Millis,
+    ) -> tuple[str, ...]:
+        """Merge records and return the keys that changed."""
+        changed = self._topics[topic].apply(records, mark)
+        return self._settle(topic, changed, now)
+
+    def replace(
+        self,
+        topic: Topic,
+        records: tuple[KeyedRecord, ...],
+        mark: int,
+        now: Millis,
+    ) -> tuple[str, ...]:
+        """Merge a complete listing and return the keys that changed."""
+        changed = self._topics[topic].replace(records, mark)
+        return self._settle(topic, changed, now)
+
+    def expire(self, now: Millis) -> tuple[str, ...]:
+        """Drop the servers whose grace after a lapse is over."""
+        ended = tuple(
+            server_id
+            for server_id, until in self._lapsed.items()
+            if now >= until and not self._in_outage
+        )
+        for server_id in ended:
+            self._lapsed.pop(server_id)
+            self._servers.pop(server_id, None)
+        if ended:
+            self._tell()
+        return ended
+
+    def _settle(
+        self,
+        topic: Topic,
+        changed: tuple[KeyedRecord, ...],
+        now: Millis,
+    ) -> tuple[str, ...]:
+        is_first = topic not in self._listed
+        self._listed.add(topic)
+        for record in changed:
+            if topic is Topic.SERVERS:
+                self._take_server(record, now)
+            else:
+                self._take_operation(record, now)
+        if changed or is_first:
+            self._tell()
+        return tuple(record.key for record in changed)
+
+    def _take_server(self, record: KeyedRecord, now: Millis) -> None:
+        if record.value is None:
+            self._lapse(record.key, now)
+            return
+        server = self._decoder.decode_server(record.key, record.value)
+        self._lapsed.pop(record.key, None)
+        if server is None:
+            self._servers.pop(record.key, None)
+        else:
+            self._servers[record.key] = server
+
+    def _lapse(self, server_id: str, now: Millis) -> None:
+        ended = self._outage_ended
+        in_shadow = ended is not None and now - ended < OUTAGE_SHADOW
+        if server_id in self._servers and (self._in_outage or in_shadow):
+            start = now if self._in_outage else max(ended, now - LAPSE_GRACE)
+            self._lapsed.setdefault(server_id, Millis(start + LAPSE_GRACE))
+            return
+        self._servers.pop(server_id, None)
+
+    def _take_operation(self, record: KeyedRecord, now: Millis) -> None:
+        if record.value is None:
+            return
+        found = self._decoder.decode_operation(record.key, record.value)
+        if isinstance(found, Configuration):
+            known = self._configuration
+            # A process never goes back to an older version.
+            if known is None or found.version > known.version:
+                self._configuration = found
+        elif isinstance(found, WeightsTarget):
+            if found.version > self._targets.get(found.model, 0):
+                self._targets[found.model] = found.version
+                self._target_times[found.model] = now
+
+    def _tell(self) -> None:
+        for listener in self.listeners:
+            listener()
--- a/yuccagauge/dispatch/base.py
+++ b/yuccagauge/dispatch/base.py
@@ -115,6 +115,11 @@
     path: str
     headers: tuple[Header, ...] = ()
     body: bytes = b''
+    #: The ``Host`` header; the server's address if empty.
+    host: str = ''
+    #: A header that the answer repeats. An answer with another value belongs
+    #: to an earlier request on the connection.
+    echo: Header | None = None
 
 
 #: Calls a function after some seconds; ``IReactorTime.callLater``.
--- a/yuccagauge/dispatch/connection.py
+++ b/yuccagauge/dispatch/connection.py
@@ -12,6 +12,7 @@
 import h11
 from twisted.internet.defer import Deferred, succeed
 from twisted.internet.endpoints import TCP4ClientEndpoint, TCP6ClientEndpoint
+from twisted.internet.error import ConnectionDone
 from twisted.internet.interfaces import IStreamClientEndpoint
 from twisted.internet.protocol import Factory, connectionDone
 from twisted.internet.protocol import Protocol as TwistedProtocol
@@ -28,6 +29,9 @@
 #: A backend server on the same continent accepts well within this time.
 _CONNECT_TIMEOUT_S = 1
 
+#: Methods whose requests have no body unless one is given.
+_BODILESS_METHODS = frozenset(('GET', 'HEAD', 'DELETE', 'OPTIONS'))
+
 #: Idle connections kept for one backend server.
 _IDLE_CONNECTIONS = 64
 
@@ -70,6 +74,10 @@
         # for each chunk.
         self._chunks: _ChunkedTransferDecoder | None = None
         self._parts: list[bytes] = []
+        self._message: BackendMessage | None = None
+        # Whether the answer that is being read belongs to another request.
+        self._is_foreign = False
+        self._may_reuse = True
         #: Tells the pool about the end of the connection.
         self.on_close: Callable[[Connection], None] | None = None
         self.idle_timer: Any = None
@@ -77,7 +85,8 @@
     @property
     def reusable(self) -> bool:
         """Whether another request can be sent."""
-        return self._open and self._parser.our_state is h11.IDLE
+        is_idle = self._parser.our_state is h11.IDLE
+        return self._open and self._may_reuse and is_idle
 
     def connectionMade(self) -> None:
         """Send small messages without delay."""
@@ -89,6 +98,7 @@
         From here on the backend server may run it.
         """
         self._user = user
+        self._message = message
         self.transport.write(_encode(self._parser, message, self._host()))
 
     def abort(self) -> None:
@@ -135,10 +145,13 @@
 
     def _decode(self, data: bytes) -> None:
         """Hand on the chunks that came together, then the end if it came."""
+        was_foreign = self._is_foreign
         decoder = self._chunks
         decoder.dataReceived(data)
         parts = b''.join(self._parts)
         self._parts.clear()
+        if was_foreign:
+            return
         if parts and self._user is not None:
             self._user.data(parts)
         if self._chunks is None and self._user is not None:
@@ -148,7 +161,10 @@
 
     def _end_chunks(self, surplus: bytes) -> None:
         self._chunks = None
-        if self._parser.our_state is h11.DONE and not surplus:
+        if self._is_foreign:
+            self._parts.clear()
+            self._read_next_answer(surplus)
+        elif self._parser.our_state is h11.DONE and not surplus:
             self._parser = h11.Connection(h11.CLIENT)
 
     def _drain(self) -> None:
@@ -159,9 +175,9 @@
             if isinstance(event, h11.Data):
                 parts.append(bytes(event.data))
                 continue
-            if parts:
+            if parts and not self._is_foreign:
                 self._user.data(b''.join(parts))
-                parts.clear()
+            parts.clear()
             if event is h11.NEED_DATA or event is h11.PAUSED:
                 return
             self._take(event)
@@ -172,7 +188,9 @@
         if isinstance(event, h11.Response):
             headers = tuple(event.headers.raw_items())
             head = ResponseHead(status=event.status_code, headers=headers)
-            self._user.head(head)
+            self._is_foreign = self._belongs_elsewhere(head)
+            if not self._is_foreign:
+                self._user.head(head)
             if head.get(b'transfer-encoding').lower() == 'chunked':
                 self._start_chunks()
         elif isinstance(event, h11.EndOfMessage):
@@ -187,7 +205,28 @@
         if received:
             self._decode(received)
 
+    def _belongs_elsewhere(self, head: ResponseHead) -> bool:
+        """Return whether an answer is a late one to another request."""
+        expected = self._message.echo
+        if expected is None:
+            return False
+        name, value = expected
+        found = head.get(name.lower())
+        return bool(found) and found != value.decode('latin-1')
+
+    def _read_next_answer(self, surplus: bytes) -> None:
+        """Expect our own answer behind one that belongs elsewhere."""
+        self._is_foreign = False
+        self._may_reuse = False
+        self._parser = h11.Connection(h11.CLIENT)
+        _encode(self._parser, self._message, self._host())
+        if surplus:
+            self._receive(surplus)
+
     def _finish(self) -> None:
+        if self._is_foreign:
+            self._read_next_answer(self._parser.trailing_data[0])
+            return
         user = self._user
         self._user = None
         surplus = self._parser.trailing_data[0]
@@ -196,7 +235,7 @@
         user.complete()
 
     def _end_of_stream(self, reason: Failure) -> None:
-        if self._chunks is not None:
+        if self._chunks is not None or not reason.check(ConnectionDone):
             self._fail(reason.getErrorMessage())
             return
         try:
@@ -227,12 +266,10 @@
     message: BackendMessage,
     host: str,
 ) -> bytes:
-    length = str(len(message.body)).encode()
-    headers = [
-        (b'Host', host.encode()),
-        *message.headers,
-        (b'Content-Length', length),
-    ]
+    headers = [(b'Host', (message.host or host).encode()), *message.headers]
+    if message.body or message.method not in _BODILESS_METHODS:
+        length = str(len(message.body)).encode()
+        headers.append((b'Content-Length', length))
     head = parser.send(
         h11.Request(
             method=message.method,
@@ -240,7 +277,9 @@
             headers=headers,
         ),
     )
-    body = parser.send(h11.Data(data=message.body))
+    body = b''
+    if message.body:
+        body = parser.send(h11.Data(data=message.body))
     return head + body + parser.send(h11.EndOfMessage())
 
 
--- a/yuccagauge/dispatch/sse.py
+++ b/yuccagauge/dispatch/sse.py
@@ -23,6 +23,11 @@
         """Start at an event boundary."""
         self._rest = b''
 
+    @property
+    def rest(self) -> bytes:
+        """The bytes behind the last whole event."""
+        return self._rest
+
     def feed(self, data: bytes) -> list[bytes]:
         """Return the events that became complete.
 
--- /dev/null
+++ b/yuccagauge/exchange/__init__.py
@@ -0,0 +1,1 @@
+"""What routers tell each other, with and without the store."""
--- /dev/null
+++ b/yuccagauge/exchange/members.py
@@ -0,0 +1,69 @@
+"""The routers of the fleet, as heard of. Pure state."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from yuccagauge.clock import Millis
+from yuccagauge.settings.options import Endpoint
+
+#: A router that was not heard of for this long counts as dead.
+DEAD_AFTER = Millis(6000)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Member:
+    """A router, and when anyone heard it last."""
+
+    name: str
+    endpoint: Endpoint
+    data_centre: str
+    heard_at: Millis
+
+
+class Members:
+    """The other routers of the fleet.
+
+    Parameters
+    ----------
+    name
+        Name of this router, which is no member of its own list.
+    """
+
+    def __init__(self, name: str) -> None:
+        """Start alone."""
+        self._name = name
+        self._members: dict[str, Member] = {}
+        self._left: dict[str, Millis] = {}
+
+    def live(self, now: Millis) -> tuple[Member, ...]:
+        """Return the routers that were heard of lately."""
+        return tuple(
+            member
+            for member in self._members.values()
+            if now - member.heard_at < DEAD_AFTER
+        )
+
+    def hear(self, members: Iterable[Member], now: Millis) -> None:
+        """Take what was heard; the latest sign of life of each router counts."""
+        for member in members:
+            if member.name == self._name or now - member.heard_at > DEAD_AFTER:
+                continue
+            if self._left.get(member.name, Millis(-1)) >= member.heard_at:
+                continue
+            known = self._members.get(member.name)
+            if known is None or known.heard_at < member.heard_at:
+                self._members[member.name] = member
+        self._forget(now)
+
+    def leave(self, name: str, now: Millis) -> None:
+        """Drop a router that said that it stops."""
+        self._members.pop(name, None)
+        self._left[name] = now
+
+    def _forget(self, now: Millis) -> None:
+        for known in (self._members, self._left):
+            for name in tuple(known):
+                at = known[name]
+                heard = at.heard_at if isinstance(at, Member) else at
+                if now - heard > 2 * DEAD_AFTER:
+                    known.pop(name)
--- /dev/null
+++ b/yuccagauge/relay/__init__.py
@@ -0,0 +1,1 @@
+"""The path of opaque calls from callers to backend servers."""
--- /dev/null
+++ b/yuccagauge/relay/call.py
@@ -0,0 +1,397 @@
+"""One call: attempts on servers, the answer, and the verdict.
+
+A call may be sent again if no server has run it, or if it may be repeated.
+The verdict over all attempts decides which statuses a refusal may have.
+"""
+
+import dataclasses
+from typing import Any
+
+from yuccagauge.clock import Millis
+from yuccagauge.directory.base import RouteKind
+from yuccagauge.dispatch.base import AnswerSink, ResponseHead
+from yuccagauge.dispatch.exchange import Exchange
+from yuccagauge.relay import refusals
+from yuccagauge.relay.answer import Answer
+from yuccagauge.relay.base import AnswerFacts, Attempt, Placement, RelayCall
+from yuccagauge.relay.report import CallReport
+from yuccagauge.relay.surroundings import Surroundings
+from yuccagauge.selection.base import Choice, Demand
+from yuccagauge.verdict import Refusal, Verdict
+
+_MILLISECONDS_PER_SECOND = 1000
+_FIRST_FAILURE = 500
+
+#: Sends of one call, those that no server ran included.
+MAXIMUM_SENDS = 3
+
+#: A send with less time than this left cannot be answered.
+LEAST_TIME = Millis(30)
+
+#: A repeatable call without a sign of life for this long moves to another
+#: server: a stream, and a plain call.
+STREAM_STALL = Millis(900)
+PLAIN_STALL = Millis(250)
+
+#: Time between two looks at a call that might stall.
+_STALL_LOOK = Millis(100)
+
+#: When a caller comes back whose call was refused by full servers.
+FULL_RETRY = Millis(250)
+
+
+class RelayedCall:
+    """Carries one call from its acceptance to its answer.
+
+    Parameters
+    ----------
+    call
+        What the caller asked.
+    demand
+        The same for the choice of servers.
+    sink
+        Takes the answer.
+    around
+        What all calls share.
+    """
+
+    def __init__(
+        self,
+        call: RelayCall,
+        demand: Demand,
+        sink: AnswerSink,
+        around: Surroundings,
+    ) -> None:
+        """Prepare without sending."""
+        self._call = call
+        self._demand = demand
+        self._sink = sink
+        self._around = around
+        self._answer = Answer(sink)
+        self._report = CallReport(call, around.clock)
+        self._exchange: Exchange | None = None
+        self._placement: Placement | None = None
+        self._facts = AnswerFacts()
+        self._verdict = Verdict.NOT_RUN
+        self._sends = 0
+        self._runs = 0
+        self._sent_at = Millis(0)
+        self._heard_at = Millis(0)
+        self._is_over = False
+        self._timers: list[Any] = []
+
+    @property
+    def is_repeatable(self) -> bool:
+        """Whether a server may run it after another may have."""
+        return self._call.route.is_repeatable
+
+    def start(self) -> None:
+        """Look for a server; the answer comes through the sink."""
+        self._around.running[self._demand.call_id] = self
+        self._around.budget(self._call.service).record_request(self._now())
+        self._sink.watch(self)
+        left = max(0, self._call.deadline - self._now())
+        self._later(Millis(left), self._run_out)
+        self._decide()
+
+    def pause(self) -> None:
+        """Stop reading from the server: the caller reads slower."""
+        if self._exchange is not None:
+            self._exchange.pause()
+
+    def resume(self) -> None:
+        """Read from the server again."""
+        if self._exchange is not None:
+            self._exchange.resume()
+
+    def left(self) -> None:
+        """Stop working for a caller that closed its connection."""
+        if self._is_over:
+            return
+        self._drop_exchange()
+        self._end('caller_left')
+
+    def cut(self) -> None:
+        """End at once because the router stops."""
+        if not self._is_over:
+            self._drop_exchange()
+            self._refuse(self._unanswered('router_stops'))
+
+    def head(self, head: ResponseHead) -> None:
+        """Take the head of a server's answer."""
+        self._note_life()
+        facts = self._around.protocol.read(head)
+        if facts.is_not_run or facts.is_misdirected:
+            self._drop_exchange()
+            self._turned_away(head, facts)
+            return
+        self._facts = facts
+        self._note_weights(facts)
+        headers = self._around.protocol.answer_headers(head)
+        self._answer.take_head(head, headers)
+
+    def data(self, data: bytes) -> None:
+        """Take a part of a server's answer."""
+        self._note_life()
+        went_out = self._answer.take_data(data)
+        if self._is_over:
+            return
+        active = self._load().calls.get(self._demand.call_id)
+        if active is not None:
+            active.has_output = True
+        if went_out:
+            self._report.note_output()
+
+    def complete(self) -> None:
+        """Take the end of a server's whole answer."""
+        self._note_life()
+        failed = self._answer.status >= _FIRST_FAILURE
+        self._release(failed=failed)
+        self._runs += 1
+        self._verdict = Verdict.ANSWERED
+        if failed and not self._answer.is_begun and self._may_repeat():
+            self._report.note_attempt('server_failed')
+            self._send_elsewhere()
+            return
+        self._around.quarantine.completed(self._call.fingerprint)
+        self._report.note_output()
+        self._end('answered', self._answer.status)
+        self._answer.complete()
+
+    def lost(self, reason: str) -> None:
+        """Take the end of an incomplete answer."""
+        verdict = self._exchange.verdict
+        if verdict is Verdict.NOT_RUN:
+            self._load().note_unreachable(self._now())
+            self._release(failed=True)
+            self._report.note_attempt('unreachable')
+            self._retry_not_run('server_unreachable')
+            return
+        self._broke(reason)
+
+    def _broke(self, reason: str) -> None:
+        """Handle an attempt that may have run and has no whole answer."""
+        placement = self._placement
+        self._around.quarantine.broke(
+            self._call.fingerprint,
+            placement.server.endpoint,
+            placement.server.incarnation,
+            self._now(),
+        )
+        self._release(failed=True)
+        self._runs += 1
+        self._verdict = self._verdict.combine(Verdict.MAY_HAVE_RUN)
+        self._answer.drop_partial()
+        self._report.note_attempt('broke', reason)
+        if self._may_repeat():
+            self._send_elsewhere()
+            return
+        self._refuse(refusals.failed('server_broke'))
+
+    def _turned_away(self, head: ResponseHead, facts: AnswerFacts) -> None:
+        """Handle a server's statement that it has not run the call."""
+        load = self._load()
+        now = self._now()
+        expected = self._placement.server.server_id
+        if facts.is_misdirected:
+            self._note_weights(facts)
+            if facts.server_id and facts.server_id != expected:
+                # Another server has the address now.
+                load.note_unreachable(now)
+        else:
+            load.note_full(now)
+        self._release(failed=not facts.is_misdirected)
+        self._report.note_attempt(f'turned_away_{head.status}')
+        self._retry_not_run('servers_full')
+
+    def _retry_not_run(self, code: str) -> None:
+        """Send a call again that no server has run in this attempt."""
+        if self._may_send_again():
+            self._send_elsewhere()
+            return
+        if self._verdict is Verdict.NOT_RUN:
+            jitter = 1 + self._around.draw()
+            retry_after = Millis(int(FULL_RETRY * jitter))
+            self._refuse(refusals.not_run(code, retry_after))
+            return
+        self._refuse(refusals.failed(code))
+
+    def _may_repeat(self) -> bool:
+        """Return whether a run may be followed by another one."""
+        route = self._call.route
+        if not self.is_repeatable or self._runs >= route.attempts:
+            return False
+        if self._answer.is_begun and route.kind is not RouteKind.STREAMING:
+            return False
+        return self._may_send_again()
+
+    def _may_send_again(self) -> bool:
+        now = self._now()
+        if self._sends >= MAXIMUM_SENDS:
+            return False
+        if self._call.deadline - now < LEAST_TIME:
+            return False
+        budget = self._around.budget(self._call.service)
+        return budget.try_spend(self._around.routers(), now)
+
+    def _send_elsewhere(self) -> None:
+        avoided = self._demand.avoided | {self._placement.server.server_id}
+        self._demand = dataclasses.replace(self._demand, avoided=avoided)
+        self._decide()
+
+    def _decide(self) -> None:
+        if self._is_over:
+            return
+        around = self._around
+        stores = around.directory.configuration.kept_stores
+        choice = around.selector.choose(self._demand, stores, self._now())
+        if choice.placement is not None:
+            self._send(choice)
+        elif choice.wait_until is not None:
+            wait = Millis(max(1, choice.wait_until - self._now()))
+            self._report.note_wait(choice.reason)
+            self._later(wait, self._decide)
+        elif self._verdict is Verdict.NOT_RUN:
+            retry_after = self._spread(choice.retry_after)
+            self._refuse(refusals.not_run(choice.reason, retry_after))
+        else:
+            self._refuse(refusals.failed(choice.reason))
+
+    def _send(self, choice: Choice) -> None:
+        now = self._now()
+        self._placement = choice.placement
+        self._sends += 1
+        self._sent_at = now
+        self._heard_at = now
+        remaining = Millis(max(1, self._call.deadline - now))
+        attempt = Attempt(
+            call=self._call,
+            placement=choice.placement,
+            remaining=remaining,
+            urgency=self._call.priority,
+            resume_after=(
+                self._answer.last_event or self._call.fields.resume_after
+            ),
+        )
+        server = choice.placement.server
+        self._around.selector.sent(self._demand, choice.placement, now)
+        self._around.quarantine.started(self._call.fingerprint, server.endpoint)
+        self._report.note_send(choice)
+        self._exchange = Exchange(
+            self._around.pool,
+            server.endpoint,
+            self._around.protocol.encode(attempt),
+            self,
+        )
+        self._exchange.start(fresh=not self.is_repeatable)
+        if self.is_repeatable and not self._is_over:
+            self._later(_STALL_LOOK, self._look_for_stall, self._exchange)
+
+    def _look_for_stall(self, exchange: Exchange) -> None:
+        """Move a repeatable call off a server that shows no sign of life."""
+        if self._is_over or exchange is not self._exchange:
+            return
+        is_stream = self._call.route.kind is RouteKind.STREAMING
+        limit = STREAM_STALL if is_stream else PLAIN_STALL
+        limit = max(limit, Millis(int(2 * self._placement.expected_ms)))
+        if self._now() - self._heard_at < limit or not self._has_attempts():
+            self._later(_STALL_LOOK, self._look_for_stall, exchange)
+            return
+        verdict = exchange.verdict
+        self._drop_exchange()
+        if verdict is Verdict.NOT_RUN:
+            self._load().note_unreachable(self._now())
+            self._release(failed=True)
+            self._report.note_attempt('connect_stalled')
+            self._retry_not_run('server_unreachable')
+        else:
+            self._broke('no sign of life')
+
+    def _has_attempts(self) -> bool:
+        """Return whether another run is left; a stall is no reason else."""
+        return self._runs + 1 < self._call.route.attempts
+
+    def _run_out(self) -> None:
+        """Give the final answer at the deadline."""
+        if self._is_over:
+            return
+        if self._exchange is not None and not self._answer.is_begun:
+            self._load().note_outcome(failed=True, now=self._now())
+        self._drop_exchange()
+        self._refuse(self._unanswered('out_of_time'))
+
+    def _unanswered(self, code: str) -> Refusal:
+        verdict = self._verdict
+        if self._exchange is not None:
+            verdict = verdict.combine(self._exchange.verdict)
+        if verdict is Verdict.NOT_RUN:
+            return refusals.not_run(code, None)
+        return refusals.out_of_time()
+
+    def _refuse(self, refusal: Refusal) -> None:
+        self._end(refusal.code, refusal.status, refusal)
+        self._sink.refuse(refusal)
+
+    def _end(
+        self,
+        outcome: str,
+        status: int = 0,
+        refusal: Refusal | None = None,
+    ) -> None:
+        self._is_over = True
+        for timer in self._timers:
+            if timer.active():
+                timer.cancel()
+        self._timers.clear()
+        if self._placement is not None:
+            self._forget_active()
+        self._around.running.pop(self._demand.call_id, None)
+        self._report.note_end(outcome, status, refusal)
+
+    def _drop_exchange(self) -> None:
+        if self._exchange is not None:
+            self._exchange.abandon()
+
+    def _release(self, *, failed: bool) -> None:
+        """Count the outcome of an attempt and free its place."""
+        now = self._now()
+        load = self._load()
+        load.note_outcome(failed=failed, now=now)
+        if not failed and not self._demand.service.is_model:
+            load.note_service_time(Millis(now - self._sent_at))
+        self._exchange = None
+        self._forget_active()
+
+    def _forget_active(self) -> None:
+        self._load().calls.pop(self._demand.call_id, None)
+        self._around.quarantine.ended(
+            self._call.fingerprint,
+            self._placement.server.endpoint,
+        )
+
+    def _note_weights(self, facts: AnswerFacts) -> None:
+        model = self._demand.model
+        if facts.weights_version is not None and model:
+            self._load().shown_weights[model] = facts.weights_version
+
+    def _note_life(self) -> None:
+        self._heard_at = self._now()
+        self._load().heard_at = self._heard_at
+
+    def _load(self) -> Any:
+        return self._around.selector.load(self._placement.server.server_id)
+
+    def _spread(self, retry_after: Millis | None) -> Millis | None:
+        """Spread callers that were refused together."""
+        if retry_after is None:
+            return None
+        return Millis(int(retry_after * (1 + self._around.draw() / 2)))
+
+    def _later(self, delay: Millis, call: Any, *arguments: Any) -> None:
+        seconds = delay / _MILLISECONDS_PER_SECOND
+        timer = self._around.call_later(seconds, call, *arguments)
+        self._timers = [each for each in self._timers if each.active()]
+        self._timers.append(timer)
+
+    def _now(self) -> Millis:
+        return self._around.clock.now()
--- /dev/null
+++ b/yuccagauge/relay/metrics.py
@@ -0,0 +1,29 @@
+"""Metrics of the relay."""
+
+from yuccagauge.telemetry.meter import counter, histogram
+
+CALLS = counter(
+    'yuccagauge.relay.calls',
+    'Calls by route kind and outcome.',
+    '{request}',
+)
+SENDS = counter(
+    'yuccagauge.relay.sends',
+    'Attempts handed to backend servers, by service and ending.',
+    '{attempt}',
+)
+FIRST_OUTPUT = histogram(
+    'yuccagauge.relay.first_output.duration',
+    'Time from the request to the first byte of its answer.',
+    's',
+)
+CALL_DURATION = histogram(
+    'yuccagauge.relay.call.duration',
+    'Time from the request to the end of its answer.',
+    's',
+)
+CACHED_TOKENS = counter(
+    'yuccagauge.relay.cached_tokens',
+    'Prompt tokens of placed calls, by whether they were expected in a cache.',
+    '{token}',
+)
--- /dev/null
+++ b/yuccagauge/relay/report.py
@@ -0,0 +1,110 @@
+"""The log lines and metrics of one call."""
+
+from yuccagauge.clock import Clock, Millis
+from yuccagauge.relay import metrics
+from yuccagauge.relay.base import RelayCall
+from yuccagauge.selection.base import Choice
+from yuccagauge.telemetry.journal import log_decision
+from yuccagauge.verdict import Refusal
+
+_MILLISECONDS_PER_SECOND = 1000
+
+
+class CallReport:
+    """Writes what was decided about a call, by which inputs.
+
+    Parameters
+    ----------
+    call
+        The call.
+    clock
+        The source of time.
+    """
+
+    def __init__(self, call: RelayCall, clock: Clock) -> None:
+        """Start without a send."""
+        self._call = call
+        self._clock = clock
+        self._sends = 0
+        self._server = ''
+        self._waits = 0
+        self._first_at: Millis | None = None
+
+    def note_wait(self, reason: str) -> None:
+        """Count a wait; the first one is logged with its reason."""
+        self._waits += 1
+        if self._waits == 1:
+            self._log('call_waits', reason=reason)
+
+    def note_send(self, choice: Choice) -> None:
+        """Log where an attempt goes and why."""
+        placement = choice.placement
+        self._sends += 1
+        self._server = placement.server.server_id
+        fields = self._call.fields
+        self._log(
+            'call_sent',
+            send=self._sends,
+            server=self._server,
+            service=self._call.service,
+            reason=choice.reason,
+            expected_ms=round(placement.expected_ms, 1),
+            prompt_tokens=fields.prompt_tokens,
+            cached_tokens=placement.cached_tokens,
+            weights=placement.weights_version,
+            fetches=placement.fetch_from is not None,
+            configuration=self._call.configuration,
+        )
+        if fields.prompt_tokens:
+            cached = min(placement.cached_tokens, fields.prompt_tokens)
+            metrics.CACHED_TOKENS.add(cached, {'cached': 'yes'})
+            missing = fields.prompt_tokens - cached
+            metrics.CACHED_TOKENS.add(missing, {'cached': 'no'})
+
+    def note_attempt(self, ending: str, detail: str = '') -> None:
+        """Log an attempt that gave no answer to pass on."""
+        metrics.SENDS.add(1, {'service': self._call.service, 'ending': ending})
+        self._log(
+            'attempt_failed',
+            send=self._sends,
+            server=self._server,
+            ending=ending,
+            detail=detail,
+        )
+
+    def note_output(self) -> None:
+        """Measure the time to the first output."""
+        if self._first_at is None:
+            self._first_at = self._clock.now()
+            age = self._first_at - self._call.request.received_at
+            metrics.FIRST_OUTPUT.record(age / _MILLISECONDS_PER_SECOND)
+
+    def note_end(
+        self,
+        outcome: str,
+        status: int,
+        refusal: Refusal | None,
+    ) -> None:
+        """Log the final outcome of the call."""
+        received = self._call.request.received_at
+        age = self._clock.now() - received
+        first = None if self._first_at is None else self._first_at - received
+        kind = self._call.route.kind.value
+        metrics.CALLS.add(1, {'kind': kind, 'outcome': outcome})
+        metrics.CALL_DURATION.record(age / _MILLISECONDS_PER_SECOND)
+        self._log(
+            'call_ended',
+            outcome=outcome,
+            status=status,
+            verdict=refusal.verdict.value if refusal is not None else None,
+            retry_after_ms=refusal.retry_after if refusal else None,
+            server=self._server,
+            sends=self._sends,
+            waits=self._waits,
+            first_ms=first,
+            total_ms=age,
+            route=self._call.route.name,
+        )
+
+    def _log(self, event: str, **fields: object) -> None:
+        log_decision(event, self._call.fields.request_id, **fields)
--- /dev/null
+++ b/yuccagauge/relay/router.py
@@ -0,0 +1,334 @@
+"""A relay router: the slices, wired together by its settings."""
+
+import random
+from collections.abc import Iterable
+from typing import Any
+
+from twisted.internet.defer import Deferred, DeferredList, maybeDeferred
+from twisted.internet.interfaces import IListeningPort
+from twisted.internet.task import LoopingCall
+from twisted.web.server import Site
+
+from yuccagauge.cachefeed.feed import CacheFeed
+from yuccagauge.clock import Clock, Millis
+from yuccagauge.directory.follower import TopicFollower
+from yuccagauge.directory.state import Directory, Topic
+from yuccagauge.dispatch.connection import ConnectionPool
+from yuccagauge.errors import SettingsError
+from yuccagauge.exchange.service import ExchangeService
+from yuccagauge.relay.adapter import AdapterFactory
+from yuccagauge.relay.channel import CallerFactory
+from yuccagauge.relay.pages import MetricsPage, ReadyPage
+from yuccagauge.relay.relay import Relay
+from yuccagauge.relay.surroundings import RetryRules, Surroundings
+from yuccagauge.rollout.driver import RolloutDriver
+from yuccagauge.selection.base import FleetView
+from yuccagauge.selection.selector import Selector
+from yuccagauge.settings.options import Endpoint
+from yuccagauge.settings.relay import RelaySettings, load_relay_settings
+from yuccagauge.telemetry.journal import log_state_change
+from yuccagauge.wire.client import PeerClient
+from yuccagauge.wire.server import PeerServer
+
+_MILLISECONDS_PER_SECOND = 1000
+
+#: Time between two looks for servers that lapsed and holders to poll.
+_UPKEEP_S = 0.5
+
+#: Entries of servers are read this much later than they were written.
+_ENTRY_LAG = Millis(1000)
+
+#: Time before the end of the grace period at which running calls are cut.
+_CUT_MARGIN_S = 0.9
+
+#: Time between two looks whether all calls have their answer, in seconds.
+_IDLE_LOOK_S = 0.05
+
+
+class RelayRouter:
+    """One relay process.
+
+    Parameters
+    ----------
+    settings
+        The process settings.
+    reactor, clock
+        The loop and the source of time.
+    build_adapter
+        Makes the members that speak to the platform.
+    """
+
+    def __init__(
+        self,
+        settings: RelaySettings,
+        reactor: Any,
+        clock: Clock,
+        build_adapter: AdapterFactory,
+    ) -> None:
+        """Wire the slices without opening a port."""
+        self._settings = settings
+        self._reactor = reactor
+        self._clock = clock
+        own = settings.relay
+        self._draw = random.Random().random
+        self._pool = ConnectionPool(reactor)
+        self._adapter = build_adapter(settings, reactor, self._pool)
+        self._directory = Directory(self._adapter.records)
+        self._selector = Selector(own.data_centre, settings.weights.limit_ms)
+        retries = settings.retries
+        self._around = Surroundings(
+            clock=clock,
+            call_later=reactor.callLater,
+            pool=self._pool,
+            decoder=self._adapter.calls,
+            protocol=self._adapter.backend,
+            directory=self._directory,
+            selector=self._selector,
+            retries=RetryRules(
+                ratio=retries.ratio,
+                slack=retries.slack,
+                window=Millis(int(retries.window_s * _MILLISECONDS_PER_SECOND)),
+            ),
+            draw=self._draw,
+            routers=lambda: self._exchange.size,
+        )
+        self._relay = Relay(self._around)
+        self._callers = CallerFactory(
+            self._relay.handle,
+            self._relay.limits,
+            clock,
+        )
+        self._followers = {
+            topic: TopicFollower(
+                topic,
+                self._adapter.store,
+                self._directory,
+                reactor,
+                clock,
+                self._draw,
+            )
+            for topic in Topic
+        }
+        self._exchange = self._build_exchange()
+        self._feed = CacheFeed(
+            self._adapter.cache,
+            self._directory,
+            self._selector,
+            reactor,
+            own.name,
+            self._router_names,
+        )
+        self._rollout = RolloutDriver(
+            self._adapter.group,
+            self._adapter.orders,
+            self._directory,
+            self._selector,
+            reactor,
+            clock,
+            lease=settings.weights.lease_ms,
+            share=settings.weights.load_share,
+        )
+        self._ports: list[IListeningPort] = []
+        self._upkeep = LoopingCall(self._keep_up)
+        self._upkeep.clock = reactor
+        self._is_leaving = False
+        self._version = 0
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the router takes new connections."""
+        return self._directory.is_ready and not self._is_leaving
+
+    def start(self) -> None:
+        """Open the ports and follow the store."""
+        own = self._settings.relay
+        self._directory.listeners.append(self._adopt)
+        entries = self._followers[Topic.SERVERS]
+        entries.on_entry = self._note_entry
+        self._rollout.on_load = self._exchange.tell_pause
+        self._rollout.on_loaded = self._exchange.tell_weights
+        ready = ReadyPage(self._adapter.ready_path, lambda: self.is_ready)
+        self._listen(own.listen, self._callers)
+        self._listen(own.ready_listen, _site(ready))
+        self._listen(own.metrics_listen, _site(MetricsPage()))
+        self._exchange.start()
+        for follower in self._followers.values():
+            follower.start()
+        self._rollout.start()
+        self._upkeep.start(_UPKEEP_S, now=False)
+        log_state_change(
+            'router_started',
+            router=own.name,
+            data_centre=own.data_centre,
+            listen=own.listen,
+        )
+
+    def reload(self, path: str) -> None:
+        """Read the settings again; a running router keeps what it has.
+
+        Every setting belongs to the start of a process, so a change is
+        checked and reported, and is in force from the next start on.
+        """
+        try:
+            fresh = load_relay_settings(path)
+        except SettingsError as error:
+            log_state_change('settings_refused', reason=str(error))
+            return
+        changed = [
+            name
+            for name in ('relay', 'store', 'stop', 'retries', 'weights')
+            if getattr(fresh, name) != getattr(self._settings, name)
+        ]
+        log_state_change('settings_read', changed_sections=changed)
+
+    def leave(self) -> Deferred[Any]:
+        """Stop gracefully; fires when every call has its answer."""
+        self._is_leaving = True
+        log_state_change(
+            'router_leaving',
+            router=self._settings.relay.name,
+            running=self._relay.running,
+        )
+        self._callers.leave()
+        self._exchange.leave()
+        leaving = self._rollout.close()
+        done: Deferred[None] = Deferred()
+        stop = self._settings.stop
+        accept = stop.accept_ms / _MILLISECONDS_PER_SECOND
+        self._reactor.callLater(accept, self._stop_accepting)
+        self._reactor.callLater(accept, self._await_idle, done)
+        cut = max(accept, stop.grace_s - _CUT_MARGIN_S)
+        self._reactor.callLater(cut, self._relay.cut)
+        done.addCallback(lambda _: DeferredList([leaving, self._close()]))
+        return done
+
+    def _close(self) -> Deferred[Any]:
+        if self._upkeep.running:
+            self._upkeep.stop()
+        for follower in self._followers.values():
+            follower.close()
+        self._feed.close()
+        self._callers.close()
+        self._pool.close()
+        closing = [maybeDeferred(port.stopListening) for port in self._ports]
+        closing.append(self._exchange.close())
+        return DeferredList(closing)
+
+    def _stop_accepting(self) -> None:
+        self._ports[0].stopListening()
+        self._callers.close_idle()
+
+    def _await_idle(self, done: Deferred[None]) -> None:
+        if self._relay.running:
+            self._reactor.callLater(_IDLE_LOOK_S, self._await_idle, done)
+            return
+        # The last bytes leave within one more look.
+        self._reactor.callLater(_IDLE_LOOK_S, done.callback, None)
+
+    def _build_exchange(self) -> ExchangeService:
+        own = self._settings.relay
+        exchange = ExchangeService(
+            own.name,
+            own.peer_listen,
+            own.data_centre,
+            seeds=own.seeds,
+            server=PeerServer(self._reactor, own.peer_listen, own.name),
+            client=PeerClient(self._reactor, own.name),
+            directory=self._directory,
+            selector=self._selector,
+            quarantine=self._around.quarantine,
+            reactor=self._reactor,
+            clock=self._clock,
+            draw=self._draw,
+        )
+        exchange.confirmed_at = lambda topic: (
+            self._followers[topic].answered_at
+        )
+        return exchange
+
+    def _router_names(self) -> Iterable[str]:
+        return (member.name for member in self._exchange.peers)
+
+    def _listen(self, endpoint: Endpoint, factory: Any) -> None:
+        port = self._reactor.listenTCP(
+            endpoint.port,
+            factory,
+            interface=endpoint.host,
+        )
+        self._ports.append(port)
+
+    def _keep_up(self) -> None:
+        ended = self._directory.expire(self._clock.now())
+        if ended:
+            log_state_change('servers_lapsed', servers=ended)
+        self._feed.follow()
+
+    def _adopt(self) -> None:
+        """Follow a change of configuration, servers or weights."""
+        directory = self._directory
+        before = self._selector.view
+        view = FleetView(
+            servers=dict(directory.servers),
+            targets=dict(directory.targets),
+            targets_since={
+                model: directory.target_since(model)
+                for model in directory.targets
+            },
+        )
+        self._selector.adopt(view)
+        _log_changes(before, view)
+        configuration = directory.configuration
+        if configuration is not None and (
+            configuration.version != self._version
+        ):
+            self._version = configuration.version
+            log_state_change(
+                'configuration_in_force',
+                version=configuration.version,
+                routes=len(configuration.routes),
+                customers=len(configuration.customers),
+            )
+
+    def _note_entry(self, server_id: str) -> None:
+        """Take a server's entry as a sign of life of that start."""
+        server = self._directory.servers.get(server_id)
+        if server is None:
+            return
+        measured_at = Millis(self._clock.now() - _ENTRY_LAG)
+        self._around.quarantine.seen(
+            server.endpoint,
+            server.incarnation,
+            measured_at,
+        )
+
+
+def _site(page: Any) -> Site:
+    site = Site(page)
+    site.noisy = False
+    return site
+
+
+def _log_changes(before: FleetView, after: FleetView) -> None:
+    """Log each server that came, changed its state or weights, or left."""
+    for server_id, server in after.servers.items():
+        known = before.servers.get(server_id)
+        if known is not None and (
+            known.state is server.state
+            and known.weights == server.weights
+            and known.started_at == server.started_at
+        ):
+            continue
+        log_state_change(
+            'server_known',
+            server=server_id,
+            service=server.service,
+            state=server.state.value,
+            started_at=server.started_at,
+            weights=[f'{name}={at}' for name, at in server.weights.items()],
+        )
+    for server_id in before.servers:
+        if server_id not in after.servers:
+            log_state_change('server_gone', server=server_id)
+    for model, version in after.targets.items():
+        if before.targets.get(model) != version:
+            log_state_change('weights_named', model=model, version=version)
--- /dev/null
+++ b/yuccagauge/relay/surroundings.py
@@ -0,0 +1,53 @@
+"""What all calls of a router share."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from yuccagauge.clock import Clock, Millis
+from yuccagauge.directory.state import Directory
+from yuccagauge.dispatch.base import CallLater
+from yuccagauge.dispatch.connection import ConnectionPool
+from yuccagauge.quarantine.base import Quarantine
+from yuccagauge.relay.base import BackendProtocol, CallDecoder
+from yuccagauge.selection.budget import RetryBudget
+from yuccagauge.selection.selector import Selector
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RetryRules:
+    """The shared allowance of second sends."""
+
+    ratio: float
+    slack: float
+    window: Millis
+
+
+@dataclass(slots=True, kw_only=True)
+class Surroundings:
+    """What all calls of a router share."""
+
+    clock: Clock
+    call_later: CallLater
+    pool: ConnectionPool
+    decoder: CallDecoder
+    protocol: BackendProtocol
+    directory: Directory
+    selector: Selector
+    retries: RetryRules
+    #: Draws a number from 0 to 1.
+    draw: Callable[[], float]
+    #: Number of routers that are believed to be alive.
+    routers: Callable[[], int] = lambda: 1
+    quarantine: Quarantine = field(default_factory=Quarantine)
+    #: Calls in work, by request id.
+    running: dict[str, object] = field(default_factory=dict)
+    _budgets: dict[str, RetryBudget] = field(default_factory=dict)
+
+    def budget(self, service: str) -> RetryBudget:
+        """Return the budget of second sends of a service."""
+        found = self._budgets.get(service)
+        if found is None:
+            rules = self.retries
+            found = RetryBudget(rules.ratio, rules.slack, rules.window)
+            self._budgets[service] = found
+        return found
--- /dev/null
+++ b/yuccagauge/rollout/base.py
@@ -0,0 +1,101 @@
+"""The interfaces of the group of routers and of the engines' orders."""
+
+import enum
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from twisted.internet.defer import Deferred
+
+from yuccagauge.directory.base import BackendServer
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class GroupView:
+    """What the store says to a member of the group."""
+
+    #: Grows with each change of the group; serves as fencing token.
+    generation: int
+    #: Whether this member gives the orders.
+    is_leader: bool
+
+
+class Group(Protocol):
+    """The group of routers, of which the store makes one the leader."""
+
+    def join(self, generation: int) -> Deferred[GroupView]:
+        """Join, or stay in the group.
+
+        Raises
+        ------
+        StoreUnavailableError
+            If the store does not answer.
+        """
+
+    def leave(self) -> Deferred[None]:
+        """Leave, so that another member leads at once."""
+
+
+@enum.unique
+class OrderAnswer(enum.Enum):
+    """What an engine says to an order."""
+
+    ACCEPTED = 'accepted'
+    #: The engine has these weights already.
+    HOLDS = 'holds'
+    #: Another order is in work, or came in between.
+    CONFLICT = 'conflict'
+    #: A newer leader gave an order before.
+    FENCED = 'fenced'
+    #: Another engine has the address now.
+    MISDIRECTED = 'misdirected'
+    #: The engine does not take the order at all.
+    REJECTED = 'rejected'
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EngineReport:
+    """What an engine reports about itself, some hundred ms ago."""
+
+    #: Whether an order is in work.
+    is_busy: bool
+    #: Number of the last order that it accepted.
+    order_number: int
+    weights: Mapping[str, int] = field(default_factory=dict)
+    active: int = 0
+    queued: int = 0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WeightsOrder:
+    """An order to load weights."""
+
+    server: BackendServer
+    model: str
+    version: int
+    #: The leader's fencing token.
+    fence: int
+    #: The engine carries the order out only if this was its last one.
+    expected_number: int
+
+
+class OrderPort(Protocol):
+    """Gives orders to engines and reads their reports."""
+
+    def report(self, server: BackendServer) -> Deferred[EngineReport]:
+        """Read an engine's report.
+
+        Raises
+        ------
+        FetchError
+            If there is no answer.
+        """
+
+    def order(self, order: WeightsOrder) -> Deferred[OrderAnswer]:
+        """Give an order.
+
+        Raises
+        ------
+        FetchError
+            If there is no answer; the order may be carried out later.
+        """
--- /dev/null
+++ b/yuccagauge/rollout/driver.py
@@ -0,0 +1,316 @@
+"""Stay in the group of routers and, as its leader, give the orders."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from twisted.internet.defer import Deferred, inlineCallbacks
+from twisted.internet.task import LoopingCall
+
+from yuccagauge.clock import Clock, Millis
+from yuccagauge.directory.base import BackendServer, ServiceSpec
+from yuccagauge.directory.state import Directory
+from yuccagauge.directory.store import StoreUnavailableError
+from yuccagauge.dispatch.fetch import FetchError
+from yuccagauge.rollout.base import (
+    EngineReport,
+    Group,
+    OrderAnswer,
+    OrderPort,
+    WeightsOrder,
+)
+from yuccagauge.rollout.lead import Lead
+from yuccagauge.rollout.plan import EngineWeights, next_loads
+from yuccagauge.selection.selector import Selector
+from yuccagauge.telemetry.journal import log_state_change
+
+_MILLISECONDS_PER_SECOND = 1000
+
+#: Time between two renewals of the membership, as a share of the lease.
+RENEWALS_PER_LEASE = 4
+
+#: Time between two looks at the engines while loads are due or in work.
+LOOK_PERIOD = Millis(150)
+
+#: How long other routers keep calls away from an engine that loads, unless
+#: they hear earlier that it is done.
+LOAD_TIME = Millis(1600)
+
+#: Time between two reads of an engine's report while it loads.
+REPORT_PERIOD = Millis(250)
+
+
+@dataclass(slots=True)
+class _Progress:
+    """What the leader knows about the orders to one engine."""
+
+    ordered_at: Millis | None = None
+    ordered_version: int = 0
+    is_loading: bool = False
+    is_asking: bool = False
+    asked_at: Millis = Millis(0)
+
+
+class RolloutDriver:
+    """Renews the membership, and gives orders while it leads.
+
+    Parameters
+    ----------
+    group, port
+        The group of routers, and the engines.
+    directory, selector
+        What is in force, and the load of the engines.
+    reactor, clock
+        Keep time.
+    lease
+        Time after which the store drops a silent member.
+    share
+        Share of a service's engines that load at the same time.
+    """
+
+    def __init__(
+        self,
+        group: Group,
+        port: OrderPort,
+        directory: Directory,
+        selector: Selector,
+        reactor: Any,
+        clock: Clock,
+        *,
+        lease: Millis,
+        share: float,
+    ) -> None:
+        """Follow nobody yet."""
+        self._group = group
+        self._port = port
+        self._directory = directory
+        self._selector = selector
+        self._clock = clock
+        self._share = share
+        self._lead = Lead(lease)
+        self._progress: dict[str, _Progress] = {}
+        self._is_joining = False
+        self._was_leading = False
+        self._renewals = LoopingCall(self._renew)
+        self._renewals.clock = reactor
+        self._looks = LoopingCall(self._look)
+        self._looks.clock = reactor
+        self._renewal_s = lease / RENEWALS_PER_LEASE / _MILLISECONDS_PER_SECOND
+        #: Told when an engine begins to load, with the time it may take.
+        self.on_load: Callable[[str, Millis], None] = lambda server, time: None
+        #: Told when an engine shows new weights.
+        self.on_loaded: Callable[[str, str, int], None] = (
+            lambda server, model, version: None
+        )
+
+    def start(self) -> None:
+        """Join the group."""
+        self._renewals.start(self._renewal_s)
+        self._looks.start(LOOK_PERIOD / _MILLISECONDS_PER_SECOND)
+
+    def close(self) -> Deferred[None]:
+        """Stop giving orders and leave the group."""
+        for loop in (self._renewals, self._looks):
+            if loop.running:
+                loop.stop()
+        leaving = self._group.leave()
+        leaving.addErrback(lambda failure: failure.trap(StoreUnavailableError))
+        return leaving
+
+    @inlineCallbacks
+    def _renew(self) -> Any:
+        if self._is_joining:
+            return
+        self._is_joining = True
+        sent_at = self._clock.now()
+        try:
+            view = yield self._group.join(self._lead.generation)
+        except StoreUnavailableError:
+            # The followers of the store log its loss; the lead lapses.
+            return
+        finally:
+            self._is_joining = False
+        self._lead.renewed(
+            view.generation,
+            leads=view.is_leader,
+            sent_at=sent_at,
+            now=self._clock.now(),
+        )
+        if view.is_leader != self._was_leading:
+            self._was_leading = view.is_leader
+            log_state_change(
+                'lead_changed',
+                leads=view.is_leader,
+                generation=view.generation,
+            )
+
+    def _look(self) -> None:
+        """Give the orders that are due."""
+        configuration = self._directory.configuration
+        now = self._clock.now()
+        if configuration is None or self._lead.fence(now) is None:
+            return
+        for service in configuration.services.values():
+            if service.is_model:
+                self._look_at(service, now)
+
+    def _look_at(self, service: ServiceSpec, now: Millis) -> None:
+        engines = [
+            self._weights(server, model, now)
+            for server in self._directory.servers.values()
+            if server.service == service.name
+            for model in server.weights
+        ]
+        targets = self._directory.targets
+        for engine in engines:
+            progress = self._progress_of(engine.server)
+            is_due = now - progress.asked_at > REPORT_PERIOD
+            if progress.is_loading and is_due and not progress.is_asking:
+                self._watch(engine)
+        for engine in next_loads(engines, targets, self._share, now):
+            self._begin(engine, targets[engine.model])
+
+    def _weights(
+        self,
+        server: BackendServer,
+        model: str,
+        now: Millis,
+    ) -> EngineWeights:
+        progress = self._progress_of(server)
+        load = self._selector.load(server.server_id)
+        version = self._selector.weights_of(server, model)
+        if progress.is_loading and version >= progress.ordered_version:
+            self._done(server, model, version)
+        return EngineWeights(
+            server=server,
+            model=model,
+            version=version,
+            active=load.active(now),
+            ordered_at=progress.ordered_at,
+            is_loading=progress.is_loading,
+            is_reachable=now >= load.paused_until,
+        )
+
+    @inlineCallbacks
+    def _begin(self, engine: EngineWeights, version: int) -> Any:
+        """Read the engine's order number and give it the order."""
+        progress = self._progress_of(engine.server)
+        if progress.is_asking:
+            return
+        progress.is_asking = True
+        try:
+            report = yield self._port.report(engine.server)
+            yield self._order(engine, version, report)
+        except FetchError as error:
+            progress.ordered_at = self._clock.now()
+            log_state_change(
+                'order_unanswered',
+                server=engine.server.server_id,
+                reason=str(error),
+                verdict=error.verdict.value,
+            )
+        finally:
+            progress.is_asking = False
+
+    @inlineCallbacks
+    def _order(
+        self,
+        engine: EngineWeights,
+        version: int,
+        report: EngineReport,
+    ) -> Any:
+        progress = self._progress_of(engine.server)
+        if report.weights.get(engine.model, 0) >= version:
+            self._done(engine.server, engine.model, version)
+            return
+        if report.is_busy:
+            progress.is_loading = True
+            progress.ordered_version = version
+            progress.ordered_at = self._clock.now()
+            return
+        fence = self._lead.fence(self._clock.now())
+        if fence is None:
+            return
+        progress.ordered_at = self._clock.now()
+        progress.ordered_version = version
+        self.on_load(engine.server.server_id, LOAD_TIME)
+        answer = yield self._port.order(
+            WeightsOrder(
+                server=engine.server,
+                model=engine.model,
+                version=version,
+                fence=fence,
+                expected_number=report.order_number,
+            ),
+        )
+        self._take_answer(engine, version, fence, answer)
+
+    def _take_answer(
+        self,
+        engine: EngineWeights,
+        version: int,
+        fence: int,
+        answer: OrderAnswer,
+    ) -> None:
+        progress = self._progress_of(engine.server)
+        log_state_change(
+            'weights_ordered',
+            server=engine.server.server_id,
+            model=engine.model,
+            version=version,
+            fence=fence,
+            outcome=answer.value,
+        )
+        if answer is OrderAnswer.ACCEPTED:
+            progress.is_loading = True
+            progress.asked_at = self._clock.now()
+            return
+        if answer is OrderAnswer.HOLDS:
+            self._done(engine.server, engine.model, version)
+            return
+        if answer is OrderAnswer.FENCED:
+            self._lead.fenced_off(fence)
+        self.on_load(engine.server.server_id, Millis(0))
+
+    @inlineCallbacks
+    def _watch(self, engine: EngineWeights) -> Any:
+        """Look whether a load is done."""
+        progress = self._progress_of(engine.server)
+        progress.is_asking = True
+        progress.asked_at = self._clock.now()
+        try:
+            report = yield self._port.report(engine.server)
+        except FetchError:
+            # A lost report costs one more look.
+            return
+        finally:
+            progress.is_asking = False
+        version = report.weights.get(engine.model, 0)
+        if version >= progress.ordered_version:
+            self._done(engine.server, engine.model, version)
+        elif not report.is_busy:
+            progress.is_loading = False
+        else:
+            self._prolong(engine.server.server_id)
+
+    def _prolong(self, server_id: str) -> None:
+        """Keep calls away from an engine whose load takes longer."""
+        left = self._selector.load(server_id).loading_until - self._clock.now()
+        if left < REPORT_PERIOD:
+            self.on_load(server_id, Millis(3 * REPORT_PERIOD))
+
+    def _done(self, server: BackendServer, model: str, version: int) -> None:
+        progress = self._progress_of(server)
+        if progress.is_loading:
+            log_state_change(
+                'weights_loaded',
+                server=server.server_id,
+                model=model,
+                version=version,
+            )
+        progress.is_loading = False
+        progress.ordered_at = None
+        self.on_loaded(server.server_id, model, version)
+
+    def _progress_of(self, server: BackendServer) -> _Progress:
+        return self._progress.setdefault(server.incarnation, _Progress())
--- /dev/null
+++ b/yuccagauge/selection/base.py
@@ -0,0 +1,73 @@
+"""What a choice needs to know of a call, and what it decides."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from yuccagauge.clock import Millis
+from yuccagauge.directory.base import BackendServer, ServiceSpec
+from yuccagauge.relay.base import Placement
+from yuccagauge.selection.load import ServerLoad
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Demand:
+    """What a choice needs to know of a call."""
+
+    call_id: str
+    service: ServiceSpec
+    received_at: Millis
+    #: Time by which the answer, or the first event, earns full worth.
+    objective_at: Millis
+    #: Time by which the answer has to be complete.
+    deadline: Millis
+    priority: int = 0
+    model: str = ''
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    #: Ids and tokens of the shared parts of the prompt, in order.
+    parts: tuple[tuple[str, int], ...] = ()
+    #: The customer, if it shares cached parts with no other one.
+    isolated_customer: str = ''
+    #: Servers that an earlier attempt failed on.
+    avoided: frozenset[str] = frozenset()
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Candidate:
+    """A server that may get the call, with what is known of it."""
+
+    server: BackendServer
+    load: ServerLoad
+    #: Whether it is in the router's own data centre.
+    is_local: bool
+    #: Weights version that it runs; ``None`` for plain servers.
+    weights_version: int | None = None
+    #: Whether its weights are older than the newest named ones.
+    is_outdated: bool = False
+    #: Leading tokens of the prompt that it holds.
+    cached_tokens: int = 0
+    #: Leading tokens of the prompt that the kept store holds.
+    kept_tokens: int = 0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Choice:
+    """The decision on a call: exactly one of the fields is set."""
+
+    placement: Placement | None = None
+    #: Decide again at this time.
+    wait_until: Millis | None = None
+    #: Refuse, and let the caller come back after this time.
+    retry_after: Millis | None = None
+    #: What decided, for the log.
+    reason: str = ''
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class FleetView:
+    """What choices see beside the loads."""
+
+    servers: Mapping[str, BackendServer]
+    #: Newest named weights version by model, and since when it is known.
+    targets: Mapping[str, int] = field(default_factory=dict)
+    targets_since: Mapping[str, Millis] = field(default_factory=dict)
--- /dev/null
+++ b/yuccagauge/selection/load.py
@@ -0,0 +1,132 @@
+"""What a router knows about the load and health of one backend server."""
+
+from dataclasses import dataclass, field
+
+from yuccagauge.clock import Millis
+
+#: Half-life of a failure in the failure rate, in ms.
+FAILURE_HALF_LIFE = 2500.0
+
+#: Weight of one outcome in the failure rate.
+FAILURE_WEIGHT = 0.25
+
+#: First pause of a server that refused a connection, and the longest one.
+FIRST_PAUSE = Millis(250)
+LONGEST_PAUSE = Millis(4000)
+
+#: Pause of a server that refused a call as full, if it does not say more.
+FULL_PAUSE = Millis(60)
+
+#: What a peer said about its calls is believed for this long.
+PEER_LOAD_LIFETIME = Millis(1500)
+
+#: Weight of one answer in the mean service time.
+SERVICE_TIME_WEIGHT = 0.1
+
+
+@dataclass(slots=True, kw_only=True)
+class ActiveCall:
+    """A call of this router that a server works on."""
+
+    sent_at: Millis
+    #: Prompt tokens that the server has to read.
+    missing_tokens: int = 0
+    #: Tokens of KV memory that the call may take.
+    kv_tokens: int = 0
+    has_output: bool = False
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PeerLoad:
+    """What one peer has in flight at one server."""
+
+    active: int
+    waiting_tokens: int
+    heard_at: Millis
+
+
+@dataclass(slots=True)
+class ServerLoad:
+    """Load and health of one server, as far as this router knows."""
+
+    calls: dict[str, ActiveCall] = field(default_factory=dict)
+    peers: dict[str, PeerLoad] = field(default_factory=dict)
+    #: When the server last sent anything.
+    heard_at: Millis = Millis(0)
+    #: The server gets no call before this time.
+    paused_until: Millis = Millis(0)
+    #: Until when it loads weights, as far as is known.
+    loading_until: Millis = Millis(0)
+    #: Weights version that it showed in an answer, by model.
+    shown_weights: dict[str, int] = field(default_factory=dict)
+    #: Mean time that a plain call takes, in ms; 0 before the first.
+    service_ms: float = 0
+    refusals_in_row: int = 0
+    _failure_rate: float = 0
+    _failure_at: Millis = Millis(0)
+
+    def active(self, now: Millis) -> int:
+        """Return the calls in flight of this router and its peers."""
+        return len(self.calls) + sum(
+            load.active
+            for load in self.peers.values()
+            if now - load.heard_at < PEER_LOAD_LIFETIME
+        )
+
+    def waiting_tokens(self, now: Millis) -> int:
+        """Return the prompt tokens that wait to be read."""
+        own = sum(
+            call.missing_tokens
+            for call in self.calls.values()
+            if not call.has_output
+        )
+        return own + sum(
+            load.waiting_tokens
+            for load in self.peers.values()
+            if now - load.heard_at < PEER_LOAD_LIFETIME
+        )
+
+    def kv_tokens(self) -> int:
+        """Return the KV memory that this router's calls take, in tokens."""
+        return sum(call.kv_tokens for call in self.calls.values())
+
+    def silence(self, now: Millis) -> Millis:
+        """Return for how long a call has waited without a sign of life."""
+        waiting = [
+            call.sent_at
+            for call in self.calls.values()
+            if not call.has_output
+        ]
+        if not waiting:
+            return Millis(0)
+        return Millis(now - max(min(waiting), self.heard_at))
+
+    def failure_rate(self, now: Millis) -> float:
+        """Return the recent share of calls that failed, 0 to 1."""
+        age = max(0, now - self._failure_at)
+        return self._failure_rate * 0.5 ** (age / FAILURE_HALF_LIFE)
+
+    def note_outcome(self, *, failed: bool, now: Millis) -> None:
+        """Count one call that failed or not."""
+        rate = self.failure_rate(now)
+        sample = 1.0 if failed else 0.0
+        self._failure_rate = rate + FAILURE_WEIGHT * (sample - rate)
+        self._failure_at = now
+        if not failed:
+            self.refusals_in_row = 0
+
+    def note_service_time(self, duration: Millis) -> None:
+        """Count how long a plain call took."""
+        if not self.service_ms:
+            self.service_ms = float(duration)
+        self.service_ms += SERVICE_TIME_WEIGHT * (duration - self.service_ms)
+
+    def note_unreachable(self, now: Millis) -> None:
+        """Pause a server that accepts no connection, longer each time."""
+        pause = min(LONGEST_PAUSE, FIRST_PAUSE * 2**self.refusals_in_row)
+        self.refusals_in_row += 1
+        self.paused_until = max(self.paused_until, Millis(now + pause))
+
+    def note_full(self, now: Millis) -> None:
+        """Pause a server that refused a call because it is full."""
+        self.paused_until = max(self.paused_until, Millis(now + FULL_PAUSE))
--- /dev/null
+++ b/yuccagauge/selection/selector.py
@@ -0,0 +1,314 @@
+"""The state behind all choices of a router, and the choice itself."""
+
+from collections.abc import Mapping
+
+from yuccagauge.clock import Millis
+from yuccagauge.directory.base import BackendServer, KeptStore, ServerState
+from yuccagauge.relay.base import Placement
+from yuccagauge.selection import model, plain
+from yuccagauge.selection.base import Candidate, Choice, Demand, FleetView
+from yuccagauge.selection.cachemap import CacheMap
+from yuccagauge.selection.load import ActiveCall, ServerLoad
+from yuccagauge.settings.options import Endpoint
+
+#: A server whose calls show no sign of life for this long beyond what was
+#: expected gets no further call while another server can take it.
+SILENCE_LIMIT = Millis(700)
+
+#: The same for plain servers, whose answers take tens of milliseconds.
+PLAIN_SILENCE_LIMIT = Millis(250)
+
+#: Calls wait this long at most before the choice is made again.
+RECHECK = Millis(20)
+
+#: Share of the time to the objective that a call waits without knowing
+#: when a server will be free.
+BLIND_WAIT_SHARE = 0.12
+
+#: Bounds on the time after which a refused caller comes back.
+SHORTEST_RETRY = Millis(120)
+LONGEST_RETRY = Millis(1500)
+
+#: Engines with older weights get no call from this long before the time at
+#: which calls must not begin on them any more.
+OUTDATED_MARGIN = Millis(1500)
+
+#: Answers on older weights lose worth from this time after the naming.
+OUTDATED_GRACE = Millis(1000)
+
+
+def kept_holder(endpoint: Endpoint) -> str:
+    """Return the name of a kept store in the cache map."""
+    return f'kept/{endpoint}'
+
+
+class Selector:
+    """Chooses servers by loads, cached parts and weights.
+
+    Parameters
+    ----------
+    data_centre
+        The router's own data centre.
+    weights_limit
+        Time after the naming of weights from which no call may begin on
+        older ones.
+    """
+
+    def __init__(self, data_centre: str, weights_limit: Millis) -> None:
+        """Start without servers."""
+        self._data_centre = data_centre
+        self._weights_limit = weights_limit
+        self._view = FleetView(servers={})
+        self._by_service: dict[str, list[BackendServer]] = {}
+        self._loads: dict[str, ServerLoad] = {}
+        self.cache = CacheMap()
+        #: Kept stores that answer, by endpoint.
+        self.live_stores: set[Endpoint] = set()
+
+    @property
+    def loads(self) -> Mapping[str, ServerLoad]:
+        """What is known of each server, by id."""
+        return self._loads
+
+    @property
+    def view(self) -> FleetView:
+        """The servers and weights in force."""
+        return self._view
+
+    def load(self, server_id: str) -> ServerLoad:
+        """Return what is known of a server; new ones start empty."""
+        return self._loads.setdefault(server_id, ServerLoad())
+
+    def adopt(self, view: FleetView) -> tuple[str, ...]:
+        """Follow a change of the directory; return servers that started anew.
+
+        A server that starts again under its id knows nothing of before.
+        """
+        known = self._view.servers
+        renewed = tuple(
+            server_id
+            for server_id, server in view.servers.items()
+            if server_id in known
+            and known[server_id].started_at != server.started_at
+        )
+        gone = tuple(name for name in known if name not in view.servers)
+        for server_id in (*renewed, *gone):
+            self.cache.forget(server_id)
+            old = self._loads.pop(server_id, None)
+            if old is not None and old.calls:
+                # Calls that still run there end by themselves.
+                self._loads[server_id] = ServerLoad(calls=old.calls)
+        self._view = view
+        self._by_service = {}
+        for server in view.servers.values():
+            self._by_service.setdefault(server.service, []).append(server)
+        return renewed
+
+    def weights_of(self, server: BackendServer, name: str) -> int:
+        """Return the newest weights version that a server has shown."""
+        listed = server.weights.get(name, 0)
+        return max(listed, self.load(server.server_id).shown_weights.get(name, 0))
+
+    def choose(
+        self,
+        demand: Demand,
+        stores: tuple[KeptStore, ...],
+        now: Millis,
+    ) -> Choice:
+        """Return where a call goes now, or when to look again, or a refusal."""
+        known = self._by_service.get(demand.service.name, [])
+        ready = [
+            server
+            for server in known
+            if server.state is ServerState.READY
+            and server.server_id not in demand.avoided
+        ]
+        usable = [server for server in ready if self._may_take(server, now)]
+        usable = self._leave_silent(usable, demand, now) or usable
+        if demand.service.is_model:
+            choice = self._choose_engine(usable, demand, stores, now)
+        else:
+            choice = self._choose_plain(usable, demand, now)
+        return choice or self._choose_later(ready, demand, now)
+
+    def sent(self, demand: Demand, placement: Placement, now: Millis) -> None:
+        """Note that a call was handed to a server."""
+        server_id = placement.server.server_id
+        missing = max(0, demand.prompt_tokens - placement.cached_tokens)
+        self.load(server_id).calls[demand.call_id] = ActiveCall(
+            sent_at=now,
+            missing_tokens=missing,
+            kv_tokens=demand.prompt_tokens + demand.output_tokens,
+        )
+        for part_id, _ in demand.parts:
+            self.cache.add(server_id, placement.cache_scope, part_id)
+
+    def _may_take(self, server: BackendServer, now: Millis) -> bool:
+        load = self._loads.get(server.server_id)
+        if load is None:
+            return True
+        return now >= load.paused_until and now >= load.loading_until
+
+    def _leave_silent(
+        self,
+        servers: list[BackendServer],
+        demand: Demand,
+        now: Millis,
+    ) -> list[BackendServer]:
+        limit = SILENCE_LIMIT if demand.service.is_model else PLAIN_SILENCE_LIMIT
+        return [
+            server
+            for server in servers
+            if self.load(server.server_id).silence(now) < limit
+        ]
+
+    def _choose_plain(
+        self,
+        servers: list[BackendServer],
+        demand: Demand,
+        now: Millis,
+    ) -> Choice | None:
+        candidates = [self._candidate(server) for server in servers]
+        best = plain.cheapest(candidates, now)
+        if best is None:
+            return None
+        expected = plain.expected_ms(best, now)
+        if now + expected > demand.deadline:
+            return None
+        placement = Placement(server=best.server, expected_ms=expected)
+        return Choice(placement=placement, reason='least_cost')
+
+    def _choose_engine(
+        self,
+        servers: list[BackendServer],
+        demand: Demand,
+        stores: tuple[KeptStore, ...],
+        now: Millis,
+    ) -> Choice | None:
+        store = self._nearest(stores)
+        candidates = [
+            candidate
+            for candidate in self._engines(servers, demand, store, now)
+            if candidate is not None
+        ]
+        best = model.cheapest(candidates, demand, now)
+        if best is None:
+            return None
+        candidate, found = best
+        endpoint = store.endpoint if store is not None else None
+        lacks = candidate.cached_tokens < candidate.kept_tokens
+        placement = Placement(
+            server=candidate.server,
+            weights_version=candidate.weights_version,
+            cache_scope=_scope(demand, candidate.weights_version),
+            fetch_from=endpoint if lacks else None,
+            keep_in=endpoint,
+            cached_tokens=max(candidate.cached_tokens, candidate.kept_tokens),
+            expected_ms=found.first_ms,
+        )
+        return Choice(placement=placement, reason='least_cost')
+
+    def _engines(
+        self,
+        servers: list[BackendServer],
+        demand: Demand,
+        store: KeptStore | None,
+        now: Millis,
+    ) -> list[Candidate]:
+        """Return the engines that may run the model, with what they hold."""
+        target = self._view.targets.get(demand.model, 0)
+        age = now - self._view.targets_since.get(demand.model, now)
+        found: list[Candidate] = []
+        depths: dict[int, dict[str, int]] = {}
+        for server in servers:
+            version = self.weights_of(server, demand.model)
+            is_old = version < target
+            if not version or is_old and age > (
+                self._weights_limit - OUTDATED_MARGIN
+            ):
+                continue
+            if version not in depths:
+                scope = _scope(demand, version)
+                depths[version] = self.cache.depths(scope, demand.parts)
+            held = depths[version]
+            kept = held.get(kept_holder(store.endpoint), 0) if store else 0
+            found.append(
+                Candidate(
+                    server=server,
+                    load=self.load(server.server_id),
+                    is_local=server.data_centre == self._data_centre,
+                    weights_version=version,
+                    is_outdated=is_old and age > OUTDATED_GRACE,
+                    cached_tokens=held.get(server.server_id, 0),
+                    kept_tokens=kept,
+                ),
+            )
+        return found
+
+    def _candidate(self, server: BackendServer) -> Candidate:
+        return Candidate(
+            server=server,
+            load=self.load(server.server_id),
+            is_local=server.data_centre == self._data_centre,
+        )
+
+    def _nearest(self, stores: tuple[KeptStore, ...]) -> KeptStore | None:
+        """Return a live kept store, one of the own data centre first."""
+        live = [
+            store for store in stores if store.endpoint in self.live_stores
+        ]
+        return min(
+            live,
+            key=lambda store: store.data_centre != self._data_centre,
+            default=None,
+        )
+
+    def _choose_later(
+        self,
+        ready: list[BackendServer],
+        demand: Demand,
+        now: Millis,
+    ) -> Choice:
+        """Decide for a call that no server can take now.
+
+        Load pattern: all engines load weights or all servers just failed.
+        A call waits while a server is expected back before its objective,
+        or shortly without such knowledge; else it is refused at once, with
+        the time at which a server is expected.
+        """
+        free_at = min(
+            (self._free_at(server, now) for server in ready),
+            default=None,
+        )
+        left = demand.deadline - now
+        if free_at is not None and free_at > now:
+            if free_at < demand.objective_at or free_at - now < left / 2:
+                until = min(free_at, Millis(now + RECHECK))
+                return Choice(wait_until=until, reason='server_soon')
+            retry = Millis(free_at - now)
+            return Choice(retry_after=_clamped(retry), reason='server_later')
+        whole = demand.objective_at - demand.received_at
+        if now - demand.received_at < BLIND_WAIT_SHARE * whole:
+            until = Millis(now + RECHECK)
+            return Choice(wait_until=until, reason='no_server_known')
+        return Choice(
+            retry_after=_clamped(Millis(left // 3)),
+            reason='no_server',
+        )
+
+    def _free_at(self, server: BackendServer, now: Millis) -> Millis:
+        load = self.load(server.server_id)
+        return max(now, load.paused_until, load.loading_until)
+
+
+def _scope(demand: Demand, version: int | None) -> str:
+    """Return the scope of cached parts: weights version and customer.
+
+    Engines and kept stores find parts by scope alone, so a part is never
+    found under other weights, nor by another customer than an isolated one.
+    """
+    return f'{version}/{demand.isolated_customer}'
+
+
+def _clamped(retry: Millis) -> Millis:
+    return max(SHORTEST_RETRY, min(LONGEST_RETRY, retry))
--- a/yuccagauge/telemetry/journal.py
+++ b/yuccagauge/telemetry/journal.py
@@ -72,6 +72,16 @@
     absl_logging.set_stderrthreshold(absl_logging.INFO)
 
 
+def start_bounded_logging(handler: logging.Handler) -> None:
+    """Write all log records through a handler that bounds their volume."""
+    handler.setFormatter(StateChangeFormatter())
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    logger = absl_logging.get_absl_logger()
+    logger.setLevel(logging.INFO)
+    logger.propagate = True
+
+
 def log_state_change(event: str, **fields: Any) -> None:
     """Write one line about a change of state.
 
@@ -94,6 +104,21 @@
     )
 
 
+def log_decision(event: str, request_id: str, **fields: Any) -> None:
+    """Write one line about a decision on a request.
+
+    Parameters
+    ----------
+    event
+        What was decided, such as ``call_sent``.
+    request_id
+        The request; empty if it had none.
+    fields
+        The inputs that decided, their age or version, and the outcome.
+    """
+    log_state_change(event, request_id=request_id, **fields)
+
+
 def _check(name: str, value: Any) -> Any:
     if name in _RESERVED:
         raise LogFieldError(f'log field {name!r} is reserved')
--- a/yuccagauge/wire/client.py
+++ b/yuccagauge/wire/client.py
@@ -101,6 +101,12 @@
         kind = type(message).__name__
         return answer.addBoth(_count_outcome, kind)
 
+    def drop(self, peer: Endpoint) -> None:
+        """Close the connection to a peer that does not answer on it."""
+        channel = self._channels.get(peer)
+        if channel is not None:
+            channel.close()
+
     def drop_connections(self) -> None:
         """Close idle connections, so that new certificates come into use."""
         for channel in tuple(self._channels.values()):
--- a/yuccagauge/wire/messages.capnp
+++ b/yuccagauge/wire/messages.capnp
@@ -163,3 +163,70 @@
   # One sentence for a log line.
   reason @0 :Text;
 }
+
+struct FleetMember {
+  name @0 :Text;
+  endpoint @1 :Data;
+  dataCentre @2 :Text;
+  # Time since it was heard.
+  ageMs @3 :UInt32;
+}
+
+struct FleetMark {
+  topic @0 :UInt8;
+  # Offset below which the sender has applied every record.
+  mark @1 :UInt64;
+  # Time since the store confirmed the mark.
+  ageMs @2 :UInt32;
+}
+
+struct FleetRecord {
+  topic @0 :UInt8;
+  key @1 :Text;
+  offset @2 :UInt64;
+  # Whether the record removes the key.
+  removes @3 :Bool;
+  value @4 :Data;
+}
+
+struct FleetLoad {
+  server @0 :Text;
+  active @1 :UInt16;
+  waitingTokens @2 :UInt32;
+}
+
+struct FleetPause {
+  server @0 :Text;
+  # Time for which the server gets no calls; 0 ends a pause.
+  remainingMs @1 :UInt32;
+}
+
+struct FleetWeights {
+  server @0 :Text;
+  model @1 :Text;
+  version @2 :UInt32;
+}
+
+struct FleetSuspicion {
+  fingerprint @0 :Data;
+  # Names of crashes, separated by commas.
+  crashes @1 :Text;
+  cleared @2 :Text;
+  ageMs @3 :UInt32;
+}
+
+struct FleetExchange {
+  name @0 :Text;
+  leaves @1 :Bool;
+  members @2 :List(FleetMember);
+  marks @3 :List(FleetMark);
+  records @4 :List(FleetRecord);
+  loads @5 :List(FleetLoad);
+  pauses @6 :List(FleetPause);
+  weights @7 :List(FleetWeights);
+  suspicions @8 :List(FleetSuspicion);
+  # Whether the sender wants the records above its marks.
+  asks @9 :Bool;
+  endpoint @10 :Data;
+  dataCentre @11 :Text;
+}
--- a/yuccagauge/wire/messages.py
+++ b/yuccagauge/wire/messages.py
@@ -228,6 +228,96 @@
     buckets: bytes = b''
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class FleetMember(Message):
+    """A router that the sender knows."""
+
+    name: str
+    endpoint: Endpoint
+    data_centre: str
+    #: Time since it was heard, in ms.
+    age_ms: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class FleetMark(Message):
+    """How far the sender has followed a topic of the store."""
+
+    topic: int
+    mark: int
+    #: Time since the store confirmed the mark, in ms.
+    age_ms: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class FleetRecord(Message):
+    """A record of a keyed topic of the store."""
+
+    topic: int
+    key: str
+    offset: int
+    removes: bool
+    value: bytes = b''
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class FleetLoad(Message):
+    """What the sender has in flight at one backend server."""
+
+    server: str
+    active: int
+    waiting_tokens: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class FleetPause(Message):
+    """A backend server that gets no calls for a while."""
+
+    server: str
+    #: 0 ends a pause.
+    remaining_ms: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class FleetWeights(Message):
+    """The weights that a backend server has shown."""
+
+    server: str
+    model: str
+    version: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class FleetSuspicion(Message):
+    """A request that may crash the servers that run it."""
+
+    fingerprint: bytes
+    #: Names of crashes, separated by commas.
+    crashes: str
+    cleared: str
+    age_ms: int
+
+
+@register(50)
+@dataclass(frozen=True, slots=True, kw_only=True)
+class FleetExchange(Message):
+    """What routers tell each other, in both directions of an exchange."""
+
+    name: str
+    endpoint: Endpoint
+    data_centre: str
+    leaves: bool = False
+    #: Whether the sender wants the records above its marks.
+    asks: bool = False
+    members: tuple[FleetMember, ...] = ()
+    marks: tuple[FleetMark, ...] = ()
+    records: tuple[FleetRecord, ...] = ()
+    loads: tuple[FleetLoad, ...] = ()
+    pauses: tuple[FleetPause, ...] = ()
+    weights: tuple[FleetWeights, ...] = ()
+    suspicions: tuple[FleetSuspicion, ...] = ()
+
+
 @register(40)
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Accepted(Message):
