Drain engines before new weights, and keep only shared parts

Cause: an order lets runs finish first, so a load took 2 to 4 s where the engine needs 1.3 s, and each call copied its own part of the prompt to the kept store, 76 of the 91 Gbit/s of its link under load.

Change: the leader announces a drain, orders once only streams are left that another engine may continue, and resets those. Calls ask to keep parts only if the store lacks shared ones, and fetch what the engine lacks.

--- a/yuccagauge/cachefeed/feed.py
+++ b/yuccagauge/cachefeed/feed.py
@@ -146,9 +146,7 @@
 
     def follow(self) -> None:
         """Poll the holders that the directory names now."""
-        wanted = {
-            holder for holder in self._holders() if self._is_ours(holder)
-        }
+        wanted = {holder for holder in self._holders() if self._is_ours(holder)}
         for holder in set(self._pollers) - wanted:
             self._pollers.pop(holder).close()
         for holder in wanted - set(self._pollers):
--- a/yuccagauge/directory/records.py
+++ b/yuccagauge/directory/records.py
@@ -82,9 +82,7 @@
     def newer_than(self, mark: int) -> tuple[KeyedRecord, ...]:
         """Return the records from an offset on, oldest first."""
         found = [
-            record
-            for record in self._records.values()
-            if record.offset >= mark
+            record for record in self._records.values() if record.offset >= mark
         ]
         return tuple(sorted(found, key=lambda record: record.offset))
 
@@ -97,9 +95,7 @@
 
     def _forget_removals(self) -> None:
         removals = [
-            record
-            for record in self._records.values()
-            if record.value is None
+            record for record in self._records.values() if record.value is None
         ]
         if len(removals) <= MAXIMUM_REMOVALS:
             return
--- a/yuccagauge/directory/state.py
+++ b/yuccagauge/directory/state.py
@@ -172,7 +172,7 @@
                 self._take_operation(record, now)
         if changed or is_first:
             self._tell()
-        return tuple(record.key for record in changed)
+        return tuple(each.key for each in changed)
 
     def _take_server(self, record: KeyedRecord, now: Millis) -> None:
         if record.value is None:
--- a/yuccagauge/exchange/service.py
+++ b/yuccagauge/exchange/service.py
@@ -136,11 +136,22 @@
         self._is_leaving = True
         self._tell_all(self._compose(leaves=True))
 
-    def tell_pause(self, server_id: str, duration: Millis) -> None:
-        """Keep calls of all routers away from a server for a while."""
-        self._take_pause(server_id, duration)
-        pause = FleetPause(server=server_id, remaining_ms=duration)
-        self._tell_all(self._compose(pauses=(pause,)))
+    def tell_pause(
+        self,
+        server_ids: tuple[str, ...],
+        duration: Millis,
+    ) -> None:
+        """Keep calls of all routers away from servers for a while.
+
+        The answers tell what the routers still have in flight there.
+        """
+        for server_id in server_ids:
+            self._take_pause(server_id, duration)
+        pauses = tuple(
+            FleetPause(server=name, remaining_ms=duration)
+            for name in server_ids
+        )
+        self._tell_all(self._compose(pauses=pauses))
 
     def tell_weights(self, server_id: str, model: str, version: int) -> None:
         """Tell all routers that a server has loaded weights."""
@@ -158,9 +169,7 @@
         peers = [member.endpoint for member in self.peers]
         if not peers:
             return set(self._seeds)
-        chosen = {
-            peers[int(self._draw() * len(peers))] for _ in range(FANOUT)
-        }
+        chosen = {peers[int(self._draw() * len(peers))] for _ in range(FANOUT)}
         # A seed now and then joins two halves that lost each other.
         if self._seeds and self._draw() < 1 / len(peers):
             chosen.add(self._seeds[int(self._draw() * len(self._seeds))])
@@ -187,7 +196,7 @@
         message = received.message
         self._take(message)
         if not message.asks:
-            return self._compose()
+            return self._compose(whole=bool(message.pauses))
         marks = {mark.topic: mark.mark for mark in message.marks}
         return self._compose(whole=True, records=self._records(marks))
 
@@ -240,6 +249,7 @@
                     for call in load.calls.values()
                     if not call.has_output
                 ),
+                fixed=sum(not call.is_movable for call in load.calls.values()),
             )
             for server_id, load in self._selector.loads.items()
             if load.calls
@@ -343,6 +353,7 @@
             self._selector.load(part.server).peers[message.name] = PeerLoad(
                 active=part.active,
                 waiting_tokens=part.waiting_tokens,
+                fixed=part.fixed,
                 heard_at=now,
             )
 
--- a/yuccagauge/platform/engines.py
+++ b/yuccagauge/platform/engines.py
@@ -13,7 +13,12 @@
 from yuccagauge.dispatch.connection import ConnectionPool
 from yuccagauge.dispatch.fetch import Fetched, FetchError, fetch
 from yuccagauge.platform import names
-from yuccagauge.rollout.base import EngineReport, OrderAnswer, WeightsOrder
+from yuccagauge.rollout.base import (
+    EngineReport,
+    OrderAnswer,
+    SwapMode,
+    WeightsOrder,
+)
 from yuccagauge.settings.options import Endpoint
 from yuccagauge.verdict import Verdict
 
@@ -22,8 +27,10 @@
 #: Time for an answer, beyond the time that the engine may wait.
 _PATIENCE = Millis(1200)
 
-#: An order lets the runs of an engine finish before it swaps weights.
-_SWAP_MODE = 'queue'
+_SWAP_MODES = {
+    SwapMode.FINISH_RUNS: 'queue',
+    SwapMode.RESET_RUNS: 'preempt',
+}
 
 _ANSWERS = {
     200: OrderAnswer.HOLDS,
@@ -80,7 +87,7 @@
             'op': 'version',
             'model': order.model,
             'version': order.version,
-            'swapMode': _SWAP_MODE,
+            'swapMode': _SWAP_MODES[order.mode],
             'holder': self._holder,
             'fence': order.fence,
             'expected': order.expected_number,
--- a/yuccagauge/platform/records.py
+++ b/yuccagauge/platform/records.py
@@ -30,7 +30,7 @@
 _STATES = {'ready': ServerState.READY, 'draining': ServerState.DRAINING}
 
 #: What a malformed document raises while it is read.
-_MALFORMED = (KeyError, TypeError, ValueError, AttributeError)
+_MALFORMED = (KeyError, TypeError, ValueError, AttributeError, RecordError)
 
 #: Timeout of a route that names none.
 _DEFAULT_TIMEOUT = 60_000
@@ -58,7 +58,7 @@
         """Return the server; ``None`` if the entry names none to use."""
         try:
             return _server(key, json.loads(value))
-        except (*_MALFORMED, RecordError) as error:
+        except _MALFORMED as error:
             _log_unreadable(key, error)
             return None
 
@@ -182,9 +182,7 @@
 
 def _weights(models: list[dict[str, Any]]) -> dict[str, int]:
     """Return the weights version of each model; empty for plain servers."""
-    return {
-        _text(model, 'name'): _whole(model, 'version') for model in models
-    }
+    return {_text(model, 'name'): _whole(model, 'version') for model in models}
 
 
 def _text(entry: dict[str, Any], key: str) -> str:
--- a/yuccagauge/relay/call.py
+++ b/yuccagauge/relay/call.py
@@ -172,13 +172,16 @@
     def _broke(self, reason: str) -> None:
         """Handle an attempt that may have run and has no whole answer."""
         placement = self._placement
-        self._around.quarantine.broke(
-            self._call.fingerprint,
-            placement.server.endpoint,
-            placement.server.incarnation,
-            self._now(),
-        )
-        self._release(failed=True)
+        # An engine that gets new weights may reset its runs.
+        is_reset = self._now() < self._load().loading_until
+        if not is_reset:
+            self._around.quarantine.broke(
+                self._call.fingerprint,
+                placement.server.endpoint,
+                placement.server.incarnation,
+                self._now(),
+            )
+        self._release(failed=not is_reset)
         self._runs += 1
         self._verdict = self._verdict.combine(Verdict.MAY_HAVE_RUN)
         self._answer.drop_partial()
@@ -274,7 +277,12 @@
             ),
         )
         server = choice.placement.server
-        self._around.selector.sent(self._demand, choice.placement, now)
+        self._around.selector.sent(
+            self._demand,
+            choice.placement,
+            now,
+            is_movable=self.is_repeatable and self._has_attempts(),
+        )
         self._around.quarantine.started(self._call.fingerprint, server.endpoint)
         self._report.note_send(choice)
         self._exchange = Exchange(
--- a/yuccagauge/relay/channel.py
+++ b/yuccagauge/relay/channel.py
@@ -99,7 +99,9 @@
                 self.transport.pauseProducing()
             return
         if self._head is None:
-            self.setTimeout(self._seconds(self._factory.limits().header_timeout))
+            self.setTimeout(
+                self._seconds(self._factory.limits().header_timeout)
+            )
         self._feed(data)
 
     def timeoutConnection(self) -> None:  # noqa: N802
--- a/yuccagauge/relay/router.py
+++ b/yuccagauge/relay/router.py
@@ -241,9 +241,7 @@
             clock=self._clock,
             draw=self._draw,
         )
-        exchange.confirmed_at = lambda topic: (
-            self._followers[topic].answered_at
-        )
+        exchange.confirmed_at = lambda topic: self._followers[topic].answered_at
         return exchange
 
     def _router_names(self) -> Iterable[str]:
--- a/yuccagauge/rollout/base.py
+++ b/yuccagauge/rollout/base.py
@@ -36,6 +36,14 @@
         """Leave, so that another member leads at once."""
 
 
+@enum.unique
+class SwapMode(enum.Enum):
+    """What happens to the runs of an engine that gets new weights."""
+
+    FINISH_RUNS = 'finish-runs'
+    RESET_RUNS = 'reset-runs'
+
+
 @enum.unique
 class OrderAnswer(enum.Enum):
     """What an engine says to an order."""
@@ -73,6 +81,7 @@
     server: BackendServer
     model: str
     version: int
+    mode: SwapMode
     #: The leader's fencing token.
     fence: int
     #: The engine carries the order out only if this was its last one.
--- a/yuccagauge/rollout/driver.py
+++ b/yuccagauge/rollout/driver.py
@@ -17,10 +17,16 @@
     Group,
     OrderAnswer,
     OrderPort,
+    SwapMode,
     WeightsOrder,
 )
 from yuccagauge.rollout.lead import Lead
-from yuccagauge.rollout.plan import EngineWeights, next_loads
+from yuccagauge.rollout.plan import (
+    EngineWeights,
+    due_order,
+    has_place,
+    next_drains,
+)
 from yuccagauge.selection.selector import Selector
 from yuccagauge.telemetry.journal import log_state_change
 
@@ -30,20 +36,30 @@
 RENEWALS_PER_LEASE = 4
 
 #: Time between two looks at the engines while loads are due or in work.
-LOOK_PERIOD = Millis(150)
+LOOK_PERIOD = Millis(100)
 
 #: How long other routers keep calls away from an engine that loads, unless
 #: they hear earlier that it is done.
 LOAD_TIME = Millis(1600)
 
 #: Time between two reads of an engine's report while it loads.
-REPORT_PERIOD = Millis(250)
+REPORT_PERIOD = Millis(200)
+
+#: How long an announced drain keeps calls away; it is announced again while
+#: it lasts.
+DRAIN_NOTICE = Millis(600)
+
+#: Expected time of a load before the first one was seen, in ms, and the
+#: weight of each load in the mean.
+ASSUMED_LOAD_MS = 1500.0
+LOAD_WEIGHT = 0.3
 
 
 @dataclass(slots=True)
 class _Progress:
     """What the leader knows about the orders to one engine."""
 
+    draining_since: Millis | None = None
     ordered_at: Millis | None = None
     ordered_version: int = 0
     is_loading: bool = False
@@ -89,6 +105,7 @@
         self._share = share
         self._lead = Lead(lease)
         self._progress: dict[str, _Progress] = {}
+        self._load_ms = ASSUMED_LOAD_MS
         self._is_joining = False
         self._was_leading = False
         self._renewals = LoopingCall(self._renew)
@@ -96,8 +113,10 @@
         self._looks = LoopingCall(self._look)
         self._looks.clock = reactor
         self._renewal_s = lease / RENEWALS_PER_LEASE / _MILLISECONDS_PER_SECOND
-        #: Told when an engine begins to load, with the time it may take.
-        self.on_load: Callable[[str, Millis], None] = lambda server, time: None
+        #: Told when engines drain or load, with the time it may take.
+        self.on_load: Callable[[tuple[str, ...], Millis], None] = (
+            lambda servers, time: None
+        )
         #: Told when an engine shows new weights.
         self.on_loaded: Callable[[str, str, int], None] = (
             lambda server, model, version: None
@@ -167,8 +186,20 @@
             is_due = now - progress.asked_at > REPORT_PERIOD
             if progress.is_loading and is_due and not progress.is_asking:
                 self._watch(engine)
-        for engine in next_loads(engines, targets, self._share, now):
-            self._begin(engine, targets[engine.model])
+        load_ms = self._load_ms
+        for chosen in next_drains(engines, targets, self._share, load_ms, now):
+            self._progress_of(chosen.server).draining_since = now
+        draining = tuple(
+            each.server.server_id
+            for each in engines
+            if self._progress_of(each.server).draining_since is not None
+        )
+        if draining:
+            self.on_load(draining, DRAIN_NOTICE)
+        for engine in engines:
+            mode = due_order(engine, now)
+            if mode is not None and has_place(engines, self._share, now):
+                self._begin(engine, targets[engine.model], mode)
 
     def _weights(
         self,
@@ -186,13 +217,20 @@
             model=model,
             version=version,
             active=load.active(now),
+            fixed=load.fixed(now),
+            draining_since=progress.draining_since,
             ordered_at=progress.ordered_at,
             is_loading=progress.is_loading,
             is_reachable=now >= load.paused_until,
         )
 
     @inlineCallbacks
-    def _begin(self, engine: EngineWeights, version: int) -> Any:
+    def _begin(
+        self,
+        engine: EngineWeights,
+        version: int,
+        mode: SwapMode,
+    ) -> Any:
         """Read the engine's order number and give it the order."""
         progress = self._progress_of(engine.server)
         if progress.is_asking:
@@ -200,7 +238,7 @@
         progress.is_asking = True
         try:
             report = yield self._port.report(engine.server)
-            yield self._order(engine, version, report)
+            yield self._order(engine, version, mode, report)
         except FetchError as error:
             progress.ordered_at = self._clock.now()
             log_state_change(
@@ -211,12 +249,14 @@
             )
         finally:
             progress.is_asking = False
+            progress.draining_since = None
 
     @inlineCallbacks
     def _order(
         self,
         engine: EngineWeights,
         version: int,
+        mode: SwapMode,
         report: EngineReport,
     ) -> Any:
         progress = self._progress_of(engine.server)
@@ -233,22 +273,24 @@
             return
         progress.ordered_at = self._clock.now()
         progress.ordered_version = version
-        self.on_load(engine.server.server_id, LOAD_TIME)
+        self.on_load((engine.server.server_id,), LOAD_TIME)
         answer = yield self._port.order(
             WeightsOrder(
                 server=engine.server,
                 model=engine.model,
                 version=version,
+                mode=mode,
                 fence=fence,
                 expected_number=report.order_number,
             ),
         )
-        self._take_answer(engine, version, fence, answer)
+        self._take_answer(engine, version, mode, fence, answer)
 
     def _take_answer(
         self,
         engine: EngineWeights,
         version: int,
+        mode: SwapMode,
         fence: int,
         answer: OrderAnswer,
     ) -> None:
@@ -259,6 +301,9 @@
             model=engine.model,
             version=version,
             fence=fence,
+            mode=mode.value,
+            active=engine.active,
+            fixed=engine.fixed,
             outcome=answer.value,
         )
         if answer is OrderAnswer.ACCEPTED:
@@ -270,7 +315,7 @@
             return
         if answer is OrderAnswer.FENCED:
             self._lead.fenced_off(fence)
-        self.on_load(engine.server.server_id, Millis(0))
+        self.on_load((engine.server.server_id,), Millis(0))
 
     @inlineCallbacks
     def _watch(self, engine: EngineWeights) -> Any:
@@ -297,16 +342,19 @@
         """Keep calls away from an engine whose load takes longer."""
         left = self._selector.load(server_id).loading_until - self._clock.now()
         if left < REPORT_PERIOD:
-            self.on_load(server_id, Millis(3 * REPORT_PERIOD))
+            self.on_load((server_id,), Millis(3 * REPORT_PERIOD))
 
     def _done(self, server: BackendServer, model: str, version: int) -> None:
         progress = self._progress_of(server)
         if progress.is_loading:
+            took = self._clock.now() - progress.ordered_at
+            self._load_ms += LOAD_WEIGHT * (took - self._load_ms)
             log_state_change(
                 'weights_loaded',
                 server=server.server_id,
                 model=model,
                 version=version,
+                took_ms=took,
             )
         progress.is_loading = False
         progress.ordered_at = None
--- a/yuccagauge/selection/base.py
+++ b/yuccagauge/selection/base.py
@@ -24,13 +24,19 @@
     model: str = ''
     prompt_tokens: int = 0
     output_tokens: int = 0
-    #: Ids and tokens of the shared parts of the prompt, in order.
+    #: Ids and tokens of the parts of the prompt, in order. The last one
+    #: belongs to the request.
     parts: tuple[tuple[str, int], ...] = ()
     #: The customer, if it shares cached parts with no other one.
     isolated_customer: str = ''
     #: Servers that an earlier attempt failed on.
     avoided: frozenset[str] = frozenset()
 
+    @property
+    def shared_tokens(self) -> int:
+        """Tokens of the parts that other prompts may share."""
+        return sum(tokens for _, tokens in self.parts[:-1])
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Candidate:
--- a/yuccagauge/selection/load.py
+++ b/yuccagauge/selection/load.py
@@ -34,6 +34,8 @@
     #: Tokens of KV memory that the call may take.
     kv_tokens: int = 0
     has_output: bool = False
+    #: Whether another server may continue it if this one resets it.
+    is_movable: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -42,6 +44,8 @@
 
     active: int
     waiting_tokens: int
+    #: Calls that no other server may continue.
+    fixed: int
     heard_at: Millis
 
 
@@ -73,6 +77,15 @@
             if now - load.heard_at < PEER_LOAD_LIFETIME
         )
 
+    def fixed(self, now: Millis) -> int:
+        """Return the calls in flight that no other server may continue."""
+        own = sum(not call.is_movable for call in self.calls.values())
+        return own + sum(
+            load.fixed
+            for load in self.peers.values()
+            if now - load.heard_at < PEER_LOAD_LIFETIME
+        )
+
     def waiting_tokens(self, now: Millis) -> int:
         """Return the prompt tokens that wait to be read."""
         own = sum(
@@ -93,9 +106,7 @@
     def silence(self, now: Millis) -> Millis:
         """Return for how long a call has waited without a sign of life."""
         waiting = [
-            call.sent_at
-            for call in self.calls.values()
-            if not call.has_output
+            call.sent_at for call in self.calls.values() if not call.has_output
         ]
         if not waiting:
             return Millis(0)
@@ -109,7 +120,7 @@
     def note_outcome(self, *, failed: bool, now: Millis) -> None:
         """Count one call that failed or not."""
         rate = self.failure_rate(now)
-        sample = 1.0 if failed else 0.0
+        sample = float(failed)
         self._failure_rate = rate + FAILURE_WEIGHT * (sample - rate)
         self._failure_at = now
         if not failed:
--- a/yuccagauge/selection/selector.py
+++ b/yuccagauge/selection/selector.py
@@ -33,6 +33,13 @@
 #: which calls must not begin on them any more.
 OUTDATED_MARGIN = Millis(1500)
 
+#: Shared tokens below which a part is read again sooner than it is fetched.
+LEAST_FETCH = 512
+
+#: How long a part that a call was asked to keep is expected in the store
+#: without an event of the store.
+SAVE_LIFETIME = Millis(1500)
+
 #: Answers on older weights lose worth from this time after the naming.
 OUTDATED_GRACE = Millis(1000)
 
@@ -61,6 +68,8 @@
         self._view = FleetView(servers={})
         self._by_service: dict[str, list[BackendServer]] = {}
         self._loads: dict[str, ServerLoad] = {}
+        #: Scope and last shared part of what calls were asked to keep.
+        self._saves: dict[tuple[str, str], Millis] = {}
         self.cache = CacheMap()
         #: Kept stores that answer, by endpoint.
         self.live_stores: set[Endpoint] = set()
@@ -107,7 +116,9 @@
     def weights_of(self, server: BackendServer, name: str) -> int:
         """Return the newest weights version that a server has shown."""
         listed = server.weights.get(name, 0)
-        return max(listed, self.load(server.server_id).shown_weights.get(name, 0))
+        return max(
+            listed, self.load(server.server_id).shown_weights.get(name, 0)
+        )
 
     def choose(
         self,
@@ -131,7 +142,14 @@
             choice = self._choose_plain(usable, demand, now)
         return choice or self._choose_later(ready, demand, now)
 
-    def sent(self, demand: Demand, placement: Placement, now: Millis) -> None:
+    def sent(
+        self,
+        demand: Demand,
+        placement: Placement,
+        now: Millis,
+        *,
+        is_movable: bool = False,
+    ) -> None:
         """Note that a call was handed to a server."""
         server_id = placement.server.server_id
         missing = max(0, demand.prompt_tokens - placement.cached_tokens)
@@ -139,6 +157,7 @@
             sent_at=now,
             missing_tokens=missing,
             kv_tokens=demand.prompt_tokens + demand.output_tokens,
+            is_movable=is_movable,
         )
         for part_id, _ in demand.parts:
             self.cache.add(server_id, placement.cache_scope, part_id)
@@ -155,7 +174,9 @@
         demand: Demand,
         now: Millis,
     ) -> list[BackendServer]:
-        limit = SILENCE_LIMIT if demand.service.is_model else PLAIN_SILENCE_LIMIT
+        limit = (
+            SILENCE_LIMIT if demand.service.is_model else PLAIN_SILENCE_LIMIT
+        )
         return [
             server
             for server in servers
@@ -195,19 +216,47 @@
         if best is None:
             return None
         candidate, found = best
-        endpoint = store.endpoint if store is not None else None
-        lacks = candidate.cached_tokens < candidate.kept_tokens
         placement = Placement(
             server=candidate.server,
             weights_version=candidate.weights_version,
             cache_scope=_scope(demand, candidate.weights_version),
-            fetch_from=endpoint if lacks else None,
-            keep_in=endpoint,
+            fetch_from=_source(candidate, demand, store),
+            keep_in=self._keeper(candidate, demand, store, now),
             cached_tokens=max(candidate.cached_tokens, candidate.kept_tokens),
             expected_ms=found.first_ms,
         )
         return Choice(placement=placement, reason='least_cost')
 
+    def _keeper(
+        self,
+        candidate: Candidate,
+        demand: Demand,
+        store: KeptStore | None,
+        now: Millis,
+    ) -> Endpoint | None:
+        """Return the store if it lacks shared parts of the prompt.
+
+        Load pattern: every call carries a long part of its own. Keeping
+        these too would fill the store's link, and nothing else could be
+        fetched.
+        """
+        shared = demand.shared_tokens
+        if store is None or candidate.kept_tokens + LEAST_FETCH > shared:
+            return None
+        last = (
+            _scope(demand, candidate.weights_version),
+            demand.parts[-2][0],
+        )
+        self._saves = {
+            part: at
+            for part, at in self._saves.items()
+            if now - at < SAVE_LIFETIME
+        }
+        if last in self._saves:
+            return None
+        self._saves[last] = now
+        return store.endpoint
+
     def _engines(
         self,
         servers: list[BackendServer],
@@ -223,8 +272,10 @@
         for server in servers:
             version = self.weights_of(server, demand.model)
             is_old = version < target
-            if not version or is_old and age > (
-                self._weights_limit - OUTDATED_MARGIN
+            if (
+                not version
+                or is_old
+                and age > (self._weights_limit - OUTDATED_MARGIN)
             ):
                 continue
             if version not in depths:
@@ -254,9 +305,7 @@
 
     def _nearest(self, stores: tuple[KeptStore, ...]) -> KeptStore | None:
         """Return a live kept store, one of the own data centre first."""
-        live = [
-            store for store in stores if store.endpoint in self.live_stores
-        ]
+        live = [store for store in stores if store.endpoint in self.live_stores]
         return min(
             live,
             key=lambda store: store.data_centre != self._data_centre,
@@ -310,5 +359,21 @@
     return f'{version}/{demand.isolated_customer}'
 
 
+def _source(
+    candidate: Candidate,
+    demand: Demand,
+    store: KeptStore | None,
+) -> Endpoint | None:
+    """Return where the engine fetches the shared parts that it lacks.
+
+    A router that has just started does not know what the store holds, and
+    asking in vain costs a millisecond.
+    """
+    missing = demand.shared_tokens - candidate.cached_tokens
+    if store is None or missing < LEAST_FETCH:
+        return None
+    return store.endpoint
+
+
 def _clamped(retry: Millis) -> Millis:
     return max(SHORTEST_RETRY, min(LONGEST_RETRY, retry))
--- a/yuccagauge/telemetry/journal.py
+++ b/yuccagauge/telemetry/journal.py
@@ -76,7 +76,8 @@
     """Write all log records through a handler that bounds their volume."""
     handler.setFormatter(StateChangeFormatter())
     root = logging.getLogger()
-    root.handlers[:] = [handler]
+    root.handlers.clear()
+    root.addHandler(handler)
     logger = absl_logging.get_absl_logger()
     logger.setLevel(logging.INFO)
     logger.propagate = True
--- a/yuccagauge/wire/messages.capnp
+++ b/yuccagauge/wire/messages.capnp
@@ -193,6 +193,8 @@
   server @0 :Text;
   active @1 :UInt16;
   waitingTokens @2 :UInt32;
+  # Calls that no other server may continue.
+  fixed @3 :UInt16;
 }
 
 struct FleetPause {
--- a/yuccagauge/wire/messages.py
+++ b/yuccagauge/wire/messages.py
@@ -267,6 +267,8 @@
     server: str
     active: int
     waiting_tokens: int
+    #: Calls that no other server may continue.
+    fixed: int
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
