--- /dev/null
+++ b/features/directory/directory.feature
@@ -0,0 +1,47 @@
+Feature: Directory
+  Routers merge what the store and their peers tell, and never go back.
+
+  Scenario: Records from store and peers lead to one state in any order
+    Then any split and order of a topic's records leads to the same newest records
+
+  Scenario: A listing drops the keys that it lacks
+    Given a topic with the keys "a b c" read up to offset 10
+    When a listing begun at offset 10 has the keys "a c"
+    Then the topic has the keys "a c"
+
+  Scenario: A late copy of an older record changes nothing
+    Given a topic with the keys "a b" read up to offset 10
+    When a listing begun at offset 5 has the keys "a"
+    Then the topic has the keys "a b"
+
+  Scenario: A configuration never goes back within a process
+    Given a directory with configuration 7
+    When configuration 6 arrives at a later offset
+    Then configuration 7 is in force
+
+  Scenario Outline: When a vanished entry means a server that is gone
+    Given a directory with server "s1"
+    And the store <state> at 10000 ms
+    When the entry of "s1" is removed at 10500 ms
+    Then server "s1" is <at once> at 10500 ms
+    And server "s1" is <later> at 14000 ms
+
+    Examples:
+      | state              | at once | later |
+      | answers            | gone    | gone  |
+      | is out             | known   | known |
+      | is back from an outage | known | gone |
+
+  Scenario: A server that writes its entry again after an outage stays
+    Given a directory with server "s1"
+    And the store is back from an outage at 10000 ms
+    When the entry of "s1" is removed at 10500 ms
+    And the entry of "s1" is written at 11500 ms
+    Then server "s1" is known at 14000 ms
+
+  Scenario: The follower lists anew after a gap and reads on after an outage
+    Given a follower of a store with the keys "a b"
+    When the store drops its history and gets the key "c"
+    Then the follower has the keys "a b c"
+    When the store fails 3 times and gets the key "d"
+    Then the follower has the keys "a b c d"
--- /dev/null
+++ b/features/relay_path.py
@@ -0,0 +1,226 @@
+"""A relay in the test's process, before scripted servers."""
+
+import json
+import socket
+from typing import Any
+
+from twisted.internet import reactor
+
+from features.loop import run_blocking, wait_for_call
+from features.scripted_server import ScriptedServer
+from yuccagauge.clock import Millis, SystemClock
+from yuccagauge.directory.records import KeyedRecord
+from yuccagauge.directory.state import Directory, Topic
+from yuccagauge.dispatch.connection import ConnectionPool
+from yuccagauge.platform.records import RecordReader
+from yuccagauge.platform.requests import RequestDecoder, ServerProtocol
+from yuccagauge.relay.channel import CallerFactory
+from yuccagauge.relay.relay import Relay
+from yuccagauge.relay.surroundings import RetryRules, Surroundings
+from yuccagauge.selection.base import FleetView
+from yuccagauge.selection.selector import Selector
+
+HOST = 'test.example'
+KEY = 'k1'
+
+_TIMEOUT_S = 5.0
+
+
+def _route(name: str, kind: str, **kept: Any) -> dict[str, Any]:
+    return {
+        'name': name,
+        'host': HOST,
+        'pathPrefix': f'/{name}/',
+        'kind': kind,
+        'timeoutMs': kept.get('timeout', 1500),
+        'sloMs': 400,
+        'priority': 1,
+        'service': kept.get('service', 'plain'),
+        'attempts': kept.get('attempts', 2),
+        'public': kept.get('public', False),
+        'canResume': kept.get('resume', False),
+        'gapAimMs': 300,
+    }
+
+
+def configuration() -> dict[str, Any]:
+    """Return the platform's document of the test's routes."""
+    return {
+        'version': 3,
+        'routes': [
+            _route('read', 'idempotent'),
+            _route('book', 'non_idempotent', attempts=1),
+            _route('open', 'idempotent', public=True),
+            _route('talk', 'streaming', service='model'),
+            _route('resume', 'streaming', service='model', resume=True),
+            _route('short', 'non_idempotent', timeout=300),
+        ],
+        'services': [
+            {'name': 'plain', 'healthPath': '/h', 'maxConns': 9},
+            {
+                'name': 'model',
+                'healthPath': '/h',
+                'maxConns': 9,
+                'engine': {'slots': 8, 'kvCapacity': 9000, 'maxInflight': 4},
+            },
+        ],
+        'limits': {
+            'maxHeaderBytes': 4096,
+            'maxBodyBytes': 5000,
+            'headerTimeoutMs': 300,
+            'idleTimeoutMs': 2000,
+        },
+        'tenants': [
+            {'name': 'anna', 'apiKeys': [KEY], 'isolated': True},
+            {'name': 'ben', 'apiKeys': ['k2']},
+        ],
+    }
+
+
+class RelayPath:
+    """A relay with its channel, and the servers behind it."""
+
+    def __init__(self) -> None:
+        """Start without configuration and servers."""
+        clock = SystemClock()
+        self.pool = ConnectionPool(reactor)
+        self.directory = Directory(RecordReader())
+        self.selector = Selector('a', Millis(12_000))
+        self.around = Surroundings(
+            clock=clock,
+            call_later=reactor.callLater,
+            pool=self.pool,
+            decoder=RequestDecoder(),
+            protocol=ServerProtocol(),
+            directory=self.directory,
+            selector=self.selector,
+            retries=RetryRules(ratio=0.2, slack=50, window=Millis(10_000)),
+            draw=lambda: 0.0,
+        )
+        self.relay = Relay(self.around)
+        self.callers = CallerFactory(
+            self.relay.handle,
+            self.relay.limits,
+            clock,
+        )
+        self._offset = 0
+        self._port = reactor.listenTCP(0, self.callers, interface='127.0.0.1')
+        self.address = ('127.0.0.1', self._port.getHost().port)
+
+    def configure(self) -> None:
+        """Bring the configuration into force."""
+        self._write(Topic.OPERATIONS, 'config', configuration())
+
+    def add_server(
+        self,
+        name: str,
+        service: str,
+        server: ScriptedServer,
+        **changed: Any,
+    ) -> None:
+        """Write the entry of a server."""
+        entry = {
+            'service': service,
+            'address': str(server.endpoint),
+            'zone': 'a',
+            'version': 'v1',
+            'slots': 4,
+            'state': 'ready',
+            'seq': 1,
+            'coldRemainingMs': 0,
+        }
+        if service == 'model':
+            entry['models'] = [{'name': 'm', 'version': 1, 'adapters': []}]
+        self._write(Topic.SERVERS, name, {**entry, **changed})
+        self.selector.adopt(FleetView(servers=dict(self.directory.servers)))
+
+    def close(self) -> None:
+        """Close the channel and all connections."""
+        self.callers.close()
+        self.pool.close()
+        wait_for_call(self._port.stopListening)
+
+    def _write(self, topic: Topic, key: str, document: Any) -> None:
+        self._offset += 1
+        record = KeyedRecord(
+            key=key,
+            offset=self._offset,
+            value=json.dumps(document).encode(),
+        )
+        self.directory.apply(
+            topic,
+            (record,),
+            self._offset + 1,
+            self.around.clock.now(),
+        )
+
+
+class Caller:
+    """A caller on a raw socket."""
+
+    def __init__(self, address: tuple[str, int]) -> None:
+        """Connect."""
+        self._socket = run_blocking(_connect, address)
+        self.received = b''
+
+    def send(self, data: bytes) -> None:
+        """Send bytes as they are."""
+        self._socket.sendall(data)
+
+    def read_until(self, mark: bytes) -> bytes:
+        """Read until some bytes arrive, or the channel ends."""
+        run_blocking(self._read, mark)
+        return self.received
+
+    def read_all(self) -> bytes:
+        """Read until the channel ends; ``RESET`` at the end marks a reset."""
+        run_blocking(self._read, None)
+        return self.received
+
+    def close(self) -> None:
+        """Close the channel."""
+        self._socket.close()
+
+    def _read(self, mark: bytes | None) -> None:
+        while mark is None or mark not in self.received:
+            try:
+                data = self._socket.recv(65_536)
+            except ConnectionResetError:
+                self.received += b'RESET'
+                return
+            if not data:
+                return
+            self.received += data
+
+
+def _connect(address: tuple[str, int]) -> socket.socket:
+    return socket.create_connection(address, timeout=_TIMEOUT_S)
+
+
+def request(
+    route: str,
+    request_id: str = 'r1',
+    method: str = 'POST',
+    body: bytes = b'hello',
+    headers: tuple[str, ...] = (),
+    key: str = KEY,
+) -> bytes:
+    """Return the bytes of a request."""
+    lines = [
+        f'{method} /{route}/x HTTP/1.1',
+        f'Host: {HOST}',
+        f'X-Yuccagauge-Request-Id: {request_id}',
+        'X-Yuccagauge-Deadline-Ms: 2000',
+        f'Content-Length: {len(body)}',
+        *headers,
+    ]
+    if key:
+        lines.append(f'Authorization: Bearer {key}')
+    return '\r\n'.join([*lines, '', '']).encode() + body
+
+
+MODEL_HEADERS = (
+    'X-Yuccagauge-Model: m',
+    'X-Yuccagauge-Token-Usage: 700,8',
+    'X-Yuccagauge-Prefix-Hash: aa:600,bb:100',
+)
--- /dev/null
+++ b/features/rollout/rollout.feature
@@ -0,0 +1,50 @@
+Feature: Rollout of weights
+  One router orders engines to load, a few at a time, and a stale order does no harm.
+
+  Scenario: Two leaders never give orders within one lease of each other
+    Then in any history of renewals, two routers are never allowed to order within 2500 ms
+
+  Scenario Outline: Which engines begin to drain
+    Given engines with weights "<weights>" and the newest version 3
+    And of these "<loading>" load since 300 ms and "<draining>" drain
+    Then the engines "<next>" drain next with a share of 0.4
+
+    Examples:
+      | weights       | loading | draining | next  |
+      | 2 2 1 2 2     |         |          | 2 0   |
+      | 3 3 3 3 3     |         |          |       |
+      | 2 2 2 2 2     | 0 1     |          |       |
+      | 2 2 2 2 2     | 0       |          | 2     |
+      | 2 2 2 2 2     |         | 0        | 2     |
+      | 1 3 2 3 3     |         |          | 0 2   |
+      | 2             |         |          | 0     |
+
+  Scenario Outline: How a draining engine swaps its weights
+    Then an engine with <active> calls, <fixed> of them fixed, drained for <ms> ms swaps by "<mode>"
+
+    Examples:
+      | active | fixed | ms   | mode        |
+      | 0      | 0     | 100  | wait        |
+      | 0      | 0     | 250  | finish-runs |
+      | 3      | 0     | 250  | reset-runs  |
+      | 3      | 1     | 250  | wait        |
+      | 3      | 1     | 2600 | finish-runs |
+
+  Scenario: Every engine gets the newest weights though versions follow each other
+    Given 6 engines that load weights in 1300 ms and a router that leads
+    When the versions 2, 3 and 4 are named 2 s apart
+    Then within 12 s all engines have version 4
+    And at most 2 engines loaded at any time
+
+  Scenario: An order without an answer is not carried out after a newer one
+    Given 4 engines that load weights in 500 ms and a router that leads
+    And the first order to each engine gets no answer and is carried out 3 s later
+    When the versions 2, 3 and 4 are named 2 s apart
+    Then within 14 s all engines have version 4
+    And no engine went back to an older version
+
+  Scenario: A router whose membership is not renewed gives no order
+    Given 4 engines that load weights in 500 ms and a router that leads
+    When the store is out for 4 s
+    And the versions 2, 3 and 4 are named 0 s apart
+    Then no order was given in the outage's last second
--- a/features/scripted_server.py
+++ b/features/scripted_server.py
@@ -24,6 +24,7 @@
         self._buffer = b''
         self.method = ''
         self.path = ''
+        self.headers: dict[str, str] = {}
         self.body = b''
         self.lost = False
 
@@ -38,8 +39,10 @@
             return
         length = 0
         lines = head.decode('latin-1').split('\r\n')
+        self.headers.clear()
         for line in lines[1:]:
             name, _, text = line.partition(':')
+            self.headers[name.lower()] = text.strip()
             if name.lower() == 'content-length':
                 length = int(text)
         if len(rest) < length:
--- /dev/null
+++ b/features/selection/selection.feature
@@ -0,0 +1,74 @@
+Feature: Choice of servers
+  Each decision is replayed with the load pattern that it answers.
+
+  Scenario: A burst fills all plain servers evenly
+    Given 3 plain servers with 6 slots
+    When 30 calls are placed at once
+    Then no plain server got more than 10 calls
+
+  Scenario: A plain server that fails its calls is left after a few
+    Given 3 plain servers with 6 slots
+    When server "s0" fails every call of 100 and the others answer in 20 ms
+    Then server "s0" got at most 10 calls
+
+  Scenario: Calls of other routers count
+    Given 3 plain servers with 6 slots
+    And a peer has 20 calls at each of "s0 s1"
+    Then the next call goes to "s2"
+
+  Scenario: A server without a sign of life gets no more calls
+    Given 3 plain servers with 6 slots
+    And server "s0" has a call since 400 ms without an answer
+    When 30 calls are placed at once
+    Then server "s0" got at most 0 calls
+
+  Scenario: A prompt goes where its parts are cached, until that costs more
+    Given 3 engines of version 1
+    When a prompt of 6000 shared tokens is placed on engine "s1"
+    Then 5 later prompts with the same parts go to "s1"
+    And of 60 such prompts at once at most 45 go to one engine
+
+  Scenario: Long prompts do not queue behind each other beside an idle engine
+    Given 3 engines of version 1
+    When 3 prompts of 9000 own tokens arrive at once
+    Then each engine got 1 of them
+
+  Scenario Outline: Engines with older weights are used only for a while
+    Given 2 engines of version 1 and the newest version 2 known for <ms> ms
+    Then a prompt is <outcome>
+
+    Examples:
+      | ms    | outcome |
+      | 500   | placed  |
+      | 5000  | placed  |
+      | 11000 | refused |
+
+  Scenario: An engine with the newest weights goes before an idle older one
+    Given 2 engines of version 1 and the newest version 2 known for 3000 ms
+    And engine "s1" shows version 2
+    Then 3 later prompts with the same parts go to "s1"
+
+  Scenario: Cached parts are never found across weights or isolated customers
+    Then scopes differ by weights version and by isolated customer
+
+  Scenario: Only shared parts that the kept store lacks are kept
+    Given 3 engines of version 1
+    And a live kept store
+    Then the first prompt of 6000 shared tokens is kept and the next is not
+    And a prompt of 200 shared tokens is neither kept nor fetched
+
+  Scenario Outline: A call waits for engines that load, or is told when to come back
+    Given 2 engines of version 1
+    And all of them load for <ms> ms
+    Then a prompt with <left> ms left <outcome>
+
+    Examples:
+      | ms   | left | outcome                       |
+      | 300  | 5000 | waits                         |
+      | 1500 | 2000 | comes back after 1500 ms      |
+
+  Scenario: A call without any server is refused after a short wait
+    Then without servers a prompt with an objective of 500 ms waits at most 80 ms
+
+  Scenario: All routers together stay within the budget of second sends
+    Then for any traffic the second sends of 7 routers stay within ratio 0.2 and slack 54
