Test the adapter and the exchange, and refuse what cannot be read

Cause: tests of the adapter found an entry of deeply nested JSON that would have ended the reader, a configuration whose version is no number, and a record that was cut short and taken for a whole one.

Change: all three name nothing or fail the read. A stand-in of the platform's log serves the tests of the store's calls.

--- /dev/null
+++ b/features/exchange/exchange.feature
@@ -0,0 +1,41 @@
+Feature: Exchange between routers
+  What one router knows reaches the others, with and without the store.
+
+  Scenario: A router that cannot reach the store learns all from its peers
+    Given 3 routers that exchange, of which the first knows servers "a b"
+    Then all routers know the servers "a b"
+    When server "b" leaves at the first router
+    Then all routers know the servers "a"
+
+  Scenario: Routers find each other through one seed
+    Given 4 routers that exchange, of which the first knows servers "a"
+    Then each router knows 3 others
+
+  Scenario: A router that stops is forgotten at once
+    Given 3 routers that exchange, of which the first knows servers "a"
+    And each router knows 2 others
+    When the last router leaves
+    Then the others know 1 other
+
+  Scenario: A pause, new weights and calls in flight are told at once
+    Given 3 routers that exchange, of which the first knows servers "a"
+    And each router knows 2 others
+    When the first router has 5 calls at "a" and pauses it for 900 ms
+    Then all routers keep calls away from "a"
+    And the others count 5 calls at "a"
+    When the first router tells that "a" has version 4
+    Then no router keeps calls away from "a"
+
+  Scenario: A request that crashes servers is known everywhere
+    Given 3 routers that exchange, of which the first knows servers "a"
+    When the first router sees a request crash 3 servers
+    Then all routers refuse that request
+
+  Scenario Outline: A router counts as alive while anyone hears it
+    Then a router heard <age> ms ago <state>
+
+    Examples:
+      | age   | state       |
+      | 100   | is alive    |
+      | 5900  | is alive    |
+      | 6100  | is not alive |
--- /dev/null
+++ b/features/log_store.py
@@ -0,0 +1,101 @@
+"""A stand-in of the platform's log: keyed topics and one group."""
+
+import base64
+import json
+import struct
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+from features.loop import wait_for_call
+from features.scripted_server import Exchange, ScriptedServer
+
+_ENDS = struct.Struct('>QQ')
+_LENGTH = struct.Struct('>I')
+
+
+def pack_record(key: str, value: bytes) -> bytes:
+    """Return one keyed record with its length."""
+    content = bytes([len(key)]) + key.encode() + value
+    return _LENGTH.pack(len(content)) + content
+
+
+class LogStore:
+    """Keeps keyed topics in memory and makes one member the leader."""
+
+    def __init__(self) -> None:
+        """Start empty, on a free port."""
+        self._topics: dict[str, list[tuple[str, bytes]]] = {}
+        self._members: list[str] = []
+        self.generation = 0
+        #: Answered instead of everything else, if set.
+        self.status = 0
+        self.is_silent = False
+        self._server = ScriptedServer(self._serve)
+
+    @property
+    def endpoint(self) -> Any:
+        """Where it listens."""
+        return self._server.endpoint
+
+    def start(self) -> None:
+        """Open the port."""
+        wait_for_call(self._server.start)
+
+    def close(self) -> None:
+        """Close the port."""
+        wait_for_call(self._server.close)
+
+    def write(self, topic: str, key: str, value: bytes) -> None:
+        """Append a record."""
+        self._topics.setdefault(topic, []).append((key, value))
+
+    def _serve(self, exchange: Exchange) -> None:
+        if self.is_silent:
+            return
+        if self.status:
+            exchange.answer(self.status, b'{}')
+            return
+        parts = urlsplit(exchange.path)
+        query = {name: each[0] for name, each in parse_qs(parts.query).items()}
+        call = getattr(self, parts.path.rpartition('-')[2])
+        document = json.loads(exchange.body) if exchange.body else query
+        exchange.answer(200, call(document))
+
+    def newest(self, query: dict[str, str]) -> bytes:
+        """Return the newest record of each key."""
+        records = self._topics.get(query['topic'], [])
+        newest = {key: (at, value) for at, (key, value) in enumerate(records)}
+        items = [
+            {
+                'key': key,
+                'value': base64.b64encode(value).decode(),
+                'offset': at,
+            }
+            for key, (at, value) in newest.items()
+            if value
+        ]
+        document = {'items': items, 'more': False, 'end': len(records)}
+        return json.dumps(document).encode()
+
+    def read(self, query: dict[str, str]) -> bytes:
+        """Return the records from an offset on."""
+        records = self._topics.get(query['topic'], [])
+        found = records[int(query['from']) :]
+        packed = b''.join(pack_record(key, value) for key, value in found)
+        return _ENDS.pack(len(records), 0) + packed
+
+    def join(self, document: dict[str, Any]) -> bytes:
+        """Add a member; the first one leads."""
+        if document['member'] not in self._members:
+            self._members.append(document['member'])
+            self.generation += 1
+        leads = self._members[0] == document['member']
+        parts = [['lead', 0, 0]] if leads else [['lead', 1, 0]]
+        answer = {'generation': self.generation, 'parts': parts}
+        return json.dumps(answer).encode()
+
+    def leave(self, document: dict[str, Any]) -> bytes:
+        """Remove a member."""
+        self._members.remove(document['member'])
+        self.generation += 1
+        return b'{}'
--- /dev/null
+++ b/features/platform/adapter.feature
@@ -0,0 +1,118 @@
+Feature: Adapter to the platform
+  Names and formats are decoded once; whatever cannot be read names nothing to use.
+
+  Scenario Outline: A head is decoded into the fields of a call
+    Then the header "<header>" decodes to <field> "<value>"
+
+    Examples:
+      | header                                            | field         | value   |
+      | Authorization: Bearer abc                         | key           | abc     |
+      | Authorization: bearer abc                         | key           | abc     |
+      | Authorization: Basic abc                          | key           |         |
+      | X-Yuccagauge-Deadline-Ms: 1500                    | patience      | 1500    |
+      | X-Yuccagauge-Token-Usage: 1460,80                 | prompt_tokens | 1460    |
+      | X-Yuccagauge-Token-Usage: 1460,80                 | output_tokens | 80      |
+      | X-Yuccagauge-Model: daka                          | model         | daka    |
+      | X-Yuccagauge-Prefix-Hash: 5c:800,91:410           | parts         | 5c 91   |
+      | Last-Event-Id: 7                                  | resume_after  | 7       |
+
+  Scenario Outline: A malformed head is refused
+    Then the header "<header>" is refused
+
+    Examples:
+      | header                               |
+      | X-Yuccagauge-Deadline-Ms: soon       |
+      | X-Yuccagauge-Token-Usage: many,80    |
+      | X-Yuccagauge-Prefix-Hash: 5c:x       |
+      | X-Yuccagauge-Request-Id: twice       |
+      | X-Yuccagauge-Model: a, X-Yuccagauge-Model: b |
+
+  Scenario Outline: What a server's answer states
+    Then an answer <status> with "<headers>" states <facts>
+
+    Examples:
+      | status | headers                                | facts               |
+      | 200    | X-Yuccagauge-Server-Stamp: s           | signed              |
+      | 503    | X-Yuccagauge-Not-Executed: 1           | not run             |
+      | 429    | X-Yuccagauge-Not-Executed: 1           | not run             |
+      | 503    |                                        | nothing             |
+      | 421    | X-Yuccagauge-Instance-Id: other        | misdirected         |
+      | 200    | X-Yuccagauge-Weight-Versions: 4        | weights 4           |
+      | 200    | X-Yuccagauge-Weight-Versions: four     | nothing             |
+
+  Scenario Outline: An entry that cannot be read names no server
+    Then an entry with <change> names <outcome>
+
+    Examples:
+      | change                         | outcome   |
+      | no change                      | a server  |
+      | "born" set to 1700000000000    | a server  |
+      | "born" set to "yesterday"      | no server |
+      | "state" set to "draining"      | a server  |
+      | "state" set to "sleeping"      | no server |
+      | "state" removed                | no server |
+      | "address" set to "nowhere"     | no server |
+      | "address" set to 7             | no server |
+      | "service" set to null          | no server |
+      | "slots" set to true            | no server |
+      | "slots" set to -1              | no server |
+      | "models" set to 3              | no server |
+      | "models" set to [{"name": 1}]  | no server |
+      | "zone" set to ["a"]            | no server |
+      | bytes that are not JSON        | no server |
+      | a list in place of an object   | no server |
+      | deep nesting                   | no server |
+
+  Scenario: The configuration of the pages is decoded whole
+    Then the example configuration has its routes, services, customers and limits
+
+  Scenario Outline: A malformed configuration changes nothing
+    Then a configuration with <change> is not taken
+
+    Examples:
+      | change                       |
+      | "routes" removed             |
+      | "routes" set to 3            |
+      | "services" set to "none"     |
+      | "version" set to "seven"     |
+      | bytes that are not JSON      |
+
+  Scenario: Records of the log are decoded with their offsets
+    Then a page from offset 840 has the keys "a b" and the next offset 842
+
+  Scenario Outline: A torn page of records is refused
+    Then a page that <fault> is refused
+
+    Examples:
+      | fault                |
+      | ends in its head     |
+      | ends in a length     |
+      | ends in a record     |
+
+  Scenario Outline: The store's answers decide between waiting and listing anew
+    Then an answer <status> to a read raises <error>
+
+    Examples:
+      | status | error                 |
+      | 410    | StoreGapError         |
+      | 429    | StoreUnavailableError |
+      | 503    | StoreUnavailableError |
+
+  Scenario: Two routers of a group have one leader that passes on when it leaves
+    Given a store with two routers in its group
+    Then exactly one of them leads
+    When the leading router leaves the group
+    Then the other one leads with a higher generation
+
+  Scenario: A connection to the store that goes silent is given up
+    Given a store that answers nothing
+    Then a read of it fails as unavailable within 2500 ms
+
+  Scenario: Nothing outside the adapter knows the platform's names
+    Then no module outside the adapter has a header, path or topic of the platform
+
+  Scenario: A router imports neither numpy nor plots
+    Then importing the adapter's process loads none of "numpy matplotlib treq klein hypothesis"
+
+  Scenario: The template has a value for every setting without a default
+    Then the settings template, filled in, is accepted
--- a/features/relay_path.py
+++ b/features/relay_path.py
@@ -1,6 +1,7 @@
 """A relay in the test's process, before scripted servers."""
 
 import json
+import random
 import socket
 from typing import Any
 
@@ -95,7 +96,7 @@
             directory=self.directory,
             selector=self.selector,
             retries=RetryRules(ratio=0.2, slack=50, window=Millis(10_000)),
-            draw=lambda: 0.0,
+            draw=random.Random(1).random,
         )
         self.relay = Relay(self.around)
         self.callers = CallerFactory(
--- a/features/steps/directory_steps.py
+++ b/features/steps/directory_steps.py
@@ -264,13 +264,18 @@
     context.add_cleanup(follower.close)
 
 
+def _advance(context: Context) -> None:
+    for _ in range(40):
+        context.reactor.advance(0.2)
+
+
 @when('the store drops its history and gets the key "{key}"')
 def drop_history(context: Context, key: str) -> None:
     """Let the next read be answered with a gap."""
-    context.reactor.pump([0.5] * 4)
+    _advance(context)
     context.flaky.first = len(context.flaky.records) + 1
     context.flaky.write(key)
-    context.reactor.pump([0.5] * 4)
+    _advance(context)
 
 
 @when('the store fails {times:d} times and gets the key "{key}"')
@@ -278,7 +283,7 @@
     """Let some reads fail before one is answered."""
     context.flaky.failures = times
     context.flaky.write(key)
-    context.reactor.pump([0.2] * 40)
+    _advance(context)
 
 
 @then('the follower has the keys "{keys}"')
--- /dev/null
+++ b/features/steps/exchange_steps.py
@@ -0,0 +1,220 @@
+"""Steps for the exchange between routers."""
+
+import random
+
+from behave import given, then, when
+from behave.runner import Context
+from twisted.internet import reactor
+
+from features.loop import wait_for_call, wait_until
+from features.steps.directory_steps import PlainDecoder
+from yuccagauge.clock import Millis, SystemClock
+from yuccagauge.directory.records import KeyedRecord
+from yuccagauge.directory.state import Directory, Topic
+from yuccagauge.exchange.members import Member, Members
+from yuccagauge.exchange.service import ExchangeService
+from yuccagauge.quarantine.base import Quarantine, Standing
+from yuccagauge.selection.base import FleetView
+from yuccagauge.selection.load import ActiveCall
+from yuccagauge.selection.selector import Selector
+from yuccagauge.settings.options import Endpoint
+from yuccagauge.wire.client import PeerClient
+from yuccagauge.wire.server import PeerServer
+
+_FINGERPRINT = b'request'
+
+
+class Router:
+    """The parts of a router that take part in the exchange."""
+
+    def __init__(self, name: str, seeds: tuple[Endpoint, ...]) -> None:
+        """Open the port and begin to exchange."""
+        self.name = name
+        self.clock = SystemClock()
+        self.directory = Directory(PlainDecoder())
+        self.selector = Selector('a', Millis(12_000))
+        self.quarantine = Quarantine()
+        server = PeerServer(reactor, Endpoint('127.0.0.1', 0), name)
+        server.start()
+        self.endpoint = server.endpoint
+        server.start = lambda: None
+        self.exchange = ExchangeService(
+            name,
+            self.endpoint,
+            'a',
+            seeds=seeds,
+            server=server,
+            client=PeerClient(reactor, name),
+            directory=self.directory,
+            selector=self.selector,
+            quarantine=self.quarantine,
+            reactor=reactor,
+            clock=self.clock,
+            draw=random.Random(name).random,
+        )
+        self.exchange.start()
+
+    def write(self, key: str, offset: int, value: bytes | None) -> None:
+        """Apply a record as if read from the store."""
+        record = KeyedRecord(key=key, offset=offset, value=value)
+        self.directory.apply(
+            Topic.SERVERS,
+            (record,),
+            offset + 1,
+            self.clock.now(),
+        )
+        self.selector.adopt(FleetView(servers=dict(self.directory.servers)))
+
+
+@given(
+    '{count:d} routers that exchange, of which the first knows servers '
+    '"{servers}"'
+)
+def start_routers(context: Context, count: int, servers: str) -> None:
+    """Start routers that know the first one as their seed."""
+    context.routers = []
+    seeds: tuple[Endpoint, ...] = ()
+    for number in range(count):
+        router = Router(f'r{number}', seeds)
+        context.add_cleanup(wait_for_call, router.exchange.close)
+        context.routers.append(router)
+        seeds = (context.routers[0].endpoint,)
+    for offset, server in enumerate(servers.split()):
+        context.routers[0].write(server, offset, b'{}')
+
+
+@then('all routers know the servers "{servers}"')
+def check_servers(context: Context, servers: str) -> None:
+    """Wait until every directory has the servers."""
+    expected = servers.split()
+    wait_until(
+        lambda: all(
+            sorted(router.directory.servers) == expected
+            for router in context.routers
+        ),
+    )
+
+
+@when('server "{server}" leaves at the first router')
+def server_leaves(context: Context, server: str) -> None:
+    """Remove an entry at one router."""
+    context.routers[0].write(server, 9, None)
+
+
+@given('each router knows {count:d} others')
+@then('each router knows {count:d} others')
+def check_peers(context: Context, count: int) -> None:
+    """Wait until every router has heard of the others."""
+    wait_until(
+        lambda: all(
+            len(router.exchange.peers) == count for router in context.routers
+        ),
+    )
+
+
+@when('the last router leaves')
+def router_leaves(context: Context) -> None:
+    """Tell the others that a router stops."""
+    context.routers[-1].exchange.leave()
+
+
+@then('the others know {count:d} other')
+def check_left(context: Context, count: int) -> None:
+    """Wait until the others have forgotten it."""
+    wait_until(
+        lambda: all(
+            len(router.exchange.peers) == count
+            for router in context.routers[:-1]
+        ),
+    )
+
+
+@when(
+    'the first router has {count:d} calls at "{server}" and pauses it for '
+    '{ms:d} ms'
+)
+def pause_server(context: Context, count: int, server: str, ms: int) -> None:
+    """Put calls in flight and announce a pause."""
+    first = context.routers[0]
+    for number in range(count):
+        call = ActiveCall(sent_at=first.clock.now())
+        first.selector.load(server).calls[f'c{number}'] = call
+    first.exchange.tell_pause((server,), Millis(ms))
+
+
+def _is_paused(router: Router, server: str) -> bool:
+    return router.selector.load(server).loading_until > router.clock.now()
+
+
+@then('all routers keep calls away from "{server}"')
+def check_paused(context: Context, server: str) -> None:
+    """Wait until every router pauses the server."""
+    wait_until(
+        lambda: all(_is_paused(router, server) for router in context.routers),
+    )
+
+
+@then('the others count {count:d} calls at "{server}"')
+def check_counted(context: Context, count: int, server: str) -> None:
+    """Wait until the calls of a peer are counted."""
+    wait_until(
+        lambda: all(
+            router.selector.load(server).active(router.clock.now()) == count
+            for router in context.routers[1:]
+        ),
+    )
+
+
+@when('the first router tells that "{server}" has version {version:d}')
+def tell_weights(context: Context, server: str, version: int) -> None:
+    """Announce new weights."""
+    context.routers[0].exchange.tell_weights(server, 'm', version)
+
+
+@then('no router keeps calls away from "{server}"')
+def check_not_paused(context: Context, server: str) -> None:
+    """Wait until every router uses the server again."""
+    wait_until(
+        lambda: (
+            not any(_is_paused(router, server) for router in context.routers)
+        ),
+    )
+
+
+@when('the first router sees a request crash {count:d} servers')
+def see_crashes(context: Context, count: int) -> None:
+    """Note crashes of different starts."""
+    first = context.routers[0]
+    for number in range(count):
+        first.quarantine.crashed(
+            _FINGERPRINT,
+            f'crash{number}',
+            first.clock.now(),
+        )
+
+
+@then('all routers refuse that request')
+def check_refused(context: Context) -> None:
+    """Wait until the suspicion is known everywhere."""
+    wait_until(
+        lambda: all(
+            router.quarantine.standing(_FINGERPRINT, router.clock.now())
+            is Standing.REFUSED
+            for router in context.routers
+        ),
+    )
+
+
+@then('a router heard {age:d} ms ago {state}')
+def check_alive(context: Context, age: int, state: str) -> None:
+    """Compare whether a router counts."""
+    now = Millis(100_000)
+    members = Members('self')
+    heard = Member(
+        name='r1',
+        endpoint=Endpoint('127.0.0.1', 1),
+        data_centre='a',
+        heard_at=Millis(now - age),
+    )
+    members.hear((heard,), Millis(now - age))
+    assert bool(members.live(now)) is (state == 'is alive')
--- /dev/null
+++ b/features/steps/platform_steps.py
@@ -0,0 +1,418 @@
+"""Steps for the adapter to the platform."""
+
+import json
+import re
+import subprocess
+import sys
+from functools import partial
+from pathlib import Path
+from typing import Any
+
+from behave import given, then, when
+from behave.runner import Context
+from twisted.internet import reactor
+
+from features.log_store import LogStore, pack_record
+from features.loop import wait_for_call
+from yuccagauge.clock import Millis
+from yuccagauge.directory.base import (
+    BackendServer,
+    Configuration,
+    RouteKind,
+    WeightsTarget,
+)
+from yuccagauge.directory.state import Topic
+from yuccagauge.directory.store import (
+    StoreGapError,
+    StoreUnavailableError,
+)
+from yuccagauge.dispatch.base import ResponseHead
+from yuccagauge.dispatch.connection import ConnectionPool
+from yuccagauge.dispatch.fetch import fetch
+from yuccagauge.platform.records import RecordReader
+from yuccagauge.platform.requests import RequestDecoder, ServerProtocol
+from yuccagauge.platform.store import PlatformStore, decode_page
+from yuccagauge.relay.base import CallFieldError, IncomingRequest
+from yuccagauge.settings.reader import read_text
+from yuccagauge.settings.relay import build_relay_settings
+
+_ENDS = bytes(16)
+_ERRORS = {
+    'StoreGapError': StoreGapError,
+    'StoreUnavailableError': StoreUnavailableError,
+}
+_NAMES = re.compile(
+    r'X-Yuccagauge-|/api/|keyed\.(op|servers)|Kv-From|apiKeys|trafficSplit'
+    r'|YUCCAGAUGE_BOOT',
+)
+_ENTRY = {
+    'service': 'huvo11a',
+    'address': '10.128.0.9:8080',
+    'zone': 'khomas-a',
+    'version': 'v1',
+    'slots': 64,
+    'state': 'ready',
+    'coldRemainingMs': 0,
+    'stage': 'colocated',
+    'models': [{'name': 'daka', 'version': 1, 'adapters': []}],
+    'seq': 4,
+}
+_CONFIGURATION = {
+    'version': 7,
+    'routes': [
+        {
+            'name': 'r-1',
+            'host': 'jepu9.example',
+            'pathPrefix': '/lepu270/',
+            'kind': 'streaming',
+            'timeoutMs': 5000,
+            'sloMs': 500,
+            'priority': 1,
+            'trafficSplit': [
+                {'service': 'huvo11a', 'weight': 90},
+                {'service': 'kafi81c', 'weight': 10},
+            ],
+            'attempts': 1,
+            'public': False,
+            'sticky': True,
+            'canResume': False,
+            'gapAimMs': 300,
+        },
+        {
+            'name': 'r-2',
+            'host': 'jepu9.example',
+            'pathPrefix': '/lepu270/ny95/',
+            'kind': 'idempotent',
+            'timeoutMs': 600,
+            'sloMs': 100,
+            'priority': 2,
+            'service': 'kafi81c',
+            'attempts': 2,
+            'public': True,
+        },
+    ],
+    'services': [
+        {
+            'name': 'huvo11a',
+            'healthPath': '/healthz',
+            'maxConns': 360,
+            'engine': {'slots': 64, 'kvCapacity': 128361, 'maxInflight': 12},
+        },
+        {'name': 'kafi81c', 'healthPath': '/healthz', 'maxConns': 100},
+        {
+            'name': 'wuno96b',
+            'kvStoreAddr': '172.20.0.2:8781',
+            'zone': 'khomas-b',
+            'kvCapacity': 1839470,
+            'maxInflight': 12,
+        },
+    ],
+    'limits': {
+        'maxHeaderBytes': 16384,
+        'maxBodyBytes': 4194304,
+        'headerTimeoutMs': 3000,
+        'idleTimeoutMs': 15000,
+    },
+    'tenants': [
+        {
+            'name': 'sese880',
+            'apiKeys': ['k1', 'k2'],
+            'priority': 1,
+            'isolated': True,
+        },
+    ],
+}
+
+
+def _decode(header: str) -> Any:
+    lines = ['Host: a.example:80', 'X-Yuccagauge-Request-Id: r1']
+    headers = [
+        tuple(part.strip().encode() for part in line.split(':', 1))
+        for line in (*lines, *header.split(', '))
+        if ':' in line
+    ]
+    request = IncomingRequest(
+        method='POST',
+        target='/x/',
+        headers=tuple(headers),
+        body=b'',
+        received_at=Millis(0),
+    )
+    return RequestDecoder().decode(request)
+
+
+@then('the header "{header}" decodes to {field:w} "{value}"')
+@then('the header "{header}" decodes to {field:w} ""')
+def check_field(
+    context: Context,
+    header: str,
+    field: str,
+    value: str = '',
+) -> None:
+    """Compare one field of the call."""
+    fields = _decode(header)
+    found = getattr(fields, field)
+    if field == 'parts':
+        found = ' '.join(part.part_id for part in found)
+    assert str(found) == value, found
+    assert fields.host == 'a.example'
+
+
+@then('the header "{header}" is refused')
+def check_refused(context: Context, header: str) -> None:
+    """Guard against a head that two readers could understand differently."""
+    try:
+        _decode(header)
+    except CallFieldError:
+        return
+    raise AssertionError('the head was taken')
+
+
+@then('an answer {status:d} with "{headers}" states {facts}')
+@then('an answer {status:d} with "" states {facts}')
+def check_facts(
+    context: Context,
+    status: int,
+    facts: str,
+    headers: str = '',
+) -> None:
+    """Compare what the head states, and that it states nothing else."""
+    name, _, value = headers.partition(':')
+    pairs = ((name.encode(), value.strip().encode()),) if name else ()
+    found = ServerProtocol().read(ResponseHead(status=status, headers=pairs))
+    stated = [
+        word
+        for word, holds in (
+            ('signed', found.is_signed),
+            ('not run', found.is_not_run),
+            ('misdirected', found.is_misdirected),
+            (f'weights {found.weights_version}', found.weights_version),
+        )
+        if holds
+    ]
+    assert ' '.join(stated) == facts.replace('nothing', ''), stated
+
+
+def _changed(document: dict[str, Any], change: str) -> bytes:
+    if change == 'bytes that are not JSON':
+        return b'\xff\x00{'
+    if change == 'a list in place of an object':
+        return b'[1]'
+    if change == 'deep nesting':
+        return b'[' * 100_000
+    changed = json.loads(json.dumps(document))
+    match = re.fullmatch(r'"(\w+)" (removed|set to (.*))', change)
+    if match and match[2] == 'removed':
+        changed.pop(match[1])
+    elif match:
+        changed[match[1]] = json.loads(match[3])
+    return json.dumps(changed).encode()
+
+
+@then('an entry with {change} names {outcome}')
+def check_entry(context: Context, change: str, outcome: str) -> None:
+    """Guard against foreign entries that stop the reader or get calls."""
+    found = RecordReader().decode_server('i-1', _changed(_ENTRY, change))
+    assert isinstance(found, BackendServer) is (outcome == 'a server'), found
+
+
+@then(
+    'the example configuration has its routes, services, customers and limits'
+)
+def check_configuration(context: Context) -> None:
+    """Compare the decoded values with the document."""
+    value = json.dumps(_CONFIGURATION).encode()
+    found = RecordReader().decode_operation('config', value)
+    assert isinstance(found, Configuration)
+    long = found.find_route('jepu9.example', '/lepu270/ny95/a')
+    assert long.name == 'r-2'
+    assert long.kind is RouteKind.IDEMPOTENT
+    assert long.is_public
+    short = found.find_route('jepu9.example', '/lepu270/a')
+    assert [share.weight for share in short.shares] == [90, 10]
+    assert found.find_route('jepu9.example', '/other/') is None
+    assert found.find_route('hulo.example', '/lepu270/') is None
+    assert found.services['huvo11a'].is_model
+    assert not found.services['kafi81c'].is_model
+    assert found.kept_stores[0].data_centre == 'khomas-b'
+    assert found.customer_by_key['k2'].is_isolated
+    assert found.limits.idle_timeout == 15_000
+    target = RecordReader().decode_operation(
+        'version/daka',
+        b'{"model": "daka", "version": 2}',
+    )
+    assert target == WeightsTarget(model='daka', version=2)
+
+
+@then('a configuration with {change} is not taken')
+def check_bad_configuration(context: Context, change: str) -> None:
+    """Guard against a configuration that cannot be used."""
+    value = _changed(_CONFIGURATION, change)
+    assert RecordReader().decode_operation('config', value) is None
+
+
+@then(
+    'a page from offset {offset:d} has the keys "{keys}" and the next '
+    'offset {following:d}'
+)
+def check_page(
+    context: Context,
+    offset: int,
+    keys: str,
+    following: int,
+) -> None:
+    """Compare keys and offsets."""
+    packed = b''.join(pack_record(key, b'v') for key in keys.split())
+    page = decode_page(_ENDS + packed, offset)
+    assert [record.key for record in page.records] == keys.split()
+    assert page.records[-1].offset == following - 1
+    assert page.next_offset == following
+
+
+@then('a page that {fault} is refused')
+def check_torn_page(context: Context, fault: str) -> None:
+    """Guard against half a record that is taken for a whole one."""
+    whole = _ENDS + pack_record('a', b'value')
+    torn = {
+        'ends in its head': whole[:9],
+        'ends in a length': whole[:18],
+        'ends in a record': whole[:-2],
+    }[fault]
+    try:
+        decode_page(torn, 0)
+    except StoreUnavailableError:
+        return
+    raise AssertionError('the page was taken')
+
+
+def _store(context: Context, name: str = 'r1') -> PlatformStore:
+    if not hasattr(context, 'log_store'):
+        context.log_store = LogStore()
+        context.log_store.start()
+        context.add_cleanup(context.log_store.close)
+    pool = ConnectionPool(reactor)
+    context.add_cleanup(pool.close)
+    call = partial(fetch, reactor, pool, context.log_store.endpoint)
+    return PlatformStore(call, name, Millis(3000))
+
+
+@then('an answer {status:d} to a read raises {error:w}')
+def check_error(context: Context, status: int, error: str) -> None:
+    """Compare the error of a read."""
+    store = _store(context)
+    context.log_store.status = status
+    try:
+        wait_for_call(store.read, Topic.SERVERS, 3, Millis(0))
+    except (StoreGapError, StoreUnavailableError) as raised:
+        assert isinstance(raised, _ERRORS[error]), raised
+        return
+    raise AssertionError('the read was answered')
+
+
+@given('a store with two routers in its group')
+def two_routers(context: Context) -> None:
+    """Let two routers join."""
+    context.routers = [_store(context, name) for name in ('r1', 'r2')]
+    context.views = [
+        wait_for_call(router.join, 0) for router in context.routers
+    ]
+
+
+@then('exactly one of them leads')
+def check_one_leader(context: Context) -> None:
+    """Compare the number of leaders."""
+    assert sum(view.is_leader for view in context.views) == 1
+
+
+@when('the leading router leaves the group')
+def leader_leaves(context: Context) -> None:
+    """Leave the group."""
+    wait_for_call(context.routers[0].leave)
+
+
+@then('the other one leads with a higher generation')
+def check_new_leader(context: Context) -> None:
+    """Compare the fencing tokens of the two."""
+    view = wait_for_call(context.routers[1].join, 0)
+    assert view.is_leader
+    assert view.generation > context.views[0].generation
+
+
+@given('a store that answers nothing')
+def silent_store(context: Context) -> None:
+    """Accept connections and stay silent."""
+    context.store = _store(context)
+    context.log_store.is_silent = True
+
+
+@then('a read of it fails as unavailable within {limit:d} ms')
+def check_silence(context: Context, limit: int) -> None:
+    """Guard against a follower that waits for ever."""
+    start = reactor.seconds()
+    try:
+        wait_for_call(context.store.read, Topic.SERVERS, 0, Millis(500))
+    except StoreUnavailableError:
+        assert reactor.seconds() - start <= limit / 1000
+        return
+    raise AssertionError('the read was answered')
+
+
+@then(
+    'no module outside the adapter has a header, path or topic of the platform'
+)
+def check_names(context: Context) -> None:
+    """Search the sources for the platform's names."""
+    found = [
+        f'{path}: {match[0]}'
+        for path in Path('yuccagauge').rglob('*.py')
+        if 'platform' not in path.parts
+        for match in _NAMES.finditer(path.read_text(encoding='utf-8'))
+    ]
+    assert not found, found
+
+
+@then('importing the adapter\'s process loads none of "{modules}"')
+def check_imports(context: Context, modules: str) -> None:
+    """Guard against libraries that cost memory and start-up time."""
+    script = (
+        'import sys, yuccagauge.platform.adapter, yuccagauge.relay.process;'
+        f'print([m for m in {modules.split()!r} if m in sys.modules])'
+    )
+    found = subprocess.run(
+        [sys.executable, '-c', script],
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    assert found.stdout.strip() == '[]', found.stdout
+
+
+@then('the settings template, filled in, is accepted')
+def check_template(context: Context) -> None:
+    """Fill the template as the platform does and read it."""
+    given_values = {
+        'nodeName': 'edge-a-1',
+        'zone': 'a',
+        'ip': '10.1.0.30',
+        'listen.frontend': '10.1.0.30:8782',
+        'listen.readiness': '10.1.0.30:8789',
+        'listen.control': '10.1.0.30:8783',
+        'seeds': '10.1.0.30:8783,10.2.0.22:8783',
+        'platform.address': '10.200.1.7:8784',
+        'bounds.graceS': '8',
+        'bounds.retryBudgetRatio': '0.2',
+        'bounds.budgetSlack': '54',
+        'bounds.budgetWindowS': '10',
+        'bounds.versionMs': '12000',
+        'bounds.leaseMs': '3000',
+        'bounds.requireFence': 'true',
+    }
+    template = Path('deploy/router.ini').read_text(encoding='utf-8')
+    text = re.sub(
+        r'\{\{([\w.]+)\}\}',
+        lambda match: given_values[match[1]],
+        template,
+    )
+    settings = build_relay_settings(read_text(text, 'router.ini'), 'router.ini')
+    assert len(settings.relay.seeds) == 2
+    assert settings.weights.engines_check_fences
--- a/features/steps/rollout_steps.py
+++ b/features/steps/rollout_steps.py
@@ -114,18 +114,30 @@
                     sent_at=Millis(now),
                     now=Millis(now + late),
                 )
-            for index, lead in enumerate(leads):
-                for moment in range(now, now + late + 1, 100):
-                    if lead.fence(Millis(moment)) is not None:
-                        other = last_order[1 - index]
-                        assert moment - other >= gap, (moment, other)
-                        last_order[index] = moment
-                        if hears:
-                            leads[1 - index].heard_order(Millis(moment))
+            for moment in range(now, now + late + 1, 100):
+                _order_where_allowed(leads, last_order, moment, gap, hears)
 
     play()
 
 
+def _order_where_allowed(
+    leads: tuple[Lead, ...],
+    last_order: list[int],
+    moment: int,
+    gap: int,
+    hears: bool,
+) -> None:
+    """Order by each router that may, and check the time between two."""
+    for index, lead in enumerate(leads):
+        if lead.fence(Millis(moment)) is None:
+            continue
+        other = 1 - index
+        assert moment - last_order[other] >= gap, (moment, last_order)
+        last_order[index] = moment
+        if hears:
+            leads[other].heard_order(Millis(moment))
+
+
 @given('engines with weights "{weights}" and the newest version {newest:d}')
 def engines_with_weights(context: Context, weights: str, newest: int) -> None:
     """Keep the versions by number of the engine."""
@@ -209,7 +221,7 @@
         self.most_loading = 0
         self.ordered_at: list[float] = []
         self.unanswered: set[str] = set()
-        self.late_s = 0.0
+        self.late_s = float(0)
         self._load_s = load_s
         self._reactor = reactor
 
@@ -343,7 +355,8 @@
 
 
 def _advance(context: Context, seconds: float) -> None:
-    context.reactor.pump([0.05] * round(seconds / 0.05))
+    for _ in range(round(seconds / 0.05)):
+        context.reactor.advance(0.05)
 
 
 @given(
--- a/features/steps/selection_steps.py
+++ b/features/steps/selection_steps.py
@@ -407,19 +407,7 @@
                     start_by=Millis(at + 5000),
                 )
                 waiting.append((now, demand))
-        due = [entry for entry in waiting if entry[0] <= now]
-        for entry in due:
-            waiting.remove(entry)
-            choice = context.selector.choose(entry[1], (), at)
-            if choice.wait_until is not None:
-                again = int(choice.wait_until - _NOW)
-                waiting.append((max(again, now + 10), entry[1]))
-            elif choice.placement is not None:
-                context.selector.sent(entry[1], choice.placement, at)
-                name = choice.placement.server.server_id
-                queues.setdefault(name, []).append(
-                    [entry[1], entry[1].prompt_tokens, choice.placement, at],
-                )
+        _place_due(context, waiting, queues, now)
         for name, queue in queues.items():
             for demand, placement, sent_at in _read(queue, 10 * rate):
                 load = context.selector.load(name)
@@ -430,6 +418,29 @@
                 context.first.append((now, int(first)))
 
 
+def _place_due(
+    context: Context,
+    waiting: list[tuple[int, Demand]],
+    queues: dict[str, list[list[Any]]],
+    now: int,
+) -> None:
+    """Decide for the calls whose time to decide has come."""
+    at = Millis(_NOW + now)
+    due = [entry for entry in waiting if entry[0] <= now]
+    for entry in due:
+        waiting.remove(entry)
+        choice = context.selector.choose(entry[1], (), at)
+        if choice.wait_until is not None:
+            again = int(choice.wait_until - _NOW)
+            waiting.append((max(again, now + 10), entry[1]))
+        elif choice.placement is not None:
+            context.selector.sent(entry[1], choice.placement, at)
+            name = choice.placement.server.server_id
+            queues.setdefault(name, []).append(
+                [entry[1], entry[1].prompt_tokens, choice.placement, at],
+            )
+
+
 def _read(queue: list[list[Any]], tokens: float) -> list[tuple[Any, ...]]:
     """Read tokens of the prompts in a queue; return those that are whole."""
     done: list[tuple[Any, ...]] = []
--- a/yuccagauge/platform/records.py
+++ b/yuccagauge/platform/records.py
@@ -30,7 +30,15 @@
 _STATES = {'ready': ServerState.READY, 'draining': ServerState.DRAINING}
 
 #: What a malformed document raises while it is read.
-_MALFORMED = (KeyError, TypeError, ValueError, AttributeError, RecordError)
+_MALFORMED = (
+    AttributeError,
+    KeyError,
+    RecordError,
+    # JSON that is nested too deeply.
+    RecursionError,
+    TypeError,
+    ValueError,
+)
 
 #: Timeout of a route that names none.
 _DEFAULT_TIMEOUT = 60_000
@@ -71,7 +79,7 @@
 def _configuration(document: dict[str, Any]) -> Configuration:
     services = [_service(entry) for entry in document['services']]
     return Configuration(
-        version=document['version'],
+        version=_whole(document, 'version'),
         routes=tuple(_route(entry) for entry in document['routes']),
         services={service.name: service for service in services},
         customers=tuple(
--- a/yuccagauge/platform/store.py
+++ b/yuccagauge/platform/store.py
@@ -174,7 +174,7 @@
         while place < len(body):
             length = _LENGTH.unpack_from(body, place)[0]
             place += _LENGTH.size
-            content = body[place : place + length]
+            content = struct.unpack_from(f'{length}s', body, place)[0]
             place += length
             records.append(_keyed(content, offset + len(records)))
     except (struct.error, IndexError) as error:
