--- a/features/steps/selection_steps.py
+++ b/features/steps/selection_steps.py
@@ -357,10 +357,12 @@
             budget = budgets[pause % routers]
             budget.record_request(Millis(now))
             requests.append(now)
-            for each in budgets:
-                for _ in range(tries):
-                    if each.try_spend(routers, Millis(now)):
-                        sends.append(now)
+            sends.extend(
+                now
+                for each in budgets
+                for _ in range(tries)
+                if each.try_spend(routers, Millis(now))
+            )
         for end in sends:
             since = end - _WINDOW
             spent = sum(since < at <= end for at in sends)
