--- a/features/run.py
+++ b/features/run.py
@@ -5,7 +5,7 @@
 
 from behave.configuration import Configuration
 from behave.formatter.progress import ScenarioProgressFormatter
-from behave.model import Status
+from behave.model import Scenario, Status
 from behave.runner import Runner
 
 _KNOWN_RED_FILE = Path('KNOWN-RED.txt')
@@ -24,6 +24,15 @@
     )
 
 
+def _reason(scenario: Scenario) -> str:
+    """Return the step that did not pass, and its error."""
+    for step in scenario.all_steps:
+        if step.status not in {Status.passed, Status.skipped}:
+            error = (step.error_message or '').strip().splitlines()
+            return f'\n  step: {step.name}\n  error: {" | ".join(error[-3:])}'
+    return ''
+
+
 def main(arguments: list[str]) -> int:
     """Run the features named by the arguments, or all; return the exit code."""
     # behave 1.3.3 has no letter for this status and stops with a KeyError.
@@ -42,9 +51,10 @@
             if scenario.status == Status.passed:
                 passed += 1
             elif scenario.name in known_red:
-                red.append(scenario.name)
+                red.append(f'{scenario.name}{_reason(scenario)}')
             else:
-                failures.append(f'{scenario.location} {scenario.name}')
+                where = f'{scenario.location} {scenario.name}'
+                failures.append(f'{where}{_reason(scenario)}')
     for name in red:
         sys.stdout.write(f'known red: {name}\n')
     for name in failures:
--- a/yuccagauge/exchange/service.py
+++ b/yuccagauge/exchange/service.py
@@ -49,8 +49,6 @@
 #: How long an exchange repeats that a server has shown weights.
 WEIGHTS_NEWS = Millis(2500)
 
-_MAXIMUM_ACTIVE = 65_535
-
 
 class ExchangeService:
     """Tells other routers what this one knows, and hears the same of them.
@@ -246,7 +244,7 @@
         return tuple(
             FleetLoad(
                 server=server_id,
-                active=min(len(load.calls), _MAXIMUM_ACTIVE),
+                active=len(load.calls),
                 waiting_tokens=sum(
                     call.missing_tokens
                     for call in load.calls.values()
--- a/yuccagauge/leases/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Leases on the log, and orders to engines under their fences."""
--- a/yuccagauge/wire/messages.capnp
+++ b/yuccagauge/wire/messages.capnp
@@ -191,10 +191,10 @@
 
 struct FleetLoad {
   server @0 :Text;
-  active @1 :UInt16;
+  active @1 :UInt32;
   waitingTokens @2 :UInt32;
   # Calls that no other server may continue.
-  fixed @3 :UInt16;
+  fixed @3 :UInt32;
 }
 
 struct FleetPause {
