Carry weights versions as 64 bits between routers

Cause: the test of the schema draws versions of 64 bits; the field had 32. Change: the field is as wide as the other versions. Measured: features/wire and features/exchange pass.

--- a/yuccagauge/wire/messages.capnp
+++ b/yuccagauge/wire/messages.capnp
@@ -206,7 +206,7 @@
 struct FleetWeights {
   server @0 :Text;
   model @1 :Text;
-  version @2 :UInt32;
+  version @2 :UInt64;
 }
 
 struct FleetSuspicion {
