Explain a request by the logs, and refuse vain waits on arrival

Cause: on-call engineers have only logs.

A late call whose wait would be in vain, by those before it, is refused when it arrives.

--- a/features/selection/selection.feature
+++ b/features/selection/selection.feature
@@ -39,6 +39,19 @@
     Then at least 8 calls a second start within their objective
     And no call waits for longer than 4000 ms
 
+  Scenario Outline: A late call whose wait would be in vain is refused on arrival
+    Given 1 engines of version 1
+    And the engine has 5000 ms of prompts before it
+    And late calls <before>
+    Then a prompt that waits at most 2000 ms <outcome>
+
+    Examples:
+      | before                              | outcome           |
+      | have not waited lately              | waits             |
+      | were refused after 2000 ms just now | is refused        |
+      | were refused after 2000 ms 4 s ago  | waits             |
+      | were sent after 200 ms just now     | waits             |
+
   Scenario Outline: Engines with older weights are used only for a while
     Given 2 engines of version 1 and the newest version 2 known for <ms> ms
     Then a prompt is <outcome>
--- a/features/steps/selection_steps.py
+++ b/features/steps/selection_steps.py
@@ -468,3 +468,44 @@
 def check_starving(context: Context, ms: int) -> None:
     """Guard against calls that wait until their deadline."""
     assert max(took for _, took in context.first) <= ms, context.first
+
+
+@given('the engine has {ms:d} ms of prompts before it')
+def backlog(context: Context, ms: int) -> None:
+    """Put one long prompt in flight."""
+    load = context.selector.load('s0')
+    load.slowdown = 1.0
+    load.calls['before'] = ActiveCall(
+        sent_at=_NOW,
+        missing_tokens=int(ms * model.READ_TOKENS_PER_MS),
+    )
+
+
+@given('late calls {before}')
+def late_calls(context: Context, before: str) -> None:
+    """Note how the waits before this call ended."""
+    if before == 'have not waited lately':
+        return
+    ago = 4000 if before.endswith('4 s ago') else 0
+    refused = 'refused' in before
+    waited = Millis(2000 if refused else 200)
+    for _ in range(20):
+        context.selector.late.note(
+            waited,
+            Millis(_NOW - ago),
+            refused=refused,
+        )
+
+
+@then('a prompt that waits at most {ms:d} ms {outcome}')
+def check_late(context: Context, ms: int, outcome: str) -> None:
+    """Guard against calls that are held and then refused."""
+    demand = dataclasses.replace(
+        _demand(context),
+        start_by=Millis(_NOW + 5200 + ms),
+    )
+    choice = _place(context, demand)
+    if outcome == 'waits':
+        assert choice.wait_until is not None, choice
+    else:
+        assert choice.retry_after is not None, choice
--- a/yuccagauge/commands/admin.py
+++ b/yuccagauge/commands/admin.py
@@ -66,9 +66,47 @@
     _finish('\n'.join(lines), answers, is_complete=True)
 
 
+def _explain_by_log(request_id: str, path: str) -> str:
+    from yuccagauge.explain.logfile import (
+        follow_request,
+        read_lines,
+        render_lines,
+    )
+
+    try:
+        text = Path(path).read_text(encoding='utf-8', errors='replace')
+    except OSError as error:
+        reason = f'{error.strerror}'
+        raise SettingsError(
+            path, '', '--log', reason, 'a readable file'
+        ) from None
+    found = follow_request(read_lines(text.splitlines()), request_id)
+    return render_lines(found, request_id)
+
+
 @command('explain')
-def explain(request_id: str, admin: str, json: bool = False) -> None:
-    """Explain a request: candidates, attempts, limits and verdict."""
+def explain(
+    request_id: str,
+    admin: str = '',
+    json: bool = False,
+    log: str = '',
+) -> None:
+    """Explain a request, by running routers or by the log of relays.
+
+    Parameters
+    ----------
+    request_id
+        The request.
+    admin
+        Admin addresses of running routers.
+    json
+        Print the records as JSON; not for logs.
+    log
+        A file with the log lines of one or more relays.
+    """
+    if log:
+        sys.stdout.write(f'{_explain_by_log(str(request_id), log)}\n')
+        return
     from yuccagauge.peering import admin as view
 
     addresses = view.parse_addresses(admin)
--- a/yuccagauge/selection/selector.py
+++ b/yuccagauge/selection/selector.py
@@ -8,6 +8,7 @@
 from yuccagauge.selection import model, plain
 from yuccagauge.selection.base import Candidate, Choice, Demand, FleetView
 from yuccagauge.selection.cachemap import CacheMap
+from yuccagauge.selection.latequeue import LateQueue
 from yuccagauge.selection.load import ActiveCall, ServerLoad
 from yuccagauge.settings.options import Endpoint
 
@@ -73,6 +74,7 @@
         self._loads: dict[str, ServerLoad] = {}
         #: Scope and last shared part of what calls were asked to keep.
         self._saves: dict[tuple[str, str], Millis] = {}
+        self.late = LateQueue()
         self.cache = CacheMap()
         #: Kept stores that answer, by endpoint.
         self.live_stores: set[Endpoint] = set()
@@ -223,6 +225,8 @@
         is_late = now + found.first_ms > demand.objective_at
         if is_late and not model.may_send_late(found.backlog_ms, waited):
             return self._hold(found, demand, now)
+        if is_late:
+            self.late.note(waited, now, refused=False)
         placement = Placement(
             server=candidate.server,
             weights_version=candidate.weights_version,
@@ -242,7 +246,13 @@
         now: Millis,
     ) -> Choice:
         """Let a late call wait, or refuse one that has no time left."""
-        if now + found.first_ms >= demand.start_by:
+        waited = Millis(now - demand.received_at)
+        left = demand.start_by - now - found.first_ms
+        is_new = waited < LATE_RECHECK
+        if is_new and self.late.expected_wait(now) > left:
+            return Choice(retry_after=LONGEST_RETRY, reason='overloaded')
+        if left <= 0:
+            self.late.note(waited, now, refused=True)
             return Choice(retry_after=LONGEST_RETRY, reason='overloaded')
         until = Millis(now + LATE_RECHECK)
         return Choice(wait_until=until, reason='late_anyway')
