--- a/yuccagauge/relay/call.py
+++ b/yuccagauge/relay/call.py
@@ -85,7 +85,7 @@
     def start(self) -> None:
         """Look for a server; the answer comes through the sink."""
         self._around.running[self._demand.call_id] = self
-        self._around.budget(self._call.service).record_request(self._now())
+        self._around.record_request(self._call.service)
         self._sink.watch(self)
         left = max(0, self._call.deadline - self._now())
         self._later(Millis(left), self._run_out)
@@ -233,8 +233,7 @@
             return False
         if self._call.deadline - now < LEAST_TIME:
             return False
-        budget = self._around.budget(self._call.service)
-        return budget.try_spend(self._around.routers(), now)
+        return self._around.try_second_send(self._call.service)
 
     def _send_elsewhere(self) -> None:
         avoided = self._demand.avoided | {self._placement.server.server_id}
--- a/yuccagauge/relay/surroundings.py
+++ b/yuccagauge/relay/surroundings.py
@@ -43,8 +43,16 @@
     running: dict[str, object] = field(default_factory=dict)
     _budgets: dict[str, RetryBudget] = field(default_factory=dict)
 
-    def budget(self, service: str) -> RetryBudget:
-        """Return the budget of second sends of a service."""
+    def record_request(self, service: str) -> None:
+        """Count a first send, which earns a share of a second one."""
+        self._budget(service).record_request(self.clock.now())
+
+    def try_second_send(self, service: str) -> bool:
+        """Take a second send from this router's part of the budget."""
+        budget = self._budget(service)
+        return budget.try_spend(self.routers(), self.clock.now())
+
+    def _budget(self, service: str) -> RetryBudget:
         found = self._budgets.get(service)
         if found is None:
             rules = self.retries
