Check and document the relay's settings, and name a missing file plainly

Cause: the reference page had no settings of the relay, and a missing settings file was reported as '[] = "[Errno 2] ..."'. Change: yuccagauge check-relay-settings; the page lists the sections; an error of a whole file names the file and the reason. Measured: scenarios of platform, settings and relay pass.

--- a/features/platform/adapter.feature
+++ b/features/platform/adapter.feature
@@ -116,3 +116,13 @@
 
   Scenario: The template has a value for every setting without a default
     Then the settings template, filled in, is accepted
+
+  Scenario Outline: A mistake in a relay's settings is said in plain words
+    Then the relay settings "<text>" are refused with "<message>"
+
+    Examples:
+      | text              | message                                             |
+      | missing file      | No such file or directory: expected a readable UTF-8 file |
+      | [relay] nam = x   | [relay] nam = 'x': expected one of name             |
+      | [store] address=a | expected an IP address and port                     |
+      | [other] a = b     | [other] = '': expected one of relay                 |
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -29,6 +29,7 @@
 from yuccagauge.dispatch.base import ResponseHead
 from yuccagauge.dispatch.connection import ConnectionPool
 from yuccagauge.dispatch.fetch import fetch
+from yuccagauge.errors import SettingsError
 from yuccagauge.platform.records import RecordReader
 from yuccagauge.platform.requests import RequestDecoder, ServerProtocol
 from yuccagauge.platform.store import (
@@ -38,8 +39,16 @@
 )
 from yuccagauge.relay.base import CallFieldError, IncomingRequest
 from yuccagauge.rollout.base import LeadView
-from yuccagauge.settings.reader import read_text
-from yuccagauge.settings.relay import build_relay_settings
+from yuccagauge.settings.reader import (
+    build_section,
+    check_sections,
+    read_text,
+)
+from yuccagauge.settings.relay import (
+    RELAY_SECTIONS,
+    build_relay_settings,
+    load_relay_settings,
+)
 
 _ENDS = bytes(16)
 _ERRORS = {
@@ -425,3 +434,26 @@
     settings = build_relay_settings(read_text(text, 'router.ini'), 'router.ini')
     assert len(settings.relay.seeds) == 2
     assert settings.weights.engines_check_fences
+
+
+@then('the relay settings "{text}" are refused with "{message}"')
+def check_mistake(context: Context, text: str, message: str) -> None:
+    """Compare the message of the error with what a person needs."""
+    try:
+        if text == 'missing file':
+            load_relay_settings('nowhere/router.ini')
+        else:
+            section, _, line = text.partition('] ')
+            raw = read_text(f'{section}]\n{line}\n', 'router.ini')
+            _check_one_section(raw)
+    except SettingsError as error:
+        assert message in str(error), error
+        return
+    raise AssertionError('the settings were taken')
+
+
+def _check_one_section(raw: Any) -> None:
+    """Check a section by itself, as the first mistake ends the check."""
+    check_sections(raw, frozenset(RELAY_SECTIONS), frozenset(), 'router.ini')
+    for name in raw:
+        build_section(RELAY_SECTIONS[name], raw, name, 'router.ini')
--- a/yuccagauge/commands/check.py
+++ b/yuccagauge/commands/check.py
@@ -6,6 +6,7 @@
 from yuccagauge.settings.process import load_router_settings
 from yuccagauge.settings.reader import read_file
 from yuccagauge.settings.reference import render_reference
+from yuccagauge.settings.relay import load_relay_settings
 
 
 @command('version')
@@ -21,6 +22,13 @@
     return f'{path}: ok'
 
 
+@command('check-relay-settings')
+def check_relay_settings(path: str) -> str:
+    """Check a relay's settings file."""
+    load_relay_settings(path)
+    return f'{path}: ok'
+
+
 @command('check-document')
 def check_document(path: str) -> str:
     """Check a service document."""
--- a/yuccagauge/errors.py
+++ b/yuccagauge/errors.py
@@ -34,7 +34,11 @@
     ) -> None:
         """Keep the parts and build the one-line message."""
         place = f'{source}: [{section}] {key}'.rstrip()
-        super().__init__(f'{place} = {value!r}: expected {expected}')
+        message = f'{place} = {value!r}: expected {expected}'
+        if not section:
+            # The mistake is in the file as a whole.
+            message = f'{source}: {value}: expected {expected}'
+        super().__init__(message)
         self.section = section
         self.key = key
         self.expected = expected
--- a/yuccagauge/relay/call.py
+++ b/yuccagauge/relay/call.py
@@ -68,7 +68,6 @@
         self._report = CallReport(call, around.clock)
         self._exchange: Exchange | None = None
         self._placement: Placement | None = None
-        self._facts = AnswerFacts()
         self._verdict = Verdict.NOT_RUN
         self._sends = 0
         self._runs = 0
@@ -122,7 +121,6 @@
             self._drop_exchange()
             self._turned_away(head, facts)
             return
-        self._facts = facts
         self._note_weights(facts)
         headers = self._around.protocol.answer_headers(head)
         self._answer.take_head(head, headers)
--- a/yuccagauge/settings/reader.py
+++ b/yuccagauge/settings/reader.py
@@ -57,11 +57,12 @@
     try:
         text = Path(path).read_text(encoding='utf-8')
     except (OSError, UnicodeDecodeError) as error:
+        reason = getattr(error, 'strerror', None) or 'not UTF-8 text'
         raise SettingsError(
             path,
             '',
             '',
-            str(error),
+            reason,
             'a readable UTF-8 file',
         ) from None
     return read_text(text, path)
--- a/yuccagauge/settings/reference.py
+++ b/yuccagauge/settings/reference.py
@@ -6,6 +6,7 @@
 from yuccagauge.settings.document import NAMED_SECTIONS, SINGLE_SECTIONS
 from yuccagauge.settings.options import OPTION
 from yuccagauge.settings.process import ROUTER_SECTIONS
+from yuccagauge.settings.relay import RELAY_SECTIONS
 
 _HEADER = '| key | meaning | expected | default |\n|---|---|---|---|'
 
@@ -16,6 +17,10 @@
         _render_section(f'[{name}]', kind)
         for name, kind in ROUTER_SECTIONS.items()
     ]
+    relay = [
+        _render_section(f'[{name}]', kind)
+        for name, kind in RELAY_SECTIONS.items()
+    ]
     single = [
         _render_section(f'[{name}]', kind)
         for name, kind in SINGLE_SECTIONS.items()
@@ -32,6 +37,9 @@
         '## Settings of a router',
         'Checked by `yuccagauge check-settings FILE`.',
         *router,
+        '## Settings of a relay',
+        'Checked by `yuccagauge check-relay-settings FILE`.',
+        *relay,
         '## Service document',
         'Checked by `yuccagauge check-document FILE`.',
         *single,
--- a/yuccagauge/settings/relay.py
+++ b/yuccagauge/settings/relay.py
@@ -133,7 +133,8 @@
     weights: WeightsSection
 
 
-_SECTIONS = {
+#: Sections of the settings file by name.
+RELAY_SECTIONS = {
     'relay': RelaySection,
     'store': StoreSection,
     'stop': StopSection,
@@ -161,10 +162,10 @@
     SettingsError
         If a section or key is unknown, missing or wrong.
     """
-    check_sections(raw, frozenset(_SECTIONS), frozenset(), source)
+    check_sections(raw, frozenset(RELAY_SECTIONS), frozenset(), source)
     return RelaySettings(
         **{
             name: build_section(kind, raw, name, source)
-            for name, kind in _SECTIONS.items()
+            for name, kind in RELAY_SECTIONS.items()
         },
     )
