Keep periodic duties going after an unexpected error

Cause: reading the diff showed that a malformed listing of the store raised a KeyError, which ended the follower for good, and that a LoopingCall ends with the first error of its function.

Change: listings are checked; followers and pollers log duty_failed and go on; SteadyLoop carries exchange, rollout, lead and upkeep.

--- a/features/directory/directory.feature
+++ b/features/directory/directory.feature
@@ -45,3 +45,8 @@
     Then the follower has the keys "a b c"
     When the store fails 3 times and gets the key "d"
     Then the follower has the keys "a b c d"
+    When a read of the store raises an unexpected error between the keys "e" and "f"
+    Then the follower has the keys "a b c d e f"
+
+  Scenario: A periodic duty goes on after an error
+    Then a duty that fails in its first 3 calls is called again each time
--- a/features/log_store.py
+++ b/features/log_store.py
@@ -28,6 +28,7 @@
         self._body = b''
         #: Answered instead of everything else, if set.
         self.status = 0
+        self.answer = b'{}'
         self.is_silent = False
         self._server = ScriptedServer(self._serve)
 
@@ -52,7 +53,7 @@
         if self.is_silent:
             return
         if self.status:
-            exchange.answer(self.status, b'{}')
+            exchange.answer(self.status, self.answer)
             return
         parts = urlsplit(exchange.path)
         query = {name: each[0] for name, each in parse_qs(parts.query).items()}
--- a/features/platform/adapter.feature
+++ b/features/platform/adapter.feature
@@ -98,6 +98,19 @@
       | 429    | StoreUnavailableError |
       | 503    | StoreUnavailableError |
 
+  Scenario Outline: An unreadable listing counts as no answer
+    Then a listing "<body>" raises StoreUnavailableError
+
+    Examples:
+      | body                                                  |
+      | not JSON                                              |
+      | []                                                    |
+      | {}                                                    |
+      | {"items": 3, "end": 1}                                |
+      | {"items": [{"key": "a"}], "end": 1}                   |
+      | {"items": [{"key": "a", "offset": 0, "value": 7}], "end": 1} |
+      | {"items": [], "end": "last"}                          |
+
   Scenario: Of two routers that want the lead, one gets it
     Given a store without a record of the lead
     When two routers write the same next record
--- a/features/steps/directory_steps.py
+++ b/features/steps/directory_steps.py
@@ -25,6 +25,7 @@
     StoreUnavailableError,
 )
 from yuccagauge.settings.options import Endpoint
+from yuccagauge.steadyloop import SteadyLoop
 
 
 class PlainDecoder:
@@ -203,6 +204,7 @@
         self.records: list[KeyedRecord] = []
         self.first = 0
         self.failures = 0
+        self.is_broken = False
         self.waiting: list[tuple[int, Deferred[StorePage]]] = []
 
     def write(self, key: str) -> None:
@@ -223,6 +225,9 @@
 
     def read(self, topic: Topic, offset: int, wait: Millis) -> Any:
         """Fail as told, or answer with the first record."""
+        if self.is_broken:
+            self.is_broken = False
+            return fail(KeyError('unexpected'))
         if self.failures:
             self.failures -= 1
             return fail(StoreUnavailableError('told to fail'))
@@ -290,3 +295,41 @@
 def check_followed(context: Context, keys: str) -> None:
     """Compare the servers of the directory."""
     assert sorted(context.directory.servers) == keys.split()
+
+
+@when(
+    'a read of the store raises an unexpected error between the keys '
+    '"{first}" and "{second}"'
+)
+def break_read(context: Context, first: str, second: str) -> None:
+    """Guard against a follower that ends with one bad answer.
+
+    The first key ends the read that waits; the next read fails.
+    """
+    context.flaky.is_broken = True
+    context.flaky.write(first)
+    _advance(context)
+    assert not context.flaky.is_broken
+    context.flaky.write(second)
+    _advance(context)
+
+
+@then(
+    'a duty that fails in its first {count:d} calls is called again each time'
+)
+def check_steady(context: Context, count: int) -> None:
+    """Guard against a router that goes on without one of its duties."""
+    calls: list[int] = []
+
+    def duty() -> None:
+        calls.append(len(calls))
+        if len(calls) <= count:
+            raise ValueError('told to fail')
+
+    reactor = TaskClock()
+    loop = SteadyLoop('test', duty, reactor)
+    loop.start(1)
+    for _ in range(count + 1):
+        reactor.advance(1)
+    loop.close()
+    assert len(calls) == count + 2, calls
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -457,3 +457,16 @@
     check_sections(raw, frozenset(RELAY_SECTIONS), frozenset(), 'router.ini')
     for name in raw:
         build_section(RELAY_SECTIONS[name], raw, name, 'router.ini')
+
+
+@then('a listing "{body}" raises StoreUnavailableError')
+def check_listing(context: Context, body: str) -> None:
+    """Guard against an answer that ends the follower."""
+    store = _store(context)
+    context.log_store.status = 200
+    context.log_store.answer = body.encode()
+    try:
+        wait_for_call(store.newest, Topic.SERVERS)
+    except StoreUnavailableError:
+        return
+    raise AssertionError('the listing was taken')
--- a/yuccagauge/cachefeed/feed.py
+++ b/yuccagauge/cachefeed/feed.py
@@ -77,7 +77,16 @@
                 self._note_live(is_live=False, reason=str(error))
                 yield self._feed.pause(RETRY_PAUSE)
                 continue
-            self._take(found)
+            try:
+                self._take(found)
+            except Exception as error:
+                # One bad answer must not end the poller.
+                log_state_change(
+                    'duty_failed',
+                    duty='cache_feed',
+                    kind=type(error).__name__,
+                    reason=str(error),
+                )
             yield self._feed.pause(POLL_PAUSE)
 
     def _take(self, found: CacheEvents) -> None:
--- a/yuccagauge/directory/follower.py
+++ b/yuccagauge/directory/follower.py
@@ -104,13 +104,29 @@
                     needs_listing = False
                 else:
                     yield self._read()
-            except StoreGapError:
-                log_state_change('store_gap', topic=self._topic.name)
-                needs_listing = True
-            except StoreUnavailableError as error:
-                self._note_unreachable(str(error))
+            except CancelledError:
+                raise
+            except Exception as error:
+                needs_listing = needs_listing or self._needs_listing(error)
                 yield self._pause(RETRY_PAUSE)
 
+    def _needs_listing(self, error: Exception) -> bool:
+        """Note a failed read; return whether the next one is a listing."""
+        if isinstance(error, StoreUnavailableError):
+            self._note_unreachable(str(error))
+            return False
+        if isinstance(error, StoreGapError):
+            log_state_change('store_gap', topic=self._topic.name)
+            return True
+        # One bad answer must not end the follower.
+        log_state_change(
+            'duty_failed',
+            duty=f'follow_{self._topic.name.lower()}',
+            kind=type(error).__name__,
+            reason=str(error),
+        )
+        return True
+
     @inlineCallbacks
     def _list(self) -> Any:
         page = yield self._store.newest(self._topic)
--- a/yuccagauge/exchange/service.py
+++ b/yuccagauge/exchange/service.py
@@ -4,7 +4,6 @@
 from typing import Any
 
 from twisted.internet.defer import Deferred, maybeDeferred
-from twisted.internet.task import LoopingCall
 from twisted.python.failure import Failure
 
 from yuccagauge.clock import Clock, Millis
@@ -15,6 +14,7 @@
 from yuccagauge.selection.load import PeerLoad
 from yuccagauge.selection.selector import Selector
 from yuccagauge.settings.options import Endpoint
+from yuccagauge.steadyloop import SteadyLoop
 from yuccagauge.telemetry.journal import log_state_change
 from yuccagauge.wire.base import Received
 from yuccagauge.wire.client import PeerClient
@@ -101,8 +101,7 @@
         self._is_leaving = False
         self._known: frozenset[str] = frozenset()
         self._shown: dict[tuple[str, str], tuple[int, Millis]] = {}
-        self._loop = LoopingCall(self._exchange)
-        self._loop.clock = reactor
+        self._loop = SteadyLoop('exchange', self._exchange, reactor)
         #: Told when another router announces orders, or that it stops.
         self.on_pause: Callable[[], None] = lambda: None
         self.on_leave: Callable[[], None] = lambda: None
@@ -127,8 +126,7 @@
 
     def close(self) -> Deferred[Any]:
         """Stop, and cut the connections."""
-        if self._loop.running:
-            self._loop.stop()
+        self._loop.close()
         self._client.close()
         return maybeDeferred(self._server.close)
 
--- a/yuccagauge/platform/store.py
+++ b/yuccagauge/platform/store.py
@@ -4,6 +4,7 @@
 import json
 import struct
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 from urllib.parse import urlencode
 
@@ -70,13 +71,13 @@
             if after:
                 query['after'] = after
             found = yield self._get(names.NEWEST_PATH, query, _PATIENCE)
-            document = _json(found)
+            page = _newest_page(found)
             if next_offset is None:
                 # Pages are no snapshot: what is written meanwhile is read
                 # again from the first page's end.
-                next_offset = document['end']
-            records.extend(_newest(item) for item in document['items'])
-            has_more = document.get('more', False) and document['items']
+                next_offset = page.end
+            records.extend(page.records)
+            has_more = page.has_more
             after = records[-1].key if records else ''
         return StorePage(records=tuple(records), next_offset=next_offset)
 
@@ -98,13 +99,12 @@
         """Return the ``LeadView`` of the store."""
         query = {'topic': _LEAD_TOPIC, 'part': 0}
         found = yield self._get(names.NEWEST_PATH, query, _PATIENCE)
-        document = _json(found)
-        holders = [
-            base64.b64decode(item['value']).decode('utf-8', 'replace')
-            for item in document['items']
-        ]
-        holder = holders[0].removesuffix(_HELD) if holders else ''
-        return LeadView(end=document['end'], holder=holder)
+        page = _newest_page(found)
+        holder = ''
+        if page.records:
+            held = page.records[0].value.decode('utf-8', 'replace')
+            holder = held.removesuffix(_HELD)
+        return LeadView(end=page.end, holder=holder)
 
     @inlineCallbacks
     def write_lead(self, holder: str, end: int) -> Any:
@@ -186,21 +186,44 @@
     )
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _NewestPage:
+    """One page of the newest records of each key."""
+
+    records: tuple[KeyedRecord, ...]
+    end: int
+    has_more: bool
+
+
+def _newest_page(found: Fetched) -> _NewestPage:
+    """Read one page.
+
+    Raises
+    ------
+    StoreUnavailableError
+        If the answer is no such page.
+    """
+    try:
+        document = json.loads(found.body)
+        records = tuple(_newest(item) for item in document['items'])
+        return _NewestPage(
+            records=records,
+            end=int(document['end']),
+            has_more=bool(document.get('more')) and bool(records),
+        )
+    except (LookupError, TypeError, ValueError) as error:
+        kind = type(error).__name__
+        raise StoreUnavailableError(f'unreadable answer: {kind}') from None
+
+
 def _newest(item: dict[str, Any]) -> KeyedRecord:
     return KeyedRecord(
-        key=item['key'],
-        offset=item['offset'],
+        key=str(item['key']),
+        offset=int(item['offset']),
         value=base64.b64decode(item['value']),
     )
 
 
-def _json(found: Fetched) -> dict[str, Any]:
-    try:
-        return json.loads(found.body)
-    except ValueError:
-        raise StoreUnavailableError('the answer is not JSON') from None
-
-
 class PlatformLead:
     """The records of the lead in the platform's store.
 
--- a/yuccagauge/relay/router.py
+++ b/yuccagauge/relay/router.py
@@ -6,7 +6,6 @@
 
 from twisted.internet.defer import Deferred, DeferredList, maybeDeferred
 from twisted.internet.interfaces import IListeningPort
-from twisted.internet.task import LoopingCall
 from twisted.web.server import Site
 
 from yuccagauge.cachefeed.feed import CacheFeed
@@ -29,6 +28,7 @@
 from yuccagauge.selection.selector import Selector
 from yuccagauge.settings.options import Endpoint
 from yuccagauge.settings.relay import RelaySettings, load_relay_settings
+from yuccagauge.steadyloop import SteadyLoop
 from yuccagauge.telemetry.journal import log_state_change
 from yuccagauge.wire.client import PeerClient
 from yuccagauge.wire.server import PeerServer
@@ -149,8 +149,7 @@
             share=settings.weights.load_share,
         )
         self._ports: list[IListeningPort] = []
-        self._upkeep = LoopingCall(self._keep_up)
-        self._upkeep.clock = reactor
+        self._upkeep = SteadyLoop('upkeep', self._keep_up, reactor)
         self._is_leaving = False
         self._version = 0
 
@@ -229,8 +228,7 @@
         return done
 
     def _close(self) -> Deferred[Any]:
-        if self._upkeep.running:
-            self._upkeep.stop()
+        self._upkeep.close()
         for follower in self._followers.values():
             follower.close()
         self._feed.close()
--- a/yuccagauge/rollout/driver.py
+++ b/yuccagauge/rollout/driver.py
@@ -5,7 +5,6 @@
 from typing import Any
 
 from twisted.internet.defer import inlineCallbacks
-from twisted.internet.task import LoopingCall
 
 from yuccagauge.clock import Clock, Millis
 from yuccagauge.directory.base import BackendServer, ServiceSpec
@@ -26,6 +25,7 @@
     next_drains,
 )
 from yuccagauge.selection.selector import Selector
+from yuccagauge.steadyloop import SteadyLoop
 from yuccagauge.telemetry.journal import log_state_change
 
 _MILLISECONDS_PER_SECOND = 1000
@@ -99,8 +99,7 @@
         self._lead = lead
         self._progress: dict[str, _Progress] = {}
         self._load_ms = ASSUMED_LOAD_MS
-        self._looks = LoopingCall(self._look)
-        self._looks.clock = reactor
+        self._looks = SteadyLoop('rollout', self._look, reactor)
         #: Told when engines drain or load, with the time it may take.
         self.on_load: Callable[[tuple[str, ...], Millis], None] = (
             lambda servers, time: None
@@ -116,8 +115,7 @@
 
     def close(self) -> None:
         """Stop giving orders."""
-        if self._looks.running:
-            self._looks.stop()
+        self._looks.close()
 
     def _look(self) -> None:
         """Give the orders that are due."""
--- a/yuccagauge/rollout/keeper.py
+++ b/yuccagauge/rollout/keeper.py
@@ -4,12 +4,12 @@
 from typing import Any
 
 from twisted.internet.defer import Deferred, inlineCallbacks, succeed
-from twisted.internet.task import LoopingCall
 
 from yuccagauge.clock import Clock, Millis
 from yuccagauge.directory.store import StoreUnavailableError
 from yuccagauge.rollout.base import LeadStore
 from yuccagauge.rollout.lead import Lead
+from yuccagauge.steadyloop import SteadyLoop
 from yuccagauge.telemetry.journal import log_state_change
 
 _MILLISECONDS_PER_SECOND = 1000
@@ -58,8 +58,7 @@
         self._was_leading = False
         #: When the first record left that has had no answer yet.
         self._unanswered_at: Millis | None = None
-        self._renewals = LoopingCall(self._renew)
-        self._renewals.clock = reactor
+        self._renewals = SteadyLoop('lead', self._renew, reactor)
         self._period_s = lease / RENEWALS_PER_LEASE / _MILLISECONDS_PER_SECOND
 
     def start(self) -> None:
@@ -68,8 +67,7 @@
 
     def close(self) -> Deferred[Any]:
         """Stop, and give the lead up."""
-        if self._renewals.running:
-            self._renewals.stop()
+        self._renewals.close()
         if not self._lead.is_leader:
             return succeed(None)
         self._lead.lost()
@@ -79,7 +77,7 @@
 
     def look(self) -> None:
         """Look at once, because the leader may have given the lead up."""
-        if self._renewals.running:
+        if self._renewals.is_running:
             self._renew()
 
     @inlineCallbacks
--- a/yuccagauge/selection/selector.py
+++ b/yuccagauge/selection/selector.py
@@ -13,8 +13,8 @@
 from yuccagauge.selection.load import ActiveCall, ServerLoad
 from yuccagauge.settings.options import Endpoint
 
-#: A server whose calls show no sign of life for this long beyond what was
-#: expected gets no further call while another server can take it.
+#: A server whose calls have shown no sign of life for this long gets no
+#: further call while another server can take it.
 SILENCE_LIMIT = Millis(700)
 
 #: The same for plain servers, whose answers take tens of milliseconds.
@@ -64,6 +64,7 @@
         self._loads: dict[str, ServerLoad] = {}
         #: Scope and last shared part of what calls were asked to keep.
         self._saves: dict[tuple[str, str], Millis] = {}
+        #: How long late calls have waited lately.
         self.late = LateQueue()
         self.cache = CacheMap()
         #: Kept stores that answer, by endpoint.
@@ -202,11 +203,7 @@
         now: Millis,
     ) -> Choice | None:
         store = self._nearest(stores)
-        candidates = [
-            candidate
-            for candidate in self._engines(servers, demand, store, now)
-            if candidate is not None
-        ]
+        candidates = self._engines(servers, demand, store, now)
         best = model.cheapest(candidates, demand, now)
         if best is None:
             return None
