--- a/features/steps/directory_steps.py
+++ b/features/steps/directory_steps.py
@@ -9,6 +9,7 @@
 from twisted.internet.defer import Deferred, fail, succeed
 from twisted.internet.task import Clock as TaskClock
 
+from features.properties import REPEATABLE
 from yuccagauge.clock import ManualClock, Millis
 from yuccagauge.directory.base import (
     BackendServer,
@@ -71,6 +72,7 @@
 def check_merge(context: Context) -> None:
     """Guard against a state that depends on who told what first."""
 
+    @REPEATABLE
     @forall(
         st.lists(
             st.tuples(st.sampled_from('abc'), st.booleans()),
--- a/features/steps/rollout_steps.py
+++ b/features/steps/rollout_steps.py
@@ -10,6 +10,7 @@
 from twisted.internet.defer import fail, succeed
 from twisted.internet.task import Clock as TaskClock
 
+from features.properties import REPEATABLE
 from yuccagauge.clock import Millis
 from yuccagauge.directory.base import (
     BackendServer,
@@ -89,6 +90,7 @@
         max_size=30,
     )
 
+    @REPEATABLE
     @forall(answers)
     def play(steps: list[tuple[int, int, bool, int]]) -> None:
         start = Millis(-100_000)
--- a/features/steps/selection_steps.py
+++ b/features/steps/selection_steps.py
@@ -7,9 +7,9 @@
 from behave import given, then, when
 from behave.runner import Context
 from hypothesis import given as forall
-from hypothesis import settings
 from hypothesis import strategies as st
 
+from features.properties import REPEATABLE
 from yuccagauge.clock import Millis
 from yuccagauge.directory.base import (
     BackendServer,
@@ -342,7 +342,7 @@
 ) -> None:
     """Guard against retries that double the load on a failing service."""
 
-    @settings(deadline=None, max_examples=30)
+    @REPEATABLE
     @forall(
         st.lists(st.integers(0, 400), min_size=1, max_size=60),
         st.integers(1, 20),
