Look for the store's return in short reads

A read that began at 8.6 s was never answered and was waited for until 13.1 s, so a version acked at 9.6 s was in force at 13.4 s. Another test showed that an error of an argument had lost the argument's name since the change of its message.

Change: after a failed read the follower asks without a wait, and reads wait for 2 s and 1.2 s more; an error of a file as a whole is one that names neither section nor key.

Measured: the scenarios of directory, platform and adoption pass; the new one fails without the change.

--- a/features/directory/directory.feature
+++ b/features/directory/directory.feature
@@ -48,5 +48,10 @@
     When a read of the store raises an unexpected error between the keys "e" and "f"
     Then the follower has the keys "a b c d e f"
 
+  Scenario: A read that begins in an outage does not wait for records
+    Given a follower of a store with the keys "a b"
+    When the store fails 3 times and gets the key "c"
+    Then the reads after a failure waited for 0 ms and the others for 2000 ms
+
   Scenario: A periodic duty goes on after an error
     Then a duty that fails in its first 3 calls is called again each time
--- a/features/steps/directory_steps.py
+++ b/features/steps/directory_steps.py
@@ -207,6 +207,8 @@
         self.first = 0
         self.failures = 0
         self.is_broken = False
+        #: Whether each read failed, and how long it would have waited.
+        self.reads: list[tuple[bool, int]] = []
         self.waiting: list[tuple[int, Deferred[StorePage]]] = []
 
     def write(self, key: str) -> None:
@@ -227,6 +229,7 @@
 
     def read(self, topic: Topic, offset: int, wait: Millis) -> Any:
         """Fail as told, or answer with the first record."""
+        self.reads.append((self.failures > 0, wait))
         if self.is_broken:
             self.is_broken = False
             return fail(KeyError('unexpected'))
@@ -335,3 +338,15 @@
         reactor.advance(1)
     loop.close()
     assert len(calls) == count + 2, calls
+
+
+@then(
+    'the reads after a failure waited for {probe:d} ms and the others for '
+    '{wait:d} ms'
+)
+def check_waits(context: Context, probe: int, wait: int) -> None:
+    """Guard against a read that hides the return of the store."""
+    reads = context.flaky.reads
+    for before, after in zip(reads, reads[1:], strict=False):
+        assert after[1] == (probe if before[0] else wait), reads
+    assert sum(failed for failed, _ in reads) == 3, reads
--- a/yuccagauge/directory/follower.py
+++ b/yuccagauge/directory/follower.py
@@ -20,7 +20,11 @@
 
 #: How long one read waits at the store for records. A connection that went
 #: silent is noticed after this time.
-READ_WAIT = Millis(3000)
+READ_WAIT = Millis(2000)
+
+#: The same while the store does not answer: a read that began in an outage
+#: is never answered, and must not hide the store's return.
+PROBE_WAIT = Millis(0)
 
 #: Time between two reads of the servers' entries, which every server writes
 #: about once a second. Each read costs a call, and a leaving server has to
@@ -140,7 +144,8 @@
     @inlineCallbacks
     def _read(self) -> Any:
         offset = self._directory.mark(self._topic)
-        page = yield self._store.read(self._topic, offset, READ_WAIT)
+        wait = PROBE_WAIT if self._is_reached is False else READ_WAIT
+        page = yield self._store.read(self._topic, offset, wait)
         self._note_reached()
         now = self._clock.now()
         self._directory.apply(self._topic, page.records, page.next_offset, now)
--- a/yuccagauge/errors.py
+++ b/yuccagauge/errors.py
@@ -35,7 +35,7 @@
         """Keep the parts and build the one-line message."""
         place = f'{source}: [{section}] {key}'.rstrip()
         message = f'{place} = {value!r}: expected {expected}'
-        if not section:
+        if not section and not key:
             # The mistake is in the file as a whole.
             message = f'{source}: {value}: expected {expected}'
         super().__init__(message)
--- a/yuccagauge/platform/store.py
+++ b/yuccagauge/platform/store.py
@@ -37,7 +37,7 @@
 _HELD = '\n'
 
 #: Time for an answer, beyond the time that the store may wait.
-_PATIENCE = Millis(1500)
+_PATIENCE = Millis(1200)
 
 _LENGTH = struct.Struct('>I')
 _ENDS = struct.Struct('>QQ')
