--- a/features/run.py
+++ b/features/run.py
@@ -50,7 +50,7 @@
         for scenario in feature.walk_scenarios():
             if scenario.status == Status.passed:
                 passed += 1
-            elif scenario.name in known_red:
+            elif scenario.name.strip() in known_red:
                 red.append(f'{scenario.name}{_reason(scenario)}')
             else:
                 where = f'{scenario.location} {scenario.name}'
