Use a lead that was given up at once

Change: the wait falls away after a lead that was given up, where engines refuse older tokens. The specification of the lead explores giving up.

--- a/features/rollout/rollout.feature
+++ b/features/rollout/rollout.feature
@@ -62,6 +62,16 @@
     When the answers to 1 renewals are lost
     Then the router leads again within 2 s
 
+  Scenario Outline: A new leader waits only for a leader that may still order
+    Given a router that heard an order of the leader 100 ms ago
+    When it takes the lead after the leader <end>
+    Then it may order <when>
+
+    Examples:
+      | end         | when            |
+      | gave it up  | at once         |
+      | fell silent | only after 2900 ms |
+
   Scenario: A router that stops gives the lead up
     Given 4 engines that load weights in 500 ms and a router that leads
     When the router stops
--- a/features/steps/rollout_steps.py
+++ b/features/steps/rollout_steps.py
@@ -482,3 +482,38 @@
 def check_free(context: Context) -> None:
     """Compare the last record."""
     assert context.store.holders[-1] == ''
+
+
+@given('a router that heard an order of the leader {ms:d} ms ago')
+def heard_leader(context: Context, ms: int) -> None:
+    """Start a follower that knows of a leader."""
+    context.lead = Lead('r1', _LEASE, Millis(0), trusts_fences=True)
+    context.lead.heard_order(Millis(_NOW - ms))
+
+
+@when('it takes the lead after the leader {end}')
+def take_lead(context: Context, end: str) -> None:
+    """Write the record that follows the one of the leader."""
+    holder = '' if end == 'gave it up' else 'r0'
+    seen_at = _NOW if not holder else Millis(_NOW - _LEASE)
+    context.lead.seen(LeadView(end=7, holder=holder), seen_at)
+    assert context.lead.may_take(_NOW)
+    context.lead.wrote(7, _NOW, _NOW)
+
+
+@then('it may order at once')
+def check_at_once(context: Context) -> None:
+    """Guard against a lease without orders after each planned stop."""
+    assert context.lead.fence(_NOW) == 8
+
+
+@then('it may order only after {ms:d} ms')
+def check_order_later(context: Context, ms: int) -> None:
+    """Guard against two leaders that take turns."""
+    for passed in range(0, ms, 100):
+        now = Millis(_NOW + passed)
+        context.lead.wrote(context.lead.end, now, now)
+        assert context.lead.fence(now) is None, passed
+    now = Millis(_NOW + ms)
+    context.lead.wrote(context.lead.end, now, now)
+    assert context.lead.fence(now) is not None
--- a/yuccagauge/modelcheck/leadspec.py
+++ b/yuccagauge/modelcheck/leadspec.py
@@ -2,7 +2,7 @@
 
 Two routers read and write the records of the lead. Answers of the store
 may be lost, a record may be written at any later time while its condition
-holds, announcements may be missed, and an order may reach the engine at any
+holds, a leader may give the lead up, announcements may be missed, and an order may reach the engine at any
 later time, after newer ones. The engine keeps its order number and the
 highest fencing token.
 
@@ -175,6 +175,10 @@
         if not world.late:
             late = frozenset(((_NAMES[router], end),))
             yield f'record of {router} is late', world._replace(late=late)
+        if lead.wrapped.is_leader:
+            given_up = written._replace(holder='')
+            former, _ = lead.after(Lead.lost)
+            yield f'{router} gives up', _with_lead(given_up, router, former)
         lead, _ = lead.after(Lead.wrote, end, now, now)
         yield f'{router} writes', _with_lead(written, router, lead)
 
--- a/yuccagauge/rollout/lead.py
+++ b/yuccagauge/rollout/lead.py
@@ -17,8 +17,9 @@
     """The right to give orders.
 
     Leaders announce their orders to all routers. A new leader waits until
-    the last order of another one is a whole lease old. The clock has to
-    count the time of a suspended VM.
+    the last order of another one is a whole lease old, unless that one gave
+    the lead up: it orders no more, and engines refuse its older token. The
+    clock has to count the time of a suspended VM.
 
     Parameters
     ----------
@@ -98,6 +99,9 @@
         sent_at
             When the record left; the lease counts from then.
         """
+        was_given_up = self._view is not None and not self._view.holder
+        if was_given_up and end and self._trusts_fences:
+            self._other_ordered_at = Millis(now - self._lease)
         self._view = LeadView(end=end + 1, holder=self._name)
         self._seen_since = now
         self._renewed_at = sent_at
