--- a/yuccagauge/relay/surroundings.py
+++ b/yuccagauge/relay/surroundings.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Protocol
 
 from yuccagauge.clock import Clock, Millis
 from yuccagauge.directory.state import Directory
@@ -13,6 +14,13 @@
 from yuccagauge.selection.selector import Selector
 
 
+class RunningCall(Protocol):
+    """A call that the router works on."""
+
+    def cut(self) -> None:
+        """End at once because the router stops."""
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RetryRules:
     """The shared allowance of second sends."""
@@ -40,7 +48,7 @@
     routers: Callable[[], int] = lambda: 1
     quarantine: Quarantine = field(default_factory=Quarantine)
     #: Calls in work, by request id.
-    running: dict[str, object] = field(default_factory=dict)
+    running: dict[str, RunningCall] = field(default_factory=dict)
     _budgets: dict[str, RetryBudget] = field(default_factory=dict)
 
     def record_request(self, service: str) -> None:
