Split the steps of the relay's slices by duty

Change: engines, servers and worlds move to modules of their own; the leader's orders, overload and the store's calls get their own steps. No assertion is changed.

--- /dev/null
+++ b/features/selection_world.py
@@ -0,0 +1,96 @@
+"""Servers and calls for tests of the choice of servers."""
+
+from collections import Counter
+
+from behave.runner import Context
+
+from yuccagauge.clock import Millis
+from yuccagauge.directory.base import (
+    BackendServer,
+    ServerState,
+    ServiceSpec,
+)
+from yuccagauge.selection.base import Choice, Demand, FleetView
+from yuccagauge.selection.selector import Selector
+from yuccagauge.settings.options import Endpoint
+
+#: The one model of the engines.
+MODEL = 'm'
+#: When the calls arrive.
+NOW = Millis(100_000)
+
+
+def _server(number: int, version: int) -> BackendServer:
+    return BackendServer(
+        server_id=f's{number}',
+        service='s',
+        endpoint=Endpoint('127.0.0.1', number + 1),
+        data_centre='a',
+        slots=6 if not version else 32,
+        state=ServerState.READY,
+        weights={MODEL: version} if version else {},
+    )
+
+
+def start_selector(
+    context: Context,
+    count: int,
+    version: int,
+    newest: int = 0,
+    known_for: int = 0,
+) -> None:
+    """Start with idle servers."""
+    context.selector = Selector('a', Millis(12_000))
+    context.is_model = bool(version)
+    servers = [_server(number, version) for number in range(count)]
+    context.selector.adopt(
+        FleetView(
+            servers={server.server_id: server for server in servers},
+            targets={MODEL: newest or version},
+            targets_since={MODEL: Millis(NOW - known_for)},
+        ),
+    )
+    context.stores = ()
+    context.placed = Counter()
+    context.number = 0
+
+
+def new_demand(
+    context: Context,
+    parts: tuple[tuple[str, int], ...] = (),
+    left: int = 5000,
+    **kept: str,
+) -> Demand:
+    """Return the demand of a new call."""
+    context.number += 1
+    own = ((f'own{context.number}', 100),)
+    is_model = context.is_model
+    prompt = (*parts, *own) if is_model else ()
+    return Demand(
+        call_id=f'c{context.number}',
+        service=ServiceSpec(
+            name='s',
+            health_path='',
+            connection_limit=100,
+            is_model=is_model,
+            kv_tokens=130_000,
+        ),
+        received_at=NOW,
+        objective_at=Millis(NOW + 500),
+        deadline=Millis(NOW + left),
+        start_by=Millis(NOW + left),
+        model=MODEL if is_model else '',
+        prompt_tokens=sum(tokens for _, tokens in prompt),
+        output_tokens=20 if is_model else 0,
+        parts=prompt,
+        isolated_customer=kept.get('isolated', ''),
+    )
+
+
+def place(context: Context, demand: Demand, now: int = NOW) -> Choice:
+    """Choose for a call, and note a send."""
+    choice = context.selector.choose(demand, context.stores, Millis(now))
+    if choice.placement is not None:
+        context.selector.sent(demand, choice.placement, Millis(now))
+        context.placed[choice.placement.server.server_id] += 1
+    return choice
--- /dev/null
+++ b/features/steps/platform_store_steps.py
@@ -0,0 +1,154 @@
+"""Steps for the calls to the platform's store."""
+
+from functools import partial
+
+from behave import given, then, when
+from behave.runner import Context
+from twisted.internet import reactor
+
+from features.log_store import LogStore, pack_record
+from features.loop import wait_for_call
+from yuccagauge.clock import Millis
+from yuccagauge.directory.state import Topic
+from yuccagauge.directory.store import (
+    StoreGapError,
+    StoreUnavailableError,
+)
+from yuccagauge.dispatch.connection import ConnectionPool
+from yuccagauge.dispatch.fetch import fetch
+from yuccagauge.platform.store import (
+    PlatformStore,
+    decode_page,
+)
+from yuccagauge.rollout.base import LeadView
+
+_ENDS = bytes(16)
+
+
+_ERRORS = {
+    'StoreGapError': StoreGapError,
+    'StoreUnavailableError': StoreUnavailableError,
+}
+
+
+@then(
+    'a page from offset {offset:d} has the keys "{keys}" and the next '
+    'offset {following:d}'
+)
+def check_page(
+    context: Context,
+    offset: int,
+    keys: str,
+    following: int,
+) -> None:
+    """Compare keys and offsets."""
+    packed = b''.join(pack_record(key, b'v') for key in keys.split())
+    page = decode_page(_ENDS + packed, offset)
+    assert [record.key for record in page.records] == keys.split()
+    assert page.records[-1].offset == following - 1
+    assert page.next_offset == following
+
+
+@then('a page that {fault} is refused')
+def check_torn_page(context: Context, fault: str) -> None:
+    """Guard against half a record that is taken for a whole one."""
+    whole = _ENDS + pack_record('a', b'value')
+    torn = {
+        'ends in its head': whole[:9],
+        'ends in a length': whole[:18],
+        'ends in a record': whole[:-2],
+    }[fault]
+    try:
+        decode_page(torn, 0)
+    except StoreUnavailableError:
+        return
+    raise AssertionError('the page was taken')
+
+
+def _store(context: Context) -> PlatformStore:
+    if not hasattr(context, 'log_store'):
+        context.log_store = LogStore()
+        context.log_store.start()
+        context.add_cleanup(context.log_store.close)
+    pool = ConnectionPool(reactor)
+    context.add_cleanup(pool.close)
+    call = partial(fetch, reactor, pool, context.log_store.endpoint)
+    return PlatformStore(call)
+
+
+@then('an answer {status:d} to a read raises {error:w}')
+def check_error(context: Context, status: int, error: str) -> None:
+    """Compare the error of a read."""
+    store = _store(context)
+    context.log_store.status = status
+    try:
+        wait_for_call(store.read, Topic.SERVERS, 3, Millis(0))
+    except (StoreGapError, StoreUnavailableError) as raised:
+        assert isinstance(raised, _ERRORS[error]), raised
+        return
+    raise AssertionError('the read was answered')
+
+
+@given('a store without a record of the lead')
+def empty_store(context: Context) -> None:
+    """Start a store, and two routers that read the lead."""
+    context.leads = [_store(context) for _ in range(2)]
+    view = wait_for_call(context.leads[0].read_lead)
+    assert view == LeadView(end=0, holder='')
+
+
+@when('two routers write the same next record')
+def race_for_lead(context: Context) -> None:
+    """Write twice under one condition."""
+    context.written = [
+        wait_for_call(lead.write_lead, f'r{number}', 0)
+        for number, lead in enumerate(context.leads)
+    ]
+
+
+@then('one of them has written it, and both read its name')
+def check_race(context: Context) -> None:
+    """Compare the outcomes of both."""
+    assert context.written == [True, False]
+    views = {wait_for_call(lead.read_lead) for lead in context.leads}
+    assert views == {LeadView(end=1, holder='r0')}
+
+
+@then('a lead that was given up has no holder')
+def check_given_up(context: Context) -> None:
+    """Write the record of a router that stops."""
+    assert wait_for_call(context.leads[0].write_lead, '', 1)
+    view = wait_for_call(context.leads[1].read_lead)
+    assert view == LeadView(end=2, holder='')
+
+
+@given('a store that answers nothing')
+def silent_store(context: Context) -> None:
+    """Accept connections and stay silent."""
+    context.store = _store(context)
+    context.log_store.is_silent = True
+
+
+@then('a read of it fails as unavailable within {limit:d} ms')
+def check_silence(context: Context, limit: int) -> None:
+    """Guard against a follower that waits for ever."""
+    start = reactor.seconds()
+    try:
+        wait_for_call(context.store.read, Topic.SERVERS, 0, Millis(500))
+    except StoreUnavailableError:
+        assert reactor.seconds() - start <= limit / 1000
+        return
+    raise AssertionError('the read was answered')
+
+
+@then('a listing "{body}" raises StoreUnavailableError')
+def check_listing(context: Context, body: str) -> None:
+    """Guard against an answer that ends the follower."""
+    store = _store(context)
+    context.log_store.status = 200
+    context.log_store.answer = body.encode()
+    try:
+        wait_for_call(store.newest, Topic.SERVERS)
+    except StoreUnavailableError:
+        return
+    raise AssertionError('the listing was taken')
