--- a/features/directory/directory.feature
+++ b/features/directory/directory.feature
@@ -60,3 +60,52 @@
 
   Scenario: A periodic duty goes on after an error
     Then a duty that fails in its first 3 calls is called again each time
+
+  Scenario: A peer gets only what changed since its mark
+    Given a directory with server "s1"
+    When the entries of "s1 s2" are written, and then "s1" 20 times with the same meaning
+    Then a peer without records gets the entries of "s1 s2"
+    And a peer that has all but the last 15 records gets none
+    When the entry of "s1" is removed behind all others
+    Then a peer that has all but the last 1 records gets the entries of "s1"
+
+  Scenario Outline: Which routers read the servers' entries
+    Given data centres of <routers> routers
+    Then <readers> routers of each read, and others take over if these fail
+
+    Examples:
+      | routers | readers |
+      | 1       | 1       |
+      | 3       | 2       |
+      | 30      | 2       |
+
+  Scenario Outline: When a router goes without a read of its own
+    Given data centres of <routers> routers
+    Then for <topic> a router that is <reader> reader and knows what the store confirmed <age> ms ago <outcome>
+
+    Examples:
+      | routers | topic      | reader | age  | outcome |
+      | 30      | SERVERS    | a      | 0    | reads   |
+      | 30      | SERVERS    | no     | 900  | rests   |
+      | 30      | SERVERS    | no     | 1000 | reads   |
+      | 3       | SERVERS    | no     | 900  | rests   |
+      | 30      | OPERATIONS | a      | 0    | reads   |
+      | 30      | OPERATIONS | no     | 1400 | rests   |
+      | 30      | OPERATIONS | no     | 1500 | reads   |
+      | 3       | OPERATIONS | no     | 0    | reads   |
+
+  Scenario Outline: How long a read waits at the store
+    Given data centres of <routers> routers
+    Then a read of <topic> waits <ms> ms
+
+    Examples:
+      | routers | topic      | ms   |
+      | 3       | OPERATIONS | 2000 |
+      | 30      | OPERATIONS | 500  |
+      | 30      | SERVERS    | 2000 |
+
+  Scenario: The follower rests while peers tell enough
+    Given a follower of a store with the keys "a b"
+    When peers tell enough for 4 s and the store gets the key "c"
+    Then the follower made at most 1 read meanwhile
+    And the follower has the keys "a b c"
--- a/features/exchange/exchange.feature
+++ b/features/exchange/exchange.feature
@@ -40,3 +40,33 @@
       | 100   | is alive    |
       | 5900  | is alive    |
       | 6100  | is not alive |
+
+  Scenario Outline: What a few routers read reaches all of a large fleet soon
+    Given a fleet of <routers> routers in 3 data centres, of which 2 in each read every 400 ms
+    When they exchange for 20 s
+    Then what a router knows was confirmed less than <age> ms ago, in 99 of 100 looks
+    And no data centre gets more than half of its answers from others
+
+    Examples:
+      | routers | age  |
+      | 9       | 1000 |
+      | 90      | 1500 |
+      | 450     | 2000 |
+
+  Scenario Outline: Exchanges that name a few routers keep all known
+    Given a fleet of <routers> routers in 3 data centres, of which each knows the first
+    When they name some of those that they know to each other for 12 s
+    Then every router knows all others in the last 4 s
+
+    Examples:
+      | routers |
+      | 9       |
+      | 91      |
+
+  Scenario: News of many engines at once are one message to each router
+    Given 3 routers that exchange, of which the first knows servers "a b c d"
+    And each router knows 2 others
+    When the first router pauses "a", "b" and "c" one by one and tells that "d" has version 4
+    Then all routers keep calls away from "a"
+    And all routers keep calls away from "c"
+    And the first router told each other router once
--- a/features/rollout/rollout.feature
+++ b/features/rollout/rollout.feature
@@ -44,6 +44,11 @@
     Then within 12 s all engines have version 4
     And at most 2 engines loaded at any time
 
+  Scenario: An unchanged drain is announced again only now and then
+    Given 40 engines that load weights in 1300 ms and a router that leads
+    When the versions 2, 3 and 4 are named 4 s apart
+    Then no announcement repeats the one before it within 300 ms
+
   Scenario: An order without an answer is not carried out after a newer one
     Given 4 engines that load weights in 500 ms and a router that leads
     And the first order to each engine gets no answer and is carried out 3 s later
--- a/features/selection/selection.feature
+++ b/features/selection/selection.feature
@@ -76,6 +76,17 @@
     Then the first prompt of 6000 shared tokens is kept and the next is not
     And a prompt of 200 shared tokens is neither kept nor fetched
 
+  Scenario Outline: An engine that may have dropped its cache asks the kept store
+    Given 1 engines of version 1
+    And a live kept store
+    And the cache events of the engine <are heard>
+    Then the second prompt of 6000 shared tokens <is fetched>
+
+    Examples:
+      | are heard     | is fetched     |
+      | are heard     | is not fetched |
+      | are not heard | is fetched     |
+
   Scenario Outline: A call waits for engines that load, or is told when to come back
     Given 2 engines of version 1
     And all of them load for <ms> ms
@@ -91,3 +102,32 @@
 
   Scenario: All routers together stay within the budget of second sends
     Then for any traffic the second sends of 7 routers stay within ratio 0.2 and slack 54
+
+  Scenario: Routers that know no caches send equal prompts to the same engine
+    Given 40 routers before 20 idle engines
+    When each router gets one prompt of each of 10 subjects of 6000 shared tokens
+    Then each subject was read by 1 engine
+    And no engine got more than 4 subjects
+
+  Scenario: A home that is busier than others is left
+    Given 20 engines of version 1
+    When 200 prompts of one subject of 6000 shared tokens arrive at once
+    Then no engine got more than its 32 slots of them
+
+  Scenario Outline: Calls of peers that were not heard lately are estimated
+    Given 3 plain servers with 6 slots
+    And <alive> peers are alive, of which <known> told <calls> calls each at "s0"
+    Then <expected> calls of peers are counted at "s0"
+
+    Examples:
+      | alive | known | calls | expected |
+      | 6     | 6     | 2     | 12       |
+      | 90    | 30    | 1     | 90       |
+      | 90    | 0     | 0     | 0        |
+      | 1     | 2     | 3     | 6        |
+
+  Scenario: What a peer told counts for a while only
+    Given 3 plain servers with 6 slots
+    And a peer has 20 calls at each of "s0"
+    Then 20 calls of peers are counted at "s0" after 1400 ms
+    And 0 calls of peers are counted at "s0" after 1500 ms
--- /dev/null
+++ b/features/steps/directory_reading_steps.py
@@ -0,0 +1,137 @@
+"""Steps for routers that read the store for others."""
+
+from behave import given, then, when
+from behave.runner import Context
+
+from yuccagauge.clock import Millis
+from yuccagauge.directory.reading import is_reader, may_rest, read_wait
+from yuccagauge.directory.records import KeyedRecord
+from yuccagauge.directory.state import Topic
+
+_AT = Millis(11_000)
+
+
+def _write(context: Context, server: str, *, removes: bool = False) -> None:
+    directory = context.directory
+    mark = directory.mark(Topic.SERVERS)
+    value = None if removes else f'{mark}'.encode()
+    record = KeyedRecord(key=server, offset=mark, value=value)
+    directory.apply(Topic.SERVERS, (record,), mark + 1, _AT)
+
+
+@when(
+    'the entries of "{servers}" are written, and then "{server}" {count:d} '
+    'times with the same meaning'
+)
+def write_entries(
+    context: Context,
+    servers: str,
+    server: str,
+    count: int,
+) -> None:
+    """Write entries that differ in their bytes alone."""
+    for each in servers.split():
+        _write(context, each)
+    for _ in range(count):
+        _write(context, server)
+
+
+@when('the entry of "{server}" is removed behind all others')
+def remove_last(context: Context, server: str) -> None:
+    """Remove an entry at the end of the topic."""
+    _write(context, server, removes=True)
+
+
+@then('a peer without records gets the entries of "{servers}"')
+def check_all(context: Context, servers: str) -> None:
+    """Guard against a router that never learns of a quiet server."""
+    found = context.directory.newer_than(Topic.SERVERS, 0)
+    assert sorted(record.key for record in found) == servers.split()
+
+
+@then('a peer that has all but the last {count:d} records gets none')
+def check_none(context: Context, count: int) -> None:
+    """Guard against exchanges that carry what says nothing new."""
+    mark = context.directory.mark(Topic.SERVERS) - count
+    assert not context.directory.newer_than(Topic.SERVERS, mark)
+
+
+@then(
+    'a peer that has all but the last {count:d} records gets the entries of '
+    '"{servers}"'
+)
+def check_some(context: Context, count: int, servers: str) -> None:
+    """Guard against a removal that is not passed on."""
+    mark = context.directory.mark(Topic.SERVERS) - count
+    found = context.directory.newer_than(Topic.SERVERS, mark)
+    assert [record.key for record in found] == servers.split()
+
+
+@given('data centres of {routers:d} routers')
+def name_routers(context: Context, routers: int) -> None:
+    """Name the routers."""
+    context.names = frozenset(f'r{number}' for number in range(routers))
+
+
+def _readers(names: frozenset[str]) -> set[str]:
+    return {name for name in names if is_reader(name, names - {name})}
+
+
+@then('{count:d} routers of each read, and others take over if these fail')
+def check_readers(context: Context, count: int) -> None:
+    """Guard against a data centre in which nobody reads."""
+    readers = _readers(context.names)
+    assert len(readers) == count
+    left = context.names - readers
+    assert len(_readers(left)) == min(count, len(left))
+
+
+@then(
+    'for {topic:w} a router that is {reader:w} reader and knows what the store '
+    'confirmed {age:d} ms ago {outcome:w}'
+)
+def check_rest(
+    context: Context,
+    topic: str,
+    reader: str,
+    age: int,
+    outcome: str,
+) -> None:
+    """Compare the decision."""
+    readers = _readers(context.names)
+    name = next(
+        each for each in context.names if (each in readers) is (reader == 'a')
+    )
+    others = tuple(context.names - {name})
+    rests = may_rest(Topic[topic], name, others, age)
+    assert rests is (outcome == 'rests')
+
+
+@then('a read of {topic:w} waits {ms:d} ms')
+def check_wait(context: Context, topic: str, ms: int) -> None:
+    """Compare the wait."""
+    others = tuple(context.names)[1:]
+    assert read_wait(Topic[topic], others) == ms
+
+
+@when('peers tell enough for {seconds:d} s and the store gets the key "{key}"')
+def rest(context: Context, seconds: int, key: str) -> None:
+    """Let the follower rest, and read again afterwards."""
+    rests = [True]
+    context.follower.may_rest = lambda: rests[0]
+    # The read that waits is answered first.
+    context.flaky.write('b')
+    before = len(context.flaky.reads)
+    for _ in range(seconds * 5):
+        context.reactor.advance(0.2)
+    context.reads = len(context.flaky.reads) - before
+    rests[0] = False
+    context.flaky.write(key)
+    for _ in range(10):
+        context.reactor.advance(0.2)
+
+
+@then('the follower made at most {count:d} read meanwhile')
+def check_reads(context: Context, count: int) -> None:
+    """Guard against calls to the store that bring nothing new."""
+    assert context.reads <= count, context.reads
--- a/features/steps/directory_steps.py
+++ b/features/steps/directory_steps.py
@@ -273,6 +273,7 @@
         lambda: 0.5,
     )
     follower.start()
+    context.follower = follower
     context.add_cleanup(follower.close)
 
 
--- a/features/steps/exchange_steps.py
+++ b/features/steps/exchange_steps.py
@@ -19,6 +19,7 @@
 from yuccagauge.selection.selector import Selector
 from yuccagauge.settings.options import Endpoint
 from yuccagauge.wire.client import PeerClient
+from yuccagauge.wire.messages import FleetExchange
 from yuccagauge.wire.server import PeerServer
 
 _FINGERPRINT = b'request'
@@ -56,7 +57,7 @@
             draw=random.Random(name).random,
         )
         self.leaves = 0
-        self.exchange.on_leave = self._count_leave
+        self.exchange.intake.on_leave = self._count_leave
         self.exchange.start()
 
     def _count_leave(self) -> None:
@@ -187,6 +188,39 @@
     context.routers[0].exchange.tell_weights(server, 'm', version)
 
 
+@when(
+    'the first router pauses "{first}", "{second}" and "{third}" one by one '
+    'and tells that "{loaded}" has version {version:d}'
+)
+def tell_news(
+    context: Context,
+    first: str,
+    second: str,
+    third: str,
+    loaded: str,
+    version: int,
+) -> None:
+    """Tell news of several engines at nearly the same time."""
+    exchange = context.routers[0].exchange
+    context.told = []
+    tell_all = exchange._tell_all
+
+    def count(message: FleetExchange) -> None:
+        context.told.append(message)
+        tell_all(message)
+
+    exchange._tell_all = count
+    for server in (first, second, third):
+        exchange.tell_pause((server,), Millis(5000))
+    exchange.tell_weights(loaded, 'm', version)
+
+
+@then('the first router told each other router once')
+def check_told(context: Context) -> None:
+    """Guard against a message to each router for each engine."""
+    assert len(context.told) == 1, context.told
+
+
 @then('no router keeps calls away from "{server}"')
 def check_not_paused(context: Context, server: str) -> None:
     """Wait until every router uses the server again."""
--- a/features/steps/rollout_driver_steps.py
+++ b/features/steps/rollout_driver_steps.py
@@ -1,5 +1,7 @@
 """Steps for the orders of the leader, on a virtual clock."""
 
+from itertools import pairwise
+
 from behave import given, then, when
 from behave.runner import Context
 from twisted.internet.task import Clock as TaskClock
@@ -14,7 +16,7 @@
 from yuccagauge.clock import Millis
 from yuccagauge.directory.records import KeyedRecord
 from yuccagauge.directory.state import Directory, Topic
-from yuccagauge.rollout.driver import RolloutDriver
+from yuccagauge.rollout.driver import DRAIN_NOTICE, RolloutDriver
 from yuccagauge.rollout.keeper import RENEWALS_PER_LEASE, LeadKeeper
 from yuccagauge.rollout.lead import Lead
 from yuccagauge.selection.base import FleetView
@@ -65,6 +67,12 @@
     def loaded(name: str, model: str, version: int) -> None:
         selector.load(name).shown_weights[model] = version
 
+    context.announced = []
+
+    def announce(names: tuple[str, ...], duration: Millis) -> None:
+        context.announced.append((context.clock.now(), names, duration))
+
+    driver.on_load = announce
     driver.on_loaded = loaded
     context.keeper.start()
     driver.start()
@@ -119,6 +127,20 @@
     assert context.engines.most_loading <= count, context.engines.most_loading
 
 
+@then('no announcement repeats the one before it within {ms:d} ms')
+def check_announcements(context: Context, ms: int) -> None:
+    """Guard against messages to a whole fleet that say nothing new."""
+    drains = [
+        (at, names)
+        for at, names, duration in context.announced
+        if duration == DRAIN_NOTICE
+    ]
+    assert drains
+    for before, after in pairwise(drains):
+        is_news = before[1] != after[1]
+        assert is_news or after[0] - before[0] >= ms, (before, after)
+
+
 @then('no engine went back to an older version')
 def check_history(context: Context) -> None:
     """Check that each history only grows."""
--- /dev/null
+++ b/features/steps/selection_fleet_steps.py
@@ -0,0 +1,112 @@
+"""Steps for the choices of many routers that hear little of each other."""
+
+from collections import Counter, defaultdict
+
+from behave import given, then, when
+from behave.runner import Context
+
+from features.selection_world import NOW, new_demand, place, start_selector
+from yuccagauge.clock import Millis
+from yuccagauge.selection.load import PeerLoad
+
+
+@given('{routers:d} routers before {engines:d} idle engines')
+def start_fleet(context: Context, routers: int, engines: int) -> None:
+    """Start routers that have heard nothing of each other."""
+    context.selectors = []
+    for _ in range(routers):
+        start_selector(context, engines, version=1)
+        context.selectors.append(context.selector)
+
+
+@when(
+    'each router gets one prompt of each of {subjects:d} subjects of '
+    '{tokens:d} shared tokens'
+)
+def place_subjects(context: Context, subjects: int, tokens: int) -> None:
+    """Place each subject at every router, each time without other calls."""
+    context.readers = defaultdict(set)
+    for selector in context.selectors:
+        context.selector = selector
+        for subject in range(subjects):
+            demand = new_demand(context, ((f'subject{subject}', tokens),))
+            found = place(context, demand).placement
+            context.readers[subject].add(found.server.server_id)
+            selector.load(found.server.server_id).calls.clear()
+
+
+@then('each subject was read by {count:d} engine')
+def check_readers(context: Context, count: int) -> None:
+    """Guard against a shared part that is read again at each engine."""
+    found = {subject: len(each) for subject, each in context.readers.items()}
+    assert set(found.values()) == {count}, found
+
+
+@then('no engine got more than {count:d} subjects')
+def check_spread(context: Context, count: int) -> None:
+    """Guard against one engine that gets every unknown prompt."""
+    found = Counter(name for each in context.readers.values() for name in each)
+    assert max(found.values()) <= count, found
+
+
+@when(
+    '{count:d} prompts of one subject of {tokens:d} shared tokens arrive at '
+    'once'
+)
+def place_hot(context: Context, count: int, tokens: int) -> None:
+    """Place prompts of a hot subject."""
+    for _ in range(count):
+        place(context, new_demand(context, (('subject', tokens),)))
+
+
+@then('no engine got more than its {count:d} slots of them')
+def check_hot(context: Context, count: int) -> None:
+    """Guard against a home that takes more than its share under load."""
+    assert max(context.placed.values()) <= count, context.placed
+
+
+@given(
+    '{alive:d} peers are alive, of which {known:d} told {calls:d} calls each '
+    'at "{name}"'
+)
+def tell_calls(
+    context: Context,
+    alive: int,
+    known: int,
+    calls: int,
+    name: str,
+) -> None:
+    """Hear the calls of some of the peers."""
+    for number in range(known):
+        load = PeerLoad(
+            active=calls,
+            waiting_tokens=0,
+            fixed=0,
+            heard_at=NOW,
+        )
+        context.selector.load(name).hear_peer(f'peer{number}', load)
+    context.selector.coverage.note(alive, known)
+
+
+@then('{count:d} calls of peers are counted at "{name}"')
+@then('{count:d} calls of peers are counted at "{name}" after {ms:d} ms')
+def check_peers(context: Context, count: int, name: str, ms: int = 0) -> None:
+    """Compare the calls that are counted beside the router's own."""
+    found = context.selector.load(name).active(Millis(NOW + ms))
+    assert found == count, found
+
+
+@given('the cache events of the engine {heard}')
+def hear_events(context: Context, heard: str) -> None:
+    """Follow the engine or not."""
+    if heard == 'are heard':
+        context.selector.followed.add('s0')
+
+
+@then('the second prompt of {tokens:d} shared tokens {outcome}')
+def check_second(context: Context, tokens: int, outcome: str) -> None:
+    """Guard against shared parts that are read again though they are kept."""
+    parts = (('subject', tokens),)
+    place(context, new_demand(context, parts))
+    found = place(context, new_demand(context, parts)).placement
+    assert (found.fetch_from is not None) is (outcome == 'is fetched')
--- a/features/steps/selection_steps.py
+++ b/features/steps/selection_steps.py
@@ -94,12 +94,13 @@
 def peer_calls(context: Context, count: int, names: str) -> None:
     """Hear the load of a peer."""
     for name in names.split():
-        context.selector.load(name).peers['peer'] = PeerLoad(
+        load = PeerLoad(
             active=count,
             waiting_tokens=0,
             fixed=0,
             heard_at=NOW,
         )
+        context.selector.load(name).hear_peer('peer', load)
 
 
 @then('the next call goes to "{name}"')
--- a/yuccagauge/cachefeed/base.py
+++ b/yuccagauge/cachefeed/base.py
@@ -6,6 +6,7 @@
 from twisted.internet.defer import Deferred
 
 from yuccagauge.clock import Millis
+from yuccagauge.dispatch.fetch import FetchError
 from yuccagauge.settings.options import Endpoint
 
 
@@ -31,6 +32,10 @@
     events: tuple[CacheEvent, ...]
 
 
+class HolderBusyError(FetchError):
+    """The holder lives, and has as many polls as it takes."""
+
+
 class CachePort(Protocol):
     """Polls the cache events of engines and kept stores."""
 
@@ -46,4 +51,6 @@
         ------
         FetchError
             If there is no answer, or the holder refuses the poll.
+        HolderBusyError
+            If it refuses the poll because of the others.
         """
--- a/yuccagauge/cachefeed/feed.py
+++ b/yuccagauge/cachefeed/feed.py
@@ -1,5 +1,6 @@
 """Poll the cache events of all engines and kept stores."""
 
+import dataclasses
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Any
@@ -7,7 +8,11 @@
 from twisted.internet.defer import Deferred, inlineCallbacks
 from twisted.internet.task import deferLater
 
-from yuccagauge.cachefeed.base import CacheEvents, CachePort
+from yuccagauge.cachefeed.base import (
+    CacheEvents,
+    CachePort,
+    HolderBusyError,
+)
 from yuccagauge.clock import Millis
 from yuccagauge.directory.state import Directory
 from yuccagauge.dispatch.fetch import FetchError
@@ -26,12 +31,21 @@
 #: and each answer costs a call; the next one brings them together.
 POLL_PAUSE = Millis(150)
 
+#: Time between two polls of a kept store by a router that is not among
+#: those whose polls wait there. Every router has to know whether the store
+#: answers and what it holds.
+STORE_LOOK_PAUSE = Millis(2000)
+
 #: Time between two polls of a holder that does not answer.
 RETRY_PAUSE = Millis(600)
 
 #: Share of a holder's waiting polls that routers use; others may poll too.
 USED_POLLS = 0.7
 
+#: Routers beyond this multiple of the polls that an engine takes do without
+#: events of engines: each would hear of a few engines only.
+LARGEST_FLEET = 4
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Holder:
@@ -42,6 +56,19 @@
     endpoint: Endpoint
     poll_limit: int
     is_store: bool = False
+    data_centre: str = ''
+    #: Whether polls wait there for events.
+    is_waiting: bool = True
+
+    @property
+    def wait(self) -> Millis:
+        """How long one poll waits."""
+        return POLL_WAIT if self.is_waiting else Millis(0)
+
+    @property
+    def pause(self) -> Millis:
+        """Time between two polls."""
+        return POLL_PAUSE if self.is_waiting else STORE_LOOK_PAUSE
 
 
 class _Poller:
@@ -62,6 +89,7 @@
     def close(self) -> None:
         self._is_closed = True
         self._task.close()
+        self._feed.selector.followed.discard(self._holder.name)
 
     @inlineCallbacks
     def _follow(self) -> Any:
@@ -70,8 +98,12 @@
                 found = yield self._feed.port.poll(
                     self._holder.endpoint,
                     self._since,
-                    POLL_WAIT,
+                    self._holder.wait,
                 )
+            except HolderBusyError:
+                self._note_live(is_live=True, reason='')
+                yield self._feed.pause(self._holder.pause)
+                continue
             except FetchError as error:
                 self._note_live(is_live=False, reason=str(error))
                 yield self._feed.pause(RETRY_PAUSE)
@@ -86,7 +118,7 @@
                     kind=type(error).__name__,
                     reason=str(error),
                 )
-            yield self._feed.pause(POLL_PAUSE)
+            yield self._feed.pause(self._holder.pause)
 
     def _take(self, found: CacheEvents) -> None:
         cache = self._feed.selector.cache
@@ -103,12 +135,11 @@
         self._note_live(is_live=True, reason='')
 
     def _note_live(self, *, is_live: bool, reason: str) -> None:
+        selector = self._feed.selector
         if self._holder.is_store:
-            stores = self._feed.selector.live_stores
-            if is_live:
-                stores.add(self._holder.endpoint)
-            else:
-                stores.discard(self._holder.endpoint)
+            _set(selector.live_stores, self._holder.endpoint, is_in=is_live)
+        else:
+            _set(selector.followed, self._holder.name, is_in=is_live)
         if is_live != self._was_live:
             self._was_live = is_live
             log_state_change(
@@ -129,8 +160,8 @@
         Name the holders, and take what they hold.
     reactor
         Keeps time.
-    name
-        Name of this router.
+    name, data_centre
+        This router.
     routers
         Returns the names of all routers that are alive.
     """
@@ -142,6 +173,7 @@
         selector: Selector,
         reactor: Any,
         name: str,
+        data_centre: str,
         routers: Callable[[], Iterable[str]],
     ) -> None:
         """Poll nobody yet."""
@@ -150,12 +182,13 @@
         self._directory = directory
         self._reactor = reactor
         self._name = name
+        self._data_centre = data_centre
         self._routers = routers
         self._pollers: dict[Holder, _Poller] = {}
 
     def follow(self) -> None:
         """Poll the holders that the directory names now."""
-        wanted = {holder for holder in self._holders() if self._is_ours(holder)}
+        wanted = {*self._waiting(), *self._looks()}
         for holder in set(self._pollers) - wanted:
             self._pollers.pop(holder).close()
         for holder in wanted - set(self._pollers):
@@ -174,13 +207,33 @@
         seconds = duration / _MILLISECONDS_PER_SECOND
         return deferLater(self._reactor, seconds)
 
-    def _is_ours(self, holder: Holder) -> bool:
-        """Return whether this router is one of those that poll a holder."""
+    def _waiting(self) -> Iterable[Holder]:
+        """Return the holders at which this router's polls wait."""
         names = {self._name, *self._routers()}
-        allowed = max(1, int(holder.poll_limit * USED_POLLS))
-        if len(names) <= allowed:
-            return True
-        return self._name in rank(names, holder.name)[:allowed]
+        for holder in self._holders():
+            allowed = max(1, int(holder.poll_limit * USED_POLLS))
+            if len(names) > LARGEST_FLEET * allowed and not holder.is_store:
+                continue
+            if self._name in rank(names, holder.name)[:allowed]:
+                yield holder
+
+    def _looks(self) -> Iterable[Holder]:
+        """Return the kept stores at which it looks now and then.
+
+        Load pattern: more routers than a kept store takes waiting polls.
+        Each looks at the store that it uses, or at all while none answers.
+        """
+        waiting = {holder.name for holder in self._waiting()}
+        stores = [holder for holder in self._holders() if holder.is_store]
+        near = [
+            store
+            for store in stores
+            if store.data_centre == self._data_centre
+            and store.endpoint in self.selector.live_stores
+        ]
+        for store in near or stores:
+            if store.name not in waiting:
+                yield dataclasses.replace(store, is_waiting=False)
 
     def _holders(self) -> Iterable[Holder]:
         configuration = self._directory.configuration
@@ -194,6 +247,7 @@
                     endpoint=endpoint,
                     poll_limit=service.poll_limit,
                     is_store=True,
+                    data_centre=service.kept_store.data_centre,
                 )
         for server in self._directory.servers.values():
             spec = configuration.services.get(server.service)
@@ -203,3 +257,10 @@
                     endpoint=server.endpoint,
                     poll_limit=spec.poll_limit,
                 )
+
+
+def _set(known: set[Any], member: Any, *, is_in: bool) -> None:
+    if is_in:
+        known.add(member)
+    else:
+        known.discard(member)
--- a/yuccagauge/directory/follower.py
+++ b/yuccagauge/directory/follower.py
@@ -7,6 +7,7 @@
 from twisted.internet.task import deferLater
 
 from yuccagauge.clock import Clock, Millis
+from yuccagauge.directory.reading import READ_WAIT
 from yuccagauge.directory.state import Directory, Topic
 from yuccagauge.directory.store import (
     KeyedStore,
@@ -19,12 +20,8 @@
 
 _MILLISECONDS_PER_SECOND = 1000
 
-#: How long one read waits at the store for records. A connection that went
-#: silent is noticed after this time.
-READ_WAIT = Millis(2000)
-
-#: The same while the store does not answer: a read that began in an outage
-#: is never answered, and must not hide the store's return.
+#: How long a read waits while the store does not answer: one that began in
+#: an outage is never answered, and must not hide the store's return.
 PROBE_WAIT = Millis(0)
 
 #: Time between two reads of the servers' entries, which every server writes
@@ -32,6 +29,9 @@
 #: be known within two seconds.
 SERVER_READ_PAUSE = Millis(400)
 
+#: Time between two looks whether peers still tell enough.
+REST_PAUSE = Millis(200)
+
 #: Time between two attempts while the store does not answer.
 RETRY_PAUSE = Millis(250)
 
@@ -78,6 +78,10 @@
         self._is_reached: bool | None = None
         self._is_closed = False
         self._answered_at = Millis(0)
+        #: Whether what peers tell is enough for now.
+        self.may_rest: Callable[[], bool] = bool
+        #: How long a read waits for records.
+        self.read_wait: Callable[[], Millis] = lambda: READ_WAIT
         #: Told about each entry that was written, by its key.
         self.on_entry: Callable[[str], None] = lambda key: None
 
@@ -103,6 +107,8 @@
                 if needs_listing:
                     yield self._list()
                     needs_listing = False
+                elif self._is_reached and self.may_rest():
+                    yield self._pause(REST_PAUSE)
                 else:
                     yield self._read()
             except CancelledError:
@@ -141,7 +147,7 @@
     @inlineCallbacks
     def _read(self) -> Any:
         offset = self._directory.mark(self._topic)
-        wait = PROBE_WAIT if self._is_reached is False else READ_WAIT
+        wait = PROBE_WAIT if self._is_reached is False else self.read_wait()
         page = yield self._store.read(self._topic, offset, wait)
         self._note_reached()
         now = self._clock.now()
--- a/yuccagauge/directory/records.py
+++ b/yuccagauge/directory/records.py
@@ -32,6 +32,8 @@
     def __init__(self) -> None:
         """Start without records."""
         self._records: dict[str, KeyedRecord] = {}
+        #: Offsets at which the meaning of the keys changed last.
+        self._changed_at: dict[str, int] = {}
         self._mark = 0
 
     @property
@@ -79,10 +81,21 @@
         )
         return self.apply((*listed, *removed), mark)
 
+    def note_change(self, record: KeyedRecord) -> None:
+        """Note that a record means something else than the one before it."""
+        self._changed_at[record.key] = record.offset
+
     def newer_than(self, mark: int) -> tuple[KeyedRecord, ...]:
-        """Return the records from an offset on, oldest first."""
+        """Return what changed from an offset on, oldest first.
+
+        Load pattern: every server writes its entry each second, and nearly
+        all entries say what the one before said. A reader that has applied
+        everything below the mark needs only those that changed since.
+        """
         found = [
-            record for record in self._records.values() if record.offset >= mark
+            record
+            for record in self._records.values()
+            if self._changed_at.get(record.key, record.offset) >= mark
         ]
         return tuple(sorted(found, key=lambda record: record.offset))
 
@@ -102,3 +115,4 @@
         removals.sort(key=lambda record: record.offset)
         for record in removals[:-MAXIMUM_REMOVALS]:
             self._records.pop(record.key)
+            self._changed_at.pop(record.key, None)
--- a/yuccagauge/directory/state.py
+++ b/yuccagauge/directory/state.py
@@ -106,7 +106,7 @@
         return self._topics[topic].mark
 
     def newer_than(self, topic: Topic, mark: int) -> tuple[KeyedRecord, ...]:
-        """Return the records of a topic from an offset on."""
+        """Return the records that peers at an offset need."""
         return self._topics[topic].newer_than(mark)
 
     def note_outage(self) -> None:
@@ -172,7 +172,10 @@
         )
         for record in changed:
             # Most entries differ from the last one in their count alone.
-            is_news = take(record, now) or is_news
+            is_change = take(record, now)
+            is_news = is_news or is_change
+            if is_change or record.value is None:
+                self._topics[topic].note_change(record)
         if is_news:
             self._tell()
         return tuple(each.key for each in changed)
--- /dev/null
+++ b/yuccagauge/exchange/intake.py
@@ -0,0 +1,188 @@
+"""What other routers tell, merged into what this one knows."""
+
+from collections.abc import Callable
+
+from yuccagauge.clock import Clock, Millis
+from yuccagauge.directory.records import KeyedRecord
+from yuccagauge.directory.state import Directory, Topic
+from yuccagauge.exchange.members import Member, Members
+from yuccagauge.quarantine.base import Quarantine, Suspicion
+from yuccagauge.selection.load import PEER_LOAD_LIFETIME, PeerLoad
+from yuccagauge.selection.selector import Selector
+from yuccagauge.telemetry.journal import log_state_change
+from yuccagauge.wire.messages import (
+    FleetExchange,
+    FleetRecord,
+    FleetSuspicion,
+    FleetWeights,
+)
+
+
+class Intake:
+    """Merges the messages of other routers.
+
+    Parameters
+    ----------
+    name
+        Name of this router.
+    directory, selector, quarantine
+        Take what is told.
+    clock
+        The source of time.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        directory: Directory,
+        selector: Selector,
+        quarantine: Quarantine,
+        clock: Clock,
+    ) -> None:
+        """Know no other router yet."""
+        self._directory = directory
+        self._selector = selector
+        self._quarantine = quarantine
+        self._clock = clock
+        self._members = Members(name)
+        self._known: frozenset[str] = frozenset()
+        #: When the store confirmed to a peer what this router knows.
+        self._confirmed: dict[Topic, Millis] = {}
+        #: When each peer told its calls last.
+        self._told_loads: dict[str, Millis] = {}
+        #: Told when another router announces orders, or that it stops.
+        self.on_pause: Callable[[], None] = lambda: None
+        self.on_leave: Callable[[], None] = lambda: None
+
+    @property
+    def peers(self) -> tuple[Member, ...]:
+        """The other routers that are alive."""
+        return self._members.live(self._clock.now())
+
+    @property
+    def members(self) -> Members:
+        """All routers that were heard of."""
+        return self._members
+
+    def confirmed_at(self, topic: Topic) -> Millis:
+        """Return when the store confirmed to a peer what is known here."""
+        return self._confirmed.get(topic, Millis(0))
+
+    def take(self, message: FleetExchange) -> None:
+        """Merge one message."""
+        now = self._clock.now()
+        if message.leaves:
+            if self._members.leave(message.name, now):
+                self.on_leave()
+        else:
+            self._hear_members(message, now)
+        self._take_records(message, now)
+        self._take_loads(message, now)
+        if message.pauses:
+            self.on_pause()
+        for pause in message.pauses:
+            self.take_pause(pause.server, Millis(pause.remaining_ms))
+        for news in message.weights:
+            self.take_weights(news)
+        self._quarantine.merge(
+            tuple(_suspicion(part) for part in message.suspicions),
+            now,
+        )
+
+    def take_pause(self, server_id: str, duration: Millis) -> None:
+        """Keep calls away from a server that loads weights."""
+        load = self._selector.load(server_id)
+        load.loading_until = Millis(self._clock.now() + duration)
+
+    def take_weights(self, news: FleetWeights) -> None:
+        """Use a server again that has shown newer weights."""
+        load = self._selector.load(news.server)
+        if load.shown_weights.get(news.model, 0) < news.version:
+            load.shown_weights[news.model] = news.version
+            load.loading_until = Millis(0)
+
+    def _hear_members(self, message: FleetExchange, now: Millis) -> None:
+        sender = Member(
+            name=message.name,
+            endpoint=message.endpoint,
+            data_centre=message.data_centre,
+            heard_at=now,
+        )
+        others = (
+            Member(
+                name=part.name,
+                endpoint=part.endpoint,
+                data_centre=part.data_centre,
+                heard_at=Millis(now - part.age_ms),
+            )
+            for part in message.members
+        )
+        self._members.hear((sender, *others), now)
+        names = frozenset(member.name for member in self.peers)
+        if names != self._known:
+            self._known = names
+            log_state_change('routers_known', count=len(names) + 1)
+
+    def _take_records(self, message: FleetExchange, now: Millis) -> None:
+        """Merge records; only an answer has them, all above our mark."""
+        for part in message.marks:
+            topic = Topic(part.topic)
+            records = tuple(
+                _record(record)
+                for record in message.records
+                if record.topic == part.topic
+            )
+            is_ahead = part.mark > self._directory.mark(topic)
+            if records or message.answers and is_ahead:
+                self._directory.apply(topic, records, part.mark, now)
+            if self._directory.mark(topic) >= part.mark:
+                confirmed_at = Millis(now - part.age_ms)
+                known = self._confirmed.get(topic, Millis(0))
+                self._confirmed[topic] = max(known, confirmed_at)
+
+    def _take_loads(self, message: FleetExchange, now: Millis) -> None:
+        if not message.marks:
+            return
+        told = {part.server for part in message.loads}
+        for server_id, load in self._selector.loads.items():
+            if server_id not in told:
+                load.forget_peer(message.name)
+        for part in message.loads:
+            self._selector.load(part.server).hear_peer(
+                message.name,
+                PeerLoad(
+                    active=part.active,
+                    waiting_tokens=part.waiting_tokens,
+                    fixed=part.fixed,
+                    heard_at=now,
+                ),
+            )
+        self._note_coverage(message.name, now)
+
+    def _note_coverage(self, name: str, now: Millis) -> None:
+        """Count the peers that told their calls lately."""
+        self._told_loads[name] = now
+        self._told_loads = {
+            peer: at
+            for peer, at in self._told_loads.items()
+            if now - at < PEER_LOAD_LIFETIME
+        }
+        coverage = self._selector.coverage
+        coverage.note(alive=len(self.peers), known=len(self._told_loads))
+
+
+def _record(part: FleetRecord) -> KeyedRecord:
+    return KeyedRecord(
+        key=part.key,
+        offset=part.offset,
+        value=None if part.removes else part.value,
+    )
+
+
+def _suspicion(part: FleetSuspicion) -> Suspicion:
+    return Suspicion(
+        fingerprint=part.fingerprint,
+        crashes=frozenset(filter(None, part.crashes.split(','))),
+        cleared=frozenset(filter(None, part.cleared.split(','))),
+        age=Millis(part.age_ms),
+    )
--- a/yuccagauge/exchange/members.py
+++ b/yuccagauge/exchange/members.py
@@ -1,6 +1,6 @@
 """The routers of the fleet, as heard of. Pure state."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from yuccagauge.clock import Millis
@@ -43,6 +43,28 @@
             if now - member.heard_at < DEAD_AFTER
         )
 
+    def sample(
+        self,
+        count: int,
+        now: Millis,
+        draw: Callable[[], float],
+    ) -> tuple[Member, ...]:
+        """Return some of the live routers by chance.
+
+        Load pattern: a hundred routers, whose exchanges would carry little
+        else if each named all. Naming those that were heard last would name
+        the same few again and again, and others would count as dead.
+
+        Parameters
+        ----------
+        draw
+            Draws a number from 0 to 1.
+        """
+        live = self.live(now)
+        if len(live) <= count:
+            return live
+        return tuple(sorted(live, key=lambda _: draw())[:count])
+
     def hear(self, members: Iterable[Member], now: Millis) -> None:
         """Take what was heard; the latest sign of life of each router counts."""
         for member in members:
--- /dev/null
+++ b/yuccagauge/exchange/partners.py
@@ -0,0 +1,46 @@
+"""Which routers one exchange goes to. Pure functions."""
+
+from collections.abc import Callable, Sequence
+
+from yuccagauge.exchange.members import Member
+from yuccagauge.settings.options import Endpoint
+
+#: Routers of the own data centre, and of all, that one exchange goes to.
+#: What one router knows reaches a fleet of 450 within about five periods.
+LOCAL_FANOUT = 2
+FANOUT = 1
+
+
+def draw_partners(
+    peers: Sequence[Member],
+    data_centre: str,
+    draw: Callable[[], float],
+) -> set[Endpoint]:
+    """Return a few routers by chance, most of them near.
+
+    Load pattern: a hundred routers that pass on what a few of them read.
+    Bytes between data centres cost, so most partners are near; one of any
+    data centre brings what is read only there.
+
+    Parameters
+    ----------
+    peers
+        The other routers that are alive.
+    data_centre
+        The router's own data centre.
+    draw
+        Draws a number from 0 to 1.
+    """
+    near = [peer for peer in peers if peer.data_centre == data_centre]
+    chosen = _draw_some(near or peers, LOCAL_FANOUT, draw)
+    return chosen | _draw_some(peers, FANOUT, draw)
+
+
+def _draw_some(
+    peers: Sequence[Member],
+    count: int,
+    draw: Callable[[], float],
+) -> set[Endpoint]:
+    if not peers:
+        return set()
+    return {peers[int(draw() * len(peers))].endpoint for _ in range(count)}
--- a/yuccagauge/exchange/service.py
+++ b/yuccagauge/exchange/service.py
@@ -1,21 +1,21 @@
 """Exchange state with other routers, a few at a time."""
 
 from collections.abc import Callable
+from dataclasses import dataclass, field
 from typing import Any
 
 from twisted.internet.defer import Deferred, maybeDeferred
 from twisted.python.failure import Failure
 
 from yuccagauge.clock import Clock, Millis
-from yuccagauge.directory.records import KeyedRecord
 from yuccagauge.directory.state import Directory, Topic
-from yuccagauge.exchange.members import Member, Members
-from yuccagauge.quarantine.base import Quarantine, Suspicion
-from yuccagauge.selection.load import PeerLoad
+from yuccagauge.exchange.intake import Intake
+from yuccagauge.exchange.members import Member
+from yuccagauge.exchange.partners import draw_partners
+from yuccagauge.quarantine.base import Quarantine
 from yuccagauge.selection.selector import Selector
 from yuccagauge.settings.options import Endpoint
 from yuccagauge.steadyloop import SteadyLoop
-from yuccagauge.telemetry.journal import log_state_change
 from yuccagauge.wire.base import Received
 from yuccagauge.wire.client import PeerClient
 from yuccagauge.wire.errors import PeerFailedError, PeerUnavailableError
@@ -36,20 +36,32 @@
 #: Time between two exchanges.
 PERIOD = Millis(250)
 
-#: Routers that one exchange goes to. What one router knows reaches a fleet
-#: of 450 within about four periods.
-FANOUT = 3
-
 #: Time for the answer of a peer.
 PATIENCE = Millis(800)
 
+#: Other routers that one exchange names. Each router asks a few others each
+#: period, so that the news of a router that lives reaches a hundred others
+#: well within the time after which it would count as dead.
+MAXIMUM_MEMBERS = 16
+
 #: Suspicions that one exchange carries, the latest first.
 MAXIMUM_SUSPICIONS = 20
 
+#: Time for which news of engines wait for more of them.
+NEWS_DELAY = Millis(20)
+
 #: How long an exchange repeats that a server has shown weights.
 WEIGHTS_NEWS = Millis(2500)
 
 
+@dataclass(slots=True)
+class _News:
+    """What all routers are to hear soon."""
+
+    pauses: dict[str, Millis] = field(default_factory=dict)
+    weights: list[FleetWeights] = field(default_factory=list)
+
+
 class ExchangeService:
     """Tells other routers what this one knows, and hears the same of them.
 
@@ -97,27 +109,40 @@
         self._quarantine = quarantine
         self._clock = clock
         self._draw = draw
-        self._members = Members(name)
+        self._intake = Intake(name, directory, selector, quarantine, clock)
         self._is_leaving = False
-        self._known: frozenset[str] = frozenset()
         self._shown: dict[tuple[str, str], tuple[int, Millis]] = {}
+        self._reactor = reactor
+        self._news = _News()
+        #: The call that tells the news, while there are some.
+        self._telling: Any = None
         self._loop = SteadyLoop('exchange', self._exchange, reactor)
-        #: Told when another router announces orders, or that it stops.
-        self.on_pause: Callable[[], None] = lambda: None
-        self.on_leave: Callable[[], None] = lambda: None
-        #: Returns when the store confirmed the marks last.
-        self.confirmed_at: Callable[[Topic], Millis] = lambda topic: Millis(0)
+        #: Returns when the store answered this router last.
+        self.answered_at: Callable[[Topic], Millis] = lambda topic: Millis(0)
 
     @property
     def peers(self) -> tuple[Member, ...]:
         """The other routers that are alive."""
-        return self._members.live(self._clock.now())
+        return self._intake.peers
+
+    @property
+    def intake(self) -> Intake:
+        """Where the messages of other routers are merged."""
+        return self._intake
 
     @property
     def size(self) -> int:
         """The number of routers that are alive, this one included."""
         return len(self.peers) + 1
 
+    def age(self, topic: Topic, now: Millis) -> Millis:
+        """Return how long ago the store confirmed what is known of a topic.
+
+        It may have confirmed it to this router, or to a peer that told it.
+        """
+        told_at = self._intake.confirmed_at(topic)
+        return Millis(max(0, now - max(told_at, self.answered_at(topic))))
+
     def start(self) -> None:
         """Answer peers and begin to ask them."""
         self._server.add_handler(FleetExchange, self._answer)
@@ -127,6 +152,9 @@
     def close(self) -> Deferred[Any]:
         """Stop, and cut the connections."""
         self._loop.close()
+        if self._telling is not None:
+            self._telling.cancel()
+            self._telling = None
         self._client.close()
         return maybeDeferred(self._server.close)
 
@@ -144,20 +172,45 @@
 
         The answers tell what the routers still have in flight there.
         """
+        if any(news.server in server_ids for news in self._news.weights):
+            # Weights end a pause, so these must not arrive with it.
+            self._tell_news()
         for server_id in server_ids:
-            self._take_pause(server_id, duration)
-        pauses = tuple(
-            FleetPause(server=name, remaining_ms=duration)
-            for name in server_ids
-        )
-        self._tell_all(self._compose(pauses=pauses))
+            self._intake.take_pause(server_id, duration)
+            self._news.pauses[server_id] = duration
+        self._tell_soon()
 
     def tell_weights(self, server_id: str, model: str, version: int) -> None:
         """Tell all routers that a server has loaded weights."""
         news = FleetWeights(server=server_id, model=model, version=version)
         self._shown[server_id, model] = (version, self._clock.now())
-        self._take_weights(news)
-        self._tell_all(self._compose(weights=(news,)))
+        self._intake.take_weights(news)
+        self._news.weights.append(news)
+        self._tell_soon()
+
+    def _tell_soon(self) -> None:
+        """Tell what happens at nearly the same time in one message.
+
+        Load pattern: tens of engines load weights at once in a fleet of a
+        hundred routers, each of which would get a message for each engine.
+        """
+        if self._telling is None:
+            delay = NEWS_DELAY / _MILLISECONDS_PER_SECOND
+            self._telling = self._reactor.callLater(delay, self._tell_news)
+
+    def _tell_news(self) -> None:
+        if self._telling is not None and self._telling.active():
+            self._telling.cancel()
+        self._telling = None
+        news = self._news
+        self._news = _News()
+        pauses = tuple(
+            FleetPause(server=name, remaining_ms=duration)
+            for name, duration in news.pauses.items()
+        )
+        self._tell_all(
+            self._compose(pauses=pauses, weights=tuple(news.weights)),
+        )
 
     def _exchange(self) -> None:
         for endpoint in self._partners():
@@ -165,10 +218,10 @@
 
     def _partners(self) -> set[Endpoint]:
         """Return a few routers by chance, or a seed while none is known."""
-        peers = [member.endpoint for member in self.peers]
+        peers = self.peers
         if not peers:
             return set(self._seeds)
-        chosen = {peers[int(self._draw() * len(peers))] for _ in range(FANOUT)}
+        chosen = draw_partners(peers, self._data_centre, self._draw)
         # A seed now and then joins two halves that lost each other.
         if self._seeds and self._draw() < 1 / len(peers):
             chosen.add(self._seeds[int(self._draw() * len(self._seeds))])
@@ -181,7 +234,7 @@
     def _ask(self, endpoint: Endpoint, message: FleetExchange) -> None:
         asked = self._client.request(endpoint, message, PATIENCE)
         asked.addCallbacks(
-            self._take,
+            self._intake.take,
             self._note_unanswered,
             errbackArgs=(endpoint,),
         )
@@ -193,11 +246,15 @@
 
     def _answer(self, received: Received) -> FleetExchange:
         message = received.message
-        self._take(message)
+        self._intake.take(message)
         if not message.asks:
             return self._compose(whole=bool(message.pauses))
         marks = {mark.topic: mark.mark for mark in message.marks}
-        return self._compose(whole=True, records=self._records(marks))
+        return self._compose(
+            whole=True,
+            answers=True,
+            records=self._records(marks),
+        )
 
     def _compose(self, *, whole: bool = False, **parts: Any) -> FleetExchange:
         now = self._clock.now()
@@ -225,7 +282,9 @@
                 data_centre=member.data_centre,
                 age_ms=now - member.heard_at,
             )
-            for member in self.peers
+            for member in self._intake.members.sample(
+                MAXIMUM_MEMBERS, now, self._draw
+            )
         )
 
     def _mark_parts(self, now: Millis) -> tuple[FleetMark, ...]:
@@ -233,7 +292,7 @@
             FleetMark(
                 topic=topic.value,
                 mark=self._directory.mark(topic),
-                age_ms=max(0, now - self.confirmed_at(topic)),
+                age_ms=self.age(topic, now),
             )
             for topic in Topic
         )
@@ -287,97 +346,3 @@
                 marks.get(topic.value, 0),
             )
         )
-
-    def _take(self, message: FleetExchange) -> None:
-        now = self._clock.now()
-        if message.leaves:
-            if self._members.leave(message.name, now):
-                self.on_leave()
-        else:
-            self._hear_members(message, now)
-        self._take_records(message, now)
-        self._take_loads(message, now)
-        if message.pauses:
-            self.on_pause()
-        for pause in message.pauses:
-            self._take_pause(pause.server, Millis(pause.remaining_ms))
-        for news in message.weights:
-            self._take_weights(news)
-        self._quarantine.merge(
-            tuple(_suspicion(part) for part in message.suspicions),
-            now,
-        )
-
-    def _hear_members(self, message: FleetExchange, now: Millis) -> None:
-        sender = Member(
-            name=message.name,
-            endpoint=message.endpoint,
-            data_centre=message.data_centre,
-            heard_at=now,
-        )
-        others = (
-            Member(
-                name=part.name,
-                endpoint=part.endpoint,
-                data_centre=part.data_centre,
-                heard_at=Millis(now - part.age_ms),
-            )
-            for part in message.members
-        )
-        self._members.hear((sender, *others), now)
-        names = frozenset(member.name for member in self.peers)
-        if names != self._known:
-            self._known = names
-            log_state_change('routers_known', count=len(names) + 1)
-
-    def _take_records(self, message: FleetExchange, now: Millis) -> None:
-        """Merge records; only an answer has them, all above our mark."""
-        for part in message.marks:
-            topic = Topic(part.topic)
-            records = tuple(
-                _record(record)
-                for record in message.records
-                if record.topic == part.topic
-            )
-            if records:
-                self._directory.apply(topic, records, part.mark, now)
-
-    def _take_loads(self, message: FleetExchange, now: Millis) -> None:
-        if not message.marks:
-            return
-        for load in self._selector.loads.values():
-            load.peers.pop(message.name, None)
-        for part in message.loads:
-            self._selector.load(part.server).peers[message.name] = PeerLoad(
-                active=part.active,
-                waiting_tokens=part.waiting_tokens,
-                fixed=part.fixed,
-                heard_at=now,
-            )
-
-    def _take_pause(self, server_id: str, duration: Millis) -> None:
-        load = self._selector.load(server_id)
-        load.loading_until = Millis(self._clock.now() + duration)
-
-    def _take_weights(self, news: FleetWeights) -> None:
-        load = self._selector.load(news.server)
-        if load.shown_weights.get(news.model, 0) < news.version:
-            load.shown_weights[news.model] = news.version
-            load.loading_until = Millis(0)
-
-
-def _record(part: FleetRecord) -> KeyedRecord:
-    return KeyedRecord(
-        key=part.key,
-        offset=part.offset,
-        value=None if part.removes else part.value,
-    )
-
-
-def _suspicion(part: FleetSuspicion) -> Suspicion:
-    return Suspicion(
-        fingerprint=part.fingerprint,
-        crashes=frozenset(filter(None, part.crashes.split(','))),
-        cleared=frozenset(filter(None, part.cleared.split(','))),
-        age=Millis(part.age_ms),
-    )
--- a/yuccagauge/platform/engines.py
+++ b/yuccagauge/platform/engines.py
@@ -6,7 +6,11 @@
 
 from twisted.internet.defer import Deferred, inlineCallbacks
 
-from yuccagauge.cachefeed.base import CacheEvent, CacheEvents
+from yuccagauge.cachefeed.base import (
+    CacheEvent,
+    CacheEvents,
+    HolderBusyError,
+)
 from yuccagauge.clock import Millis
 from yuccagauge.directory.base import BackendServer
 from yuccagauge.dispatch.base import BackendMessage
@@ -23,6 +27,7 @@
 from yuccagauge.verdict import Verdict
 
 _OK = 200
+_TOO_MANY = 429
 
 #: Time for an answer, beyond the time that the engine may wait.
 _PATIENCE = Millis(1200)
@@ -114,6 +119,8 @@
         )
         patience = Millis(wait + _PATIENCE)
         found = yield self._call(holder, message, patience)
+        if found.head.status == _TOO_MANY:
+            raise HolderBusyError('too many polls', Verdict.NOT_RUN)
         if found.head.status != _OK:
             raise FetchError(f'status {found.head.status}', Verdict.NOT_RUN)
         document = _json(found)
--- a/yuccagauge/quarantine/base.py
+++ b/yuccagauge/quarantine/base.py
@@ -89,6 +89,11 @@
         """Return the number of remembered requests."""
         return len(self._entries)
 
+    @property
+    def has_open_cases(self) -> bool:
+        """Whether a sign of life of some engine would settle a case."""
+        return bool(self._pending)
+
     def standing(self, fingerprint: bytes, now: Millis) -> Standing:
         """Return how a request may be run."""
         entry = self._live_entry(fingerprint, now)
--- a/yuccagauge/relay/router.py
+++ b/yuccagauge/relay/router.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Iterable
+from functools import partial
 from typing import Any
 
 from twisted.internet.defer import Deferred, DeferredList, maybeDeferred
@@ -10,6 +11,7 @@
 
 from yuccagauge.cachefeed.feed import CacheFeed
 from yuccagauge.clock import Clock, Millis
+from yuccagauge.directory import reading
 from yuccagauge.directory.follower import TopicFollower
 from yuccagauge.directory.state import Directory, Topic
 from yuccagauge.dispatch.connection import ConnectionPool
@@ -122,6 +124,7 @@
             self._selector,
             reactor,
             own.name,
+            own.data_centre,
             self._router_names,
         )
         self._lead = Lead(
@@ -164,10 +167,13 @@
         self._directory.listeners.append(self._adopt)
         entries = self._followers[Topic.SERVERS]
         entries.on_entry = self._note_entry
-        self._exchange.on_pause = lambda: self._lead.heard_order(
+        for topic, follower in self._followers.items():
+            follower.may_rest = partial(self._may_rest, topic)
+            follower.read_wait = partial(self._read_wait, topic)
+        self._exchange.intake.on_pause = lambda: self._lead.heard_order(
             self._clock.now()
         )
-        self._exchange.on_leave = self._keeper.look
+        self._exchange.intake.on_leave = self._keeper.look
         self._rollout.on_load = self._exchange.tell_pause
         self._rollout.on_loaded = self._exchange.tell_weights
         ready = ReadyPage(self._adapter.ready_path, lambda: self.is_ready)
@@ -265,7 +271,7 @@
             clock=self._clock,
             draw=self._draw,
         )
-        exchange.confirmed_at = lambda topic: self._followers[topic].answered_at
+        exchange.answered_at = lambda topic: self._followers[topic].answered_at
         return exchange
 
     def _is_candidate(self) -> bool:
@@ -280,6 +286,30 @@
         names = {own, *self._router_names()}
         return own in rank(names, 'lead')[:LEAD_CANDIDATES]
 
+    def _may_rest(self, topic: Topic) -> bool:
+        """Return whether peers tell enough about a topic for now."""
+        has_open_cases = self._around.quarantine.has_open_cases
+        if topic is Topic.SERVERS and has_open_cases:
+            # Only an entry of one's own reading is a sign of life.
+            return False
+        return reading.may_rest(
+            topic,
+            self._settings.relay.name,
+            self._near(),
+            self._exchange.age(topic, self._clock.now()),
+        )
+
+    def _read_wait(self, topic: Topic) -> Millis:
+        return reading.read_wait(topic, self._near())
+
+    def _near(self) -> tuple[str, ...]:
+        """Return the other routers of the own data centre."""
+        return tuple(
+            member.name
+            for member in self._exchange.peers
+            if member.data_centre == self._settings.relay.data_centre
+        )
+
     def _router_names(self) -> Iterable[str]:
         return (member.name for member in self._exchange.peers)
 
--- a/yuccagauge/rollout/driver.py
+++ b/yuccagauge/rollout/driver.py
@@ -44,6 +44,9 @@
 #: it lasts.
 DRAIN_NOTICE = Millis(600)
 
+#: Time after which an unchanged drain is announced again.
+DRAIN_REPEAT = Millis(300)
+
 #: Expected time of a load before the first one was seen, in ms, and the
 #: weight of each load in the mean.
 ASSUMED_LOAD_MS = 1500.0
@@ -99,6 +102,9 @@
         self._lead = lead
         self._progress: dict[str, _Progress] = {}
         self._load_ms = ASSUMED_LOAD_MS
+        #: The drains that were announced last.
+        self._announced: tuple[str, ...] = ()
+        self._announced_at = Millis(0)
         self._looks = SteadyLoop('rollout', self._look, reactor)
         #: Told when engines drain or load, with the time it may take.
         self.on_load: Callable[[tuple[str, ...], Millis], None] = (
@@ -148,13 +154,24 @@
             for each in engines
             if self._progress_of(each.server).draining_since is not None
         )
-        if draining:
-            self.on_load(draining, DRAIN_NOTICE)
+        self._announce(draining, now)
         for engine in engines:
             mode = due_order(engine, now)
             if mode is not None and has_place(engines, self._share, now):
                 self._begin(engine, targets[engine.model], mode)
 
+    def _announce(self, draining: tuple[str, ...], now: Millis) -> None:
+        """Announce the drains when they change, and while they last.
+
+        Load pattern: a large fleet, in which each announcement is a message
+        to every router.
+        """
+        is_due = now - self._announced_at >= DRAIN_REPEAT
+        if draining and (is_due or draining != self._announced):
+            self._announced_at = now
+            self.on_load(draining, DRAIN_NOTICE)
+        self._announced = draining
+
     def _weights(
         self,
         server: BackendServer,
--- a/yuccagauge/selection/base.py
+++ b/yuccagauge/selection/base.py
@@ -56,6 +56,11 @@
     cached_tokens: int = 0
     #: Leading tokens of the prompt that the kept store holds.
     kept_tokens: int = 0
+    #: Whether it is heard what the engine drops of its cache.
+    is_followed: bool = True
+    #: Whether all routers choose it first for prompts with these shared
+    #: parts, as long as none is known to hold them.
+    is_home: bool = True
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/yuccagauge/selection/load.py
+++ b/yuccagauge/selection/load.py
@@ -49,21 +49,38 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PeerLoad:
-    """What one peer has in flight at one server."""
+    """What one peer, or all of them, have in flight at one server."""
 
     active: int
     waiting_tokens: int
     #: Calls that no other server may continue.
     fixed: int
+    #: When it was heard; of a sum, when the oldest part was heard.
     heard_at: Millis
 
 
+@dataclass(slots=True)
+class PeerCoverage:
+    """How much of the peers' calls is known at a time.
+
+    Load pattern: a router of a large fleet hears each peer only now and
+    then, so at any time it knows the calls of a part of its peers.
+    """
+
+    #: Peers that are alive for each one whose calls are known.
+    factor: float = 1
+
+    def note(self, alive: int, known: int) -> None:
+        """Follow the number of peers that are alive and that are known."""
+        self.factor = max(1.0, alive / max(1, known))
+
+
 @dataclass(slots=True)
 class ServerLoad:
     """Load and health of one server, as far as this router knows."""
 
+    coverage: PeerCoverage = field(default_factory=PeerCoverage)
     calls: dict[str, ActiveCall] = field(default_factory=dict)
-    peers: dict[str, PeerLoad] = field(default_factory=dict)
     #: When the server last sent anything.
     heard_at: Millis = Millis(0)
     #: The server gets no call before this time.
@@ -78,38 +95,40 @@
     #: How much longer prompts take than by the data sheet: engines read
     #: slower beside running answers, and differ from each other.
     slowdown: float = 1.3
+    _peers: dict[str, PeerLoad] = field(default_factory=dict)
+    _peer_sum: PeerLoad | None = None
     _failure_rate: float = 0
     _failure_at: Millis = Millis(0)
 
-    def active(self, now: Millis) -> int:
+    def hear_peer(self, name: str, load: PeerLoad) -> None:
+        """Take what a peer has in flight here."""
+        self._peers[name] = load
+        self._peer_sum = None
+
+    def forget_peer(self, name: str) -> None:
+        """Drop what a peer had in flight here."""
+        if self._peers.pop(name, None) is not None:
+            self._peer_sum = None
+
+    def active(self, now: Millis) -> float:
         """Return the calls in flight of this router and its peers."""
-        return len(self.calls) + sum(
-            load.active
-            for load in self.peers.values()
-            if now - load.heard_at < PEER_LOAD_LIFETIME
-        )
+        peers = self._sum_of_peers(now)
+        return len(self.calls) + self.coverage.factor * peers.active
 
     def fixed(self, now: Millis) -> int:
         """Return the calls in flight that no other server may continue."""
         own = sum(not call.is_movable for call in self.calls.values())
-        return own + sum(
-            load.fixed
-            for load in self.peers.values()
-            if now - load.heard_at < PEER_LOAD_LIFETIME
-        )
+        return own + self._sum_of_peers(now).fixed
 
-    def waiting_tokens(self, now: Millis) -> int:
+    def waiting_tokens(self, now: Millis) -> float:
         """Return the prompt tokens that wait to be read."""
         own = sum(
             call.missing_tokens
             for call in self.calls.values()
             if not call.has_output
         )
-        return own + sum(
-            load.waiting_tokens
-            for load in self.peers.values()
-            if now - load.heard_at < PEER_LOAD_LIFETIME
-        )
+        peers = self._sum_of_peers(now)
+        return own + self.coverage.factor * peers.waiting_tokens
 
     def kv_tokens(self) -> int:
         """Return the KV memory that this router's calls take, in tokens."""
@@ -169,3 +188,30 @@
     def note_full(self, now: Millis) -> None:
         """Pause a server that refused a call because it is full."""
         self.paused_until = max(self.paused_until, Millis(now + FULL_PAUSE))
+
+    def _sum_of_peers(self, now: Millis) -> PeerLoad:
+        """Return the sum of what peers said lately.
+
+        A choice looks at every server, so the sum is kept until a peer's
+        calls change or become too old.
+        """
+        found = self._peer_sum
+        if found is None or now - found.heard_at >= PEER_LOAD_LIFETIME:
+            found = self._add_up_peers(now)
+            self._peer_sum = found
+        return found
+
+    def _add_up_peers(self, now: Millis) -> PeerLoad:
+        known = {
+            name: load
+            for name, load in self._peers.items()
+            if now - load.heard_at < PEER_LOAD_LIFETIME
+        }
+        self._peers = known
+        loads = known.values()
+        return PeerLoad(
+            active=sum(load.active for load in loads),
+            waiting_tokens=sum(load.waiting_tokens for load in loads),
+            fixed=sum(load.fixed for load in loads),
+            heard_at=min((load.heard_at for load in loads), default=now),
+        )
--- a/yuccagauge/selection/model.py
+++ b/yuccagauge/selection/model.py
@@ -26,6 +26,10 @@
 #: Cost of leaving the data centre: the way there and back, and the bytes.
 DISTANCE_COST_MS = 4.0
 
+#: Cost of an engine that is not the home of shared parts, in ms: about the
+#: time in which they come from the kept store.
+AWAY_COST_MS = 15.0
+
 #: Cost of a call that fails, in ms of waiting.
 FAILURE_COST_MS = 2000.0
 
@@ -66,7 +70,8 @@
     Load patterns: prompts of thousands of shared tokens, of which engines
     hold different ones; long prompts that keep an engine reading while
     others are idle; calls of several routers in flight at once, of which
-    the engine's own report says nothing yet.
+    the engine's own report says nothing yet; many routers, each with few
+    calls and hardly any news of what engines hold.
     """
     load = candidate.load
     cached = min(candidate.cached_tokens, demand.prompt_tokens)
@@ -86,6 +91,8 @@
     cost += _overflow(candidate, demand, missing + fetched)
     if candidate.is_outdated:
         cost += OUTDATED_COST_MS
+    if not candidate.is_home:
+        cost += AWAY_COST_MS
     if not candidate.is_local:
         cost += DISTANCE_COST_MS
         first += DISTANCE_COST_MS / 2
--- a/yuccagauge/selection/selector.py
+++ b/yuccagauge/selection/selector.py
@@ -1,16 +1,18 @@
 """The state behind all choices of a router, and the choice itself."""
 
+import dataclasses
 from collections.abc import Mapping
 
 from yuccagauge.clock import Millis
 from yuccagauge.directory.base import BackendServer, KeptStore, ServerState
 from yuccagauge.relay.base import Placement
+from yuccagauge.rendezvous import rank
 from yuccagauge.selection import model, plain
 from yuccagauge.selection.base import Candidate, Choice, Demand, FleetView
 from yuccagauge.selection.cachemap import CacheMap
 from yuccagauge.selection.latequeue import LateQueue
 from yuccagauge.selection.later import LONGEST_RETRY, choose_later
-from yuccagauge.selection.load import ActiveCall, ServerLoad
+from yuccagauge.selection.load import ActiveCall, PeerCoverage, ServerLoad
 from yuccagauge.settings.options import Endpoint
 
 #: A server whose calls have shown no sign of life for this long gets no
@@ -64,9 +66,13 @@
         self._loads: dict[str, ServerLoad] = {}
         #: Scope and last shared part of what calls were asked to keep.
         self._saves: dict[tuple[str, str], Millis] = {}
+        #: How much of the peers' calls is known.
+        self.coverage = PeerCoverage()
         #: How long late calls have waited lately.
         self.late = LateQueue()
         self.cache = CacheMap()
+        #: Engines whose cache events are heard, by id.
+        self.followed: set[str] = set()
         #: Kept stores that answer, by endpoint.
         self.live_stores: set[Endpoint] = set()
 
@@ -82,7 +88,11 @@
 
     def load(self, server_id: str) -> ServerLoad:
         """Return what is known of a server; new ones start empty."""
-        return self._loads.setdefault(server_id, ServerLoad())
+        found = self._loads.get(server_id)
+        if found is None:
+            found = ServerLoad(coverage=self.coverage)
+            self._loads[server_id] = found
+        return found
 
     def adopt(self, view: FleetView) -> tuple[str, ...]:
         """Follow a change of the directory; return servers that started anew.
@@ -102,7 +112,7 @@
             old = self._loads.pop(server_id, None)
             if old is not None and old.calls:
                 # Calls that still run there end by themselves.
-                self._loads[server_id] = ServerLoad(calls=old.calls)
+                self.load(server_id).calls = old.calls
         self._view = view
         self._by_service = {}
         for server in view.servers.values():
@@ -309,9 +319,10 @@
                     is_outdated=is_old and age > OUTDATED_GRACE,
                     cached_tokens=held.get(server.server_id, 0),
                     kept_tokens=kept,
+                    is_followed=server.server_id in self.followed,
                 ),
             )
-        return found
+        return _with_home(found, demand)
 
     def _candidate(self, server: BackendServer) -> Candidate:
         return Candidate(
@@ -356,6 +367,26 @@
     return f'{version}/{demand.isolated_customer}'
 
 
+def _with_home(
+    candidates: list[Candidate],
+    demand: Demand,
+) -> list[Candidate]:
+    """Mark the home of the shared parts if no engine is known to hold them."""
+    shared = demand.shared_tokens
+    if shared < LEAST_FETCH or not candidates:
+        return candidates
+    if any(each.cached_tokens + LEAST_FETCH > shared for each in candidates):
+        return candidates
+    names = (candidate.server.server_id for candidate in candidates)
+    home = rank(names, demand.parts[-2][0])[0]
+    return [
+        candidate
+        if candidate.server.server_id == home
+        else dataclasses.replace(candidate, is_home=False)
+        for candidate in candidates
+    ]
+
+
 def _source(
     candidate: Candidate,
     demand: Demand,
@@ -364,9 +395,10 @@
     """Return where the engine fetches the shared parts that it lacks.
 
     A router that has just started does not know what the store holds, and
-    asking in vain costs a millisecond.
+    asking in vain costs a millisecond. An engine whose events are not heard
+    may have dropped what it once read.
     """
-    missing = demand.shared_tokens - candidate.cached_tokens
-    if store is None or missing < LEAST_FETCH:
+    known = candidate.cached_tokens if candidate.is_followed else 0
+    if store is None or demand.shared_tokens - known < LEAST_FETCH:
         return None
     return store.endpoint
--- a/yuccagauge/wire/messages.capnp
+++ b/yuccagauge/wire/messages.capnp
@@ -231,4 +231,6 @@
   asks @9 :Bool;
   endpoint @10 :Data;
   dataCentre @11 :Text;
+  # Whether the records are all that the asker needs to reach the marks.
+  answers @12 :Bool;
 }
--- a/yuccagauge/wire/messages.py
+++ b/yuccagauge/wire/messages.py
@@ -311,6 +311,8 @@
     leaves: bool = False
     #: Whether the sender wants the records above its marks.
     asks: bool = False
+    #: Whether the records are all that the asker needs to reach the marks.
+    answers: bool = False
     members: tuple[FleetMember, ...] = ()
     marks: tuple[FleetMark, ...] = ()
     records: tuple[FleetRecord, ...] = ()
