Test a store that forgets its history or loses an answer

Change: the stand-in forgets the history of a topic and answers 410 then, and carries out calls without an answer. Two scenarios go through the adapter.

No code of the router changed.

--- a/features/log_store.py
+++ b/features/log_store.py
@@ -30,6 +30,10 @@
         self.status = 0
         self.answer = b'{}'
         self.is_silent = False
+        #: Calls that are carried out and get no answer.
+        self.lost_answers = 0
+        #: The oldest offset of each topic that can still be read on from.
+        self._first: dict[str, int] = {}
         self._server = ScriptedServer(self._serve)
 
     @property
@@ -49,6 +53,10 @@
         """Append a record."""
         self._topics.setdefault(topic, []).append((key, value))
 
+    def forget(self, topic: str) -> None:
+        """Drop the history of a topic; the newest records stay."""
+        self._first[topic] = len(self._topics[topic])
+
     def _serve(self, exchange: Exchange) -> None:
         if self.is_silent:
             return
@@ -59,7 +67,11 @@
         query = {name: each[0] for name, each in parse_qs(parts.query).items()}
         self._body = exchange.body
         call = getattr(self, parts.path.rpartition('-')[2])
-        exchange.answer(*call(query))
+        status, body = call(query)
+        if self.lost_answers:
+            self.lost_answers -= 1
+            return
+        exchange.answer(status, body)
 
     def newest(self, query: dict[str, str]) -> tuple[int, bytes]:
         """Return the newest record of each key."""
@@ -80,9 +92,14 @@
     def read(self, query: dict[str, str]) -> tuple[int, bytes]:
         """Return the records from an offset on."""
         records = self._topics.get(query['topic'], [])
-        found = records[int(query['from']) :]
-        packed = b''.join(pack_record(key, value) for key, value in found)
-        return 200, _ENDS.pack(len(records), 0) + packed
+        start = int(query['from'])
+        first = self._first.get(query['topic'], 0)
+        if start < first:
+            return 410, json.dumps({'first': first}).encode()
+        packed = b''.join(
+            pack_record(key, value) for key, value in records[start:]
+        )
+        return 200, _ENDS.pack(len(records), first) + packed
 
     def append(self, query: dict[str, str]) -> tuple[int, bytes]:
         """Append one keyed record if the topic still ends where it should."""
--- a/features/platform/adapter.feature
+++ b/features/platform/adapter.feature
@@ -139,3 +139,16 @@
       | [relay] nam = x   | [relay] nam = 'x': expected one of name             |
       | [store] address=a | expected an IP address and port                     |
       | [other] a = b     | [other] = '': expected one of relay                 |
+
+  Scenario: A topic that forgot its history is listed anew
+    Given a store with the servers "a b a c"
+    When the store forgets its history and gets the server "d"
+    Then a read from offset 1 finds a gap
+    And a listing has the servers "a b c d" and continues at offset 5
+    And a read from offset 4 has the servers "d"
+
+  Scenario: A record of the lead whose answer is lost is found at the next look
+    Given a store without a record of the lead
+    When the answer to a record of the lead is lost
+    Then the writer gets no answer and reads its own name as the holder
+    And a second record under the same condition is not written
--- a/features/steps/platform_store_steps.py
+++ b/features/steps/platform_store_steps.py
@@ -23,6 +23,7 @@
 from yuccagauge.rollout.base import LeadView
 
 _ENDS = bytes(16)
+_SERVERS = 'keyed.servers'
 
 
 _ERRORS = {
@@ -152,3 +153,70 @@
     except StoreUnavailableError:
         return
     raise AssertionError('the listing was taken')
+
+
+@given('a store with the servers "{servers}"')
+def store_with_servers(context: Context, servers: str) -> None:
+    """Write an entry after the other."""
+    context.store = _store(context)
+    for server in servers.split():
+        context.log_store.write(_SERVERS, server, b'{}')
+
+
+@when('the store forgets its history and gets the server "{server}"')
+def forget_history(context: Context, server: str) -> None:
+    """Drop old records and write a new one."""
+    context.log_store.forget(_SERVERS)
+    context.log_store.write(_SERVERS, server, b'{}')
+
+
+@then('a read from offset {offset:d} finds a gap')
+def check_gap(context: Context, offset: int) -> None:
+    """Guard against a reader that goes on behind records it never saw."""
+    try:
+        wait_for_call(context.store.read, Topic.SERVERS, offset, Millis(0))
+    except StoreGapError:
+        return
+    raise AssertionError('the read was answered')
+
+
+@then(
+    'a listing has the servers "{servers}" and continues at offset {offset:d}'
+)
+def check_listed(context: Context, servers: str, offset: int) -> None:
+    """Compare the newest records."""
+    page = wait_for_call(context.store.newest, Topic.SERVERS)
+    assert sorted(record.key for record in page.records) == servers.split()
+    assert page.next_offset == offset
+
+
+@then('a read from offset {offset:d} has the servers "{servers}"')
+def check_read(context: Context, offset: int, servers: str) -> None:
+    """Compare the records that follow."""
+    page = wait_for_call(context.store.read, Topic.SERVERS, offset, Millis(0))
+    assert [record.key for record in page.records] == servers.split()
+
+
+@when('the answer to a record of the lead is lost')
+def lose_answer(context: Context) -> None:
+    """Carry out an append without an answer."""
+    context.log_store.lost_answers = 1
+    context.is_unanswered = False
+    try:
+        wait_for_call(context.leads[0].write_lead, 'r0', 0)
+    except StoreUnavailableError:
+        context.is_unanswered = True
+
+
+@then('the writer gets no answer and reads its own name as the holder')
+def check_lost_answer(context: Context) -> None:
+    """Guard against a leader that gives up what it holds."""
+    assert context.is_unanswered
+    view = wait_for_call(context.leads[0].read_lead)
+    assert view == LeadView(end=1, holder='r0')
+
+
+@then('a second record under the same condition is not written')
+def check_not_repeated(context: Context) -> None:
+    """Guard against two records for one condition."""
+    assert not wait_for_call(context.leads[1].write_lead, 'r1', 0)
