Tell peers of silent servers, and spare the link of the leader

Cause: a server that loses power while the store is down keeps its entry. The leader of a large fleet got the whole state of every router with each announcement, about 1.5 KB from each of 90 several times a second, on links of 5 to 10 Mbit/s.

Change: a router tells all others when its calls wait at a server beyond the limit of silence; two such peers keep a third router away for 1.5 s, unless it hears from the server itself. Answers to announcements carry calls and marks alone. In large fleets the news of loaded weights wait 200 ms for more. Routers rest up to 1.5 s. The kept parts of prompts and the parts of an exchange have modules of their own.

--- a/features/directory/directory.feature
+++ b/features/directory/directory.feature
@@ -86,10 +86,10 @@
     Examples:
       | routers | topic      | reader | age  | ms   |
       | 30      | SERVERS    | a      | 0    | 0    |
-      | 30      | SERVERS    | no     | 0    | 1000 |
-      | 30      | SERVERS    | no     | 900  | 100  |
-      | 30      | SERVERS    | no     | 1000 | 0    |
-      | 3       | SERVERS    | no     | 900  | 100  |
+      | 30      | SERVERS    | no     | 0    | 1500 |
+      | 30      | SERVERS    | no     | 1400 | 100  |
+      | 30      | SERVERS    | no     | 1500 | 0    |
+      | 3       | SERVERS    | no     | 1400 | 100  |
       | 30      | OPERATIONS | a      | 0    | 0    |
       | 30      | OPERATIONS | no     | 1400 | 100  |
       | 30      | OPERATIONS | no     | 1500 | 0    |
--- a/features/exchange/exchange.feature
+++ b/features/exchange/exchange.feature
@@ -63,6 +63,13 @@
       | 9       |
       | 91      |
 
+  Scenario: Routers tell each other of a server that falls silent
+    Given 3 routers that exchange, of which the first knows servers "a"
+    And each router knows 2 others
+    Then all routers know the servers "a"
+    When calls of the first 2 routers wait at "a" without an answer
+    Then the last router takes "a" for silent
+
   Scenario: News of many engines at once are one message to each router
     Given 3 routers that exchange, of which the first knows servers "a b c d"
     And each router knows 2 others
@@ -70,3 +77,11 @@
     Then all routers keep calls away from "a"
     And all routers keep calls away from "c"
     And the first router told each other router once
+
+  Scenario Outline: When a fleet hears of loaded weights
+    Then the news of loaded weights wait <ms> ms in a fleet of <routers>
+
+    Examples:
+      | routers | ms  |
+      | 8       | 20  |
+      | 91      | 200 |
--- a/features/selection/selection.feature
+++ b/features/selection/selection.feature
@@ -131,3 +131,22 @@
     And a peer has 20 calls at each of "s0"
     Then 20 calls of peers are counted at "s0" after 1400 ms
     And 0 calls of peers are counted at "s0" after 1500 ms
+
+  Scenario Outline: A server that peers see silent is left before it costs a call
+    Given 3 plain servers with 6 slots
+    And <peers> peers told <told> ms ago that "s0" is silent
+    And this router heard from "s0" <heard> ms ago
+    When 30 calls are placed at once
+    Then server "s0" <outcome>
+
+    Examples:
+      | peers | told | heard | outcome          |
+      | 2     | 100  | 5000  | got no calls     |
+      | 1     | 100  | 5000  | got some calls   |
+      | 2     | 100  | 50    | got some calls   |
+      | 2     | 1600 | 5000  | got some calls   |
+
+  Scenario: Calls go to servers that all peers see silent if there is no other
+    Given 1 plain servers with 6 slots
+    And 2 peers told 100 ms ago that "s0" is silent
+    Then the next call goes to "s0"
--- a/features/steps/cachefeed_steps.py
+++ b/features/steps/cachefeed_steps.py
@@ -22,7 +22,8 @@
     ServiceSpec,
 )
 from yuccagauge.dispatch.fetch import FetchError
-from yuccagauge.selection.selector import Selector, kept_holder
+from yuccagauge.selection.kept import kept_holder
+from yuccagauge.selection.selector import Selector
 from yuccagauge.settings.options import Endpoint
 from yuccagauge.verdict import Verdict
 
--- a/features/steps/exchange_fleet_steps.py
+++ b/features/steps/exchange_fleet_steps.py
@@ -10,7 +10,11 @@
 from yuccagauge.clock import Millis
 from yuccagauge.directory.reading import is_reader
 from yuccagauge.exchange.members import Member, Members
-from yuccagauge.exchange.partners import draw_partners, is_turn
+from yuccagauge.exchange.partners import (
+    draw_partners,
+    is_turn,
+    weights_delay,
+)
 from yuccagauge.exchange.service import MAXIMUM_MEMBERS, PERIOD
 from yuccagauge.settings.options import Endpoint
 
@@ -161,3 +165,9 @@
     start = (context.seconds - seconds) * 1000
     late = [least for at, least in context.known if at >= start]
     assert min(late) == len(context.fleet) - 1, late
+
+
+@then('the news of loaded weights wait {ms:d} ms in a fleet of {routers:d}')
+def check_delay(context: Context, ms: int, routers: int) -> None:
+    """Guard against a message to each router for each engine."""
+    assert weights_delay(routers) == ms
--- a/features/steps/exchange_steps.py
+++ b/features/steps/exchange_steps.py
@@ -221,6 +221,25 @@
     assert len(context.told) == 1, context.told
 
 
+@when(
+    'calls of the first {count:d} routers wait at "{server}" without an answer'
+)
+def wait_in_vain(context: Context, count: int, server: str) -> None:
+    """Put calls in flight that a server leaves unanswered."""
+    for router in context.routers[:count]:
+        router.selector.adopt(FleetView(servers=dict(router.directory.servers)))
+        call = ActiveCall(sent_at=Millis(router.clock.now() - 10_000))
+        router.selector.load(server).calls['c'] = call
+
+
+@then('the last router takes "{server}" for silent')
+def check_told_silent(context: Context, server: str) -> None:
+    """Guard against a router that loses a call to see what others saw."""
+    last = context.routers[-1]
+    load = last.selector.load(server)
+    wait_until(lambda: load.is_told_silent(last.clock.now()))
+
+
 @then('no router keeps calls away from "{server}"')
 def check_not_paused(context: Context, server: str) -> None:
     """Wait until every router uses the server again."""
--- a/features/steps/selection_fleet_steps.py
+++ b/features/steps/selection_fleet_steps.py
@@ -110,3 +110,23 @@
     place(context, new_demand(context, parts))
     found = place(context, new_demand(context, parts)).placement
     assert (found.fetch_from is not None) is (outcome == 'is fetched')
+
+
+@given('{peers:d} peers told {ms:d} ms ago that "{name}" is silent')
+def tell_silence(context: Context, peers: int, ms: int, name: str) -> None:
+    """Hear that the calls of peers wait at a server."""
+    for number in range(peers):
+        load = context.selector.load(name)
+        load.hear_silence(f'peer{number}', Millis(NOW - ms))
+
+
+@given('this router heard from "{name}" {ms:d} ms ago')
+def hear_server(context: Context, name: str, ms: int) -> None:
+    """Note a sign of life."""
+    context.selector.load(name).heard_at = Millis(NOW - ms)
+
+
+@then('server "{name}" got {count:w} calls')
+def check_silent_calls(context: Context, name: str, count: str) -> None:
+    """Guard against many routers that each lose a call to a silent server."""
+    assert bool(context.placed[name]) is (count == 'some'), context.placed
--- a/yuccagauge/cachefeed/feed.py
+++ b/yuccagauge/cachefeed/feed.py
@@ -17,7 +17,8 @@
 from yuccagauge.directory.state import Directory
 from yuccagauge.dispatch.fetch import FetchError
 from yuccagauge.rendezvous import rank
-from yuccagauge.selection.selector import Selector, kept_holder
+from yuccagauge.selection.kept import kept_holder
+from yuccagauge.selection.selector import Selector
 from yuccagauge.settings.options import Endpoint
 from yuccagauge.steadyloop import BackgroundTask
 from yuccagauge.telemetry.journal import log_state_change
--- a/yuccagauge/directory/reading.py
+++ b/yuccagauge/directory/reading.py
@@ -20,11 +20,8 @@
 
 #: A router reads for itself once what its peers told it is older than this.
 #: A leaving server, and a change by the operator, have to be known within
-#: two seconds; the latter wakes a waiting read at once.
-LONGEST_AGES = {
-    Topic.SERVERS: Millis(1000),
-    Topic.OPERATIONS: Millis(1500),
-}
+#: two seconds.
+LONGEST_AGE = Millis(1500)
 
 #: How long one read waits at the store for records. A connection that went
 #: silent is noticed after this time.
@@ -63,7 +60,7 @@
         Time since the store confirmed what this router knows, as told by
         its peers.
     """
-    left = max(0, LONGEST_AGES[topic] - age)
+    left = max(0, LONGEST_AGE - age)
     if topic is Topic.OPERATIONS and len(others) + 1 < LEAST_SHARING:
         return Millis(0)
     return Millis(0 if left and is_reader(name, others) else left)
--- a/yuccagauge/exchange/intake.py
+++ b/yuccagauge/exchange/intake.py
@@ -84,6 +84,8 @@
             self.take_pause(pause.server, Millis(pause.remaining_ms))
         for news in message.weights:
             self.take_weights(news)
+        for silence in message.silences:
+            self._take_silence(silence.server, message.name, now)
         self._quarantine.merge(
             tuple(_suspicion(part) for part in message.suspicions),
             now,
@@ -101,6 +103,13 @@
             load.shown_weights[news.model] = news.version
             load.loading_until = Millis(0)
 
+    def _take_silence(self, server_id: str, peer: str, now: Millis) -> None:
+        load = self._selector.load(server_id)
+        was_silent = load.is_told_silent(now)
+        load.hear_silence(peer, now)
+        if load.is_told_silent(now) and not was_silent:
+            log_state_change('server_told_silent', server=server_id, peer=peer)
+
     def _hear_members(self, message: FleetExchange, now: Millis) -> None:
         sender = Member(
             name=message.name,
--- a/yuccagauge/exchange/partners.py
+++ b/yuccagauge/exchange/partners.py
@@ -1,7 +1,8 @@
-"""Which routers one exchange goes to. Pure functions."""
+"""Whom a router tells what it knows, and when. Pure functions."""
 
 from collections.abc import Callable, Sequence
 
+from yuccagauge.clock import Millis
 from yuccagauge.exchange.members import Member
 from yuccagauge.settings.options import Endpoint
 
@@ -10,6 +11,12 @@
 LOCAL_FANOUT = 2
 FANOUT = 1
 
+#: Time for which news of servers wait for more of them.
+NEWS_DELAY = Millis(20)
+
+#: The same for engines that have loaded weights, in large fleets.
+LARGE_WEIGHTS_DELAY = Millis(200)
+
 #: Routers from which on a router exchanges only in every second period.
 LARGE_FLEET = 24
 
@@ -30,6 +37,22 @@
     return routers < LARGE_FLEET or period % 2 == 0
 
 
+def weights_delay(routers: int) -> Millis:
+    """Return how long the news that an engine has loaded waits for more.
+
+    Load pattern: tens of engines load weights one after the other before a
+    hundred routers, each of which would get a message for each engine. The
+    link of the router that tells it carries a few megabits. A few engines
+    are missed sooner.
+
+    Parameters
+    ----------
+    routers
+        Routers that are alive.
+    """
+    return NEWS_DELAY if routers < LARGE_FLEET else LARGE_WEIGHTS_DELAY
+
+
 def draw_partners(
     peers: Sequence[Member],
     data_centre: str,
--- a/yuccagauge/exchange/service.py
+++ b/yuccagauge/exchange/service.py
@@ -9,24 +9,27 @@
 
 from yuccagauge.clock import Clock, Millis
 from yuccagauge.directory.state import Directory, Topic
+from yuccagauge.exchange import parts as parts_of
 from yuccagauge.exchange.intake import Intake
 from yuccagauge.exchange.members import Member
-from yuccagauge.exchange.partners import draw_partners, is_turn
+from yuccagauge.exchange.partners import (
+    NEWS_DELAY,
+    draw_partners,
+    is_turn,
+    weights_delay,
+)
 from yuccagauge.quarantine.base import Quarantine
 from yuccagauge.selection.selector import Selector
 from yuccagauge.settings.options import Endpoint
 from yuccagauge.steadyloop import SteadyLoop
+from yuccagauge.telemetry.journal import log_state_change
 from yuccagauge.wire.base import Received
 from yuccagauge.wire.client import PeerClient
 from yuccagauge.wire.errors import PeerFailedError, PeerUnavailableError
 from yuccagauge.wire.messages import (
     FleetExchange,
-    FleetLoad,
-    FleetMark,
-    FleetMember,
     FleetPause,
-    FleetRecord,
-    FleetSuspicion,
+    FleetSilence,
     FleetWeights,
 )
 from yuccagauge.wire.server import PeerServer
@@ -47,8 +50,8 @@
 #: Suspicions that one exchange carries, the latest first.
 MAXIMUM_SUSPICIONS = 20
 
-#: Time for which news of engines wait for more of them.
-NEWS_DELAY = Millis(20)
+#: Time after which a server that stays silent is told again.
+SILENCE_REPEAT = Millis(1000)
 
 #: How long an exchange repeats that a server has shown weights.
 WEIGHTS_NEWS = Millis(2500)
@@ -60,6 +63,7 @@
 
     pauses: dict[str, Millis] = field(default_factory=dict)
     weights: list[FleetWeights] = field(default_factory=list)
+    silences: set[str] = field(default_factory=set)
 
 
 class ExchangeService:
@@ -114,6 +118,8 @@
         self._shown: dict[tuple[str, str], tuple[int, Millis]] = {}
         self._reactor = reactor
         self._period = 0
+        #: When each silent server was told last.
+        self._silences_told: dict[str, Millis] = {}
         self._news = _News()
         #: The call that tells the news, while there are some.
         self._telling: Any = None
@@ -187,17 +193,17 @@
         self._shown[server_id, model] = (version, self._clock.now())
         self._intake.take_weights(news)
         self._news.weights.append(news)
-        self._tell_soon()
+        self._tell_soon(weights_delay(self.size))
 
-    def _tell_soon(self) -> None:
-        """Tell what happens at nearly the same time in one message.
-
-        Load pattern: tens of engines load weights at once in a fleet of a
-        hundred routers, each of which would get a message for each engine.
-        """
+    def _tell_soon(self, delay: Millis = NEWS_DELAY) -> None:
+        """Tell what happens at nearly the same time in one message."""
+        due_s = delay / _MILLISECONDS_PER_SECOND
         if self._telling is None:
-            delay = NEWS_DELAY / _MILLISECONDS_PER_SECOND
-            self._telling = self._reactor.callLater(delay, self._tell_news)
+            self._telling = self._reactor.callLater(due_s, self._tell_news)
+            return
+        left_s = self._telling.getTime() - self._reactor.seconds()
+        if due_s < left_s:
+            self._telling.reset(due_s)
 
     def _tell_news(self) -> None:
         if self._telling is not None and self._telling.active():
@@ -210,11 +216,29 @@
             for name, duration in news.pauses.items()
         )
         self._tell_all(
-            self._compose(pauses=pauses, weights=tuple(news.weights)),
+            self._compose(
+                pauses=pauses,
+                weights=tuple(news.weights),
+                silences=tuple(
+                    FleetSilence(server=name) for name in news.silences
+                ),
+            ),
         )
 
+    def _tell_silences(self) -> None:
+        """Tell all routers which servers leave calls unanswered."""
+        now = self._clock.now()
+        told = self._silences_told
+        for server_id in self._selector.silent_servers(now):
+            if now - told.get(server_id, -SILENCE_REPEAT) >= SILENCE_REPEAT:
+                told[server_id] = now
+                self._news.silences.add(server_id)
+                log_state_change('server_silent', server=server_id)
+                self._tell_soon()
+
     def _exchange(self) -> None:
         self._period += 1
+        self._tell_silences()
         if not is_turn(self._period, self.size):
             return
         for endpoint in self._partners():
@@ -251,24 +275,27 @@
     def _answer(self, received: Received) -> FleetExchange:
         message = received.message
         self._intake.take(message)
+        if message.pauses:
+            return self._compose(**self._call_parts(self._clock.now()))
         if not message.asks:
-            return self._compose(whole=bool(message.pauses))
+            return self._compose()
         marks = {mark.topic: mark.mark for mark in message.marks}
         return self._compose(
             whole=True,
             answers=True,
-            records=self._records(marks),
+            records=parts_of.records(self._directory, marks),
         )
 
     def _compose(self, *, whole: bool = False, **parts: Any) -> FleetExchange:
         now = self._clock.now()
         if whole:
             parts.update(
-                members=self._member_parts(now),
-                marks=self._mark_parts(now),
-                loads=self._load_parts(),
-                suspicions=self._suspicion_parts(now),
-                weights=self._weights_parts(now),
+                members=parts_of.members(self._sample(now), now),
+                **self._call_parts(now),
+                suspicions=parts_of.suspicions(
+                    self._quarantine.export(MAXIMUM_SUSPICIONS, now),
+                ),
+                weights=self._fresh_weights(now),
             )
         parts.setdefault('leaves', self._is_leaving)
         return FleetExchange(
@@ -278,75 +305,23 @@
             **parts,
         )
 
-    def _member_parts(self, now: Millis) -> tuple[FleetMember, ...]:
-        return tuple(
-            FleetMember(
-                name=member.name,
-                endpoint=member.endpoint,
-                data_centre=member.data_centre,
-                age_ms=now - member.heard_at,
-            )
-            for member in self._intake.members.sample(
-                MAXIMUM_MEMBERS, now, self._draw
-            )
-        )
+    def _call_parts(self, now: Millis) -> dict[str, Any]:
+        """Return this router's calls; these come with its marks."""
+        return {
+            'marks': parts_of.marks(self._directory, self._ages(now)),
+            'loads': parts_of.loads(self._selector.loads),
+        }
 
-    def _mark_parts(self, now: Millis) -> tuple[FleetMark, ...]:
-        return tuple(
-            FleetMark(
-                topic=topic.value,
-                mark=self._directory.mark(topic),
-                age_ms=self.age(topic, now),
-            )
-            for topic in Topic
-        )
+    def _sample(self, now: Millis) -> tuple[Member, ...]:
+        members = self._intake.members
+        return members.sample(MAXIMUM_MEMBERS, now, self._draw)
 
-    def _load_parts(self) -> tuple[FleetLoad, ...]:
-        return tuple(
-            FleetLoad(
-                server=server_id,
-                active=len(load.calls),
-                waiting_tokens=sum(
-                    call.missing_tokens
-                    for call in load.calls.values()
-                    if not call.has_output
-                ),
-                fixed=sum(not call.is_movable for call in load.calls.values()),
-            )
-            for server_id, load in self._selector.loads.items()
-            if load.calls
-        )
+    def _ages(self, now: Millis) -> dict[Topic, Millis]:
+        return {topic: self.age(topic, now) for topic in Topic}
 
-    def _weights_parts(self, now: Millis) -> tuple[FleetWeights, ...]:
+    def _fresh_weights(self, now: Millis) -> tuple[FleetWeights, ...]:
         return tuple(
             FleetWeights(server=server_id, model=model, version=version)
             for (server_id, model), (version, at) in self._shown.items()
             if now - at < WEIGHTS_NEWS
         )
-
-    def _suspicion_parts(self, now: Millis) -> tuple[FleetSuspicion, ...]:
-        return tuple(
-            FleetSuspicion(
-                fingerprint=suspicion.fingerprint,
-                crashes=','.join(sorted(suspicion.crashes)),
-                cleared=','.join(sorted(suspicion.cleared)),
-                age_ms=suspicion.age,
-            )
-            for suspicion in self._quarantine.export(MAXIMUM_SUSPICIONS, now)
-        )
-
-    def _records(self, marks: dict[int, int]) -> tuple[FleetRecord, ...]:
-        return tuple(
-            FleetRecord(
-                topic=topic.value,
-                key=record.key,
-                offset=record.offset,
-                removes=record.value is None,
-                value=record.value or b'',
-            )
-            for topic in Topic
-            for record in self._directory.newer_than(
-                topic,
-                marks.get(topic.value, 0),
-            )
-        )
--- a/yuccagauge/selection/load.py
+++ b/yuccagauge/selection/load.py
@@ -20,6 +20,14 @@
 #: What a peer said about its calls is believed for this long.
 PEER_LOAD_LIFETIME = Millis(1500)
 
+#: Peers that have to see a server silent before this router leaves it too:
+#: one peer alone may have lost its own link.
+LEAST_WITNESSES = 2
+
+#: What a peer said about a silent server is believed for this long; then a
+#: call tries it again.
+WITNESS_LIFETIME = Millis(1500)
+
 #: Weight of one first output in the slowdown of an engine, and its bounds.
 SLOWDOWN_WEIGHT = 0.15
 LEAST_SLOWDOWN = 0.7
@@ -97,6 +105,8 @@
     slowdown: float = 1.3
     _peers: dict[str, PeerLoad] = field(default_factory=dict)
     _peer_sum: PeerLoad | None = None
+    #: When peers told that the server leaves their calls unanswered.
+    _witnesses: dict[str, Millis] = field(default_factory=dict)
     _failure_rate: float = 0
     _failure_at: Millis = Millis(0)
 
@@ -143,6 +153,21 @@
             return Millis(0)
         return Millis(now - max(min(waiting), self.heard_at))
 
+    def hear_silence(self, peer: str, now: Millis) -> None:
+        """Take that a peer's calls wait here without a sign of life."""
+        self._witnesses[peer] = now
+
+    def is_told_silent(self, now: Millis) -> bool:
+        """Return whether peers see the server silent.
+
+        Load pattern: a server falls silent while its entry stays, and each
+        of many routers would lose a call to see it. What this router hears
+        from the server itself later counts more.
+        """
+        oldest = max(self.heard_at, Millis(now - WITNESS_LIFETIME))
+        witnesses = [at for at in self._witnesses.values() if at > oldest]
+        return len(witnesses) >= LEAST_WITNESSES
+
     def failure_rate(self, now: Millis) -> float:
         """Return the recent share of calls that failed, 0 to 1."""
         age = max(0, now - self._failure_at)
--- a/yuccagauge/selection/selector.py
+++ b/yuccagauge/selection/selector.py
@@ -1,15 +1,20 @@
 """The state behind all choices of a router, and the choice itself."""
 
-import dataclasses
 from collections.abc import Mapping
 
 from yuccagauge.clock import Millis
 from yuccagauge.directory.base import BackendServer, KeptStore, ServerState
 from yuccagauge.relay.base import Placement
-from yuccagauge.rendezvous import rank
 from yuccagauge.selection import model, plain
 from yuccagauge.selection.base import Candidate, Choice, Demand, FleetView
 from yuccagauge.selection.cachemap import CacheMap
+from yuccagauge.selection.kept import (
+    KeptParts,
+    kept_holder,
+    scope_of,
+    source,
+    with_home,
+)
 from yuccagauge.selection.latequeue import LateQueue
 from yuccagauge.selection.later import LONGEST_RETRY, choose_later
 from yuccagauge.selection.load import ActiveCall, PeerCoverage, ServerLoad
@@ -29,22 +34,10 @@
 #: which calls must not begin on them any more.
 OUTDATED_MARGIN = Millis(1500)
 
-#: Shared tokens below which a part is read again sooner than it is fetched.
-LEAST_FETCH = 512
-
-#: How long a part that a call was asked to keep is expected in the store
-#: without an event of the store.
-SAVE_LIFETIME = Millis(1500)
-
 #: Answers on older weights lose worth from this time after the naming.
 OUTDATED_GRACE = Millis(1000)
 
 
-def kept_holder(endpoint: Endpoint) -> str:
-    """Return the name of a kept store in the cache map."""
-    return f'kept/{endpoint}'
-
-
 class Selector:
     """Chooses servers by loads, cached parts and weights.
 
@@ -64,8 +57,7 @@
         self._view = FleetView(servers={})
         self._by_service: dict[str, list[BackendServer]] = {}
         self._loads: dict[str, ServerLoad] = {}
-        #: Scope and last shared part of what calls were asked to keep.
-        self._saves: dict[tuple[str, str], Millis] = {}
+        self._kept = KeptParts(data_centre)
         #: How much of the peers' calls is known.
         self.coverage = PeerCoverage()
         #: How long late calls have waited lately.
@@ -73,8 +65,11 @@
         self.cache = CacheMap()
         #: Engines whose cache events are heard, by id.
         self.followed: set[str] = set()
-        #: Kept stores that answer, by endpoint.
-        self.live_stores: set[Endpoint] = set()
+
+    @property
+    def live_stores(self) -> set[Endpoint]:
+        """The kept stores that answer."""
+        return self._kept.live
 
     @property
     def loads(self) -> Mapping[str, ServerLoad]:
@@ -148,6 +143,18 @@
             choice = self._choose_plain(usable, demand, now)
         return choice or self._choose_later(ready, demand, now)
 
+    def silent_servers(self, now: Millis) -> tuple[str, ...]:
+        """Return the servers that leave this router's calls unanswered."""
+        found: list[str] = []
+        for server_id, load in self._loads.items():
+            server = self._view.servers.get(server_id)
+            if server is None or not load.calls:
+                continue
+            limit = _silence_limit(is_model=bool(server.weights))
+            if load.silence(now) >= limit:
+                found.append(server_id)
+        return tuple(found)
+
     def sent(
         self,
         demand: Demand,
@@ -180,13 +187,12 @@
         demand: Demand,
         now: Millis,
     ) -> list[BackendServer]:
-        limit = (
-            SILENCE_LIMIT if demand.service.is_model else PLAIN_SILENCE_LIMIT
-        )
+        limit = _silence_limit(is_model=demand.service.is_model)
         return [
             server
             for server in servers
             if self.load(server.server_id).silence(now) < limit
+            and not self.load(server.server_id).is_told_silent(now)
         ]
 
     def _choose_plain(
@@ -212,7 +218,7 @@
         stores: tuple[KeptStore, ...],
         now: Millis,
     ) -> Choice | None:
-        store = self._nearest(stores)
+        store = self._kept.nearest(stores)
         candidates = self._engines(servers, demand, store, now)
         best = model.cheapest(candidates, demand, now)
         if best is None:
@@ -227,9 +233,9 @@
         placement = Placement(
             server=candidate.server,
             weights_version=candidate.weights_version,
-            cache_scope=_scope(demand, candidate.weights_version),
-            fetch_from=_source(candidate, demand, store),
-            keep_in=self._keeper(candidate, demand, store, now),
+            cache_scope=scope_of(demand, candidate.weights_version),
+            fetch_from=source(candidate, demand, store),
+            keep_in=self._kept.keeper(candidate, demand, store, now),
             cached_tokens=max(candidate.cached_tokens, candidate.kept_tokens),
             expected_ms=found.first_ms,
             work_ms=found.work_ms,
@@ -254,36 +260,6 @@
         until = Millis(now + LATE_RECHECK)
         return Choice(wait_until=until, reason='late_anyway')
 
-    def _keeper(
-        self,
-        candidate: Candidate,
-        demand: Demand,
-        store: KeptStore | None,
-        now: Millis,
-    ) -> Endpoint | None:
-        """Return the store if it lacks shared parts of the prompt.
-
-        Load pattern: every call carries a long part of its own. Keeping
-        these too would fill the store's link, and nothing else could be
-        fetched.
-        """
-        shared = demand.shared_tokens
-        if store is None or candidate.kept_tokens + LEAST_FETCH > shared:
-            return None
-        last = (
-            _scope(demand, candidate.weights_version),
-            demand.parts[-2][0],
-        )
-        self._saves = {
-            part: at
-            for part, at in self._saves.items()
-            if now - at < SAVE_LIFETIME
-        }
-        if last in self._saves:
-            return None
-        self._saves[last] = now
-        return store.endpoint
-
     def _engines(
         self,
         servers: list[BackendServer],
@@ -306,7 +282,7 @@
             ):
                 continue
             if version not in depths:
-                scope = _scope(demand, version)
+                scope = scope_of(demand, version)
                 depths[version] = self.cache.depths(scope, demand.parts)
             held = depths[version]
             kept = held.get(kept_holder(store.endpoint), 0) if store else 0
@@ -322,7 +298,7 @@
                     is_followed=server.server_id in self.followed,
                 ),
             )
-        return _with_home(found, demand)
+        return with_home(found, demand)
 
     def _candidate(self, server: BackendServer) -> Candidate:
         return Candidate(
@@ -331,15 +307,6 @@
             is_local=server.data_centre == self._data_centre,
         )
 
-    def _nearest(self, stores: tuple[KeptStore, ...]) -> KeptStore | None:
-        """Return a live kept store, one of the own data centre first."""
-        live = [store for store in stores if store.endpoint in self.live_stores]
-        return min(
-            live,
-            key=lambda store: store.data_centre != self._data_centre,
-            default=None,
-        )
-
     def _choose_later(
         self,
         ready: list[BackendServer],
@@ -358,47 +325,5 @@
         return max(now, load.paused_until, load.loading_until)
 
 
-def _scope(demand: Demand, version: int | None) -> str:
-    """Return the scope of cached parts: weights version and customer.
-
-    Engines and kept stores find parts by scope alone, so a part is never
-    found under other weights, nor by another customer than an isolated one.
-    """
-    return f'{version}/{demand.isolated_customer}'
-
-
-def _with_home(
-    candidates: list[Candidate],
-    demand: Demand,
-) -> list[Candidate]:
-    """Mark the home of the shared parts if no engine is known to hold them."""
-    shared = demand.shared_tokens
-    if shared < LEAST_FETCH or not candidates:
-        return candidates
-    if any(each.cached_tokens + LEAST_FETCH > shared for each in candidates):
-        return candidates
-    names = (candidate.server.server_id for candidate in candidates)
-    home = rank(names, demand.parts[-2][0])[0]
-    return [
-        candidate
-        if candidate.server.server_id == home
-        else dataclasses.replace(candidate, is_home=False)
-        for candidate in candidates
-    ]
-
-
-def _source(
-    candidate: Candidate,
-    demand: Demand,
-    store: KeptStore | None,
-) -> Endpoint | None:
-    """Return where the engine fetches the shared parts that it lacks.
-
-    A router that has just started does not know what the store holds, and
-    asking in vain costs a millisecond. An engine whose events are not heard
-    may have dropped what it once read.
-    """
-    known = candidate.cached_tokens if candidate.is_followed else 0
-    if store is None or demand.shared_tokens - known < LEAST_FETCH:
-        return None
-    return store.endpoint
+def _silence_limit(*, is_model: bool) -> Millis:
+    return SILENCE_LIMIT if is_model else PLAIN_SILENCE_LIMIT
--- a/yuccagauge/wire/messages.capnp
+++ b/yuccagauge/wire/messages.capnp
@@ -209,6 +209,10 @@
   version @2 :UInt64;
 }
 
+struct FleetSilence {
+  server @0 :Text;
+}
+
 struct FleetSuspicion {
   fingerprint @0 :Data;
   # Names of crashes, separated by commas.
@@ -233,4 +237,6 @@
   dataCentre @11 :Text;
   # Whether the records are all that the asker needs to reach the marks.
   answers @12 :Bool;
+  # Servers that leave the sender's calls without a sign of life.
+  silences @13 :List(FleetSilence);
 }
--- a/yuccagauge/wire/messages.py
+++ b/yuccagauge/wire/messages.py
@@ -289,6 +289,13 @@
     version: int
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class FleetSilence(Message):
+    """A backend server that leaves calls without a sign of life."""
+
+    server: str
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class FleetSuspicion(Message):
     """A request that may crash the servers that run it."""
@@ -320,6 +327,7 @@
     pauses: tuple[FleetPause, ...] = ()
     weights: tuple[FleetWeights, ...] = ()
     suspicions: tuple[FleetSuspicion, ...] = ()
+    silences: tuple[FleetSilence, ...] = ()
 
 
 @register(40)
