Count the memory of peers' calls, and take unanswered connections for silence

A call that may run once waited a second for a connection to a host without power, longer than its deadline.

Change: exchanges carry the memory of the calls in flight. Silence is a connection attempt without an answer for 250 ms; the call then goes elsewhere, also one that may run once, since nothing was sent.

Waiting calls are no evidence of silence under load.

--- a/features/exchange/exchange.feature
+++ b/features/exchange/exchange.feature
@@ -67,7 +67,7 @@
     Given 3 routers that exchange, of which the first knows servers "a"
     And each router knows 2 others
     Then all routers know the servers "a"
-    When calls of the first 2 routers wait at "a" without an answer
+    When connections of the first 2 routers to "a" get no answer
     Then the last router takes "a" for silent
 
   Scenario: News of many engines at once are one message to each router
--- a/features/platform/adapter.feature
+++ b/features/platform/adapter.feature
@@ -124,8 +124,8 @@
   Scenario: Nothing outside the adapter knows the platform's names
     Then no module outside the adapter has a header, path or topic of the platform
 
-  Scenario: A router imports neither numpy nor plots
-    Then importing the adapter's process loads none of "numpy matplotlib treq klein hypothesis"
+  Scenario: A router imports neither numpy nor plots nor TLS
+    Then importing the adapter's process loads none of "numpy matplotlib treq klein hypothesis yuccagauge.wire.tls"
 
   Scenario: The template has a value for every setting without a default
     Then the settings template, filled in, is accepted
--- a/features/relay/relay.feature
+++ b/features/relay/relay.feature
@@ -93,6 +93,18 @@
       | resets after the request | book  | 502    |
       | answers 500              | book  | 500    |
 
+  Scenario Outline: A call leaves a server that accepts no connection
+    Given a relay before a plain server that leaves connections unanswered
+    And a second plain server that answers
+    When a caller calls "<route>" until the first server was used
+    Then the caller gets status 200
+    And the first server is known to be silent
+
+    Examples:
+      | route |
+      | book  |
+      | read  |
+
   Scenario: A caller that leaves takes its call from the server
     Given a relay with a plain server that never answers
     When a caller calls "book" and leaves
--- a/features/selection/selection.feature
+++ b/features/selection/selection.feature
@@ -150,3 +150,14 @@
     Given 1 plain servers with 6 slots
     And 2 peers told 100 ms ago that "s0" is silent
     Then the next call goes to "s0"
+
+  Scenario Outline: Long prompts of peers that fill an engine's memory count
+    Given 2 engines of version 1
+    And peers have calls of <tokens> tokens of memory at "s0", of which none waits
+    Then a prompt of 6000 shared tokens goes to "<server>"
+
+    Examples:
+      | tokens | server |
+      | 0      | s0     |
+      | 60000  | s0     |
+      | 140000 | s1     |
--- a/features/steps/exchange_steps.py
+++ b/features/steps/exchange_steps.py
@@ -221,15 +221,11 @@
     assert len(context.told) == 1, context.told
 
 
-@when(
-    'calls of the first {count:d} routers wait at "{server}" without an answer'
-)
-def wait_in_vain(context: Context, count: int, server: str) -> None:
-    """Put calls in flight that a server leaves unanswered."""
+@when('connections of the first {count:d} routers to "{server}" get no answer')
+def connect_in_vain(context: Context, count: int, server: str) -> None:
+    """Leave connection attempts unanswered."""
     for router in context.routers[:count]:
-        router.selector.adopt(FleetView(servers=dict(router.directory.servers)))
-        call = ActiveCall(sent_at=Millis(router.clock.now() - 10_000))
-        router.selector.load(server).calls['c'] = call
+        router.selector.load(server).note_silent(router.clock.now())
 
 
 @then('the last router takes "{server}" for silent')
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -16,6 +16,7 @@
 )
 from features.relay_servers import BEHAVIOURS, stream_events
 from features.scripted_server import Exchange, ScriptedServer
+from features.silent_port import SilentPort
 
 
 def _add_server(
@@ -73,6 +74,24 @@
     )
 
 
+@given('a relay before a plain server that leaves connections unanswered')
+def silent_relay(context: Context) -> None:
+    """Start a relay before a port that accepts no connection."""
+    _start(context)
+    context.path.configure()
+    server = SilentPort()
+    context.add_cleanup(server.close)
+    context.servers.append(server)
+    context.path.add_server('i0', 'plain', server)
+
+
+@then('the first server is known to be silent')
+def check_silent(context: Context) -> None:
+    """Guard against calls that wait for a host without power."""
+    now = context.path.around.clock.now()
+    assert context.path.selector.silent_servers(now) == ('i0',)
+
+
 @given('a second plain server that {behaviour}')
 def second_plain(context: Context, behaviour: str) -> None:
     """Add a plain server."""
--- a/features/steps/selection_fleet_steps.py
+++ b/features/steps/selection_fleet_steps.py
@@ -130,3 +130,28 @@
 def check_silent_calls(context: Context, name: str, count: str) -> None:
     """Guard against many routers that each lose a call to a silent server."""
     assert bool(context.placed[name]) is (count == 'some'), context.placed
+
+
+@given(
+    'peers have calls of {tokens:d} tokens of memory at "{name}", of which '
+    'none waits'
+)
+def fill_memory(context: Context, tokens: int, name: str) -> None:
+    """Hear of the memory that peers take; the parts are at this engine."""
+    load = PeerLoad(
+        active=1,
+        waiting_tokens=0,
+        fixed=0,
+        kv_tokens=tokens,
+        heard_at=NOW,
+    )
+    context.selector.load(name).hear_peer('peer', load)
+    context.selector.cache.add(name, '1/', 'subject')
+
+
+@then('a prompt of {tokens:d} shared tokens goes to "{server}"')
+def check_memory(context: Context, tokens: int, server: str) -> None:
+    """Guard against an engine whose memory many routers fill together."""
+    demand = new_demand(context, (('subject', tokens),))
+    found = place(context, demand).placement
+    assert found.server.server_id == server
--- a/yuccagauge/exchange/intake.py
+++ b/yuccagauge/exchange/intake.py
@@ -163,6 +163,7 @@
                     active=part.active,
                     waiting_tokens=part.waiting_tokens,
                     fixed=part.fixed,
+                    kv_tokens=part.kv_tokens,
                     heard_at=now,
                 ),
             )
--- a/yuccagauge/exchange/parts.py
+++ b/yuccagauge/exchange/parts.py
@@ -52,6 +52,7 @@
                 if not call.has_output
             ),
             fixed=sum(not call.is_movable for call in load.calls.values()),
+            kv_tokens=sum(call.kv_tokens for call in load.calls.values()),
         )
         for server_id, load in known.items()
         if load.calls
--- a/yuccagauge/exchange/service.py
+++ b/yuccagauge/exchange/service.py
@@ -226,7 +226,7 @@
         )
 
     def _tell_silences(self) -> None:
-        """Tell all routers which servers leave calls unanswered."""
+        """Tell all routers which servers accept no connection."""
         now = self._clock.now()
         told = self._silences_told
         for server_id in self._selector.silent_servers(now):
--- a/yuccagauge/relay/call.py
+++ b/yuccagauge/relay/call.py
@@ -15,13 +15,13 @@
 from yuccagauge.relay.answer import Answer
 from yuccagauge.relay.base import AnswerFacts, Attempt, Placement, RelayCall
 from yuccagauge.relay.report import CallReport
-from yuccagauge.relay.stall import stall_limit
+from yuccagauge.relay.stall import CONNECT_STALL, stall_limit
 from yuccagauge.relay.surroundings import Surroundings
+from yuccagauge.relay.timers import CallTimers
 from yuccagauge.selection import model
 from yuccagauge.selection.base import Choice, Demand
 from yuccagauge.verdict import Refusal, Verdict
 
-_MILLISECONDS_PER_SECOND = 1000
 _FIRST_FAILURE = 500
 
 #: Sends of one call, those that no server ran included.
@@ -74,7 +74,7 @@
         self._sent_at = Millis(0)
         self._heard_at = Millis(0)
         self._is_over = False
-        self._timers: list[Any] = []
+        self._timers = CallTimers(around.call_later)
 
     @property
     def is_repeatable(self) -> bool:
@@ -87,7 +87,7 @@
         self._around.record_request(self._call.service)
         self._sink.watch(self)
         left = max(0, self._call.deadline - self._now())
-        self._later(Millis(left), self._run_out)
+        self._timers.start(Millis(left), self._run_out)
         self._decide()
 
     def pause(self) -> None:
@@ -249,7 +249,7 @@
         elif choice.wait_until is not None:
             wait = Millis(max(1, choice.wait_until - self._now()))
             self._report.note_wait(choice.reason)
-            self._later(wait, self._decide)
+            self._timers.start(wait, self._decide)
         elif self._verdict is Verdict.NOT_RUN:
             retry_after = self._spread(choice.retry_after)
             self._refuse(refusals.not_run(choice.reason, retry_after))
@@ -288,26 +288,44 @@
             self,
         )
         self._exchange.start(fresh=not self.is_repeatable)
-        if self.is_repeatable and not self._is_over:
-            self._later(_STALL_LOOK, self._look_for_stall, self._exchange)
+        if not self._is_over:
+            self._timers.start(
+                _STALL_LOOK, self._look_for_stall, self._exchange
+            )
 
     def _look_for_stall(self, exchange: Exchange) -> None:
-        """Move a repeatable call off a server that shows no sign of life."""
+        """Move a call off a server that shows no sign of life.
+
+        A call that may run once moves only while no connection is open.
+        """
         if self._is_over or exchange is not self._exchange:
             return
-        limit = stall_limit(self._call.route, self._placement.expected_ms)
-        if self._now() - self._heard_at < limit or not self._has_attempts():
-            self._later(_STALL_LOOK, self._look_for_stall, exchange)
+        silence = Millis(self._now() - self._heard_at)
+        if exchange.verdict is Verdict.NOT_RUN:
+            if silence >= CONNECT_STALL:
+                self._leave_unconnected()
+                return
+        elif not self.is_repeatable:
             return
-        verdict = exchange.verdict
-        self._drop_exchange()
-        if verdict is Verdict.NOT_RUN:
-            self._load().note_unreachable(self._now())
-            self._release(failed=True)
-            self._report.note_attempt('connect_stalled')
-            self._retry_not_run('server_unreachable')
-        else:
+        elif self._has_stalled(silence):
+            self._drop_exchange()
             self._broke('no sign of life')
+            return
+        self._timers.start(_STALL_LOOK, self._look_for_stall, exchange)
+
+    def _has_stalled(self, silence: Millis) -> bool:
+        limit = stall_limit(self._call.route, self._placement.expected_ms)
+        return silence >= limit and self._has_attempts()
+
+    def _leave_unconnected(self) -> None:
+        """Give up a connection attempt that gets no answer."""
+        self._drop_exchange()
+        now = self._now()
+        self._load().note_unreachable(now)
+        self._load().note_silent(now)
+        self._release(failed=True)
+        self._report.note_attempt('connect_stalled')
+        self._retry_not_run('server_unreachable')
 
     def _has_attempts(self) -> bool:
         return self._runs + 1 < self._call.route.attempts
@@ -340,10 +358,7 @@
         refusal: Refusal | None = None,
     ) -> None:
         self._is_over = True
-        for timer in self._timers:
-            if timer.active():
-                timer.cancel()
-        self._timers.clear()
+        self._timers.cancel()
         if self._placement is not None:
             self._forget_active()
         self._around.running.pop(self._demand.call_id, None)
@@ -388,11 +403,5 @@
             return None
         return Millis(int(retry_after * (1 + self._around.draw() / 2)))
 
-    def _later(self, delay: Millis, call: Any, *arguments: Any) -> None:
-        seconds = delay / _MILLISECONDS_PER_SECOND
-        timer = self._around.call_later(seconds, call, *arguments)
-        self._timers = [each for each in self._timers if each.active()]
-        self._timers.append(timer)
-
     def _now(self) -> Millis:
         return self._around.clock.now()
--- a/yuccagauge/relay/stall.py
+++ b/yuccagauge/relay/stall.py
@@ -1,4 +1,4 @@
-"""When a repeatable call counts as stalled."""
+"""When a call counts as stalled."""
 
 from yuccagauge.clock import Millis
 from yuccagauge.directory.base import Route, RouteKind
@@ -8,6 +8,10 @@
 STREAM_STALL = Millis(900)
 PLAIN_STALL = Millis(250)
 
+#: A server that accepts no connection for this long is left: the system of a
+#: busy server accepts them at once, so it is down or cut off.
+CONNECT_STALL = Millis(250)
+
 #: A call that was expected to take long is given this multiple of it.
 EXPECTED_FACTOR = 2
 
--- a/yuccagauge/selection/load.py
+++ b/yuccagauge/selection/load.py
@@ -63,6 +63,8 @@
     waiting_tokens: int
     #: Calls that no other server may continue.
     fixed: int
+    #: KV memory that the calls may take, in tokens.
+    kv_tokens: int = 0
     #: When it was heard; of a sum, when the oldest part was heard.
     heard_at: Millis
 
@@ -105,7 +107,9 @@
     slowdown: float = 1.3
     _peers: dict[str, PeerLoad] = field(default_factory=dict)
     _peer_sum: PeerLoad | None = None
-    #: When peers told that the server leaves their calls unanswered.
+    #: When the server last left a connection attempt unanswered.
+    silent_at: Millis = Millis(0)
+    #: When peers told that it leaves their connection attempts unanswered.
     _witnesses: dict[str, Millis] = field(default_factory=dict)
     _failure_rate: float = 0
     _failure_at: Millis = Millis(0)
@@ -140,9 +144,11 @@
         peers = self._sum_of_peers(now)
         return own + self.coverage.factor * peers.waiting_tokens
 
-    def kv_tokens(self) -> int:
-        """Return the KV memory that this router's calls take, in tokens."""
-        return sum(call.kv_tokens for call in self.calls.values())
+    def kv_tokens(self, now: Millis) -> float:
+        """Return the KV memory that the calls in flight take, in tokens."""
+        own = sum(call.kv_tokens for call in self.calls.values())
+        peers = self._sum_of_peers(now)
+        return own + self.coverage.factor * peers.kv_tokens
 
     def silence(self, now: Millis) -> Millis:
         """Return for how long a call has waited without a sign of life."""
@@ -153,16 +159,21 @@
             return Millis(0)
         return Millis(now - max(min(waiting), self.heard_at))
 
+    def note_silent(self, now: Millis) -> None:
+        """Note that the server left a connection attempt unanswered."""
+        self.silent_at = now
+
     def hear_silence(self, peer: str, now: Millis) -> None:
-        """Take that a peer's calls wait here without a sign of life."""
+        """Take that the server left a peer's connection attempt unanswered."""
         self._witnesses[peer] = now
 
     def is_told_silent(self, now: Millis) -> bool:
         """Return whether peers see the server silent.
 
         Load pattern: a server falls silent while its entry stays, and each
-        of many routers would lose a call to see it. What this router hears
-        from the server itself later counts more.
+        of many routers would lose a call to see it. A busy server accepts
+        connections, so it is never told silent. What this router hears from
+        the server itself later counts more.
         """
         oldest = max(self.heard_at, Millis(now - WITNESS_LIFETIME))
         witnesses = [at for at in self._witnesses.values() if at > oldest]
@@ -238,5 +249,6 @@
             active=sum(load.active for load in loads),
             waiting_tokens=sum(load.waiting_tokens for load in loads),
             fixed=sum(load.fixed for load in loads),
+            kv_tokens=sum(load.kv_tokens for load in loads),
             heard_at=min((load.heard_at for load in loads), default=now),
         )
--- a/yuccagauge/selection/model.py
+++ b/yuccagauge/selection/model.py
@@ -88,7 +88,7 @@
     first += queued * QUEUED_CALL_MS
     cost = first + REREAD_WEIGHT * reading
     cost += FAILURE_COST_MS * load.failure_rate(now)
-    cost += _overflow(candidate, demand, missing + fetched)
+    cost += _overflow(candidate, demand, missing + fetched, now)
     if candidate.is_outdated:
         cost += OUTDATED_COST_MS
     if not candidate.is_home:
@@ -134,10 +134,19 @@
     return backlog_ms <= LATE_BACKLOG_MS + LATE_BACKLOG_GROWTH * waited
 
 
-def _overflow(candidate: Candidate, demand: Demand, added: int) -> float:
-    """Return the cost of KV memory that the engine lacks, in ms."""
+def _overflow(
+    candidate: Candidate,
+    demand: Demand,
+    added: int,
+    now: Millis,
+) -> float:
+    """Return the cost of KV memory that the engine lacks, in ms.
+
+    Load pattern: long prompts of many routers fill an engine's memory long
+    before its slots. Beyond it, the engine preempts calls or turns them away.
+    """
     capacity = demand.service.kv_tokens
     if not capacity:
         return 0
-    needed = candidate.load.kv_tokens() + added + demand.output_tokens
+    needed = candidate.load.kv_tokens(now) + added + demand.output_tokens
     return OVERFLOW_MS_PER_TOKEN * max(0, needed - capacity)
--- a/yuccagauge/selection/selector.py
+++ b/yuccagauge/selection/selector.py
@@ -27,6 +27,9 @@
 #: The same for plain servers, whose answers take tens of milliseconds.
 PLAIN_SILENCE_LIMIT = Millis(250)
 
+#: How long it is news that a server left a connection attempt unanswered.
+SILENCE_NEWS = Millis(600)
+
 #: Time between two looks for a call that will be late.
 LATE_RECHECK = Millis(50)
 
@@ -144,16 +147,12 @@
         return choice or self._choose_later(ready, demand, now)
 
     def silent_servers(self, now: Millis) -> tuple[str, ...]:
-        """Return the servers that leave this router's calls unanswered."""
-        found: list[str] = []
-        for server_id, load in self._loads.items():
-            server = self._view.servers.get(server_id)
-            if server is None or not load.calls:
-                continue
-            limit = _silence_limit(is_model=bool(server.weights))
-            if load.silence(now) >= limit:
-                found.append(server_id)
-        return tuple(found)
+        """Return the servers that accept no connection of this router."""
+        return tuple(
+            server_id
+            for server_id, load in self._loads.items()
+            if load.silent_at and now - load.silent_at < SILENCE_NEWS
+        )
 
     def sent(
         self,
@@ -187,7 +186,9 @@
         demand: Demand,
         now: Millis,
     ) -> list[BackendServer]:
-        limit = _silence_limit(is_model=demand.service.is_model)
+        limit = (
+            SILENCE_LIMIT if demand.service.is_model else PLAIN_SILENCE_LIMIT
+        )
         return [
             server
             for server in servers
@@ -323,7 +324,3 @@
     def _free_at(self, server: BackendServer, now: Millis) -> Millis:
         load = self.load(server.server_id)
         return max(now, load.paused_until, load.loading_until)
-
-
-def _silence_limit(*, is_model: bool) -> Millis:
-    return SILENCE_LIMIT if is_model else PLAIN_SILENCE_LIMIT
--- a/yuccagauge/wire/client.py
+++ b/yuccagauge/wire/client.py
@@ -6,7 +6,6 @@
 from twisted.internet.endpoints import (
     TCP4ClientEndpoint,
     TCP6ClientEndpoint,
-    wrapClientTLS,
 )
 from twisted.internet.error import ConnectError, ConnectingCancelledError
 from twisted.internet.protocol import Factory
@@ -22,8 +21,8 @@
     PeerUnavailableError,
 )
 from yuccagauge.wire.messages import Failed
+from yuccagauge.wire.secure import PeerSecurity
 from yuccagauge.wire.stream import FrameProtocol
-from yuccagauge.wire.tls import PeerTls, describe_refusal
 from yuccagauge.wire.traffic import REQUESTS, count_ignored
 
 #: An idle connection is closed after this time, in seconds.
@@ -55,7 +54,7 @@
         self,
         reactor: Any,
         sender: str,
-        tls: PeerTls | None = None,
+        tls: PeerSecurity | None = None,
     ) -> None:
         """Start without connections."""
         self._reactor = reactor
@@ -124,6 +123,21 @@
         if self._channels.get(channel.peer) is channel:
             self._channels.pop(channel.peer)
 
+    def translate(
+        self,
+        peer: Endpoint,
+        reason: Failure,
+    ) -> PeerUnavailableError:
+        """Return the error of a connection that failed or ended."""
+        refusal = ''
+        if self._tls is not None:
+            refusal = self._tls.describe_refusal(reason)
+        if refusal:
+            return CertificateRefusedError(f'{peer}: {refusal}')
+        if reason.check(ConnectError, ConnectingCancelledError):
+            return PeerUnavailableError(f'{peer} cannot be reached')
+        return PeerUnavailableError(f'{peer} closed the connection')
+
     def _connect(self, peer: Endpoint, channel: '_Channel') -> Deferred[Any]:
         is_ipv6 = ':' in peer.host
         family = TCP6ClientEndpoint if is_ipv6 else TCP4ClientEndpoint
@@ -134,8 +148,11 @@
             CONNECT_SECONDS,
         )
         if self._tls is not None:
-            creator = self._tls.client(peer.host)
-            endpoint = wrapClientTLS(creator, endpoint, self._reactor)
+            endpoint = self._tls.wrap_client(
+                endpoint,
+                peer.host,
+                self._reactor,
+            )
         factory = Factory.forProtocol(
             lambda: FrameProtocol(
                 self._sender,
@@ -223,16 +240,7 @@
         self._client.forget(self)
         pending, self.pending = self.pending, {}
         for answer in pending.values():
-            answer.errback(_translate(self.peer, reason))
-
-
-def _translate(peer: Endpoint, reason: Failure) -> PeerUnavailableError:
-    refusal = describe_refusal(reason)
-    if refusal:
-        return CertificateRefusedError(f'{peer}: {refusal}')
-    if reason.check(ConnectError, ConnectingCancelledError):
-        return PeerUnavailableError(f'{peer} cannot be reached')
-    return PeerUnavailableError(f'{peer} closed the connection')
+            answer.errback(self._client.translate(self.peer, reason))
 
 
 def _fail(error: Exception) -> Deferred[Any]:
--- a/yuccagauge/wire/messages.capnp
+++ b/yuccagauge/wire/messages.capnp
@@ -195,6 +195,8 @@
   waitingTokens @2 :UInt32;
   # Calls that no other server may continue.
   fixed @3 :UInt32;
+  # KV memory that the calls may take.
+  kvTokens @4 :UInt32;
 }
 
 struct FleetPause {
@@ -237,6 +239,6 @@
   dataCentre @11 :Text;
   # Whether the records are all that the asker needs to reach the marks.
   answers @12 :Bool;
-  # Servers that leave the sender's calls without a sign of life.
+  # Servers that leave the sender's connection attempts unanswered.
   silences @13 :List(FleetSilence);
 }
--- a/yuccagauge/wire/messages.py
+++ b/yuccagauge/wire/messages.py
@@ -269,6 +269,8 @@
     waiting_tokens: int
     #: Calls that no other server may continue.
     fixed: int
+    #: KV memory that the calls may take, in tokens.
+    kv_tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -291,7 +293,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class FleetSilence(Message):
-    """A backend server that leaves calls without a sign of life."""
+    """A backend server that leaves connection attempts unanswered."""
 
     server: str
 
--- a/yuccagauge/wire/server.py
+++ b/yuccagauge/wire/server.py
@@ -6,15 +6,14 @@
 from twisted.internet.defer import Deferred, maybeDeferred
 from twisted.internet.interfaces import IReactorTCP
 from twisted.internet.protocol import Factory
-from twisted.protocols.tls import TLSMemoryBIOFactory
 from twisted.python.failure import Failure
 
 from yuccagauge.errors import YuccagaugeError
 from yuccagauge.settings.options import Endpoint
 from yuccagauge.wire.base import Message, Received
 from yuccagauge.wire.messages import Failed
+from yuccagauge.wire.secure import PeerSecurity
 from yuccagauge.wire.stream import FrameProtocol
-from yuccagauge.wire.tls import PeerTls
 from yuccagauge.wire.traffic import count_ignored
 
 #: An idle connection is closed after this time, in seconds. It is longer
@@ -52,7 +51,7 @@
         reactor: IReactorTCP,
         listen: Endpoint,
         sender: str,
-        tls: PeerTls | None = None,
+        tls: PeerSecurity | None = None,
     ) -> None:
         """Prepare without opening the socket."""
         self._reactor = reactor
@@ -82,13 +81,7 @@
         """Open the socket."""
         factory: Any = self
         if self._tls is not None:
-            factory = TLSMemoryBIOFactory(
-                self._tls.server,
-                False,
-                self,
-                clock=self._reactor,
-            )
-            factory.noisy = False
+            factory = self._tls.wrap_server(self, self._reactor)
         self._port = self._reactor.listenTCP(
             self._listen.port,
             factory,
--- a/yuccagauge/wire/tls.py
+++ b/yuccagauge/wire/tls.py
@@ -6,10 +6,12 @@
 from OpenSSL import SSL
 from service_identity import VerificationError
 from service_identity.pyopenssl import verify_ip_address
+from twisted.internet.endpoints import wrapClientTLS
 from twisted.internet.interfaces import (
     IOpenSSLClientConnectionCreator,
     IOpenSSLServerConnectionCreator,
 )
+from twisted.protocols.tls import TLSMemoryBIOFactory
 from twisted.python.failure import Failure
 from zope.interface import implementer
 
@@ -74,14 +76,33 @@
         """The context of the files that were read last."""
         return self._context
 
-    @property
-    def server(self) -> 'ServerCreator':
-        """Make the TLS side of accepted connections."""
-        return ServerCreator(self)
-
-    def client(self, host: str) -> 'ClientCreator':
-        """Make the TLS side of a connection to an IP number."""
-        return ClientCreator(self, host)
+    def wrap_client(self, endpoint: Any, host: str, reactor: Any) -> Any:
+        """Return an endpoint that connects securely to an IP number."""
+        return wrapClientTLS(ClientCreator(self, host), endpoint, reactor)
+
+    def wrap_server(self, factory: Any, reactor: Any) -> Any:
+        """Return a factory that accepts secure connections only."""
+        secured = TLSMemoryBIOFactory(
+            ServerCreator(self),
+            False,
+            factory,
+            clock=reactor,
+        )
+        secured.noisy = False
+        return secured
+
+    def describe_refusal(self, failure: Failure) -> str:
+        """Return one sentence if a TLS handshake failed, else nothing."""
+        error = failure.value
+        if isinstance(error, CertificateRefusedError):
+            return str(error)
+        if not isinstance(error, SSL.Error):
+            return ''
+        text = str(error).lower()
+        for alert, sentence in _ALERTS.items():
+            if alert in text:
+                return sentence
+        return 'the TLS handshake failed'
 
     def reload(self) -> bool:
         """Read the files again and return whether they changed.
@@ -260,17 +281,3 @@
     def _log(self, reason: str) -> None:
         host = self._host or self._protocol.transport.getPeer().host
         log_state_change('certificate_refused', peer=host, reason=reason)
-
-
-def describe_refusal(failure: Failure) -> str:
-    """Return one sentence if a TLS handshake failed, else nothing."""
-    error = failure.value
-    if isinstance(error, CertificateRefusedError):
-        return str(error)
-    if not isinstance(error, SSL.Error):
-        return ''
-    text = str(error).lower()
-    for alert, sentence in _ALERTS.items():
-        if alert in text:
-            return sentence
-    return 'the TLS handshake failed'
