Date the store's confirmation by the read, not by its answer

Cause: reading of the code. A router that was suspended, or whose answer was held up, took the arrival of an old answer for a fresh confirmation and told its peers so; a router that rests on it could miss a leaving server for more than the two seconds that it has.

Change: a topic counts as confirmed as of when the read was sent. Readers that read for others wait 250 ms at the store instead of 500 ms, so that their confirmations stay young.

Measured: `features/directory`, an answer that comes late, fails with the earlier rule.

--- a/features/directory/directory.feature
+++ b/features/directory/directory.feature
@@ -53,6 +53,11 @@
     When a read of the store raises an unexpected error between the keys "e" and "f"
     Then the follower has the keys "a b c d e f"
 
+  Scenario: An answer that comes late confirms what was known when it was asked
+    Given a follower of a store with the keys "a b"
+    When a read is answered 1500 ms after it was sent
+    Then the store confirmed the topic 1500 ms ago
+
   Scenario: A read that begins in an outage does not wait for records
     Given a follower of a store with the keys "a b"
     When the store fails 3 times and gets the key "c"
@@ -102,7 +107,7 @@
     Examples:
       | routers | topic      | ms   |
       | 3       | OPERATIONS | 2000 |
-      | 30      | OPERATIONS | 500  |
+      | 30      | OPERATIONS | 250  |
       | 30      | SERVERS    | 2000 |
 
   Scenario: The follower rests while peers tell enough
--- a/features/steps/directory_reading_steps.py
+++ b/features/steps/directory_reading_steps.py
@@ -135,3 +135,18 @@
 def check_reads(context: Context, count: int) -> None:
     """Guard against calls to the store that bring nothing new."""
     assert context.reads <= count, context.reads
+
+
+@when('a read is answered {ms:d} ms after it was sent')
+def answer_late(context: Context, ms: int) -> None:
+    """Let the read that waits be answered after a time."""
+    context.reactor.advance(1)
+    context.clock.advance(Millis(ms))
+    context.flaky.write('c')
+
+
+@then('the store confirmed the topic {ms:d} ms ago')
+def check_confirmed(context: Context, ms: int) -> None:
+    """Guard against a suspended router that takes an old answer for new."""
+    now = context.clock.now()
+    assert now - context.follower.confirmed_at == ms
--- a/features/steps/directory_steps.py
+++ b/features/steps/directory_steps.py
@@ -263,13 +263,14 @@
     for key in keys.split():
         context.flaky.write(key)
     context.reactor = TaskClock()
+    context.clock = ManualClock()
     context.directory = Directory(PlainDecoder())
     follower = TopicFollower(
         Topic.SERVERS,
         context.flaky,
         context.directory,
         context.reactor,
-        ManualClock(),
+        context.clock,
         lambda: 0.5,
     )
     follower.start()
--- a/yuccagauge/directory/follower.py
+++ b/yuccagauge/directory/follower.py
@@ -74,7 +74,7 @@
         self._task = BackgroundTask(self._follow)
         self._is_reached: bool | None = None
         self._is_closed = False
-        self._answered_at = Millis(0)
+        self._confirmed_at = Millis(0)
         #: For how long what peers tell is enough; 0 if it is not.
         self.rest_time: Callable[[], Millis] = lambda: Millis(0)
         #: How long a read waits for records.
@@ -83,9 +83,13 @@
         self.on_entry: Callable[[str], None] = lambda key: None
 
     @property
-    def answered_at(self) -> Millis:
-        """When the store answered last."""
-        return self._answered_at
+    def confirmed_at(self) -> Millis:
+        """When the last read was sent that the store has answered.
+
+        An answer may have waited on the way, or in a router that was
+        suspended, so its arrival says less.
+        """
+        return self._confirmed_at
 
     def start(self) -> None:
         """Begin to follow."""
@@ -132,8 +136,9 @@
 
     @inlineCallbacks
     def _list(self) -> Any:
+        sent_at = self._clock.now()
         page = yield self._store.newest(self._topic)
-        self._note_reached()
+        self._note_reached(sent_at)
         now = self._clock.now()
         self._directory.replace(
             self._topic, page.records, page.next_offset, now
@@ -153,8 +158,9 @@
     def _read(self) -> Any:
         offset = self._directory.mark(self._topic)
         wait = PROBE_WAIT if self._is_reached is False else self.read_wait()
+        sent_at = self._clock.now()
         page = yield self._store.read(self._topic, offset, wait)
-        self._note_reached()
+        self._note_reached(sent_at)
         now = self._clock.now()
         self._directory.apply(self._topic, page.records, page.next_offset, now)
         self._report(page)
@@ -171,9 +177,9 @@
         seconds = factor * duration / _MILLISECONDS_PER_SECOND
         return deferLater(self._reactor, seconds)
 
-    def _note_reached(self) -> None:
-        self._answered_at = self._clock.now()
-        self._directory.note_answer(self._answered_at)
+    def _note_reached(self, sent_at: Millis) -> None:
+        self._confirmed_at = sent_at
+        self._directory.note_answer(self._clock.now())
         if not self._is_reached:
             self._is_reached = True
             log_state_change('store_reached', topic=self._topic.name)
--- a/yuccagauge/directory/reading.py
+++ b/yuccagauge/directory/reading.py
@@ -28,7 +28,7 @@
 READ_WAIT = Millis(2000)
 
 #: The same for routers that read for others, who rely on fresh answers.
-SHARED_READ_WAIT = Millis(500)
+SHARED_READ_WAIT = Millis(250)
 
 
 def is_reader(name: str, others: Sequence[str]) -> bool:
--- a/yuccagauge/exchange/service.py
+++ b/yuccagauge/exchange/service.py
@@ -124,8 +124,8 @@
         #: The call that tells the news, while there are some.
         self._telling: Any = None
         self._loop = SteadyLoop('exchange', self._exchange, reactor)
-        #: Returns when the store answered this router last.
-        self.answered_at: Callable[[Topic], Millis] = lambda topic: Millis(0)
+        #: Returns as of when the store confirmed a topic to this router.
+        self.confirmed_at: Callable[[Topic], Millis] = lambda topic: Millis(0)
 
     @property
     def peers(self) -> tuple[Member, ...]:
@@ -148,7 +148,7 @@
         It may have confirmed it to this router, or to a peer that told it.
         """
         told_at = self._intake.confirmed_at(topic)
-        return Millis(max(0, now - max(told_at, self.answered_at(topic))))
+        return Millis(max(0, now - max(told_at, self.confirmed_at(topic))))
 
     def start(self) -> None:
         """Answer peers and begin to ask them."""
--- a/yuccagauge/relay/router.py
+++ b/yuccagauge/relay/router.py
@@ -272,7 +272,9 @@
             clock=self._clock,
             draw=self._draw,
         )
-        exchange.answered_at = lambda topic: self._followers[topic].answered_at
+        exchange.confirmed_at = lambda topic: (
+            self._followers[topic].confirmed_at
+        )
         return exchange
 
     def _is_candidate(self) -> bool:
