Count from the first newer weights version

Versions 2, 3 and 4 were named at 5.6, 9.9 and 14.1 s, and orders were lost. Routers stop using an engine with old weights 1.5 s before its time is over, but counted that time from the newest version, so an engine on version 1 could get calls until 24 s instead of 16 s.

Change: the directory keeps the latest namings of each model, and the time counts from the first version newer than the engine's.

Measured: `features/selection`, an engine whose weights were replaced long ago gets no call, fails with the time of the newest version.

--- a/features/selection/selection.feature
+++ b/features/selection/selection.feature
@@ -161,3 +161,13 @@
       | 0      | s0     |
       | 60000  | s0     |
       | 140000 | s1     |
+
+  Scenario Outline: An engine whose weights were replaced long ago gets no call
+    Given 2 engines of version 1
+    And the versions 2, 3 and 4 were named <ms> ms ago and 4000 ms apart since
+    Then a prompt is <outcome>
+
+    Examples:
+      | ms    | outcome |
+      | 10400 | placed  |
+      | 10600 | refused |
--- a/features/selection_world.py
+++ b/features/selection_world.py
@@ -10,6 +10,7 @@
     ServerState,
     ServiceSpec,
 )
+from yuccagauge.directory.state import Naming
 from yuccagauge.selection.base import Choice, Demand, FleetView
 from yuccagauge.selection.selector import Selector
 from yuccagauge.settings.options import Endpoint
@@ -47,7 +48,14 @@
         FleetView(
             servers={server.server_id: server for server in servers},
             targets={MODEL: newest or version},
-            targets_since={MODEL: Millis(NOW - known_for)},
+            namings={
+                MODEL: (
+                    Naming(
+                        version=newest or version,
+                        heard_at=Millis(NOW - known_for),
+                    ),
+                ),
+            },
         ),
     )
     context.stores = ()
--- a/features/steps/selection_fleet_steps.py
+++ b/features/steps/selection_fleet_steps.py
@@ -1,12 +1,20 @@
 """Steps for the choices of many routers that hear little of each other."""
 
+import dataclasses
 from collections import Counter, defaultdict
 
 from behave import given, then, when
 from behave.runner import Context
 
-from features.selection_world import NOW, new_demand, place, start_selector
+from features.selection_world import (
+    MODEL,
+    NOW,
+    new_demand,
+    place,
+    start_selector,
+)
 from yuccagauge.clock import Millis
+from yuccagauge.directory.state import Naming
 from yuccagauge.selection.load import PeerLoad
 
 
@@ -155,3 +163,21 @@
     demand = new_demand(context, (('subject', tokens),))
     found = place(context, demand).placement
     assert found.server.server_id == server
+
+
+@given(
+    'the versions 2, 3 and 4 were named {ms:d} ms ago and {apart:d} ms apart '
+    'since'
+)
+def name_versions(context: Context, ms: int, apart: int) -> None:
+    """Name versions in quick succession, none of which is loaded."""
+    namings = tuple(
+        Naming(version=version, heard_at=Millis(NOW - ms + step * apart))
+        for step, version in enumerate((2, 3, 4))
+    )
+    view = dataclasses.replace(
+        context.selector.view,
+        targets={MODEL: 4},
+        namings={MODEL: namings},
+    )
+    context.selector.adopt(view)
--- a/yuccagauge/directory/state.py
+++ b/yuccagauge/directory/state.py
@@ -2,6 +2,7 @@
 
 import enum
 from collections.abc import Callable, Mapping
+from dataclasses import dataclass
 from typing import Protocol
 
 from yuccagauge.clock import Millis
@@ -21,6 +22,19 @@
 OUTAGE_SHADOW = Millis(3000)
 
 
+#: Namings of weights that are remembered for each model. Versions follow
+#: each other every few seconds, and old weights may be used for longer.
+MAXIMUM_NAMINGS = 16
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Naming:
+    """A weights version that the operator named."""
+
+    version: int
+    heard_at: Millis
+
+
 @enum.unique
 class Topic(enum.IntEnum):
     """The keyed topics that routers follow."""
@@ -69,7 +83,8 @@
         self._configuration: Configuration | None = None
         self._servers: dict[str, BackendServer] = {}
         self._targets: dict[str, int] = {}
-        self._target_times: dict[str, Millis] = {}
+        #: The latest namings of each model, the newest version last.
+        self._namings: dict[str, tuple[Naming, ...]] = {}
         #: Servers whose entry lapsed in an outage, and until when they stay.
         self._lapsed: dict[str, Millis] = {}
         self._outage_ended: Millis | None = None
@@ -97,9 +112,10 @@
         """Whether configuration and servers are known."""
         return self._configuration is not None and Topic.SERVERS in self._listed
 
-    def target_since(self, model: str) -> Millis:
-        """Return when the newest version of a model was heard of."""
-        return self._target_times.get(model, Millis(0))
+    @property
+    def namings(self) -> Mapping[str, tuple[Naming, ...]]:
+        """The latest named weights versions of each model, newest last."""
+        return self._namings
 
     def mark(self, topic: Topic) -> int:
         """Return the offset below which everything has been applied."""
@@ -220,7 +236,9 @@
         if found.version <= self._targets.get(found.model, 0):
             return False
         self._targets[found.model] = found.version
-        self._target_times[found.model] = now
+        naming = Naming(version=found.version, heard_at=now)
+        known = self._namings.get(found.model, ())
+        self._namings[found.model] = (*known, naming)[-MAXIMUM_NAMINGS:]
         return True
 
     def _tell(self) -> None:
--- a/yuccagauge/relay/router.py
+++ b/yuccagauge/relay/router.py
@@ -337,10 +337,7 @@
         view = FleetView(
             servers=dict(directory.servers),
             targets=dict(directory.targets),
-            targets_since={
-                model: directory.target_since(model)
-                for model in directory.targets
-            },
+            namings=dict(directory.namings),
         )
         self._selector.adopt(view)
         _log_changes(before, view)
--- a/yuccagauge/selection/base.py
+++ b/yuccagauge/selection/base.py
@@ -5,6 +5,7 @@
 
 from yuccagauge.clock import Millis
 from yuccagauge.directory.base import BackendServer, ServiceSpec
+from yuccagauge.directory.state import Naming
 from yuccagauge.relay.base import Placement
 from yuccagauge.selection.load import ServerLoad
 
@@ -81,6 +82,19 @@
     """What choices see beside the loads."""
 
     servers: Mapping[str, BackendServer]
-    #: Newest named weights version by model, and since when it is known.
+    #: Newest named weights version by model, and the latest namings.
     targets: Mapping[str, int] = field(default_factory=dict)
-    targets_since: Mapping[str, Millis] = field(default_factory=dict)
+    namings: Mapping[str, tuple[Naming, ...]] = field(default_factory=dict)
+
+    def outdated_for(self, model: str, version: int, now: Millis) -> Millis:
+        """Return how long ago a version was replaced, 0 if it was not.
+
+        Load pattern: versions are named every few seconds. The time counts
+        from the first newer one, whatever was named since.
+        """
+        newer = (
+            naming.heard_at
+            for naming in self.namings.get(model, ())
+            if naming.version > version
+        )
+        return Millis(now - min(newer, default=now))
--- a/yuccagauge/selection/selector.py
+++ b/yuccagauge/selection/selector.py
@@ -270,12 +270,12 @@
     ) -> list[Candidate]:
         """Return the engines that may run the model, with what they hold."""
         target = self._view.targets.get(demand.model, 0)
-        age = now - self._view.targets_since.get(demand.model, now)
         found: list[Candidate] = []
         depths: dict[int, dict[str, int]] = {}
         for server in servers:
             version = self.weights_of(server, demand.model)
             is_old = version < target
+            age = self._view.outdated_for(demand.model, version, now)
             if (
                 not version
                 or is_old
