Say that the calls at an engine are an estimate

Cause: the plan of the rollout declared a whole number of calls, though the calls of peers have been scaled since the work on large fleets.

Change: the annotation, and one decimal in the log.

Measured: features/rollout passes.

Conclusion: no decision changed.

--- a/yuccagauge/rollout/driver.py
+++ b/yuccagauge/rollout/driver.py
@@ -280,7 +280,7 @@
             version=version,
             fence=fence,
             mode=mode.value,
-            active=engine.active,
+            active=round(engine.active, 1),
             fixed=engine.fixed,
             outcome=answer.value,
         )
--- a/yuccagauge/rollout/plan.py
+++ b/yuccagauge/rollout/plan.py
@@ -43,8 +43,9 @@
     server: BackendServer
     model: str
     version: int
-    #: Calls in flight there, and those that no other engine may continue.
-    active: int = 0
+    #: Calls in flight there, those of peers estimated in large fleets, and
+    #: those that no other engine may continue.
+    active: float = 0
     fixed: int = 0
     #: Since when routers keep new calls away before an order.
     draining_since: Millis | None = None
