--- a/features/quarantine/quarantine.feature
+++ b/features/quarantine/quarantine.feature
@@ -57,3 +57,17 @@
     Then the poison prompt is refused with code "quarantined"
     And at most 3 crashes are recorded by the engines
     And each other prompt was answered
+
+  Scenario Outline: The log tells why a crash counts or no longer counts
+    Given a quarantine in which request "a" has 2 confirmed crashes
+    And the log of the quarantine is read
+    When request "a" gets a crash that is <change>
+    Then the last line of the quarantine is "<event>" with <count> crashes
+
+    Examples:
+      | change    | event           | count |
+      | suspected | crash_suspected | 3     |
+      | confirmed | crash_confirmed | 3     |
+      | dismissed | crash_dismissed | 2     |
+      | cleared   | crashes_cleared | 0     |
+      | merged    | crashes_merged  | 3     |
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -1,6 +1,7 @@
 """Steps for the quarantine."""
 
 import functools
+from unittest import mock
 
 from behave import given, then, when
 from behave.runner import Context
@@ -8,8 +9,10 @@
 from features.loop import wait_for_call, wait_until
 from features.router_fleet import chat, chat_body
 from yuccagauge.clock import ManualClock, Millis
+from yuccagauge.quarantine import events
 from yuccagauge.quarantine.base import (
     QUARANTINE_DURATION,
+    CrashSuspicion,
     Quarantine,
     QuarantineStatus,
 )
@@ -222,3 +225,46 @@
     """Check that the other answers are complete."""
     for answered in context.others:
         assert answered.body.endswith(b'data: [DONE]\n\n'), answered
+
+
+@given('the log of the quarantine is read')
+def record_log(context: Context) -> None:
+    """Record the lines instead of writing them."""
+    context.log_lines = []
+
+    def record(event: str, **fields: object) -> None:
+        context.log_lines.append((event, fields))
+
+    patch = mock.patch.object(events, 'log_state_change', record)
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
+@when('request "a" gets a crash that is {change}')
+def change_crashes(context: Context, change: str) -> None:
+    """Make one change of the crashes of a request."""
+    now = context.clock.now()
+    if change == 'merged':
+        suspicion = CrashSuspicion(
+            fingerprint=b'a',
+            crashes=frozenset(('of-a-peer',)),
+            cleared=frozenset(),
+            age=Millis(0),
+        )
+        context.quarantine.merge_suspicions((suspicion,), now)
+        return
+    break_connection(context, 'a', 'i9')
+    if change == 'cleared':
+        context.quarantine.record_completion(b'a')
+    elif change in {'confirmed', 'dismissed'}:
+        incarnation = 'i9' if change == 'dismissed' else 'i10'
+        report_incarnation(context, incarnation)
+
+
+@then('the last line of the quarantine is "{event}" with {count:d} crashes')
+def check_log_line(context: Context, event: str, count: int) -> None:
+    """Guard against an incident whose cause no line can tell."""
+    found, fields = context.log_lines[-1]
+    assert found == event, context.log_lines
+    assert fields['crashes'] == count, fields
+    assert fields['fingerprint'] == b'a'.hex(), fields
--- a/yuccagauge/quarantine/base.py
+++ b/yuccagauge/quarantine/base.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field
 
 from yuccagauge.clock import Millis
+from yuccagauge.quarantine.events import QuarantineEvent, log_quarantine
 from yuccagauge.settings.options import Endpoint
 
 #: Crashes after which a request is a suspect, which shares no engine with other
@@ -162,6 +163,13 @@
         fingerprints = self._unconfirmed.setdefault(engine, set())
         if len(fingerprints) < self._maximum:
             fingerprints.add(fingerprint)
+        log_quarantine(
+            QuarantineEvent.SUSPECTED,
+            fingerprint,
+            entry.crash_count,
+            server=engine,
+            incarnation=incarnation,
+        )
 
     def record_crash(self, fingerprint: bytes, crash: str, now: Millis) -> None:
         """Record a crash that needs no confirmation."""
@@ -185,15 +193,21 @@
             entry = self._entries.get(fingerprint)
             if entry is None:
                 continue
-            if _confirm_or_dismiss(entry, engine, incarnation, measured_at):
+            if _confirm_or_dismiss(
+                fingerprint, entry, engine, incarnation, measured_at
+            ):
                 self._unconfirmed.setdefault(engine, set()).add(fingerprint)
 
     def record_completion(self, fingerprint: bytes) -> None:
         """Clear the crashes of a request whose answer is complete."""
         entry = self._entries.get(fingerprint)
-        if entry is not None:
-            entry.cleared |= entry.crashes
-            entry.unconfirmed.clear()
+        if entry is None:
+            return
+        had_crashes = entry.crash_count
+        entry.cleared |= entry.crashes
+        entry.unconfirmed.clear()
+        if had_crashes:
+            log_quarantine(QuarantineEvent.CLEARED, fingerprint, 0)
 
     def recent_suspicions(
         self, limit: int, now: Millis
@@ -222,10 +236,18 @@
             if not 0 <= suspicion.age < QUARANTINE_DURATION:
                 continue
             entry = self._refresh_entry(suspicion.fingerprint)
+            previous_count = entry.crash_count
             _add_bounded(entry.crashes, suspicion.crashes)
             _add_bounded(entry.cleared, suspicion.cleared)
             crashed_at = Millis(now - suspicion.age)
             entry.crashed_at = max(entry.crashed_at, crashed_at)
+            if entry.crash_count != previous_count:
+                log_quarantine(
+                    QuarantineEvent.MERGED,
+                    suspicion.fingerprint,
+                    entry.crash_count,
+                    age_ms=suspicion.age,
+                )
 
     def _current_entry(self, fingerprint: bytes, now: Millis) -> _Entry | None:
         entry = self._entries.get(fingerprint)
@@ -251,6 +273,7 @@
 
 
 def _confirm_or_dismiss(
+    fingerprint: bytes,
     entry: _Entry,
     engine: Endpoint,
     incarnation: str,
@@ -268,9 +291,20 @@
             has_unconfirmed = True
             continue
         del entry.unconfirmed[unconfirmed_crash]
-        if unconfirmed_crash[1] != incarnation:
+        is_confirmed = unconfirmed_crash[1] != incarnation
+        if is_confirmed:
             crash = crash_id(engine, unconfirmed_crash[1])
             _add_bounded(entry.crashes, frozenset((crash,)))
+        log_quarantine(
+            QuarantineEvent.CONFIRMED
+            if is_confirmed
+            else QuarantineEvent.DISMISSED,
+            fingerprint,
+            entry.crash_count,
+            server=engine,
+            incarnation=incarnation,
+            evidence_after_ms=measured_at - broke_at,
+        )
     return has_unconfirmed
 
 
--- a/yuccagauge/relay/attempt.py
+++ b/yuccagauge/relay/attempt.py
@@ -1,11 +1,13 @@
 """One attempt of a call on a backend server, and its effects on the router."""
 
 from yuccagauge.clock import Millis
+from yuccagauge.quarantine.events import short_fingerprint
 from yuccagauge.relay.base import Placement, RelayCall, ResponseInfo
 from yuccagauge.relay.context import RelayContext
 from yuccagauge.selection import model
 from yuccagauge.selection.base import SelectionRequest
 from yuccagauge.selection.load import ServerLoad
+from yuccagauge.telemetry.journal import log_decision
 
 
 class AttemptTracker:
@@ -103,9 +105,18 @@
         """End an attempt that may have run and has no complete response."""
         # An engine may reset its running calls while it loads weights, so a
         # broken connection in that time is neither a crash nor a failure.
-        is_loading_weights = self._now() < self._load().loading_until
-        if not is_loading_weights:
-            server = self._placement.server
+        loading_for = self._load().loading_until - self._now()
+        is_loading_weights = loading_for > 0
+        server = self._placement.server
+        if is_loading_weights:
+            log_decision(
+                'crash_not_counted',
+                self._call.fields.request_id,
+                fingerprint=short_fingerprint(self._call.fingerprint),
+                server=server.server_id,
+                loading_for_ms=loading_for,
+            )
+        else:
             self._context.quarantine.record_broken_connection(
                 self._call.fingerprint,
                 server.endpoint,
--- a/yuccagauge/relay/relay.py
+++ b/yuccagauge/relay/relay.py
@@ -12,6 +12,7 @@
 )
 from yuccagauge.dispatch.base import AnswerSink
 from yuccagauge.quarantine.base import QuarantineStatus
+from yuccagauge.quarantine.events import short_fingerprint
 from yuccagauge.relay import refusals
 from yuccagauge.relay.base import (
     CallFieldError,
@@ -105,6 +106,11 @@
         now = self._context.clock.now()
         status = self._context.quarantine.status(fingerprint, now)
         if status is QuarantineStatus.REFUSED:
+            log_decision(
+                'call_quarantined',
+                fields.request_id,
+                fingerprint=short_fingerprint(fingerprint),
+            )
             raise RefusedError(refusals.not_run('crashes_servers', None))
         route_deadline = Millis(request.received_at + route.timeout)
         caller_timeout = fields.caller_timeout
--- a/yuccagauge/relay/report.py
+++ b/yuccagauge/relay/report.py
@@ -1,6 +1,7 @@
 """Log lines and metrics of one call."""
 
 from yuccagauge.clock import Clock, Millis, in_seconds
+from yuccagauge.quarantine.events import short_fingerprint
 from yuccagauge.relay import metrics
 from yuccagauge.relay.base import RelayCall
 from yuccagauge.selection.base import SelectionDecision
@@ -45,6 +46,7 @@
             send=self._sends,
             server=self._server,
             service=self._call.service,
+            fingerprint=short_fingerprint(self._call.fingerprint),
             reason=decision.reason,
             expected_ms=round(placement.expected_first_output_ms, 1),
             prompt_tokens=fields.prompt_tokens,
