--- /dev/null
+++ b/features/memory_network.py
@@ -0,0 +1,316 @@
+"""A TCP network in memory, in virtual time, for routers in one process."""
+
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet.address import IPv4Address
+from twisted.internet.defer import succeed
+from twisted.internet.error import (
+    ConnectionDone,
+    ConnectionLost,
+    ConnectionRefusedError,
+    TCPTimedOutError,
+)
+from twisted.internet.task import Clock as TaskClock
+from twisted.python.failure import Failure
+
+from yuccagauge.clock import Millis
+
+#: One-way delay between two hosts, in seconds.
+_LATENCY_S = 0.001
+
+#: Time between two attempts to deliver data over a cut link, in seconds.
+_RESEND_S = 0.05
+
+#: First port of the connecting side of a connection.
+_FIRST_CLIENT_PORT = 40_000
+
+
+class VirtualClock:
+    """Milliseconds of a virtual reactor."""
+
+    def __init__(self, reactor: TaskClock) -> None:
+        """Read the time of a reactor."""
+        self._reactor = reactor
+
+    def now(self) -> Millis:
+        """Return the virtual time."""
+        return Millis(round(self._reactor.seconds() * 1000))
+
+    def wall_time(self) -> Millis:
+        """Return the virtual time."""
+        return self.now()
+
+
+class MemoryTransport:
+    """One side of a connection."""
+
+    disconnecting = False
+
+    def __init__(
+        self, network: 'MemoryNetwork', host: str, port: int, protocol: Any
+    ) -> None:
+        """Create a side without the other one."""
+        self.host = host
+        self.port = port
+        self.protocol = protocol
+        self.other: MemoryTransport | None = None
+        self.is_open = True
+        self._network = network
+        self._outbox: list[tuple[Callable[..., None], Any]] = []
+        self._inbox: list[bytes] = []
+        self._is_paused = False
+
+    def write(self, data: bytes) -> None:
+        """Send data to the other side."""
+        if self.is_open and data:
+            self._send(self.other.receive, data)
+
+    def writeSequence(self, parts: list[bytes]) -> None:
+        """Send several parts of data."""
+        self.write(b''.join(parts))
+
+    def loseConnection(self) -> None:
+        """Close after all data is sent."""
+        self._close(ConnectionDone())
+
+    def abortConnection(self) -> None:
+        """Reset the connection."""
+        self._close(ConnectionLost())
+
+    def receive(self, data: bytes) -> None:
+        """Deliver data from the other side."""
+        if not self.is_open:
+            return
+        if self._is_paused:
+            self._inbox.append(data)
+            return
+        self.protocol.dataReceived(data)
+
+    def lose(self, reason: Exception) -> None:
+        """Tell the protocol that the connection has ended."""
+        if self.is_open:
+            self.is_open = False
+            self.protocol.connectionLost(Failure(reason))
+
+    def end(self, *, silently: bool) -> None:
+        """End this side with its process; the other one may not notice."""
+        if self.is_open and not silently:
+            self._send(self.other.lose, ConnectionLost())
+        elif silently:
+            self._outbox.clear()
+        self.is_open = False
+
+    def pauseProducing(self) -> None:
+        """Keep received data."""
+        self._is_paused = True
+
+    def resumeProducing(self) -> None:
+        """Deliver data that was kept."""
+        self._is_paused = False
+        inbox, self._inbox = self._inbox, []
+        for data in inbox:
+            self.receive(data)
+
+    def registerProducer(self, producer: Any, streaming: bool) -> None:
+        """Ignore the producer: writes never block."""
+
+    def unregisterProducer(self) -> None:
+        """Ignore the producer."""
+
+    def setTcpNoDelay(self, enabled: bool) -> None:
+        """Ignore the option."""
+
+    def getPeer(self) -> IPv4Address:
+        """Return the address of the other side."""
+        return IPv4Address('TCP', self.other.host, self.other.port)
+
+    def getHost(self) -> IPv4Address:
+        """Return the address of this side."""
+        return IPv4Address('TCP', self.host, self.port)
+
+    def _close(self, reason: Exception) -> None:
+        if self.is_open:
+            self._send(self.other.lose, reason)
+            self.is_open = False
+            self._network.reactor.callLater(
+                0, self.protocol.connectionLost, Failure(reason)
+            )
+
+    def _send(self, action: Callable[..., None], argument: Any) -> None:
+        if not self._outbox:
+            self._network.reactor.callLater(_LATENCY_S, self._deliver)
+        self._outbox.append((action, argument))
+
+    def _deliver(self) -> None:
+        if self._network.is_cut(self.host, self.other.host):
+            self._network.reactor.callLater(_RESEND_S, self._deliver)
+            return
+        outbox, self._outbox = self._outbox, []
+        for action, argument in outbox:
+            action(argument)
+
+
+class _Port:
+    """A listening port."""
+
+    def __init__(self, network: 'MemoryNetwork', host: str, port: int) -> None:
+        self._network = network
+        self._address = IPv4Address('TCP', host, port)
+
+    def getHost(self) -> IPv4Address:
+        """Return the address that the port listens at."""
+        return self._address
+
+    def stopListening(self) -> Any:
+        """Close the port."""
+        self._network.close_port(self._address.host, self._address.port)
+        return succeed(None)
+
+
+class _Connector:
+    """An attempt to connect."""
+
+    def __init__(self, address: IPv4Address) -> None:
+        self.is_stopped = False
+        self._address = address
+
+    def getDestination(self) -> IPv4Address:
+        """Return the address to connect to."""
+        return self._address
+
+    def stopConnecting(self) -> None:
+        """Give up."""
+        self.is_stopped = True
+
+
+class NodeReactor:
+    """The reactor of one host: shared timers, and connections from there."""
+
+    def __init__(self, network: 'MemoryNetwork', host: str) -> None:
+        """Create the reactor of a host that runs."""
+        self._network = network
+        self._host = host
+        self._is_running = True
+
+    def callLater(self, delay: float, *call: Any, **named: Any) -> Any:
+        """Schedule a call, which is dropped if the host has ended by then."""
+        return self._network.reactor.callLater(delay, self._run, *call, **named)
+
+    def seconds(self) -> float:
+        """Return the virtual time."""
+        return self._network.reactor.seconds()
+
+    def listenTCP(
+        self, port: int, factory: Any, backlog: int = 0, interface: str = ''
+    ) -> _Port:
+        """Accept connections."""
+        return self._network.listen(self._host, port, factory)
+
+    def connectTCP(
+        self,
+        host: str,
+        port: int,
+        factory: Any,
+        timeout: float = 30,
+        bindAddress: Any = None,
+    ) -> _Connector:
+        """Open a connection."""
+        return self._network.connect(self._host, host, port, factory, timeout)
+
+    def end(self) -> None:
+        """Drop all calls that are scheduled, like the end of the process."""
+        self._is_running = False
+
+    def _run(self, call: Callable[..., None], *args: Any, **named: Any) -> None:
+        if self._is_running:
+            call(*args, **named)
+
+
+class MemoryNetwork:
+    """Hosts, their ports and the connections between them."""
+
+    def __init__(self) -> None:
+        """Create a network without hosts."""
+        self.reactor = TaskClock()
+        #: Returns whether no data passes between two hosts.
+        self.is_cut: Callable[[str, str], bool] = lambda host, other: False
+        #: Hosts without power: nothing answers there, not even a reset.
+        self.silent_hosts: set[str] = set()
+        self._factories: dict[tuple[str, int], Any] = {}
+        self._transports: list[MemoryTransport] = []
+        self._next_port = _FIRST_CLIENT_PORT
+
+    def listen(self, host: str, port: int, factory: Any) -> _Port:
+        """Accept connections at an address."""
+        self._factories[host, port] = factory
+        return _Port(self, host, port)
+
+    def close_port(self, host: str, port: int) -> None:
+        """Refuse connections to an address."""
+        self._factories.pop((host, port), None)
+
+    def connect(
+        self, source: str, host: str, port: int, factory: Any, timeout: float
+    ) -> _Connector:
+        """Open a connection, or fail it as TCP would."""
+        connector = _Connector(IPv4Address('TCP', host, port))
+        factory.doStart()
+        factory.startedConnecting(connector)
+        if host in self.silent_hosts or self.is_cut(source, host):
+            self.reactor.callLater(
+                timeout, _fail, connector, factory, TCPTimedOutError()
+            )
+        else:
+            self.reactor.callLater(
+                2 * _LATENCY_S, self._establish, connector, source, factory
+            )
+        return connector
+
+    def end_connections(self, host: str) -> None:
+        """Reset the connections of a host that lives on."""
+        for transport in self._transports:
+            if transport.host == host and transport.is_open:
+                transport.abortConnection()
+
+    def end_host(self, host: str, *, silently: bool = False) -> None:
+        """End the process of a host, with its ports and connections."""
+        self._factories = {
+            address: factory
+            for address, factory in self._factories.items()
+            if address[0] != host
+        }
+        if silently:
+            self.silent_hosts.add(host)
+        kept: list[MemoryTransport] = []
+        for transport in self._transports:
+            if transport.host != host:
+                kept.append(transport)
+                continue
+            transport.end(silently=silently)
+        self._transports = [each for each in kept if each.is_open]
+
+    def _establish(
+        self, connector: _Connector, source: str, factory: Any
+    ) -> None:
+        if connector.is_stopped:
+            return
+        target = connector.getDestination()
+        accepting = self._factories.get((target.host, target.port))
+        accepted = accepting and accepting.buildProtocol(None)
+        if accepted is None:
+            _fail(connector, factory, ConnectionRefusedError())
+            return
+        self._next_port += 1
+        opened = factory.buildProtocol(target)
+        near = MemoryTransport(self, source, self._next_port, opened)
+        far = MemoryTransport(self, target.host, target.port, accepted)
+        near.other, far.other = far, near
+        self._transports.extend((near, far))
+        accepted.makeConnection(far)
+        opened.makeConnection(near)
+
+
+def _fail(connector: _Connector, factory: Any, error: Exception) -> None:
+    if not connector.is_stopped:
+        factory.clientConnectionFailed(connector, Failure(error))
--- /dev/null
+++ b/features/simulated_store.py
@@ -0,0 +1,181 @@
+"""The platform's store in memory, in virtual time, with its faults."""
+
+import json
+from dataclasses import dataclass
+from typing import Any
+
+from twisted.internet.defer import Deferred
+
+from features.memory_network import MemoryNetwork
+from features.relay_fixture import configuration
+from yuccagauge.clock import Millis
+from yuccagauge.directory.records import KeyedRecord
+from yuccagauge.directory.state import Topic
+from yuccagauge.directory.store import (
+    StoreGapError,
+    StorePage,
+    StoreUnavailableError,
+)
+from yuccagauge.rollout.base import LeaseState
+
+#: Time without a heartbeat after which the store removes an entry.
+_LAPSE_MS = 3600
+
+#: Time that the store takes for an answer, and between two looks at its log
+#: for a read that waits.
+_STORE_DELAY_S = 0.004
+_STORE_POLL_S = 0.05
+
+
+@dataclass(frozen=True, slots=True)
+class _Record:
+    key: str
+    value: bytes | None
+    appended_at: float
+
+
+class SimulatedStore:
+    """The platform's log: entries of servers, and the configuration."""
+
+    def __init__(self, network: MemoryNetwork) -> None:
+        """Create a store that has the configuration."""
+        self.is_down = False
+        #: Routers that the store refuses.
+        self.refused: set[str] = set()
+        #: Called with a router's name before each read.
+        self.on_read: Any = lambda name: None
+        self._reactor = network.reactor
+        document = json.dumps(configuration()).encode()
+        self._log: dict[Topic, list[_Record]] = {
+            Topic.OPERATIONS: [_Record('config', document, 0)],
+            Topic.SERVERS: [],
+        }
+        self._first = dict.fromkeys(Topic, 0)
+
+    def append_entry(self, key: str, value: bytes | None) -> None:
+        """Write an entry of a server, unless the store is down."""
+        if not self.is_down:
+            record = _Record(key, value, self._reactor.seconds())
+            self._log[Topic.SERVERS].append(record)
+
+    def remove_lapsed(self) -> None:
+        """Remove the entries without a heartbeat for some time."""
+        now = self._reactor.seconds()
+        for record in self._newest(Topic.SERVERS).values():
+            age_ms = (now - record[1].appended_at) * 1000
+            if record[1].value is not None and age_ms > _LAPSE_MS:
+                self.append_entry(record[1].key, None)
+
+    def drop_history(self) -> None:
+        """Drop all records but the newest of each key."""
+        self._first = {topic: len(log) for topic, log in self._log.items()}
+
+    def restore_copy(self, age_s: float) -> None:
+        """Return to a copy of the past; its offsets are given out again."""
+        until = self._reactor.seconds() - age_s
+        log = self._log[Topic.SERVERS]
+        self._log[Topic.SERVERS] = [
+            record for record in log if record.appended_at <= until
+        ]
+        self._first[Topic.SERVERS] = 0
+
+    def list_newest(self, name: str, topic: Topic) -> Deferred[StorePage]:
+        """Return the newest record of each key."""
+        return self._answer(name, lambda: self._list(topic))
+
+    def read_from(
+        self, name: str, topic: Topic, offset: int, wait: Millis
+    ) -> Deferred[StorePage]:
+        """Return the records from an offset on, or wait for the first."""
+        result: Deferred[StorePage] = Deferred()
+        end = self._reactor.seconds() + wait / 1000
+
+        def look() -> None:
+            if result.called:
+                return
+            log = self._log[topic]
+            if (
+                len(log) == offset
+                and self._reactor.seconds() < end
+                and self._serves(name)
+            ):
+                self._reactor.callLater(_STORE_POLL_S, look)
+                return
+            self._answer(name, lambda: self._page(topic, offset)).chainDeferred(
+                result
+            )
+
+        look()
+        return result
+
+    def _page(self, topic: Topic, offset: int) -> StorePage:
+        log = self._log[topic]
+        if not self._first[topic] <= offset <= len(log):
+            raise StoreGapError('no such offset')
+        records = tuple(
+            KeyedRecord(key=each.key, offset=number, value=each.value)
+            for number, each in enumerate(log[offset:], offset)
+        )
+        return StorePage(records=records, next_offset=len(log))
+
+    def _list(self, topic: Topic) -> StorePage:
+        records = tuple(
+            KeyedRecord(key=each.key, offset=number, value=each.value)
+            for number, each in self._newest(topic).values()
+            if each.value is not None
+        )
+        return StorePage(records=records, next_offset=len(self._log[topic]))
+
+    def _newest(self, topic: Topic) -> dict[str, tuple[int, _Record]]:
+        return {
+            record.key: (number, record)
+            for number, record in enumerate(self._log[topic])
+        }
+
+    def _serves(self, name: str) -> bool:
+        return not self.is_down and name not in self.refused
+
+    def _answer(self, name: str, read: Any) -> Deferred[StorePage]:
+        result: Deferred[StorePage] = Deferred()
+
+        def answer() -> None:
+            if result.called:
+                return
+            self.on_read(name)
+            if not self._serves(name):
+                result.errback(StoreUnavailableError('refused'))
+                return
+            try:
+                result.callback(read())
+            except StoreGapError as error:
+                result.errback(error)
+
+        self._reactor.callLater(_STORE_DELAY_S, answer)
+        return result
+
+
+class StoreClient:
+    """The store as one router sees it."""
+
+    def __init__(self, store: SimulatedStore, name: str) -> None:
+        """Read the store under the name of a router."""
+        self._store = store
+        self._name = name
+
+    def list_newest(self, topic: Topic) -> Deferred[StorePage]:
+        """Return the newest record of each key."""
+        return self._store.list_newest(self._name, topic)
+
+    def read_from(
+        self, topic: Topic, offset: int, wait: Millis
+    ) -> Deferred[StorePage]:
+        """Return the records from an offset on."""
+        return self._store.read_from(self._name, topic, offset, wait)
+
+    def read_lease(self) -> Deferred[LeaseState]:
+        """Never answer: the fleet needs no leader."""
+        return Deferred()
+
+    def append_lease(self, holder: str, expected_count: int) -> Deferred[bool]:
+        """Never answer."""
+        return Deferred()
--- a/yuccagauge/exchange/service.py
+++ b/yuccagauge/exchange/service.py
@@ -264,7 +264,8 @@
         self._period += 1
         if not exchanges_in_period(self._period, self.router_count):
             return
-        for endpoint in self._choose_endpoints():
+        # Sorted, because the order of a set differs between processes.
+        for endpoint in sorted(self._choose_endpoints(), key=str):
             self._send_message(
                 endpoint, self._build_message(asks=True, full_state=True)
             )
--- a/yuccagauge/relay/router.py
+++ b/yuccagauge/relay/router.py
@@ -1,7 +1,7 @@
 """The relay router: creates its components and connects them."""
 
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from functools import partial
 from typing import Any
 
@@ -62,6 +62,8 @@
         The event loop and the source of time.
     build_adapter
         Creates the components that are specific to the platform.
+    random_fraction
+        Returns a random number from 0 to 1.
     """
 
     def __init__(
@@ -70,13 +72,14 @@
         reactor: Any,
         clock: Clock,
         build_adapter: AdapterFactory,
+        random_fraction: Callable[[], float] = random.random,
     ) -> None:
         """Create and connect the components without opening a port."""
         self._settings = settings
         self._reactor = reactor
         self._clock = clock
         section = settings.relay
-        self._random_fraction = random.Random().random
+        self._random_fraction = random_fraction
         self._pool = ConnectionPool(reactor)
         self._adapter = build_adapter(settings, reactor, self._pool)
         self._directory = Directory(self._adapter.record_decoder)
