--- a/features/steps/crash_fleet_steps.py
+++ b/features/steps/crash_fleet_steps.py
@@ -40,6 +40,7 @@
 _MARGIN = Millis(3000)
 _ALLOWED_SENDS = 3
 
+#: Routes of a request that may run once, and of one that may be retried.
 _ROUTES = ('book', 'read')
 
 
@@ -265,6 +266,7 @@
 ) -> None:
     """Start a fleet and let it run."""
     context.fleet = CrashFleet(routers, servers)
+    context.route = 'read'
     disturbances.get(disturbance)().disturb(context.fleet)
     context.fleet.run(_WARM_UP_S)
 
@@ -274,6 +276,7 @@
     """Start a fleet with two or three disturbances at once."""
     choices = random.Random(seed)
     context.fleet = CrashFleet(choices.randint(3, 7), 5, seed)
+    context.route = choices.choice(_ROUTES)
     names = sorted(disturbances.names)
     context.disturbances = choices.sample(names, choices.randint(2, 3))
     for name in context.disturbances:
@@ -289,10 +292,9 @@
     """Send the request between others."""
     fleet = context.fleet
     for number in range(int(seconds / _REPEAT_S)):
-        route = fleet.random.choice(_ROUTES)
-        fleet.send(fleet.random.choice(fleet.router_names), POISON, route)
-        other = b'other %d' % number
-        fleet.send(fleet.random.choice(fleet.router_names), other, route)
+        for body in (POISON, b'other %d' % number):
+            name = fleet.random.choice(fleet.router_names)
+            fleet.send(name, body, context.route)
         fleet.run(_REPEAT_S)
 
 
