--- /dev/null
+++ b/yuccagauge/relay/changes.py
@@ -0,0 +1,31 @@
+"""Log lines of changes of the servers and of the named weights."""
+
+from yuccagauge.selection.base import FleetView
+from yuccagauge.telemetry.journal import log_state_change
+
+
+def log_fleet_changes(before: FleetView, after: FleetView) -> None:
+    """Log servers that appear, change or disappear, and new weights."""
+    for server_id, server in after.servers.items():
+        previous = before.servers.get(server_id)
+        if previous is not None and (
+            previous.state is server.state
+            and previous.weights == server.weights
+            and previous.started_at == server.started_at
+        ):
+            continue
+        log_state_change(
+            'server_known',
+            server=server_id,
+            service=server.service,
+            state=server.state.value,
+            started_at=server.started_at,
+            weights=[f'{name}={at}' for name, at in server.weights.items()],
+        )
+    for server_id in before.servers:
+        if server_id not in after.servers:
+            log_state_change('server_gone', server=server_id)
+    for model, target_history in after.target_history.items():
+        if before.target_history.get(model) != target_history:
+            version = target_history[-1].version
+            log_state_change('weights_named', model=model, version=version)
--- a/yuccagauge/relay/router.py
+++ b/yuccagauge/relay/router.py
@@ -18,6 +18,7 @@
 from yuccagauge.errors import SettingsError
 from yuccagauge.exchange.service import ExchangeService
 from yuccagauge.relay.adapter import AdapterFactory
+from yuccagauge.relay.changes import log_fleet_changes
 from yuccagauge.relay.channel import CallerFactory
 from yuccagauge.relay.context import RelayContext, RetryBudgetSettings
 from yuccagauge.relay.pages import MetricsPage, ReadyPage
@@ -342,7 +343,7 @@
             target_history=dict(directory.target_history),
         )
         self._selector.update_fleet_view(view)
-        _log_fleet_changes(before, view)
+        log_fleet_changes(before, view)
         configuration = directory.configuration
         if configuration is not None and (
             configuration.version != self._configuration_version
@@ -371,30 +372,3 @@
     site = Site(page)
     site.noisy = False
     return site
-
-
-def _log_fleet_changes(before: FleetView, after: FleetView) -> None:
-    """Log servers that appear, change or disappear, and new weights."""
-    for server_id, server in after.servers.items():
-        previous = before.servers.get(server_id)
-        if previous is not None and (
-            previous.state is server.state
-            and previous.weights == server.weights
-            and previous.started_at == server.started_at
-        ):
-            continue
-        log_state_change(
-            'server_known',
-            server=server_id,
-            service=server.service,
-            state=server.state.value,
-            started_at=server.started_at,
-            weights=[f'{name}={at}' for name, at in server.weights.items()],
-        )
-    for server_id in before.servers:
-        if server_id not in after.servers:
-            log_state_change('server_gone', server=server_id)
-    for model, target_history in after.target_history.items():
-        if before.target_history.get(model) != target_history:
-            version = target_history[-1].version
-            log_state_change('weights_named', model=model, version=version)
