Dismiss a crash only by an entry written later than the run

Callers saw: a request went on to servers though routers had counted its crashes, because the crashes were dismissed.

Cause: an entry counted as written 1 s before it was read. A listing after a gap repeats entries of any age, a heartbeat may arrive seconds late, and an entry without a start time looks the same after a restart under its id. Each made an engine that had ended look like one that lives.

Evidence: "An entry of unknown age does not show that its server lives" fails before.

Why it works: an entry counts as written after the read before the one that found it was sent, and dismisses a crash only 10 s later, when no write can be late any more. Listings and entries without a start time dismiss nothing.

--- a/features/directory/directory.feature
+++ b/features/directory/directory.feature
@@ -59,6 +59,14 @@
     When a read is answered 1500 ms after it was sent
     Then the store confirmed the topic 1500 ms ago
 
+  Scenario: An entry of unknown age does not show that its server lives
+    Given a follower of a store with the keys "a b", whose entries are noted
+    Then no entry is noted
+    When a read is answered 1500 ms after it was sent
+    Then the entry of "c" is noted as written later than 1500 ms ago
+    When the store drops its history and gets the key "d"
+    Then the entry of "d" is not noted
+
   Scenario: A read that begins in an outage does not wait for records
     Given a follower of a store with the keys "a b"
     When the store fails 3 times and gets the key "c"
--- a/features/steps/directory_reading_steps.py
+++ b/features/steps/directory_reading_steps.py
@@ -3,6 +3,7 @@
 from behave import given, then, when
 from behave.runner import Context
 
+from features.steps.directory_steps import start_follower
 from yuccagauge.clock import Millis
 from yuccagauge.directory.readpolicy import is_reader, read_delay, read_wait
 from yuccagauge.directory.records import KeyedRecord
@@ -159,3 +160,28 @@
     """
     now = context.clock.now()
     assert now - context.follower.confirmed_at == ms
+
+
+@given('a follower of a store with the keys "{keys}", whose entries are noted')
+def note_entries(context: Context, keys: str) -> None:
+    """Note the entries that a follower takes for signs of life."""
+    context.entries = {}
+    start_follower(context, keys, context.entries.__setitem__)
+
+
+@then('no entry is noted')
+def check_no_entry(context: Context) -> None:
+    """Guard against a listing that seems to be written at that moment."""
+    assert not context.entries, context.entries
+
+
+@then('the entry of "{key}" is noted as written later than {ms:d} ms ago')
+def check_entry(context: Context, key: str, ms: int) -> None:
+    """Check the time after which the entry was written."""
+    assert context.clock.now() - context.entries[key] == ms, context.entries
+
+
+@then('the entry of "{key}" is not noted')
+def check_entry_missing(context: Context, key: str) -> None:
+    """Guard against an entry that was listed after a gap."""
+    assert key not in context.entries, context.entries
--- a/features/steps/directory_steps.py
+++ b/features/steps/directory_steps.py
@@ -249,7 +249,9 @@
 
 
 @given('a follower of a store with the keys "{keys}"')
-def start_follower(context: Context, keys: str) -> None:
+def start_follower(
+    context: Context, keys: str, on_entry: Any = lambda *_: None
+) -> None:
     """Start a follower on simulated time."""
     context.flaky = FlakyStore()
     for key in keys.split():
@@ -265,6 +267,7 @@
         context.clock,
         lambda: 0.5,
     )
+    follower.on_entry = on_entry
     follower.start()
     context.follower = follower
     context.add_cleanup(follower.close)
--- a/yuccagauge/directory/follower.py
+++ b/yuccagauge/directory/follower.py
@@ -12,7 +12,6 @@
 from yuccagauge.directory.store import (
     KeyedStore,
     StoreGapError,
-    StorePage,
     StoreUnavailableError,
 )
 from yuccagauge.tasks import BackgroundTask
@@ -78,8 +77,10 @@
         self.read_delay: Callable[[], Millis] = lambda: Millis(0)
         #: Returns how long a read waits at the store for records.
         self.read_wait: Callable[[], Millis] = lambda: READ_WAIT
-        #: Called with the key of each record that was read and has a value.
-        self.on_entry: Callable[[str], None] = lambda key: None
+        #: Called with the key of each record that was read and has a value,
+        #: and with a time after which it was written. Not called for the
+        #: records of a listing, which may be of any age.
+        self.on_entry: Callable[[str, Millis], None] = lambda key, after: None
 
     @property
     def confirmed_at(self) -> Millis:
@@ -142,7 +143,6 @@
         self._directory.apply_listing(
             self._topic, page.records, page.next_offset, now
         )
-        self._notify_entries(page)
 
     @inlineCallbacks
     def _wait_until_due(self) -> Any:
@@ -157,6 +157,7 @@
     def _read_records(self) -> Any:
         offset = self._directory.next_offset(self._topic)
         wait = PROBE_WAIT if self._is_reachable is False else self.read_wait()
+        previous_read_at = self._confirmed_at
         sent_at = self._clock.now()
         page = yield self._store.read_from(self._topic, offset, wait)
         self._record_answer(sent_at)
@@ -164,14 +165,11 @@
         self._directory.apply_records(
             self._topic, page.records, page.next_offset, now
         )
-        self._notify_entries(page)
-        if self._topic is Topic.SERVERS:
-            yield self._delay(SERVER_READ_INTERVAL)
-
-    def _notify_entries(self, page: StorePage) -> None:
         for record in page.records:
             if record.value is not None:
-                self.on_entry(record.key)
+                self.on_entry(record.key, previous_read_at)
+        if self._topic is Topic.SERVERS:
+            yield self._delay(SERVER_READ_INTERVAL)
 
     def _delay(self, duration: Millis) -> Deferred[None]:
         factor = 1 + DELAY_JITTER * (self._random_fraction() - 0.5)
--- a/yuccagauge/relay/attempt.py
+++ b/yuccagauge/relay/attempt.py
@@ -1,6 +1,7 @@
 """One attempt of a call on a backend server, and its effects on the router."""
 
 from yuccagauge.clock import Millis
+from yuccagauge.quarantine.entry import Evidence
 from yuccagauge.quarantine.events import short_fingerprint
 from yuccagauge.relay.base import Placement, RelayCall, ResponseInfo
 from yuccagauge.relay.context import RelayContext
@@ -146,11 +147,16 @@
     def _record_possible_crash(self) -> None:
         """Count a crash, which later evidence may dismiss."""
         server = self._placement.server
+        evidence = Evidence.COMPLETION
+        if server.started_at:
+            # Ids are reused, so an id alone does not tell a restart.
+            evidence = Evidence.INCARNATION
         self._context.quarantine.record_broken_connection(
             self._call.fingerprint,
             server.endpoint,
             server.incarnation,
             self._now(),
+            evidence=evidence,
         )
 
     def _load(self) -> ServerLoad:
--- a/yuccagauge/relay/router.py
+++ b/yuccagauge/relay/router.py
@@ -42,8 +42,9 @@
 #: Seconds between checks for lapsed servers and for cache holders to poll.
 _UPKEEP_INTERVAL_S = 0.5
 
-#: Assumed time from the writing of a server's entry to its reading by a router.
-_ENTRY_READ_LAG = Millis(1000)
+#: Longest time from a server's heartbeat to its entry in the store: a write
+#: that got no answer may be done seconds later.
+LATE_HEARTBEAT_TIME = Millis(10_000)
 
 #: Seconds before the end of the grace period at which running calls are ended.
 _ABORT_MARGIN_S = 0.9
@@ -297,7 +298,7 @@
         """Return how long the messages of peers replace reading a topic."""
         now = self._clock.now()
         if topic is Topic.SERVERS and self._context.quarantine.awaits_evidence(
-            _ENTRY_READ_LAG, now
+            LATE_HEARTBEAT_TIME, now
         ):
             # Only an entry that this router reads itself is evidence.
             return Millis(0)
@@ -357,15 +358,15 @@
                 keys=len(configuration.customer_by_api_key),
             )
 
-    def _record_server_entry(self, server_id: str) -> None:
+    def _record_server_entry(self, server_id: str, after: Millis) -> None:
         """Record that a server's incarnation ran when its entry was written."""
         server = self._directory.servers.get(server_id)
-        if server is None:
-            return
-        measured_at = Millis(self._clock.now() - _ENTRY_READ_LAG)
-        self._context.quarantine.record_incarnation(
-            server.endpoint, server.incarnation, measured_at
-        )
+        if server is not None and server.started_at:
+            self._context.quarantine.record_incarnation(
+                server.endpoint,
+                server.incarnation,
+                Millis(after - LATE_HEARTBEAT_TIME),
+            )
 
 
 def _site(page: Any) -> Site:
