Count two ends of an engine whose restart no router noticed

Callers could see: a request ends the same engine again and again while its new entry can't be read, and counts one crash.

Cause: a crash was named by the engine and its believed incarnation. The second end under the same belief had the name of the first one.

Evidence: "An engine that ends twice before a router learns of its restart counts twice" fails before (the runs can't tell what was known when they were sent).

Why it works: a run that was sent when a crash of the same name was known gets the next name. Runs that were sent before share a name, so that one crash that ends several of them still counts once, also at several routers.

--- a/features/quarantine/quarantine.feature
+++ b/features/quarantine/quarantine.feature
@@ -65,6 +65,16 @@
     When these quarantines exchange their suspicions
     Then the status of request "a" is "refused" in each of these quarantines
 
+  Scenario: An engine that ends twice before a router learns of its restart counts twice
+    Given a quarantine without crashes
+    When request "a" runs on an engine of incarnation "i1" and breaks, 3 times one after the other
+    Then the status of request "a" is "refused" in the quarantine
+
+  Scenario: One crash counts once for all runs of a request that it ends
+    Given a quarantine without crashes
+    When 3 runs of request "a" on an engine of incarnation "i1" break at once
+    Then the status of request "a" is "clear" in the quarantine
+
   Scenario Outline: The log tells why a crash counts or no longer counts
     Given a quarantine in which request "a" has 2 confirmed crashes
     And the log of the quarantine is read
--- a/features/steps/quarantine_sharing_steps.py
+++ b/features/steps/quarantine_sharing_steps.py
@@ -3,15 +3,23 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from yuccagauge.clock import ManualClock
+from yuccagauge.clock import ManualClock, Millis
 from yuccagauge.quarantine.base import (
     Quarantine,
 )
 from yuccagauge.settings.options import Endpoint
 
+_ENGINE = Endpoint('127.0.0.1', 9101)
 _LIMIT = 20
 
 
+@given('a quarantine without crashes')
+def create_quarantine(context: Context) -> None:
+    """Create an empty quarantine."""
+    context.clock = ManualClock()
+    context.quarantine = Quarantine()
+
+
 @given(
     '{count:d} quarantines that each saw request "{name}" break on an engine '
     'of its own'
@@ -48,3 +56,46 @@
         for quarantine in context.quarantines
     ]
     assert set(found) == {status}, found
+
+
+@when(
+    'request "{name}" runs on an engine of incarnation "{incarnation}" and '
+    'breaks, {times:d} times one after the other'
+)
+def break_in_turn(
+    context: Context, name: str, incarnation: str, times: int
+) -> None:
+    """Send each run after the end of the one before it is known."""
+    for _ in range(times):
+        context.clock.advance(Millis(1000))
+        known = context.quarantine.record_start(name.encode(), _ENGINE)
+        context.quarantine.record_broken_connection(
+            name.encode(),
+            _ENGINE,
+            incarnation,
+            context.clock.now(),
+            known=known,
+        )
+        context.quarantine.record_end(name.encode(), _ENGINE)
+
+
+@when(
+    '{count:d} runs of request "{name}" on an engine of incarnation '
+    '"{incarnation}" break at once'
+)
+def break_at_once(
+    context: Context, count: int, name: str, incarnation: str
+) -> None:
+    """Send all runs before the end of any is known."""
+    known = [
+        context.quarantine.record_start(name.encode(), _ENGINE)
+        for _ in range(count)
+    ]
+    for crashes in known:
+        context.quarantine.record_broken_connection(
+            name.encode(),
+            _ENGINE,
+            incarnation,
+            context.clock.now(),
+            known=crashes,
+        )
--- a/yuccagauge/quarantine/base.py
+++ b/yuccagauge/quarantine/base.py
@@ -12,7 +12,7 @@
 
 import enum
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Iterable, Set
 from dataclasses import dataclass
 
 from yuccagauge.clock import Millis
@@ -134,9 +134,13 @@
             )
         )
 
-    def record_start(self, fingerprint: bytes, engine: Endpoint) -> None:
-        """Record that an engine runs a request."""
+    def record_start(
+        self, fingerprint: bytes, engine: Endpoint
+    ) -> frozenset[str]:
+        """Record that an engine runs a request; return its known crashes."""
         self._running.add(fingerprint, engine)
+        entry = self._entries.get(fingerprint)
+        return frozenset() if entry is None else entry.known
 
     def record_end(self, fingerprint: bytes, engine: Endpoint) -> None:
         """Record that an engine no longer runs a request."""
@@ -149,6 +153,7 @@
         incarnation: str,
         now: Millis,
         *,
+        known: Set[str] = frozenset(),
         evidence: Evidence = Evidence.INCARNATION,
     ) -> None:
         """Record a run that ended without a complete answer.
@@ -157,10 +162,12 @@
         ----------
         incarnation
             The engine's incarnation, as known when the run was sent.
+        known
+            What ``record_start`` returned for the run.
         evidence
             What may show that the engine did not crash.
         """
-        crash = crash_id(engine, incarnation)
+        crash = crash_id(engine, incarnation, known)
         entry = self._add_crash(fingerprint, crash, now)
         if entry is None:
             return
--- a/yuccagauge/quarantine/entry.py
+++ b/yuccagauge/quarantine/entry.py
@@ -2,7 +2,7 @@
 
 import enum
 import hashlib
-from collections.abc import Iterable
+from collections.abc import Iterable, Set
 from dataclasses import dataclass, field
 
 from yuccagauge.clock import Millis
@@ -77,7 +77,30 @@
         return new
 
 
-def crash_id(engine: Endpoint, incarnation: str) -> str:
-    """Return the id of a crash, which is the same on all routers."""
-    text = f'{engine}/{incarnation}'.encode()
-    return hashlib.blake2b(text, digest_size=_CRASH_ID_BYTES).hexdigest()
+def crash_id(
+    engine: Endpoint, incarnation: str, known: Set[str] = frozenset()
+) -> str:
+    """Return the id of a crash, which is the same on all routers.
+
+    An engine may restart while no router learns of its new incarnation. The
+    known crashes tell the crash of a run that was sent after the restart from
+    the earlier one. Runs that were sent before both became known share one id,
+    because the same crash may have ended them.
+
+    Parameters
+    ----------
+    known
+        Ids of the crashes that were known when the run was sent.
+    """
+    crash = _digest(f'{engine}/{incarnation}')
+    number = 0
+    while crash in known:
+        number += 1
+        crash = _digest(f'{engine}/{incarnation}/{number}')
+    return crash
+
+
+def _digest(text: str) -> str:
+    return hashlib.blake2b(
+        text.encode(), digest_size=_CRASH_ID_BYTES
+    ).hexdigest()
--- a/yuccagauge/relay/attempt.py
+++ b/yuccagauge/relay/attempt.py
@@ -50,7 +50,7 @@
             self._sent_at,
             is_movable=is_movable,
         )
-        context.quarantine.record_start(
+        self._known_crashes = context.quarantine.record_start(
             call.fingerprint,
             placement.server.endpoint,
         )
@@ -156,6 +156,7 @@
             server.endpoint,
             server.incarnation,
             self._now(),
+            known=self._known_crashes,
             evidence=evidence,
         )
 
