Count a run that nobody waits for if the server sent nothing

Callers saw: a request went on ending servers that lose power, as long as its callers left early.

Cause: an end counted only if the router saw the connection break or stall. A server without power resets nothing; when the caller left or the deadline passed first, the run was dropped without a trace.

Evidence: "The run of a caller that leaves counts if the server sent nothing" and "A run that is not answered in time counts if the server sent nothing" fail before with 0 crashes.

Why it works: a run without an answer counts unless the server has sent anything to this router since it began, which shows that the server lives.

--- /dev/null
+++ b/features/relay/crashes.feature
@@ -0,0 +1,19 @@
+Feature: Calls that may crash the servers that run them
+  A run that ends without an answer counts as a crash, also if nobody waits for
+  the answer any longer. A call that has crashed three servers is not sent.
+
+  Scenario: The run of a caller that leaves counts if the server sent nothing
+    Given a relay with a plain server that never answers
+    When a caller calls "book" and disconnects
+    Then the call has 1 crash
+
+  Scenario: The run of a caller that leaves does not count if the server lives
+    Given a relay with a plain server that never answers
+    When a caller calls "book", the server answers another call, and the caller disconnects
+    Then the call has 0 crashes
+
+  Scenario: A run that is not answered in time counts if the server sent nothing
+    Given a relay with a plain server that never answers
+    When a caller calls "short"
+    Then the caller gets status 504
+    And the call has 1 crash
--- /dev/null
+++ b/features/steps/relay_crash_steps.py
@@ -0,0 +1,40 @@
+"""Steps for calls that may crash the servers that run them."""
+
+from behave import then, when
+from behave.runner import Context
+
+from features.loop import wait_until
+from features.steps.relay_steps import call_route
+from yuccagauge.clock import Millis
+
+
+def _crash_count(context: Context) -> int:
+    relay_context = context.fixture.relay_context
+    now = relay_context.clock.now()
+    return sum(
+        len(suspicion.crashes - suspicion.cleared)
+        for suspicion in relay_context.quarantine.recent_suspicions(9, now)
+    )
+
+
+@when(
+    'a caller calls "{route}", the server answers another call, and the '
+    'caller disconnects'
+)
+def disconnect_from_live_server(context: Context, route: str) -> None:
+    """Let the server send something after it got the call."""
+    call_route(context, route)
+    wait_until(lambda: bool(context.servers[0].exchanges))
+    load = context.fixture.selector.load_of('i0')
+    now = context.fixture.relay_context.clock.now()
+    load.last_activity_at = Millis(now + 1)
+    context.caller.close()
+
+
+@then('the call has {count:d} crash')
+@then('the call has {count:d} crashes')
+def check_crashes(context: Context, count: int) -> None:
+    """Guard against the end of a server that no router counts."""
+    running = context.fixture.relay_context.running_calls
+    wait_until(lambda: not running)
+    assert _crash_count(context) == count, _crash_count(context)
--- a/yuccagauge/relay/attempt.py
+++ b/yuccagauge/relay/attempt.py
@@ -120,6 +120,15 @@
             self._record_possible_crash()
         self.end_attempt(failed=not is_loading_weights)
 
+    def abandon_run(self) -> None:
+        """Record a run that may have ended the server unnoticed.
+
+        A server that lost power resets no connection. It sends nothing either,
+        unlike a server that was only slow with this run.
+        """
+        if self._load().last_activity_at <= self._sent_at:
+            self._record_possible_crash()
+
     def end_attempt(self, *, failed: bool) -> None:
         """Record the outcome, and remove the call from the server's load."""
         now = self._now()
--- a/yuccagauge/relay/call.py
+++ b/yuccagauge/relay/call.py
@@ -104,6 +104,7 @@
         """Abandon the call, because the caller closed its connection."""
         if self._has_ended:
             return
+        self._record_unanswered_run()
         self._abandon_exchange()
         self._finish_call('caller_left')
 
@@ -330,9 +331,16 @@
             return
         if self._exchange is not None and not self._response.has_started:
             self._attempt.record_failure()
+        self._record_unanswered_run()
         self._abandon_exchange()
         self._refuse(self._unanswered_refusal('out_of_time'))
 
+    def _record_unanswered_run(self) -> None:
+        """Record a run whose response nobody waits for any longer."""
+        exchange = self._exchange
+        if exchange is not None and exchange.verdict is Verdict.MAY_HAVE_RUN:
+            self._attempt.abandon_run()
+
     def _unanswered_refusal(self, code: str) -> Refusal:
         verdict = self._verdict
         if self._exchange is not None:
