Count a run that breaks while its engine loads weights

Cause: an engine may reset its runs to load weights, so no broken connection counted while a pause for a load was in force, whatever had ended the run.

Evidence: "A run that breaks while the server loads weights counts" fails before with 0 crashes.

Why it works: the run counts, and the leader's notification that the engine has loaded new weights takes it back within 2 s. An engine that has ended can't be back and have loaded weights in that time.

--- a/features/quarantine/quarantine.feature
+++ b/features/quarantine/quarantine.feature
@@ -75,6 +75,18 @@
     When 3 runs of request "a" on an engine of incarnation "i1" break at once
     Then the status of request "a" is "clear" in the quarantine
 
+  Scenario Outline: A run that a load of weights resets does not count once the engine has loaded
+    Given a quarantine in which request "a" has 2 confirmed crashes
+    When a run of request "a" breaks while the engine loads weights
+    Then the status of request "a" is "refused" in the quarantine
+    When the engine has loaded weights <ms> ms later
+    Then the status of request "a" is "<status>" in the quarantine
+
+    Examples:
+      | ms   | status  |
+      | 1500 | suspect |
+      | 2500 | refused |
+
   Scenario Outline: The log tells why a crash counts or no longer counts
     Given a quarantine in which request "a" has 2 confirmed crashes
     And the log of the quarantine is read
--- a/features/relay/crashes.feature
+++ b/features/relay/crashes.feature
@@ -17,3 +17,9 @@
     When a caller calls "short"
     Then the caller gets status 504
     And the call has 1 crash
+
+  Scenario: A run that breaks while the server loads weights counts
+    Given a relay with a plain server that resets after the request
+    When a caller calls "book" and the server is paused to load weights
+    Then the caller gets status 502
+    And the call has 1 crash
--- a/features/steps/quarantine_sharing_steps.py
+++ b/features/steps/quarantine_sharing_steps.py
@@ -7,6 +7,7 @@
 from yuccagauge.quarantine.base import (
     Quarantine,
 )
+from yuccagauge.quarantine.entry import Evidence
 from yuccagauge.settings.options import Endpoint
 
 _ENGINE = Endpoint('127.0.0.1', 9101)
@@ -99,3 +100,22 @@
             context.clock.now(),
             known=crashes,
         )
+
+
+@when('a run of request "{name}" breaks while the engine loads weights')
+def break_in_load(context: Context, name: str) -> None:
+    """Break a connection that the engine may have reset itself."""
+    context.quarantine.record_broken_connection(
+        name.encode(),
+        _ENGINE,
+        'i9',
+        context.clock.now(),
+        evidence=Evidence.WEIGHTS,
+    )
+
+
+@when('the engine has loaded weights {ms:d} ms later')
+def report_load(context: Context, ms: int) -> None:
+    """Report the load; a restarted engine could have done it after 2 s."""
+    context.clock.advance(Millis(ms))
+    context.quarantine.record_load(_ENGINE, context.clock.now())
--- a/features/steps/relay_crash_steps.py
+++ b/features/steps/relay_crash_steps.py
@@ -17,6 +17,21 @@
     )
 
 
+@when('a caller calls "{route}" and the server is paused to load weights')
+def call_loading_server(context: Context, route: str) -> None:
+    """Announce the pause while the request is under way."""
+    script = context.servers[0].script
+
+    def pause_first(exchange: object) -> None:
+        load = context.fixture.selector.load_of('i0')
+        now = context.fixture.relay_context.clock.now()
+        load.loading_until = Millis(now + 60_000)
+        script(exchange)
+
+    context.servers[0].script = pause_first
+    call_route(context, route)
+
+
 @when(
     'a caller calls "{route}", the server answers another call, and the '
     'caller disconnects'
--- a/yuccagauge/exchange/merger.py
+++ b/yuccagauge/exchange/merger.py
@@ -110,6 +110,9 @@
         ):
             load.reported_weights[notification.model] = notification.version
             load.loading_until = Millis(0)
+            server = self._directory.servers.get(notification.server)
+            if server is not None:
+                self._quarantine.record_load(server.endpoint, self._clock.now())
 
     def _apply_unresponsive_report(
         self, server_id: str, peer: str, now: Millis
--- a/yuccagauge/quarantine/base.py
+++ b/yuccagauge/quarantine/base.py
@@ -43,6 +43,10 @@
 #: lives reports its incarnation well within it.
 WATCH_DURATION = Millis(20_000)
 
+#: An engine that has ended cannot be back and have loaded weights within this
+#: time, so one that reports new weights has reset its runs and lives.
+LOAD_EVIDENCE_TIME = Millis(2000)
+
 
 @enum.unique
 class QuarantineStatus(enum.Enum):
@@ -216,6 +220,16 @@
                     evidence_after_ms=measured_at - run.ended_at,
                 )
 
+    def record_load(self, engine: Endpoint, now: Millis) -> None:
+        """Dismiss the crashes of an engine that has loaded weights since."""
+        for fingerprint, crash, run in self._watched_runs(engine):
+            age = now - run.ended_at
+            is_recent = age <= LOAD_EVIDENCE_TIME
+            if is_recent and run.evidence is Evidence.WEIGHTS:
+                self._resolve(
+                    fingerprint, crash, is_dismissed=True, evidence_after_ms=age
+                )
+
     def record_completion(self, fingerprint: bytes) -> None:
         """Clear the crashes of a request whose answer is complete."""
         entry = self._entries.get(fingerprint)
--- a/yuccagauge/quarantine/entry.py
+++ b/yuccagauge/quarantine/entry.py
@@ -25,6 +25,8 @@
     COMPLETION = 'completion'
     #: The incarnation that the engine reports later.
     INCARNATION = 'incarnation'
+    #: New weights: the engine was loading, and may have reset the run.
+    WEIGHTS = 'weights'
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/yuccagauge/relay/attempt.py
+++ b/yuccagauge/relay/attempt.py
@@ -2,13 +2,11 @@
 
 from yuccagauge.clock import Millis
 from yuccagauge.quarantine.entry import Evidence
-from yuccagauge.quarantine.events import short_fingerprint
 from yuccagauge.relay.base import Placement, RelayCall, ResponseInfo
 from yuccagauge.relay.context import RelayContext
 from yuccagauge.selection import model
 from yuccagauge.selection.base import SelectionRequest
 from yuccagauge.selection.load import ServerLoad
-from yuccagauge.telemetry.journal import log_decision
 
 
 class AttemptTracker:
@@ -104,20 +102,8 @@
 
     def end_broken_attempt(self) -> None:
         """End an attempt that may have run and has no complete response."""
-        # An engine may reset its running calls while it loads weights, so a
-        # broken connection in that time is neither a crash nor a failure.
-        loading_for = self._load().loading_until - self._now()
-        is_loading_weights = loading_for > 0
-        if is_loading_weights:
-            log_decision(
-                'crash_not_counted',
-                self._call.fields.request_id,
-                fingerprint=short_fingerprint(self._call.fingerprint),
-                server=self._placement.server.server_id,
-                loading_for_ms=loading_for,
-            )
-        else:
-            self._record_possible_crash()
+        is_loading_weights = self._is_loading_weights()
+        self._record_possible_crash()
         self.end_attempt(failed=not is_loading_weights)
 
     def abandon_run(self) -> None:
@@ -153,11 +139,17 @@
             self._placement.server.endpoint,
         )
 
+    def _is_loading_weights(self) -> bool:
+        """Return whether the server may reset its runs to load weights."""
+        return self._now() < self._load().loading_until
+
     def _record_possible_crash(self) -> None:
         """Count a crash, which later evidence may dismiss."""
         server = self._placement.server
         evidence = Evidence.COMPLETION
-        if server.started_at:
+        if self._is_loading_weights():
+            evidence = Evidence.WEIGHTS
+        elif server.started_at:
             # Ids are reused, so an id alone does not tell a restart.
             evidence = Evidence.INCARNATION
         self._context.quarantine.record_broken_connection(
