Keep the crashes of a request when a server fails it

Callers could see: a request that had ended two servers starts anew after a server answers it with 500.

Cause: any complete answer cleared the crashes of its request. A server may answer 5xx without having run the request.

Evidence: "Only an answer without a server error clears the crashes of a call" fails before with 0 crashes in place of 2 after a 500.

Why it works: only an answer below 500 shows that the request can be run.

--- a/features/relay/crashes.feature
+++ b/features/relay/crashes.feature
@@ -23,3 +23,15 @@
     When a caller calls "book" and the server is paused to load weights
     Then the caller gets status 502
     And the call has 1 crash
+
+  Scenario Outline: Only an answer without a server error clears the crashes of a call
+    Given a relay with a plain server that <behaviour>
+    And 2 crashes of the call "book"
+    When a caller calls "book"
+    Then the caller gets status <status>
+    And the call has <count> crashes
+
+    Examples:
+      | behaviour   | status | count |
+      | answers     | 200    | 0     |
+      | answers 500 | 500    | 2     |
--- a/features/steps/relay_crash_steps.py
+++ b/features/steps/relay_crash_steps.py
@@ -1,11 +1,28 @@
 """Steps for calls that may crash the servers that run them."""
 
-from behave import then, when
+from behave import given, then, when
 from behave.runner import Context
 
-from features.loop import wait_until
+from features.loop import wait_for_call, wait_until
 from features.steps.relay_steps import call_route
 from yuccagauge.clock import Millis
+from yuccagauge.directory.base import CustomerSpec
+from yuccagauge.quarantine.base import CrashSuspicion
+from yuccagauge.relay.base import IncomingRequest
+from yuccagauge.relay.relay import fingerprint_of
+
+_CUSTOMER = CustomerSpec(name='anna', api_keys=())
+
+
+def _fingerprint(route: str) -> bytes:
+    request = IncomingRequest(
+        method='POST',
+        target=f'/{route}/x',
+        headers=(),
+        body=b'' if route == 'read' else b'hello',
+        received_at=Millis(0),
+    )
+    return fingerprint_of(request, _CUSTOMER)
 
 
 def _crash_count(context: Context) -> int:
@@ -17,6 +34,23 @@
     )
 
 
+@given('{count:d} crashes of the call "{route}"')
+def merge_crashes(context: Context, count: int, route: str) -> None:
+    """Merge crashes that other routers have seen."""
+    relay_context = context.fixture.relay_context
+    suspicion = CrashSuspicion(
+        fingerprint=_fingerprint(route),
+        crashes=frozenset(f'crash{number}' for number in range(count)),
+        cleared=frozenset(),
+        age=Millis(0),
+    )
+    wait_for_call(
+        relay_context.quarantine.merge_suspicions,
+        (suspicion,),
+        relay_context.clock.now(),
+    )
+
+
 @when('a caller calls "{route}" and the server is paused to load weights')
 def call_loading_server(context: Context, route: str) -> None:
     """Announce the pause while the request is under way."""
--- a/yuccagauge/relay/call.py
+++ b/yuccagauge/relay/call.py
@@ -147,7 +147,9 @@
             self._reporter.record_failed_attempt('server_failed')
             self._retry_on_another_server()
             return
-        self._context.quarantine.record_completion(self._call.fingerprint)
+        if not failed:
+            # A server may fail a request without running it.
+            self._context.quarantine.record_completion(self._call.fingerprint)
         self._reporter.record_first_output()
         self._finish_call('answered', self._response.status)
         self._response.finish_response()
--- a/yuccagauge/relay/relay.py
+++ b/yuccagauge/relay/relay.py
@@ -102,7 +102,7 @@
         if route is None:
             raise RefusedError(refusals.no_route())
         customer = _authenticate(configuration, route, fields)
-        fingerprint = _fingerprint(request, customer)
+        fingerprint = fingerprint_of(request, customer)
         now = self._context.clock.now()
         status = self._context.quarantine.status(fingerprint, now)
         if status is QuarantineStatus.REFUSED:
@@ -231,7 +231,7 @@
     return min(call.deadline, Millis(received + first_event_timeout))
 
 
-def _fingerprint(
+def fingerprint_of(
     request: IncomingRequest,
     customer: CustomerSpec | None,
 ) -> bytes:
