Check before each send whether a request crashes servers

Callers could see: a call that waits for a server, or whose run ends the third one, is still sent.

Cause: the status was checked once, when the call was admitted. A crash that became known later did not stop it.

Why it works: each choice of a server checks the status first. A call that may have run ends with 502, one that has not run with 503.

--- a/features/relay/crashes.feature
+++ b/features/relay/crashes.feature
@@ -35,3 +35,18 @@
       | behaviour   | status | count |
       | answers     | 200    | 0     |
       | answers 500 | 500    | 2     |
+
+  Scenario: A call that waits is not sent after its third crash
+    Given a relay with a plain server that answers
+    When a caller calls "book" while the server is paused for 300 ms
+    And peers report 3 crashes of the call "book"
+    Then the caller gets status 503
+    And the server got 0 requests
+
+  Scenario: A call whose run ends the third server is not sent again
+    Given a relay with a plain server that resets after the request
+    And a second plain server that answers
+    And 2 crashes of the call "read"
+    When a caller calls "read" and the first server is selected
+    Then the caller gets status 502
+    And the call has 3 crashes
--- a/features/steps/relay_crash_steps.py
+++ b/features/steps/relay_crash_steps.py
@@ -35,6 +35,7 @@
 
 
 @given('{count:d} crashes of the call "{route}"')
+@when('peers report {count:d} crashes of the call "{route}"')
 def merge_crashes(context: Context, count: int, route: str) -> None:
     """Merge crashes that other routers have seen."""
     relay_context = context.fixture.relay_context
@@ -51,6 +52,16 @@
     )
 
 
+@when('a caller calls "{route}" while the server is paused for {ms:d} ms')
+def call_paused_server(context: Context, route: str, ms: int) -> None:
+    """Make the call wait for its only server."""
+    relay_context = context.fixture.relay_context
+    load = context.fixture.selector.load_of('i0')
+    load.paused_until = Millis(relay_context.clock.now() + ms)
+    call_route(context, route)
+    wait_until(lambda: bool(relay_context.running_calls))
+
+
 @when('a caller calls "{route}" and the server is paused to load weights')
 def call_loading_server(context: Context, route: str) -> None:
     """Announce the pause while the request is under way."""
--- a/yuccagauge/relay/call.py
+++ b/yuccagauge/relay/call.py
@@ -11,6 +11,7 @@
 from yuccagauge.dispatch.base import AnswerSink, ResponseHead
 from yuccagauge.dispatch.exchange import Exchange
 from yuccagauge.dispatch.timers import Timers
+from yuccagauge.quarantine.base import QuarantineStatus
 from yuccagauge.relay import refusals
 from yuccagauge.relay.attempt import AttemptTracker
 from yuccagauge.relay.base import AttemptRequest, RelayCall, ResponseInfo
@@ -229,11 +230,7 @@
     def _select_server(self) -> None:
         if self._has_ended:
             return
-        context = self._context
-        stores = context.directory.configuration.kv_cache_stores
-        decision = context.selector.choose(
-            self._selection_request, stores, self._now()
-        )
+        decision = self._choose_server()
         if decision.placement is not None:
             self._send_attempt(decision)
         elif decision.wait_until is not None:
@@ -246,6 +243,19 @@
         else:
             self._refuse(refusals.broken_attempt(decision.reason))
 
+    def _choose_server(self) -> SelectionDecision:
+        """Return the selector's decision, unless the call is quarantined.
+
+        Servers may crash at other routers while the call waits or runs.
+        """
+        context = self._context
+        now = self._now()
+        status = context.quarantine.status(self._call.fingerprint, now)
+        if status is QuarantineStatus.REFUSED:
+            return SelectionDecision(reason='crashes_servers')
+        stores = context.directory.configuration.kv_cache_stores
+        return context.selector.choose(self._selection_request, stores, now)
+
     def _send_attempt(self, decision: SelectionDecision) -> None:
         self._sends += 1
         timeout = Millis(max(1, self._call.deadline - self._now()))
--- a/yuccagauge/selection/base.py
+++ b/yuccagauge/selection/base.py
@@ -73,7 +73,8 @@
 class SelectionDecision:
     """Where a call goes, or when to decide again, or a refusal.
 
-    Exactly one of ``placement``, ``wait_until`` and ``retry_after`` is set.
+    At most one of ``placement``, ``wait_until`` and ``retry_after`` is set.
+    Without any, the call is refused, and no retry can succeed.
     """
 
     placement: Placement | None = None
