Send suspects to peers first, and let crashes expire in time

Callers could see: a suspect request stays unknown to other routers while many connections break, and a refused one stays refused for longer than 10 minutes.

Cause: peers got the 20 suspicions that changed last, and each merge counted as a change, so requests that one reset had broken crowded out the suspect; the oldest entry was dropped first, a refused one too. Each merge also moved the time of the crash by the delay of the message, so that exchanges kept renewing it.

Evidence: "A suspect reaches other routers though many connections break", "A refused request is kept though many connections break" and "Exchanges that take their time do not keep a request refused" fail before.

Why it works: suspects are sent first and dropped last, and only a crash that is new to a router changes its entry.

--- a/features/quarantine/quarantine.feature
+++ b/features/quarantine/quarantine.feature
@@ -87,6 +87,23 @@
       | 1500 | suspect |
       | 2500 | refused |
 
+  Scenario: A suspect reaches other routers though many connections break
+    Given a quarantine in which request "a" has 2 confirmed crashes
+    When the connections of 500 requests to 5 engines break in the same quarantine
+    Then the 20 suspicions that are sent first have request "a"
+
+  Scenario: A refused request is kept though many connections break
+    Given a quarantine for at most 50 requests
+    And request "a" has 3 confirmed crashes in the same quarantine
+    When the connections of 500 requests to 5 engines break in the same quarantine
+    Then the status of request "a" is "refused" in the quarantine
+
+  Scenario: Exchanges that take their time do not keep a request refused
+    Given a quarantine in which request "a" has 3 confirmed crashes
+    And another router's quarantine that saw the same crashes
+    When both exchange their suspicions each second for 10 minutes, 100 ms late each time
+    Then the status of request "a" is "clear" in both quarantines
+
   Scenario Outline: The log tells why a crash counts or no longer counts
     Given a quarantine in which request "a" has 2 confirmed crashes
     And the log of the quarantine is read
--- a/features/steps/quarantine_sharing_steps.py
+++ b/features/steps/quarantine_sharing_steps.py
@@ -5,12 +5,14 @@
 
 from yuccagauge.clock import ManualClock, Millis
 from yuccagauge.quarantine.base import (
+    QUARANTINE_DURATION,
     Quarantine,
 )
 from yuccagauge.quarantine.entry import Evidence
 from yuccagauge.settings.options import Endpoint
 
 _ENGINE = Endpoint('127.0.0.1', 9101)
+_EXCHANGE_PERIOD = Millis(1000)
 _LIMIT = 20
 
 
@@ -119,3 +121,45 @@
     """Report the load; a restarted engine could have done it after 2 s."""
     context.clock.advance(Millis(ms))
     context.quarantine.record_load(_ENGINE, context.clock.now())
+
+
+@when(
+    'the connections of {count:d} requests to {engines:d} engines break in '
+    'the same quarantine'
+)
+def break_many(context: Context, count: int, engines: int) -> None:
+    """Break one connection of each request."""
+    for number in range(count):
+        context.clock.advance(Millis(1))
+        context.quarantine.record_broken_connection(
+            f'r{number}'.encode(),
+            Endpoint('127.0.0.1', number % engines),
+            'i1',
+            context.clock.now(),
+        )
+
+
+@then('the {limit:d} suspicions that are sent first have request "{name}"')
+def check_sent(context: Context, limit: int, name: str) -> None:
+    """Guard against a suspect that is crowded out by harmless requests."""
+    sent = context.quarantine.recent_suspicions(limit, context.clock.now())
+    assert len(sent) == limit
+    assert name.encode() in {each.fingerprint for each in sent}
+
+
+@when(
+    'both exchange their suspicions each second for 10 minutes, {ms:d} ms '
+    'late each time'
+)
+def exchange_late(context: Context, ms: int) -> None:
+    """Merge suspicions whose age is less than the time since the crash."""
+    end = context.clock.now() + QUARANTINE_DURATION
+    pair = (context.quarantine, context.other)
+    while context.clock.now() <= end:
+        sent = [
+            each.recent_suspicions(_LIMIT, context.clock.now()) for each in pair
+        ]
+        context.clock.advance(Millis(ms))
+        for quarantine, suspicions in zip(pair, reversed(sent), strict=True):
+            quarantine.merge_suspicions(suspicions, context.clock.now())
+        context.clock.advance(Millis(_EXCHANGE_PERIOD - ms))
--- a/yuccagauge/quarantine/base.py
+++ b/yuccagauge/quarantine/base.py
@@ -14,6 +14,7 @@
 from collections import OrderedDict
 from collections.abc import Iterable, Set
 from dataclasses import dataclass
+from itertools import chain
 
 from yuccagauge.clock import Millis
 from yuccagauge.quarantine.entry import (
@@ -36,7 +37,7 @@
 #: How long after its last crash a request is refused, and its crashes are kept.
 QUARANTINE_DURATION = Millis(600_000)
 
-#: Requests that are tracked. The least recently suspected one is dropped first.
+#: Requests that are tracked. The one without a recent change is dropped first.
 MAXIMUM_REQUESTS = 10_000
 
 #: Time after a run in which its crash may still be dismissed. An engine that
@@ -85,6 +86,8 @@
         self._maximum = maximum
         #: The latest change is last.
         self._entries: OrderedDict[bytes, CrashEntry] = OrderedDict()
+        #: Requests that are suspects or refused; the latest change is last.
+        self._suspects: OrderedDict[bytes, None] = OrderedDict()
         self._watched: dict[Endpoint, set[bytes]] = {}
         self._running = RunningRequests()
 
@@ -240,9 +243,19 @@
     def recent_suspicions(
         self, limit: int, now: Millis
     ) -> tuple[CrashSuspicion, ...]:
-        """Return the latest suspicions, to be sent to peers."""
+        """Return suspicions to be sent to peers, the most important first.
+
+        Load pattern: one reset of many connections makes hundreds of requests
+        crash once. The few that are suspects are sent before them.
+        """
         suspicions: list[CrashSuspicion] = []
-        for fingerprint, entry in reversed(self._entries.items()):
+        others = (
+            fingerprint
+            for fingerprint in reversed(self._entries)
+            if fingerprint not in self._suspects
+        )
+        for fingerprint in chain(reversed(self._suspects), others):
+            entry = self._entries[fingerprint]
             if now - entry.crashed_at < QUARANTINE_DURATION:
                 suspicions.append(_suspicion(fingerprint, entry, now))
             if len(suspicions) == limit:
@@ -260,10 +273,11 @@
             entry = self._entries.get(fingerprint, CrashEntry())
             previous_count = len(entry.crashes)
             crashed_at = Millis(now - suspicion.age)
-            entry.clear(suspicion.cleared)
-            entry.add(suspicion.crashes, crashed_at)
-            entry.crashed_at = max(entry.crashed_at, crashed_at)
-            self._store_change(fingerprint, entry)
+            # An entry without crashes that count expires as others do.
+            entry.crashed_at = entry.crashed_at or crashed_at
+            self._clear_crashes(fingerprint, entry, suspicion.cleared)
+            if entry.add(suspicion.crashes, crashed_at):
+                self._store_change(fingerprint, entry)
             if len(entry.crashes) != previous_count:
                 log_quarantine(
                     QuarantineEvent.MERGED,
@@ -339,7 +353,7 @@
         if entry is None:
             return None
         if now - entry.crashed_at >= QUARANTINE_DURATION:
-            self._entries.pop(fingerprint)
+            self._drop(fingerprint)
             return None
         return entry
 
@@ -347,8 +361,22 @@
         """Store an entry as the latest one that changed."""
         self._entries[fingerprint] = entry
         self._entries.move_to_end(fingerprint)
+        self._suspects.pop(fingerprint, None)
+        if len(entry.crashes) >= SUSPECT_CRASHES:
+            self._suspects[fingerprint] = None
         if len(self._entries) > self._maximum:
-            self._entries.popitem(last=False)
+            self._drop(self._least_important())
+
+    def _least_important(self) -> bytes:
+        """Return the oldest request, if possible one that is no suspect."""
+        for fingerprint in self._entries:
+            if fingerprint not in self._suspects:
+                return fingerprint
+        return next(iter(self._suspects))
+
+    def _drop(self, fingerprint: bytes) -> None:
+        self._entries.pop(fingerprint)
+        self._suspects.pop(fingerprint, None)
 
 
 def _suspicion(
