Keep the crashes of suspects in the store

Callers saw: a request that all routers had refused was sent to servers again after all of them had restarted, and each router that no peer reached ended servers of its own.

Cause: crashes travelled only in the exchange between routers, and lived only in their memory.

Why it works: the store is a second way. A router that hears no other one for 1.5 s writes its crashes there and reads all of them each second. Otherwise only the crashes of suspects are written, and read once at the start, before the router is ready, for 1 s at most.

--- a/features/crash_fleet.py
+++ b/features/crash_fleet.py
@@ -356,6 +356,7 @@
             record_decoder=PlatformRecordDecoder(),
             store=store,
             lease_store=store,
+            crash_store=store,
             order_client=None,
             cache_event_source=None,
             ready_path='/ready',
--- a/features/log_store.py
+++ b/features/log_store.py
@@ -3,6 +3,7 @@
 import base64
 import json
 import struct
+from collections.abc import Iterator
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
@@ -105,12 +106,20 @@
         return 200, _PAGE_HEADER.pack(len(records), first) + packed
 
     def append(self, query: dict[str, str]) -> tuple[int, bytes]:
-        """Append one keyed record if the topic ends at the given offset."""
+        """Append keyed records if the topic ends at the given offset."""
         records = self._topics.setdefault(query['topic'], [])
-        if int(query['at']) != len(records):
+        if int(query.get('at', len(records))) != len(records):
             return 412, json.dumps({'end': len(records)}).encode()
-        content = self._body[_RECORD_LENGTH.size :]
-        key_end = 1 + content[0]
-        records.append((content[1:key_end].decode(), content[key_end:]))
-        answer = {'offset': len(records) - 1, 'end': len(records)}
+        first = len(records)
+        records.extend(_unpack_records(self._body))
+        answer = {'offset': first, 'end': len(records)}
         return 200, json.dumps(answer).encode()
+
+
+def _unpack_records(body: bytes) -> Iterator[tuple[str, bytes]]:
+    while body:
+        end = _RECORD_LENGTH.size + _RECORD_LENGTH.unpack_from(body)[0]
+        content = body[_RECORD_LENGTH.size : end]
+        body = body[end:]
+        key_end = 1 + content[0]
+        yield content[1:key_end].decode(), content[key_end:]
--- a/features/platform/adapter.feature
+++ b/features/platform/adapter.feature
@@ -152,3 +152,13 @@
     When the response to an appended lease record is lost
     Then the append fails and the writer reads its own name as the holder
     And a second record under the same condition is not written
+
+  Scenario: Crashes are listed as they were written, without those that were removed
+    Given a store without a lease record
+    When a router writes 3 crashes and removes 1 of them
+    Then the store lists the other 2 crashes
+
+  Scenario: A crash that cannot be decoded hides no other one
+    Given a store without a lease record
+    When a router writes 1 crash and another writer 2 malformed ones
+    Then the store lists 1 crash
--- a/features/simulated_store.py
+++ b/features/simulated_store.py
@@ -16,6 +16,7 @@
     StorePage,
     StoreUnavailableError,
 )
+from yuccagauge.quarantine.archive import StoredCrash
 from yuccagauge.rollout.base import LeaseState
 
 #: Time without a heartbeat after which the store removes an entry.
@@ -51,6 +52,7 @@
             Topic.SERVERS: [],
         }
         self._first = dict.fromkeys(Topic, 0)
+        self._crashes: dict[tuple[bytes, str], StoredCrash] = {}
 
     def append_entry(self, key: str, value: bytes | None) -> None:
         """Write an entry of a server, unless the store is down."""
@@ -108,6 +110,28 @@
         look()
         return result
 
+    def write_crashes(
+        self, name: str, crashes: tuple[StoredCrash, ...]
+    ) -> Deferred[None]:
+        """Add or remove crashes."""
+
+        def write() -> None:
+            for crash in crashes:
+                self._crashes[crash.fingerprint, crash.crash] = crash
+
+        return self._answer(name, write)
+
+    def list_crashes(self, name: str) -> Deferred[tuple[StoredCrash, ...]]:
+        """Return all crashes that are not removed."""
+        return self._answer(
+            name,
+            lambda: tuple(
+                crash
+                for crash in self._crashes.values()
+                if crash.crashed_at is not None
+            ),
+        )
+
     def _page(self, topic: Topic, offset: int) -> StorePage:
         log = self._log[topic]
         if not self._first[topic] <= offset <= len(log):
@@ -172,6 +196,14 @@
         """Return the records from an offset on."""
         return self._store.read_from(self._name, topic, offset, wait)
 
+    def write_crashes(self, crashes: tuple[StoredCrash, ...]) -> Deferred[None]:
+        """Add or remove crashes."""
+        return self._store.write_crashes(self._name, crashes)
+
+    def list_crashes(self) -> Deferred[tuple[StoredCrash, ...]]:
+        """Return all crashes."""
+        return self._store.list_crashes(self._name)
+
     def read_lease(self) -> Deferred[LeaseState]:
         """Never answer: the fleet needs no leader."""
         return Deferred()
--- a/yuccagauge/exchange/merger.py
+++ b/yuccagauge/exchange/merger.py
@@ -46,6 +46,7 @@
         self._clock = clock
         self._members = MemberList(name)
         self._known_names: frozenset[str] = frozenset()
+        self._received_at = Millis(0)
         #: When the store last confirmed to a peer, for each topic, a next
         #: offset that this router has reached.
         self._confirmed_at: dict[Topic, Millis] = {}
@@ -66,6 +67,11 @@
         """The list of other routers."""
         return self._members
 
+    @property
+    def received_at(self) -> Millis:
+        """When the last message of another router was received."""
+        return self._received_at
+
     def peer_confirmed_at(self, topic: Topic) -> Millis:
         """Return when the store last confirmed a topic to a peer.
 
@@ -76,6 +82,7 @@
     def merge_message(self, message: FleetExchange) -> None:
         """Apply all parts of one message."""
         now = self._clock.now()
+        self._received_at = now
         if message.leaves:
             if self._members.remove_member(message.name, now):
                 self.on_peer_left()
--- a/yuccagauge/exchange/service.py
+++ b/yuccagauge/exchange/service.py
@@ -40,6 +40,10 @@
 #: Time within which a peer has to answer.
 REPLY_TIMEOUT = Millis(800)
 
+#: Time without any message after which a router counts as isolated. Even in a
+#: large fleet, each router receives several messages within it.
+ISOLATION_TIME = Millis(1500)
+
 #: Other routers that one message lists. Each router asks a few others each
 #: period, so the time when a live router was last seen reaches a hundred
 #: others well before they would count it as dead.
@@ -145,6 +149,12 @@
         """Number of live routers, including this one."""
         return len(self.peers) + 1
 
+    @property
+    def is_isolated(self) -> bool:
+        """Whether other routers should be reachable, but none is heard."""
+        silence = self._clock.now() - self._merger.received_at
+        return bool(self._seeds) and silence > ISOLATION_TIME
+
     def confirmation_age(self, topic: Topic, now: Millis) -> Millis:
         """Return the time since the store confirmed this router's state.
 
--- a/yuccagauge/platform/adapter.py
+++ b/yuccagauge/platform/adapter.py
@@ -36,6 +36,7 @@
         record_decoder=PlatformRecordDecoder(),
         store=store,
         lease_store=store,
+        crash_store=store,
         order_client=engines,
         cache_event_source=engines,
         ready_path=names.READY_PATH,
--- a/yuccagauge/platform/store.py
+++ b/yuccagauge/platform/store.py
@@ -1,4 +1,4 @@
-"""Client of the platform's log: keyed topics and the leader lease."""
+"""Client of the platform's log: keyed topics, leader lease and crashes."""
 
 import base64
 import json
@@ -21,7 +21,9 @@
 from yuccagauge.dispatch.base import BackendMessage
 from yuccagauge.dispatch.fetch import Fetched, FetchError
 from yuccagauge.platform import names
+from yuccagauge.quarantine.archive import StoredCrash
 from yuccagauge.rollout.base import LeaseState
+from yuccagauge.telemetry.journal import log_state_change
 
 _OK = 200
 _GONE = 410
@@ -33,6 +35,11 @@
 _LEASE_TOPIC = 'keyed.lead'
 _LEASE_KEY = 'lead'
 
+#: Topic of the crashes of requests. The key of a record has the request's
+#: fingerprint and the id of the crash.
+_CRASHES_TOPIC = 'keyed.crashes'
+_CRASH_KEY_SEPARATOR = '/'
+
 #: Follows the name of the lease holder in a record.
 _HOLDER_TERMINATOR = '\n'
 
@@ -62,12 +69,17 @@
     @inlineCallbacks
     def list_newest(self, topic: Topic) -> Any:
         """Return a ``StorePage`` of the newest record of each key."""
+        page = yield self._list_topic(_TOPICS[topic])
+        return page
+
+    @inlineCallbacks
+    def _list_topic(self, topic: str) -> Any:
         records: list[KeyedRecord] = []
         next_offset: int | None = None
         after = ''
         has_more = True
         while has_more:
-            query = {'topic': _TOPICS[topic], 'part': 0}
+            query = {'topic': topic, 'part': 0}
             if after:
                 query['after'] = after
             response = yield self._get(
@@ -115,21 +127,44 @@
         Returns whether the record was written.
         """
         query = {'topic': _LEASE_TOPIC, 'part': 0, 'at': expected_count}
-        key = _LEASE_KEY.encode()
         # A record without a value would remove the key, so a record without a
         # holder has the terminator as its value.
-        content = (
-            bytes([len(key)]) + key + f'{holder}{_HOLDER_TERMINATOR}'.encode()
+        record = _encode_record(_LEASE_KEY, f'{holder}{_HOLDER_TERMINATOR}')
+        response = yield self._append(
+            query, record, also_accepted=_PRECONDITION_FAILED
+        )
+        return response.head.status == _OK
+
+    @inlineCallbacks
+    def write_crashes(self, crashes: tuple[StoredCrash, ...]) -> Any:
+        """Add or remove crashes, all or none of them."""
+        body = b''.join(
+            _encode_record(
+                f'{each.fingerprint.hex()}{_CRASH_KEY_SEPARATOR}{each.crash}',
+                '' if each.crashed_at is None else str(each.crashed_at),
+            )
+            for each in crashes
         )
+        yield self._append({'topic': _CRASHES_TOPIC, 'part': 0}, body)
+
+    @inlineCallbacks
+    def list_crashes(self) -> Any:
+        """Return all crashes as a tuple of ``StoredCrash``."""
+        page = yield self._list_topic(_CRASHES_TOPIC)
+        decoded = map(_decode_crash, page.records)
+        return tuple(crash for crash in decoded if crash is not None)
+
+    @inlineCallbacks
+    def _append(
+        self, query: dict[str, Any], body: bytes, also_accepted: int = _OK
+    ) -> Any:
         message = BackendMessage(
             method='POST',
             path=f'{names.LOG_APPEND_PATH}?{urlencode(query)}',
-            body=_RECORD_LENGTH.pack(len(content)) + content,
-        )
-        response = yield self._request(
-            message, _REPLY_TIMEOUT, also_accepted=_PRECONDITION_FAILED
+            body=body,
         )
-        return response.head.status == _OK
+        response = yield self._request(message, _REPLY_TIMEOUT, also_accepted)
+        return response
 
     @inlineCallbacks
     def _get(self, path: str, query: dict[str, Any], timeout: Millis) -> Any:
@@ -186,6 +221,29 @@
     )
 
 
+def _encode_record(key: str, value: str) -> bytes:
+    """Return a keyed record; an empty value removes the key."""
+    encoded_key = key.encode()
+    content = bytes([len(encoded_key)]) + encoded_key + value.encode()
+    return _RECORD_LENGTH.pack(len(content)) + content
+
+
+def _decode_crash(record: KeyedRecord) -> StoredCrash | None:
+    """Return the crash, or ``None`` after logging a malformed record."""
+    fingerprint, _, crash = record.key.partition(_CRASH_KEY_SEPARATOR)
+    try:
+        return StoredCrash(
+            fingerprint=bytes.fromhex(fingerprint),
+            crash=crash,
+            crashed_at=Millis(int(record.value)),
+        )
+    except ValueError as error:
+        log_state_change(
+            'record_unreadable', key=record.key[:80], reason=str(error)
+        )
+        return None
+
+
 def _decode_record(content: bytes, offset: int) -> KeyedRecord:
     """Decode one keyed record; an empty value removes the key."""
     key_end = 1 + content[0]
--- a/yuccagauge/quarantine/base.py
+++ b/yuccagauge/quarantine/base.py
@@ -24,6 +24,7 @@
     crash_id,
 )
 from yuccagauge.quarantine.events import QuarantineEvent, log_quarantine
+from yuccagauge.quarantine.listener import CrashListener
 from yuccagauge.quarantine.running import RunningRequests
 from yuccagauge.settings.options import Endpoint
 
@@ -90,6 +91,7 @@
         self._suspects: OrderedDict[bytes, None] = OrderedDict()
         self._watched: dict[Endpoint, set[bytes]] = {}
         self._running = RunningRequests()
+        self.listeners: list[CrashListener] = []
 
     def __len__(self) -> int:
         """Return the number of tracked requests."""
@@ -294,13 +296,18 @@
         if not entry.add((crash,), now):
             return None
         self._store_change(fingerprint, entry)
+        for listener in self.listeners:
+            listener.crash_added(fingerprint, crash)
         return entry
 
     def _clear_crashes(
         self, fingerprint: bytes, entry: CrashEntry, crashes: Iterable[str]
     ) -> None:
-        if entry.clear(crashes):
+        cleared = entry.clear(crashes)
+        if cleared:
             self._store_change(fingerprint, entry)
+        for listener in self.listeners:
+            listener.crashes_cleared(fingerprint, cleared)
 
     def _resolve(
         self,
--- a/yuccagauge/relay/adapter.py
+++ b/yuccagauge/relay/adapter.py
@@ -7,6 +7,7 @@
 from yuccagauge.directory.state import RecordDecoder
 from yuccagauge.directory.store import KeyedStore
 from yuccagauge.dispatch.connection import ConnectionPool
+from yuccagauge.quarantine.archive import CrashStore
 from yuccagauge.relay.base import BackendProtocol, CallDecoder
 from yuccagauge.rollout.base import LeaseStore, WeightsOrderClient
 from yuccagauge.settings.relay import RelaySettings
@@ -21,6 +22,7 @@
     record_decoder: RecordDecoder
     store: KeyedStore
     lease_store: LeaseStore
+    crash_store: CrashStore
     order_client: WeightsOrderClient
     cache_event_source: CacheEventSource
     #: Path of the load balancer's readiness check.
--- a/yuccagauge/relay/router.py
+++ b/yuccagauge/relay/router.py
@@ -17,6 +17,7 @@
 from yuccagauge.dispatch.connection import ConnectionPool
 from yuccagauge.errors import SettingsError
 from yuccagauge.exchange.service import ExchangeService
+from yuccagauge.quarantine.archive import CrashArchive
 from yuccagauge.relay.adapter import AdapterFactory
 from yuccagauge.relay.changes import log_fleet_changes
 from yuccagauge.relay.channel import CallerFactory
@@ -121,6 +122,13 @@
             for topic in Topic
         }
         self._exchange = self._build_exchange()
+        self._crash_archive = CrashArchive(
+            self._context.quarantine,
+            self._adapter.crash_store,
+            reactor,
+            clock,
+            lambda: self._exchange.is_isolated,
+        )
         self._cache_feed = CacheFeed(
             self._adapter.cache_event_source,
             self._directory,
@@ -162,7 +170,11 @@
     @property
     def is_ready(self) -> bool:
         """Whether the router accepts new connections."""
-        return self._directory.is_ready and not self._is_stopping
+        return (
+            self._directory.is_ready
+            and self._crash_archive.is_ready
+            and not self._is_stopping
+        )
 
     def start(self) -> None:
         """Open the ports and start to follow the store."""
@@ -186,6 +198,7 @@
         self._listen(section.ready_listen, _site(ready))
         self._listen(section.metrics_listen, _site(MetricsPage()))
         self._exchange.start()
+        self._crash_archive.start()
         for follower in self._followers.values():
             follower.start()
         self._rollout.start()
@@ -239,6 +252,7 @@
 
     def _close(self) -> Deferred[Any]:
         self._upkeep.close()
+        self._crash_archive.close()
         for follower in self._followers.values():
             follower.close()
         self._cache_feed.close()
