Count an unanswered run if its server has ended meanwhile

Callers could see: a request that ends a server without power goes on, if the server returns before the caller leaves.

Cause: a run that nobody waits for counts unless the server has sent anything since it began. A server that has restarted meanwhile sends answers to other calls, which look like a sign of life.

Evidence: "The run of a caller that leaves counts if the server has ended meanwhile" fails before with 0 crashes, for a restart under the same id and for another id.

Why it works: activity is a sign of life only while the server is listed with the incarnation that the run was sent to.

--- a/features/relay/crashes.feature
+++ b/features/relay/crashes.feature
@@ -12,6 +12,16 @@
     When a caller calls "book", the server answers another call, and the caller disconnects
     Then the call has 0 crashes
 
+  Scenario Outline: The run of a caller that leaves counts if the server has ended meanwhile
+    Given a relay with a plain server that never answers
+    When a caller calls "book", the server <end>, answers another call, and the caller disconnects
+    Then the call has 1 crash
+
+    Examples:
+      | end                       |
+      | restarts under its id     |
+      | is replaced by another id |
+
   Scenario: A run that is not answered in time counts if the server sent nothing
     Given a relay with a plain server that never answers
     When a caller calls "short"
--- a/features/relay_fixture.py
+++ b/features/relay_fixture.py
@@ -138,9 +138,12 @@
         if service == 'model':
             entry['models'] = [{'name': 'm', 'version': 1, 'adapters': []}]
         self._write(Topic.SERVERS, name, {**entry, **overrides})
-        self.selector.update_fleet_view(
-            FleetView(servers=dict(self.directory.servers))
-        )
+        self._update_view()
+
+    def remove_server(self, name: str) -> None:
+        """Remove a server's entry from the directory."""
+        self._write(Topic.SERVERS, name, None)
+        self._update_view()
 
     def close(self) -> None:
         """Close the port and all connections."""
@@ -148,12 +151,17 @@
         self.pool.close()
         wait_for_call(self._port.stopListening)
 
+    def _update_view(self) -> None:
+        self.selector.update_fleet_view(
+            FleetView(servers=dict(self.directory.servers))
+        )
+
     def _write(self, topic: Topic, key: str, document: Any) -> None:
         self._offset += 1
         record = KeyedRecord(
             key=key,
             offset=self._offset,
-            value=json.dumps(document).encode(),
+            value=document and json.dumps(document).encode(),
         )
         self.directory.apply_records(
             topic,
--- a/features/steps/relay_crash_steps.py
+++ b/features/steps/relay_crash_steps.py
@@ -81,13 +81,24 @@
     'a caller calls "{route}", the server answers another call, and the '
     'caller disconnects'
 )
-def disconnect_from_live_server(context: Context, route: str) -> None:
+@when(
+    'a caller calls "{route}", the server {end}, answers another call, and '
+    'the caller disconnects'
+)
+def disconnect_from_answering_server(
+    context: Context, route: str, end: str = ''
+) -> None:
     """Let the server send something after it got the call."""
     call_route(context, route)
     wait_until(lambda: bool(context.servers[0].exchanges))
-    load = context.fixture.selector.load_of('i0')
-    now = context.fixture.relay_context.clock.now()
-    load.last_activity_at = Millis(now + 1)
+    fixture = context.fixture
+    if end == 'restarts under its id':
+        fixture.add_server('i0', 'plain', context.servers[0], born=1)
+    elif end:
+        fixture.remove_server('i0')
+        fixture.add_server('i9', 'plain', context.servers[0])
+    now = fixture.relay_context.clock.now()
+    fixture.selector.load_of('i0').last_activity_at = Millis(now + 1)
     context.caller.close()
 
 
--- a/yuccagauge/relay/attempt.py
+++ b/yuccagauge/relay/attempt.py
@@ -110,9 +110,10 @@
         """Record a run that may have ended the server unnoticed.
 
         A server that lost power resets no connection. It sends nothing either,
-        unlike a server that was only slow with this run.
+        unlike a server that was only slow with this run, until it restarts.
         """
-        if self._load().last_activity_at <= self._sent_at:
+        is_quiet = self._load().last_activity_at <= self._sent_at
+        if is_quiet or not self._is_same_incarnation():
             self._record_possible_crash()
 
     def end_attempt(self, *, failed: bool) -> None:
@@ -139,6 +140,12 @@
             self._placement.server.endpoint,
         )
 
+    def _is_same_incarnation(self) -> bool:
+        """Return whether the server is listed as it was at the send."""
+        sent_to = self._placement.server
+        listed = self._context.directory.servers.get(sent_to.server_id)
+        return listed is not None and listed.incarnation == sent_to.incarnation
+
     def _is_loading_weights(self) -> bool:
         """Return whether the server may reset its runs to load weights."""
         return self._now() < self._load().loading_until
