Forget expired crashes when the next message is built

Callers could see: slow exchanges in a router that many broken connections hit more than 10 minutes ago.

Cause: an expired request stayed in the table until its status was asked for, and each message to a peer passed over all of them.

Evidence: "Crashes that have expired cost no time in later exchanges" fails before with 500 requests tracked.

Why it works: what the builder of a message finds expired is dropped. The form of a suspicion moves beside the entry that it is made of.

--- a/features/quarantine/quarantine.feature
+++ b/features/quarantine/quarantine.feature
@@ -104,6 +104,12 @@
     When both exchange their suspicions each second for 10 minutes, 100 ms late each time
     Then the status of request "a" is "clear" in both quarantines
 
+  Scenario: Crashes that have expired cost no time in later exchanges
+    Given a quarantine for at most 500 requests
+    When the connections of 500 requests to 5 engines break
+    And 10 minutes pass in the quarantine
+    Then no suspicion is sent, and the quarantine tracks no request
+
   Scenario Outline: The log tells why a crash counts or no longer counts
     Given a quarantine in which request "a" has 2 confirmed crashes
     And the log of the quarantine is read
--- a/features/steps/quarantine_sharing_steps.py
+++ b/features/steps/quarantine_sharing_steps.py
@@ -163,3 +163,11 @@
         for quarantine, suspicions in zip(pair, reversed(sent), strict=True):
             quarantine.merge_suspicions(suspicions, context.clock.now())
         context.clock.advance(Millis(_EXCHANGE_PERIOD - ms))
+
+
+@then('no suspicion is sent, and the quarantine tracks no request')
+def check_expired(context: Context) -> None:
+    """Guard against messages for which all expired crashes are looked at."""
+    sent = context.quarantine.recent_suspicions(_LIMIT, context.clock.now())
+    assert not sent, sent
+    assert not len(context.quarantine), len(context.quarantine)
--- a/yuccagauge/quarantine/base.py
+++ b/yuccagauge/quarantine/base.py
@@ -13,12 +13,12 @@
 import enum
 from collections import OrderedDict
 from collections.abc import Iterable, Set
-from dataclasses import dataclass
 from itertools import chain
 
 from yuccagauge.clock import Millis
 from yuccagauge.quarantine.entry import (
     CrashEntry,
+    CrashSuspicion,
     Evidence,
     WatchedRun,
     crash_id,
@@ -60,19 +60,6 @@
     REFUSED = 'refused'
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class CrashSuspicion:
-    """The crashes of one request, as routers exchange them."""
-
-    fingerprint: bytes
-    #: Ids of the crashes while the request ran; see ``crash_id``.
-    crashes: frozenset[str]
-    #: Ids of those crashes that no longer count.
-    cleared: frozenset[str]
-    #: Time since the last crash, in ms.
-    age: Millis
-
-
 class Quarantine:
     """Tracks which requests may crash engines, and where requests run.
 
@@ -256,12 +243,17 @@
             for fingerprint in reversed(self._entries)
             if fingerprint not in self._suspects
         )
+        expired: list[bytes] = []
         for fingerprint in chain(reversed(self._suspects), others):
-            entry = self._entries[fingerprint]
-            if now - entry.crashed_at < QUARANTINE_DURATION:
-                suspicions.append(_suspicion(fingerprint, entry, now))
             if len(suspicions) == limit:
                 break
+            entry = self._entries[fingerprint]
+            if now - entry.crashed_at < QUARANTINE_DURATION:
+                suspicions.append(entry.suspicion(fingerprint, now))
+            else:
+                expired.append(fingerprint)
+        for fingerprint in expired:
+            self._drop(fingerprint)
         return tuple(suspicions)
 
     def merge_suspicions(
@@ -384,14 +376,3 @@
     def _drop(self, fingerprint: bytes) -> None:
         self._entries.pop(fingerprint)
         self._suspects.pop(fingerprint, None)
-
-
-def _suspicion(
-    fingerprint: bytes, entry: CrashEntry, now: Millis
-) -> CrashSuspicion:
-    return CrashSuspicion(
-        fingerprint=fingerprint,
-        crashes=entry.known,
-        cleared=frozenset(entry.cleared),
-        age=Millis(now - entry.crashed_at),
-    )
--- a/yuccagauge/quarantine/entry.py
+++ b/yuccagauge/quarantine/entry.py
@@ -40,6 +40,19 @@
     evidence: Evidence
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CrashSuspicion:
+    """The crashes of one request, as routers exchange them."""
+
+    fingerprint: bytes
+    #: Ids of the crashes while the request ran; see ``crash_id``.
+    crashes: frozenset[str]
+    #: Ids of those crashes that no longer count.
+    cleared: frozenset[str]
+    #: Time since the last crash, in ms.
+    age: Millis
+
+
 @dataclass(slots=True)
 class CrashEntry:
     """The crashes of one request, as one router knows them."""
@@ -58,6 +71,15 @@
         """Ids of all crashes, whether they count or not."""
         return frozenset(self.crashes).union(self.cleared)
 
+    def suspicion(self, fingerprint: bytes, now: Millis) -> CrashSuspicion:
+        """Return the crashes in the form in which peers get them."""
+        return CrashSuspicion(
+            fingerprint=fingerprint,
+            crashes=self.known,
+            cleared=frozenset(self.cleared),
+            age=Millis(now - self.crashed_at),
+        )
+
     def add(self, crashes: Iterable[str], crashed_at: Millis) -> bool:
         """Add crashes; return whether one of them was new."""
         new = sorted(set(crashes) - self.known)
