Compare a restarted engine with the incarnation that a run was sent to

Callers could see: a request that ends engines goes on, if an engine is back and has reported its load before its broken connection is noticed.

Cause: a run that broke before its head arrived was recorded with the incarnation of the last load report. If that was the one of the restarted engine, the next report had the same incarnation and dismissed the crash.

--- a/features/quarantine/quarantine.feature
+++ b/features/quarantine/quarantine.feature
@@ -123,3 +123,8 @@
       | dismissed | crash_dismissed | 2     |
       | cleared   | crashes_cleared | 0     |
       | merged    | crashes_merged  | 3     |
+
+  Scenario: An engine that restarts before its broken connection is noticed has crashed
+    Given a scripted engine that restarts under a request and then breaks the connection
+    When a chat request is sent to it and its load is reported again
+    Then the quarantine of the router has 1 crash that counts
--- a/yuccagauge/dispatch/recording.py
+++ b/yuccagauge/dispatch/recording.py
@@ -1,5 +1,7 @@
 """What is recorded while a model call runs: load, view, records, metrics."""
 
+from dataclasses import dataclass
+
 from yuccagauge.burn.base import RequestSample
 from yuccagauge.clock import Millis, in_seconds
 from yuccagauge.dispatch import metrics
@@ -19,6 +21,16 @@
 _UNKNOWN = -1
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Run:
+    """What was known of an engine when an attempt was sent to it."""
+
+    #: The last report may be that of a restarted engine when the end of the
+    #: run is noticed.
+    incarnation: str
+    known_crashes: frozenset[str]
+
+
 class RequestRecorder(Recorder):
     """Tells the service's state what becomes of one call.
 
@@ -34,6 +46,7 @@
         """Open the decision record."""
         super().__init__(service, call)
         self._cached = _UNKNOWN
+        self._runs: dict[int, _Run] = {}
         #: Prompt tokens that the engine computed; 0 while not known.
         self._computed = 0
         self._sample = SampleBuilder(call)
@@ -66,11 +79,16 @@
         missing -= attempt.plan.expected_tokens
         if attempt.plan.resumes:
             missing = 0
-        self._service.quarantine.record_start(
+        known_crashes = self._service.quarantine.record_start(
             self._call.fingerprint,
             attempt.engine,
         )
-        self._service.table_of(attempt.engine).record_send(
+        table = self._service.table_of(attempt.engine)
+        self._runs[id(attempt)] = _Run(
+            incarnation=table.incarnation(attempt.engine),
+            known_crashes=known_crashes,
+        )
+        table.record_send(
             attempt.engine,
             self._call.request_id,
             max(0, missing),
@@ -116,12 +134,13 @@
         if is_down and not attempt.opened:
             self._service.table_of(engine).suspend_engine(engine, now)
         if outcome.ending is Ending.BROKEN and attempt.was_sent:
-            table = self._service.table_of(engine)
+            run = self._runs[id(attempt)]
             self._service.quarantine.record_broken_connection(
                 self._call.fingerprint,
                 engine,
-                attempt.incarnation or table.incarnation(engine),
+                attempt.incarnation or run.incarnation,
                 now,
+                known=run.known_crashes,
             )
         if outcome.ending is Ending.NOT_RUN and outcome.status:
             # A truthful refusal of a healthy server means that it leaves.
