--- a/features/crash_fleet.py
+++ b/features/crash_fleet.py
@@ -12,8 +12,9 @@
 from twisted.internet.protocol import Factory, Protocol, connectionDone
 from twisted.python.failure import Failure
 
-from features.memory_network import MemoryNetwork, NodeReactor, VirtualClock
+from features.memory_network import MemoryNetwork, NodeReactor
 from features.relay_fixture import HOST, KEY
+from features.rollout_engines import VirtualClock
 from features.simulated_store import SimulatedStore, StoreClient
 from yuccagauge.clock import Millis
 from yuccagauge.platform.records import PlatformRecordDecoder
--- a/features/memory_network.py
+++ b/features/memory_network.py
@@ -14,8 +14,6 @@
 from twisted.internet.task import Clock as TaskClock
 from twisted.python.failure import Failure
 
-from yuccagauge.clock import Millis
-
 #: One-way delay between two hosts, in seconds.
 _LATENCY_S = 0.001
 
@@ -26,22 +24,6 @@
 _FIRST_CLIENT_PORT = 40_000
 
 
-class VirtualClock:
-    """Milliseconds of a virtual reactor."""
-
-    def __init__(self, reactor: TaskClock) -> None:
-        """Read the time of a reactor."""
-        self._reactor = reactor
-
-    def now(self) -> Millis:
-        """Return the virtual time."""
-        return Millis(round(self._reactor.seconds() * 1000))
-
-    def wall_time(self) -> Millis:
-        """Return the virtual time."""
-        return self.now()
-
-
 class MemoryTransport:
     """One side of a connection."""
 
--- a/features/steps/crash_archive_steps.py
+++ b/features/steps/crash_archive_steps.py
@@ -9,7 +9,7 @@
 from twisted.internet.task import Clock as TaskClock
 from twisted.internet.task import deferLater
 
-from features.memory_network import VirtualClock
+from features.rollout_engines import VirtualClock
 from yuccagauge.directory.store import StoreUnavailableError
 from yuccagauge.quarantine.archive import CrashArchive, StoredCrash
 from yuccagauge.quarantine.base import Quarantine, QuarantineStatus
