Log when a server names a rate limit, and count the polls of engines

Cause: nothing in the product read the header, so no line told whether a router knew a limit, and polls were neither logged nor counted. Change: the adapter decodes the limit; a new package keeps what is known of each server, with log lines, a gauge and counters. Malformed limits are logged once for each server and change nothing. Calls are placed as before.

--- a/features/crash_fleet.py
+++ b/features/crash_fleet.py
@@ -88,6 +88,10 @@
         self.host = f'10.1.{number}.1'
         self.server_id = f'i{number}'
         self.is_up = False
+        #: Headers that the server adds to each answer.
+        self.extra_headers = ''
+        #: When each request reached the server, those that it rejects included.
+        self.arrivals: list[Millis] = []
 
     def start(self) -> None:
         """Start the server and its heartbeats."""
@@ -114,6 +118,10 @@
         fleet.network.reactor.callLater(_RUN_S, self._end)
         return None
 
+    def record_arrival(self) -> None:
+        """Count a request that has arrived whole."""
+        self.arrivals.append(self._fleet.clock.now())
+
     def reset_connections(self) -> None:
         """Reset all connections, though the server lives on."""
         self._fleet.network.end_connections(self.host)
@@ -193,6 +201,7 @@
         if not found or len(rest) < length:
             return
         self._buffer = rest[length:]
+        self._server.record_arrival()
         if headers['x-yuccagauge-expect-instance'] != self._server.server_id:
             self._answer(_MISDIRECTED, headers)
             return
@@ -202,10 +211,11 @@
 
     def _answer(self, status: int, headers: dict[str, str]) -> None:
         request_id = headers['x-yuccagauge-request-id']
+        extra_headers = self._server.extra_headers
         self.transport.write(
             f'HTTP/1.1 {status} X\r\nContent-Length: 2\r\n'
             f'X-Yuccagauge-Request-Id: {request_id}\r\n'
-            'X-Yuccagauge-Server-Stamp: s\r\n\r\nok'.encode(),
+            f'X-Yuccagauge-Server-Stamp: s\r\n{extra_headers}\r\nok'.encode(),
         )
 
 
--- a/yuccagauge/cachefeed/feed.py
+++ b/yuccagauge/cachefeed/feed.py
@@ -22,6 +22,7 @@
 from yuccagauge.settings.options import Endpoint
 from yuccagauge.tasks import BackgroundTask
 from yuccagauge.telemetry.journal import log_state_change
+from yuccagauge.telemetry.meter import counter
 
 #: How long a long poll waits at the holder for events.
 POLL_WAIT = Millis(1000)
@@ -47,6 +48,12 @@
 #: no router polls engines, since each would receive the events of only a few.
 MAXIMUM_ROUTERS_PER_POLL = 4
 
+_POLLS = counter(
+    'yuccagauge.cachefeed.polls',
+    'Polls of engines and KV cache stores for cache events, by kind.',
+    '{request}',
+)
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Holder:
@@ -94,7 +101,9 @@
 
     @inlineCallbacks
     def _poll_until_closed(self) -> Any:
+        kind = 'store' if self._holder.is_store else 'engine'
         while not self._is_closed:
+            _POLLS.add(1, {'kind': kind})
             try:
                 batch = yield self._feed.cache_event_source.poll_events(
                     self._holder.endpoint,
--- a/yuccagauge/platform/names.py
+++ b/yuccagauge/platform/names.py
@@ -19,6 +19,8 @@
 KV_SAVE = b'X-Yuccagauge-Kv-Save'
 #: A single integer: the weights version that produced the response.
 WEIGHT_VERSIONS = b'X-Yuccagauge-Weight-Versions'
+#: Requests a second that an engine takes from all routers together.
+SERVER_LIMIT = b'Server-Limit'
 AUTHORIZATION = b'Authorization'
 WAIT_MS = b'Wait-Ms'
 
--- a/yuccagauge/platform/requests.py
+++ b/yuccagauge/platform/requests.py
@@ -1,5 +1,6 @@
 """Decodes requests of callers and encodes requests to backend servers."""
 
+import re
 from collections.abc import Iterable
 
 from yuccagauge.clock import Millis
@@ -20,6 +21,9 @@
 #: Larger numbers in a header are reduced to this one.
 _MAXIMUM_NUMBER = 1_000_000_000
 
+#: A decimal number without sign and exponent. ``float`` accepts more.
+_DECIMAL = re.compile('[0-9]{1,9}([.][0-9]{1,9})?')
+
 
 class PlatformCallDecoder:
     """Decodes the fields of a call from the headers of a request."""
@@ -89,12 +93,15 @@
     def parse_head(self, head: ResponseHead) -> ResponseInfo:
         """Return what the status and headers of a response state."""
         weights = head.get(names.WEIGHT_VERSIONS.lower())
+        rate_limit, malformed_rate_limit = _parse_rate_limit(head)
         return ResponseInfo(
             is_not_run=bool(head.get(names.NOT_EXECUTED.lower())),
             is_misdirected=head.status == _MISDIRECTED_REQUEST,
             has_server_stamp=bool(head.get(names.SERVER_STAMP.lower())),
             server_id=head.get(names.INSTANCE_ID.lower()),
             weights_version=int(weights) if weights.isdigit() else None,
+            rate_limit=rate_limit,
+            malformed_rate_limit=malformed_rate_limit,
         )
 
     def end_to_end_headers(self, head: ResponseHead) -> tuple[Header, ...]:
@@ -102,6 +109,25 @@
         return tuple(_remove_hop_by_hop(head.headers))
 
 
+def _parse_rate_limit(head: ResponseHead) -> tuple[float | None, str]:
+    """Return the rate limit of a response, or its text if it is malformed.
+
+    A limit of 0 is malformed too: it could never be seen to end, because the
+    server would get no call to answer.
+    """
+    texts = [
+        value.decode('latin-1').strip()
+        for name, value in head.headers
+        if name.lower() == names.SERVER_LIMIT.lower()
+    ]
+    if not texts:
+        return None, ''
+    stated = ','.join(texts)
+    if _DECIMAL.fullmatch(stated) and float(stated) > 0:
+        return float(stated), ''
+    return None, stated or 'empty'
+
+
 def _remove_hop_by_hop(headers: Iterable[Header]) -> list[Header]:
     """Return the headers that are not bound to one connection."""
     headers = tuple(headers)
--- /dev/null
+++ b/yuccagauge/ratelimit/events.py
@@ -0,0 +1,77 @@
+"""Log lines and metrics of rate limits."""
+
+import enum
+
+from yuccagauge.clock import Millis
+from yuccagauge.telemetry.journal import log_state_change
+from yuccagauge.telemetry.meter import counter, gauge
+
+_CHANGES = counter(
+    'yuccagauge.ratelimit.changes',
+    'Changes of the rate limits that servers name, by kind.',
+    '{change}',
+)
+_LIMITED = gauge(
+    'yuccagauge.ratelimit.limited_servers',
+    'Servers that name a rate limit, as this router knows.',
+    '{server}',
+)
+
+
+@enum.unique
+class LimitEvent(enum.Enum):
+    """A change of what a router knows of a server's limit."""
+
+    BEGAN = 'server_limit_began'
+    CHANGED = 'server_limit_changed'
+    ENDED = 'server_limit_ended'
+    #: The server restarted, and has named nothing since.
+    FORGOTTEN = 'server_limit_forgotten'
+
+
+def event_of(old: float | None, new: float | None) -> LimitEvent:
+    """Return the kind of a change."""
+    if new is None:
+        return LimitEvent.ENDED
+    return LimitEvent.BEGAN if old is None else LimitEvent.CHANGED
+
+
+def log_limit(
+    event: LimitEvent,
+    server_id: str,
+    old: float | None,
+    new: float | None,
+    *,
+    source: str,
+    age: Millis,
+) -> None:
+    """Log and count a change.
+
+    Parameters
+    ----------
+    old, new
+        Calls a second; ``None`` without a limit.
+    source
+        The router whose message told the change, or ``answer``.
+    age
+        Time since the answer that shows the change.
+    """
+    _CHANGES.add(1, {'kind': event.value})
+    log_state_change(
+        event.value,
+        server=server_id,
+        old_per_second=old,
+        new_per_second=new,
+        source=source,
+        age_ms=age,
+    )
+
+
+def log_malformed_limit(server_id: str, value: str) -> None:
+    """Log a limit that is not a positive decimal number."""
+    log_state_change('server_limit_malformed', server=server_id, value=value)
+
+
+def record_limited_servers(count: int) -> None:
+    """Set the gauge of limited servers."""
+    _LIMITED.set(count)
--- /dev/null
+++ b/yuccagauge/ratelimit/limits.py
@@ -0,0 +1,170 @@
+"""The rate limits of all backend servers, as one router knows them."""
+
+import dataclasses
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from yuccagauge.clock import Millis
+from yuccagauge.ratelimit.events import (
+    LimitEvent,
+    event_of,
+    log_limit,
+    log_malformed_limit,
+    record_limited_servers,
+)
+from yuccagauge.ratelimit.state import RateLimit
+
+#: Source of a change that an answer to this router shows.
+ANSWER = 'answer'
+
+#: Longest time from the send of a message to its arrival. What it reports is
+#: older by up to this time than the age that it states.
+MAXIMUM_MESSAGE_DELAY = Millis(800)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LimitReport:
+    """What routers tell each other of the limit of one server."""
+
+    server_id: str
+    #: ``None`` if the server names none.
+    per_second: float | None
+    #: Time since the answer that shows it.
+    age: Millis
+
+
+class ServerLimits:
+    """Tracks which servers name a limit, from their answers and from peers."""
+
+    def __init__(self) -> None:
+        """Start without limits."""
+        self._limits: dict[str, RateLimit] = {}
+        #: Servers whose malformed limit is logged already.
+        self._malformed: set[str] = set()
+        #: Called with a server whose answer to this router shows a change.
+        self.on_change: Callable[[str], None] = lambda server_id: None
+
+    def limit_of(self, server_id: str) -> float | None:
+        """Return the calls a second that a server takes, or ``None``."""
+        limit = self._limits.get(server_id)
+        return None if limit is None else limit.per_second
+
+    def changed_at(self, server_id: str) -> Millis:
+        """Return when the limit of a server last changed here."""
+        limit = self._limits.get(server_id)
+        return Millis(0) if limit is None else limit.changed_at
+
+    def record_answer(
+        self,
+        server_id: str,
+        per_second: float | None,
+        sent_at: Millis,
+        now: Millis,
+    ) -> None:
+        """Record the limit in an answer, or that it has none.
+
+        Parameters
+        ----------
+        sent_at
+            When the call that is answered was sent.
+        """
+        age = Millis(0) if per_second is not None else Millis(now - sent_at)
+        report = LimitReport(
+            server_id=server_id, per_second=per_second, age=age
+        )
+        if self._record(report, ANSWER, now):
+            self.on_change(server_id)
+
+    def record_malformed(self, server_id: str, value: str) -> None:
+        """Log a malformed limit, once for each server; nothing changes."""
+        if server_id not in self._malformed:
+            self._malformed.add(server_id)
+            log_malformed_limit(server_id, value)
+
+    def merge_report(self, report: LimitReport, peer: str, now: Millis) -> None:
+        """Merge what a peer reports.
+
+        Each hop makes a report look later than it is. A limit therefore counts
+        as absent from a time that is certainly late enough, and a limit that is
+        known already is only renewed by a report that is certainly later.
+        """
+        known = self._limits.get(report.server_id, RateLimit())
+        if report.per_second is None:
+            age = Millis(report.age + MAXIMUM_MESSAGE_DELAY)
+            report = dataclasses.replace(report, age=age)
+        elif report.per_second == known.per_second:
+            renewed_at = now - report.age - MAXIMUM_MESSAGE_DELAY
+            if renewed_at <= known.named_at:
+                return
+        self._record(report, peer, now)
+
+    def reports(self, now: Millis) -> tuple[LimitReport, ...]:
+        """Return what is known of each server, the latest change first."""
+        known = sorted(
+            self._limits.items(),
+            key=lambda item: item[1].changed_at,
+            reverse=True,
+        )
+        return tuple(
+            _report(server_id, limit, now) for server_id, limit in known
+        )
+
+    def report_of(self, server_id: str, now: Millis) -> LimitReport:
+        """Return what is known of one server."""
+        return _report(server_id, self._limits.get(server_id, RateLimit()), now)
+
+    def forget(self, server_ids: Iterable[str]) -> None:
+        """Forget servers that have restarted."""
+        for server_id in server_ids:
+            limit = self._limits.pop(server_id, None)
+            self._malformed.discard(server_id)
+            if limit is not None and limit.per_second is not None:
+                log_limit(
+                    LimitEvent.FORGOTTEN,
+                    server_id,
+                    limit.per_second,
+                    None,
+                    source='restart',
+                    age=Millis(0),
+                )
+                self._update_gauge()
+
+    def _record(self, report: LimitReport, source: str, now: Millis) -> bool:
+        """Record a report; return whether it changes what is known."""
+        server_id = report.server_id
+        is_absent = report.per_second is None
+        if is_absent and server_id not in self._limits:
+            return False
+        limit = self._limits.setdefault(server_id, RateLimit())
+        old = limit.per_second
+        shown_at = Millis(now - report.age)
+        if is_absent:
+            is_changed = limit.record_absent(shown_at, now)
+        else:
+            is_changed = limit.record_named(report.per_second, shown_at, now)
+        if is_changed:
+            log_limit(
+                event_of(old, limit.per_second),
+                server_id,
+                old,
+                limit.per_second,
+                source=source,
+                age=report.age,
+            )
+            self._update_gauge()
+        return is_changed
+
+    def _update_gauge(self) -> None:
+        record_limited_servers(
+            sum(limit.per_second is not None for limit in self._limits.values())
+        )
+
+
+def _report(server_id: str, limit: RateLimit, now: Millis) -> LimitReport:
+    is_absent = limit.per_second is None
+    shown_at = limit.absent_at if is_absent else limit.named_at
+    return LimitReport(
+        server_id=server_id,
+        per_second=limit.per_second,
+        age=Millis(now - shown_at),
+    )
--- a/yuccagauge/relay/attempt.py
+++ b/yuccagauge/relay/attempt.py
@@ -71,6 +71,8 @@
         name = self._selection_request.model
         if info is not None and info.weights_version is not None and name:
             load.reported_weights[name] = info.weights_version
+        if info is not None:
+            self._record_rate_limit(info)
 
     def record_first_output(self) -> None:
         """Update the load estimate with the time to the first output."""
@@ -140,6 +142,16 @@
             self._placement.server.endpoint,
         )
 
+    def _record_rate_limit(self, info: ResponseInfo) -> None:
+        limits = self._context.selector.limits
+        server_id = self._placement.server.server_id
+        if info.shows_rate_limit:
+            limits.record_answer(
+                server_id, info.rate_limit, self._sent_at, self._now()
+            )
+        elif info.malformed_rate_limit:
+            limits.record_malformed(server_id, info.malformed_rate_limit)
+
     def _is_same_incarnation(self) -> bool:
         """Return whether the server is listed as it was at the send."""
         sent_to = self._placement.server
--- a/yuccagauge/relay/base.py
+++ b/yuccagauge/relay/base.py
@@ -147,6 +147,21 @@
     server_id: str = ''
     #: Weights version that the server used; ``None`` if it is not stated.
     weights_version: int | None = None
+    #: Calls a second that the server takes from all routers together; ``None``
+    #: if it states none, or a malformed one.
+    rate_limit: float | None = None
+    #: The limit as the server states it, if that is malformed.
+    malformed_rate_limit: str = ''
+
+    @property
+    def shows_rate_limit(self) -> bool:
+        """Whether the response shows if its server has a rate limit."""
+        is_from_server = self.has_server_stamp or self.is_not_run
+        return (
+            is_from_server
+            and not self.is_misdirected
+            and not self.malformed_rate_limit
+        )
 
 
 class CallDecoder(Protocol):
--- a/yuccagauge/selection/selector.py
+++ b/yuccagauge/selection/selector.py
@@ -4,6 +4,7 @@
 
 from yuccagauge.clock import Millis
 from yuccagauge.directory.base import BackendServer, KvCacheStore, ServerState
+from yuccagauge.ratelimit.limits import ServerLimits
 from yuccagauge.relay.base import Placement
 from yuccagauge.selection import model, plain
 from yuccagauge.selection.base import (
@@ -71,6 +72,8 @@
         #: Estimates how long a late call will wait.
         self.late_waits = LateWaitEstimator()
         self.cache_map = CacheMap()
+        #: The rates that servers take from all routers together.
+        self.limits = ServerLimits()
         #: Ids of the engines whose cache events this router receives.
         self.engines_with_cache_events: set[str] = set()
 
@@ -123,6 +126,7 @@
             if previous_load is not None and previous_load.own_calls:
                 # The relay removes these calls when their attempts end.
                 self.load_of(server_id).own_calls = previous_load.own_calls
+        self.limits.forget(restarted)
         self._view = view
         self._servers_by_service = {}
         for server in view.servers.values():
