--- a/features/crash_fleet.py
+++ b/features/crash_fleet.py
@@ -326,6 +326,19 @@
             self._reactors.pop(name).end()
             self.network.end_host(router_host(name))
 
+    def freeze_router(self, name: str, seconds: float) -> None:
+        """Let the process of a router do nothing for some time."""
+        reactor = self._reactors[name]
+        host = router_host(name)
+
+        def thaw() -> None:
+            self.network.frozen_hosts.discard(host)
+            reactor.thaw()
+
+        self.network.frozen_hosts.add(host)
+        reactor.freeze()
+        self.network.reactor.callLater(seconds, thaw)
+
     def send(self, name: str, body: bytes, route: str = 'book') -> None:
         """Send a request to a router, as a caller does."""
         self._request_count += 1
--- a/features/memory_network.py
+++ b/features/memory_network.py
@@ -1,6 +1,7 @@
 """A TCP network in memory, in virtual time, for routers in one process."""
 
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 from twisted.internet.address import IPv4Address
@@ -125,7 +126,7 @@
         self._outbox.append((action, argument))
 
     def _deliver(self) -> None:
-        if self._network.is_cut(self.host, self.other.host):
+        if self._network.is_held(self.host, self.other.host):
             self._network.reactor.callLater(_RESEND_S, self._deliver)
             return
         outbox, self._outbox = self._outbox, []
@@ -174,6 +175,8 @@
         self._network = network
         self._host = host
         self._is_running = True
+        #: Calls that are due while the host is frozen; ``None`` if it is not.
+        self._delayed: list[Callable[[], None]] | None = None
 
     def callLater(self, delay: float, *call: Any, **named: Any) -> Any:
         """Schedule a call, which is dropped if the host has ended by then."""
@@ -204,8 +207,20 @@
         """Drop all calls that are scheduled, like the end of the process."""
         self._is_running = False
 
+    def freeze(self) -> None:
+        """Run no call before ``thaw``."""
+        self._delayed = []
+
+    def thaw(self) -> None:
+        """Run the calls that became due meanwhile."""
+        delayed, self._delayed = self._delayed or [], None
+        for call in delayed:
+            call()
+
     def _run(self, call: Callable[..., None], *args: Any, **named: Any) -> None:
-        if self._is_running:
+        if self._delayed is not None:
+            self._delayed.append(partial(self._run, call, *args, **named))
+        elif self._is_running:
             call(*args, **named)
 
 
@@ -219,10 +234,18 @@
         self.is_cut: Callable[[str, str], bool] = lambda host, other: False
         #: Hosts without power: nothing answers there, not even a reset.
         self.silent_hosts: set[str] = set()
+        #: Hosts whose processes do nothing; connections to them open still.
+        self.frozen_hosts: set[str] = set()
         self._factories: dict[tuple[str, int], Any] = {}
         self._transports: list[MemoryTransport] = []
         self._next_port = _FIRST_CLIENT_PORT
 
+    def is_held(self, host: str, other: str) -> bool:
+        """Return whether data between two hosts waits."""
+        return bool(
+            self.frozen_hosts.intersection((host, other))
+        ) or self.is_cut(host, other)
+
     def listen(self, host: str, port: int, factory: Any) -> _Port:
         """Accept connections at an address."""
         self._factories[host, port] = factory
