Keep the rate limit of a server over all routers, by permits

What callers saw: a server in need answered late or turned calls away, because it went on to get its share of all calls: 20 and 21 requests in 4 s where it had asked for 1.6 a second (LIMIT). Cause: no router read the limit, and none could have kept it alone: it is of one server for all routers together. The class is a bound on a sum of which each part is decided by itself. Change: routers tell each other the limits at once. One router, the home of a server by rendezvous hashing, schedules the calls of all routers to it with even gaps and no saved-up calls; a router reserves a permit there for each send. Parts of a fleet that is cut share the limit by the routers that they know to live. Calls go elsewhere as far as they can, wait for a permit that comes in time, and are refused at once otherwise, with the time of the permit. A router that starts is not ready before it has the state of a peer, or for 1 s. Why it works: there is one schedule for each server, so the sum does not depend on the number of routers; a permit that is late or lost is not sent later.

--- a/yuccagauge/exchange/members.py
+++ b/yuccagauge/exchange/members.py
@@ -9,6 +9,9 @@
 #: A router that no router has seen for this long counts as dead.
 DEAD_AFTER = Millis(6000)
 
+#: How long a router is remembered that may be dead or cut off.
+REMEMBERED_FOR = Millis(60_000)
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Member:
@@ -44,6 +47,14 @@
             if now - member.last_seen_at < DEAD_AFTER
         )
 
+    def live_share(self, now: Millis) -> float:
+        """Return the share of live routers among all that are remembered.
+
+        This router counts as one of them. Routers that announced that they
+        stop are not remembered.
+        """
+        return (len(self.live(now)) + 1) / (len(self._members) + 1)
+
     def sample(
         self,
         count: int,
@@ -101,5 +112,5 @@
                 seen_at = (
                     entry.last_seen_at if isinstance(entry, Member) else entry
                 )
-                if now - seen_at > 2 * DEAD_AFTER:
+                if now - seen_at > REMEMBERED_FOR:
                     entries.pop(name)
--- a/yuccagauge/exchange/merger.py
+++ b/yuccagauge/exchange/merger.py
@@ -6,12 +6,15 @@
 from yuccagauge.directory.records import KeyedRecord
 from yuccagauge.directory.state import Directory, Topic
 from yuccagauge.exchange.members import Member, MemberList
+from yuccagauge.exchange.parts import MILLI
 from yuccagauge.quarantine.base import CrashSuspicion, Quarantine
+from yuccagauge.ratelimit.limits import LimitReport
 from yuccagauge.selection.load import PEER_LOAD_LIFETIME, PeerLoad
 from yuccagauge.selection.selector import Selector
 from yuccagauge.telemetry.journal import log_state_change
 from yuccagauge.wire.messages import (
     FleetExchange,
+    FleetLimit,
     FleetRecord,
     FleetSuspicion,
     FleetWeights,
@@ -47,6 +50,7 @@
         self._members = MemberList(name)
         self._known_names: frozenset[str] = frozenset()
         self._received_at = Millis(0)
+        self._has_peer_state = False
         #: When the store last confirmed to a peer, for each topic, a next
         #: offset that this router has reached.
         self._confirmed_at: dict[Topic, Millis] = {}
@@ -72,6 +76,11 @@
         """When the last message of another router was received."""
         return self._received_at
 
+    @property
+    def has_peer_state(self) -> bool:
+        """Whether a message with the whole state of a peer was received."""
+        return self._has_peer_state
+
     def peer_confirmed_at(self, topic: Topic) -> Millis:
         """Return when the store last confirmed a topic to a peer.
 
@@ -83,6 +92,7 @@
         """Apply all parts of one message."""
         now = self._clock.now()
         self._received_at = now
+        self._has_peer_state |= message.asks or message.answers
         if message.leaves:
             if self._members.remove_member(message.name, now):
                 self.on_peer_left()
@@ -96,6 +106,10 @@
             self.apply_pause(pause.server, Millis(pause.remaining_ms))
         for notification in message.weights:
             self.apply_weights(notification)
+        for limit in message.limits:
+            self._selector.limits.merge_report(
+                _limit_report(limit), message.name, now
+            )
         for report in message.silences:
             self._apply_unresponsive_report(report.server, message.name, now)
         self._quarantine.merge_suspicions(
@@ -216,6 +230,14 @@
     )
 
 
+def _limit_report(part: FleetLimit) -> LimitReport:
+    return LimitReport(
+        server_id=part.server,
+        per_second=part.rate_milli / MILLI if part.rate_milli else None,
+        age=Millis(part.age_ms),
+    )
+
+
 def _suspicion(part: FleetSuspicion) -> CrashSuspicion:
     return CrashSuspicion(
         fingerprint=part.fingerprint,
--- a/yuccagauge/exchange/parts.py
+++ b/yuccagauge/exchange/parts.py
@@ -6,8 +6,10 @@
 from yuccagauge.directory.state import Directory, Topic
 from yuccagauge.exchange.members import Member
 from yuccagauge.quarantine.base import CrashSuspicion
+from yuccagauge.ratelimit.limits import LimitReport
 from yuccagauge.selection.load import ServerLoad
 from yuccagauge.wire.messages import (
+    FleetLimit,
     FleetLoad,
     FleetMark,
     FleetMember,
@@ -15,6 +17,12 @@
     FleetSuspicion,
 )
 
+#: Thousandths of a call a second.
+MILLI = 1000
+
+#: Largest rate limit of the wire format, in thousandths.
+MAXIMUM_RATE_MILLI = 2**32 - 1
+
 
 def members(known: Iterable[Member], now: Millis) -> tuple[FleetMember, ...]:
     """Return other routers and the time since each was last seen."""
@@ -74,6 +82,25 @@
     )
 
 
+def limits(known: Iterable[LimitReport]) -> tuple[FleetLimit, ...]:
+    """Return the rate limits that servers name, or have ended."""
+    return tuple(
+        FleetLimit(
+            server=report.server_id,
+            rate_milli=rate_milli(report.per_second),
+            age_ms=report.age,
+        )
+        for report in known
+    )
+
+
+def rate_milli(per_second: float | None) -> int:
+    """Return a rate limit in thousandths, and 0 without a limit."""
+    if per_second is None:
+        return 0
+    return max(1, min(MAXIMUM_RATE_MILLI, round(per_second * MILLI)))
+
+
 def records(
     directory: Directory,
     peer_next_offsets: Mapping[int, int],
--- a/yuccagauge/exchange/service.py
+++ b/yuccagauge/exchange/service.py
@@ -1,7 +1,6 @@
 """Exchanges state with a few other routers at a time."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from typing import Any
 
 from twisted.internet.defer import Deferred, maybeDeferred
@@ -12,12 +11,14 @@
 from yuccagauge.exchange import parts as message_parts
 from yuccagauge.exchange.members import Member
 from yuccagauge.exchange.merger import MessageMerger
+from yuccagauge.exchange.notifications import Notifications
 from yuccagauge.exchange.partners import (
     NOTIFICATION_DELAY,
     choose_partners,
     exchanges_in_period,
     weights_notification_delay,
 )
+from yuccagauge.exchange.permits import PermitBroker
 from yuccagauge.quarantine.base import Quarantine
 from yuccagauge.selection.selector import Selector
 from yuccagauge.settings.options import Endpoint
@@ -28,8 +29,6 @@
 from yuccagauge.wire.errors import PeerFailedError, PeerUnavailableError
 from yuccagauge.wire.messages import (
     FleetExchange,
-    FleetPause,
-    FleetSilence,
     FleetWeights,
 )
 from yuccagauge.wire.server import PeerServer
@@ -52,6 +51,12 @@
 #: Crash suspicions that one message carries, the latest first.
 MAXIMUM_SUSPICIONS = 20
 
+#: How long a router that starts waits for the state of a peer.
+PEER_STATE_TIMEOUT = Millis(1000)
+
+#: Rate limits that one message carries, the latest change first.
+MAXIMUM_LIMITS = 64
+
 #: Time after which a server that stays unresponsive is announced again.
 UNRESPONSIVE_REPEAT_PERIOD = Millis(1000)
 
@@ -59,15 +64,6 @@
 WEIGHTS_REPEAT_TIME = Millis(2500)
 
 
-@dataclass(slots=True)
-class _Notifications:
-    """Notifications that wait to be sent to all routers in one message."""
-
-    pauses: dict[str, Millis] = field(default_factory=dict)
-    weights: list[FleetWeights] = field(default_factory=list)
-    unresponsive: set[str] = field(default_factory=set)
-
-
 class ExchangeService:
     """Sends this router's state to others and merges theirs.
 
@@ -119,13 +115,23 @@
         self._merger = MessageMerger(
             name, directory, selector, quarantine, clock
         )
+        self._permit_broker = PermitBroker(
+            name,
+            merger=self._merger,
+            limits=selector.limits,
+            permits=selector.permits,
+            server=server,
+            client=client,
+            clock=clock,
+        )
         self._is_leaving = False
+        self._started_at = clock.now()
         self._sent_weights: dict[tuple[str, str], tuple[int, Millis]] = {}
         self._reactor = reactor
         self._period = 0
         #: When each unresponsive server was last announced.
         self._unresponsive_announced_at: dict[str, Millis] = {}
-        self._notifications = _Notifications()
+        self._notifications = Notifications()
         #: The delayed call that sends the pending notifications, if any.
         self._delayed_send: Any = None
         self._exchange_task = PeriodicTask('exchange', self._exchange, reactor)
@@ -155,6 +161,18 @@
         silence = self._clock.now() - self._merger.received_at
         return bool(self._seeds) and silence > ISOLATION_TIME
 
+    @property
+    def is_ready(self) -> bool:
+        """Whether the state of a peer is known, or none is to be had in time.
+
+        A router that starts needs the rate limits before its first call.
+        """
+        return (
+            not self._seeds
+            or self._merger.has_peer_state
+            or self._clock.now() - self._started_at >= PEER_STATE_TIMEOUT
+        )
+
     def confirmation_age(self, topic: Topic, now: Millis) -> Millis:
         """Return the time since the store confirmed this router's state.
 
@@ -169,6 +187,8 @@
     def start(self) -> None:
         """Start to answer peers and to exchange with them."""
         self._server.add_handler(FleetExchange, self._handle_message)
+        self._started_at = self._clock.now()
+        self._permit_broker.start()
         self._server.start()
         self._exchange_task.start(in_seconds(EXCHANGE_PERIOD))
 
@@ -237,6 +257,11 @@
         log_state_change('server_silent', server=server_id)
         self._schedule_send()
 
+    def broadcast_limit(self, server_id: str) -> None:
+        """Notify all routers that the rate limit of a server has changed."""
+        self._notifications.limited.add(server_id)
+        self._schedule_send()
+
     def _schedule_send(self, delay: Millis = NOTIFICATION_DELAY) -> None:
         """Send all pending notifications in one message after a delay."""
         delay_s = in_seconds(delay)
@@ -254,24 +279,15 @@
             self._delayed_send.cancel()
         self._delayed_send = None
         notifications = self._notifications
-        self._notifications = _Notifications()
-        pauses = tuple(
-            FleetPause(server=name, remaining_ms=duration)
-            for name, duration in notifications.pauses.items()
-        )
-        self._broadcast(
-            self._build_message(
-                pauses=pauses,
-                weights=tuple(notifications.weights),
-                silences=tuple(
-                    FleetSilence(server=name)
-                    for name in notifications.unresponsive
-                ),
-            ),
+        self._notifications = Notifications()
+        parts = notifications.message_parts(
+            self._selector.limits, self._clock.now()
         )
+        self._broadcast(self._build_message(**parts))
 
     def _exchange(self) -> None:
         self._period += 1
+        self._permit_broker.drop_schedules()
         if not exchanges_in_period(self._period, self.router_count):
             return
         # Sorted, because the order of a set differs between processes.
@@ -342,6 +358,9 @@
                     self._quarantine.recent_suspicions(MAXIMUM_SUSPICIONS, now),
                 ),
                 weights=self._recent_weights(now),
+                limits=message_parts.limits(
+                    self._selector.limits.reports(MAXIMUM_LIMITS, now)
+                ),
             )
         parts.setdefault('leaves', self._is_leaving)
         return FleetExchange(
--- a/yuccagauge/ratelimit/limits.py
+++ b/yuccagauge/ratelimit/limits.py
@@ -1,7 +1,7 @@
 """The rate limits of all backend servers, as one router knows them."""
 
 import dataclasses
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Container, Iterable
 from dataclasses import dataclass
 
 from yuccagauge.clock import Millis
@@ -21,6 +21,15 @@
 #: older by up to this time than the age that it states.
 MAXIMUM_MESSAGE_DELAY = Millis(800)
 
+#: Largest age in a report, which the wire format can hold.
+MAXIMUM_AGE = Millis(2**32 - 1)
+
+#: How long the limit of a server that is not listed is kept.
+KEPT_WITHOUT_SERVER = Millis(60_000)
+
+#: How long exchanges repeat that a server no longer names a limit.
+END_REPEAT_TIME = Millis(5000)
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class LimitReport:
@@ -39,11 +48,17 @@
     def __init__(self) -> None:
         """Start without limits."""
         self._limits: dict[str, RateLimit] = {}
+        self._limited_count = 0
         #: Servers whose malformed limit is logged already.
         self._malformed: set[str] = set()
         #: Called with a server whose answer to this router shows a change.
         self.on_change: Callable[[str], None] = lambda server_id: None
 
+    @property
+    def has_limits(self) -> bool:
+        """Whether any server names a limit."""
+        return bool(self._limited_count)
+
     def limit_of(self, server_id: str) -> float | None:
         """Return the calls a second that a server takes, or ``None``."""
         limit = self._limits.get(server_id)
@@ -98,15 +113,19 @@
                 return
         self._record(report, peer, now)
 
-    def reports(self, now: Millis) -> tuple[LimitReport, ...]:
-        """Return what is known of each server, the latest change first."""
+    def reports(self, count: int, now: Millis) -> tuple[LimitReport, ...]:
+        """Return what peers need to know, the latest change first."""
         known = sorted(
-            self._limits.items(),
-            key=lambda item: item[1].changed_at,
+            (
+                (limit.changed_at, server_id)
+                for server_id, limit in self._limits.items()
+                if limit.per_second is not None
+                or now - limit.changed_at < END_REPEAT_TIME
+            ),
             reverse=True,
         )
         return tuple(
-            _report(server_id, limit, now) for server_id, limit in known
+            self.report_of(server_id, now) for _, server_id in known[:count]
         )
 
     def report_of(self, server_id: str, now: Millis) -> LimitReport:
@@ -127,7 +146,25 @@
                     source='restart',
                     age=Millis(0),
                 )
-                self._update_gauge()
+                self._update_count()
+
+    def remove_gone(self, server_ids: Container[str], now: Millis) -> None:
+        """Remove servers that are not listed and have been quiet for long.
+
+        Entries of servers may lapse while the store is away.
+        """
+        self._limits = {
+            server_id: limit
+            for server_id, limit in self._limits.items()
+            if server_id in server_ids
+            or now - limit.named_at < KEPT_WITHOUT_SERVER
+        }
+        self._malformed = {
+            server_id
+            for server_id in self._malformed
+            if server_id in server_ids
+        }
+        self._update_count()
 
     def _record(self, report: LimitReport, source: str, now: Millis) -> bool:
         """Record a report; return whether it changes what is known."""
@@ -151,13 +188,14 @@
                 source=source,
                 age=report.age,
             )
-            self._update_gauge()
+            self._update_count()
         return is_changed
 
-    def _update_gauge(self) -> None:
-        record_limited_servers(
-            sum(limit.per_second is not None for limit in self._limits.values())
+    def _update_count(self) -> None:
+        self._limited_count = sum(
+            limit.per_second is not None for limit in self._limits.values()
         )
+        record_limited_servers(self._limited_count)
 
 
 def _report(server_id: str, limit: RateLimit, now: Millis) -> LimitReport:
@@ -166,5 +204,5 @@
     return LimitReport(
         server_id=server_id,
         per_second=limit.per_second,
-        age=Millis(now - shown_at),
+        age=min(MAXIMUM_AGE, Millis(now - shown_at)),
     )
--- a/yuccagauge/relay/base.py
+++ b/yuccagauge/relay/base.py
@@ -115,6 +115,9 @@
     #: The part of it that the engine spends on the prefill of this and earlier
     #: prompts, by its data sheet; 0 for plain calls.
     nominal_prefill_ms: float = 0
+    #: Calls a second that the server takes from all routers together; ``None``
+    #: if it names no limit.
+    rate_limit: float | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/yuccagauge/relay/report.py
+++ b/yuccagauge/relay/report.py
@@ -52,6 +52,7 @@
             prompt_tokens=fields.prompt_tokens,
             cached_tokens=placement.cached_tokens,
             weights=placement.weights_version,
+            rate_limit=placement.rate_limit,
             fetches=placement.kv_fetch_endpoint is not None,
             configuration=self._call.configuration_version,
         )
--- a/yuccagauge/relay/router.py
+++ b/yuccagauge/relay/router.py
@@ -173,6 +173,7 @@
         return (
             self._directory.is_ready
             and self._crash_archive.is_ready
+            and self._exchange.is_ready
             and not self._is_stopping
         )
 
@@ -191,6 +192,7 @@
         )
         self._exchange.merger.on_peer_left = self._election.check_now
         self._context.on_unresponsive = self._exchange.broadcast_unresponsive
+        self._selector.limits.on_change = self._exchange.broadcast_limit
         self._rollout.on_engines_paused = self._exchange.broadcast_pause
         self._rollout.on_weights_loaded = self._exchange.broadcast_weights
         ready = ReadyPage(self._adapter.ready_path, lambda: self.is_ready)
@@ -344,9 +346,11 @@
         self._ports.append(port)
 
     def _run_upkeep(self) -> None:
-        lapsed = self._directory.remove_lapsed_servers(self._clock.now())
+        now = self._clock.now()
+        lapsed = self._directory.remove_lapsed_servers(now)
         if lapsed:
             log_state_change('servers_lapsed', servers=lapsed)
+        self._selector.limits.remove_gone(self._directory.servers, now)
         self._cache_feed.update_pollers()
 
     def _apply_directory_change(self) -> None:
--- a/yuccagauge/selection/deferral.py
+++ b/yuccagauge/selection/deferral.py
@@ -19,6 +19,8 @@
     available_at: Millis | None,
     request: SelectionRequest,
     now: Millis,
+    *,
+    is_rate_limited: bool = False,
 ) -> SelectionDecision:
     """Return whether a call waits, or when its caller may retry.
 
@@ -33,6 +35,9 @@
     available_at
         When the first server will take calls again; ``None`` if there are no
         servers.
+    is_rate_limited
+        Whether the call waits for the rate limit of a server, so that the time
+        is exact.
     """
     remaining = request.deadline - now
     if available_at is not None and available_at > now:
@@ -42,9 +47,15 @@
         ):
             wait_until = min(available_at, Millis(now + RECHECK_INTERVAL))
             return SelectionDecision(
-                wait_until=wait_until, reason='server_soon'
+                wait_until=wait_until,
+                reason='rate_limit_soon' if is_rate_limited else 'server_soon',
             )
         retry_after = Millis(available_at - now)
+        if is_rate_limited:
+            return SelectionDecision(
+                retry_after=max(MINIMUM_RETRY_AFTER, retry_after),
+                reason='rate_limit_later',
+            )
         return SelectionDecision(
             retry_after=_clamp(retry_after), reason='server_later'
         )
--- a/yuccagauge/selection/latewaits.py
+++ b/yuccagauge/selection/latewaits.py
@@ -1,6 +1,11 @@
 """Estimate of the waiting time of late calls."""
 
 from yuccagauge.clock import Millis
+from yuccagauge.selection.base import SelectionDecision, SelectionRequest
+from yuccagauge.selection.deferral import MAXIMUM_RETRY_AFTER
+
+#: Time between two decisions about a late call that waits.
+LATE_RECHECK_INTERVAL = Millis(50)
 
 #: Weight of one wait in the moving average.
 WAIT_SAMPLE_WEIGHT = 0.25
@@ -41,3 +46,28 @@
             sample_ms - mean_wait_ms
         )
         self._updated_at = now
+
+    def wait_or_refuse(
+        self, first_token_ms: float, request: SelectionRequest, now: Millis
+    ) -> SelectionDecision:
+        """Let a late call wait, or refuse it if it cannot be served in time.
+
+        Parameters
+        ----------
+        first_token_ms
+            Expected time from the send to the first token.
+        """
+        waited = Millis(now - request.received_at)
+        slack_ms = request.first_output_deadline - now - first_token_ms
+        is_new = waited < LATE_RECHECK_INTERVAL
+        if is_new and self.expected_wait(now) > slack_ms:
+            return SelectionDecision(
+                retry_after=MAXIMUM_RETRY_AFTER, reason='overloaded'
+            )
+        if slack_ms <= 0:
+            self.record_wait(waited, now, refused=True)
+            return SelectionDecision(
+                retry_after=MAXIMUM_RETRY_AFTER, reason='overloaded'
+            )
+        until = Millis(now + LATE_RECHECK_INTERVAL)
+        return SelectionDecision(wait_until=until, reason='late_anyway')
--- a/yuccagauge/selection/selector.py
+++ b/yuccagauge/selection/selector.py
@@ -5,6 +5,7 @@
 from yuccagauge.clock import Millis
 from yuccagauge.directory.base import BackendServer, KvCacheStore, ServerState
 from yuccagauge.ratelimit.limits import ServerLimits
+from yuccagauge.ratelimit.permits import Permits
 from yuccagauge.relay.base import Placement
 from yuccagauge.selection import model, plain
 from yuccagauge.selection.base import (
@@ -14,7 +15,7 @@
     SelectionRequest,
 )
 from yuccagauge.selection.cachemap import CacheMap
-from yuccagauge.selection.deferral import MAXIMUM_RETRY_AFTER, wait_or_refuse
+from yuccagauge.selection.deferral import wait_or_refuse
 from yuccagauge.selection.kvcachestores import (
     KvCacheStoreTracker,
     cache_scope_of,
@@ -24,18 +25,10 @@
 )
 from yuccagauge.selection.latewaits import LateWaitEstimator
 from yuccagauge.selection.load import ActiveCall, PeerCoverage, ServerLoad
+from yuccagauge.selection.rategate import RateGate
+from yuccagauge.selection.responsive import responsive_servers
 from yuccagauge.settings.options import Endpoint
 
-#: A server whose calls have had no response for this long gets no further call
-#: while another server can take it.
-UNRESPONSIVE_LIMIT = Millis(700)
-
-#: The same limit for plain servers, which answer within tens of milliseconds.
-PLAIN_UNRESPONSIVE_LIMIT = Millis(250)
-
-#: Time between two decisions about a late call that waits.
-LATE_RECHECK_INTERVAL = Millis(50)
-
 #: Margin before the time from which no call may start on an engine with
 #: superseded weights. The engine already gets none within this margin.
 OUTDATED_STOP_MARGIN = Millis(1500)
@@ -72,8 +65,7 @@
         #: Estimates how long a late call will wait.
         self.late_waits = LateWaitEstimator()
         self.cache_map = CacheMap()
-        #: The rates that servers take from all routers together.
-        self.limits = ServerLimits()
+        self._rate_gate = RateGate()
         #: Ids of the engines whose cache events this router receives.
         self.engines_with_cache_events: set[str] = set()
 
@@ -82,6 +74,16 @@
         """Endpoints of the KV cache stores that answer."""
         return self._store_tracker.live
 
+    @property
+    def limits(self) -> ServerLimits:
+        """The rates that servers take from all routers together."""
+        return self._rate_gate.limits
+
+    @property
+    def permits(self) -> Permits:
+        """The permits of this router for servers with a rate limit."""
+        return self._rate_gate.permits
+
     @property
     def loads(self) -> Mapping[str, ServerLoad]:
         """Load and health of each server, by id."""
@@ -164,13 +166,21 @@
             server for server in ready if self._is_available(server, now)
         ]
         available = (
-            self._responsive_servers(available, request, now) or available
+            responsive_servers(available, self.load_of, request, now)
+            or available
         )
-        if request.service.is_model:
-            decision = self._choose_engine(available, request, stores, now)
-        else:
-            decision = self._choose_plain(available, request, now)
-        return decision or self._wait_or_refuse(ready, request, now)
+        sendable = self._rate_gate.sendable(available, request, now)
+        decision = self._choose_server(sendable, request, stores, now)
+        limited = [server for server in available if server not in sendable]
+        if limited and (decision is None or decision.placement is None):
+            self._rate_gate.reserve_soonest(limited, request, now)
+        elif limited:
+            preferred = self._preferred_server(available, request, stores, now)
+            if preferred in limited:
+                self._rate_gate.reserve_preferred(preferred, now)
+        decision = decision or self._wait_or_refuse(ready, request, now)
+        self._rate_gate.record_decision(request, decision, now)
+        return decision
 
     def record_send(
         self,
@@ -186,6 +196,7 @@
         cached there.
         """
         server_id = placement.server.server_id
+        self.permits.spend(server_id, now)
         prefill_tokens = max(0, request.prompt_tokens - placement.cached_tokens)
         self.load_of(server_id).own_calls[request.call_id] = ActiveCall(
             sent_at=now,
@@ -202,23 +213,33 @@
             return True
         return now >= load.paused_until and now >= load.loading_until
 
-    def _responsive_servers(
+    def _choose_server(
         self,
         servers: list[BackendServer],
         request: SelectionRequest,
+        stores: tuple[KvCacheStore, ...],
         now: Millis,
-    ) -> list[BackendServer]:
-        limit = (
-            UNRESPONSIVE_LIMIT
-            if request.service.is_model
-            else PLAIN_UNRESPONSIVE_LIMIT
-        )
-        return [
-            server
-            for server in servers
-            if self.load_of(server.server_id).time_without_response(now) < limit
-            and not self.load_of(server.server_id).is_reported_unresponsive(now)
-        ]
+    ) -> SelectionDecision | None:
+        if request.service.is_model:
+            return self._choose_engine(servers, request, stores, now)
+        return self._choose_plain(servers, request, now)
+
+    def _preferred_server(
+        self,
+        servers: list[BackendServer],
+        request: SelectionRequest,
+        stores: tuple[KvCacheStore, ...],
+        now: Millis,
+    ) -> BackendServer | None:
+        """Return the server that would get the call without rate limits."""
+        if not request.service.is_model:
+            plain_servers = map(self._plain_candidate, servers)
+            cheapest = plain.cheapest_server(plain_servers, now)
+            return cheapest and cheapest.server
+        store = self._store_tracker.nearest(stores)
+        candidates = self._engine_candidates(servers, request, store, now)
+        best = model.cheapest_engine(candidates, request, now)
+        return best and best[0].server
 
     def _choose_plain(
         self,
@@ -234,7 +255,9 @@
         if now + expected > request.deadline:
             return None
         placement = Placement(
-            server=best.server, expected_first_output_ms=expected
+            server=best.server,
+            expected_first_output_ms=expected,
+            rate_limit=self.limits.limit_of(best.server.server_id),
         )
         return SelectionDecision(placement=placement, reason='least_cost')
 
@@ -256,7 +279,9 @@
         if is_late and not model.may_send_late_call(
             estimate.backlog_ms, waited
         ):
-            return self._wait_or_refuse_late_call(estimate, request, now)
+            return self.late_waits.wait_or_refuse(
+                estimate.first_token_ms, request, now
+            )
         if is_late:
             self.late_waits.record_wait(waited, now, refused=False)
         placement = Placement(
@@ -270,31 +295,10 @@
             cached_tokens=max(candidate.cached_tokens, candidate.stored_tokens),
             expected_first_output_ms=estimate.first_token_ms,
             nominal_prefill_ms=estimate.nominal_prefill_ms,
+            rate_limit=self.limits.limit_of(candidate.server.server_id),
         )
         return SelectionDecision(placement=placement, reason='least_cost')
 
-    def _wait_or_refuse_late_call(
-        self,
-        estimate: model.EngineEstimate,
-        request: SelectionRequest,
-        now: Millis,
-    ) -> SelectionDecision:
-        """Let a late call wait, or refuse it if it cannot be served in time."""
-        waited = Millis(now - request.received_at)
-        slack_ms = request.first_output_deadline - now - estimate.first_token_ms
-        is_new = waited < LATE_RECHECK_INTERVAL
-        if is_new and self.late_waits.expected_wait(now) > slack_ms:
-            return SelectionDecision(
-                retry_after=MAXIMUM_RETRY_AFTER, reason='overloaded'
-            )
-        if slack_ms <= 0:
-            self.late_waits.record_wait(waited, now, refused=True)
-            return SelectionDecision(
-                retry_after=MAXIMUM_RETRY_AFTER, reason='overloaded'
-            )
-        until = Millis(now + LATE_RECHECK_INTERVAL)
-        return SelectionDecision(wait_until=until, reason='late_anyway')
-
     def _engine_candidates(
         self,
         servers: list[BackendServer],
@@ -354,12 +358,29 @@
         now: Millis,
     ) -> SelectionDecision:
         """Decide about a call that no server can take now."""
-        available_at = min(
-            (self._available_at(server, now) for server in ready),
-            default=None,
+        available_at, server = min(
+            (
+                (self._available_at(server, request, now), server)
+                for server in ready
+            ),
+            key=lambda pair: pair[0],
+            default=(None, None),
+        )
+        return wait_or_refuse(
+            available_at,
+            request,
+            now,
+            is_rate_limited=server is not None
+            and self._rate_gate.is_limited(server),
         )
-        return wait_or_refuse(available_at, request, now)
 
-    def _available_at(self, server: BackendServer, now: Millis) -> Millis:
+    def _available_at(
+        self, server: BackendServer, request: SelectionRequest, now: Millis
+    ) -> Millis:
         load = self.load_of(server.server_id)
-        return max(now, load.paused_until, load.loading_until)
+        return max(
+            now,
+            load.paused_until,
+            load.loading_until,
+            self._rate_gate.available_at(server, request, now),
+        )
--- a/yuccagauge/wire/messages.capnp
+++ b/yuccagauge/wire/messages.capnp
@@ -223,6 +223,31 @@
   ageMs @3 :UInt32;
 }
 
+struct FleetLimit {
+  server @0 :Text;
+  # Calls that the server takes from all routers in 1000 s; 0 without a limit.
+  rateMilli @1 :UInt32;
+  # Time since the answer of the server that shows it.
+  ageMs @2 :UInt32;
+}
+
+struct PermitRequest {
+  server @0 :Text;
+  count @1 :UInt32;
+  # Longest time until the first permit.
+  withinMs @2 :UInt32;
+  # The limit that the sender knows, as in FleetLimit.
+  rateMilli @3 :UInt32;
+  ageMs @4 :UInt32;
+}
+
+struct PermitReply {
+  # 0 if the first permit is too far ahead.
+  count @0 :UInt32;
+  # Time until the first permit.
+  waitMs @1 :UInt32;
+}
+
 struct FleetExchange {
   name @0 :Text;
   leaves @1 :Bool;
@@ -241,4 +266,5 @@
   answers @12 :Bool;
   # Servers that leave the sender's connection attempts unanswered.
   silences @13 :List(FleetSilence);
+  limits @14 :List(FleetLimit);
 }
--- a/yuccagauge/wire/messages.py
+++ b/yuccagauge/wire/messages.py
@@ -309,6 +309,18 @@
     age_ms: int
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class FleetLimit(Message):
+    """The rate limit that a backend server names, or has ended."""
+
+    server: str
+    #: Calls a second from all routers together, in thousandths; 0 without a
+    #: limit.
+    rate_milli: int
+    #: Time since the answer of the server that shows it, in ms.
+    age_ms: int
+
+
 @register(50)
 @dataclass(frozen=True, slots=True, kw_only=True)
 class FleetExchange(Message):
@@ -330,6 +342,32 @@
     weights: tuple[FleetWeights, ...] = ()
     suspicions: tuple[FleetSuspicion, ...] = ()
     silences: tuple[FleetSilence, ...] = ()
+    limits: tuple[FleetLimit, ...] = ()
+
+
+@register(51)
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PermitRequest(Message):
+    """Ask for permits to send calls to a server with a rate limit."""
+
+    server: str
+    count: int
+    #: Longest time until the first permit, in ms.
+    within_ms: int
+    #: The limit that the sender knows, as in ``FleetLimit``.
+    rate_milli: int
+    age_ms: int
+
+
+@register(52)
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PermitReply(Message):
+    """Grant permits, or tell when the next one is to be had."""
+
+    #: 0 if the first permit is too far ahead.
+    count: int
+    #: Time until the first permit, in ms.
+    wait_ms: int
 
 
 @register(40)
