Poll no cache events from an engine that limits its requests

Cause: the limit is of all requests, and each router polls each engine more than once a second; with eight routers the polls alone exceed a limit of 1.7. Change: a router stops its polls while it knows a limit. The cached parts that it knew are kept, and count as uncertain.

--- a/features/cachefeed/cachefeed.feature
+++ b/features/cachefeed/cachefeed.feature
@@ -30,3 +30,10 @@
     When the store restarts and answers the poll with the part "r"
     Then the store is live and holds "r"
     And the store is not known to hold "q"
+
+  Scenario: An engine that limits its requests is not polled until the limit ends
+    Given 4 routers, 1 engine and 1 KV cache store that accept 8 long polls each
+    When the engine names a limit and answers the open polls
+    Then 0 routers long-poll the engine, and no other router polls it
+    When the limit of the engine ends
+    Then 4 routers long-poll the engine, and no other router polls it
--- a/features/steps/cachefeed_steps.py
+++ b/features/steps/cachefeed_steps.py
@@ -1,6 +1,7 @@
 """Steps for the polling of cache events."""
 
 import types
+from itertools import repeat
 from typing import Any
 
 from behave import given, then, when
@@ -29,6 +30,11 @@
 _SCOPE = '1/'
 _SHORT_POLL_S = 2.0
 
+#: Steps of the virtual time, and their number: longer than each pause between
+#: two polls of an engine.
+_POLL_STEP_S = 0.1
+_POLL_STEPS = 20
+
 
 class ScriptedCacheEventSource:
     """Cache event source whose polls are answered by steps."""
@@ -123,6 +129,29 @@
     assert _count(context, _STORE, is_long_poll=False) == others
 
 
+@when('the engine names a limit and answers the open polls')
+def limit_engine(context: Context) -> None:
+    """Name a limit while polls are open, and answer them."""
+    context.selector.limits.record_answer('e', 2, Millis(1), Millis(1))
+    batch = CacheEventBatch(epoch=1, next_sequence=1, has_gap=False, events=())
+    source = context.cache_event_source
+    polls = source.polls
+    source.polls = []
+    for holder, wait, answer in polls:
+        if holder == _ENGINE:
+            answer.callback(batch)
+        else:
+            source.polls.append((holder, wait, answer))
+    context.reactor.pump(repeat(_POLL_STEP_S, _POLL_STEPS))
+
+
+@when('the limit of the engine ends')
+def end_limit(context: Context) -> None:
+    """End the limit, and let the routers notice it."""
+    context.selector.limits.record_answer('e', None, Millis(2), Millis(3))
+    context.reactor.pump(repeat(_POLL_STEP_S, _POLL_STEPS))
+
+
 @given('a router that polls a KV cache store at intervals')
 def start_router_without_long_poll(context: Context) -> None:
     """Start the feed of one router out of many."""
--- a/yuccagauge/cachefeed/feed.py
+++ b/yuccagauge/cachefeed/feed.py
@@ -101,8 +101,16 @@
 
     @inlineCallbacks
     def _poll_until_closed(self) -> Any:
+        """Poll, unless the holder limits the requests that it takes.
+
+        The events are worth less than the calls that it takes instead.
+        """
         kind = 'store' if self._holder.is_store else 'engine'
         while not self._is_closed:
+            if self._feed.selector.limits.limit_of(self._holder.name):
+                self._set_live(is_live=False, reason='rate limit')
+                yield self._feed.pause(RETRY_PAUSE)
+                continue
             _POLLS.add(1, {'kind': kind})
             try:
                 batch = yield self._feed.cache_event_source.poll_events(
