Ask a limited engine for its status no faster than its limit

Cause: the leader asks a loading engine for its status every 200 ms, up to 5 requests a second, which count for the limit that the engine names. Change: the period is at least the time between two calls of the limit. Calls to the engine are paused meanwhile, so the requests take their place.

--- a/yuccagauge/rollout/driver.py
+++ b/yuccagauge/rollout/driver.py
@@ -38,6 +38,8 @@
 #: Time between two requests for the status of an engine that loads.
 STATUS_POLL_PERIOD = Millis(200)
 
+_MS_PER_S = 1000
+
 #: How long routers send no calls to an engine after one announcement of its
 #: drain; the announcement is repeated while the drain lasts.
 DRAIN_PAUSE = Millis(600)
@@ -155,7 +157,8 @@
         targets = self._directory.targets
         for engine in engines:
             progress = self._progress_of(engine.server)
-            is_due = now - progress.status_requested_at > STATUS_POLL_PERIOD
+            period = self._status_poll_period(engine.server)
+            is_due = now - progress.status_requested_at > period
             if (
                 progress.is_loading
                 and is_due
@@ -180,6 +183,17 @@
             ):
                 self._start_load(engine, targets[engine.model], swap_mode)
 
+    def _status_poll_period(self, server: BackendServer) -> Millis:
+        """Return the time between two status requests to a loading engine.
+
+        The requests count for a rate limit, and take the place of the calls
+        that the engine gets otherwise.
+        """
+        limit = self._selector.limits.limit_of(server.server_id)
+        if limit is None:
+            return STATUS_POLL_PERIOD
+        return max(STATUS_POLL_PERIOD, Millis(int(_MS_PER_S / limit)))
+
     def _announce_drains(self, draining: tuple[str, ...], now: Millis) -> None:
         """Announce drains when they change, and repeatedly while they last.
 
