--- a/features/rollout/rollout.feature
+++ b/features/rollout/rollout.feature
@@ -49,6 +49,12 @@
     When the versions 2, 3 and 4 become the target 4 s apart
     Then no announcement repeats the one before it within 300 ms
 
+  Scenario: An engine that limits its requests is asked for its status at that rate
+    Given 2 engines that load weights in 1500 ms and a router that leads
+    And engine e0 takes 2 requests a second
+    When the versions 2, 3 and 4 become the target 4 s apart
+    Then engine e0 is asked for its status at most 3 times in any s
+
   Scenario: An order without an answer has no effect after a newer one
     Given 4 engines that load weights in 500 ms and a router that leads
     And the first order to each engine gets no answer and arrives 3 s later
--- a/features/rollout_engines.py
+++ b/features/rollout_engines.py
@@ -67,6 +67,10 @@
         }
         self.maximum_loading = 0
         self.ordered_at: list[float] = []
+        #: When each engine was asked for its status.
+        self.asked_at: dict[str, list[float]] = {
+            name: [] for name in self.versions
+        }
         #: Engines whose next order arrives late and gets no answer.
         self.delayed: set[str] = set()
         self.order_delay_s = float(0)
@@ -76,6 +80,7 @@
     def read_status(self, server: BackendServer) -> Any:
         """Return the current status."""
         name = server.server_id
+        self.asked_at[name].append(self._reactor.seconds())
         return succeed(
             EngineStatus(
                 is_busy=self.busy.get(name, False),
--- a/features/steps/rollout_driver_steps.py
+++ b/features/steps/rollout_driver_steps.py
@@ -37,6 +37,7 @@
     context.directory = Directory(TargetDecoder())
     context.clock = VirtualClock(reactor)
     selector = Selector('a', Millis(12_000))
+    context.selector = selector
     records = tuple(
         KeyedRecord(key=name, offset=offset, value=b'{}')
         for offset, name in enumerate(context.engines.versions)
@@ -91,6 +92,21 @@
         context.reactor.advance(0.05)
 
 
+@given('engine {name} takes {limit:d} requests a second')
+def limit_engine(context: Context, name: str, limit: int) -> None:
+    """Name a rate limit."""
+    now = context.clock.now()
+    context.selector.limits.record_answer(name, limit, now, now)
+
+
+@then('engine {name} is asked for its status at most {count:d} times in any s')
+def check_status_requests(context: Context, name: str, count: int) -> None:
+    """Guard against status requests that exceed the limit of an engine."""
+    asked_at = context.engines.asked_at[name]
+    worst = max(sum(end - 1 < at <= end for at in asked_at) for end in asked_at)
+    assert worst <= count, worst
+
+
 @given(
     'the first order to each engine gets no answer and arrives '
     '{seconds:d} s later'
