Read a weights version only from ASCII digits

What callers would see: an answer whose weights header is a digit such as a superscript two ends the connection's handler with an error, and the call with it. Cause: str.isdigit accepts digits that int does not. Measured: the new row of features/platform/adapter.feature fails before with a ValueError and passes now.

--- a/features/platform/adapter.feature
+++ b/features/platform/adapter.feature
@@ -39,6 +39,7 @@
       | 421    | X-Yuccagauge-Instance-Id: other        | misdirected         |
       | 200    | X-Yuccagauge-Weight-Versions: 4        | weights 4           |
       | 200    | X-Yuccagauge-Weight-Versions: four     | nothing             |
+      | 200    | X-Yuccagauge-Weight-Versions: ²        | nothing             |
 
   Scenario Outline: A malformed server entry is decoded to no server
     Then an entry with <change> is decoded to <outcome>
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -173,7 +173,7 @@
 ) -> None:
     """Check the properties that the head has, and that it has no others."""
     name, _, value = headers.partition(':')
-    pairs = ((name.encode(), value.strip().encode()),) if name else ()
+    pairs = ((name.encode(), value.strip().encode('latin-1')),) if name else ()
     found = PlatformBackendProtocol().parse_head(
         ResponseHead(status=status, headers=pairs)
     )
--- a/yuccagauge/platform/requests.py
+++ b/yuccagauge/platform/requests.py
@@ -21,6 +21,9 @@
 #: Larger numbers in a header are reduced to this one.
 _MAXIMUM_NUMBER = 1_000_000_000
 
+#: A whole number. ``str.isdigit`` accepts digits that ``int`` does not.
+_INTEGER = re.compile('[0-9]{1,18}')
+
 #: A decimal number without sign and exponent. ``float`` accepts more.
 _DECIMAL = re.compile('[0-9]{1,9}([.][0-9]{1,9})?')
 
@@ -99,7 +102,9 @@
             is_misdirected=head.status == _MISDIRECTED_REQUEST,
             has_server_stamp=bool(head.get(names.SERVER_STAMP.lower())),
             server_id=head.get(names.INSTANCE_ID.lower()),
-            weights_version=int(weights) if weights.isdigit() else None,
+            weights_version=int(weights)
+            if _INTEGER.fullmatch(weights)
+            else None,
             rate_limit=rate_limit,
             malformed_rate_limit=malformed_rate_limit,
         )
