Count the seeds as routers when a limit is shared out after a restart

What callers could see: after a restart of all routers into a cut between them, each router took itself for the only one and granted the whole limit of a server: 36 requests in 4 s where 15 are allowed. Cause: a router shares a limit by the routers that it remembers, and one that starts remembers none. Change: it counts at least the routers that its settings name as seeds. The fleet feature names the limit at all three servers now, so that calls exceed what they take, which is stricter, and checks that they get it.

--- a/features/crash_fleet.py
+++ b/features/crash_fleet.py
@@ -327,8 +327,10 @@
             self.network.end_host(router_host(name))
 
     def freeze_router(self, name: str, seconds: float) -> None:
-        """Let the process of a router do nothing for some time."""
-        reactor = self._reactors[name]
+        """Let the process of a router, if it runs, do nothing for a time."""
+        reactor = self._reactors.get(name)
+        if reactor is None:
+            return
         host = router_host(name)
 
         def thaw() -> None:
--- a/features/steps/ratelimit_fleet_steps.py
+++ b/features/steps/ratelimit_fleet_steps.py
@@ -5,7 +5,7 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from features.crash_fleet import CrashFleet, router_host
+from features.crash_fleet import CrashFleet, SimulatedServer, router_host
 from yuccagauge.clock import Millis
 from yuccagauge.registry import Registry
 
@@ -126,6 +126,18 @@
             fleet.network.reactor.callLater(1, fleet.start_router, name)
 
 
+@disturbances.register
+class RestartIntoCut(RouterDisturbance):
+    """Routers that lose all that they know and then reach no other one."""
+
+    name = 'a restart of all routers into a cut'
+
+    def disturb(self, fleet: CrashFleet) -> None:
+        """Restart all routers, and cut all links between them."""
+        RestartAll().disturb(fleet)
+        CutAll().disturb(fleet)
+
+
 @disturbances.register
 class FreezeInTurn(RouterDisturbance):
     """Routers of which one after the other does nothing for 3 s."""
@@ -148,24 +160,27 @@
 
     def disturb(self, fleet: CrashFleet) -> None:
         """Name a lower limit."""
-        server = fleet.servers[0]
-        limit = float(server.extra_headers.partition(':')[2])
-        _name_limit(fleet, limit / 4)
+        for server in fleet.servers:
+            limit = float(server.extra_headers.partition(':')[2] or 0)
+            if limit:
+                _name_limit(server, limit / 4)
 
 
-def _name_limit(fleet: CrashFleet, limit: float) -> None:
-    fleet.servers[0].extra_headers = f'Server-Limit: {limit:g}\r\n'
+def _name_limit(server: SimulatedServer, limit: float) -> None:
+    server.extra_headers = f'Server-Limit: {limit:g}\r\n'
 
 
 @given(
-    '{routers:d} routers before {servers:d} servers, one of them with a limit '
-    'of {limit:g} a second'
+    '{routers:d} routers before {servers:d} servers, {limited} of them with a '
+    'limit of {limit:g} a second'
 )
 def start_fleet(
-    context: Context, routers: int, servers: int, limit: float
+    context: Context, routers: int, servers: int, limited: str, limit: float
 ) -> None:
     """Start a fleet."""
     context.fleet = CrashFleet(routers, servers)
+    count = {'one': 1, 'all': servers}[limited]
+    context.limited_servers = context.fleet.servers[:count]
     context.limit = limit
     context.disturbance = DisturbNothing()
 
@@ -191,27 +206,46 @@
     fleet.run(_WARM_UP_S / 2)
     run(_WARM_UP_S / 2)
     context.named_at = fleet.clock.now()
-    _name_limit(fleet, context.limit)
+    for server in context.limited_servers:
+        _name_limit(server, context.limit)
     run(_UNDISTURBED_S)
     context.disturbance.disturb(fleet)
     run(seconds)
 
 
-@then('the server gets at most 1.5 times its limit and 5 requests in any 4 s')
+def _arrivals(context: Context, server: SimulatedServer) -> list[Millis]:
+    """Return the arrivals since all routers had to know the limit."""
+    told_at = context.named_at + _TOLD
+    return [at for at in server.arrivals if at >= told_at]
+
+
+@then('each of them gets at most 1.5 times its limit and 5 requests in any 4 s')
 def check_arrivals(context: Context) -> None:
     """Guard against routers that together exceed the limit of a server."""
-    told_at = context.named_at + _TOLD
-    arrivals = [at for at in context.fleet.servers[0].arrivals if at >= told_at]
-    counts = {
-        end: sum(end - _WINDOW < at <= end for at in arrivals)
-        for end in arrivals
-        if end >= context.named_at + _GRACE
-    }
     allowed = int(
         _ALLOWED_FACTOR * context.limit * _WINDOW / 1000 + _ALLOWED_CALLS
     )
-    worst = max(counts.values(), default=0)
-    assert worst <= allowed, (
-        f'{worst} requests in {_WINDOW} ms, allowed {allowed}, '
-        f'{len(arrivals)} in all'
-    )
+    for server in context.limited_servers:
+        arrivals = _arrivals(context, server)
+        worst = max(
+            (
+                sum(end - _WINDOW < at <= end for at in arrivals)
+                for end in arrivals
+                if end >= context.named_at + _GRACE
+            ),
+            default=0,
+        )
+        assert worst <= allowed, (
+            f'{worst} requests in {_WINDOW} ms, allowed {allowed}, '
+            f'{len(arrivals)} in all'
+        )
+
+
+@then('each of them gets at least {share:g} times its limit')
+def check_use(context: Context, share: float) -> None:
+    """Guard against a limit that is kept by sending hardly any calls."""
+    begins_at = context.named_at + _GRACE
+    duration_s = (context.fleet.clock.now() - begins_at) / 1000
+    for server in context.limited_servers:
+        count = sum(at >= begins_at for at in server.arrivals)
+        assert count >= share * context.limit * duration_s, count
--- a/yuccagauge/exchange/members.py
+++ b/yuccagauge/exchange/members.py
@@ -47,13 +47,20 @@
             if now - member.last_seen_at < DEAD_AFTER
         )
 
-    def live_share(self, now: Millis) -> float:
+    def live_share(self, expected: int, now: Millis) -> float:
         """Return the share of live routers among all that are remembered.
 
         This router counts as one of them. Routers that announced that they
         stop are not remembered.
+
+        Parameters
+        ----------
+        expected
+            Number of other routers that exist at least. A router that starts
+            remembers none of those that it cannot reach.
         """
-        return (len(self.live(now)) + 1) / (len(self._members) + 1)
+        others = max(expected, len(self._members))
+        return (len(self.live(now)) + 1) / (others + 1)
 
     def sample(
         self,
--- a/yuccagauge/exchange/permits.py
+++ b/yuccagauge/exchange/permits.py
@@ -56,6 +56,8 @@
         Accept and open connections with other routers.
     clock
         The source of time.
+    expected_peers
+        Number of other routers that exist at least.
     """
 
     def __init__(
@@ -68,6 +70,7 @@
         server: PeerServer,
         client: PeerClient,
         clock: Clock,
+        expected_peers: int,
     ) -> None:
         """Create a broker that answers nothing yet."""
         self._name = name
@@ -77,6 +80,7 @@
         self._server = server
         self._client = client
         self._clock = clock
+        self._expected_peers = expected_peers
         self._started_at = clock.now()
         #: The schedules of the servers whose home this router is.
         self._schedules: dict[str, PermitSchedule] = {}
@@ -143,7 +147,8 @@
         if schedule is None:
             schedule = PermitSchedule(self._first_at(server_id, limit, now))
             self._schedules[server_id] = schedule
-        share = self._merger.members.live_share(now)
+        members = self._merger.members
+        share = members.live_share(self._expected_peers, now)
         return schedule.reserve(limit * share, count, within, now)
 
     def _first_at(self, server_id: str, limit: float, now: Millis) -> Millis:
--- a/yuccagauge/exchange/service.py
+++ b/yuccagauge/exchange/service.py
@@ -123,6 +123,7 @@
             server=server,
             client=client,
             clock=clock,
+            expected_peers=len(self._seeds),
         )
         self._is_leaving = False
         self._started_at = clock.now()
