Space the permits of routers that share a limit by chance

What callers could see: routers that cannot reach each other each schedule a share of the limit of a server. If calls come to all of them at the same time, all of them send one at once: 40 routers sent 26 requests in 4 s to a server that takes 0.5 a second, allowed 8. Change: a schedule that has only a share of the limit grants at times of its own, which begin at a random part of its interval, and makes nothing up for a time that passes unused. Also: a scenario for the limits that a restarted router knows once it is ready; with readiness that does not wait for a peer it fails.

--- a/features/crash_fleet.py
+++ b/features/crash_fleet.py
@@ -320,6 +320,10 @@
         )
         self._routers[name].start()
 
+    def router(self, name: str) -> RelayRouter:
+        """Return the latest process of a router."""
+        return self._routers[name]
+
     def kill_router(self, name: str) -> None:
         """End the process of a router, with all that it knows."""
         if name in self._reactors:
--- a/features/steps/ratelimit_fleet_steps.py
+++ b/features/steps/ratelimit_fleet_steps.py
@@ -213,6 +213,39 @@
     run(seconds)
 
 
+@when('a router restarts and reaches no other one for {duration:d} ms')
+def restart_router(context: Context, duration: int) -> None:
+    """Restart one router behind a cut from the others."""
+    fleet = context.fleet
+    network = fleet.network
+    name = fleet.router_names[0]
+    hosts = set(map(router_host, fleet.router_names))
+    network.is_cut = lambda host, other: (
+        {host, other} <= hosts and router_host(name) in {host, other}
+    )
+    fleet.kill_router(name)
+    fleet.start_router(name)
+    network.reactor.callLater(
+        duration / 1000, setattr, network, 'is_cut', lambda *_: False
+    )
+    context.router = fleet.router(name)
+
+
+@then('it knows the limits of all servers once it is ready')
+def check_restarted_router(context: Context) -> None:
+    """Guard against a burst of calls from a router that knows no limits."""
+    fleet = context.fleet
+    while not context.router.is_ready:
+        fleet.run(0.01)
+    limits = context.router.limits
+    unknown = [
+        server.server_id
+        for server in fleet.servers
+        if limits.limit_of(server.server_id) is None
+    ]
+    assert not unknown, unknown
+
+
 def _arrivals(context: Context, server: SimulatedServer) -> list[Millis]:
     """Return the arrivals since all routers had to know the limit."""
     told_at = context.named_at + _TOLD
--- a/yuccagauge/exchange/permits.py
+++ b/yuccagauge/exchange/permits.py
@@ -1,5 +1,6 @@
 """Reserves permits for servers with a rate limit at the home of each."""
 
+from collections.abc import Callable
 from typing import Any
 
 from twisted.python.failure import Failure
@@ -12,7 +13,12 @@
     LimitReport,
     ServerLimits,
 )
-from yuccagauge.ratelimit.permits import PermitGrant, Permits, PermitSchedule
+from yuccagauge.ratelimit.permits import (
+    MS_PER_S,
+    PermitGrant,
+    Permits,
+    PermitSchedule,
+)
 from yuccagauge.rendezvous import rendezvous_rank
 from yuccagauge.settings.options import Endpoint
 from yuccagauge.telemetry.journal import log_state_change
@@ -58,6 +64,8 @@
         The source of time.
     expected_peers
         Number of other routers that exist at least.
+    random_fraction
+        Returns a random number from 0 to 1.
     """
 
     def __init__(
@@ -71,6 +79,7 @@
         client: PeerClient,
         clock: Clock,
         expected_peers: int,
+        random_fraction: Callable[[], float],
     ) -> None:
         """Create a broker that answers nothing yet."""
         self._name = name
@@ -81,6 +90,7 @@
         self._client = client
         self._clock = clock
         self._expected_peers = expected_peers
+        self._random_fraction = random_fraction
         self._started_at = clock.now()
         #: The schedules of the servers whose home this router is.
         self._schedules: dict[str, PermitSchedule] = {}
@@ -143,22 +153,27 @@
         limit = self._limits.limit_of(server_id)
         if limit is None:
             return PermitGrant(count=count, wait=Millis(0))
+        members = self._merger.members
+        share = members.live_share(self._expected_peers, now)
         schedule = self._schedules.get(server_id)
         if schedule is None:
-            schedule = PermitSchedule(self._first_at(server_id, limit, now))
+            first_at = self._first_at(server_id, limit * share, now)
+            if share < 1:
+                first_at += self._random_fraction() * MS_PER_S / limit / share
+            schedule = PermitSchedule(first_at)
             self._schedules[server_id] = schedule
-        members = self._merger.members
-        share = members.live_share(self._expected_peers, now)
-        return schedule.reserve(limit * share, count, within, now)
+        return schedule.reserve(
+            limit * share, count, within, now, is_share=share < 1
+        )
 
-    def _first_at(self, server_id: str, limit: float, now: Millis) -> Millis:
+    def _first_at(self, server_id: str, limit: float, now: Millis) -> float:
         """Return when a new home may grant its first permit."""
         changed_at = self._limits.changed_at(server_id)
         is_new_limit = now - changed_at < NEW_LIMIT_AGE
         is_old_router = changed_at - self._started_at > HANDOVER_PAUSE
         if is_new_limit and is_old_router:
-            return Millis(int(now + MILLI / limit))
-        return Millis(now + HANDOVER_PAUSE)
+            return now + MS_PER_S / limit
+        return now + HANDOVER_PAUSE
 
     def _handle_request(self, received: Received) -> PermitReply:
         message = received.message
--- a/yuccagauge/exchange/service.py
+++ b/yuccagauge/exchange/service.py
@@ -124,6 +124,7 @@
             client=client,
             clock=clock,
             expected_peers=len(self._seeds),
+            random_fraction=random_fraction,
         )
         self._is_leaving = False
         self._started_at = clock.now()
--- a/yuccagauge/ratelimit/permits.py
+++ b/yuccagauge/ratelimit/permits.py
@@ -6,6 +6,7 @@
 saved-up call at each of many routers would exceed the limit.
 """
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -28,7 +29,7 @@
 #: Wait that is assumed while the home has not answered.
 UNKNOWN_WAIT = Millis(20)
 
-_MS_PER_S = 1000
+MS_PER_S = 1000
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -46,19 +47,30 @@
 
     Calls are spaced evenly, and time that passes unused is not made up for.
 
+    Load pattern: many routers that cannot reach each other schedule a share of
+    the limit each, and calls come to all of them at the same time. If each sent
+    one at once, the sum would exceed the limit. Each of them therefore sends
+    only at times of its own, a random part of an interval away from the others.
+
     Parameters
     ----------
     first_at
         When the first call may be sent.
     """
 
-    def __init__(self, first_at: Millis) -> None:
+    def __init__(self, first_at: float) -> None:
         """Create an empty schedule."""
-        self._next_at: float = first_at
+        self._next_at = first_at
         self._per_second: float | None = None
 
     def reserve(
-        self, per_second: float, count: int, within: Millis, now: Millis
+        self,
+        per_second: float,
+        count: int,
+        within: Millis,
+        now: Millis,
+        *,
+        is_share: bool = False,
     ) -> PermitGrant:
         """Reserve permits, unless the first one is too far ahead.
 
@@ -70,12 +82,18 @@
             Number of permits.
         within
             Longest acceptable time until the first permit.
+        is_share
+            Whether other schedules may have the rest of the limit.
         """
-        interval = _MS_PER_S / per_second
+        interval = MS_PER_S / per_second
         if self._per_second is not None and per_second < self._per_second:
             # Routers drop the permits that they reserved at the higher rate.
             self._next_at = min(self._next_at, now + interval)
         self._per_second = per_second
+        if is_share and now > self._next_at:
+            self._next_at += interval * math.ceil(
+                (now - self._next_at) / interval
+            )
         start = max(self._next_at, now)
         wait = Millis(-int(now - start))
         if wait > min(within, MAXIMUM_RESERVATION):
@@ -175,7 +193,7 @@
         limit = self._limit_of(server_id)
         if limit is None:
             return
-        interval = _MS_PER_S / limit
+        interval = MS_PER_S / limit
         permits.usable_at.extend(
             Millis(now + grant.wait + int(number * interval))
             for number in range(grant.count)
@@ -206,7 +224,7 @@
             permits.unavailable_until,
             *permits.usable_at[-1:],
         )
-        return Millis(int(earliest + ahead * _MS_PER_S / limit))
+        return Millis(int(earliest + ahead * MS_PER_S / limit))
 
     def drop_unlimited(self) -> None:
         """Drop the permits for servers that name no limit."""
--- a/yuccagauge/relay/router.py
+++ b/yuccagauge/relay/router.py
@@ -18,6 +18,7 @@
 from yuccagauge.errors import SettingsError
 from yuccagauge.exchange.service import ExchangeService
 from yuccagauge.quarantine.archive import CrashArchive
+from yuccagauge.ratelimit.limits import ServerLimits
 from yuccagauge.relay.adapter import AdapterFactory
 from yuccagauge.relay.changes import log_fleet_changes
 from yuccagauge.relay.channel import CallerFactory
@@ -177,6 +178,11 @@
             and not self._is_stopping
         )
 
+    @property
+    def limits(self) -> ServerLimits:
+        """The rate limits that the router knows."""
+        return self._selector.limits
+
     def start(self) -> None:
         """Open the ports and start to follow the store."""
         section = self._settings.relay
