Do not grant reserved times again if the share of a home falls

What callers could see: a home that loses other routers has a smaller share of the limit, which looked like a lower limit, so it granted times again that were reserved already. Found while the diff was read. Change: the schedule takes limit and share apart; only a lower limit, at which routers drop their permits, gives the reserved times free. Measured: 4 calls reserved at 2 a second, up to 1500 ms ahead; the next one was granted at 1000 ms before, and later than 1500 ms now.

--- a/features/ratelimit/placement.feature
+++ b/features/ratelimit/placement.feature
@@ -55,6 +55,11 @@
     And a call is decided upon
     Then it goes to s1
 
+  Scenario: A home that loses other routers does not grant reserved times again
+    Given a schedule of 2 calls a second
+    When 4 calls are reserved at once, and then the share of the home falls to a half
+    Then the next call is scheduled after them
+
   Scenario Outline: A schedule spaces calls evenly and makes up for nothing
     Given a schedule of <limit> calls a second
     When calls are reserved one by one over <seconds> s, with a pause of <pause> s
--- a/features/steps/ratelimit_placement_steps.py
+++ b/features/steps/ratelimit_placement_steps.py
@@ -193,6 +193,27 @@
     context.schedule = PermitSchedule(NOW)
 
 
+@when(
+    '{count:d} calls are reserved at once, and then the share of the home '
+    'falls to a half'
+)
+def lower_share(context: Context, count: int) -> None:
+    """Reserve calls ahead, and one more with half of the limit."""
+    within = Millis(5000)
+    schedule = context.schedule
+    context.sends = [
+        NOW + schedule.reserve(context.limit, 1, within, NOW).wait
+        for _ in range(count)
+    ]
+    context.grant = schedule.reserve(context.limit, 1, within, NOW, share=0.5)
+
+
+@then('the next call is scheduled after them')
+def check_next_call(context: Context) -> None:
+    """Guard against two permits for the same time."""
+    assert NOW + context.grant.wait > max(context.sends), context.grant
+
+
 @when(
     'calls are reserved one by one over {seconds:d} s, with a pause of '
     '{pause:d} s'
--- a/yuccagauge/exchange/permits.py
+++ b/yuccagauge/exchange/permits.py
@@ -162,9 +162,7 @@
                 first_at += self._random_fraction() * MS_PER_S / limit / share
             schedule = PermitSchedule(first_at)
             self._schedules[server_id] = schedule
-        return schedule.reserve(
-            limit * share, count, within, now, is_share=share < 1
-        )
+        return schedule.reserve(limit, count, within, now, share=share)
 
     def _first_at(self, server_id: str, limit: float, now: Millis) -> float:
         """Return when a new home may grant its first permit."""
--- a/yuccagauge/ratelimit/permits.py
+++ b/yuccagauge/ratelimit/permits.py
@@ -70,27 +70,27 @@
         within: Millis,
         now: Millis,
         *,
-        is_share: bool = False,
+        share: float = 1,
     ) -> PermitGrant:
         """Reserve permits, unless the first one is too far ahead.
 
         Parameters
         ----------
         per_second
-            The limit.
+            The limit of the server.
         count
             Number of permits.
         within
             Longest acceptable time until the first permit.
-        is_share
-            Whether other schedules may have the rest of the limit.
+        share
+            Part of the limit that this schedule has. Others may have the rest.
         """
-        interval = MS_PER_S / per_second
+        interval = MS_PER_S / per_second / share
         if self._per_second is not None and per_second < self._per_second:
             # Routers drop the permits that they reserved at the higher rate.
             self._next_at = min(self._next_at, now + interval)
         self._per_second = per_second
-        if is_share and now > self._next_at:
+        if share < 1 and now > self._next_at:
             self._next_at += interval * math.ceil(
                 (now - self._next_at) / interval
             )
