Let timeouts of the test network pass in virtual time

Cause, traced with a sampling profiler: the connections between routers set their idle timeout of 120 s on the real reactor, although the fleet lives in virtual time. 120 s after the large fleets thousands of them ended during a later scenario, each with a sort of the virtual clock's calls. Change: the test network gives its protocols the virtual clock.

--- a/features/memory_network.py
+++ b/features/memory_network.py
@@ -13,6 +13,7 @@
     TCPTimedOutError,
 )
 from twisted.internet.task import Clock as TaskClock
+from twisted.protocols.policies import TimeoutMixin
 from twisted.python.failure import Failure
 
 #: One-way delay between two hosts, in seconds.
@@ -312,10 +313,22 @@
         far = MemoryTransport(self, target.host, target.port, accepted)
         near.other, far.other = far, near
         self._transports.extend((near, far))
+        for protocol in (accepted, opened):
+            _use_virtual_time(protocol, self.reactor)
         accepted.makeConnection(far)
         opened.makeConnection(near)
 
 
+def _use_virtual_time(protocol: Any, reactor: TaskClock) -> None:
+    """Let the timeout of a protocol pass in virtual time.
+
+    On the real reactor it would outlive the scenario, and keep later ones busy.
+    """
+    inner = getattr(protocol, '_wrappedProtocol', protocol)
+    if isinstance(inner, TimeoutMixin):
+        inner.callLater = reactor.callLater
+
+
 def _fail(connector: _Connector, factory: Any, error: Exception) -> None:
     if not connector.is_stopped:
         factory.clientConnectionFailed(connector, Failure(error))
