--- a/features/ratelimit/fleet.feature
+++ b/features/ratelimit/fleet.feature
@@ -6,7 +6,7 @@
   Scenario Outline: A server gets no more than the limit that it names, whatever disturbs the routers
     Given <routers> routers before 3 servers, <limited> of them with a limit of <limit> a second
     And the routers are disturbed by <disturbance>
-    When <rate> calls a second come for 14 s
+    When <rate> calls a second come for 20 s
     Then each of them gets at most 1.5 times its limit and 5 requests in any 4 s
 
     Examples:
@@ -40,5 +40,5 @@
   Scenario: Servers with a limit get what they take, if the calls are more
     Given 8 routers before 3 servers, all of them with a limit of 6 a second
     And the routers are disturbed by nothing
-    When 40 calls a second come for 14 s
+    When 40 calls a second come for 20 s
     Then each of them gets at least 0.8 times its limit
