Part schedule, permits and waiting calls, and keep the homes of servers

Cause, by reading the change as a newcomer: one module held three things; milliseconds a second stood under two names; the limit on the wire was described in two ways and converted in three places; and each call to a limited server ranked all routers. Also, a router spaced the permits of one grant by the whole limit where the home grants only a share of it. Change: modules for the schedule and for the waiting calls, one function for the interval of a rate, one pair for the wire's unit, a home that is kept until the routers change, and a grant that carries its interval. A call that waits for a pause of its server is no longer logged as waiting for its rate limit.

--- a/features/steps/ratelimit_placement_steps.py
+++ b/features/steps/ratelimit_placement_steps.py
@@ -7,7 +7,7 @@
 
 from features.selection_fixture import NOW, new_request, start_selector
 from yuccagauge.clock import Millis
-from yuccagauge.ratelimit.permits import PermitGrant, PermitSchedule
+from yuccagauge.ratelimit.schedule import PermitGrant, PermitSchedule
 from yuccagauge.selection.base import SelectionRequest
 from yuccagauge.selection.kvcachestores import cache_scope_of
 
--- a/yuccagauge/cachefeed/feed.py
+++ b/yuccagauge/cachefeed/feed.py
@@ -107,7 +107,8 @@
         """
         kind = 'store' if self._holder.is_store else 'engine'
         while not self._is_closed:
-            if self._feed.selector.limits.limit_of(self._holder.name):
+            limit = self._feed.selector.limits.limit_of(self._holder.name)
+            if limit is not None:
                 self._set_live(is_live=False, reason='rate limit')
                 yield self._feed.pause(RETRY_PAUSE)
                 continue
--- a/yuccagauge/exchange/merger.py
+++ b/yuccagauge/exchange/merger.py
@@ -6,15 +6,13 @@
 from yuccagauge.directory.records import KeyedRecord
 from yuccagauge.directory.state import Directory, Topic
 from yuccagauge.exchange.members import Member, MemberList
-from yuccagauge.exchange.parts import MILLI
+from yuccagauge.exchange.parts import limit_report
 from yuccagauge.quarantine.base import CrashSuspicion, Quarantine
-from yuccagauge.ratelimit.limits import LimitReport
 from yuccagauge.selection.load import PEER_LOAD_LIFETIME, PeerLoad
 from yuccagauge.selection.selector import Selector
 from yuccagauge.telemetry.journal import log_state_change
 from yuccagauge.wire.messages import (
     FleetExchange,
-    FleetLimit,
     FleetRecord,
     FleetSuspicion,
     FleetWeights,
@@ -108,7 +106,7 @@
             self.apply_weights(notification)
         for limit in message.limits:
             self._selector.limits.merge_report(
-                _limit_report(limit), message.name, now
+                limit_report(limit), message.name, now
             )
         for report in message.silences:
             self._apply_unresponsive_report(report.server, message.name, now)
@@ -230,14 +228,6 @@
     )
 
 
-def _limit_report(part: FleetLimit) -> LimitReport:
-    return LimitReport(
-        server_id=part.server,
-        per_second=part.rate_milli / MILLI if part.rate_milli else None,
-        age=Millis(part.age_ms),
-    )
-
-
 def _suspicion(part: FleetSuspicion) -> CrashSuspicion:
     return CrashSuspicion(
         fingerprint=part.fingerprint,
--- a/yuccagauge/exchange/parts.py
+++ b/yuccagauge/exchange/parts.py
@@ -15,13 +15,14 @@
     FleetMember,
     FleetRecord,
     FleetSuspicion,
+    PermitRequest,
 )
 
-#: Thousandths of a call a second.
-MILLI = 1000
+#: Thousandths in a call a second.
+_MILLI = 1000
 
-#: Largest rate limit of the wire format, in thousandths.
-MAXIMUM_RATE_MILLI = 2**32 - 1
+#: Largest number that messages can hold.
+MAXIMUM_NUMBER = 2**32 - 1
 
 
 def members(known: Iterable[Member], now: Millis) -> tuple[FleetMember, ...]:
@@ -98,7 +99,16 @@
     """Return a rate limit in thousandths, and 0 without a limit."""
     if per_second is None:
         return 0
-    return max(1, min(MAXIMUM_RATE_MILLI, round(per_second * MILLI)))
+    return max(1, min(MAXIMUM_NUMBER, round(per_second * _MILLI)))
+
+
+def limit_report(part: FleetLimit | PermitRequest) -> LimitReport:
+    """Return what a part of a message reports of a rate limit."""
+    return LimitReport(
+        server_id=part.server,
+        per_second=part.rate_milli / _MILLI if part.rate_milli else None,
+        age=Millis(part.age_ms),
+    )
 
 
 def records(
--- a/yuccagauge/exchange/permits.py
+++ b/yuccagauge/exchange/permits.py
@@ -7,17 +7,13 @@
 
 from yuccagauge.clock import Clock, Millis
 from yuccagauge.exchange.merger import MessageMerger
-from yuccagauge.exchange.parts import MILLI, rate_milli
-from yuccagauge.ratelimit.limits import (
-    MAXIMUM_MESSAGE_DELAY,
-    LimitReport,
-    ServerLimits,
-)
-from yuccagauge.ratelimit.permits import (
-    MS_PER_S,
+from yuccagauge.exchange.parts import MAXIMUM_NUMBER, limit_report, rate_milli
+from yuccagauge.ratelimit.limits import MAXIMUM_MESSAGE_DELAY, ServerLimits
+from yuccagauge.ratelimit.permits import Permits
+from yuccagauge.ratelimit.schedule import (
     PermitGrant,
-    Permits,
     PermitSchedule,
+    interval_ms,
 )
 from yuccagauge.rendezvous import rendezvous_rank
 from yuccagauge.settings.options import Endpoint
@@ -35,9 +31,11 @@
 #: Age of a limit below which no other router can have been its home.
 NEW_LIMIT_AGE = Millis(1000)
 
-#: Time after which a router asks again that reached no home.
+#: Time after which a router that reached no home asks again.
 RETRY_PAUSE = Millis(300)
 
+_US_PER_MS = 1000
+
 #: Largest number of permits that one message asks for.
 MAXIMUM_COUNT = 10_000
 
@@ -95,6 +93,9 @@
         #: The schedules of the servers whose home this router is.
         self._schedules: dict[str, PermitSchedule] = {}
         self._lost_homes: set[Endpoint] = set()
+        #: The names of the homes, by server, among the routers below.
+        self._homes: dict[str, str] = {}
+        self._ranked_names: frozenset[str] = frozenset()
 
     def start(self) -> None:
         """Begin to ask and to answer."""
@@ -129,9 +130,14 @@
             errbackArgs=(server_id, home),
         )
 
-    def drop_schedules(self) -> None:
-        """Drop what this router keeps of servers that need no permits of it."""
+    def drop_obsolete(self) -> None:
+        """Drop permits and schedules that are of no use any longer."""
         self._permits.drop_unlimited()
+        self._homes = {
+            server_id: home
+            for server_id, home in self._homes.items()
+            if self._limits.limit_of(server_id) is not None
+        }
         self._schedules = {
             server_id: schedule
             for server_id, schedule in self._schedules.items()
@@ -140,10 +146,20 @@
         }
 
     def _home_of(self, server_id: str) -> Endpoint | None:
-        """Return the home of a server; ``None`` if it is this router."""
+        """Return the home of a server; ``None`` if it is this router.
+
+        Load pattern: hundreds of routers are ranked for each call to a limited
+        server. The home is therefore kept until the routers change.
+        """
         endpoints = {peer.name: peer.endpoint for peer in self._merger.peers}
-        names = (self._name, *endpoints)
-        home = rendezvous_rank(names, f'permits/{server_id}')[0]
+        names = frozenset((self._name, *endpoints))
+        if names != self._ranked_names:
+            self._ranked_names = names
+            self._homes.clear()
+        home = self._homes.get(server_id)
+        if home is None:
+            home = rendezvous_rank(names, f'permits/{server_id}')[0]
+            self._homes[server_id] = home
         return endpoints.get(home)
 
     def _reserve(
@@ -159,7 +175,7 @@
         if schedule is None:
             first_at = self._first_at(server_id, limit * share, now)
             if share < 1:
-                first_at += self._random_fraction() * MS_PER_S / limit / share
+                first_at += self._random_fraction() * interval_ms(limit * share)
             schedule = PermitSchedule(first_at)
             self._schedules[server_id] = schedule
         return schedule.reserve(limit, count, within, now, share=share)
@@ -170,7 +186,7 @@
         is_new_limit = now - changed_at < NEW_LIMIT_AGE
         is_old_router = changed_at - self._started_at > HANDOVER_PAUSE
         if is_new_limit and is_old_router:
-            return now + MS_PER_S / limit
+            return now + interval_ms(limit)
         return now + HANDOVER_PAUSE
 
     def _handle_request(self, received: Received) -> PermitReply:
@@ -178,26 +194,30 @@
         now = self._clock.now()
         server_id = message.server
         if message.rate_milli:
-            report = LimitReport(
-                server_id=server_id,
-                per_second=message.rate_milli / MILLI,
-                age=Millis(message.age_ms),
+            self._limits.merge_report(
+                limit_report(message), received.sender, now
             )
-            self._limits.merge_report(report, received.sender, now)
         if self._home_of(server_id) is not None:
             self._schedules.pop(server_id, None)
             return PermitReply(count=0, wait_ms=RETRY_PAUSE)
         count = max(1, min(message.count, MAXIMUM_COUNT))
         within = Millis(message.within_ms)
         grant = self._reserve(server_id, count, within, now)
-        return PermitReply(count=grant.count, wait_ms=grant.wait)
+        interval_us = round(grant.interval_ms * _US_PER_MS)
+        return PermitReply(
+            count=grant.count,
+            wait_ms=grant.wait,
+            interval_us=min(interval_us, MAXIMUM_NUMBER),
+        )
 
     def _handle_reply(self, reply: Any, server_id: str, home: Endpoint) -> None:
         if home in self._lost_homes:
             self._lost_homes.discard(home)
             log_state_change('permit_home_reached', home=home)
         grant = PermitGrant(
-            count=min(reply.count, MAXIMUM_COUNT), wait=Millis(reply.wait_ms)
+            count=min(reply.count, MAXIMUM_COUNT),
+            wait=Millis(reply.wait_ms),
+            interval_ms=reply.interval_us / _US_PER_MS,
         )
         self._permits.record_grant(server_id, grant, self._clock.now())
 
--- a/yuccagauge/exchange/service.py
+++ b/yuccagauge/exchange/service.py
@@ -289,7 +289,7 @@
 
     def _exchange(self) -> None:
         self._period += 1
-        self._permit_broker.drop_schedules()
+        self._permit_broker.drop_obsolete()
         if not exchanges_in_period(self._period, self.router_count):
             return
         # Sorted, because the order of a set differs between processes.
--- a/yuccagauge/ratelimit/permits.py
+++ b/yuccagauge/ratelimit/permits.py
@@ -6,101 +6,23 @@
 saved-up call at each of many routers would exceed the limit.
 """
 
-import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from yuccagauge.clock import Millis
+from yuccagauge.ratelimit.schedule import PermitGrant, interval_ms
 
 #: How long a permit may be used from its time on. It is lost afterwards, so
 #: that no router saves permits up.
 PERMIT_LIFETIME = Millis(400)
 
-#: Longest time ahead for which a permit is reserved.
-MAXIMUM_RESERVATION = Millis(5000)
-
 #: Time of permits that one reservation may hold, in seconds. Larger ones would
 #: take fewer messages, but leave nothing to other routers.
 RESERVED_TIME_S = 0.1
 
-#: Time after which a waiting call that was not decided upon again has ended.
-WAITING_CALL_LIFETIME = Millis(100)
-
 #: Wait that is assumed while the home has not answered.
 UNKNOWN_WAIT = Millis(20)
 
-MS_PER_S = 1000
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class PermitGrant:
-    """The answer to a reservation."""
-
-    #: Number of permits; 0 if the first one is too far ahead.
-    count: int
-    #: Time until the first permit may be used.
-    wait: Millis
-
-
-class PermitSchedule:
-    """Schedules the calls of all routers to one server.
-
-    Calls are spaced evenly, and time that passes unused is not made up for.
-
-    Load pattern: many routers that cannot reach each other schedule a share of
-    the limit each, and calls come to all of them at the same time. If each sent
-    one at once, the sum would exceed the limit. Each of them therefore sends
-    only at times of its own, a random part of an interval away from the others.
-
-    Parameters
-    ----------
-    first_at
-        When the first call may be sent.
-    """
-
-    def __init__(self, first_at: float) -> None:
-        """Create an empty schedule."""
-        self._next_at = first_at
-        self._per_second: float | None = None
-
-    def reserve(
-        self,
-        per_second: float,
-        count: int,
-        within: Millis,
-        now: Millis,
-        *,
-        share: float = 1,
-    ) -> PermitGrant:
-        """Reserve permits, unless the first one is too far ahead.
-
-        Parameters
-        ----------
-        per_second
-            The limit of the server.
-        count
-            Number of permits.
-        within
-            Longest acceptable time until the first permit.
-        share
-            Part of the limit that this schedule has. Others may have the rest.
-        """
-        interval = MS_PER_S / per_second / share
-        if self._per_second is not None and per_second < self._per_second:
-            # Routers drop the permits that they reserved at the higher rate.
-            self._next_at = min(self._next_at, now + interval)
-        self._per_second = per_second
-        if share < 1 and now > self._next_at:
-            self._next_at += interval * math.ceil(
-                (now - self._next_at) / interval
-            )
-        start = max(self._next_at, now)
-        wait = Millis(-int(now - start))
-        if wait > min(within, MAXIMUM_RESERVATION):
-            return PermitGrant(count=0, wait=wait)
-        self._next_at = start + count * interval
-        return PermitGrant(count=count, wait=wait)
-
 
 @dataclass(slots=True)
 class _ServerPermits:
@@ -119,7 +41,7 @@
 
 
 class Permits:
-    """The permits of one router, and the calls that wait for one.
+    """The permits of one router.
 
     Parameters
     ----------
@@ -131,8 +53,6 @@
         """Create without permits."""
         self._limit_of = limit_of
         self._servers: dict[str, _ServerPermits] = {}
-        #: Arrival and latest decision of each waiting call, by service and id.
-        self._waiting: dict[str, dict[str, tuple[Millis, Millis]]] = {}
         #: Called with a server, a number of permits and the longest wait.
         self.on_request: Callable[[str, int, Millis], None] = (
             lambda server_id, count, within: None
@@ -190,12 +110,8 @@
         """Record the answer to a reservation."""
         permits = self._current(server_id, now)
         permits.requested = 0
-        limit = self._limit_of(server_id)
-        if limit is None:
-            return
-        interval = MS_PER_S / limit
         permits.usable_at.extend(
-            Millis(now + grant.wait + int(number * interval))
+            Millis(now + grant.wait + int(number * grant.interval_ms))
             for number in range(grant.count)
         )
         permits.unavailable_until = Millis(now + grant.wait)
@@ -224,7 +140,7 @@
             permits.unavailable_until,
             *permits.usable_at[-1:],
         )
-        return Millis(int(earliest + ahead * MS_PER_S / limit))
+        return Millis(int(earliest + ahead * interval_ms(limit)))
 
     def drop_unlimited(self) -> None:
         """Drop the permits for servers that name no limit."""
@@ -234,35 +150,6 @@
             if self._limit_of(server_id) is not None
         }
 
-    def record_wait(
-        self, service: str, call_id: str, received_at: Millis, now: Millis
-    ) -> None:
-        """Record that a call waits until it is decided upon again."""
-        calls = self._waiting.setdefault(service, {})
-        calls[call_id] = (received_at, now)
-
-    def record_decided(self, service: str, call_id: str) -> None:
-        """Record that a call no longer waits."""
-        self._waiting.get(service, {}).pop(call_id, None)
-
-    def position(
-        self, service: str, call_id: str, received_at: Millis, now: Millis
-    ) -> int:
-        """Return how many waiting calls of a service arrived earlier."""
-        calls = {
-            waiting_id: times
-            for waiting_id, times in self._waiting.get(service, {}).items()
-            if now - times[1] <= WAITING_CALL_LIFETIME
-        }
-        self._waiting[service] = calls
-        # Calls that arrived at the same time keep the order of their waits.
-        order = tuple(calls)
-        own_index = order.index(call_id) if call_id in calls else len(order)
-        return sum(
-            (calls[waiting_id][0], index) < (received_at, own_index)
-            for index, waiting_id in enumerate(order)
-        )
-
     def _current(self, server_id: str, now: Millis) -> _ServerPermits:
         """Return the permits of a server without those that have expired.
 
--- a/yuccagauge/rollout/driver.py
+++ b/yuccagauge/rollout/driver.py
@@ -10,6 +10,7 @@
 from yuccagauge.directory.base import BackendServer, ServiceSpec
 from yuccagauge.directory.state import Directory
 from yuccagauge.dispatch.fetch import FetchError
+from yuccagauge.ratelimit.schedule import interval_ms
 from yuccagauge.rollout.base import (
     EngineStatus,
     OrderAnswer,
@@ -38,8 +39,6 @@
 #: Time between two requests for the status of an engine that loads.
 STATUS_POLL_PERIOD = Millis(200)
 
-_MS_PER_S = 1000
-
 #: How long routers send no calls to an engine after one announcement of its
 #: drain; the announcement is repeated while the drain lasts.
 DRAIN_PAUSE = Millis(600)
@@ -192,7 +191,7 @@
         limit = self._selector.limits.limit_of(server.server_id)
         if limit is None:
             return STATUS_POLL_PERIOD
-        return max(STATUS_POLL_PERIOD, Millis(int(_MS_PER_S / limit)))
+        return max(STATUS_POLL_PERIOD, Millis(int(interval_ms(limit))))
 
     def _announce_drains(self, draining: tuple[str, ...], now: Millis) -> None:
         """Announce drains when they change, and repeatedly while they last.
--- a/yuccagauge/selection/rategate.py
+++ b/yuccagauge/selection/rategate.py
@@ -6,6 +6,7 @@
 from yuccagauge.directory.base import BackendServer
 from yuccagauge.ratelimit.limits import ServerLimits
 from yuccagauge.ratelimit.permits import Permits
+from yuccagauge.ratelimit.waiting import WaitingCalls
 from yuccagauge.selection.base import SelectionDecision, SelectionRequest
 
 #: Longest wait for a permit that is reserved for a server which is preferred,
@@ -27,6 +28,7 @@
         """Create a gate without limits."""
         self.limits = ServerLimits()
         self.permits = Permits(self.limits.limit_of)
+        self._waiting = WaitingCalls()
 
     def is_limited(self, server: BackendServer) -> bool:
         """Return whether a server names a limit."""
@@ -92,14 +94,14 @@
             return
         service = request.service.name
         if decision.wait_until is None:
-            self.permits.record_decided(service, request.call_id)
+            self._waiting.remove(service, request.call_id)
         else:
-            self.permits.record_wait(
+            self._waiting.add(
                 service, request.call_id, request.received_at, now
             )
 
     def _position(self, request: SelectionRequest, now: Millis) -> int:
         """Return the number of waiting calls that precede the call."""
-        return self.permits.position(
+        return self._waiting.position(
             request.service.name, request.call_id, request.received_at, now
         )
--- a/yuccagauge/selection/selector.py
+++ b/yuccagauge/selection/selector.py
@@ -175,6 +175,7 @@
         if limited and (decision is None or decision.placement is None):
             self._rate_gate.reserve_soonest(limited, request, now)
         elif limited:
+            # The permit serves a later call.
             preferred = self._preferred_server(available, request, stores, now)
             if preferred in limited:
                 self._rate_gate.reserve_preferred(preferred, now)
@@ -366,12 +367,12 @@
             key=lambda pair: pair[0],
             default=(None, None),
         )
+        is_rate_limited = False
+        if server is not None and available_at > now:
+            passes_at = self._rate_gate.available_at(server, request, now)
+            is_rate_limited = passes_at == available_at
         return wait_or_refuse(
-            available_at,
-            request,
-            now,
-            is_rate_limited=server is not None
-            and self._rate_gate.is_limited(server),
+            available_at, request, now, is_rate_limited=is_rate_limited
         )
 
     def _available_at(
--- a/yuccagauge/wire/messages.capnp
+++ b/yuccagauge/wire/messages.capnp
@@ -225,7 +225,7 @@
 
 struct FleetLimit {
   server @0 :Text;
-  # Calls that the server takes from all routers in 1000 s; 0 without a limit.
+  # Calls a second from all routers together, in thousandths; 0 without a limit.
   rateMilli @1 :UInt32;
   # Time since the answer of the server that shows it.
   ageMs @2 :UInt32;
@@ -246,6 +246,8 @@
   count @0 :UInt32;
   # Time until the first permit.
   waitMs @1 :UInt32;
+  # Time between two permits.
+  intervalUs @2 :UInt32;
 }
 
 struct FleetExchange {
--- a/yuccagauge/wire/messages.py
+++ b/yuccagauge/wire/messages.py
@@ -368,6 +368,8 @@
     count: int
     #: Time until the first permit, in ms.
     wait_ms: int
+    #: Time between two permits, in us.
+    interval_us: int = 0
 
 
 @register(40)
