Check that a lowered limit is kept too

Cause: the scenario of a limit that falls was bounded by the higher limit. Change: a scenario that counts from the fall on, by the lower limit.

--- a/features/ratelimit/fleet.feature
+++ b/features/ratelimit/fleet.feature
@@ -30,6 +30,13 @@
       | 8       | all     | 6     | 40   | a limit that falls to a quarter          |
       | 100     | all     | 1.7   | 20   | nothing                                  |
 
+  Scenario: Servers that lower their limit get no more than the lower one
+    Given 8 routers before 3 servers, all of them with a limit of 6 a second
+    And the routers are disturbed by nothing
+    When 40 calls a second come for 1 s
+    And the limits fall to 1 a second, while 40 calls a second come for 10 s
+    Then each of them gets at most 1.5 times its limit and 5 requests in any 4 s
+
   Scenario: A router that restarts knows the limits once it is ready
     Given 8 routers before 3 servers, all of them with a limit of 6 a second
     And the routers are disturbed by nothing
--- a/features/steps/ratelimit_fleet_steps.py
+++ b/features/steps/ratelimit_fleet_steps.py
@@ -22,6 +22,9 @@
 
 disturbances: Registry[type[RouterDisturbance]] = Registry('disturbance')
 
+#: Make the calls differ, so that none is taken for a repetition.
+_call_numbers = itertools.count()
+
 #: Time for which a fleet runs before its server names a limit, in seconds.
 _WARM_UP_S = 4.0
 
@@ -170,6 +173,19 @@
     server.extra_headers = f'Server-Limit: {limit:g}\r\n'
 
 
+def _name_limits(context: Context) -> None:
+    context.named_at = context.fleet.clock.now()
+    for server in context.limited_servers:
+        _name_limit(server, context.limit)
+
+
+def _run_calls(fleet: CrashFleet, rate: int, duration_s: float) -> None:
+    for _ in range(int(duration_s * rate)):
+        name = fleet.random.choice(fleet.router_names)
+        fleet.send(name, b'%d' % next(_call_numbers), 'read')
+        fleet.run(1 / rate)
+
+
 @given(
     '{routers:d} routers before {servers:d} servers, {limited} of them with a '
     'limit of {limit:g} a second'
@@ -195,22 +211,25 @@
 def send_calls(context: Context, rate: int, seconds: int) -> None:
     """Send calls before the limit, and with it before and in a disturbance."""
     fleet = context.fleet
-    numbers = itertools.count()
-
-    def run(duration_s: float) -> None:
-        for _ in range(int(duration_s * rate)):
-            name = fleet.random.choice(fleet.router_names)
-            fleet.send(name, b'%d' % next(numbers), 'read')
-            fleet.run(1 / rate)
-
     fleet.run(_WARM_UP_S / 2)
-    run(_WARM_UP_S / 2)
-    context.named_at = fleet.clock.now()
-    for server in context.limited_servers:
-        _name_limit(server, context.limit)
-    run(_UNDISTURBED_S)
+    _run_calls(fleet, rate, _WARM_UP_S / 2)
+    _name_limits(context)
+    _run_calls(fleet, rate, _UNDISTURBED_S)
     context.disturbance.disturb(fleet)
-    run(seconds)
+    _run_calls(fleet, rate, seconds)
+
+
+@when(
+    'the limits fall to {limit:g} a second, while {rate:d} calls a second come '
+    'for {seconds:d} s'
+)
+def lower_limits(
+    context: Context, limit: float, rate: int, seconds: int
+) -> None:
+    """Name lower limits, which count from now on."""
+    context.limit = limit
+    _name_limits(context)
+    _run_calls(context.fleet, rate, seconds)
 
 
 @when('a router restarts and reaches no other one for {duration:d} ms')
