Run the large test fleets on a clock with a heap

Cause: since the idle timeouts of connections pass in virtual time, the test clock of Twisted sorts thousands of calls for each new one. Change: the test network has a reactor with a heap. Calls of one time keep the order in which they were scheduled, as before.

--- a/features/memory_network.py
+++ b/features/memory_network.py
@@ -12,10 +12,11 @@
     ConnectionRefusedError,
     TCPTimedOutError,
 )
-from twisted.internet.task import Clock as TaskClock
 from twisted.protocols.policies import TimeoutMixin
 from twisted.python.failure import Failure
 
+from features.virtual_reactor import VirtualReactor
+
 #: One-way delay between two hosts, in seconds.
 _LATENCY_S = 0.001
 
@@ -230,7 +231,7 @@
 
     def __init__(self) -> None:
         """Create a network without hosts."""
-        self.reactor = TaskClock()
+        self.reactor = VirtualReactor()
         #: Returns whether no data passes between two hosts.
         self.is_cut: Callable[[str, str], bool] = lambda host, other: False
         #: Hosts without power: nothing answers there, not even a reset.
@@ -319,7 +320,7 @@
         opened.makeConnection(near)
 
 
-def _use_virtual_time(protocol: Any, reactor: TaskClock) -> None:
+def _use_virtual_time(protocol: Any, reactor: VirtualReactor) -> None:
     """Let the timeout of a protocol pass in virtual time.
 
     On the real reactor it would outlive the scenario, and keep later ones busy.
