Let no rejection end the rate limit of a server

What callers could see: a rejection without the limit, as a full queue may send it, would end the limit of a server in need at all routers until its next answer. Change: only an answer with the server's stamp shows that there is no limit; a rejection may name one. Measured: the row of a rejection without a limit failed before; the seven rows pass. Beside it: the constants of the users' rule are named apart in the steps of the fleets.

--- a/features/ratelimit/ratelimit.feature
+++ b/features/ratelimit/ratelimit.feature
@@ -56,6 +56,20 @@
     And an answer without a limit to a call of 1100 arrives at 1600
     Then its limit is none
 
+  Scenario Outline: Which answers show that a server names no limit
+    When an answer <status> with the headers <headers> arrives
+    Then it shows a limit: <shows>
+
+    Examples:
+      | status | headers                                                 | shows |
+      | 200    | X-Yuccagauge-Server-Stamp: s                            | yes   |
+      | 200    | X-Yuccagauge-Server-Stamp: s; Server-Limit: 2           | yes   |
+      | 200    | X-Yuccagauge-Server-Stamp: s; Server-Limit: nan         | no    |
+      | 503    | X-Yuccagauge-Not-Executed: 1                            | no    |
+      | 503    | X-Yuccagauge-Not-Executed: 1; Server-Limit: 2           | yes   |
+      | 421    | X-Yuccagauge-Server-Stamp: s; Server-Limit: 2           | no    |
+      | 200    | Server-Limit: 2                                         | no    |
+
   Scenario: A server that restarts has named nothing yet
     Given a server that named a limit of 2 at 1000
     When it restarts
--- a/features/steps/ratelimit_fleet_steps.py
+++ b/features/steps/ratelimit_fleet_steps.py
@@ -31,14 +31,16 @@
 #: Time between the first limit and the disturbance, in seconds.
 _UNDISTURBED_S = 4.0
 
-#: Time after the first limit from which windows are counted, the length of a
-#: window, and what is allowed in it; all are the users'.
+#: The users' rule: from this time after a server first named its limit, no
+#: window may have more requests than a multiple of the limit and some more.
 _GRACE = Millis(3000)
-_TOLD = Millis(500)
 _WINDOW = Millis(4000)
 _ALLOWED_FACTOR = 1.5
 _ALLOWED_CALLS = 5
 
+#: Time after the first limit from which requests count.
+_TOLD = Millis(500)
+
 
 @disturbances.register
 class DisturbNothing(RouterDisturbance):
--- a/features/steps/ratelimit_steps.py
+++ b/features/steps/ratelimit_steps.py
@@ -11,6 +11,9 @@
 _SERVER = 's0'
 _NO_LIMIT = 'none'
 
+#: When the first answer of the scenarios arrives.
+_FIRST_NAMED_AT = Millis(1000)
+
 
 @when('a server states the limits {stated}')
 def state_limits(context: Context, stated: str) -> None:
@@ -85,6 +88,32 @@
     context.limits.forget((_SERVER,))
 
 
+@then('its limit has changed once')
+def check_changed_once(context: Context) -> None:
+    """Guard against a limit that flaps between two roundings."""
+    assert context.limits.changed_at(_SERVER) == _FIRST_NAMED_AT
+
+
+@when('an answer {status:d} with the headers {headers} arrives')
+def parse_answer(context: Context, status: int, headers: str) -> None:
+    """Parse an answer."""
+    pairs = (text.split(': ') for text in headers.split('; '))
+    context.info = PlatformBackendProtocol().parse_head(
+        ResponseHead(
+            status=status,
+            headers=tuple(
+                (name.encode(), value.encode()) for name, value in pairs
+            ),
+        )
+    )
+
+
+@then('it shows a limit: {shows}')
+def check_shows(context: Context, shows: str) -> None:
+    """Guard against a limit that ends by an answer which cannot tell."""
+    assert context.info.shows_rate_limit is (shows == 'yes'), context.info
+
+
 @then('its limit is {limit}')
 def check_limit(context: Context, limit: str) -> None:
     """Guard against a limit that is lost, or kept for too long."""
--- a/yuccagauge/relay/base.py
+++ b/yuccagauge/relay/base.py
@@ -158,10 +158,13 @@
 
     @property
     def shows_rate_limit(self) -> bool:
-        """Whether the response shows if its server has a rate limit."""
-        is_from_server = self.has_server_stamp or self.is_not_run
+        """Whether the response shows if its server has a rate limit.
+
+        A rejection may come from a part of the server that knows no limit.
+        """
+        names_limit = self.is_not_run and self.rate_limit is not None
         return (
-            is_from_server
+            (self.has_server_stamp or names_limit)
             and not self.is_misdirected
             and not self.malformed_rate_limit
         )
