Round a rate limit as the messages between routers do

What callers could see: a limit with more than three decimals differs from what peers report of it, so it changes with each message, and each fall drops the permits of a router. Change: a limit is rounded and bounded where an answer is recorded, to what the messages can hold.

--- a/features/ratelimit/ratelimit.feature
+++ b/features/ratelimit/ratelimit.feature
@@ -56,6 +56,11 @@
     And an answer without a limit to a call of 1100 arrives at 1600
     Then its limit is none
 
+  Scenario: A limit with many decimals is the same at all routers
+    Given a server that named a limit of 1.66666 at 1000
+    When a peer reports a limit of 1.667 named 0 ms before 3000
+    Then its limit has changed once
+
   Scenario Outline: Which answers show that a server names no limit
     When an answer <status> with the headers <headers> arrives
     Then it shows a limit: <shows>
--- a/yuccagauge/exchange/parts.py
+++ b/yuccagauge/exchange/parts.py
@@ -99,7 +99,7 @@
     """Return a rate limit in thousandths, and 0 without a limit."""
     if per_second is None:
         return 0
-    return max(1, min(MAXIMUM_NUMBER, round(per_second * _MILLI)))
+    return round(per_second * _MILLI)
 
 
 def limit_report(part: FleetLimit | PermitRequest) -> LimitReport:
--- a/yuccagauge/ratelimit/limits.py
+++ b/yuccagauge/ratelimit/limits.py
@@ -21,6 +21,12 @@
 #: older by up to this time than the age that it states.
 MAXIMUM_MESSAGE_DELAY = Millis(800)
 
+#: Decimals of a limit, and its bounds in calls a second, which the messages
+#: between routers can hold.
+RATE_DECIMALS = 3
+MINIMUM_RATE = 0.001
+MAXIMUM_RATE = 4_000_000.0
+
 #: Largest age in a report, which the wire format can hold.
 MAXIMUM_AGE = Millis(2**32 - 1)
 
@@ -83,7 +89,12 @@
         sent_at
             When the call that is answered was sent.
         """
-        age = Millis(0) if per_second is not None else Millis(now - sent_at)
+        age = Millis(now - sent_at)
+        if per_second is not None:
+            # Otherwise the limit would differ from what peers report of it.
+            per_second = round(per_second, RATE_DECIMALS)
+            per_second = max(MINIMUM_RATE, min(MAXIMUM_RATE, per_second))
+            age = Millis(0)
         report = LimitReport(
             server_id=server_id, per_second=per_second, age=age
         )
