--- a/yuccagauge/exchange/permits.py
+++ b/yuccagauge/exchange/permits.py
@@ -28,7 +28,7 @@
 #: The previous home, or a permit of it, may still be in use.
 HANDOVER_PAUSE = Millis(2000)
 
-#: Age of a limit below which no other router can have been its home.
+#: Age of a limit below which no other router can have granted permits.
 NEW_LIMIT_AGE = Millis(1000)
 
 #: Time after which a router that reached no home asks again.
@@ -93,7 +93,7 @@
         #: The schedules of the servers whose home this router is.
         self._schedules: dict[str, PermitSchedule] = {}
         self._lost_homes: set[Endpoint] = set()
-        #: The names of the homes, by server, among the routers below.
+        #: The name of the home of each server, among these routers.
         self._homes: dict[str, str] = {}
         self._ranked_names: frozenset[str] = frozenset()
 
--- a/yuccagauge/ratelimit/events.py
+++ b/yuccagauge/ratelimit/events.py
@@ -52,7 +52,7 @@
     old, new
         Calls a second; ``None`` without a limit.
     source
-        The router whose message told the change, or ``answer``.
+        ``answer``, ``restart``, or the router whose message tells the change.
     age
         Time since the answer that shows the change.
     """
