Log the shared parts of a prompt, and whether a broken run had output

call_sent lists the shared parts of the prompt, attempt_failed the time since the first output. No logic changes.

--- a/yuccagauge/relay/base.py
+++ b/yuccagauge/relay/base.py
@@ -80,6 +80,11 @@
     #: Time at which the route's timeout ends.
     route_deadline: Millis
 
+    @property
+    def shared_part_ids(self) -> tuple[str, ...]:
+        """The parts of the prompt that other prompts may have in common."""
+        return tuple(part.part_id for part in self.fields.parts[:-1])
+
     @property
     def deadline(self) -> Millis:
         """Time by which the answer has to be complete."""
--- a/yuccagauge/relay/report.py
+++ b/yuccagauge/relay/report.py
@@ -47,6 +47,7 @@
             server=self._server,
             service=self._call.service,
             fingerprint=short_fingerprint(self._call.fingerprint),
+            shared_parts=self._call.shared_part_ids,
             reason=decision.reason,
             expected_ms=round(placement.expected_first_output_ms, 1),
             prompt_tokens=fields.prompt_tokens,
@@ -71,6 +72,7 @@
             server=self._server,
             ending=ending,
             detail=detail,
+            output_ms=self._time_since_output(),
         )
 
     def record_first_output(self) -> None:
@@ -111,5 +113,11 @@
             route=self._call.route.name,
         )
 
+    def _time_since_output(self) -> Millis | None:
+        """Return the time since the first output of the call, if any."""
+        if self._first_output_at is None:
+            return None
+        return Millis(self._clock.now() - self._first_output_at)
+
     def _log(self, event: str, **fields: object) -> None:
         log_decision(event, self._call.fields.request_id, **fields)
