--- a/features/steps/crash_fleet_steps.py
+++ b/features/steps/crash_fleet_steps.py
@@ -7,12 +7,8 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from features.crash_fleet import (
-    POISON,
-    UNANSWERED,
-    CrashFleet,
-    router_host,
-)
+from features.crash_fleet import CrashFleet, router_host
+from features.crash_server import POISON, UNANSWERED
 from yuccagauge.clock import Millis
 from yuccagauge.registry import Registry
 
--- a/features/steps/ratelimit_fleet_steps.py
+++ b/features/steps/ratelimit_fleet_steps.py
@@ -5,7 +5,8 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from features.crash_fleet import CrashFleet, SimulatedServer, router_host
+from features.crash_fleet import CrashFleet, router_host
+from features.crash_server import SimulatedServer
 from yuccagauge.clock import Millis
 from yuccagauge.registry import Registry
 
