Refuse requests with a prompt part that crashes engines

Cause: the quarantine counts crashes for a whole request (customer, path, body). No two of these requests are alike, so no count ever reached three. The class is evidence under the wrong key: what the broken requests had in common was not looked at.

Evidence is now kept for each shared part, and exchanged by routers. A run that breaks before it was answered for 500 ms accuses its shared parts; an answer settles the crashes noticed before it. A crash has one cause, so crashes that a stronger suspect explains do not count against a weaker one, and a part that was never answered is the stronger one. A run counts only if it was sent after the crash before it was noticed, and a request once, so that neither a fault of the network nor one request accuses the parts that others share. Blamed parts are tested by rare probes.

--- a/features/crash_fleet.py
+++ b/features/crash_fleet.py
@@ -29,6 +29,10 @@
 _DOWN_S = 3.0
 
 _PEER_PORT = 8783
+
+#: End of a chunked answer.
+_LAST_CHUNK = b'\r\n0\r\n\r\n'
+
 _CALLER_HOST = '10.3.0.1'
 
 
@@ -42,6 +46,7 @@
 
     def __init__(self, data: bytes) -> None:
         self._data = data
+        self._received = b''
 
     def connectionMade(self) -> None:
         """Send the request."""
@@ -49,7 +54,10 @@
 
     def dataReceived(self, data: bytes) -> None:
         """Leave after the answer."""
-        self.transport.loseConnection()
+        self._received += data
+        is_chunked = b'chunked' in self._received.lower()
+        if not is_chunked or self._received.endswith(_LAST_CHUNK):
+            self.transport.loseConnection()
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Ignore the end."""
--- a/features/relay_servers.py
+++ b/features/relay_servers.py
@@ -97,23 +97,29 @@
     reactor.callLater(0.05, function)
 
 
-def _event(number: int) -> bytes:
+def event(number: int) -> bytes:
+    """Return an event of a stream."""
     return b'id: %d\ndata: t%d\n\n' % (number, number)
 
 
+def open_event_stream(exchange: Exchange) -> None:
+    """Send the head of a chunked stream of events."""
+    exchange.transport.write(
+        f'HTTP/1.1 200 X\r\nContent-Type: text/event-stream\r\n'
+        f'Transfer-Encoding: chunked\r\n{_id_header(exchange)}'
+        '\r\n\r\n'.encode(),
+    )
+
+
 def stream_events(count: int, *, resets: bool) -> object:
     """Return a script that streams events after the Last-Event-Id."""
 
     def script(exchange: Exchange) -> None:
         after = exchange.headers.get('last-event-id', '')
         first = int(after) + 1 if after else 0
-        exchange.transport.write(
-            f'HTTP/1.1 200 X\r\nContent-Type: text/event-stream\r\n'
-            f'Transfer-Encoding: chunked\r\n{_id_header(exchange)}'
-            '\r\n\r\n'.encode(),
-        )
+        open_event_stream(exchange)
         for number in range(first, count):
-            exchange.chunk(_event(number))
+            exchange.chunk(event(number))
         if resets:
             exchange.chunk(b'id: 9\nda')
             _call_later(exchange.cut)
--- a/features/steps/exchange_steps.py
+++ b/features/steps/exchange_steps.py
@@ -14,6 +14,7 @@
 from yuccagauge.exchange.members import Member, MemberList
 from yuccagauge.exchange.service import ExchangeService
 from yuccagauge.quarantine.base import Quarantine, QuarantineStatus
+from yuccagauge.quarantine.parts import PartQuarantine
 from yuccagauge.selection.base import FleetView
 from yuccagauge.selection.load import ActiveCall
 from yuccagauge.selection.selector import Selector
@@ -52,6 +53,7 @@
             directory=self.directory,
             selector=self.selector,
             quarantine=self.quarantine,
+            parts=PartQuarantine(),
             reactor=reactor,
             clock=self.clock,
             random_fraction=random.Random(name).random,
--- a/features/steps/relay_attempt_steps.py
+++ b/features/steps/relay_attempt_steps.py
@@ -43,7 +43,7 @@
     server = context.fixture.selector.view.servers['i0']
     context.attempts = [
         AttemptTracker(
-            types.SimpleNamespace(fingerprint=_SUSPECT),
+            types.SimpleNamespace(fingerprint=_SUSPECT, shared_part_ids=()),
             _selection_request(context, call_id),
             Placement(server=server),
             relay_context,
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -105,12 +105,17 @@
     _add_server(context, 'plain', BEHAVIOURS[behaviour])
 
 
+def start_relay_with_engine(context: Context, script: object) -> None:
+    """Start a relay with one engine that follows a script."""
+    _start_relay(context)
+    context.fixture.configure()
+    _add_server(context, 'model', script)
+
+
 @given('a relay with a model engine that streams {count:d} events')
 def relay_with_engine(context: Context, count: int) -> None:
     """Start a relay with one engine."""
-    _start_relay(context)
-    context.fixture.configure()
-    _add_server(context, 'model', stream_events(count, resets=False))
+    start_relay_with_engine(context, stream_events(count, resets=False))
 
 
 @given(
@@ -119,9 +124,7 @@
 )
 def relay_with_resetting_engine(context: Context, count: int) -> None:
     """Start a relay with one engine that resets its streams."""
-    _start_relay(context)
-    context.fixture.configure()
-    _add_server(context, 'model', stream_events(count, resets=True))
+    start_relay_with_engine(context, stream_events(count, resets=True))
 
 
 @given('a second model engine that streams {count:d} events')
--- a/yuccagauge/exchange/merger.py
+++ b/yuccagauge/exchange/merger.py
@@ -6,8 +6,9 @@
 from yuccagauge.directory.records import KeyedRecord
 from yuccagauge.directory.state import Directory, Topic
 from yuccagauge.exchange.members import Member, MemberList
-from yuccagauge.exchange.parts import limit_report
+from yuccagauge.exchange.parts import limit_report, parse_part_evidence
 from yuccagauge.quarantine.base import CrashSuspicion, Quarantine
+from yuccagauge.quarantine.parts import PartQuarantine
 from yuccagauge.selection.load import PEER_LOAD_LIFETIME, PeerLoad
 from yuccagauge.selection.selector import Selector
 from yuccagauge.telemetry.journal import log_state_change
@@ -26,8 +27,9 @@
     ----------
     name
         Name of this router.
-    directory, selector, quarantine
-        Get the records, loads and suspicions of the messages.
+    directory, selector, quarantine, parts
+        Get the records, loads, suspicions and evidence on parts of prompts of
+        the messages.
     clock
         The source of time.
     """
@@ -38,12 +40,14 @@
         directory: Directory,
         selector: Selector,
         quarantine: Quarantine,
+        parts: PartQuarantine,
         clock: Clock,
     ) -> None:
         """Start without known routers."""
         self._directory = directory
         self._selector = selector
         self._quarantine = quarantine
+        self._parts = parts
         self._clock = clock
         self._members = MemberList(name)
         self._known_names: frozenset[str] = frozenset()
@@ -114,6 +118,7 @@
             tuple(_suspicion(part) for part in message.suspicions),
             now,
         )
+        self._parts.merge(parse_part_evidence(message.parts), now)
 
     def apply_pause(self, server_id: str, duration: Millis) -> None:
         """Pause calls to a server for a duration; 0 ends the pause."""
--- a/yuccagauge/exchange/parts.py
+++ b/yuccagauge/exchange/parts.py
@@ -6,6 +6,7 @@
 from yuccagauge.directory.state import Directory, Topic
 from yuccagauge.exchange.members import Member
 from yuccagauge.quarantine.base import CrashSuspicion
+from yuccagauge.quarantine.evidence import PartCrash, PartEvidence
 from yuccagauge.ratelimit.limits import LimitReport
 from yuccagauge.selection.load import ServerLoad
 from yuccagauge.wire.messages import (
@@ -13,11 +14,22 @@
     FleetLoad,
     FleetMark,
     FleetMember,
+    FleetPartCrash,
+    FleetPartEvidence,
     FleetRecord,
     FleetSuspicion,
     PermitRequest,
 )
 
+#: Crash suspicions that one message carries, the latest first.
+MAXIMUM_SUSPICIONS = 20
+
+#: Parts of prompts whose evidence one message carries, the strongest first.
+MAXIMUM_PARTS = 24
+
+#: Rate limits that one message carries, the latest change first.
+MAXIMUM_LIMITS = 64
+
 #: Thousandths in a call a second.
 _MILLI = 1000
 
@@ -83,6 +95,51 @@
     )
 
 
+def part_evidence(
+    known: Iterable[PartEvidence],
+) -> tuple[FleetPartEvidence, ...]:
+    """Return the evidence on parts of prompts."""
+    return tuple(
+        FleetPartEvidence(
+            part_id=evidence.part_id,
+            crashes=tuple(
+                FleetPartCrash(
+                    crash=crash.crash,
+                    request=crash.request,
+                    sent_age_ms=crash.sent_at,
+                    noticed_age_ms=crash.noticed_at,
+                )
+                for crash in evidence.crashes
+            ),
+            is_sound=evidence.sound_age is not None,
+            sound_age_ms=evidence.sound_age or 0,
+        )
+        for evidence in known
+    )
+
+
+def parse_part_evidence(
+    parts: Iterable[FleetPartEvidence],
+) -> tuple[PartEvidence, ...]:
+    """Return the evidence that a message reports."""
+    return tuple(
+        PartEvidence(
+            part_id=part.part_id,
+            crashes=tuple(
+                PartCrash(
+                    crash=crash.crash,
+                    request=crash.request,
+                    sent_at=Millis(crash.sent_age_ms),
+                    noticed_at=Millis(crash.noticed_age_ms),
+                )
+                for crash in part.crashes
+            ),
+            sound_age=Millis(part.sound_age_ms) if part.is_sound else None,
+        )
+        for part in parts
+    )
+
+
 def limits(known: Iterable[LimitReport]) -> tuple[FleetLimit, ...]:
     """Return the rate limits that servers name, or have ended."""
     return tuple(
--- a/yuccagauge/exchange/service.py
+++ b/yuccagauge/exchange/service.py
@@ -20,6 +20,7 @@
 )
 from yuccagauge.exchange.permits import PermitBroker
 from yuccagauge.quarantine.base import Quarantine
+from yuccagauge.quarantine.parts import PartQuarantine
 from yuccagauge.selection.selector import Selector
 from yuccagauge.settings.options import Endpoint
 from yuccagauge.tasks import PeriodicTask
@@ -48,15 +49,9 @@
 #: others well before they would count it as dead.
 MAXIMUM_MEMBERS = 24
 
-#: Crash suspicions that one message carries, the latest first.
-MAXIMUM_SUSPICIONS = 20
-
 #: How long a router that starts waits for the state of a peer.
 PEER_STATE_TIMEOUT = Millis(1000)
 
-#: Rate limits that one message carries, the latest change first.
-MAXIMUM_LIMITS = 64
-
 #: Time after which a server that stays unresponsive is announced again.
 UNRESPONSIVE_REPEAT_PERIOD = Millis(1000)
 
@@ -76,7 +71,7 @@
         later.
     server, client
         Accept and open connections with other routers.
-    directory, selector, quarantine
+    directory, selector, quarantine, parts
         Hold the state that is sent and merged.
     reactor, clock
         Schedule the messages and tell the time.
@@ -96,6 +91,7 @@
         directory: Directory,
         selector: Selector,
         quarantine: Quarantine,
+        parts: PartQuarantine,
         reactor: Any,
         clock: Clock,
         random_fraction: Callable[[], float],
@@ -110,10 +106,11 @@
         self._directory = directory
         self._selector = selector
         self._quarantine = quarantine
+        self._parts = parts
         self._clock = clock
         self._random_fraction = random_fraction
         self._merger = MessageMerger(
-            name, directory, selector, quarantine, clock
+            name, directory, selector, quarantine, parts, clock
         )
         self._permit_broker = PermitBroker(
             name,
@@ -357,11 +354,18 @@
                 members=message_parts.members(self._sample_members(now), now),
                 **self._load_parts(now),
                 suspicions=message_parts.suspicions(
-                    self._quarantine.recent_suspicions(MAXIMUM_SUSPICIONS, now),
+                    self._quarantine.recent_suspicions(
+                        message_parts.MAXIMUM_SUSPICIONS, now
+                    ),
+                ),
+                parts=message_parts.part_evidence(
+                    self._parts.evidence(message_parts.MAXIMUM_PARTS, now)
                 ),
                 weights=self._recent_weights(now),
                 limits=message_parts.limits(
-                    self._selector.limits.reports(MAXIMUM_LIMITS, now)
+                    self._selector.limits.reports(
+                        message_parts.MAXIMUM_LIMITS, now
+                    )
                 ),
             )
         parts.setdefault('leaves', self._is_leaving)
--- /dev/null
+++ b/yuccagauge/quarantine/parts.py
@@ -0,0 +1,350 @@
+"""Finds the parts of prompts that crash engines, by evidence of all routers.
+
+A crash breaks all runs of an engine, and innocent prompts share parts with the
+one that caused it. The cause is found as in fault localization:
+
+- A run that breaks before or just after the first output is evidence against
+  each shared part of its prompt. A run that is answered for a while, or to the
+  end, is evidence for them, and settles the crashes noticed before.
+- A crash has one cause. What a stronger suspect explains does not count
+  against a weaker one. A part that was never answered is the stronger one.
+
+Routers exchange evidence and no conclusions, so that evidence from elsewhere
+also reverses a conclusion.
+"""
+
+from collections import OrderedDict
+from collections.abc import Callable, Iterable, Set
+from itertools import chain
+
+from yuccagauge.clock import Millis
+from yuccagauge.quarantine.evidence import (
+    PartCrash,
+    PartEvidence,
+    PartRecord,
+    independent_crashes,
+)
+from yuccagauge.quarantine.partevents import (
+    BLAMED_PARTS,
+    log_blamed,
+    log_probed,
+    log_released,
+)
+
+#: Independent crashes after which requests with a part are refused.
+BLAMED_CRASHES = 3
+
+#: The same for a part that was answered before.
+BLAMED_CRASHES_OF_SOUND_PART = 5
+
+#: How long a crash is evidence.
+EVIDENCE_DURATION = Millis(600_000)
+
+#: Parts with crashes, and sound parts, that are tracked. The one without a
+#: recent change is dropped first.
+MAXIMUM_PARTS = 10_000
+
+#: Time after the first output from which on an engine has outlived the
+#: beginning of the answer.
+SOUND_OUTPUT_TIME = Millis(500)
+
+#: Longest time that a message from a peer is under way. A proof that a part is
+#: sound is taken to be older by it, so that a late one settles no later crash.
+MESSAGE_DELAY = Millis(1000)
+
+#: How long peers are told of a part with a single open crash, or none.
+RECENT_CHANGE_TIME = Millis(5000)
+
+#: Time after the last crash before one request with a blamed part is let
+#: through. It doubles with each independent crash after the blame, up to
+#: ``MAXIMUM_PROBES`` times.
+PROBE_DELAY = Millis(30_000)
+
+#: The same for a request that is likely to be sound: its blamed part was
+#: answered before, or it lacks another part that explains the crashes as well.
+LIKELY_SOUND_PROBE_DELAY = Millis(3000)
+
+#: Probes of one part in the time for which its crashes are evidence.
+MAXIMUM_PROBES = 3
+
+
+class PartQuarantine:
+    """Tracks which parts of prompts may crash engines.
+
+    Parameters
+    ----------
+    maximum
+        Largest number of parts that are tracked.
+    """
+
+    def __init__(self, maximum: int = MAXIMUM_PARTS) -> None:
+        """Create a quarantine without evidence."""
+        self._maximum = maximum
+        #: Parts with crashes; the latest change is last.
+        self._records: OrderedDict[str, PartRecord] = OrderedDict()
+        #: Parts with several open crashes; the latest change is last.
+        self._suspects: OrderedDict[str, None] = OrderedDict()
+        #: When the latest run with the part began to be answered that its
+        #: engine outlived; the latest is last.
+        self._sound_at: OrderedDict[str, Millis] = OrderedDict()
+        #: Blamed parts, with their independent crashes.
+        self._blamed: dict[str, int] = {}
+        #: Returns whether this router sends the probes of a part.
+        self.is_prober: Callable[[str], bool] = lambda part_id: True
+        #: Called with a part that has another crash or is sound again.
+        self.on_change: Callable[[str], None] = lambda part_id: None
+
+    def __len__(self) -> int:
+        """Return the number of parts with crashes."""
+        return len(self._records)
+
+    @property
+    def blamed(self) -> frozenset[str]:
+        """The parts that are blamed for crashes."""
+        return frozenset(self._blamed)
+
+    def blamed_part(self, part_ids: Iterable[str], now: Millis) -> str | None:
+        """Return the first of these parts that is blamed, or ``None``."""
+        for part_id in part_ids:
+            if part_id in self._blamed:
+                self._update_blame(now)
+                if part_id in self._blamed:
+                    return part_id
+        return None
+
+    def try_probe(self, part_ids: Iterable[str], now: Millis) -> bool:
+        """Return whether a request is let through to test its blamed parts.
+
+        If so, the next one is due only some time later.
+        """
+        requested = frozenset(part_ids)
+        blamed = requested.intersection(self._blamed)
+        if not all(self._is_probe_due(part, requested, now) for part in blamed):
+            return False
+        for part_id in blamed:
+            record = self._records[part_id]
+            record.probed_at = now
+            record.probes += 1
+            log_probed(part_id, record.probes)
+        return True
+
+    def known_crashes(self, part_ids: Iterable[str]) -> frozenset[str]:
+        """Return the ids of the crashes of any of these parts."""
+        return frozenset(
+            crash
+            for part_id in part_ids
+            if part_id in self._records
+            for crash in self._records[part_id].crashes
+        )
+
+    def record_crash(
+        self, part_ids: Iterable[str], crash: PartCrash, now: Millis
+    ) -> None:
+        """Record a run that broke before its answer had begun for long."""
+        for part_id in part_ids:
+            self._add_crash(part_id, crash, now)
+        self._update_blame(now)
+
+    def record_sound(
+        self, part_ids: Iterable[str], began_at: Millis, now: Millis
+    ) -> None:
+        """Record a run that its engine outlived.
+
+        Parameters
+        ----------
+        began_at
+            When the run began to be answered.
+        """
+        for part_id in part_ids:
+            self._record_sound_part(part_id, began_at, now)
+
+    def evidence(self, limit: int, now: Millis) -> tuple[PartEvidence, ...]:
+        """Return the evidence to be sent to peers, the strongest first."""
+        self._drop_expired(now)
+        others = (
+            part_id
+            for part_id in reversed(self._records)
+            if part_id not in self._suspects
+        )
+        found: list[PartEvidence] = []
+        for part_id in chain(reversed(self._suspects), others):
+            record = self._records[part_id]
+            is_recent = now - record.changed_at < RECENT_CHANGE_TIME
+            if len(found) == limit or not (
+                is_recent or part_id in self._suspects
+            ):
+                break
+            found.append(self._evidence_of(part_id, record, now))
+        return tuple(found)
+
+    def merge(self, evidence: Iterable[PartEvidence], now: Millis) -> None:
+        """Add the evidence that a peer sent."""
+        for each in evidence:
+            if each.sound_age is not None:
+                began_at = Millis(now - each.sound_age - MESSAGE_DELAY)
+                self._record_sound_part(each.part_id, began_at, now)
+            for crash in each.crashes:
+                if 0 <= crash.noticed_at < EVIDENCE_DURATION:
+                    self._add_crash(each.part_id, _by_age(crash, now), now)
+        self._update_blame(now)
+
+    def _record_sound_part(
+        self, part_id: str, began_at: Millis, now: Millis
+    ) -> None:
+        known = self._sound_at.get(part_id)
+        if known is not None and known >= began_at:
+            return
+        self._sound_at[part_id] = began_at
+        self._sound_at.move_to_end(part_id)
+        if len(self._sound_at) > self._maximum:
+            self._sound_at.popitem(last=False)
+        record = self._records.get(part_id)
+        if record is None:
+            return
+        was_open = len(record.open_crashes(known))
+        if len(record.open_crashes(began_at)) < was_open:
+            self._store_change(part_id, record, now)
+            self._update_blame(now)
+
+    def _add_crash(self, part_id: str, crash: PartCrash, now: Millis) -> None:
+        record = self._records.get(part_id, PartRecord())
+        if record.add(crash):
+            self._store_change(part_id, record, now)
+
+    def _store_change(
+        self, part_id: str, record: PartRecord, now: Millis
+    ) -> None:
+        """Store a record as the latest one that changed."""
+        record.changed_at = now
+        self._records[part_id] = record
+        self._records.move_to_end(part_id)
+        self._suspects.pop(part_id, None)
+        if len(record.open_crashes(self._sound_at.get(part_id))) > 1:
+            self._suspects[part_id] = None
+        if len(self._records) > self._maximum:
+            self._drop(self._least_important())
+        self.on_change(part_id)
+
+    def _update_blame(self, now: Millis) -> None:
+        """Blame the parts that explain the crashes best."""
+        self._drop_expired(now)
+        blamed = self._find_blamed()
+        for part_id in self._blamed.keys() - blamed.keys():
+            log_released(part_id, is_sound=part_id in self._sound_at)
+        for part_id in blamed.keys() - self._blamed.keys():
+            log_blamed(
+                part_id,
+                self._records[part_id].open_crashes(
+                    self._sound_at.get(part_id)
+                ),
+                was_sound=part_id in self._sound_at,
+                now=now,
+            )
+        if blamed.keys() != self._blamed.keys():
+            BLAMED_PARTS.set(len(blamed))
+        self._blamed = blamed
+
+    def _find_blamed(self) -> dict[str, int]:
+        """Return the parts to blame, with their independent crashes."""
+        suspects = {
+            part_id: self._records[part_id].open_crashes(
+                self._sound_at.get(part_id)
+            )
+            for part_id in self._suspects
+        }
+        blamed: dict[str, int] = {}
+        explained: set[str] = set()
+        while True:
+            counts = {
+                part_id: independent_crashes(crashes, explained)
+                for part_id, crashes in suspects.items()
+                if part_id not in blamed
+            }
+            ranks = {
+                part_id: (part_id not in self._sound_at, count)
+                for part_id, count in counts.items()
+                if count >= self._crashes_to_blame(part_id)
+            }
+            if not ranks:
+                return blamed
+            strongest = max(ranks.values())
+            # Nothing tells parts of the same rank apart.
+            for part_id, rank in ranks.items():
+                if rank == strongest:
+                    blamed[part_id] = counts[part_id]
+                    explained.update(crash.crash for crash in suspects[part_id])
+
+    def _crashes_to_blame(self, part_id: str) -> int:
+        if part_id in self._sound_at:
+            return BLAMED_CRASHES_OF_SOUND_PART
+        return BLAMED_CRASHES
+
+    def _is_probe_due(
+        self, part_id: str, requested: Set[str], now: Millis
+    ) -> bool:
+        """Return whether a request with these parts may test a blamed one."""
+        record = self._records[part_id]
+        if record.probes >= MAXIMUM_PROBES or not self.is_prober(part_id):
+            return False
+        is_likely_sound = part_id in self._sound_at or any(
+            self._explains(rival, part_id)
+            for rival in self._blamed.keys() - requested
+        )
+        delay = LIKELY_SOUND_PROBE_DELAY if is_likely_sound else PROBE_DELAY
+        later_crashes = self._blamed[part_id] - self._crashes_to_blame(part_id)
+        doublings = min(max(0, later_crashes), MAXIMUM_PROBES)
+        since = max(record.crashed_at, record.probed_at)
+        return now - since >= delay * 2**doublings
+
+    def _explains(self, rival: str, part_id: str) -> bool:
+        """Return whether a part was there at each open crash of another one."""
+        return self._open_ids(rival) >= self._open_ids(part_id)
+
+    def _open_ids(self, part_id: str) -> frozenset[str]:
+        crashes = self._records[part_id].open_crashes(
+            self._sound_at.get(part_id)
+        )
+        return frozenset(crash.crash for crash in crashes)
+
+    def _evidence_of(
+        self, part_id: str, record: PartRecord, now: Millis
+    ) -> PartEvidence:
+        sound_at = self._sound_at.get(part_id)
+        return PartEvidence(
+            part_id=part_id,
+            crashes=tuple(
+                _by_age(crash, now) for crash in record.open_crashes(sound_at)
+            ),
+            sound_age=None if sound_at is None else Millis(now - sound_at),
+        )
+
+    def _drop_expired(self, now: Millis) -> None:
+        """Drop the parts whose last crash is no evidence any longer."""
+        expired = [
+            part_id
+            for part_id in self._suspects
+            if now - self._records[part_id].crashed_at >= EVIDENCE_DURATION
+        ]
+        for part_id in expired:
+            self._drop(part_id)
+
+    def _least_important(self) -> str:
+        """Return the oldest part, if possible one that is no suspect."""
+        for part_id in self._records:
+            if part_id not in self._suspects:
+                return part_id
+        return next(iter(self._suspects))
+
+    def _drop(self, part_id: str) -> None:
+        self._records.pop(part_id)
+        self._suspects.pop(part_id, None)
+
+
+def _by_age(crash: PartCrash, now: Millis) -> PartCrash:
+    """Return a crash with its times as ages, or the reverse."""
+    return PartCrash(
+        crash=crash.crash,
+        request=crash.request,
+        sent_at=Millis(now - crash.sent_at),
+        noticed_at=Millis(now - crash.noticed_at),
+    )
--- a/yuccagauge/relay/attempt.py
+++ b/yuccagauge/relay/attempt.py
@@ -1,7 +1,10 @@
 """One attempt of a call on a backend server, and its effects on the router."""
 
 from yuccagauge.clock import Millis
-from yuccagauge.quarantine.entry import Evidence
+from yuccagauge.quarantine.entry import Evidence, crash_id
+from yuccagauge.quarantine.events import short_fingerprint
+from yuccagauge.quarantine.evidence import PartCrash
+from yuccagauge.quarantine.parts import SOUND_OUTPUT_TIME
 from yuccagauge.relay.base import Placement, RelayCall, ResponseInfo
 from yuccagauge.relay.context import RelayContext
 from yuccagauge.selection import model
@@ -48,10 +51,16 @@
             self._sent_at,
             is_movable=is_movable,
         )
+        self._first_output_at: Millis | None = None
+        #: Whether the server outlived the beginning of the answer.
+        self._is_sound = False
         self._known_crashes = context.quarantine.record_start(
             call.fingerprint,
             placement.server.endpoint,
         )
+        self._known_part_crashes = context.parts.known_crashes(
+            call.shared_part_ids
+        )
 
     @property
     def placement(self) -> Placement:
@@ -74,7 +83,25 @@
         if info is not None:
             self._record_rate_limit(info)
 
-    def record_first_output(self) -> None:
+    def record_output(self) -> None:
+        """Record that the server sent a part of the answer."""
+        now = self._now()
+        if self._first_output_at is None:
+            self._first_output_at = now
+            self._record_first_output()
+        if now - self._first_output_at >= SOUND_OUTPUT_TIME:
+            self.record_sound()
+
+    def record_sound(self) -> None:
+        """Record that the server outlived the beginning of the answer."""
+        now = self._now()
+        if not self._is_sound:
+            self._is_sound = True
+            self._context.parts.record_sound(
+                self._call.shared_part_ids, self._first_output_at or now, now
+            )
+
+    def _record_first_output(self) -> None:
         """Update the load estimate with the time to the first output."""
         load = self._load()
         active_call = load.own_calls.get(self._selection_request.call_id)
@@ -179,6 +206,26 @@
             known=self._known_crashes,
             evidence=evidence,
         )
+        if not self._is_sound:
+            self._record_possible_crash_of_parts()
+
+    def _record_possible_crash_of_parts(self) -> None:
+        now = self._now()
+        server = self._placement.server
+        self._context.parts.record_crash(
+            self._call.shared_part_ids,
+            PartCrash(
+                crash=crash_id(
+                    server.endpoint,
+                    server.incarnation,
+                    self._known_part_crashes,
+                ),
+                request=short_fingerprint(self._call.fingerprint),
+                sent_at=self._sent_at,
+                noticed_at=now,
+            ),
+            now,
+        )
 
     def _load(self) -> ServerLoad:
         server_id = self._placement.server.server_id
--- a/yuccagauge/relay/base.py
+++ b/yuccagauge/relay/base.py
@@ -39,6 +39,11 @@
     tokens: int
 
 
+def shared_part_ids(parts: tuple[PromptPart, ...]) -> tuple[str, ...]:
+    """Return the ids of all parts but the last, the request's own one."""
+    return tuple(part.part_id for part in parts[:-1])
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class CallFields:
     """The fields of a call, decoded from the head of its request."""
@@ -79,11 +84,14 @@
     caller_deadline: Millis
     #: Time at which the route's timeout ends.
     route_deadline: Millis
+    #: Whether the call tests a part of its prompt that is blamed for crashes.
+    #: It is sent once.
+    is_probe: bool = False
 
     @property
     def shared_part_ids(self) -> tuple[str, ...]:
         """The parts of the prompt that other prompts may have in common."""
-        return tuple(part.part_id for part in self.fields.parts[:-1])
+        return shared_part_ids(self.fields.parts)
 
     @property
     def deadline(self) -> Millis:
--- a/yuccagauge/relay/call.py
+++ b/yuccagauge/relay/call.py
@@ -132,7 +132,7 @@
         is_forwarded = self._response.forward_data(data)
         if self._has_ended:
             return
-        self._attempt.record_first_output()
+        self._attempt.record_output()
         if is_forwarded:
             self._reporter.record_first_output()
 
@@ -151,6 +151,7 @@
         if not failed:
             # A server may fail a request without running it.
             self._context.quarantine.record_completion(self._call.fingerprint)
+            self._attempt.record_sound()
         self._reporter.record_first_output()
         self._finish_call('answered', self._response.status)
         self._response.finish_response()
@@ -211,7 +212,7 @@
     def _may_send_again(self) -> bool:
         """Return whether the call may be sent again; if so, spend a retry."""
         now = self._now()
-        if self._sends >= MAXIMUM_SENDS_PER_CALL:
+        if self._sends >= MAXIMUM_SENDS_PER_CALL or self._call.is_probe:
             return False
         if self._call.deadline - now < MINIMUM_RETRY_TIME:
             return False
@@ -251,7 +252,11 @@
         context = self._context
         now = self._now()
         status = context.quarantine.status(self._call.fingerprint, now)
-        if status is QuarantineStatus.REFUSED:
+        is_refused = status is QuarantineStatus.REFUSED or (
+            not self._call.is_probe
+            and context.parts.blamed_part(self._call.shared_part_ids, now)
+        )
+        if is_refused:
             return SelectionDecision(reason='crashes_servers')
         stores = context.directory.configuration.kv_cache_stores
         return context.selector.choose(self._selection_request, stores, now)
--- a/yuccagauge/relay/context.py
+++ b/yuccagauge/relay/context.py
@@ -9,6 +9,7 @@
 from yuccagauge.dispatch.base import CallLater
 from yuccagauge.dispatch.connection import ConnectionPool
 from yuccagauge.quarantine.base import Quarantine
+from yuccagauge.quarantine.parts import PartQuarantine
 from yuccagauge.relay.base import BackendProtocol, CallDecoder
 from yuccagauge.selection.budget import FleetRetryBudget
 from yuccagauge.selection.selector import Selector
@@ -52,6 +53,8 @@
     #: Called with the id of a server that does not answer a connection attempt.
     on_unresponsive: Callable[[str], None] = lambda server_id: None
     quarantine: Quarantine = field(default_factory=Quarantine)
+    #: The shared parts of prompts that may crash servers.
+    parts: PartQuarantine = field(default_factory=PartQuarantine)
     #: Calls that are not answered yet, by request id.
     running_calls: dict[str, RunningCall] = field(default_factory=dict)
     _budgets: dict[str, FleetRetryBudget] = field(default_factory=dict)
--- a/yuccagauge/relay/relay.py
+++ b/yuccagauge/relay/relay.py
@@ -19,6 +19,7 @@
     CallFields,
     IncomingRequest,
     RelayCall,
+    shared_part_ids,
 )
 from yuccagauge.relay.call import CallForwarder
 from yuccagauge.relay.context import RelayContext
@@ -103,15 +104,7 @@
             raise RefusedError(refusals.no_route())
         customer = _authenticate(configuration, route, fields)
         fingerprint = fingerprint_of(request, customer)
-        now = self._context.clock.now()
-        status = self._context.quarantine.status(fingerprint, now)
-        if status is QuarantineStatus.REFUSED:
-            log_decision(
-                'call_quarantined',
-                fields.request_id,
-                fingerprint=short_fingerprint(fingerprint),
-            )
-            raise RefusedError(refusals.not_run('crashes_servers', None))
+        is_probe = self._check_quarantine(fields, fingerprint)
         route_deadline = Millis(request.received_at + route.timeout)
         caller_timeout = fields.caller_timeout
         caller_deadline = route_deadline
@@ -127,8 +120,37 @@
             fingerprint=fingerprint,
             caller_deadline=caller_deadline,
             route_deadline=route_deadline,
+            is_probe=is_probe,
         )
 
+    def _check_quarantine(self, fields: CallFields, fingerprint: bytes) -> bool:
+        """Return whether the request is a probe of a blamed part.
+
+        Raises
+        ------
+        RefusedError
+            If the request, or a part of its prompt, is quarantined.
+        """
+        context = self._context
+        now = context.clock.now()
+        part_ids = shared_part_ids(fields.parts)
+        blamed_part = context.parts.blamed_part(part_ids, now)
+        status = context.quarantine.status(fingerprint, now)
+        is_refused = status is QuarantineStatus.REFUSED
+        if blamed_part is not None and not is_refused:
+            if context.parts.try_probe(part_ids, now):
+                return True
+            is_refused = True
+        if is_refused:
+            log_decision(
+                'call_quarantined',
+                fields.request_id,
+                fingerprint=short_fingerprint(fingerprint),
+                part=blamed_part,
+            )
+            raise RefusedError(refusals.not_run('crashes_servers', None))
+        return False
+
     def _selection_request(self, call: RelayCall) -> SelectionRequest:
         configuration = self._context.directory.configuration
         customer = call.customer
--- a/yuccagauge/relay/router.py
+++ b/yuccagauge/relay/router.py
@@ -25,7 +25,7 @@
 from yuccagauge.relay.context import RelayContext, RetryBudgetSettings
 from yuccagauge.relay.pages import MetricsPage, ReadyPage
 from yuccagauge.relay.relay import Relay
-from yuccagauge.rendezvous import rendezvous_rank
+from yuccagauge.rendezvous import is_among_first
 from yuccagauge.rollout.driver import RolloutDriver
 from yuccagauge.rollout.election import LeaderElection
 from yuccagauge.rollout.leaderlease import LeaderLease
@@ -197,6 +197,7 @@
             self._leader_lease.observe_peer_order(self._clock.now())
         )
         self._exchange.merger.on_peer_left = self._election.check_now
+        self._context.parts.is_prober = self._is_among_first
         self._context.on_unresponsive = self._exchange.broadcast_unresponsive
         self._selector.limits.on_change = self._exchange.broadcast_limit
         self._rollout.on_engines_paused = self._exchange.broadcast_pause
@@ -295,6 +296,7 @@
             directory=self._directory,
             selector=self._selector,
             quarantine=self._context.quarantine,
+            parts=self._context.parts,
             reactor=self._reactor,
             clock=self._clock,
             random_fraction=self._random_fraction,
@@ -307,14 +309,16 @@
     def _is_election_candidate(self) -> bool:
         """Return whether this router takes part in the leader election.
 
-        Only a few do. If all routers of a fleet read and renewed the lease,
-        their requests would load the store more than all others.
+        If all of a fleet did, they would load the store more than all else.
         """
         if not self._directory.is_ready:
             return False
+        return self._is_among_first('lead', ELECTION_CANDIDATES)
+
+    def _is_among_first(self, key: str, count: int = 1) -> bool:
+        """Return whether this is one of the first routers for a key."""
         own_name = self._settings.relay.name
-        names = {own_name, *self._router_names()}
-        return own_name in rendezvous_rank(names, 'lead')[:ELECTION_CANDIDATES]
+        return is_among_first(own_name, self._router_names(), key, count)
 
     def _read_delay(self, topic: Topic) -> Millis:
         """Return how long the messages of peers replace reading a topic."""
--- a/yuccagauge/wire/messages.capnp
+++ b/yuccagauge/wire/messages.capnp
@@ -223,6 +223,25 @@
   ageMs @3 :UInt32;
 }
 
+struct FleetPartCrash {
+  # Id of the crash.
+  crash @0 :Text;
+  # Short digest of the request.
+  request @1 :Text;
+  # Time since the run was sent, and since its end was noticed.
+  sentAgeMs @2 :UInt32;
+  noticedAgeMs @3 :UInt32;
+}
+
+struct FleetPartEvidence {
+  partId @0 :Text;
+  crashes @1 :List(FleetPartCrash);
+  # Whether a run with the part is known that its engine outlived, and the time
+  # since it began to be answered.
+  isSound @2 :Bool;
+  soundAgeMs @3 :UInt32;
+}
+
 struct FleetLimit {
   server @0 :Text;
   # Calls a second from all routers together, in thousandths; 0 without a limit.
@@ -269,4 +288,6 @@
   # Servers that leave the sender's connection attempts unanswered.
   silences @13 :List(FleetSilence);
   limits @14 :List(FleetLimit);
+  # Evidence on parts of prompts that may crash servers.
+  parts @15 :List(FleetPartEvidence);
 }
--- a/yuccagauge/wire/messages.py
+++ b/yuccagauge/wire/messages.py
@@ -309,6 +309,30 @@
     age_ms: int
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class FleetPartCrash(Message):
+    """A crash of a server under a run whose prompt has a part."""
+
+    crash: str
+    #: Short digest of the request.
+    request: str
+    #: Time since the run was sent, and since its end was noticed, in ms.
+    sent_age_ms: int
+    noticed_age_ms: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class FleetPartEvidence(Message):
+    """Evidence on a part of prompts that may crash servers."""
+
+    part_id: str
+    crashes: tuple[FleetPartCrash, ...] = ()
+    #: Whether a run with the part is known that its server outlived, and the
+    #: time since it began to be answered, in ms.
+    is_sound: bool = False
+    sound_age_ms: int = 0
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class FleetLimit(Message):
     """The rate limit that a backend server names, or has ended."""
@@ -343,6 +367,7 @@
     suspicions: tuple[FleetSuspicion, ...] = ()
     silences: tuple[FleetSilence, ...] = ()
     limits: tuple[FleetLimit, ...] = ()
+    parts: tuple[FleetPartEvidence, ...] = ()
 
 
 @register(51)
