Count a silent end of an engine that had begun the answer

An engine that loses power as it begins to answer resets no connection. Its caller waits until the deadline, and the run did not count as a crash, since the engine had sent something after it got the run: its own first output.

A run that nobody waits for now also counts if the engine sent nothing later than 500 ms after the first output of the run, and that time is over.

--- a/yuccagauge/relay/attempt.py
+++ b/yuccagauge/relay/attempt.py
@@ -141,8 +141,7 @@
         A server that lost power resets no connection. It sends nothing either,
         unlike a server that was only slow with this run, until it restarts.
         """
-        is_quiet = self._load().last_activity_at <= self._sent_at
-        if is_quiet or not self._is_same_incarnation():
+        if self._is_server_quiet() or not self._is_same_incarnation():
             self._record_possible_crash()
 
     def end_attempt(self, *, failed: bool) -> None:
@@ -179,6 +178,20 @@
         elif info.malformed_rate_limit:
             limits.record_malformed(server_id, info.malformed_rate_limit)
 
+    def _is_server_quiet(self) -> bool:
+        """Return whether the server sent nothing since it got the run.
+
+        A server that ends as it begins the answer sends the beginning, and
+        what it had sent for other runs until then.
+        """
+        last_activity_at = self._load().last_activity_at
+        if last_activity_at <= self._sent_at:
+            return True
+        if self._first_output_at is None or self._is_sound:
+            return False
+        quiet_at = self._first_output_at + SOUND_OUTPUT_TIME
+        return last_activity_at < quiet_at <= self._now()
+
     def _is_same_incarnation(self) -> bool:
         """Return whether the server is listed as it was at the send."""
         sent_to = self._placement.server
