Keep the crashes of blamed prompt parts in the store

A restart of all routers at once began the count anew.

The archive of crashes now holds those of blamed parts too, and of any part while a router hears no peer, under keys of their own in the same topic, so that no further call to the store is needed. They are removed once the part is answered. Ids of parts come from callers and are bounded to 32 plain characters, or their digest.

--- a/features/quarantine/archive.feature
+++ b/features/quarantine/archive.feature
@@ -74,3 +74,13 @@
     When 11 minutes pass before an isolated router starts
     Then the status of request "a" is "clear" in the quarantine
     And the store has 0 crashes
+
+  Scenario: A router that starts knows the parts that are blamed for crashes
+    Given a router that hears its peers
+    When 3 engines crash under requests with the part "bad"
+    And 2 s pass in the store
+    And an isolated router starts
+    Then that router blames the part "bad" too
+    When a request with the part "bad" is answered
+    And 2 s pass in the store
+    Then the store has 0 crashes
--- a/features/relay/parts.feature
+++ b/features/relay/parts.feature
@@ -33,3 +33,7 @@
     When a caller calls "resume" and the first server is selected
     Then the caller gets status 502
     And the second server got 0 requests
+
+  Scenario: Ids of parts are bounded, whatever a caller sends
+    Given the prompt parts "aa", one of 5000 characters, one with a line break and "last"
+    Then their shared ids are "aa" and two of 16 characters
--- a/features/steps/crash_archive_steps.py
+++ b/features/steps/crash_archive_steps.py
@@ -13,6 +13,9 @@
 from yuccagauge.directory.store import StoreUnavailableError
 from yuccagauge.quarantine.archive import CrashArchive, StoredCrash
 from yuccagauge.quarantine.base import Quarantine, QuarantineStatus
+from yuccagauge.quarantine.evidence import PartCrash
+from yuccagauge.quarantine.ledger import CrashLedger
+from yuccagauge.quarantine.parts import PartQuarantine
 from yuccagauge.settings.options import Endpoint
 
 _ENGINE = Endpoint('127.0.0.1', 9101)
@@ -60,8 +63,9 @@
 def _start(context: Context, *, is_isolated: bool) -> None:
     _prepare(context)
     context.quarantine = Quarantine()
+    context.parts = PartQuarantine()
     context.archive = CrashArchive(
-        context.quarantine,
+        CrashLedger(context.quarantine, context.parts),
         context.crash_store,
         context.reactor,
         context.clock,
@@ -155,6 +159,35 @@
         )
 
 
+@when('{count:d} engines crash under requests with the part "{part}"')
+def crash_part(context: Context, count: int, part: str) -> None:
+    """Crash one engine after the other."""
+    for number in range(count):
+        context.reactor.advance(_STEP_S)
+        now = context.clock.now()
+        crash = PartCrash(
+            crash=f'c{number}',
+            request=f'r{number}',
+            sent_at=now,
+            noticed_at=now,
+        )
+        context.parts.record_crash((part,), crash, now)
+
+
+@when('a request with the part "{part}" is answered')
+def answer_part(context: Context, part: str) -> None:
+    """Record an answer that begins now."""
+    now = context.clock.now()
+    context.parts.record_sound((part,), now, now)
+
+
+@then('that router blames the part "{part}" too')
+def check_blames(context: Context, part: str) -> None:
+    """Guard against a restart of all routers that starts the crashes anew."""
+    _pass_time(context, 1)
+    assert context.parts.blamed == {part}, context.parts.blamed
+
+
 @when('request "{name}" completes')
 def complete_request(context: Context, name: str) -> None:
     """Record a complete answer."""
--- a/features/steps/relay_part_steps.py
+++ b/features/steps/relay_part_steps.py
@@ -11,6 +11,7 @@
 from yuccagauge.clock import Millis
 from yuccagauge.quarantine.evidence import PartCrash
 from yuccagauge.quarantine.parts import PROBE_DELAY, PartQuarantine
+from yuccagauge.relay.base import PromptPart, shared_part_ids
 
 _LIMIT = 24
 
@@ -94,3 +95,23 @@
 def check_second_server(context: Context, times: int) -> None:
     """Compare the number of requests that the second server received."""
     assert len(context.servers[1].headers) == times
+
+
+@given(
+    'the prompt parts "{first}", one of {length:d} characters, one with a line '
+    'break and "{last}"'
+)
+def create_prompt(context: Context, first: str, length: int, last: str) -> None:
+    """Create the parts of a prompt with unusual ids."""
+    context.prompt = tuple(
+        PromptPart(part_id=part_id, tokens=1)
+        for part_id in (first, 'x' * length, 'a\nb', last)
+    )
+
+
+@then('their shared ids are "{first}" and two of {length:d} characters')
+def check_shared_ids(context: Context, first: str, length: int) -> None:
+    """Guard against ids that fill the memory or break a message."""
+    found, *digests = shared_part_ids(context.prompt)
+    assert found == first
+    assert [len(digest) for digest in digests] == [length, length], digests
--- a/yuccagauge/quarantine/archive.py
+++ b/yuccagauge/quarantine/archive.py
@@ -20,9 +20,8 @@
 from yuccagauge.quarantine.base import (
     QUARANTINE_DURATION,
     CrashSuspicion,
-    Quarantine,
-    QuarantineStatus,
 )
+from yuccagauge.quarantine.listener import CrashListener
 from yuccagauge.tasks import PeriodicTask
 from yuccagauge.telemetry.journal import log_state_change
 
@@ -75,12 +74,26 @@
         """
 
 
+class KnownCrashes(Protocol):
+    """The crashes that a router knows."""
+
+    listeners: list[CrashListener]
+
+    def must_be_stored(self, fingerprint: bytes, now: Millis) -> bool:
+        """Return whether routers that start need the crashes of a request."""
+
+    def merge_suspicions(
+        self, suspicions: Iterable[CrashSuspicion], now: Millis
+    ) -> None:
+        """Add the crashes that the store has."""
+
+
 class CrashArchive:
     """Writes what a router finds out about crashes, and reads it if needed.
 
     Parameters
     ----------
-    quarantine
+    crashes
         Has the crashes of this router.
     store
         Keeps the crashes of all routers.
@@ -92,14 +105,14 @@
 
     def __init__(
         self,
-        quarantine: Quarantine,
+        crashes: KnownCrashes,
         store: CrashStore,
         reactor: Any,
         clock: Clock,
         is_isolated: Callable[[], bool],
     ) -> None:
         """Create an archive that makes no call before ``start``."""
-        self._quarantine = quarantine
+        self._crashes = crashes
         self._store = store
         self._clock = clock
         self._is_isolated = is_isolated
@@ -125,7 +138,7 @@
     def start(self) -> None:
         """Read the crashes, and write changes from now on."""
         self._started_at = self._clock.now()
-        self._quarantine.listeners.append(self)
+        self._crashes.listeners.append(self)
         self._task.start(in_seconds(PERIOD))
 
     def close(self) -> None:
@@ -193,8 +206,7 @@
             for change in self._changes.values()
             if is_isolated
             or change.crashed_at is None
-            or self._quarantine.status(change.fingerprint, now)
-            is not QuarantineStatus.CLEAR
+            or self._crashes.must_be_stored(change.fingerprint, now)
         )
         return tuple(islice(due, CHANGES_PER_CALL))
 
@@ -226,7 +238,7 @@
             else:
                 self.crashes_cleared(found.fingerprint, (found.crash,))
         _drop_oldest(self._stored)
-        self._quarantine.merge_suspicions(
+        self._crashes.merge_suspicions(
             (
                 CrashSuspicion(
                     fingerprint=fingerprint,
--- a/yuccagauge/quarantine/base.py
+++ b/yuccagauge/quarantine/base.py
@@ -93,6 +93,10 @@
             return QuarantineStatus.SUSPECT
         return QuarantineStatus.REFUSED
 
+    def must_be_stored(self, fingerprint: bytes, now: Millis) -> bool:
+        """Return whether routers that start need the crashes of a request."""
+        return self.status(fingerprint, now) is not QuarantineStatus.CLEAR
+
     def remaining_time(self, fingerprint: bytes, now: Millis) -> Millis:
         """Return for how long the crashes of a request are still kept."""
         entry = self._current_entry(fingerprint, now)
--- a/yuccagauge/quarantine/parts.py
+++ b/yuccagauge/quarantine/parts.py
@@ -24,6 +24,7 @@
     PartRecord,
     independent_crashes,
 )
+from yuccagauge.quarantine.listener import PartCrashListener
 from yuccagauge.quarantine.partevents import (
     BLAMED_PARTS,
     log_blamed,
@@ -91,8 +92,7 @@
         self._blamed: dict[str, int] = {}
         #: Returns whether this router sends the probes of a part.
         self.is_prober: Callable[[str], bool] = lambda part_id: True
-        #: Called with a part that has another crash or is sound again.
-        self.on_change: Callable[[str], None] = lambda part_id: None
+        self.listeners: list[PartCrashListener] = []
 
     def __len__(self) -> int:
         """Return the number of parts with crashes."""
@@ -143,6 +143,8 @@
         """Record a run that broke before its answer had begun for long."""
         for part_id in part_ids:
             self._add_crash(part_id, crash, now)
+            for listener in self.listeners:
+                listener.part_crash_added(part_id, crash)
         self._update_blame(now)
 
     def record_sound(
@@ -201,10 +203,16 @@
         record = self._records.get(part_id)
         if record is None:
             return
-        was_open = len(record.open_crashes(known))
-        if len(record.open_crashes(began_at)) < was_open:
+        settled = tuple(
+            crash
+            for crash in record.open_crashes(known)
+            if crash.noticed_at <= began_at
+        )
+        if settled:
             self._store_change(part_id, record, now)
             self._update_blame(now)
+            for listener in self.listeners:
+                listener.part_crashes_settled(part_id, settled)
 
     def _add_crash(self, part_id: str, crash: PartCrash, now: Millis) -> None:
         record = self._records.get(part_id, PartRecord())
@@ -223,7 +231,6 @@
             self._suspects[part_id] = None
         if len(self._records) > self._maximum:
             self._drop(self._least_important())
-        self.on_change(part_id)
 
     def _update_blame(self, now: Millis) -> None:
         """Blame the parts that explain the crashes best."""
--- a/yuccagauge/relay/base.py
+++ b/yuccagauge/relay/base.py
@@ -1,14 +1,19 @@
 """Data types of a call, and the interfaces that decode and encode it."""
 
+import re
 from dataclasses import dataclass, field
 from typing import Protocol
 
+import xxhash
+
 from yuccagauge.clock import Millis
 from yuccagauge.directory.base import BackendServer, CustomerSpec, Route
 from yuccagauge.dispatch.base import BackendMessage, Header, ResponseHead
 from yuccagauge.errors import YuccagaugeError
 from yuccagauge.settings.options import Endpoint
 
+_SHORT_PART_ID = re.compile('[A-Za-z0-9_-]{1,32}')
+
 
 class CallFieldError(YuccagaugeError):
     """A request lacks a header that a call needs, or has a malformed one."""
@@ -40,8 +45,17 @@
 
 
 def shared_part_ids(parts: tuple[PromptPart, ...]) -> tuple[str, ...]:
-    """Return the ids of all parts but the last, the request's own one."""
-    return tuple(part.part_id for part in parts[:-1])
+    """Return the ids of all parts but the last, the request's own one.
+
+    Callers choose the ids, so one that is long or unusual is replaced by its
+    digest.
+    """
+    return tuple(
+        part.part_id
+        if _SHORT_PART_ID.fullmatch(part.part_id)
+        else xxhash.xxh3_64_hexdigest(part.part_id.encode())
+        for part in parts[:-1]
+    )
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/yuccagauge/relay/router.py
+++ b/yuccagauge/relay/router.py
@@ -18,6 +18,7 @@
 from yuccagauge.errors import SettingsError
 from yuccagauge.exchange.service import ExchangeService
 from yuccagauge.quarantine.archive import CrashArchive
+from yuccagauge.quarantine.ledger import CrashLedger
 from yuccagauge.ratelimit.limits import ServerLimits
 from yuccagauge.relay.adapter import AdapterFactory
 from yuccagauge.relay.changes import log_fleet_changes
@@ -124,7 +125,7 @@
         }
         self._exchange = self._build_exchange()
         self._crash_archive = CrashArchive(
-            self._context.quarantine,
+            CrashLedger(self._context.quarantine, self._context.parts),
             self._adapter.crash_store,
             reactor,
             clock,
