Treat a stream that ends inside an event as broken off

A caller got half an event as the regular end of its stream: a stream of an engine that ended inside an event, by its last chunk, its length or its channel, was passed on as complete. Cause: only the framing of HTTP was asked whether the answer is whole, not that of the events.

Such a stream is now a broken attempt: it continues on another engine if its route allows that, else the caller's channel is reset, and the run counts as a possible crash.

--- /dev/null
+++ b/features/relay/endings.feature
@@ -0,0 +1,48 @@
+Feature: How the answers of servers end
+  An answer may have neither a length nor chunks and end with its channel. A
+  stream that ends inside an event has been broken off, whatever its framing.
+
+  Scenario Outline: A stream that ends after its last event is complete
+    Given a relay with a model engine that streams 2 events and ends by <framing>
+    When a caller calls "talk"
+    Then the caller has the events "0 1" and a complete answer
+
+    Examples:
+      | framing |
+      | chunks  |
+      | length  |
+      | channel |
+
+  Scenario Outline: A stream that ends inside an event is not passed on as complete
+    Given a relay with a model engine that streams 2 events and half of one, and ends by <framing>
+    When a caller calls "talk"
+    Then the caller has the events "0 1" and an incomplete answer
+
+    Examples:
+      | framing |
+      | chunks  |
+      | length  |
+      | channel |
+
+  Scenario Outline: A resumable stream that ends inside an event continues on another engine
+    Given a relay with a model engine that streams 2 events and half of one, and ends by <framing>
+    And a second model engine that streams 4 events
+    When a caller calls "resume" and the first server is selected
+    Then the caller has the events "0 1 2 3" and a complete answer
+    And the second server was asked to resume after "1"
+
+    Examples:
+      | framing |
+      | chunks  |
+      | channel |
+
+  Scenario: A resumed stream that ends inside an event is not complete
+    Given a relay with a model engine that streams 1 events and half of one, then resets
+    And a second model engine that streams 2 events and half of one, and ends by channel
+    When a caller calls "resume" and the first server is selected
+    Then the caller has the events "0 1" and an incomplete answer
+
+  Scenario: A failure that ends inside an event keeps its status
+    Given a relay with a model engine that fails with 500 and half of an event
+    When a caller calls "talk"
+    Then the caller gets status 500
--- a/features/relay_servers.py
+++ b/features/relay_servers.py
@@ -4,6 +4,11 @@
 
 _REQUEST_ID = 'x-yuccagauge-request-id'
 
+CHUNKED = 'Transfer-Encoding: chunked'
+
+#: An event that is cut in the middle.
+HALF_EVENT = b'id: 9\nda'
+
 
 def _id_header(exchange: Exchange) -> str:
     return f'X-Yuccagauge-Request-Id: {exchange.headers.get(_REQUEST_ID, "")}'
@@ -102,28 +107,72 @@
     return b'id: %d\ndata: t%d\n\n' % (number, number)
 
 
-def open_event_stream(exchange: Exchange) -> None:
-    """Send the head of a chunked stream of events."""
-    exchange.transport.write(
-        f'HTTP/1.1 200 X\r\nContent-Type: text/event-stream\r\n'
-        f'Transfer-Encoding: chunked\r\n{_id_header(exchange)}'
-        '\r\n\r\n'.encode(),
+def open_event_stream(exchange: Exchange, *framing: str) -> None:
+    """Send the head of a stream of events, with the headers of its framing."""
+    lines = (
+        'HTTP/1.1 200 X',
+        'Content-Type: text/event-stream',
+        _id_header(exchange),
+        *framing,
     )
+    exchange.transport.write('\r\n'.join((*lines, '', '')).encode())
 
 
 def stream_events(count: int, *, resets: bool) -> object:
     """Return a script that streams events after the Last-Event-Id."""
 
     def script(exchange: Exchange) -> None:
-        after = exchange.headers.get('last-event-id', '')
-        first = int(after) + 1 if after else 0
-        open_event_stream(exchange)
-        for number in range(first, count):
+        open_event_stream(exchange, CHUNKED)
+        for number in _event_numbers(exchange, count):
             exchange.chunk(event(number))
         if resets:
-            exchange.chunk(b'id: 9\nda')
+            exchange.chunk(HALF_EVENT)
             _call_later(exchange.cut)
         else:
             exchange.chunk(b'')
 
     return script
+
+
+def end_stream(count: int, rest: bytes, framing: str) -> object:
+    """Return a script that ends a stream regularly after some bytes.
+
+    Parameters
+    ----------
+    rest
+        The bytes after the last whole event.
+    framing
+        ``chunks``, ``length`` or ``channel``, by which the stream ends.
+    """
+
+    def script(exchange: Exchange) -> None:
+        numbers = _event_numbers(exchange, count)
+        events = b''.join(map(event, numbers))
+        length = len(events) + len(rest)
+        headers = {
+            'chunks': (CHUNKED,),
+            'length': (f'Content-Length: {length}',),
+            'channel': (),
+        }
+        open_event_stream(exchange, *headers[framing])
+        is_chunked = framing == 'chunks'
+        send = exchange.chunk if is_chunked else exchange.transport.write
+        send(events)
+
+        def end() -> None:
+            if rest:
+                send(rest)
+            if is_chunked:
+                exchange.chunk(b'')
+            elif framing == 'channel':
+                exchange.transport.loseConnection()
+
+        _call_later(end)
+
+    return script
+
+
+def _event_numbers(exchange: Exchange, count: int) -> range:
+    """Return the numbers of the events that the request still needs."""
+    after = exchange.headers.get('last-event-id', '')
+    return range(int(after) + 1 if after else 0, count)
--- /dev/null
+++ b/features/steps/relay_ending_steps.py
@@ -0,0 +1,54 @@
+"""Steps for the ends of answers."""
+
+from behave import given
+from behave.runner import Context
+
+from features.relay_servers import HALF_EVENT, end_stream
+from features.scripted_server import Exchange
+from features.steps.relay_steps import add_engine, start_relay_with_engine
+
+
+@given(
+    'a relay with a model engine that streams {count:d} events and ends by '
+    '{framing}'
+)
+def relay_with_ending_engine(
+    context: Context, count: int, framing: str
+) -> None:
+    """Start a relay with one engine that ends its streams regularly."""
+    start_relay_with_engine(context, end_stream(count, b'', framing))
+
+
+@given(
+    'a relay with a model engine that streams {count:d} events and half of '
+    'one, and ends by {framing}'
+)
+def relay_with_cutting_engine(
+    context: Context, count: int, framing: str
+) -> None:
+    """Start a relay with one engine that ends its streams in an event."""
+    start_relay_with_engine(context, end_stream(count, HALF_EVENT, framing))
+
+
+@given(
+    'a second model engine that streams {count:d} events and half of one, and '
+    'ends by {framing}'
+)
+def second_cutting_engine(context: Context, count: int, framing: str) -> None:
+    """Add an engine that ends its streams in an event."""
+    add_engine(context, end_stream(count, HALF_EVENT, framing))
+
+
+@given('a relay with a model engine that fails with 500 and half of an event')
+def relay_with_failing_engine(context: Context) -> None:
+    """Start a relay with one engine that fails with an event stream."""
+
+    def fail(exchange: Exchange) -> None:
+        exchange.answer(
+            500,
+            HALF_EVENT,
+            'Content-Type: text/event-stream',
+            'X-Yuccagauge-Server-Stamp: s',
+        )
+
+    start_relay_with_engine(context, fail)
--- a/features/steps/relay_part_steps.py
+++ b/features/steps/relay_part_steps.py
@@ -5,7 +5,7 @@
 from twisted.internet import reactor
 
 from features.loop import wait_for_call, wait_until
-from features.relay_servers import event, open_event_stream
+from features.relay_servers import CHUNKED, event, open_event_stream
 from features.scripted_server import Exchange
 from features.steps.relay_steps import start_relay_with_engine
 from yuccagauge.clock import Millis
@@ -53,7 +53,7 @@
     """Start a relay with one engine that breaks its streams late."""
 
     def stream(exchange: Exchange) -> None:
-        open_event_stream(exchange)
+        open_event_stream(exchange, CHUNKED)
         for number in range(1, count + 1):
             exchange.chunk(event(number))
         reactor.callLater(ms / 1000, exchange.chunk, event(count + 1))
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -112,6 +112,11 @@
     _add_server(context, 'model', script)
 
 
+def add_engine(context: Context, script: object) -> None:
+    """Add an engine that follows a script."""
+    _add_server(context, 'model', script)
+
+
 @given('a relay with a model engine that streams {count:d} events')
 def relay_with_engine(context: Context, count: int) -> None:
     """Start a relay with one engine."""
--- a/yuccagauge/relay/call.py
+++ b/yuccagauge/relay/call.py
@@ -11,7 +11,6 @@
 from yuccagauge.dispatch.base import AnswerSink, ResponseHead
 from yuccagauge.dispatch.exchange import Exchange
 from yuccagauge.dispatch.timers import Timers
-from yuccagauge.quarantine.base import QuarantineStatus
 from yuccagauge.relay import refusals
 from yuccagauge.relay.attempt import AttemptTracker
 from yuccagauge.relay.base import AttemptRequest, RelayCall, ResponseInfo
@@ -140,6 +139,9 @@
         """Handle the end of a complete response."""
         self._attempt.record_activity()
         failed = self._response.status >= _FIRST_SERVER_ERROR_STATUS
+        if self._response.is_inside_event and not failed:
+            self._handle_broken_attempt('the stream ended inside an event')
+            return
         self._exchange = None
         self._attempt.end_attempt(failed=failed)
         self._runs += 1
@@ -251,12 +253,7 @@
         """
         context = self._context
         now = self._now()
-        status = context.quarantine.status(self._call.fingerprint, now)
-        is_refused = status is QuarantineStatus.REFUSED or (
-            not self._call.is_probe
-            and context.parts.blamed_part(self._call.shared_part_ids, now)
-        )
-        if is_refused:
+        if context.is_quarantined(self._call, now):
             return SelectionDecision(reason='crashes_servers')
         stores = context.directory.configuration.kv_cache_stores
         return context.selector.choose(self._selection_request, stores, now)
--- a/yuccagauge/relay/context.py
+++ b/yuccagauge/relay/context.py
@@ -8,9 +8,9 @@
 from yuccagauge.directory.state import Directory
 from yuccagauge.dispatch.base import CallLater
 from yuccagauge.dispatch.connection import ConnectionPool
-from yuccagauge.quarantine.base import Quarantine
+from yuccagauge.quarantine.base import Quarantine, QuarantineStatus
 from yuccagauge.quarantine.parts import PartQuarantine
-from yuccagauge.relay.base import BackendProtocol, CallDecoder
+from yuccagauge.relay.base import BackendProtocol, CallDecoder, RelayCall
 from yuccagauge.selection.budget import FleetRetryBudget
 from yuccagauge.selection.selector import Selector
 
@@ -59,6 +59,14 @@
     running_calls: dict[str, RunningCall] = field(default_factory=dict)
     _budgets: dict[str, FleetRetryBudget] = field(default_factory=dict)
 
+    def is_quarantined(self, call: RelayCall, now: Millis) -> bool:
+        """Return whether a call may crash servers and is not to be sent."""
+        status = self.quarantine.status(call.fingerprint, now)
+        return status is QuarantineStatus.REFUSED or (
+            not call.is_probe
+            and self.parts.blamed_part(call.shared_part_ids, now) is not None
+        )
+
     def record_request(self, service: str) -> None:
         """Count a new request, which raises the retry budget of its service."""
         self._budget(service).record_request(self.clock.now())
--- a/yuccagauge/relay/response.py
+++ b/yuccagauge/relay/response.py
@@ -43,6 +43,11 @@
         """The status of the response, or 0 before its head arrives."""
         return self._head.status if self._head is not None else 0
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether the last event of a stream is not complete."""
+        return self._splitter is not None and bool(self._splitter.rest.strip())
+
     @property
     def last_event_id(self) -> str:
         """The id of the last complete event that was sent to the caller."""
