--- a/features/engine_fleet.py
+++ b/features/engine_fleet.py
@@ -21,8 +21,12 @@
 _OUTPUT_S = 0.4
 _CRASH_S = 0.01
 
+#: Last part of a request that crashes engines, though its parts do not.
+DEADLY_PART = 'deadly'
+
 _PART_TOKENS = 200
-_ANSWER_BYTES = 34
+_FIRST_EVENT = b'id: 1\ndata: token\n\n'
+_LAST_EVENT = b'id: 2\ndata: end\n\n'
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -31,6 +35,7 @@
 
     at: Millis
     parts: tuple[str, ...]
+    own_part: str
     is_guilty: bool
 
 
@@ -67,7 +72,10 @@
         """Begin to answer a request; return whether the engine lives on."""
         fleet = self._fleet
         fleet.begun[request_id] = fleet.clock.now()
-        if not fleet.guilty_parts.intersection(parts[:-1]):
+        is_guilty = parts[-1] == DEADLY_PART or bool(
+            fleet.guilty_parts.intersection(parts[:-1])
+        )
+        if not is_guilty:
             return True
         fleet.network.reactor.callLater(_CRASH_S, self.end)
         return False
@@ -118,18 +126,19 @@
     def _begin(self, request_id: str, parts: tuple[str, ...]) -> None:
         if self.transport is None:
             return
+        length = len(_FIRST_EVENT + _LAST_EVENT)
         self.transport.write(
-            f'HTTP/1.1 200 X\r\nContent-Length: {_ANSWER_BYTES}\r\n'
+            f'HTTP/1.1 200 X\r\nContent-Length: {length}\r\n'
             f'X-Yuccagauge-Request-Id: {request_id}\r\n'
             'Content-Type: text/event-stream\r\n'
-            'X-Yuccagauge-Server-Stamp: s\r\n\r\n'
-            'id: 1\ndata: token\n\n'.encode(),
+            'X-Yuccagauge-Server-Stamp: s\r\n\r\n'.encode()
+            + _FIRST_EVENT,
         )
         if self._engine.begin(request_id, parts):
             self._engine.later(_OUTPUT_S, self._finish)
 
     def _finish(self) -> None:
-        self.transport.write(b'id: 2\ndata: end\n\n')
+        self.transport.write(_LAST_EVENT)
 
 
 class EngineFleet(CrashFleet):
@@ -150,9 +159,9 @@
         self.prompts: dict[str, SentPrompt] = {}
         super().__init__(routers, servers, seed)
 
-    def send_prompt(self, *parts: str, route: str = 'talk') -> None:
+    def send_prompt(self, *parts: str, own_part: str = '') -> None:
         """Send a request whose prompt has these parts, and one of its own."""
-        own_part = f'{self.random.getrandbits(64):x}'
+        own_part = own_part or f'{self.random.getrandbits(64):x}'
         prefix = ','.join(
             f'{part}:{_PART_TOKENS}' for part in (*parts, own_part)
         )
@@ -162,10 +171,11 @@
             f'X-Yuccagauge-Token-Usage: {tokens},8\r\n'
         )
         name = self.random.choice(self.router_names)
-        request_id = self.send(name, own_part.encode(), route, headers)
+        request_id = self.send(name, own_part.encode(), 'talk', headers)
         self.prompts[request_id] = SentPrompt(
             at=self.clock.now(),
             parts=parts,
+            own_part=own_part,
             is_guilty=bool(self.guilty_parts.intersection(parts)),
         )
 
--- a/features/quarantine/parts_fleet.feature
+++ b/features/quarantine/parts_fleet.feature
@@ -28,3 +28,20 @@
       | 5       | routers that restart all at once           |
       | 5       | engines that reset all connections in turn |
       | 5       | engines that reset all connections at once |
+
+  Scenario: A request that crashes engines is kept away, and does not accuse the parts that others share
+    Given 5 routers before 5 engines, disturbed by nothing
+    When prompts come for 15 s, and one of them crashes engines again and again
+    Then this prompt reaches engines at most 3 times later than 3 s after the third crash
+    And prompts that share all its other parts are answered
+
+  Scenario Outline: Other faults that break connections keep no sound prompts away
+    Given 5 routers before 5 engines, disturbed by <disturbance>
+    When prompts come for 24 s, and 0 % of them have a part that crashes engines
+    Then sound prompts are begun at least half as often as before
+
+    Examples:
+      | disturbance                                |
+      | engines that reset all connections in turn |
+      | engines that reset all connections at once |
+      | engines that crash by themselves           |
--- a/features/steps/engine_fleet_steps.py
+++ b/features/steps/engine_fleet_steps.py
@@ -5,7 +5,7 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from features.engine_fleet import EngineFleet
+from features.engine_fleet import DEADLY_PART, EngineFleet
 from features.steps.crash_fleet_steps import Disturbance, disturbances
 from yuccagauge.clock import Millis
 
@@ -117,6 +117,60 @@
     _send_prompts(context.fleet, seconds, percent / 100)
 
 
+@when(
+    'prompts come for {seconds:d} s, and one of them crashes engines again '
+    'and again'
+)
+def repeat_deadly_prompt(context: Context, seconds: int) -> None:
+    """Send the same prompt, which shares its parts with others."""
+    fleet = context.fleet
+    context.deadly_parts = ('f0', 's0')
+    for _ in range(seconds):
+        fleet.send_prompt(*context.deadly_parts, own_part=DEADLY_PART)
+        _send_prompts(fleet, 1)
+
+
+@then(
+    'this prompt reaches engines at most 3 times later than 3 s after the third '
+    'crash'
+)
+def check_deadly(context: Context) -> None:
+    """Guard against a request that ends one engine after the other."""
+    fleet = context.fleet
+    late = [
+        at
+        for at, request_id in fleet.arrivals
+        if at > fleet.ends[2] + _MARGIN
+        and fleet.prompts[request_id].own_part == DEADLY_PART
+    ]
+    assert len(late) <= _ALLOWED_SENDS, (late, fleet.ends)
+
+
+@then('prompts that share all its other parts are answered')
+def check_companions(context: Context) -> None:
+    """Guard against parts that one request accuses."""
+    fleet = context.fleet
+    first = len(fleet.prompts) + 1
+    for _ in range(_MINIMUM_PROMPTS):
+        fleet.send_prompt(*context.deadly_parts)
+        fleet.run(_PROMPT_PERIOD_S)
+    fleet.run(1)
+    answered = sum(
+        f'c{first + number}' in fleet.begun
+        for number in range(_MINIMUM_PROMPTS)
+    )
+    assert answered == _MINIMUM_PROMPTS, answered
+
+
+@then('sound prompts are begun at least half as often as before')
+def check_sound_without_guilty(context: Context) -> None:
+    """Guard against sound requests that are kept away for other faults."""
+    fleet = context.fleet
+    begin = Millis(2 * _WARM_UP_S * 1000)
+    share = _share_begun(fleet, begin, fleet.clock.now())
+    assert share >= _SOUND_SHARE, share
+
+
 @then(
     'requests with the part reach engines at most 3 times later than 3 s after '
     'the fifth crash'
