Let other routers test a rare blamed part soon

Two parts that were always together are both blamed, and a request with only one of them tells which is guilty. Only one router sent such tests, and a crash of a request that was under way at the blame counted as a failed one.

Routers may now test one after the other, 1 s apart, and only a crash later than 2 s after the blame extends the time to the next test, by a factor of 4, so that the evidence expires before a fourth one. The scenario 'A rare part is tested by any router in the end' is new.

--- a/features/quarantine/parts.feature
+++ b/features/quarantine/parts.feature
@@ -58,9 +58,14 @@
   Scenario: Probes of a guilty part become rare and end
     Given a part quarantine
     When engines crash under 3 requests with "bad"
-    And requests with "bad" come each second for 9 minutes, and probes crash engines
+    And requests with "bad" come each second for 20 minutes, and probes crash engines
     Then there were 3 probes, the first 30 s after the last crash
-    And "bad" is blamed
+
+  Scenario: A rare part is tested by any router in the end, one after the other
+    Given a part quarantine that tests parts as the fifth router
+    When engines crash under 3 requests with "rare,bad"
+    Then a request with "rare" is no probe 6000 ms later
+    And a request with "rare" is a probe 1000 ms later
 
   Scenario: A part that no longer crashes engines is released by a probe
     Given a part quarantine
--- a/features/steps/part_quarantine_steps.py
+++ b/features/steps/part_quarantine_steps.py
@@ -53,6 +53,13 @@
     context.parts = PartQuarantine()
 
 
+@given('a part quarantine that tests parts as the fifth router')
+def create_fifth_quarantine(context: Context) -> None:
+    """Create a quarantine of a router that four others come before."""
+    create_quarantine(context)
+    context.parts.probe_rank = lambda part_id: 4
+
+
 @when('engines crash under {count:d} request with "{parts}"')
 @when('engines crash under {count:d} requests with "{parts}"')
 def crash_requests(context: Context, count: int, parts: str) -> None:
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -61,6 +61,13 @@
     _start_relay(context)
 
 
+def start_relay_with_plain_server(context: Context, script: object) -> None:
+    """Start a relay with one plain server that follows a script."""
+    _start_relay(context)
+    context.fixture.configure()
+    _add_server(context, 'plain', script)
+
+
 @given('a relay with a plain server that {behaviour}')
 def relay_with_plain_server(context: Context, behaviour: str) -> None:
     """Start a relay with one plain server."""
--- a/yuccagauge/quarantine/evidence.py
+++ b/yuccagauge/quarantine/evidence.py
@@ -42,9 +42,9 @@
 
     crashes: dict[str, PartCrash] = field(default_factory=dict)
     changed_at: Millis = Millis(0)
-    #: Requests that this router has let through as probes, and when it last
-    #: did so.
-    probes: int = 0
+    #: When this router blamed the part, and last let a request with it through
+    #: as a probe.
+    blamed_at: Millis = Millis(0)
     probed_at: Millis = Millis(0)
 
     @property
--- a/yuccagauge/quarantine/partevents.py
+++ b/yuccagauge/quarantine/partevents.py
@@ -50,13 +50,13 @@
     log_state_change('part_released', part=part_id, is_sound=is_sound)
 
 
-def log_probed(part_id: str, probes: int) -> None:
+def log_probed(part_id: str, crash_age: int) -> None:
     """Log and count that a request tests a blamed part.
 
     Parameters
     ----------
-    probes
-        Probes of the part by this router so far.
+    crash_age
+        Time since the last crash, in ms.
     """
     _CHANGES.add(1, {'kind': 'probed'})
-    log_state_change('part_probed', part=part_id, probes=probes)
+    log_state_change('part_probed', part=part_id, crash_age_ms=crash_age)
--- a/yuccagauge/quarantine/parts.py
+++ b/yuccagauge/quarantine/parts.py
@@ -57,16 +57,22 @@
 RECENT_CHANGE_TIME = Millis(5000)
 
 #: Time after the last crash before one request with a blamed part is let
-#: through. It doubles with each independent crash after the blame, up to
-#: ``MAXIMUM_PROBES`` times.
+#: through, and the factor by which each probe that crashed an engine extends
+#: it. The evidence expires before a fourth probe is due.
 PROBE_DELAY = Millis(30_000)
+PROBE_DELAY_FACTOR = 4
 
 #: The same for a request that is likely to be sound: its blamed part was
 #: answered before, or it lacks another part that explains the crashes as well.
 LIKELY_SOUND_PROBE_DELAY = Millis(3000)
 
-#: Probes of one part in the time for which its crashes are evidence.
-MAXIMUM_PROBES = 3
+#: Time between the probes of two routers, within which the second one learns
+#: how the first ended.
+PROBE_STAGGER = Millis(1000)
+
+#: Time after the blame in which further crashes are of requests that were
+#: already under way.
+BLAME_SETTLING_TIME = Millis(2000)
 
 
 class PartQuarantine:
@@ -90,8 +96,8 @@
         self._sound_at: OrderedDict[str, Millis] = OrderedDict()
         #: Blamed parts, with their independent crashes.
         self._blamed: dict[str, int] = {}
-        #: Returns whether this router sends the probes of a part.
-        self.is_prober: Callable[[str], bool] = lambda part_id: True
+        #: Returns how many other routers may probe a part before this one.
+        self.probe_rank: Callable[[str], int] = lambda part_id: 0
         self.listeners: list[PartCrashListener] = []
 
     def __len__(self) -> int:
@@ -122,10 +128,8 @@
         if not all(self._is_probe_due(part, requested, now) for part in blamed):
             return False
         for part_id in blamed:
-            record = self._records[part_id]
-            record.probed_at = now
-            record.probes += 1
-            log_probed(part_id, record.probes)
+            self._records[part_id].probed_at = now
+            log_probed(part_id, now - self._records[part_id].crashed_at)
         return True
 
     def known_crashes(self, part_ids: Iterable[str]) -> frozenset[str]:
@@ -239,6 +243,7 @@
         for part_id in self._blamed.keys() - blamed.keys():
             log_released(part_id, is_sound=part_id in self._sound_at)
         for part_id in blamed.keys() - self._blamed.keys():
+            self._records[part_id].blamed_at = now
             log_blamed(
                 part_id,
                 self._records[part_id].open_crashes(
@@ -291,17 +296,20 @@
     ) -> bool:
         """Return whether a request with these parts may test a blamed one."""
         record = self._records[part_id]
-        if record.probes >= MAXIMUM_PROBES or not self.is_prober(part_id):
-            return False
         is_likely_sound = part_id in self._sound_at or any(
             self._explains(rival, part_id)
             for rival in self._blamed.keys() - requested
         )
         delay = LIKELY_SOUND_PROBE_DELAY if is_likely_sound else PROBE_DELAY
-        later_crashes = self._blamed[part_id] - self._crashes_to_blame(part_id)
-        doublings = min(max(0, later_crashes), MAXIMUM_PROBES)
+        failed_probes = sum(
+            crash.noticed_at > record.blamed_at + BLAME_SETTLING_TIME
+            for crash in record.crashes.values()
+        )
+        stagger = PROBE_STAGGER * self.probe_rank(part_id)
         since = max(record.crashed_at, record.probed_at)
-        return now - since >= delay * 2**doublings
+        return (
+            now - since >= delay * PROBE_DELAY_FACTOR**failed_probes + stagger
+        )
 
     def _explains(self, rival: str, part_id: str) -> bool:
         """Return whether a part was there at each open crash of another one."""
--- a/yuccagauge/relay/router.py
+++ b/yuccagauge/relay/router.py
@@ -26,7 +26,7 @@
 from yuccagauge.relay.context import RelayContext, RetryBudgetSettings
 from yuccagauge.relay.pages import MetricsPage, ReadyPage
 from yuccagauge.relay.relay import Relay
-from yuccagauge.rendezvous import is_among_first
+from yuccagauge.rendezvous import rendezvous_rank
 from yuccagauge.rollout.driver import RolloutDriver
 from yuccagauge.rollout.election import LeaderElection
 from yuccagauge.rollout.leaderlease import LeaderLease
@@ -198,7 +198,7 @@
             self._leader_lease.observe_peer_order(self._clock.now())
         )
         self._exchange.merger.on_peer_left = self._election.check_now
-        self._context.parts.is_prober = self._is_among_first
+        self._context.parts.probe_rank = self._rank
         self._context.on_unresponsive = self._exchange.broadcast_unresponsive
         self._selector.limits.on_change = self._exchange.broadcast_limit
         self._rollout.on_engines_paused = self._exchange.broadcast_pause
@@ -314,12 +314,13 @@
         """
         if not self._directory.is_ready:
             return False
-        return self._is_among_first('lead', ELECTION_CANDIDATES)
+        return self._rank('lead') < ELECTION_CANDIDATES
 
-    def _is_among_first(self, key: str, count: int = 1) -> bool:
-        """Return whether this is one of the first routers for a key."""
+    def _rank(self, key: str) -> int:
+        """Return how many live routers come before this one for a key."""
         own_name = self._settings.relay.name
-        return is_among_first(own_name, self._router_names(), key, count)
+        names = {own_name, *self._router_names()}
+        return rendezvous_rank(names, key).index(own_name)
 
     def _read_delay(self, topic: Topic) -> Millis:
         """Return how long the messages of peers replace reading a topic."""
--- a/yuccagauge/rendezvous.py
+++ b/yuccagauge/rendezvous.py
@@ -14,13 +14,6 @@
     return tuple(sorted(names, key=lambda name: (_weight(name, key), name)))
 
 
-def is_among_first(
-    name: str, others: Iterable[str], key: str, count: int
-) -> bool:
-    """Return whether a name is one of the first that are ranked for a key."""
-    return name in rendezvous_rank({name, *others}, key)[:count]
-
-
 def _weight(name: str, key: str) -> bytes:
     text = f'{len(name)}:{name}/{key}'.encode()
     return hashlib.blake2b(text, digest_size=_DIGEST_BYTES).digest()
