Break off servers that send bytes without end

A faulty server could hold a call until its deadline, and a channel for as long: with interim answers, with one endless answer to another request, or with an event that does not end, which buffered 1 MiB a stream; with 100 such streams the router answered none before the deadline. 200 short answers to other requests in one segment ended in a RecursionError, and a status call of the router itself read 16 MiB.

Cause: the bounds of the HTTP parser hold for one head, not for what comes before and after it.

--- a/yuccagauge/dispatch/connection.py
+++ b/yuccagauge/dispatch/connection.py
@@ -39,6 +39,14 @@
 #: of common HTTP servers, so that few requests meet a closing connection.
 _IDLE_S = 10
 
+#: Interim answers before an answer, and late answers to other requests in
+#: front of it, after which a connection is broken off.
+_MAXIMUM_INTERIM_ANSWERS = 16
+_MAXIMUM_FOREIGN_ANSWERS = 8
+
+#: Bytes of late answers to other requests that are read.
+_MAXIMUM_FOREIGN_BYTES = 1_048_576
+
 _PROTOCOL_ERRORS = (
     h11.RemoteProtocolError,
     BackendProtocolError,
@@ -77,6 +85,9 @@
         self._message: BackendMessage | None = None
         # Whether the answer that is being read belongs to another request.
         self._is_foreign = False
+        self._foreign_answers = 0
+        self._foreign_bytes = 0
+        self._interim_answers = 0
         self._may_reuse = True
         #: Tells the pool about the end of the connection.
         self.on_close: Callable[[Connection], None] | None = None
@@ -151,6 +162,7 @@
         parts = b''.join(self._parts)
         self._parts.clear()
         if was_foreign:
+            self._count_foreign(parts)
             return
         if parts and self._user is not None:
             self._user.data(parts)
@@ -175,7 +187,9 @@
             if isinstance(event, h11.Data):
                 parts.append(bytes(event.data))
                 continue
-            if parts and not self._is_foreign:
+            if self._is_foreign:
+                self._count_foreign(b''.join(parts))
+            elif parts:
                 self._user.data(b''.join(parts))
             parts.clear()
             if event is h11.NEED_DATA or event is h11.PAUSED:
@@ -193,6 +207,10 @@
                 self._user.head(head)
             if head.get(b'transfer-encoding').lower() == 'chunked':
                 self._start_chunks()
+        elif isinstance(event, h11.InformationalResponse):
+            self._interim_answers += 1
+            if self._interim_answers > _MAXIMUM_INTERIM_ANSWERS:
+                raise BackendProtocolError('the interim answers do not end')
         elif isinstance(event, h11.EndOfMessage):
             self._finish()
 
@@ -214,8 +232,27 @@
         found = head.get(name.lower())
         return bool(found) and found != value.decode('latin-1')
 
+    def _count_foreign(self, data: bytes) -> None:
+        """Bound the bytes that are read for other requests."""
+        self._foreign_bytes += len(data)
+        if self._foreign_bytes > _MAXIMUM_FOREIGN_BYTES:
+            raise BackendProtocolError(
+                'an answer to another request does not end'
+            )
+
     def _read_next_answer(self, surplus: bytes) -> None:
-        """Expect our own answer behind one that belongs elsewhere."""
+        """Expect our own answer behind one that belongs elsewhere.
+
+        Raises
+        ------
+        BackendProtocolError
+            If there are too many of them.
+        """
+        self._foreign_answers += 1
+        if self._foreign_answers > _MAXIMUM_FOREIGN_ANSWERS:
+            raise BackendProtocolError(
+                'the answers to other requests do not end'
+            )
         self._is_foreign = False
         self._may_reuse = False
         self._parser = h11.Connection(h11.CLIENT)
--- a/yuccagauge/dispatch/fetch.py
+++ b/yuccagauge/dispatch/fetch.py
@@ -13,7 +13,7 @@
 from yuccagauge.settings.options import Endpoint
 from yuccagauge.verdict import Verdict
 
-#: Longest answer that is read, in bytes.
+#: Longest answer that is read unless the caller sets another limit, in bytes.
 MAXIMUM_ANSWER = 16_777_216
 
 
@@ -50,7 +50,8 @@
 class _Fetch:
     """Collects one answer, within a time."""
 
-    def __init__(self) -> None:
+    def __init__(self, maximum: int) -> None:
+        self._maximum = maximum
         self.result: Deferred[Fetched] = Deferred(self._cancel)
         self.exchange: Exchange | None = None
         self.timer: Any = None
@@ -65,7 +66,7 @@
     def data(self, data: bytes) -> None:
         self._parts.append(data)
         self._size += len(data)
-        if self._size > MAXIMUM_ANSWER:
+        if self._size > self._maximum:
             self._stop('the answer is too long')
 
     def complete(self) -> None:
@@ -109,6 +110,7 @@
     timeout: Millis,
     *,
     fresh: bool = False,
+    maximum: int = MAXIMUM_ANSWER,
 ) -> Deferred[Fetched]:
     """Send a request and return a Deferred of its whole answer.
 
@@ -118,6 +120,8 @@
         Time for the answer, connecting included.
     fresh
         Never reuse a connection.
+    maximum
+        Longest answer that is read, in bytes.
 
     Raises
     ------
@@ -125,7 +129,7 @@
         If there is no whole answer in time; its verdict says whether the
         request may have been carried out.
     """
-    running = _Fetch()
+    running = _Fetch(maximum)
     running.exchange = Exchange(pool, server, message, running)
     running.timer = reactor.callLater(
         in_seconds(timeout),
--- a/yuccagauge/dispatch/sse.py
+++ b/yuccagauge/dispatch/sse.py
@@ -6,8 +6,9 @@
 
 from yuccagauge.dispatch.errors import BackendProtocolError
 
-#: An event that is longer than this is a fault of the engine.
-_MAXIMUM_EVENT_BYTES = 1_048_576
+#: An event that is longer than this is a fault of the engine. A router buffers
+#: as much for each stream.
+_MAXIMUM_EVENT_BYTES = 65_536
 
 _BLANK_LINE = b'\n\n'
 _DONE = re.compile(rb'^data: ?\[DONE\]\s*$', re.MULTILINE)
--- a/yuccagauge/platform/engines.py
+++ b/yuccagauge/platform/engines.py
@@ -32,6 +32,10 @@
 #: Timeout of a reply, beyond the time for which the engine may hold a poll.
 _REPLY_TIMEOUT = Millis(1200)
 
+#: Longest answer to a call of the router itself, in bytes. A router calls
+#: several engines at a time.
+_MAXIMUM_ANSWER = 2_097_152
+
 _SWAP_MODES = {
     SwapMode.FINISH_RUNS: 'queue',
     SwapMode.RESET_RUNS: 'preempt',
@@ -158,7 +162,14 @@
         message: BackendMessage,
         timeout: Millis,
     ) -> Deferred[Fetched]:
-        return fetch(self._reactor, self._pool, endpoint, message, timeout)
+        return fetch(
+            self._reactor,
+            self._pool,
+            endpoint,
+            message,
+            timeout,
+            maximum=_MAXIMUM_ANSWER,
+        )
 
 
 def _json_object(response: Fetched) -> dict[str, Any]:
--- a/yuccagauge/relay/response.py
+++ b/yuccagauge/relay/response.py
@@ -1,6 +1,7 @@
 """Forwards the response of a backend server to the caller."""
 
 from yuccagauge.dispatch.base import AnswerSink, Header, ResponseHead
+from yuccagauge.dispatch.errors import BackendProtocolError
 from yuccagauge.dispatch.sse import EventSplitter, event_number
 
 _EVENT_STREAM_TYPE = 'text/event-stream'
@@ -10,6 +11,9 @@
 #: retryable call can still move to another server.
 _BUFFER_LIMIT_BYTES = 262_144
 
+#: A body that is longer than this, and is no stream of events, does not end.
+_MAXIMUM_BODY_BYTES = 67_108_864
+
 
 class ResponseForwarder:
     """Forwards events as they arrive, and other responses when complete.
@@ -30,6 +34,7 @@
         self._splitter: EventSplitter | None = None
         self._buffered: list[bytes] = []
         self._buffered_bytes = 0
+        self._body_bytes = 0
         self._has_started = False
         self._last_event_id = ''
 
@@ -69,8 +74,17 @@
         self._splitter = EventSplitter() if is_stream else None
 
     def forward_data(self, data: bytes) -> bool:
-        """Forward or buffer a part of the body; return if it was forwarded."""
+        """Forward or buffer a part of the body; return if it was forwarded.
+
+        Raises
+        ------
+        BackendProtocolError
+            If the body, or an event of a stream, does not end.
+        """
         if self._splitter is None:
+            self._body_bytes += len(data)
+            if self._body_bytes > _MAXIMUM_BODY_BYTES:
+                raise BackendProtocolError('the body does not end')
             return self._buffer_or_send(data)
         events = self._splitter.feed(data)
         if not events:
