--- a/yuccagauge/dispatch/sse.py
+++ b/yuccagauge/dispatch/sse.py
@@ -6,9 +6,8 @@
 
 from yuccagauge.dispatch.errors import BackendProtocolError
 
-#: An event that is longer than this is a fault of the engine. A router buffers
-#: as much for each stream.
-_MAXIMUM_EVENT_BYTES = 65_536
+#: An event that is longer than this is a fault of the engine.
+_MAXIMUM_EVENT_BYTES = 1_048_576
 
 _BLANK_LINE = b'\n\n'
 _DONE = re.compile(rb'^data: ?\[DONE\]\s*$', re.MULTILINE)
@@ -18,10 +17,17 @@
 
 
 class EventSplitter:
-    """Cuts a byte stream into whole events, byte for byte."""
+    """Cuts a byte stream into whole events, byte for byte.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    maximum
+        Longest event, in bytes. As much may be buffered for each stream.
+    """
+
+    def __init__(self, maximum: int = _MAXIMUM_EVENT_BYTES) -> None:
         """Start at an event boundary."""
+        self._maximum = maximum
         self._rest = b''
 
     @property
@@ -55,7 +61,7 @@
         return events
 
     def _check_rest(self) -> None:
-        if len(self._rest) > _MAXIMUM_EVENT_BYTES:
+        if len(self._rest) > self._maximum:
             raise BackendProtocolError('an event does not end')
 
 
--- a/yuccagauge/relay/response.py
+++ b/yuccagauge/relay/response.py
@@ -11,6 +11,10 @@
 #: retryable call can still move to another server.
 _BUFFER_LIMIT_BYTES = 262_144
 
+#: Longest event of a stream. A relay has 150 MB for thousands of streams, and
+#: engines send a few tokens in an event.
+_MAXIMUM_EVENT_BYTES = 65_536
+
 #: A body that is longer than this, and is no stream of events, does not end.
 _MAXIMUM_BODY_BYTES = 67_108_864
 
@@ -71,7 +75,9 @@
             self._headers = headers
         content_type = head.get(b'content-type')
         is_stream = content_type.startswith(_EVENT_STREAM_TYPE)
-        self._splitter = EventSplitter() if is_stream else None
+        self._splitter = (
+            EventSplitter(_MAXIMUM_EVENT_BYTES) if is_stream else None
+        )
 
     def forward_data(self, data: bytes) -> bool:
         """Forward or buffer a part of the body; return if it was forwarded.
