Send no call to a server that says that it leaves

An engine that leaves says so in all its answers (Server-Leaving), seconds before its entry in the store does, and that of an engine that announces nothing never does.

The router that hears it, in an answer to a caller, a rejection or a call of its own, sends nothing there any longer and tells its peers. An entry that still says ready, or that lapses and returns, does not undo it; only a later start does.

--- a/features/relay_servers.py
+++ b/features/relay_servers.py
@@ -79,6 +79,19 @@
     _answer(exchange)
 
 
+def _leave(status: int, *headers: str) -> object:
+    """Return a script of a server that leaves."""
+
+    def script(exchange: Exchange) -> None:
+        exchange.answer(
+            status, b'', _id_header(exchange), 'Server-Leaving: 1', *headers
+        )
+
+    return script
+
+
+_STAMP = 'X-Yuccagauge-Server-Stamp: s'
+
 #: Scripts of plain servers, by their names in the steps.
 BEHAVIOURS = {
     'answers': _answer,
@@ -92,6 +105,11 @@
     'reports another instance': _reject_misdirected,
     'answers another request first': _answer_other_request_first,
     'sends a second answer': _answer_twice,
+    'answers and says that it leaves': _leave(200, _STAMP),
+    'answers 500 and says that it leaves': _leave(500, _STAMP),
+    'rejects the call and says that it leaves': _leave(
+        503, 'X-Yuccagauge-Not-Executed: 1'
+    ),
     'refuses connections': _answer_nothing,
 }
 
--- a/features/steps/exchange_steps.py
+++ b/features/steps/exchange_steps.py
@@ -20,7 +20,7 @@
 from yuccagauge.selection.selector import Selector
 from yuccagauge.settings.options import Endpoint
 from yuccagauge.wire.client import PeerClient
-from yuccagauge.wire.messages import FleetExchange
+from yuccagauge.wire.fleetmessages import FleetExchange
 from yuccagauge.wire.server import PeerServer
 
 _FINGERPRINT = b'request'
--- a/yuccagauge/exchange/merger.py
+++ b/yuccagauge/exchange/merger.py
@@ -12,7 +12,7 @@
 from yuccagauge.selection.load import PEER_LOAD_LIFETIME, PeerLoad
 from yuccagauge.selection.selector import Selector
 from yuccagauge.telemetry.journal import log_state_change
-from yuccagauge.wire.messages import (
+from yuccagauge.wire.fleetmessages import (
     FleetExchange,
     FleetRecord,
     FleetSuspicion,
@@ -102,6 +102,7 @@
             self._observe_members(message, now)
         self._apply_records(message, now)
         self._apply_loads(message, now)
+        self._apply_statements(message)
         if message.pauses:
             self.on_pause_received()
         for pause in message.pauses:
@@ -114,11 +115,7 @@
             )
         for report in message.silences:
             self._apply_unresponsive_report(report.server, message.name, now)
-        self._quarantine.merge_suspicions(
-            tuple(_suspicion(part) for part in message.suspicions),
-            now,
-        )
-        self._parts.merge(parse_part_evidence(message.parts), now)
+        self._apply_crashes(message, now)
 
     def apply_pause(self, server_id: str, duration: Millis) -> None:
         """Pause calls to a server for a duration; 0 ends the pause."""
@@ -138,6 +135,18 @@
             if server is not None:
                 self._quarantine.record_load(server.endpoint, self._clock.now())
 
+    def _apply_crashes(self, message: FleetExchange, now: Millis) -> None:
+        self._quarantine.merge_suspicions(
+            tuple(_suspicion(part) for part in message.suspicions),
+            now,
+        )
+        self._parts.merge(parse_part_evidence(message.parts), now)
+
+    def _apply_statements(self, message: FleetExchange) -> None:
+        statements = self._selector.statements
+        for leaving in message.leaving:
+            statements.record_leaving(leaving.server, leaving.started_at)
+
     def _apply_unresponsive_report(
         self, server_id: str, peer: str, now: Millis
     ) -> None:
--- a/yuccagauge/exchange/notifications.py
+++ b/yuccagauge/exchange/notifications.py
@@ -6,7 +6,30 @@
 from yuccagauge.clock import Millis
 from yuccagauge.exchange import parts
 from yuccagauge.ratelimit.limits import ServerLimits
-from yuccagauge.wire.messages import FleetPause, FleetSilence, FleetWeights
+from yuccagauge.wire.fleetmessages import FleetPause, FleetSilence, FleetWeights
+
+#: How long exchanges repeat that a server has loaded weights.
+WEIGHTS_REPEAT_TIME = Millis(2500)
+
+
+class RecentWeights:
+    """The weights that servers have loaded lately."""
+
+    def __init__(self) -> None:
+        """Start without weights."""
+        self._loaded: dict[tuple[str, str], tuple[FleetWeights, Millis]] = {}
+
+    def add(self, loaded: FleetWeights, now: Millis) -> None:
+        """Add what a server has loaded now."""
+        self._loaded[loaded.server, loaded.model] = loaded, now
+
+    def messages(self, now: Millis) -> tuple[FleetWeights, ...]:
+        """Return what exchanges still repeat."""
+        return tuple(
+            loaded
+            for loaded, at in self._loaded.values()
+            if now - at < WEIGHTS_REPEAT_TIME
+        )
 
 
 @dataclass(slots=True)
--- a/yuccagauge/exchange/parts.py
+++ b/yuccagauge/exchange/parts.py
@@ -9,7 +9,8 @@
 from yuccagauge.quarantine.evidence import PartCrash, PartEvidence
 from yuccagauge.ratelimit.limits import LimitReport
 from yuccagauge.selection.load import ServerLoad
-from yuccagauge.wire.messages import (
+from yuccagauge.wire.fleetmessages import (
+    FleetLeaving,
     FleetLimit,
     FleetLoad,
     FleetMark,
@@ -30,6 +31,9 @@
 #: Rate limits that one message carries, the latest change first.
 MAXIMUM_LIMITS = 64
 
+#: Servers that leave in one message, the latest first.
+MAXIMUM_LEAVING = 32
+
 #: Thousandths in a call a second.
 _MILLI = 1000
 
@@ -95,6 +99,14 @@
     )
 
 
+def leaving(known: Iterable[tuple[str, int]]) -> tuple[FleetLeaving, ...]:
+    """Return the servers that leave, with their start times."""
+    return tuple(
+        FleetLeaving(server=server_id, started_at=started_at)
+        for server_id, started_at in known
+    )
+
+
 def part_evidence(
     known: Iterable[PartEvidence],
 ) -> tuple[FleetPartEvidence, ...]:
--- a/yuccagauge/exchange/permits.py
+++ b/yuccagauge/exchange/permits.py
@@ -21,7 +21,7 @@
 from yuccagauge.wire.base import Received
 from yuccagauge.wire.client import PeerClient
 from yuccagauge.wire.errors import PeerFailedError, PeerUnavailableError
-from yuccagauge.wire.messages import PermitReply, PermitRequest
+from yuccagauge.wire.fleetmessages import PermitReply, PermitRequest
 from yuccagauge.wire.server import PeerServer
 
 #: Time after a router becomes the home of a server in which it grants nothing.
--- a/yuccagauge/exchange/service.py
+++ b/yuccagauge/exchange/service.py
@@ -11,7 +11,7 @@
 from yuccagauge.exchange import parts as message_parts
 from yuccagauge.exchange.members import Member
 from yuccagauge.exchange.merger import MessageMerger
-from yuccagauge.exchange.notifications import Notifications
+from yuccagauge.exchange.notifications import Notifications, RecentWeights
 from yuccagauge.exchange.partners import (
     NOTIFICATION_DELAY,
     choose_partners,
@@ -28,7 +28,7 @@
 from yuccagauge.wire.base import Received
 from yuccagauge.wire.client import PeerClient
 from yuccagauge.wire.errors import PeerFailedError, PeerUnavailableError
-from yuccagauge.wire.messages import (
+from yuccagauge.wire.fleetmessages import (
     FleetExchange,
     FleetWeights,
 )
@@ -55,9 +55,6 @@
 #: Time after which a server that stays unresponsive is announced again.
 UNRESPONSIVE_REPEAT_PERIOD = Millis(1000)
 
-#: How long exchanges repeat that a server has loaded weights.
-WEIGHTS_REPEAT_TIME = Millis(2500)
-
 
 class ExchangeService:
     """Sends this router's state to others and merges theirs.
@@ -125,7 +122,7 @@
         )
         self._is_leaving = False
         self._started_at = clock.now()
-        self._sent_weights: dict[tuple[str, str], tuple[int, Millis]] = {}
+        self._recent_weights = RecentWeights()
         self._reactor = reactor
         self._period = 0
         #: When each unresponsive server was last announced.
@@ -232,7 +229,7 @@
     ) -> None:
         """Notify all routers that a server has loaded weights."""
         loaded = FleetWeights(server=server_id, model=model, version=version)
-        self._sent_weights[server_id, model] = (version, self._clock.now())
+        self._recent_weights.add(loaded, self._clock.now())
         self._merger.apply_weights(loaded)
         self._notifications.weights.append(loaded)
         self._schedule_send(weights_notification_delay(self.router_count))
@@ -361,7 +358,12 @@
                 parts=message_parts.part_evidence(
                     self._parts.evidence(message_parts.MAXIMUM_PARTS, now)
                 ),
-                weights=self._recent_weights(now),
+                leaving=message_parts.leaving(
+                    self._selector.statements.leaving(
+                        message_parts.MAXIMUM_LEAVING
+                    )
+                ),
+                weights=self._recent_weights.messages(now),
                 limits=message_parts.limits(
                     self._selector.limits.reports(
                         message_parts.MAXIMUM_LIMITS, now
@@ -394,10 +396,3 @@
 
     def _confirmation_ages(self, now: Millis) -> dict[Topic, Millis]:
         return {topic: self.confirmation_age(topic, now) for topic in Topic}
-
-    def _recent_weights(self, now: Millis) -> tuple[FleetWeights, ...]:
-        return tuple(
-            FleetWeights(server=server_id, model=model, version=version)
-            for (server_id, model), (version, at) in self._sent_weights.items()
-            if now - at < WEIGHTS_REPEAT_TIME
-        )
--- a/yuccagauge/platform/adapter.py
+++ b/yuccagauge/platform/adapter.py
@@ -40,6 +40,7 @@
         order_client=engines,
         cache_event_source=engines,
         ready_path=names.READY_PATH,
+        answer_listeners=engines.answer_listeners,
     )
 
 
--- a/yuccagauge/platform/engines.py
+++ b/yuccagauge/platform/engines.py
@@ -17,6 +17,8 @@
 from yuccagauge.dispatch.connection import ConnectionPool
 from yuccagauge.dispatch.fetch import Fetched, FetchError, fetch
 from yuccagauge.platform import names
+from yuccagauge.platform.requests import PlatformBackendProtocol
+from yuccagauge.relay.adapter import AnswerListener
 from yuccagauge.rollout.base import (
     EngineStatus,
     OrderAnswer,
@@ -71,6 +73,9 @@
         self._reactor = reactor
         self._pool = pool
         self._router_name = router_name
+        self._protocol = PlatformBackendProtocol()
+        #: Called with the endpoint of an engine that has answered.
+        self.answer_listeners: list[AnswerListener] = []
 
     @inlineCallbacks
     def read_status(self, server: BackendServer) -> Any:
@@ -162,7 +167,7 @@
         message: BackendMessage,
         timeout: Millis,
     ) -> Deferred[Fetched]:
-        return fetch(
+        fetching = fetch(
             self._reactor,
             self._pool,
             endpoint,
@@ -170,6 +175,14 @@
             timeout,
             maximum=_MAXIMUM_ANSWER,
         )
+        return fetching.addCallback(self._report_answer, endpoint)
+
+    def _report_answer(self, response: Fetched, endpoint: Endpoint) -> Fetched:
+        """Report what the engine states about itself."""
+        info = self._protocol.parse_head(response.head)
+        for listener in self.answer_listeners:
+            listener(endpoint, info)
+        return response
 
 
 def _json_object(response: Fetched) -> dict[str, Any]:
--- a/yuccagauge/platform/names.py
+++ b/yuccagauge/platform/names.py
@@ -21,6 +21,8 @@
 WEIGHT_VERSIONS = b'X-Yuccagauge-Weight-Versions'
 #: Requests a second that an engine takes from all routers together.
 SERVER_LIMIT = b'Server-Limit'
+#: ``1`` in all answers of an engine that leaves.
+SERVER_LEAVING = b'Server-Leaving'
 AUTHORIZATION = b'Authorization'
 WAIT_MS = b'Wait-Ms'
 
--- a/yuccagauge/platform/requests.py
+++ b/yuccagauge/platform/requests.py
@@ -107,6 +107,7 @@
             else None,
             rate_limit=rate_limit,
             malformed_rate_limit=malformed_rate_limit,
+            is_leaving=head.get(names.SERVER_LEAVING.lower()).strip() == '1',
         )
 
     def end_to_end_headers(self, head: ResponseHead) -> tuple[Header, ...]:
@@ -120,19 +121,24 @@
     A limit of 0 is malformed too: it could never be seen to end, because the
     server would get no call to answer.
     """
-    texts = [
-        value.decode('latin-1').strip()
-        for name, value in head.headers
-        if name.lower() == names.SERVER_LIMIT.lower()
-    ]
-    if not texts:
+    stated = _stated(head, names.SERVER_LIMIT)
+    if stated is None:
         return None, ''
-    stated = ','.join(texts)
     if _DECIMAL.fullmatch(stated) and float(stated) > 0:
         return float(stated), ''
     return None, stated or 'empty'
 
 
+def _stated(head: ResponseHead, name: bytes) -> str | None:
+    """Return all values of a header, or ``None`` if it is absent."""
+    texts = [
+        value.decode('latin-1').strip()
+        for found, value in head.headers
+        if found.lower() == name.lower()
+    ]
+    return ','.join(texts) if texts else None
+
+
 def _remove_hop_by_hop(headers: Iterable[Header]) -> list[Header]:
     """Return the headers that are not bound to one connection."""
     headers = tuple(headers)
--- a/yuccagauge/relay/adapter.py
+++ b/yuccagauge/relay/adapter.py
@@ -1,6 +1,7 @@
 """The platform-specific components that a relay needs."""
 
-from dataclasses import dataclass
+from collections.abc import Callable
+from dataclasses import dataclass, field
 from typing import Any, Protocol
 
 from yuccagauge.cachefeed.base import CacheEventSource
@@ -8,10 +9,13 @@
 from yuccagauge.directory.store import KeyedStore
 from yuccagauge.dispatch.connection import ConnectionPool
 from yuccagauge.quarantine.archive import CrashStore
-from yuccagauge.relay.base import BackendProtocol, CallDecoder
+from yuccagauge.relay.base import BackendProtocol, CallDecoder, ResponseInfo
 from yuccagauge.rollout.base import LeaseStore, WeightsOrderClient
+from yuccagauge.settings.options import Endpoint
 from yuccagauge.settings.relay import RelaySettings
 
+AnswerListener = Callable[[Endpoint, ResponseInfo], None]
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PlatformAdapter:
@@ -27,6 +31,8 @@
     cache_event_source: CacheEventSource
     #: Path of the load balancer's readiness check.
     ready_path: str
+    #: Called when an engine has answered a call of the router itself.
+    answer_listeners: list[AnswerListener] = field(default_factory=list)
 
 
 class AdapterFactory(Protocol):
--- a/yuccagauge/relay/attempt.py
+++ b/yuccagauge/relay/attempt.py
@@ -82,6 +82,7 @@
             load.reported_weights[name] = info.weights_version
         if info is not None:
             self._record_rate_limit(info)
+            self._record_statements(info)
 
     def record_output(self) -> None:
         """Record that the server sent a part of the answer."""
@@ -178,6 +179,16 @@
         elif info.malformed_rate_limit:
             limits.record_malformed(server_id, info.malformed_rate_limit)
 
+    def _record_statements(self, info: ResponseInfo) -> None:
+        """Record what the server that answered states about itself."""
+        server = self._placement.server
+        if info.is_misdirected and info.server_id:
+            # The address belongs to another server now.
+            server = self._context.directory.servers.get(info.server_id)
+        if server is not None:
+            statements = self._context.selector.statements
+            statements.record(server, info, self._now())
+
     def _is_server_quiet(self) -> bool:
         """Return whether the server sent nothing since it got the run.
 
--- a/yuccagauge/relay/base.py
+++ b/yuccagauge/relay/base.py
@@ -182,6 +182,8 @@
     rate_limit: float | None = None
     #: The limit as the server states it, if that is malformed.
     malformed_rate_limit: str = ''
+    #: Whether the server states that it leaves.
+    is_leaving: bool = False
 
     @property
     def shows_rate_limit(self) -> bool:
--- a/yuccagauge/relay/changes.py
+++ b/yuccagauge/relay/changes.py
@@ -1,9 +1,21 @@
-"""Log lines of changes of the servers and of the named weights."""
+"""Log lines of changes of the configuration, servers and named weights."""
 
+from yuccagauge.directory.base import Configuration
 from yuccagauge.selection.base import FleetView
 from yuccagauge.telemetry.journal import log_state_change
 
 
+def log_configuration(configuration: Configuration) -> None:
+    """Log the size of a configuration that is in force from now on."""
+    log_state_change(
+        'configuration_in_force',
+        version=configuration.version,
+        routes=len(configuration.routes),
+        customers=len(configuration.customers),
+        keys=len(configuration.customer_by_api_key),
+    )
+
+
 def log_fleet_changes(before: FleetView, after: FleetView) -> None:
     """Log servers that appear, change or disappear, and new weights."""
     for server_id, server in after.servers.items():
--- a/yuccagauge/relay/pages.py
+++ b/yuccagauge/relay/pages.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from twisted.web.resource import Resource
-from twisted.web.server import Request
+from twisted.web.server import Request, Site
 
 from yuccagauge.telemetry.meter import render_prometheus
 
@@ -49,3 +49,10 @@
         """Return the current values of all metrics."""
         request.setHeader(b'Content-Type', b'text/plain; version=0.0.4')
         return render_prometheus()
+
+
+def page_site(page: Resource) -> Site:
+    """Return the site of a page, which logs no requests."""
+    site = Site(page)
+    site.noisy = False
+    return site
--- a/yuccagauge/relay/router.py
+++ b/yuccagauge/relay/router.py
@@ -7,7 +7,6 @@
 
 from twisted.internet.defer import Deferred, DeferredList, maybeDeferred
 from twisted.internet.interfaces import IListeningPort
-from twisted.web.server import Site
 
 from yuccagauge.cachefeed.feed import CacheFeed
 from yuccagauge.clock import Clock, Millis, in_millis, in_seconds
@@ -21,10 +20,11 @@
 from yuccagauge.quarantine.ledger import CrashLedger
 from yuccagauge.ratelimit.limits import ServerLimits
 from yuccagauge.relay.adapter import AdapterFactory
-from yuccagauge.relay.changes import log_fleet_changes
+from yuccagauge.relay.base import ResponseInfo
+from yuccagauge.relay.changes import log_configuration, log_fleet_changes
 from yuccagauge.relay.channel import CallerFactory
 from yuccagauge.relay.context import RelayContext, RetryBudgetSettings
-from yuccagauge.relay.pages import MetricsPage, ReadyPage
+from yuccagauge.relay.pages import MetricsPage, ReadyPage, page_site
 from yuccagauge.relay.relay import Relay
 from yuccagauge.rendezvous import rendezvous_rank
 from yuccagauge.rollout.driver import RolloutDriver
@@ -33,7 +33,11 @@
 from yuccagauge.selection.base import FleetView
 from yuccagauge.selection.selector import Selector
 from yuccagauge.settings.options import Endpoint
-from yuccagauge.settings.relay import RelaySettings, load_relay_settings
+from yuccagauge.settings.relay import (
+    RelaySettings,
+    changed_sections,
+    load_relay_settings,
+)
 from yuccagauge.tasks import PeriodicTask
 from yuccagauge.telemetry.journal import log_state_change
 from yuccagauge.wire.client import PeerClient
@@ -187,6 +191,26 @@
     def start(self) -> None:
         """Open the ports and start to follow the store."""
         section = self._settings.relay
+        self._connect_components()
+        ready = ReadyPage(self._adapter.ready_path, lambda: self.is_ready)
+        self._listen(section.listen, self._callers)
+        self._listen(section.ready_listen, page_site(ready))
+        self._listen(section.metrics_listen, page_site(MetricsPage()))
+        self._exchange.start()
+        self._crash_archive.start()
+        for follower in self._followers.values():
+            follower.start()
+        self._rollout.start()
+        self._election.start()
+        self._upkeep.start(_UPKEEP_INTERVAL_S, now=False)
+        log_state_change(
+            'router_started',
+            router=section.name,
+            data_centre=section.data_centre,
+            listen=section.listen,
+        )
+
+    def _connect_components(self) -> None:
         self._directory.listeners.append(self._apply_directory_change)
         server_follower = self._followers[Topic.SERVERS]
         server_follower.on_entry = self._record_server_entry
@@ -198,28 +222,12 @@
             self._leader_lease.observe_peer_order(self._clock.now())
         )
         self._exchange.merger.on_peer_left = self._election.check_now
+        self._adapter.answer_listeners.append(self._record_engine_answer)
         self._context.parts.probe_rank = self._rank
         self._context.on_unresponsive = self._exchange.broadcast_unresponsive
         self._selector.limits.on_change = self._exchange.broadcast_limit
         self._rollout.on_engines_paused = self._exchange.broadcast_pause
         self._rollout.on_weights_loaded = self._exchange.broadcast_weights
-        ready = ReadyPage(self._adapter.ready_path, lambda: self.is_ready)
-        self._listen(section.listen, self._callers)
-        self._listen(section.ready_listen, _site(ready))
-        self._listen(section.metrics_listen, _site(MetricsPage()))
-        self._exchange.start()
-        self._crash_archive.start()
-        for follower in self._followers.values():
-            follower.start()
-        self._rollout.start()
-        self._election.start()
-        self._upkeep.start(_UPKEEP_INTERVAL_S, now=False)
-        log_state_change(
-            'router_started',
-            router=section.name,
-            data_centre=section.data_centre,
-            listen=section.listen,
-        )
 
     def reload(self, path: str) -> None:
         """Check and log changed settings without applying them.
@@ -231,11 +239,7 @@
         except SettingsError as error:
             log_state_change('settings_refused', reason=str(error))
             return
-        changed = [
-            name
-            for name in ('relay', 'store', 'stop', 'retries', 'weights')
-            if getattr(new_settings, name) != getattr(self._settings, name)
-        ]
+        changed = changed_sections(self._settings, new_settings)
         log_state_change('settings_read', changed_sections=changed)
 
     def stop_gracefully(self) -> Deferred[Any]:
@@ -380,13 +384,14 @@
             configuration.version != self._configuration_version
         ):
             self._configuration_version = configuration.version
-            log_state_change(
-                'configuration_in_force',
-                version=configuration.version,
-                routes=len(configuration.routes),
-                customers=len(configuration.customers),
-                keys=len(configuration.customer_by_api_key),
-            )
+            log_configuration(configuration)
+
+    def _record_engine_answer(
+        self, endpoint: Endpoint, info: ResponseInfo
+    ) -> None:
+        self._selector.statements.record_answer(
+            self._directory.servers.values(), endpoint, info, self._clock.now()
+        )
 
     def _record_server_entry(self, server_id: str, after: Millis) -> None:
         """Record that a server's incarnation ran when its entry was written."""
@@ -397,9 +402,3 @@
                 server.incarnation,
                 Millis(after - LATE_HEARTBEAT_TIME),
             )
-
-
-def _site(page: Any) -> Site:
-    site = Site(page)
-    site.noisy = False
-    return site
--- a/yuccagauge/selection/load.py
+++ b/yuccagauge/selection/load.py
@@ -249,6 +249,10 @@
         sample = max(MINIMUM_SLOWDOWN, min(MAXIMUM_SLOWDOWN, sample))
         self.slowdown += SLOWDOWN_SAMPLE_WEIGHT * (sample - self.slowdown)
 
+    def is_available(self, now: Millis) -> bool:
+        """Return whether the server is neither paused nor loading weights."""
+        return now >= self.paused_until and now >= self.loading_until
+
     def record_unreachable(self, now: Millis) -> None:
         """Pause a server that cannot be reached at its address.
 
--- a/yuccagauge/selection/selector.py
+++ b/yuccagauge/selection/selector.py
@@ -27,6 +27,7 @@
 from yuccagauge.selection.load import ActiveCall, PeerCoverage, ServerLoad
 from yuccagauge.selection.rategate import RateGate
 from yuccagauge.selection.responsive import responsive_servers
+from yuccagauge.selection.statements import ServerStatements
 from yuccagauge.settings.options import Endpoint
 
 #: Margin before the time from which no call may start on an engine with
@@ -66,6 +67,7 @@
         self.late_waits = LateWaitEstimator()
         self.cache_map = CacheMap()
         self._rate_gate = RateGate()
+        self.statements = ServerStatements()
         #: Ids of the engines whose cache events this router receives.
         self.engines_with_cache_events: set[str] = set()
 
@@ -161,6 +163,7 @@
             for server in servers
             if server.state is ServerState.READY
             and server.server_id not in request.excluded_servers
+            and not self.statements.is_leaving(server)
         ]
         available = [
             server for server in ready if self._is_available(server, now)
@@ -210,9 +213,7 @@
 
     def _is_available(self, server: BackendServer, now: Millis) -> bool:
         load = self._loads.get(server.server_id)
-        if load is None:
-            return True
-        return now >= load.paused_until and now >= load.loading_until
+        return load is None or load.is_available(now)
 
     def _choose_server(
         self,
--- a/yuccagauge/settings/relay.py
+++ b/yuccagauge/settings/relay.py
@@ -1,5 +1,6 @@
 """Settings of a relay process."""
 
+import dataclasses
 from dataclasses import dataclass
 
 from yuccagauge.clock import Millis
@@ -169,3 +170,12 @@
             for name, kind in RELAY_SECTIONS.items()
         },
     )
+
+
+def changed_sections(old: RelaySettings, new: RelaySettings) -> list[str]:
+    """Return the names of the sections that differ."""
+    return [
+        section.name
+        for section in dataclasses.fields(RelaySettings)
+        if getattr(old, section.name) != getattr(new, section.name)
+    ]
--- a/yuccagauge/wire/messages.capnp
+++ b/yuccagauge/wire/messages.capnp
@@ -223,6 +223,12 @@
   ageMs @3 :UInt32;
 }
 
+struct FleetLeaving {
+  server @0 :Text;
+  # Unix time of its start in ms; 0 if it is not known.
+  startedAt @1 :UInt64;
+}
+
 struct FleetPartCrash {
   # Id of the crash.
   crash @0 :Text;
@@ -290,4 +296,6 @@
   limits @14 :List(FleetLimit);
   # Evidence on parts of prompts that may crash servers.
   parts @15 :List(FleetPartEvidence);
+  # Servers that have stated that they leave.
+  leaving @16 :List(FleetLeaving);
 }
