Check the ages of crashes that peers report, and bound those that are sent

A run that a peer reports as sent 49 days ago, or as sent after its end, was stored and sent on; and the age of a part that was answered 90 days ago does not fit the field of the message. Either made the encoder fail in each exchange, so that the router sent nothing to its peers any more.

Implausible crashes are dropped, ages are cut to the field's range, and crashes of suspects expire one by one. The blame is computed only if a changed part has enough crashes for it.

--- a/features/quarantine/parts.feature
+++ b/features/quarantine/parts.feature
@@ -104,3 +104,15 @@
     And 10 minutes pass
     Then no part is blamed
     And no evidence is sent
+
+  Scenario: Implausible evidence of a peer is ignored
+    Given 3 part quarantines that each see a crash under a request with "bad"
+    When a peer sends crashes of "odd" with ages that no run has
+    Then no evidence on "odd" is sent
+
+  Scenario: Evidence on a part that was answered long ago can be sent
+    Given a part quarantine
+    And requests with "old" are answered
+    When 90 days pass
+    And engines crash under 2 requests with "old"
+    Then the message with the evidence can be encoded
--- a/features/steps/part_quarantine_steps.py
+++ b/features/steps/part_quarantine_steps.py
@@ -6,14 +6,20 @@
 from behave.runner import Context
 
 from yuccagauge.clock import ManualClock, Millis
-from yuccagauge.quarantine.evidence import PartCrash
+from yuccagauge.exchange.parts import part_evidence
+from yuccagauge.quarantine.evidence import PartCrash, PartEvidence
 from yuccagauge.quarantine.parts import EVIDENCE_DURATION, PartQuarantine
+from yuccagauge.settings.options import Endpoint
+from yuccagauge.wire.codec import decode, encode
+from yuccagauge.wire.fleetmessages import FleetExchange
 
 #: Time from the send of a run to its end, and between two runs.
 _RUN = Millis(100)
 _PAUSE = Millis(200)
 _LIMIT = 24
 
+_ENDPOINT = Endpoint('127.0.0.1', 1)
+
 
 def _crash(
     context: Context,
@@ -287,6 +293,46 @@
     context.clock.advance(EVIDENCE_DURATION)
 
 
+@when('90 days pass')
+def pass_days(context: Context) -> None:
+    """Pass more time than 32 bits of milliseconds hold."""
+    context.clock.advance(Millis(90 * 86_400_000))
+
+
+@then('the message with the evidence can be encoded')
+def check_encoding(context: Context) -> None:
+    """Guard against a number that ends all exchanges."""
+    sent = context.parts.evidence(_LIMIT, context.clock.now())
+    message = FleetExchange(
+        name='r', endpoint=_ENDPOINT, data_centre='a', parts=part_evidence(sent)
+    )
+    assert decode(encode(message, 'r'), _ENDPOINT).message == message
+
+
+@when('a peer sends crashes of "{part}" with ages that no run has')
+def send_implausible(context: Context, part: str) -> None:
+    """Send a run that was noticed before it was sent, and an endless one."""
+    now = context.clock.now()
+    crashes = tuple(
+        PartCrash(
+            crash=f'c{sent_age}',
+            request='r',
+            sent_at=Millis(sent_age),
+            noticed_at=Millis(500),
+        )
+        for sent_age in (100, 2**32 - 1)
+    )
+    evidence = PartEvidence(part_id=part, crashes=crashes, sound_age=None)
+    context.quarantines[0].merge((evidence,), now)
+
+
+@then('no evidence on "{part}" is sent')
+def check_ignored(context: Context, part: str) -> None:
+    """Guard against a peer whose message spoils those of this router."""
+    sent = context.quarantines[0].evidence(_LIMIT, context.clock.now())
+    assert part not in {each.part_id for each in sent}, sent
+
+
 @then('no evidence is sent')
 def check_no_evidence(context: Context) -> None:
     """Guard against messages that never end."""
--- a/yuccagauge/exchange/parts.py
+++ b/yuccagauge/exchange/parts.py
@@ -124,7 +124,7 @@
                 for crash in evidence.crashes
             ),
             is_sound=evidence.sound_age is not None,
-            sound_age_ms=evidence.sound_age or 0,
+            sound_age_ms=min(evidence.sound_age or 0, MAXIMUM_NUMBER),
         )
         for evidence in known
     )
--- a/yuccagauge/quarantine/evidence.py
+++ b/yuccagauge/quarantine/evidence.py
@@ -72,6 +72,14 @@
             self.crashes.pop(oldest.crash)
         return known is None
 
+    def drop_until(self, time: Millis) -> None:
+        """Drop the crashes that were noticed up to a time."""
+        self.crashes = {
+            name: crash
+            for name, crash in self.crashes.items()
+            if crash.noticed_at > time
+        }
+
     def open_crashes(self, sound_at: Millis | None) -> tuple[PartCrash, ...]:
         """Return the crashes after the last proof that the part is sound."""
         return tuple(
@@ -86,6 +94,16 @@
         )
 
 
+def is_valid_age(crash: PartCrash, maximum: Millis) -> bool:
+    """Return whether the ages of a crash that a peer reports are plausible.
+
+    A run lasts less than the time for which its crash is evidence.
+    """
+    return 0 <= crash.noticed_at < maximum and (
+        crash.noticed_at <= crash.sent_at < crash.noticed_at + maximum
+    )
+
+
 def independent_crashes(
     crashes: tuple[PartCrash, ...], explained: Set[str] = frozenset()
 ) -> int:
--- a/yuccagauge/quarantine/parts.py
+++ b/yuccagauge/quarantine/parts.py
@@ -23,6 +23,7 @@
     PartEvidence,
     PartRecord,
     independent_crashes,
+    is_valid_age,
 )
 from yuccagauge.quarantine.listener import PartCrashListener
 from yuccagauge.quarantine.partevents import (
@@ -41,6 +42,9 @@
 #: How long a crash is evidence.
 EVIDENCE_DURATION = Millis(600_000)
 
+#: Time between two looks for evidence that has expired.
+EXPIRY_PERIOD = Millis(1000)
+
 #: Parts with crashes, and sound parts, that are tracked. The one without a
 #: recent change is dropped first.
 MAXIMUM_PARTS = 10_000
@@ -99,6 +103,8 @@
         #: Returns how many other routers may probe a part before this one.
         self.probe_rank: Callable[[str], int] = lambda part_id: 0
         self.listeners: list[PartCrashListener] = []
+        #: When crashes are next looked at that may have expired.
+        self._expires_at = Millis(0)
 
     def __len__(self) -> int:
         """Return the number of parts with crashes."""
@@ -142,14 +148,14 @@
         )
 
     def record_crash(
-        self, part_ids: Iterable[str], crash: PartCrash, now: Millis
+        self, part_ids: tuple[str, ...], crash: PartCrash, now: Millis
     ) -> None:
         """Record a run that broke before its answer had begun for long."""
         for part_id in part_ids:
             self._add_crash(part_id, crash, now)
             for listener in self.listeners:
                 listener.part_crash_added(part_id, crash)
-        self._update_blame(now)
+        self._update_blame_of(part_ids, now)
 
     def record_sound(
         self, part_ids: Iterable[str], began_at: Millis, now: Millis
@@ -185,14 +191,17 @@
 
     def merge(self, evidence: Iterable[PartEvidence], now: Millis) -> None:
         """Add the evidence that a peer sent."""
-        for each in evidence:
-            if each.sound_age is not None:
-                began_at = Millis(now - each.sound_age - MESSAGE_DELAY)
-                self._record_sound_part(each.part_id, began_at, now)
-            for crash in each.crashes:
-                if 0 <= crash.noticed_at < EVIDENCE_DURATION:
-                    self._add_crash(each.part_id, _by_age(crash, now), now)
-        self._update_blame(now)
+        changed: list[str] = []
+        for reported in evidence:
+            part_id = reported.part_id
+            changed.append(part_id)
+            if reported.sound_age is not None:
+                began_at = Millis(now - reported.sound_age - MESSAGE_DELAY)
+                self._record_sound_part(part_id, began_at, now)
+            for crash in reported.crashes:
+                if is_valid_age(crash, EVIDENCE_DURATION):
+                    self._add_crash(part_id, _by_age(crash, now), now)
+        self._update_blame_of(changed, now)
 
     def _record_sound_part(
         self, part_id: str, began_at: Millis, now: Millis
@@ -236,6 +245,19 @@
         if len(self._records) > self._maximum:
             self._drop(self._least_important())
 
+    def _update_blame_of(self, part_ids: Iterable[str], now: Millis) -> None:
+        """Update the blame if one of these parts has enough crashes for it.
+
+        Load pattern: a fault of the network breaks thousands of runs at once,
+        of which each changes the evidence on a few parts.
+        """
+        if any(
+            len(self._records[part_id].crashes) >= BLAMED_CRASHES
+            for part_id in part_ids
+            if part_id in self._records
+        ):
+            self._update_blame(now)
+
     def _update_blame(self, now: Millis) -> None:
         """Blame the parts that explain the crashes best."""
         self._drop_expired(now)
@@ -263,6 +285,7 @@
                 self._sound_at.get(part_id)
             )
             for part_id in self._suspects
+            if len(self._records[part_id].crashes) >= BLAMED_CRASHES
         }
         blamed: dict[str, int] = {}
         explained: set[str] = set()
@@ -334,14 +357,15 @@
         )
 
     def _drop_expired(self, now: Millis) -> None:
-        """Drop the parts whose last crash is no evidence any longer."""
-        expired = [
-            part_id
-            for part_id in self._suspects
-            if now - self._records[part_id].crashed_at >= EVIDENCE_DURATION
-        ]
-        for part_id in expired:
-            self._drop(part_id)
+        """Drop the crashes of suspects that are no evidence any longer."""
+        if now < self._expires_at:
+            return
+        self._expires_at = Millis(now + EXPIRY_PERIOD)
+        for part_id in tuple(self._suspects):
+            record = self._records[part_id]
+            record.drop_until(Millis(now - EVIDENCE_DURATION))
+            if not record.crashes:
+                self._drop(part_id)
 
     def _least_important(self) -> str:
         """Return the oldest part, if possible one that is no suspect."""
@@ -353,6 +377,8 @@
     def _drop(self, part_id: str) -> None:
         self._records.pop(part_id)
         self._suspects.pop(part_id, None)
+        if self._blamed.pop(part_id, None) is not None:
+            log_released(part_id, is_sound=False)
 
 
 def _by_age(crash: PartCrash, now: Millis) -> PartCrash:
--- a/yuccagauge/relay/router.py
+++ b/yuccagauge/relay/router.py
@@ -353,7 +353,7 @@
         )
 
     def _router_names(self) -> Iterable[str]:
-        return (member.name for member in self._exchange.peers)
+        return (peer.name for peer in self._exchange.peers)
 
     def _listen(self, endpoint: Endpoint, factory: Any) -> None:
         port = self._reactor.listenTCP(
