--- a/features/quarantine/parts.feature
+++ b/features/quarantine/parts.feature
@@ -116,3 +116,15 @@
     When 90 days pass
     And engines crash under 2 requests with "old"
     Then the message with the evidence can be encoded
+
+  Scenario Outline: Guilty parts are found after few crashes, and sound requests are served
+    When <routers> routers are simulated with <parts> guilty parts in <percent> % of the requests
+    Then at most 3 guilty requests are sent later than 3 s after the fifth crash
+    And less than 1 % of the sound requests are refused
+
+    Examples:
+      | routers | parts | percent |
+      | 8       | 1     | 5       |
+      | 8       | 1     | 1       |
+      | 8       | 2     | 5       |
+      | 8       | 1     | 0       |
