--- a/features/relay/endings.feature
+++ b/features/relay/endings.feature
@@ -46,3 +46,11 @@
     Given a relay with a model engine that fails with 500 and half of an event
     When a caller calls "talk"
     Then the caller gets status 500
+
+  Scenario: A slow stream is not cut, and one that only drips bytes ends at its deadline
+    Given a relay with a model engine that streams 4 events, one every 300 ms
+    When a caller calls "talk"
+    Then the caller has the events "0 1 2 3" and a complete answer
+    Given a relay with a model engine that sends a byte of one event every 100 ms
+    When a caller calls "talk"
+    Then the caller gets status 504
--- a/features/steps/relay_ending_steps.py
+++ b/features/steps/relay_ending_steps.py
@@ -2,8 +2,15 @@
 
 from behave import given
 from behave.runner import Context
+from twisted.internet import reactor
 
-from features.relay_servers import HALF_EVENT, end_stream
+from features.relay_servers import (
+    CHUNKED,
+    HALF_EVENT,
+    end_stream,
+    event,
+    open_event_stream,
+)
 from features.scripted_server import Exchange
 from features.steps.relay_steps import add_engine, start_relay_with_engine
 
@@ -52,3 +59,37 @@
         )
 
     start_relay_with_engine(context, fail)
+
+
+@given(
+    'a relay with a model engine that streams {count:d} events, one every '
+    '{ms:d} ms'
+)
+def relay_with_slow_engine(context: Context, count: int, ms: int) -> None:
+    """Start a relay with an engine that is slow and sound."""
+
+    def stream(exchange: Exchange) -> None:
+        open_event_stream(exchange, CHUNKED)
+        for number in range(count):
+            reactor.callLater(number * ms / 1000, exchange.chunk, event(number))
+        reactor.callLater(count * ms / 1000, exchange.chunk, b'')
+
+    start_relay_with_engine(context, stream)
+
+
+@given(
+    'a relay with a model engine that sends a byte of one event every {ms:d} ms'
+)
+def relay_with_dripping_engine(context: Context, ms: int) -> None:
+    """Start a relay with an engine whose event never ends."""
+
+    def drip(exchange: Exchange) -> None:
+        if not exchange.lost:
+            exchange.chunk(b'x')
+            reactor.callLater(ms / 1000, drip, exchange)
+
+    def stream(exchange: Exchange) -> None:
+        open_event_stream(exchange, CHUNKED)
+        drip(exchange)
+
+    start_relay_with_engine(context, stream)
