Forget settled crashes together with the answer that settled them

The time of the latest answer on a part is kept for 10,000 parts. Once it was dropped, the crashes that it had settled counted again, and the next one could blame a part that thousands of answers had shown to be sound. The crashes go with it now. The scenario 'Crashes that an answer has settled accuse no part once the answer is forgotten' failed before.

--- a/features/quarantine/parts.feature
+++ b/features/quarantine/parts.feature
@@ -98,6 +98,14 @@
     Then the evidence that is sent first has "bad"
     And the part quarantine tracks at most 10000 parts
 
+  Scenario: Crashes that an answer has settled accuse no part once the answer is forgotten
+    Given a part quarantine that tracks 10 parts
+    When engines crash under 4 requests with "hot"
+    And requests with "hot" are answered
+    And requests with 11 other parts are answered
+    And engines crash under 1 request with "hot"
+    Then no part is blamed
+
   Scenario: Crashes are evidence for 10 minutes
     Given a part quarantine
     When engines crash under 3 requests with "bad"
--- a/features/steps/exchange_steps.py
+++ b/features/steps/exchange_steps.py
@@ -53,7 +53,7 @@
             directory=self.directory,
             selector=self.selector,
             quarantine=self.quarantine,
-            parts=PartQuarantine(),
+            part_quarantine=PartQuarantine(),
             reactor=reactor,
             clock=self.clock,
             random_fraction=random.Random(name).random,
--- a/features/steps/part_quarantine_steps.py
+++ b/features/steps/part_quarantine_steps.py
@@ -59,6 +59,20 @@
     context.parts = PartQuarantine()
 
 
+@given('a part quarantine that tracks {maximum:d} parts')
+def create_small_quarantine(context: Context, maximum: int) -> None:
+    """Create a quarantine that soon forgets parts."""
+    create_quarantine(context)
+    context.parts = PartQuarantine(maximum)
+
+
+@when('requests with {count:d} other parts are answered')
+def answer_others(context: Context, count: int) -> None:
+    """Answer requests with parts that no other one has."""
+    for number in range(count):
+        _answer(context, context.parts, f'other{number}')
+
+
 @given('a part quarantine that tests parts as the fifth router')
 def create_fifth_quarantine(context: Context) -> None:
     """Create a quarantine of a router that four others come before."""
--- a/features/steps/relay_part_steps.py
+++ b/features/steps/relay_part_steps.py
@@ -17,7 +17,7 @@
 
 
 def _parts(context: Context) -> PartQuarantine:
-    return context.fixture.relay_context.parts
+    return context.fixture.relay_context.part_quarantine
 
 
 def _blame(context: Context, part: str, age: Millis) -> None:
--- a/yuccagauge/exchange/merger.py
+++ b/yuccagauge/exchange/merger.py
@@ -27,7 +27,7 @@
     ----------
     name
         Name of this router.
-    directory, selector, quarantine, parts
+    directory, selector, quarantine, part_quarantine
         Get the records, loads, suspicions and evidence on parts of prompts of
         the messages.
     clock
@@ -40,14 +40,14 @@
         directory: Directory,
         selector: Selector,
         quarantine: Quarantine,
-        parts: PartQuarantine,
+        part_quarantine: PartQuarantine,
         clock: Clock,
     ) -> None:
         """Start without known routers."""
         self._directory = directory
         self._selector = selector
         self._quarantine = quarantine
-        self._parts = parts
+        self._part_quarantine = part_quarantine
         self._clock = clock
         self._members = MemberList(name)
         self._known_names: frozenset[str] = frozenset()
@@ -140,7 +140,7 @@
             tuple(_suspicion(part) for part in message.suspicions),
             now,
         )
-        self._parts.merge(parse_part_evidence(message.parts), now)
+        self._part_quarantine.merge(parse_part_evidence(message.parts), now)
 
     def _apply_statements(self, message: FleetExchange) -> None:
         statements = self._selector.statements
--- a/yuccagauge/exchange/service.py
+++ b/yuccagauge/exchange/service.py
@@ -64,11 +64,10 @@
     name, endpoint, data_centre
         Identity, peer address and data centre of this router.
     seeds
-        Routers to ask while no other router is known, and occasionally
-        later.
+        Routers to ask while no other is known, and occasionally later.
     server, client
         Accept and open connections with other routers.
-    directory, selector, quarantine, parts
+    directory, selector, quarantine, part_quarantine
         Hold the state that is sent and merged.
     reactor, clock
         Schedule the messages and tell the time.
@@ -88,7 +87,7 @@
         directory: Directory,
         selector: Selector,
         quarantine: Quarantine,
-        parts: PartQuarantine,
+        part_quarantine: PartQuarantine,
         reactor: Any,
         clock: Clock,
         random_fraction: Callable[[], float],
@@ -103,11 +102,11 @@
         self._directory = directory
         self._selector = selector
         self._quarantine = quarantine
-        self._parts = parts
+        self._part_quarantine = part_quarantine
         self._clock = clock
         self._random_fraction = random_fraction
         self._merger = MessageMerger(
-            name, directory, selector, quarantine, parts, clock
+            name, directory, selector, quarantine, part_quarantine, clock
         )
         self._permit_broker = PermitBroker(
             name,
@@ -356,7 +355,9 @@
                     ),
                 ),
                 parts=message_parts.part_evidence(
-                    self._parts.evidence(message_parts.MAXIMUM_PARTS, now)
+                    self._part_quarantine.evidence(
+                        message_parts.MAXIMUM_PARTS, now
+                    )
                 ),
                 leaving=message_parts.leaving(
                     self._selector.statements.leaving(
--- a/yuccagauge/quarantine/parts.py
+++ b/yuccagauge/quarantine/parts.py
@@ -212,7 +212,7 @@
         self._sound_at[part_id] = began_at
         self._sound_at.move_to_end(part_id)
         if len(self._sound_at) > self._maximum:
-            self._sound_at.popitem(last=False)
+            self._forget_oldest_answer()
         record = self._records.get(part_id)
         if record is None:
             return
@@ -223,10 +223,18 @@
         )
         if settled:
             self._store_change(part_id, record, now)
-            self._update_blame(now)
+            if part_id in self._blamed:
+                self._update_blame(now)
             for listener in self.listeners:
                 listener.part_crashes_settled(part_id, settled)
 
+    def _forget_oldest_answer(self) -> None:
+        """Forget when a part was answered, and the crashes that this settled."""
+        part_id, sound_at = self._sound_at.popitem(last=False)
+        record = self._records.get(part_id)
+        if record is not None:
+            record.drop_until(sound_at)
+
     def _add_crash(self, part_id: str, crash: PartCrash, now: Millis) -> None:
         record = self._records.get(part_id, PartRecord())
         if record.add(crash):
--- a/yuccagauge/relay/attempt.py
+++ b/yuccagauge/relay/attempt.py
@@ -58,7 +58,7 @@
             call.fingerprint,
             placement.server.endpoint,
         )
-        self._known_part_crashes = context.parts.known_crashes(
+        self._known_part_crashes = context.part_quarantine.known_crashes(
             call.shared_part_ids
         )
 
@@ -98,7 +98,7 @@
         now = self._now()
         if not self._is_sound:
             self._is_sound = True
-            self._context.parts.record_sound(
+            self._context.part_quarantine.record_sound(
                 self._call.shared_part_ids, self._first_output_at or now, now
             )
 
@@ -236,7 +236,7 @@
     def _record_possible_crash_of_parts(self) -> None:
         now = self._now()
         server = self._placement.server
-        self._context.parts.record_crash(
+        self._context.part_quarantine.record_crash(
             self._call.shared_part_ids,
             PartCrash(
                 crash=crash_id(
--- a/yuccagauge/relay/context.py
+++ b/yuccagauge/relay/context.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from yuccagauge.clock import Clock, Millis
+from yuccagauge.clock import Clock, Millis, in_millis
 from yuccagauge.directory.state import Directory
 from yuccagauge.dispatch.base import CallLater
 from yuccagauge.dispatch.connection import ConnectionPool
@@ -13,6 +13,7 @@
 from yuccagauge.relay.base import BackendProtocol, CallDecoder, RelayCall
 from yuccagauge.selection.budget import FleetRetryBudget
 from yuccagauge.selection.selector import Selector
+from yuccagauge.settings.relay import RetrySection
 
 
 class RunningCall(Protocol):
@@ -34,6 +35,15 @@
     window: Millis
 
 
+def retry_budget_settings(section: RetrySection) -> RetryBudgetSettings:
+    """Return the limits that the process settings state."""
+    return RetryBudgetSettings(
+        ratio=section.ratio,
+        slack=section.slack,
+        window=in_millis(section.window_s),
+    )
+
+
 @dataclass(slots=True, kw_only=True)
 class RelayContext:
     """State and components that all calls of a router share."""
@@ -54,7 +64,7 @@
     on_unresponsive: Callable[[str], None] = lambda server_id: None
     quarantine: Quarantine = field(default_factory=Quarantine)
     #: The shared parts of prompts that may crash servers.
-    parts: PartQuarantine = field(default_factory=PartQuarantine)
+    part_quarantine: PartQuarantine = field(default_factory=PartQuarantine)
     #: Calls that are not answered yet, by request id.
     running_calls: dict[str, RunningCall] = field(default_factory=dict)
     _budgets: dict[str, FleetRetryBudget] = field(default_factory=dict)
@@ -64,7 +74,8 @@
         status = self.quarantine.status(call.fingerprint, now)
         return status is QuarantineStatus.REFUSED or (
             not call.is_probe
-            and self.parts.blamed_part(call.shared_part_ids, now) is not None
+            and self.part_quarantine.blamed_part(call.shared_part_ids, now)
+            is not None
         )
 
     def record_request(self, service: str) -> None:
--- a/yuccagauge/relay/relay.py
+++ b/yuccagauge/relay/relay.py
@@ -134,11 +134,11 @@
         context = self._context
         now = context.clock.now()
         part_ids = shared_part_ids(fields.parts)
-        blamed_part = context.parts.blamed_part(part_ids, now)
+        blamed_part = context.part_quarantine.blamed_part(part_ids, now)
         status = context.quarantine.status(fingerprint, now)
         is_refused = status is QuarantineStatus.REFUSED
         if blamed_part is not None and not is_refused:
-            if context.parts.try_probe(part_ids, now):
+            if context.part_quarantine.try_probe(part_ids, now):
                 return True
             is_refused = True
         if is_refused:
--- a/yuccagauge/relay/router.py
+++ b/yuccagauge/relay/router.py
@@ -9,7 +9,7 @@
 from twisted.internet.interfaces import IListeningPort
 
 from yuccagauge.cachefeed.feed import CacheFeed
-from yuccagauge.clock import Clock, Millis, in_millis, in_seconds
+from yuccagauge.clock import Clock, Millis, in_seconds
 from yuccagauge.directory import readpolicy
 from yuccagauge.directory.follower import TopicFollower
 from yuccagauge.directory.state import Directory, Topic
@@ -23,7 +23,7 @@
 from yuccagauge.relay.base import ResponseInfo
 from yuccagauge.relay.changes import log_configuration, log_fleet_changes
 from yuccagauge.relay.channel import CallerFactory
-from yuccagauge.relay.context import RelayContext, RetryBudgetSettings
+from yuccagauge.relay.context import RelayContext, retry_budget_settings
 from yuccagauge.relay.pages import MetricsPage, ReadyPage, page_site
 from yuccagauge.relay.relay import Relay
 from yuccagauge.rendezvous import rendezvous_rank
@@ -43,7 +43,8 @@
 from yuccagauge.wire.client import PeerClient
 from yuccagauge.wire.server import PeerServer
 
-#: Number of routers that take part in the leader election.
+#: Number of routers that take part in the leader election. If all of a fleet
+#: did, they would load the store more than all else.
 ELECTION_CANDIDATES = 3
 
 #: Seconds between checks for lapsed servers and for cache holders to poll.
@@ -95,7 +96,6 @@
         self._selector = Selector(
             section.data_centre, settings.weights.limit_ms
         )
-        retries = settings.retries
         self._context = RelayContext(
             clock=clock,
             call_later=reactor.callLater,
@@ -104,11 +104,7 @@
             backend_protocol=self._adapter.backend_protocol,
             directory=self._directory,
             selector=self._selector,
-            retry_settings=RetryBudgetSettings(
-                ratio=retries.ratio,
-                slack=retries.slack,
-                window=in_millis(retries.window_s),
-            ),
+            retry_settings=retry_budget_settings(settings.retries),
             random_fraction=self._random_fraction,
             router_count=lambda: self._exchange.router_count,
         )
@@ -129,7 +125,9 @@
         }
         self._exchange = self._build_exchange()
         self._crash_archive = CrashArchive(
-            CrashLedger(self._context.quarantine, self._context.parts),
+            CrashLedger(
+                self._context.quarantine, self._context.part_quarantine
+            ),
             self._adapter.crash_store,
             reactor,
             clock,
@@ -223,7 +221,7 @@
         )
         self._exchange.merger.on_peer_left = self._election.check_now
         self._adapter.answer_listeners.append(self._record_engine_answer)
-        self._context.parts.probe_rank = self._rank
+        self._context.part_quarantine.probe_rank = self._rank
         self._context.on_unresponsive = self._exchange.broadcast_unresponsive
         self._selector.limits.on_change = self._exchange.broadcast_limit
         self._rollout.on_engines_paused = self._exchange.broadcast_pause
@@ -301,7 +299,7 @@
             directory=self._directory,
             selector=self._selector,
             quarantine=self._context.quarantine,
-            parts=self._context.parts,
+            part_quarantine=self._context.part_quarantine,
             reactor=self._reactor,
             clock=self._clock,
             random_fraction=self._random_fraction,
@@ -312,10 +310,7 @@
         return exchange
 
     def _is_election_candidate(self) -> bool:
-        """Return whether this router takes part in the leader election.
-
-        If all of a fleet did, they would load the store more than all else.
-        """
+        """Return whether this router takes part in the leader election."""
         if not self._directory.is_ready:
             return False
         return self._rank('lead') < ELECTION_CANDIDATES
