--- a/features/crash_server.py
+++ b/features/crash_server.py
@@ -82,7 +82,7 @@
 
     def build_protocol(self) -> Protocol:
         """Return the server's side of a new connection."""
-        return _ServerProtocol(self)
+        return ServerProtocol(self)
 
     def run_request(self, body: bytes) -> int | None:
         """Run a request; return the status, or None if the server ends."""
@@ -95,7 +95,7 @@
         fleet.network.reactor.callLater(_RUN_S, self.end)
         return None
 
-    def record_arrival(self) -> None:
+    def record_arrival(self, request_id: str) -> None:
         """Count a request that has arrived whole."""
         self.arrivals.append(self._fleet.clock.now())
 
@@ -164,15 +164,16 @@
         return document
 
 
-class _ServerProtocol(Protocol):
+class ServerProtocol(Protocol):
     """A connection to a server, for one request after the other."""
 
     def __init__(self, server: SimulatedServer) -> None:
+        """Start without a request."""
         self._server = server
         self._buffer = b''
 
     def dataReceived(self, data: bytes) -> None:
-        """Run a request that is complete."""
+        """Run a request that is complete, if it is for this server."""
         self._buffer += data
         head, found, rest = self._buffer.partition(b'\r\n\r\n')
         headers = dict(
@@ -183,11 +184,15 @@
         if not found or len(rest) < length:
             return
         self._buffer = rest[length:]
-        self._server.record_arrival()
+        self._server.record_arrival(headers['x-yuccagauge-request-id'])
         if headers['x-yuccagauge-expect-instance'] != self._server.server_id:
             self._answer(_MISDIRECTED, headers)
             return
-        status = self._server.run_request(rest[:length])
+        self.run_request(headers, rest[:length])
+
+    def run_request(self, headers: dict[str, str], body: bytes) -> None:
+        """Run a request that has arrived whole."""
+        status = self._server.run_request(body)
         if status is not None:
             self._answer(status, headers)
 
--- a/features/engine_fleet.py
+++ b/features/engine_fleet.py
@@ -12,7 +12,7 @@
 from twisted.internet.protocol import Protocol
 
 from features.crash_fleet import CrashFleet
-from features.crash_server import SimulatedServer
+from features.crash_server import ServerProtocol, SimulatedServer
 from yuccagauge.clock import Millis
 
 #: Time from the arrival of a request to the first output, from there to the
@@ -64,8 +64,9 @@
             'models': [{'name': 'm', 'version': 1, 'adapters': []}],
         }
 
-    def record_prompt(self, request_id: str) -> None:
-        """Note a request that has arrived whole."""
+    def record_arrival(self, request_id: str) -> None:
+        """Note a request that has arrived whole, by its id."""
+        super().record_arrival(request_id)
         self._fleet.arrivals.append((self._fleet.clock.now(), request_id))
 
     def begin(self, request_id: str, parts: tuple[str, ...]) -> bool:
@@ -91,35 +92,15 @@
         self._fleet.network.reactor.callLater(delay_s, act)
 
 
-class _EngineProtocol(Protocol):
+class _EngineProtocol(ServerProtocol):
     """A connection to an engine, for one request after the other."""
 
-    def __init__(self, engine: SimulatedEngine) -> None:
-        self._engine = engine
-        self._buffer = b''
-
-    def dataReceived(self, data: bytes) -> None:
-        """Begin to answer a request that is complete."""
-        self._buffer += data
-        head, found, rest = self._buffer.partition(b'\r\n\r\n')
-        headers = dict(
-            line.lower().split(': ', 1)
-            for line in head.decode().split('\r\n')[1:]
-        )
-        length = int(headers.get('content-length', 0))
-        if not found or len(rest) < length:
-            return
-        self._buffer = rest[length:]
+    def run_request(self, headers: dict[str, str], body: bytes) -> None:
+        """Begin to answer a request after a while."""
         request_id = headers['x-yuccagauge-request-id']
-        self._engine.record_prompt(request_id)
-        if headers['x-yuccagauge-expect-instance'] != self._engine.server_id:
-            self.transport.write(
-                b'HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n',
-            )
-            return
         prefix = headers['x-yuccagauge-prefix-hash']
         parts = tuple(entry.partition(':')[0] for entry in prefix.split(','))
-        self._engine.later(
+        self._server.later(
             _FIRST_OUTPUT_S, lambda: self._begin(request_id, parts)
         )
 
@@ -134,8 +115,8 @@
             'X-Yuccagauge-Server-Stamp: s\r\n\r\n'.encode()
             + _FIRST_EVENT,
         )
-        if self._engine.begin(request_id, parts):
-            self._engine.later(_OUTPUT_S, self._finish)
+        if self._server.begin(request_id, parts):
+            self._server.later(_OUTPUT_S, self._finish)
 
     def _finish(self) -> None:
         self.transport.write(_LAST_EVENT)
--- a/features/relay_fixture.py
+++ b/features/relay_fixture.py
@@ -240,3 +240,45 @@
     'X-Yuccagauge-Token-Usage: 700,8',
     'X-Yuccagauge-Prefix-Hash: aa:600,bb:100',
 )
+
+
+def raw_request(name: str) -> bytes:
+    """Return the raw bytes of a named request, most of which are malformed."""
+    plain = request('read')
+    head, _, _ = plain.partition(b'\r\n\r\n')
+    return {
+        'length and chunks': head
+        + b'\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n',
+        'two lengths': head + b'\r\nContent-Length: 6\r\n\r\nhello!',
+        'two hosts': head + b'\r\nHost: other.example\r\n\r\nhello',
+        'no host': plain.replace(f'Host: {HOST}\r\n'.encode(), b''),
+        'space before colon': plain.replace(b'Host:', b'Host :'),
+        'absolute target': plain.replace(b' /read', b' http://a/read'),
+        'body over the limit': request('read', body=b'x' * 5001),
+        'chunks over the limit': plain.replace(
+            b'Content-Length: 5', b'Transfer-Encoding: chunked'
+        ).replace(b'hello', b'1400\r\n%s\r\n' % (b'x' * 5120)),
+        'head over the limit': head + b'\r\nX-Long: ' + b'x' * 5000,
+        'half a head': head[:40],
+        'unknown route': request('unknown'),
+        'no key': request('read', key=''),
+        'wrong key': request('read', key='k9'),
+        'public route': request('open', key=''),
+        'no id': plain.replace(b'X-Yuccagauge-Request-Id', b'X-Other'),
+        'two ids': request('read', headers=('X-Yuccagauge-Request-Id: r2',)),
+        'request in a body': request('read', body=request('book', 'r2')),
+        'forged headers': request(
+            'read',
+            headers=(
+                'X-Yuccagauge-Tenant: ben',
+                'X-Yuccagauge-Hold: h',
+                'X-Yuccagauge-Kv-Backup: 1.2.3.4:5',
+                'Kv-From: 1.2.3.4:5/6',
+                'X-Yuccagauge-Pin-Ms: 50',
+                'X-Yuccagauge-Cache-Salt: mine',
+                'X-Keep: yes',
+                'Connection: X-Drop',
+                'X-Drop: yes',
+            ),
+        ),
+    }[name]
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -12,6 +12,7 @@
     MODEL_HEADERS,
     Caller,
     RelayFixture,
+    raw_request,
     request,
 )
 from features.relay_servers import BEHAVIOURS, stream_events
@@ -61,21 +62,22 @@
     _start_relay(context)
 
 
-def start_relay_with_plain_server(context: Context, script: object) -> None:
+def start_relay_with_plain_server(
+    context: Context, script: object, *, refuses_connections: bool = False
+) -> None:
     """Start a relay with one plain server that follows a script."""
     _start_relay(context)
     context.fixture.configure()
-    _add_server(context, 'plain', script)
+    _add_server(
+        context, 'plain', script, refuses_connections=refuses_connections
+    )
 
 
 @given('a relay with a plain server that {behaviour}')
 def relay_with_plain_server(context: Context, behaviour: str) -> None:
     """Start a relay with one plain server."""
-    _start_relay(context)
-    context.fixture.configure()
-    _add_server(
+    start_relay_with_plain_server(
         context,
-        'plain',
         BEHAVIOURS[behaviour],
         refuses_connections=behaviour == 'refuses connections',
     )
@@ -142,48 +144,7 @@
 @given('a second model engine that streams {count:d} events')
 def second_engine(context: Context, count: int) -> None:
     """Add an engine."""
-    _add_server(context, 'model', stream_events(count, resets=False))
-
-
-def _raw_request(name: str) -> bytes:
-    plain = request('read')
-    head, _, _ = plain.partition(b'\r\n\r\n')
-    return {
-        'length and chunks': head
-        + b'\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n',
-        'two lengths': head + b'\r\nContent-Length: 6\r\n\r\nhello!',
-        'two hosts': head + b'\r\nHost: other.example\r\n\r\nhello',
-        'no host': plain.replace(f'Host: {HOST}\r\n'.encode(), b''),
-        'space before colon': plain.replace(b'Host:', b'Host :'),
-        'absolute target': plain.replace(b' /read', b' http://a/read'),
-        'body over the limit': request('read', body=b'x' * 5001),
-        'chunks over the limit': plain.replace(
-            b'Content-Length: 5', b'Transfer-Encoding: chunked'
-        ).replace(b'hello', b'1400\r\n%s\r\n' % (b'x' * 5120)),
-        'head over the limit': head + b'\r\nX-Long: ' + b'x' * 5000,
-        'half a head': head[:40],
-        'unknown route': request('unknown'),
-        'no key': request('read', key=''),
-        'wrong key': request('read', key='k9'),
-        'public route': request('open', key=''),
-        'no id': plain.replace(b'X-Yuccagauge-Request-Id', b'X-Other'),
-        'two ids': request('read', headers=('X-Yuccagauge-Request-Id: r2',)),
-        'request in a body': request('read', body=request('book', 'r2')),
-        'forged headers': request(
-            'read',
-            headers=(
-                'X-Yuccagauge-Tenant: ben',
-                'X-Yuccagauge-Hold: h',
-                'X-Yuccagauge-Kv-Backup: 1.2.3.4:5',
-                'Kv-From: 1.2.3.4:5/6',
-                'X-Yuccagauge-Pin-Ms: 50',
-                'X-Yuccagauge-Cache-Salt: mine',
-                'X-Keep: yes',
-                'Connection: X-Drop',
-                'X-Drop: yes',
-            ),
-        ),
-    }[name]
+    add_engine(context, stream_events(count, resets=False))
 
 
 def _send_request(context: Context, data: bytes) -> Caller:
@@ -197,7 +158,7 @@
 @when('a caller sends the request "{name}"')
 def send_raw_request(context: Context, name: str) -> None:
     """Send the raw bytes of a named request."""
-    _send_request(context, _raw_request(name))
+    _send_request(context, raw_request(name))
 
 
 @when('a caller calls "{route}"')
