Let the fleet rows of guilty prompt parts run for 30 s again

Read as a newcomer: the ledger names the quarantine of parts as all other modules do, and the crash of a part says when its times are ages.

--- a/features/quarantine/parts_fleet.feature
+++ b/features/quarantine/parts_fleet.feature
@@ -6,7 +6,7 @@
 
   Scenario Outline: Prompts with a part that crashes engines are kept away, and sound ones beside them are served
     Given <routers> routers before 5 engines, disturbed by <disturbance>
-    When prompts come for 24 s, and 5 % of them have a part that crashes engines
+    When prompts come for 30 s, and 5 % of them have a part that crashes engines
     Then requests with the part reach engines at most 3 times later than 3 s after the fifth crash
     And sound prompts with the same first part or customer are begun at least half as often as before
 
--- a/yuccagauge/quarantine/evidence.py
+++ b/yuccagauge/quarantine/evidence.py
@@ -11,7 +11,10 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PartCrash:
-    """A crash of an engine under a run whose prompt has the part."""
+    """A crash of an engine under a run whose prompt has the part.
+
+    The times are ages where routers exchange the crash, see ``PartEvidence``.
+    """
 
     #: Id of the crash, the same for all runs that it broke.
     crash: str
--- a/yuccagauge/quarantine/ledger.py
+++ b/yuccagauge/quarantine/ledger.py
@@ -20,22 +20,24 @@
 
     Parameters
     ----------
-    quarantine, parts
+    quarantine, part_quarantine
         Have the crashes of this router.
     """
 
-    def __init__(self, quarantine: Quarantine, parts: PartQuarantine) -> None:
+    def __init__(
+        self, quarantine: Quarantine, part_quarantine: PartQuarantine
+    ) -> None:
         """Listen to both."""
         self._quarantine = quarantine
-        self._parts = parts
+        self._part_quarantine = part_quarantine
         self.listeners: list[CrashListener] = []
         quarantine.listeners.append(self)
-        parts.listeners.append(self)
+        part_quarantine.listeners.append(self)
 
     def must_be_stored(self, key: bytes, now: Millis) -> bool:
         """Return whether routers that start need the crashes of a key."""
         if key.startswith(_PART_PREFIX):
-            return _part_id(key) in self._parts.blamed
+            return _part_id(key) in self._part_quarantine.blamed
         return self._quarantine.must_be_stored(key, now)
 
     def merge_suspicions(
@@ -50,7 +52,7 @@
             else:
                 of_requests.append(suspicion)
         self._quarantine.merge_suspicions(of_requests, now)
-        self._parts.merge(of_parts, now)
+        self._part_quarantine.merge(of_parts, now)
 
     def crash_added(self, fingerprint: bytes, crash: str) -> None:
         """Forward a crash of a request."""
