--- a/yuccagauge/relay/call.py
+++ b/yuccagauge/relay/call.py
@@ -7,7 +7,6 @@
 import dataclasses
 
 from yuccagauge.clock import Millis
-from yuccagauge.directory.base import RouteKind
 from yuccagauge.dispatch.base import AnswerSink, ResponseHead
 from yuccagauge.dispatch.exchange import Exchange
 from yuccagauge.dispatch.timers import Timers
@@ -15,6 +14,7 @@
 from yuccagauge.relay.attempt import AttemptTracker
 from yuccagauge.relay.base import AttemptRequest, RelayCall, ResponseInfo
 from yuccagauge.relay.context import RelayContext
+from yuccagauge.relay.repeats import CallRepeats
 from yuccagauge.relay.report import CallReporter
 from yuccagauge.relay.response import ResponseForwarder
 from yuccagauge.relay.stall import CONNECT_STALL_LIMIT, stall_limit
@@ -23,13 +23,6 @@
 
 _FIRST_SERVER_ERROR_STATUS = 500
 
-#: Sends of one call, including those that a server rejected without a run.
-MAXIMUM_SENDS_PER_CALL = 3
-
-#: A call is not sent again with less time left than this, because no server
-#: could answer it before the deadline.
-MINIMUM_RETRY_TIME = Millis(30)
-
 #: Time between two checks whether a call has stalled.
 _STALL_CHECK_INTERVAL = Millis(100)
 
@@ -71,16 +64,10 @@
         #: The latest attempt; it may have ended.
         self._attempt: AttemptTracker | None = None
         self._verdict = Verdict.NOT_RUN
-        self._sends = 0
-        self._runs = 0
+        self._repeats = CallRepeats(call, context)
         self._has_ended = False
         self._timers = Timers(context.call_later)
 
-    @property
-    def is_retryable(self) -> bool:
-        """Whether the call may run more than once."""
-        return self._call.route.is_retryable
-
     def start(self) -> None:
         """Select a server and send the call; the sink receives the answer."""
         self._context.running_calls[self._selection_request.call_id] = self
@@ -144,9 +131,9 @@
             return
         self._exchange = None
         self._attempt.end_attempt(failed=failed)
-        self._runs += 1
+        self._repeats.record_run()
         self._verdict = Verdict.ANSWERED
-        if failed and not self._response.has_started and self._may_run_again():
+        if failed and not self._response.has_started and self._try_run_again():
             self._reporter.record_failed_attempt('server_failed')
             self._retry_on_another_server()
             return
@@ -170,11 +157,11 @@
         """Handle an attempt that may have run and has no complete response."""
         self._exchange = None
         self._attempt.end_broken_attempt()
-        self._runs += 1
+        self._repeats.record_run()
         self._verdict = self._verdict.combine(Verdict.MAY_HAVE_RUN)
         self._response.discard_unsent()
         self._reporter.record_failed_attempt('broke', reason)
-        if self._may_run_again():
+        if self._try_run_again():
             self._retry_on_another_server()
             return
         self._refuse(refusals.broken_attempt('server_broke'))
@@ -189,7 +176,7 @@
 
     def _retry_or_refuse(self, code: str) -> None:
         """Retry a call that did not run in the last attempt, or refuse it."""
-        if self._may_send_again():
+        if self._repeats.try_send_again():
             self._retry_on_another_server()
             return
         if self._verdict is Verdict.NOT_RUN:
@@ -199,26 +186,10 @@
             return
         self._refuse(refusals.broken_attempt(code))
 
-    def _may_run_again(self) -> bool:
-        """Return whether a call that may have run may be sent again.
-
-        If so, one retry of the budget is spent.
-        """
-        route = self._call.route
-        if not self.is_retryable or self._runs >= route.attempts:
-            return False
-        if self._response.has_started and route.kind is not RouteKind.STREAMING:
-            return False
-        return self._may_send_again()
-
-    def _may_send_again(self) -> bool:
-        """Return whether the call may be sent again; if so, spend a retry."""
-        now = self._now()
-        if self._sends >= MAXIMUM_SENDS_PER_CALL or self._call.is_probe:
-            return False
-        if self._call.deadline - now < MINIMUM_RETRY_TIME:
-            return False
-        return self._context.try_spend_retry(self._call.service)
+    def _try_run_again(self) -> bool:
+        return self._repeats.try_run_again(
+            has_started=self._response.has_started
+        )
 
     def _retry_on_another_server(self) -> None:
         server_id = self._attempt.placement.server.server_id
@@ -259,7 +230,7 @@
         return context.selector.choose(self._selection_request, stores, now)
 
     def _send_attempt(self, decision: SelectionDecision) -> None:
-        self._sends += 1
+        self._repeats.record_send()
         timeout = Millis(max(1, self._call.deadline - self._now()))
         attempt = AttemptRequest(
             call=self._call,
@@ -275,7 +246,8 @@
             self._selection_request,
             decision.placement,
             self._context,
-            is_movable=self.is_retryable and self._has_attempts_left(),
+            is_movable=self._repeats.is_retryable
+            and self._repeats.allows_another_run,
         )
         self._reporter.record_send(decision)
         self._exchange = Exchange(
@@ -284,7 +256,7 @@
             self._context.backend_protocol.encode_attempt(attempt),
             self,
         )
-        self._exchange.start(fresh=not self.is_retryable)
+        self._exchange.start(fresh=not self._repeats.is_retryable)
         if not self._has_ended:
             self._schedule_stall_check(self._exchange)
 
@@ -312,7 +284,7 @@
                 )
                 self._handle_connect_failure('connect_stalled')
                 return
-        elif not self.is_retryable:
+        elif not self._repeats.is_retryable:
             return
         elif self._has_stalled():
             self._abandon_exchange()
@@ -325,7 +297,7 @@
         limit = stall_limit(self._call.route, expected)
         return (
             self._attempt.time_without_response >= limit
-            and self._has_attempts_left()
+            and self._repeats.allows_another_run
         )
 
     def _handle_connect_failure(self, ending: str) -> None:
@@ -336,9 +308,6 @@
         self._reporter.record_failed_attempt(ending)
         self._retry_or_refuse('server_unreachable')
 
-    def _has_attempts_left(self) -> bool:
-        return self._runs + 1 < self._call.route.attempts
-
     def _handle_deadline(self) -> None:
         """Refuse the call at its deadline."""
         if self._has_ended:
--- /dev/null
+++ b/yuccagauge/relay/repeats.py
@@ -0,0 +1,76 @@
+"""Counts the sends and runs of one call, and bounds them."""
+
+from yuccagauge.clock import Millis
+from yuccagauge.directory.base import RouteKind
+from yuccagauge.relay.base import RelayCall
+from yuccagauge.relay.context import RelayContext
+
+#: Sends of one call, including those that a server rejected without a run.
+MAXIMUM_SENDS_PER_CALL = 3
+
+#: A call is not sent again with less time left than this, because no server
+#: could answer it before the deadline.
+MINIMUM_RETRY_TIME = Millis(30)
+
+
+class CallRepeats:
+    """Decides whether a call may be sent again.
+
+    Parameters
+    ----------
+    call
+        The call.
+    context
+        What all calls share.
+    """
+
+    def __init__(self, call: RelayCall, context: RelayContext) -> None:
+        """Start with a call that has not been sent."""
+        self._call = call
+        self._context = context
+        self._sends = 0
+        self._runs = 0
+
+    @property
+    def is_retryable(self) -> bool:
+        """Whether the call may run more than once."""
+        return self._call.route.is_retryable
+
+    @property
+    def allows_another_run(self) -> bool:
+        """Whether the call may run once more after the present attempt."""
+        return self._runs + 1 < self._call.route.attempts
+
+    def record_send(self) -> None:
+        """Count a send."""
+        self._sends += 1
+
+    def record_run(self) -> None:
+        """Count an attempt that ran, or may have run."""
+        self._runs += 1
+
+    def try_run_again(self, *, has_started: bool) -> bool:
+        """Return whether a call that may have run may be sent again.
+
+        If so, one retry of the budget is spent.
+
+        Parameters
+        ----------
+        has_started
+            Whether the caller has a part of the answer.
+        """
+        route = self._call.route
+        if not self.is_retryable or self._runs >= route.attempts:
+            return False
+        if has_started and route.kind is not RouteKind.STREAMING:
+            return False
+        return self.try_send_again()
+
+    def try_send_again(self) -> bool:
+        """Return whether the call may be sent again; if so, spend a retry."""
+        now = self._context.clock.now()
+        if self._sends >= MAXIMUM_SENDS_PER_CALL or self._call.is_probe:
+            return False
+        if self._call.deadline - now < MINIMUM_RETRY_TIME:
+            return False
+        return self._context.try_spend_retry(self._call.service)
