Log by what framing a response ended, and what its last attempt had

The log could not tell the hypotheses of the broken answers apart: neither the framing of a response nor its events, nor the bytes after the last one, nor that it continued a stream was logged. call_ended and attempt_failed have them now.

--- a/features/relay/endings.feature
+++ b/features/relay/endings.feature
@@ -54,3 +54,16 @@
     Given a relay with a model engine that sends a byte of one event every 100 ms
     When a caller calls "talk"
     Then the caller gets status 504
+
+  Scenario Outline: The log tells by what a response ended
+    Given a relay with a model engine that streams 2 events and ends by <framing>
+    And the log of the calls is read
+    When a caller calls "talk"
+    Then the caller has the events "0 1" and a complete answer
+    And the log has a call that ended by <logged> with 2 events and 0 bytes of rest
+
+    Examples:
+      | framing | logged     |
+      | chunks  | chunks     |
+      | length  | length     |
+      | channel | connection |
--- a/features/relay_fixture.py
+++ b/features/relay_fixture.py
@@ -57,6 +57,13 @@
             _route('open', 'idempotent', public=True),
             _route('talk', 'streaming', service='model'),
             _route('resume', 'streaming', service='model', resume=True),
+            _route(
+                'resume_thrice',
+                'streaming',
+                service='model',
+                resume=True,
+                attempts=3,
+            ),
             _route('short', 'non_idempotent', timeout=300),
         ],
         'services': [
--- a/features/relay_servers.py
+++ b/features/relay_servers.py
@@ -194,3 +194,62 @@
     """Return the numbers of the events that the request still needs."""
     after = exchange.headers.get('last-event-id', '')
     return range(int(after) + 1 if after else 0, count)
+
+
+def _answer_json(exchange: Exchange, status: int) -> None:
+    exchange.answer(
+        status,
+        b'{"error": "no"}',
+        _id_header(exchange),
+        _STAMP,
+        'Content-Type: application/json',
+    )
+
+
+def _answer_failed_event(exchange: Exchange) -> None:
+    exchange.answer(
+        500,
+        event(2),
+        _id_header(exchange),
+        _STAMP,
+        'Content-Type: text/event-stream',
+    )
+
+
+def _answer_204(exchange: Exchange) -> None:
+    exchange.transport.write(
+        f'HTTP/1.1 204 X\r\n{_id_header(exchange)}\r\n\r\n'.encode()
+    )
+
+
+#: Scripts of engines that do not continue the stream that they are asked for.
+FAILED_CONTINUATIONS = {
+    '500 and JSON': lambda exchange: _answer_json(exchange, 500),
+    '500 without a body': lambda exchange: exchange.answer(
+        500, b'', _id_header(exchange), _STAMP
+    ),
+    '500 and an event': _answer_failed_event,
+    '404 and JSON': lambda exchange: _answer_json(exchange, 404),
+    '200 and JSON': lambda exchange: _answer_json(exchange, 200),
+    '204': _answer_204,
+}
+
+
+def restart_events(first: int, count: int) -> object:
+    """Return a script that streams events from a number on, whatever is asked.
+
+    Parameters
+    ----------
+    first
+        Number of the first event.
+    count
+        Number after the last event.
+    """
+
+    def script(exchange: Exchange) -> None:
+        open_event_stream(exchange, CHUNKED)
+        for number in range(first, count):
+            exchange.chunk(event(number))
+        exchange.chunk(b'')
+
+    return script
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -164,7 +164,7 @@
 @when('a caller calls "{route}"')
 def call_route(context: Context, route: str) -> None:
     """Send a valid request for a route."""
-    is_model = route in {'talk', 'resume'}
+    is_model = route in {'talk', 'resume', 'resume_thrice'}
     headers = MODEL_HEADERS if is_model else ()
     method = 'GET' if route == 'read' else 'POST'
     body = b'' if route == 'read' else b'hello'
@@ -190,6 +190,18 @@
     call_route(context, route)
 
 
+@when('a caller calls "{route}" and the servers are selected in order')
+def call_servers_in_order(context: Context, route: str) -> None:
+    """Make each server less preferred than those before it, and call."""
+    for number in range(len(context.servers)):
+        load = context.fixture.selector.load_of(f'i{number}')
+        for _ in range(number):
+            load.record_outcome(
+                failed=True, now=context.fixture.relay_context.clock.now()
+            )
+    call_route(context, route)
+
+
 @then('the caller gets status {status:d}')
 def check_status(context: Context, status: int) -> None:
     """Compare the status of the answer."""
--- a/yuccagauge/dispatch/base.py
+++ b/yuccagauge/dispatch/base.py
@@ -1,5 +1,6 @@
 """The call that a caller makes, and the sink that takes its answer."""
 
+import enum
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any, Protocol
@@ -86,6 +87,20 @@
         """End without a complete answer; at any time before ``finish``."""
 
 
+#: Statuses whose responses have no body.
+_BODILESS_STATUSES = frozenset((204, 304))
+
+
+@enum.unique
+class Framing(enum.Enum):
+    """What ends the body of a response."""
+
+    LENGTH = 'length'
+    CHUNKS = 'chunks'
+    #: The server closes the connection, which proves nothing.
+    CONNECTION = 'connection'
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ResponseHead:
     """Status and headers of a backend server's response."""
@@ -93,6 +108,16 @@
     status: int
     headers: tuple[Header, ...]
 
+    @property
+    def framing(self) -> Framing:
+        """What ends the body."""
+        if self.get(b'transfer-encoding'):
+            return Framing.CHUNKS
+        has_length = bool(self.get(b'content-length'))
+        if has_length or self.status in _BODILESS_STATUSES:
+            return Framing.LENGTH
+        return Framing.CONNECTION
+
     def get(self, name: bytes) -> str:
         """Return the first value of a header, or an empty text.
 
--- a/yuccagauge/relay/call.py
+++ b/yuccagauge/relay/call.py
@@ -134,7 +134,9 @@
         self._repeats.record_run()
         self._verdict = Verdict.ANSWERED
         if failed and not self._response.has_started and self._try_run_again():
-            self._reporter.record_failed_attempt('server_failed')
+            self._reporter.record_failed_attempt(
+                'server_failed', response=self._response.summary
+            )
             self._retry_on_another_server()
             return
         if not failed:
@@ -159,8 +161,10 @@
         self._attempt.end_broken_attempt()
         self._repeats.record_run()
         self._verdict = self._verdict.combine(Verdict.MAY_HAVE_RUN)
+        self._reporter.record_failed_attempt(
+            'broke', reason, self._response.summary
+        )
         self._response.discard_unsent()
-        self._reporter.record_failed_attempt('broke', reason)
         if self._try_run_again():
             self._retry_on_another_server()
             return
@@ -347,7 +351,9 @@
         if self._attempt is not None:
             self._attempt.release_slot()
         self._context.running_calls.pop(self._selection_request.call_id, None)
-        self._reporter.record_end(outcome, status, refusal)
+        self._reporter.record_end(
+            outcome, status, refusal, self._response.summary
+        )
 
     def _abandon_exchange(self) -> None:
         if self._exchange is not None:
--- a/yuccagauge/relay/report.py
+++ b/yuccagauge/relay/report.py
@@ -4,6 +4,7 @@
 from yuccagauge.quarantine.events import short_fingerprint
 from yuccagauge.relay import metrics
 from yuccagauge.relay.base import RelayCall
+from yuccagauge.relay.response import ResponseSummary
 from yuccagauge.selection.base import SelectionDecision
 from yuccagauge.telemetry.journal import log_decision
 from yuccagauge.verdict import Refusal
@@ -63,7 +64,12 @@
             uncached = fields.prompt_tokens - cached
             metrics.CACHED_TOKENS.add(uncached, {'cached': 'no'})
 
-    def record_failed_attempt(self, ending: str, detail: str = '') -> None:
+    def record_failed_attempt(
+        self,
+        ending: str,
+        detail: str = '',
+        response: ResponseSummary | None = None,
+    ) -> None:
         """Log and count an attempt that did not answer the call."""
         metrics.SENDS.add(1, {'service': self._call.service, 'ending': ending})
         self._log(
@@ -73,6 +79,7 @@
             ending=ending,
             detail=detail,
             output_ms=self._time_since_output(),
+            **_response_fields(response),
         )
 
     def record_first_output(self) -> None:
@@ -87,6 +94,7 @@
         outcome: str,
         status: int,
         refusal: Refusal | None,
+        response: ResponseSummary | None = None,
     ) -> None:
         """Log the outcome of the call, and record its duration."""
         received = self._call.request.received_at
@@ -111,6 +119,7 @@
             first_ms=first_output_ms,
             total_ms=elapsed,
             route=self._call.route.name,
+            **_response_fields(response),
         )
 
     def _time_since_output(self) -> Millis | None:
@@ -121,3 +130,16 @@
 
     def _log(self, event: str, **fields: object) -> None:
         log_decision(event, self._call.fields.request_id, **fields)
+
+
+def _response_fields(response: ResponseSummary | None) -> dict[str, object]:
+    """Return the fields that tell how the latest response ended."""
+    if response is None:
+        return {}
+    return {
+        'server_status': response.status,
+        'framing': response.framing.value,
+        'continues': response.is_continuation,
+        'events': response.events,
+        'rest_bytes': response.rest_bytes,
+    }
--- a/yuccagauge/relay/response.py
+++ b/yuccagauge/relay/response.py
@@ -1,6 +1,8 @@
 """Forwards the response of a backend server to the caller."""
 
-from yuccagauge.dispatch.base import AnswerSink, Header, ResponseHead
+from dataclasses import dataclass
+
+from yuccagauge.dispatch.base import AnswerSink, Framing, Header, ResponseHead
 from yuccagauge.dispatch.errors import BackendProtocolError
 from yuccagauge.dispatch.sse import EventSplitter, event_number
 
@@ -19,6 +21,19 @@
 _MAXIMUM_BODY_BYTES = 67_108_864
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ResponseSummary:
+    """What the router received of one response, for the log."""
+
+    status: int
+    framing: Framing
+    #: Whether the caller had a part of an earlier response.
+    is_continuation: bool
+    #: Whole events, and the bytes after the last one.
+    events: int
+    rest_bytes: int
+
+
 class ResponseForwarder:
     """Forwards events as they arrive, and other responses when complete.
 
@@ -41,6 +56,25 @@
         self._body_bytes = 0
         self._has_started = False
         self._last_event_id = ''
+        #: The head of the latest response, which the caller may not have.
+        self._latest_head: ResponseHead | None = None
+        self._is_continuation = False
+        self._events = 0
+
+    @property
+    def summary(self) -> ResponseSummary | None:
+        """What arrived of the latest response; ``None`` without a head."""
+        head = self._latest_head
+        if head is None:
+            return None
+        rest = b'' if self._splitter is None else self._splitter.rest
+        return ResponseSummary(
+            status=head.status,
+            framing=head.framing,
+            is_continuation=self._is_continuation,
+            events=self._events,
+            rest_bytes=len(rest),
+        )
 
     @property
     def has_started(self) -> bool:
@@ -70,6 +104,9 @@
         """Start a response; a resumed one keeps the head that was sent."""
         self._buffered.clear()
         self._buffered_bytes = 0
+        self._latest_head = head
+        self._is_continuation = self._has_started
+        self._events = 0
         if not self._has_started:
             self._head = head
             self._headers = headers
@@ -95,6 +132,7 @@
         events = self._splitter.feed(data)
         if not events:
             return False
+        self._events += len(events)
         for event in events:
             number = event_number(event)
             if number is not None:
@@ -117,6 +155,7 @@
         self._buffered.clear()
         self._buffered_bytes = 0
         self._splitter = None
+        self._latest_head = None
 
     def _buffer_or_send(self, data: bytes) -> bool:
         if self._has_started:
