Pass on only the rest of a stream as the rest of a stream

Callers of resumable streams got an answer that had been broken off as if it were complete, with the body of a failure between its events: an engine broke the stream off, and another one answered the resumption with a failure or with something other than events.

Cause: the end of an answer was judged by the framing of the last attempt alone. The forwarder kept the first head and took any later head for its continuation; the call asked the first status whether it had failed, so the failure counted as success for the caller, the server's outcomes, the quarantine and the log.

Now the forwarder asks once, as a head arrives, whether it continues what the caller has: status 200 and events, as the first. Anything else is a failed attempt of a server that lives: it counts as a failure, not as a crash, and clears no crash; the stream goes on at another server if the route allows it, else the channel is reset. Streams without event ids are not continued. A caller that resumes a stream itself gets events or a failure.

--- a/features/relay/continuation.feature
+++ b/features/relay/continuation.feature
@@ -32,6 +32,18 @@
       | 404 and JSON       |
       | 200 and JSON       |
 
+  Scenario Outline: A caller that resumes a stream gets events or a failure
+    Given a relay with a model engine that answers each resumption with <answer>
+    When a caller resumes "resume" after the event "1"
+    Then the caller gets status <status>
+
+    Examples:
+      | answer         | status |
+      | 200 and JSON   | 502    |
+      | 204            | 502    |
+      | 404 and JSON   | 404    |
+      | 500 and JSON   | 502    |
+
   Scenario: A continuation that fails does not clear the request of crashes
     Given a relay with a model engine that streams 2 events and half of one, then resets
     And a second model engine that answers a resumption with 500 and JSON
--- a/features/steps/relay_continuation_steps.py
+++ b/features/steps/relay_continuation_steps.py
@@ -2,15 +2,20 @@
 
 from unittest import mock
 
-from behave import given, then
+from behave import given, then, when
 from behave.runner import Context
 
+from features.relay_fixture import MODEL_HEADERS, request
 from features.relay_servers import (
     FAILED_CONTINUATIONS,
     restart_events,
     stream_events,
 )
-from features.steps.relay_steps import add_engine
+from features.steps.relay_steps import (
+    add_engine,
+    send_request,
+    start_relay_with_engine,
+)
 from yuccagauge.relay import report
 
 _EVENTS = 4
@@ -57,6 +62,19 @@
     add_engine(context, FAILED_CONTINUATIONS[answer])
 
 
+@given('a relay with a model engine that answers each resumption with {answer}')
+def relay_without_continuation(context: Context, answer: str) -> None:
+    """Start a relay with one engine that continues no stream."""
+    start_relay_with_engine(context, FAILED_CONTINUATIONS[answer])
+
+
+@when('a caller resumes "{route}" after the event "{number}"')
+def resume_stream(context: Context, route: str, number: str) -> None:
+    """Send a request for the rest of a stream."""
+    headers = (*MODEL_HEADERS, f'Last-Event-Id: {number}')
+    send_request(context, request(route, headers=headers))
+
+
 @given('a second model engine that starts again at event {first:d}')
 def engine_that_restarts(context: Context, first: int) -> None:
     """Add an engine that does not start at the event it is asked for."""
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -147,7 +147,7 @@
     add_engine(context, stream_events(count, resets=False))
 
 
-def _send_request(context: Context, data: bytes) -> Caller:
+def send_request(context: Context, data: bytes) -> Caller:
     caller = Caller(context.fixture.address)
     context.add_cleanup(caller.close)
     context.caller = caller
@@ -158,7 +158,7 @@
 @when('a caller sends the request "{name}"')
 def send_raw_request(context: Context, name: str) -> None:
     """Send the raw bytes of a named request."""
-    _send_request(context, raw_request(name))
+    send_request(context, raw_request(name))
 
 
 @when('a caller calls "{route}"')
@@ -168,7 +168,7 @@
     headers = MODEL_HEADERS if is_model else ()
     method = 'GET' if route == 'read' else 'POST'
     body = b'' if route == 'read' else b'hello'
-    _send_request(
+    send_request(
         context,
         request(route, headers=headers, method=method, body=body),
     )
@@ -226,7 +226,7 @@
 def send_pipelined(context: Context, count: int) -> None:
     """Send pipelined requests."""
     data = b''.join(request('read', f'r{n}') for n in range(count))
-    _send_request(context, data)
+    send_request(context, data)
 
 
 @then('the caller gets {count:d} answers in order')
--- a/yuccagauge/dispatch/errors.py
+++ b/yuccagauge/dispatch/errors.py
@@ -17,3 +17,7 @@
 
 class ReplayMismatchError(DispatchError):
     """A second run of a request that differs from what was passed on."""
+
+
+class ContinuationError(BackendProtocolError):
+    """An answer does not continue the stream that its caller has in part."""
--- a/yuccagauge/relay/base.py
+++ b/yuccagauge/relay/base.py
@@ -7,7 +7,12 @@
 import xxhash
 
 from yuccagauge.clock import Millis
-from yuccagauge.directory.base import BackendServer, CustomerSpec, Route
+from yuccagauge.directory.base import (
+    BackendServer,
+    CustomerSpec,
+    Route,
+    RouteKind,
+)
 from yuccagauge.dispatch.base import BackendMessage, Header, ResponseHead
 from yuccagauge.errors import YuccagaugeError
 from yuccagauge.settings.options import Endpoint
@@ -107,6 +112,12 @@
         """The parts of the prompt that other prompts may have in common."""
         return shared_part_ids(self.fields.parts)
 
+    @property
+    def resumed_after(self) -> str:
+        """The last event that the caller has of the stream that it resumes."""
+        is_stream = self.route.kind is RouteKind.STREAMING
+        return self.fields.last_event_id if is_stream else ''
+
     @property
     def deadline(self) -> Millis:
         """Time by which the answer has to be complete."""
--- a/yuccagauge/relay/call.py
+++ b/yuccagauge/relay/call.py
@@ -8,6 +8,7 @@
 
 from yuccagauge.clock import Millis
 from yuccagauge.dispatch.base import AnswerSink, ResponseHead
+from yuccagauge.dispatch.errors import ContinuationError
 from yuccagauge.dispatch.exchange import Exchange
 from yuccagauge.dispatch.timers import Timers
 from yuccagauge.relay import refusals
@@ -58,7 +59,7 @@
         self._selection_request = selection_request
         self._sink = sink
         self._context = context
-        self._response = ResponseForwarder(sink)
+        self._response = ResponseForwarder(sink, call.resumed_after)
         self._reporter = CallReporter(call, context.clock)
         self._exchange: Exchange | None = None
         #: The latest attempt; it may have ended.
@@ -110,7 +111,10 @@
             self._handle_rejection(head, info)
             return
         headers = self._context.backend_protocol.end_to_end_headers(head)
-        self._response.accept_head(head, headers)
+        try:
+            self._response.accept_head(head, headers)
+        except ContinuationError as error:
+            self._handle_failed_continuation(str(error))
 
     def data(self, data: bytes) -> None:
         """Handle a part of the body of a server's response."""
@@ -133,7 +137,8 @@
         self._attempt.end_attempt(failed=failed)
         self._repeats.record_run()
         self._verdict = Verdict.ANSWERED
-        if failed and not self._response.has_started and self._try_run_again():
+        is_unsent = not self._response.has_started
+        if failed and is_unsent and self._repeats.try_run_again(self._response):
             self._reporter.record_failed_attempt(
                 'server_failed', response=self._response.summary
             )
@@ -157,15 +162,24 @@
 
     def _handle_broken_attempt(self, reason: str) -> None:
         """Handle an attempt that may have run and has no complete response."""
-        self._exchange = None
         self._attempt.end_broken_attempt()
+        self._run_again_or_refuse('broke', reason)
+
+    def _handle_failed_continuation(self, reason: str) -> None:
+        """Handle an answer that is not the rest of the caller's stream."""
+        self._abandon_exchange()
+        self._attempt.end_attempt(failed=True)
+        self._run_again_or_refuse('not_continued', reason)
+
+    def _run_again_or_refuse(self, ending: str, reason: str) -> None:
+        self._exchange = None
         self._repeats.record_run()
         self._verdict = self._verdict.combine(Verdict.MAY_HAVE_RUN)
         self._reporter.record_failed_attempt(
-            'broke', reason, self._response.summary
+            ending, reason, self._response.summary
         )
         self._response.discard_unsent()
-        if self._try_run_again():
+        if self._repeats.try_run_again(self._response):
             self._retry_on_another_server()
             return
         self._refuse(refusals.broken_attempt('server_broke'))
@@ -190,11 +204,6 @@
             return
         self._refuse(refusals.broken_attempt(code))
 
-    def _try_run_again(self) -> bool:
-        return self._repeats.try_run_again(
-            has_started=self._response.has_started
-        )
-
     def _retry_on_another_server(self) -> None:
         server_id = self._attempt.placement.server.server_id
         excluded_servers = self._selection_request.excluded_servers | {
--- a/yuccagauge/relay/repeats.py
+++ b/yuccagauge/relay/repeats.py
@@ -4,6 +4,7 @@
 from yuccagauge.directory.base import RouteKind
 from yuccagauge.relay.base import RelayCall
 from yuccagauge.relay.context import RelayContext
+from yuccagauge.relay.response import ResponseForwarder
 
 #: Sends of one call, including those that a server rejected without a run.
 MAXIMUM_SENDS_PER_CALL = 3
@@ -49,22 +50,22 @@
         """Count an attempt that ran, or may have run."""
         self._runs += 1
 
-    def try_run_again(self, *, has_started: bool) -> bool:
+    def try_run_again(self, response: ResponseForwarder) -> bool:
         """Return whether a call that may have run may be sent again.
 
         If so, one retry of the budget is spent.
 
         Parameters
         ----------
-        has_started
-            Whether the caller has a part of the answer.
+        response
+            What the caller has of the answer.
         """
         route = self._call.route
         if not self.is_retryable or self._runs >= route.attempts:
             return False
-        if has_started and route.kind is not RouteKind.STREAMING:
+        if response.has_started and route.kind is not RouteKind.STREAMING:
             return False
-        return self.try_send_again()
+        return response.can_be_continued and self.try_send_again()
 
     def try_send_again(self) -> bool:
         """Return whether the call may be sent again; if so, spend a retry."""
--- a/yuccagauge/relay/response.py
+++ b/yuccagauge/relay/response.py
@@ -3,11 +3,16 @@
 from dataclasses import dataclass
 
 from yuccagauge.dispatch.base import AnswerSink, Framing, Header, ResponseHead
-from yuccagauge.dispatch.errors import BackendProtocolError
+from yuccagauge.dispatch.errors import (
+    BackendProtocolError,
+    ContinuationError,
+)
 from yuccagauge.dispatch.sse import EventSplitter, event_number
 
 _EVENT_STREAM_TYPE = 'text/event-stream'
 _CONTENT_LENGTH = b'content-length'
+_OK = 200
+_FIRST_ERROR_STATUS = 400
 
 #: Responses up to this size are buffered until they are complete, so that a
 #: retryable call can still move to another server.
@@ -43,12 +48,17 @@
     ----------
     sink
         Receives the response.
+    resumed_after
+        The last event that the caller has from an earlier call; empty if it
+        wants the whole answer.
     """
 
-    def __init__(self, sink: AnswerSink) -> None:
+    def __init__(self, sink: AnswerSink, resumed_after: str = '') -> None:
         """Create a forwarder that has not received a response head."""
         self._sink = sink
+        self._resumed_after = resumed_after
         self._head: ResponseHead | None = None
+        self._is_stream = False
         self._headers: tuple[Header, ...] = ()
         self._splitter: EventSplitter | None = None
         self._buffered: list[bytes] = []
@@ -81,6 +91,13 @@
         """Whether the caller was sent a part of the response."""
         return self._has_started
 
+    @property
+    def can_be_continued(self) -> bool:
+        """Whether another response may follow what the caller has."""
+        if not self._has_started:
+            return True
+        return self._is_stream and bool(self._last_event_id)
+
     @property
     def status(self) -> int:
         """The status of the response, or 0 before its head arrives."""
@@ -101,20 +118,29 @@
         head: ResponseHead,
         headers: tuple[Header, ...],
     ) -> None:
-        """Start a response; a resumed one keeps the head that was sent."""
+        """Start a response; a resumed one keeps the head that was sent.
+
+        Raises
+        ------
+        ContinuationError
+            If the caller has a part of a stream that this is not the rest of.
+        """
         self._buffered.clear()
         self._buffered_bytes = 0
         self._latest_head = head
         self._is_continuation = self._has_started
         self._events = 0
-        if not self._has_started:
-            self._head = head
-            self._headers = headers
         content_type = head.get(b'content-type')
         is_stream = content_type.startswith(_EVENT_STREAM_TYPE)
         self._splitter = (
             EventSplitter(_MAXIMUM_EVENT_BYTES) if is_stream else None
         )
+        if not (is_stream and head.status == _OK):
+            self._check_needs_no_events(head)
+        if not self._has_started:
+            self._head = head
+            self._headers = headers
+            self._is_stream = is_stream
 
     def forward_data(self, data: bytes) -> bool:
         """Forward or buffer a part of the body; return if it was forwarded.
@@ -157,6 +183,14 @@
         self._splitter = None
         self._latest_head = None
 
+    def _check_needs_no_events(self, head: ResponseHead) -> None:
+        """Raise an error if only events may follow what the caller has."""
+        is_failure = head.status >= _FIRST_ERROR_STATUS
+        if self._has_started or (self._resumed_after and not is_failure):
+            raise ContinuationError(
+                f'status {head.status} does not continue the stream'
+            )
+
     def _buffer_or_send(self, data: bytes) -> bool:
         if self._has_started:
             self._sink.write(data)
