Pass on no event twice, and none after a missing one

Callers of resumable streams could get events twice, or miss one: an engine that answers a resumption from another event on than the next one was passed on as it came.

Cause: Last-Event-Id was sent and never compared with what came. The order of the events is now checked over all responses of a call, and from the caller's own Last-Event-Id on: numbers increase, and if they did so one by one, a continuation starts with the next one. Another event is a failed attempt; the events before it are passed on.

--- a/features/relay/continuation.feature
+++ b/features/relay/continuation.feature
@@ -62,3 +62,34 @@
       | 0     |
       | 1     |
       | 3     |
+
+  Scenario: Events in one piece of data are passed on up to the one that does not follow
+    Given a relay with a model engine that streams the events "1 2 2 3" at once
+    And a second model engine that streams the events "3 4"
+    When a caller calls "resume" and the first server is selected
+    Then the caller has the events "1 2 3 4" and a complete answer
+    And the second server was asked to resume after "2"
+
+  Scenario: A stream whose numbers have gaps goes on after a larger gap
+    Given a relay with a model engine that streams the events "1 5 9" and resets
+    And a second model engine that streams the events "14 17"
+    When a caller calls "resume" and the first server is selected
+    Then the caller has the events "1 5 9 14 17" and a complete answer
+
+  Scenario: A stream without event ids is not continued
+    Given a relay with a model engine that streams 2 events without ids and resets
+    And a second model engine that streams the events "1 2"
+    When a caller calls "resume" and the first server is selected
+    Then the second server got no request
+
+  Scenario Outline: A caller that resumes a stream gets the events after its last one
+    Given a relay with a model engine that streams the events "<events>" at once
+    When a caller resumes "resume" after the event "3"
+    Then the caller gets status <status>
+
+    Examples:
+      | events | status |
+      | 4 5    | 200    |
+      | 1 2 3  | 502    |
+      | 3 4    | 502    |
+      | 6 7    | 502    |
--- a/features/relay_servers.py
+++ b/features/relay_servers.py
@@ -235,6 +235,20 @@
 }
 
 
+def send_events(events: bytes, *, resets: bool = False) -> object:
+    """Return a script that sends certain events in one chunk."""
+
+    def script(exchange: Exchange) -> None:
+        open_event_stream(exchange, CHUNKED)
+        exchange.chunk(events)
+        if resets:
+            _call_later(exchange.cut)
+        else:
+            exchange.chunk(b'')
+
+    return script
+
+
 def restart_events(first: int, count: int) -> object:
     """Return a script that streams events from a number on, whatever is asked.
 
@@ -245,11 +259,4 @@
     count
         Number after the last event.
     """
-
-    def script(exchange: Exchange) -> None:
-        open_event_stream(exchange, CHUNKED)
-        for number in range(first, count):
-            exchange.chunk(event(number))
-        exchange.chunk(b'')
-
-    return script
+    return send_events(b''.join(map(event, range(first, count))))
--- a/features/steps/relay_continuation_steps.py
+++ b/features/steps/relay_continuation_steps.py
@@ -8,7 +8,9 @@
 from features.relay_fixture import MODEL_HEADERS, request
 from features.relay_servers import (
     FAILED_CONTINUATIONS,
+    event,
     restart_events,
+    send_events,
     stream_events,
 )
 from features.steps.relay_steps import (
@@ -81,6 +83,52 @@
     add_engine(context, restart_events(first, _EVENTS))
 
 
+def _numbers(text: str) -> list[int]:
+    return [int(number) for number in text.split()]
+
+
+@given(
+    'a relay with a model engine that streams the events "{numbers}" at once'
+)
+def relay_with_numbers(context: Context, numbers: str) -> None:
+    """Start a relay with an engine that sends its events in one piece."""
+    events = map(event, _numbers(numbers))
+    start_relay_with_engine(context, send_events(b''.join(events)))
+
+
+@given(
+    'a relay with a model engine that streams the events "{numbers}" and resets'
+)
+def relay_with_numbers_and_reset(context: Context, numbers: str) -> None:
+    """Start a relay with an engine that breaks its stream off."""
+    events = map(event, _numbers(numbers))
+    start_relay_with_engine(context, send_events(b''.join(events), resets=True))
+
+
+@given(
+    'a relay with a model engine that streams {count:d} events without ids and '
+    'resets'
+)
+def relay_without_ids(context: Context, count: int) -> None:
+    """Start a relay with an engine whose events have no ids."""
+    events = b'data: x\n\n' * count
+    start_relay_with_engine(context, send_events(events, resets=True))
+
+
+@given('a second model engine that streams the events "{numbers}"')
+def second_engine_with_numbers(context: Context, numbers: str) -> None:
+    """Add an engine that streams certain events."""
+    add_engine(context, send_events(b''.join(map(event, _numbers(numbers)))))
+
+
+@then('the second server got no request')
+def check_no_request(context: Context) -> None:
+    """Guard against a stream that starts again behind its first events."""
+    received = context.caller.read_all()
+    assert received.count(b'data: x') == 2, received
+    assert not context.servers[1].headers, received
+
+
 @given('a third model engine that streams {count:d} events')
 def third_engine(context: Context, count: int) -> None:
     """Add an engine that continues the stream."""
--- a/yuccagauge/relay/call.py
+++ b/yuccagauge/relay/call.py
@@ -119,7 +119,11 @@
     def data(self, data: bytes) -> None:
         """Handle a part of the body of a server's response."""
         self._attempt.record_activity()
-        is_forwarded = self._response.forward_data(data)
+        try:
+            is_forwarded = self._response.forward_data(data)
+        except ContinuationError as error:
+            self._handle_failed_continuation(str(error))
+            return
         if self._has_ended:
             return
         self._attempt.record_output()
@@ -250,9 +254,7 @@
             placement=decision.placement,
             timeout=timeout,
             priority=self._call.priority,
-            last_event_id=(
-                self._response.last_event_id or self._call.fields.last_event_id
-            ),
+            last_event_id=self._response.last_event_id,
         )
         self._attempt = AttemptTracker(
             self._call,
--- a/yuccagauge/relay/response.py
+++ b/yuccagauge/relay/response.py
@@ -7,7 +7,8 @@
     BackendProtocolError,
     ContinuationError,
 )
-from yuccagauge.dispatch.sse import EventSplitter, event_number
+from yuccagauge.dispatch.sse import EventSplitter
+from yuccagauge.relay.eventorder import EventOrder
 
 _EVENT_STREAM_TYPE = 'text/event-stream'
 _CONTENT_LENGTH = b'content-length'
@@ -65,7 +66,7 @@
         self._buffered_bytes = 0
         self._body_bytes = 0
         self._has_started = False
-        self._last_event_id = ''
+        self._order = EventOrder(resumed_after)
         #: The head of the latest response, which the caller may not have.
         self._latest_head: ResponseHead | None = None
         self._is_continuation = False
@@ -96,7 +97,7 @@
         """Whether another response may follow what the caller has."""
         if not self._has_started:
             return True
-        return self._is_stream and bool(self._last_event_id)
+        return self._is_stream and self._order.is_numbered
 
     @property
     def status(self) -> int:
@@ -110,8 +111,8 @@
 
     @property
     def last_event_id(self) -> str:
-        """The id of the last complete event that was sent to the caller."""
-        return self._last_event_id
+        """The last event that the caller has; empty if it has none."""
+        return self._order.last_event_id
 
     def accept_head(
         self,
@@ -127,6 +128,7 @@
         """
         self._buffered.clear()
         self._buffered_bytes = 0
+        self._order.start_response()
         self._latest_head = head
         self._is_continuation = self._has_started
         self._events = 0
@@ -149,6 +151,8 @@
         ------
         BackendProtocolError
             If the body, or an event of a stream, does not end.
+        ContinuationError
+            If an event does not follow the last one that the caller has.
         """
         if self._splitter is None:
             self._body_bytes += len(data)
@@ -159,12 +163,13 @@
         if not events:
             return False
         self._events += len(events)
-        for event in events:
-            number = event_number(event)
-            if number is not None:
-                self._last_event_id = str(number)
-        self._send_head(without_length=True)
-        self._sink.write(b''.join(events))
+        accepted: list[bytes] = []
+        try:
+            for event in events:
+                self._order.accept(event)
+                accepted.append(event)
+        finally:
+            self._send_events(accepted)
         return True
 
     def finish_response(self) -> None:
@@ -191,6 +196,11 @@
                 f'status {head.status} does not continue the stream'
             )
 
+    def _send_events(self, events: list[bytes]) -> None:
+        if events:
+            self._send_head(without_length=True)
+            self._sink.write(b''.join(events))
+
     def _buffer_or_send(self, data: bytes) -> bool:
         if self._has_started:
             self._sink.write(data)
