Show that the end of a killed server passes as the end of its answer

An answer with neither a length nor chunks ends with its connection, and the operating system closes those of a killed process in the same way. If the cut falls between two events, or in a body that is no stream, the caller gets the part as a complete answer.

--- a/features/scripted_server.py
+++ b/features/scripted_server.py
@@ -115,6 +115,8 @@
         self.weights_version = 'w1'
         #: Method and path of each request but ``GET /load``.
         self.requests: list[tuple[str, str]] = []
+        #: Connections that were accepted.
+        self.connections = 0
         self._port: Any = None
         #: Where it listens, also while it is closed.
         self.endpoint = Endpoint('127.0.0.1', 0)
@@ -123,7 +125,7 @@
         """Open the port."""
         factory = Factory()
         factory.noisy = False
-        factory.buildProtocol = lambda address: Exchange(self)
+        factory.buildProtocol = self._accept
         host = self.endpoint.host
         self._port = reactor.listenTCP(
             self.endpoint.port,
@@ -144,6 +146,10 @@
         self.requests.append((exchange.method, exchange.path))
         self.script(exchange)
 
+    def _accept(self, _: Any) -> Exchange:
+        self.connections += 1
+        return Exchange(self)
+
     def _load(self) -> bytes:
         zeros = dict.fromkeys(
             ('running', 'queued', 'queued_tokens', 'used_blocks'),
