End an answer with its connection only if its server lives

Callers could get a part of an answer as complete: an engine was killed while it sent an answer with neither a length nor chunks, between two events or in a body that is no stream.

Cause: the operating system closes the connections of a killed process in the same way as the process closes one at the end of an answer. The end of the connection was taken for the end of the answer.

The end alone is held back, no event is; the connection is kept for the next call, which needs one in place of the one that ended. A server that breaks an answer off between two events and lives on cannot be recognised.

--- a/yuccagauge/relay/attempt.py
+++ b/yuccagauge/relay/attempt.py
@@ -67,6 +67,13 @@
         """The server and the parameters of the attempt."""
         return self._placement
 
+    @property
+    def is_same_incarnation(self) -> bool:
+        """Whether the server is listed as it was at the send."""
+        sent_to = self._placement.server
+        listed = self._context.directory.servers.get(sent_to.server_id)
+        return listed is not None and listed.incarnation == sent_to.incarnation
+
     @property
     def time_without_response(self) -> Millis:
         """Time since the server last sent data, or since the send."""
@@ -142,7 +149,7 @@
         A server that lost power resets no connection. It sends nothing either,
         unlike a server that was only slow with this run, until it restarts.
         """
-        if self._is_server_quiet() or not self._is_same_incarnation():
+        if self._is_server_quiet() or not self.is_same_incarnation:
             self._record_possible_crash()
 
     def end_attempt(self, *, failed: bool) -> None:
@@ -203,12 +210,6 @@
         quiet_at = self._first_output_at + SOUND_OUTPUT_TIME
         return last_activity_at < quiet_at <= self._now()
 
-    def _is_same_incarnation(self) -> bool:
-        """Return whether the server is listed as it was at the send."""
-        sent_to = self._placement.server
-        listed = self._context.directory.servers.get(sent_to.server_id)
-        return listed is not None and listed.incarnation == sent_to.incarnation
-
     def _is_loading_weights(self) -> bool:
         """Return whether the server may reset its runs to load weights."""
         return self._now() < self._load().loading_until
--- a/yuccagauge/relay/call.py
+++ b/yuccagauge/relay/call.py
@@ -15,6 +15,7 @@
 from yuccagauge.relay.attempt import AttemptTracker
 from yuccagauge.relay.base import AttemptRequest, RelayCall, ResponseInfo
 from yuccagauge.relay.context import RelayContext
+from yuccagauge.relay.endcheck import EndCheck
 from yuccagauge.relay.repeats import CallRepeats
 from yuccagauge.relay.report import CallReporter
 from yuccagauge.relay.response import ResponseForwarder
@@ -68,6 +69,7 @@
         self._repeats = CallRepeats(call, context)
         self._has_ended = False
         self._timers = Timers(context.call_later)
+        self._end_check = EndCheck(context.pool, self._timers)
 
     def start(self) -> None:
         """Select a server and send the call; the sink receives the answer."""
@@ -131,18 +133,42 @@
             self._reporter.record_first_output()
 
     def complete(self) -> None:
-        """Handle the end of a complete response."""
+        """Handle the end of a response by its framing."""
         self._attempt.record_activity()
         failed = self._response.status >= _FIRST_SERVER_ERROR_STATUS
         if self._response.is_inside_event and not failed:
             self._handle_broken_attempt('the stream ended inside an event')
+        elif self._response.ends_with_connection and not failed:
+            self._timers.stop('stall')
+            self._end_check.start(
+                self._attempt.placement.server.endpoint, self._handle_end_check
+            )
+        else:
+            self._complete_attempt(failed=failed)
+
+    def lost(self, reason: str) -> None:
+        """Handle a connection that failed before the response was complete."""
+        verdict = self._exchange.verdict
+        if verdict is Verdict.NOT_RUN:
+            self._handle_connect_failure('unreachable')
+            return
+        self._handle_broken_attempt(reason)
+
+    def _handle_end_check(self, is_alive: bool) -> None:
+        """Handle the end of a response that only its connection showed."""
+        if is_alive and self._attempt.is_same_incarnation:
+            self._complete_attempt(failed=False)
             return
+        self._handle_broken_attempt('the server ended with its connection')
+
+    def _complete_attempt(self, *, failed: bool) -> None:
+        """Handle a complete response."""
         self._exchange = None
         self._attempt.end_attempt(failed=failed)
         self._repeats.record_run()
         self._verdict = Verdict.ANSWERED
-        is_unsent = not self._response.has_started
-        if failed and is_unsent and self._repeats.try_run_again(self._response):
+        can_retry = failed and not self._response.has_started
+        if can_retry and self._repeats.try_run_again(self._response):
             self._reporter.record_failed_attempt(
                 'server_failed', response=self._response.summary
             )
@@ -156,14 +182,6 @@
         self._finish_call('answered', self._response.status)
         self._response.finish_response()
 
-    def lost(self, reason: str) -> None:
-        """Handle a connection that failed before the response was complete."""
-        verdict = self._exchange.verdict
-        if verdict is Verdict.NOT_RUN:
-            self._handle_connect_failure('unreachable')
-            return
-        self._handle_broken_attempt(reason)
-
     def _handle_broken_attempt(self, reason: str) -> None:
         """Handle an attempt that may have run and has no complete response."""
         self._attempt.end_broken_attempt()
@@ -358,6 +376,7 @@
         refusal: Refusal | None = None,
     ) -> None:
         self._has_ended = True
+        self._end_check.close()
         self._timers.close()
         if self._attempt is not None:
             self._attempt.release_slot()
@@ -374,9 +393,8 @@
         """Add jitter, so that refused callers do not all retry at once."""
         if retry_after is None:
             return None
-        return Millis(
-            int(retry_after * (1 + self._context.random_fraction() / 2))
-        )
+        factor = 1 + self._context.random_fraction() / 2
+        return Millis(int(retry_after * factor))
 
     def _now(self) -> Millis:
         return self._context.clock.now()
--- a/yuccagauge/relay/response.py
+++ b/yuccagauge/relay/response.py
@@ -109,6 +109,12 @@
         """Whether the last event of a stream is not complete."""
         return self._splitter is not None and bool(self._splitter.rest.strip())
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether only the end of its connection ends the latest response."""
+        head = self._latest_head
+        return head is not None and head.framing is Framing.CONNECTION
+
     @property
     def last_event_id(self) -> str:
         """The last event that the caller has; empty if it has none."""
