Check whether a server lives only once its port had time to close

Cause: the operating system closes the files of a killed process in an order of its own, the port sometimes after the connections, so that a connection was accepted just after the end of an answer.

The check waits for 10 ms. A scenario whose port closes 2 ms after the connection failed before and passes.

--- a/features/relay/unproven_ends.feature
+++ b/features/relay/unproven_ends.feature
@@ -16,6 +16,11 @@
     Then the caller has the events "0 1 2 3" and a complete answer
     And the second server was asked to resume after "1"
 
+  Scenario: A stream of a killed engine whose port closes last is not passed on as complete
+    Given a relay with an engine that ends between two events as it is killed, its port last
+    When a caller calls "talk"
+    Then the caller has the events "0 1" and an incomplete answer
+
   Scenario: A body without a length of a killed server is not passed on as complete
     Given a relay whose plain server is killed in an answer without a length
     When a caller calls "book"
--- a/features/steps/relay_unproven_end_steps.py
+++ b/features/steps/relay_unproven_end_steps.py
@@ -26,6 +26,9 @@
 #: Time between the last event and the end of the connection.
 _PAUSE_S = 0.05
 
+#: Time between the ends of the connections and of the port.
+_PORT_DELAY_S = 0.002
+
 _LAST_CHUNK = b'\r\n0\r\n\r\n'
 
 
@@ -51,6 +54,24 @@
     start_relay_with_engine(context, stream)
 
 
+@given(
+    'a relay with an engine that ends between two events as it is killed, its '
+    'port last'
+)
+def relay_with_engine_killed_slowly(context: Context) -> None:
+    """Start a relay with an engine whose port outlives its connections."""
+
+    def kill(exchange: Exchange) -> None:
+        exchange.transport.loseConnection()
+        reactor.callLater(_PORT_DELAY_S, context.servers[0].close)
+
+    def stream(exchange: Exchange) -> None:
+        _send_two_events(exchange)
+        reactor.callLater(_PAUSE_S, kill, exchange)
+
+    start_relay_with_engine(context, stream)
+
+
 @given('a relay whose plain server is killed in an answer without a length')
 def relay_with_killed_plain_server(context: Context) -> None:
     """Start a relay with a server that is killed in its answer."""
--- a/yuccagauge/relay/endcheck.py
+++ b/yuccagauge/relay/endcheck.py
@@ -5,11 +5,18 @@
 from twisted.internet.defer import CancelledError, Deferred
 from twisted.python.failure import Failure
 
+from yuccagauge.clock import Millis
 from yuccagauge.dispatch.connection import Connection, ConnectionPool
 from yuccagauge.dispatch.timers import Timers
 from yuccagauge.relay.stall import CONNECT_STALL_LIMIT
 from yuccagauge.settings.options import Endpoint
 
+#: The operating system closes the port of a killed process up to this long
+#: after the first of its connections.
+_PORT_CLOSING_TIME = Millis(10)
+
+_TIMER = 'end check'
+
 
 class EndCheck:
     """Opens a connection to a server, as a sign that its process lives.
@@ -39,21 +46,22 @@
     ) -> None:
         """Report once whether the server accepts a connection in time."""
         self._on_result = on_result
-        self._timers.start(
-            'end check', CONNECT_STALL_LIMIT, self._report, False
-        )
-        self._opening = self._pool.open(server, fresh=True)
-        self._opening.addCallbacks(
-            self._handle_connection, self._handle_failure, (server,)
-        )
+        self._timers.start(_TIMER, _PORT_CLOSING_TIME, self._connect, server)
 
     def close(self) -> None:
         """Report nothing any more."""
         self._on_result = None
-        self._timers.stop('end check')
+        self._timers.stop(_TIMER)
         if self._opening is not None:
             self._opening.cancel()
 
+    def _connect(self, server: Endpoint) -> None:
+        self._timers.start(_TIMER, CONNECT_STALL_LIMIT, self._report, False)
+        self._opening = self._pool.open(server, fresh=True)
+        self._opening.addCallbacks(
+            self._handle_connection, self._handle_failure, (server,)
+        )
+
     def _handle_connection(
         self, connection: Connection, server: Endpoint
     ) -> None:
