End answers of plain services with their connection only if the server lives

The same cause at the product's own interface: the body of a plain server that was killed while it sent an answer with neither a length nor chunks was passed on as complete, with the verdict answered. Such an answer now ends as at the relay, after the check that the server accepts a connection; otherwise the attempt is a broken one. The check moved to yuccagauge/dispatch/.

The new row of verdicts.feature failed before (200) and passes; a server that ends an answer by closing its connection, and lives, is answered as before.

By reading, not mended because nothing is wrong there: chats of the own interface end with [DONE] alone and their events are counted; answers to the router's own calls are JSON, whose part does not parse, or records with lengths, whose missing rest is read again; handles of KV memory are not used.

--- a/features/dispatch/verdicts.feature
+++ b/features/dispatch/verdicts.feature
@@ -19,6 +19,8 @@
       | untrustedly refuses           | 503    | answered     |                   | 1     |
       | answers                       | 200    | answered     |                   | 1     |
       | fails                         | 500    | answered     |                   | 1     |
+      | is killed in the answer       | 502    | may-have-run | backend_broken    | 1     |
+      | ends the answer by closing    | 200    | answered     |                   | 1     |
 
   Scenario Outline: An idempotent call is repeated elsewhere, a booking is not
     Given a routed plain service whose first server <behaviour> and whose second answers
--- a/features/steps/dispatch_verdicts_steps.py
+++ b/features/steps/dispatch_verdicts_steps.py
@@ -35,6 +35,11 @@
     exchange.answer(503, b'{}', 'Yuccagauge-Not-Run: true')
 
 
+def _answer_without_length(exchange: Exchange) -> None:
+    exchange.transport.write(b'HTTP/1.1 200 OK\r\n\r\n{"booked": true}')
+    exchange.transport.loseConnection()
+
+
 _SCRIPTS: dict[str, Callable[[Exchange], None]] = {
     'refuses connections': _reset,
     'resets at the first byte': _reset,
@@ -44,6 +49,8 @@
     'truthfully refuses': _refuse,
     'untrustedly refuses': _refuse,
     'answers': lambda exchange: exchange.answer(200, b'{"booked": true}'),
+    'ends the answer by closing': _answer_without_length,
+    'is killed in the answer': _answer_without_length,
     'fails': lambda exchange: exchange.answer(500, b'{}'),
 }
 
@@ -57,6 +64,13 @@
             exchange.cut()
 
         server.on_first_byte = first_byte
+    if behaviour == 'is killed in the answer':
+
+        def be_killed(exchange: Exchange) -> None:
+            closed = server.close()
+            closed.addCallback(lambda _: _answer_without_length(exchange))
+
+        server.script = be_killed
     wait_for_call(server.start)
     context.add_cleanup(wait_for_call, server.close)
     if behaviour == 'refuses connections':
--- a/yuccagauge/relay/endcheck.py
+++ b/yuccagauge/dispatch/endcheck.py
@@ -8,13 +8,16 @@
 from yuccagauge.clock import Millis
 from yuccagauge.dispatch.connection import Connection, ConnectionPool
 from yuccagauge.dispatch.timers import Timers
-from yuccagauge.relay.stall import CONNECT_STALL_LIMIT
 from yuccagauge.settings.options import Endpoint
 
 #: The operating system closes the port of a killed process up to this long
 #: after the first of its connections.
 _PORT_CLOSING_TIME = Millis(10)
 
+#: A server that has not accepted a connection after this time is down or
+#: unreachable: the operating system of a busy one still accepts at once.
+ACCEPT_LIMIT = Millis(250)
+
 _TIMER = 'end check'
 
 
@@ -56,7 +59,7 @@
             self._opening.cancel()
 
     def _connect(self, server: Endpoint) -> None:
-        self._timers.start(_TIMER, CONNECT_STALL_LIMIT, self._report, False)
+        self._timers.start(_TIMER, ACCEPT_LIMIT, self._report, False)
         self._opening = self._pool.open(server, fresh=True)
         self._opening.addCallbacks(
             self._handle_connection, self._handle_failure, (server,)
--- a/yuccagauge/dispatch/plain.py
+++ b/yuccagauge/dispatch/plain.py
@@ -172,6 +172,7 @@
             self._service.around.pool,
             plan,
             self._attempt_ended,
+            self._service.around.call_later,
         )
         self._active.append(attempt)
         self._recorder.started(attempt, kind)
--- a/yuccagauge/dispatch/plainattempt.py
+++ b/yuccagauge/dispatch/plainattempt.py
@@ -4,10 +4,18 @@
 from dataclasses import dataclass
 
 from yuccagauge.dispatch.attempt import NOT_RUN_HEADER, Outcome
-from yuccagauge.dispatch.base import BackendMessage, Header, ResponseHead
+from yuccagauge.dispatch.base import (
+    BackendMessage,
+    CallLater,
+    Framing,
+    Header,
+    ResponseHead,
+)
 from yuccagauge.dispatch.connection import ConnectionPool
+from yuccagauge.dispatch.endcheck import EndCheck
 from yuccagauge.dispatch.exchange import Exchange
 from yuccagauge.dispatch.recovery import Ending
+from yuccagauge.dispatch.timers import Timers
 from yuccagauge.settings.options import Endpoint
 from yuccagauge.verdict import Verdict
 
@@ -15,6 +23,7 @@
 #: in part; a longer one is refused.
 MAXIMUM_ANSWER_BYTES = 8_000_000
 
+_FIRST_SERVER_ERROR = 500
 _UNAVAILABLE = 503
 
 #: Headers that belong to one connection, or that the router sets itself.
@@ -56,6 +65,8 @@
         What to send where.
     ended
         Called once with the outcome, unless the attempt was abandoned.
+    call_later
+        The reactor's function.
     """
 
     def __init__(
@@ -63,6 +74,7 @@
         pool: ConnectionPool,
         plan: PlainPlan,
         ended: Callable[['PlainAttempt', Outcome], None],
+        call_later: CallLater,
     ) -> None:
         """Prepare without sending."""
         self._plan = plan
@@ -71,6 +83,7 @@
         self._body = bytearray()
         self._ended = False
         self._exchange = Exchange(pool, plan.server, plan.message, self)
+        self._end_check = EndCheck(pool, Timers(call_later))
 
     @property
     def server(self) -> Endpoint:
@@ -89,6 +102,7 @@
     def abandon(self) -> None:
         """Drop whatever would still arrive, without a report."""
         self._ended = True
+        self._end_check.close()
         self._exchange.abandon()
 
     def head(self, head: ResponseHead) -> None:
@@ -106,8 +120,11 @@
         """Judge a complete answer."""
         says_not_run = self._head.get(NOT_RUN_HEADER).lower() == 'true'
         is_refusal = self._head.status == _UNAVAILABLE and says_not_run
+        has_no_frame = self._head.framing is Framing.CONNECTION
         if is_refusal and self._plan.truthful:
             self._end(Ending.NOT_RUN, Verdict.NOT_RUN, 'refused as not run')
+        elif has_no_frame and self._head.status < _FIRST_SERVER_ERROR:
+            self._end_check.start(self.server, self._judge_end)
         else:
             self._end(Ending.DONE, Verdict.ANSWERED, '')
 
@@ -118,6 +135,14 @@
         ending = Ending.NOT_RUN if is_not_run else Ending.BROKEN
         self._end(ending, verdict, reason)
 
+    def _judge_end(self, is_alive: bool) -> None:
+        """Judge an answer that only the end of its connection ends."""
+        if is_alive:
+            self._end(Ending.DONE, Verdict.ANSWERED, '')
+        else:
+            reason = 'the server ended with its connection'
+            self._end(Ending.BROKEN, Verdict.MAY_HAVE_RUN, reason)
+
     def _end(self, ending: Ending, verdict: Verdict, reason: str) -> None:
         if self._ended:
             return
--- a/yuccagauge/relay/call.py
+++ b/yuccagauge/relay/call.py
@@ -8,6 +8,7 @@
 
 from yuccagauge.clock import Millis
 from yuccagauge.dispatch.base import AnswerSink, ResponseHead
+from yuccagauge.dispatch.endcheck import EndCheck
 from yuccagauge.dispatch.errors import ContinuationError
 from yuccagauge.dispatch.exchange import Exchange
 from yuccagauge.dispatch.timers import Timers
@@ -15,7 +16,6 @@
 from yuccagauge.relay.attempt import AttemptTracker
 from yuccagauge.relay.base import AttemptRequest, RelayCall, ResponseInfo
 from yuccagauge.relay.context import RelayContext
-from yuccagauge.relay.endcheck import EndCheck
 from yuccagauge.relay.repeats import CallRepeats
 from yuccagauge.relay.report import CallReporter
 from yuccagauge.relay.response import ResponseForwarder
--- a/yuccagauge/relay/stall.py
+++ b/yuccagauge/relay/stall.py
@@ -2,6 +2,7 @@
 
 from yuccagauge.clock import Millis
 from yuccagauge.directory.base import Route, RouteKind
+from yuccagauge.dispatch.endcheck import ACCEPT_LIMIT
 
 #: A retryable call moves to another server if its server sends nothing for
 #: this long. Streams and plain calls have separate limits.
@@ -9,9 +10,7 @@
 PLAIN_STALL_LIMIT = Millis(250)
 
 #: A call leaves a server that has not accepted its connection after this time.
-#: The operating system of a busy server still accepts connections at once, so
-#: such a server is down or unreachable.
-CONNECT_STALL_LIMIT = Millis(250)
+CONNECT_STALL_LIMIT = ACCEPT_LIMIT
 
 #: A call whose first output is expected late may wait for this multiple of the
 #: expected time.
