Recognise the media type of event streams in any spelling

A caller could get half an event as the end of its answer if the engine spells the media type with capitals: the type was compared letter by letter, and such a stream was passed on as a body. Media types are compared without regard to case now. Two of three rows failed before and pass.

--- a/features/relay/endings.feature
+++ b/features/relay/endings.feature
@@ -67,3 +67,14 @@
       | chunks  | chunks     |
       | length  | length     |
       | channel | connection |
+
+  Scenario Outline: A stream that ends inside an event is broken off, however its media type is spelled
+    Given a relay with a model engine that sends half an event as "<type>"
+    When a caller calls "talk"
+    Then the caller gets status 502
+
+    Examples:
+      | type                             |
+      | text/event-stream                |
+      | Text/Event-Stream; charset=utf-8 |
+      | TEXT/EVENT-STREAM                |
--- a/features/steps/relay_ending_steps.py
+++ b/features/steps/relay_ending_steps.py
@@ -61,6 +61,16 @@
     start_relay_with_engine(context, fail)
 
 
+@given('a relay with a model engine that sends half an event as "{media_type}"')
+def relay_with_spelled_type(context: Context, media_type: str) -> None:
+    """Start a relay with an engine that spells the media type in a way."""
+
+    def answer(exchange: Exchange) -> None:
+        exchange.answer(200, HALF_EVENT, f'Content-Type: {media_type}')
+
+    start_relay_with_engine(context, answer)
+
+
 @given(
     'a relay with a model engine that streams {count:d} events, one every '
     '{ms:d} ms'
--- a/yuccagauge/relay/response.py
+++ b/yuccagauge/relay/response.py
@@ -138,7 +138,7 @@
         self._latest_head = head
         self._is_continuation = self._has_started
         self._events = 0
-        content_type = head.get(b'content-type')
+        content_type = head.get(b'content-type').lower()
         is_stream = content_type.startswith(_EVENT_STREAM_TYPE)
         self._splitter = (
             EventSplitter(_MAXIMUM_EVENT_BYTES) if is_stream else None
