--- a/yuccagauge/directory/base.py
+++ b/yuccagauge/directory/base.py
@@ -178,6 +178,9 @@
     state: ServerState
     #: Unix time of its start, in ms; 0 if the entry lacks it.
     started_at: int = 0
+    #: Version of its software, which is not that of its weights; empty if the
+    #: entry lacks it.
+    software_version: str = ''
     #: Weights version of each model that it has loaded.
     weights: Mapping[str, int] = field(default_factory=dict)
 
--- a/yuccagauge/platform/names.py
+++ b/yuccagauge/platform/names.py
@@ -4,6 +4,8 @@
 DEADLINE = b'X-Yuccagauge-Deadline-Ms'
 PREFIX_HASH = b'X-Yuccagauge-Prefix-Hash'
 LAST_EVENT_ID = b'Last-Event-Id'
+#: Id of the request whose answer had the first event of a stream.
+RESUMES = b'Resumes'
 TENANT = b'X-Yuccagauge-Tenant'
 EXPECT_INSTANCE = b'X-Yuccagauge-Expect-Instance'
 EXPECT_VERSION = b'X-Yuccagauge-Expect-Version'
--- a/yuccagauge/platform/records.py
+++ b/yuccagauge/platform/records.py
@@ -191,6 +191,9 @@
         started_at=_non_negative_integer(entry, 'born')
         if 'born' in entry
         else 0,
+        software_version=_non_empty_string(entry, 'version')
+        if 'version' in entry
+        else '',
         weights=_decode_weights(entry.get('models', [])),
     )
 
--- a/yuccagauge/platform/requests.py
+++ b/yuccagauge/platform/requests.py
@@ -67,6 +67,7 @@
                 headers.get(names.PREFIX_HASH.lower(), '')
             ),
             last_event_id=headers.get(names.LAST_EVENT_ID.lower(), ''),
+            resumed_request_id=headers.get(names.RESUMES.lower(), ''),
         )
 
 
--- a/yuccagauge/relay/base.py
+++ b/yuccagauge/relay/base.py
@@ -82,6 +82,9 @@
     parts: tuple[PromptPart, ...] = ()
     #: The last event that the caller received, if it resumes a stream.
     last_event_id: str = ''
+    #: The request that brought the first event of the stream that the caller
+    #: resumes; empty if it resumes none.
+    resumed_request_id: str = ''
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/yuccagauge/relay/report.py
+++ b/yuccagauge/relay/report.py
@@ -54,6 +54,8 @@
             prompt_tokens=fields.prompt_tokens,
             cached_tokens=placement.cached_tokens,
             weights=placement.weights_version,
+            software=placement.server.software_version,
+            resumes=fields.resumed_request_id,
             rate_limit=placement.rate_limit,
             fetches=placement.kv_fetch_endpoint is not None,
             configuration=self._call.configuration_version,
