Expect the first half of the levels from prompts that have too many

The property that equal beginnings give equal levels is wrong for prompts of more than 64 levels: those keep the first and the last 32 (messages) or the first 63 and the last (blocks), as their modules say. Whether the test met such a prompt hung on the modules that were imported before it, from whose numbers Hypothesis draws: it passed in the whole suite and failed in a process of its own. Two times five messages of 20,000 bytes fail it always (45 levels, 64, not equal). The check keeps its strength up to 63 levels, demands the first 32 beyond, and has that prompt as an example.

--- a/features/steps/prefixes_steps.py
+++ b/features/steps/prefixes_steps.py
@@ -1,14 +1,17 @@
 """Steps that test prefix levels."""
 
 import dataclasses
+from itertools import repeat
 
 from behave import then
 from behave.runner import Context
+from hypothesis import example
 from hypothesis import given as forall
 from hypothesis import settings
 from hypothesis import strategies as st
 
 from yuccagauge.prefixes import CacheScope, Message, prefix_schemes
+from yuccagauge.prefixes.messages import MAXIMUM_LEVELS
 
 _CACHE_SCOPE = CacheScope(
     customer='namport',
@@ -27,6 +30,9 @@
     max_size=5,
 )
 
+#: Twice these have more levels than a prefix may have.
+_LONG_MESSAGES = list(repeat(Message('user', 'ab' * 10_000), 5))
+
 
 def _derive(scheme, *messages, cache_scope=_CACHE_SCOPE):
     return prefix_schemes.get(scheme)().derive_levels(cache_scope, messages)
@@ -37,12 +43,17 @@
     """Guard against levels that depend on what follows them."""
 
     @_PROPERTY
+    @example(_LONG_MESSAGES, _LONG_MESSAGES)
     @forall(_MESSAGES, _MESSAGES)
     def check(shared, rest):
         shared_prefix = _derive(scheme, *shared)
         whole_prefix = _derive(scheme, *shared, *rest)
         count = len(shared_prefix.levels)
-        assert whole_prefix.levels[:count] == shared_prefix.levels
+        if len(whole_prefix.levels) == MAXIMUM_LEVELS:
+            # Of a longer list, the first half at least is kept.
+            count = min(count, MAXIMUM_LEVELS // 2)
+        common = whole_prefix.levels[:count]
+        assert common == shared_prefix.levels[:count]
         digests = [level.digest for level in whole_prefix.levels]
         assert len(set(digests)) == len(digests)
         sizes = [level.tokens for level in whole_prefix.levels]
