Run the features of the suite in processes side by side

Each feature is run by a process of its own, six at a time on eight cores; four features with long scenarios are run scenario by scenario, and the soak, which measures time, alone at the end. Names are parsed once more by the parent, and a run that did not run each scenario fails, so that no check is lost.

--- a/features/run.py
+++ b/features/run.py
@@ -1,67 +1,92 @@
-"""Run the behave suite and close with ``N passed, N failed``."""
+"""Run the behave suite in several processes; close with the counts."""
 
+import os
 import sys
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
-from behave.configuration import Configuration
-from behave.formatter.progress import ScenarioProgressFormatter
-from behave.model import Scenario, Status
-from behave.runner import Runner
+from behave.model import Scenario
+from behave.parser import parse_file
 
-_KNOWN_RED_FILE = Path('KNOWN-RED.txt')
-_TEST_PREFIX = 'test: '
+from features import run_part
+from features.run_part import PartResult, known_red_names
 
+_ROOT = Path('features')
 
-def known_red_names() -> frozenset[str]:
-    """Return the scenarios that KNOWN-RED.txt lists as failing."""
-    if not _KNOWN_RED_FILE.exists():
-        return frozenset()
-    lines = _KNOWN_RED_FILE.read_text(encoding='utf-8').splitlines()
-    return frozenset(
-        line.removeprefix(_TEST_PREFIX).strip()
-        for line in lines
-        if line.startswith(_TEST_PREFIX)
+#: Features whose scenarios take long. Each of these is a part of its own, so
+#: that no process runs on when all others have ended.
+_SPLIT_FEATURES = frozenset(
+    Path(name)
+    for name in (
+        'features/origins/fleet.feature',
+        'features/quarantine/fleet.feature',
+        'features/quarantine/parts_fleet.feature',
+        'features/ratelimit/fleet.feature',
     )
+)
 
+#: Features that measure time or start many processes; they run by themselves.
+_LONE_FEATURES = frozenset((Path('features/soak/soak.feature'),))
 
-def _reason(scenario: Scenario) -> str:
-    """Return the step that did not pass, and its error."""
-    for step in scenario.all_steps:
-        if step.status not in {Status.passed, Status.skipped}:
-            error = (step.error_message or '').strip().splitlines()
-            return f'\n  step: {step.name}\n  error: {" | ".join(error[-3:])}'
-    return ''
+#: Share of the processors that run features.
+_PROCESSOR_SHARE = 0.75
+
+
+def _feature_files(arguments: list[str]) -> list[Path]:
+    """Return the features that the arguments name, or all."""
+    found: list[Path] = []
+    for argument in arguments or [str(_ROOT)]:
+        path = Path(argument)
+        found += sorted(path.rglob('*.feature')) if path.is_dir() else [path]
+    return found
+
+
+def _scenarios(feature: Path) -> list[Scenario]:
+    return list(parse_file(str(feature)).walk_scenarios())
+
+
+def _parts(features: list[Path]) -> list[list[str]]:
+    """Return what each process runs: whole features, or single scenarios."""
+    split: list[list[str]] = []
+    whole: list[list[str]] = []
+    for feature in features:
+        if feature in _SPLIT_FEATURES:
+            split += [
+                [f'{feature}:{each.line}'] for each in _scenarios(feature)
+            ]
+        else:
+            whole.append([str(feature)])
+    return split + whole
+
+
+def _run(parts: list[list[str]], workers: int) -> list[PartResult]:
+    with ThreadPoolExecutor(workers) as pool:
+        return list(pool.map(run_part.start, parts))
 
 
 def main(arguments: list[str]) -> int:
     """Run the features named by the arguments, or all; return the exit code."""
-    # behave 1.3.3 has no letter for this status and stops with a KeyError.
-    ScenarioProgressFormatter.dot_status.setdefault(Status.cleanup_error, 'C')
-    configuration = Configuration(
-        [*arguments, '--no-capture', '--format=progress', '--no-summary'],
-    )
-    runner = Runner(configuration)
-    runner.run()
+    features = _feature_files(arguments)
+    workers = max(1, int((os.cpu_count() or 1) * _PROCESSOR_SHARE))
+    beside = [each for each in features if each not in _LONE_FEATURES]
+    alone = [each for each in features if each in _LONE_FEATURES]
+    results = _run(_parts(beside), workers) + _run(_parts(alone), 1)
+    expected = sum(len(_scenarios(feature)) for feature in features)
     known_red = known_red_names()
     passed = 0
     failures: list[str] = []
     red: list[str] = []
-    for feature in runner.features:
-        for scenario in feature.walk_scenarios():
-            if scenario.status == Status.passed:
-                passed += 1
-            elif scenario.name.strip() in known_red:
-                red.append(f'{scenario.name}{_reason(scenario)}')
-            else:
-                where = f'{scenario.location} {scenario.name}'
-                failures.append(f'{where}{_reason(scenario)}')
-    for name in red:
-        sys.stdout.write(f'known red: {name}\n')
-    for name in failures:
-        sys.stdout.write(f'failed: {name}\n')
-    if runner.aborted or runner.hook_failures or runner.undefined_steps:
-        failures.append('run aborted, failing hook or undefined step')
-        sys.stdout.write(f'failed: {failures[-1]}\n')
+    for result in results:
+        passed += len(result.passed)
+        failures += result.aborted
+        for name, report in result.failed:
+            (red if name in known_red else failures).append(report)
+    if passed + sum(len(each.failed) for each in results) != expected:
+        failures.append(f'not all of the {expected} scenarios ran')
+    for report in red:
+        sys.stdout.write(f'known red: {report}\n')
+    for report in failures:
+        sys.stdout.write(f'failed: {report}\n')
     sys.stdout.write(f'{passed} passed, {len(failures)} failed\n')
     return 1 if failures or not passed else 0
 
