--- a/features/crash_fleet.py
+++ b/features/crash_fleet.py
@@ -156,6 +156,10 @@
         """Return the latest process of a router."""
         return self._routers[name]
 
+    def is_running(self, name: str) -> bool:
+        """Return whether the process of a router runs."""
+        return name in self._reactors
+
     def kill_router(self, name: str) -> None:
         """End the process of a router, with all that it knows."""
         if name in self._reactors:
--- a/features/relay_fixture.py
+++ b/features/relay_fixture.py
@@ -64,6 +64,13 @@
                 resume=True,
                 attempts=3,
             ),
+            _route(
+                'stream',
+                'streaming',
+                service='model',
+                resume=True,
+                timeout=15_000,
+            ),
             _route('short', 'non_idempotent', timeout=300),
         ],
         'services': [
