--- a/features/relay_fixture.py
+++ b/features/relay_fixture.py
@@ -13,6 +13,7 @@
 from yuccagauge.directory.records import KeyedRecord
 from yuccagauge.directory.state import Directory, Topic
 from yuccagauge.dispatch.connection import ConnectionPool
+from yuccagauge.origins.base import ORIGIN_LIFETIME
 from yuccagauge.platform.records import PlatformRecordDecoder
 from yuccagauge.platform.requests import (
     PlatformBackendProtocol,
@@ -117,6 +118,7 @@
             ),
             random_fraction=random.Random(1).random,
         )
+        self.selector.versions.merge((), ORIGIN_LIFETIME, clock.now())
         self.relay = Relay(self.relay_context)
         self.callers = CallerFactory(
             self.relay.handle_request,
@@ -166,8 +168,10 @@
         wait_for_call(self._port.stopListening)
 
     def _update_view(self) -> None:
-        self.selector.update_fleet_view(
-            FleetView(servers=dict(self.directory.servers))
+        servers = dict(self.directory.servers)
+        self.selector.update_fleet_view(FleetView(servers=servers))
+        self.selector.versions.observe(
+            servers.values(), self.relay_context.clock.now()
         )
 
     def _write(self, topic: Topic, key: str, document: Any) -> None:
--- a/features/simulated_store.py
+++ b/features/simulated_store.py
@@ -54,6 +54,9 @@
             Topic.SERVERS: [],
         }
         self._first = dict.fromkeys(Topic, 0)
+        #: Software versions of services that had several, and their writes.
+        self.versions: dict[str, tuple[str, ...]] = {}
+        self.version_writes = 0
         self._crashes: dict[tuple[bytes, str], StoredCrash] = {}
 
     def append_entry(self, key: str, value: bytes | None) -> None:
@@ -134,6 +137,24 @@
             ),
         )
 
+    def list_versions(self, name: str) -> Deferred[dict[str, tuple[str, ...]]]:
+        """Return the software versions of services that had several."""
+        return self._answer(name, lambda: dict(self.versions))
+
+    def write_versions(
+        self, name: str, service: str, versions: tuple[str, ...]
+    ) -> Deferred[None]:
+        """Store or remove the software versions of a service."""
+
+        def write() -> None:
+            self.version_writes += 1
+            if versions:
+                self.versions[service] = versions
+            else:
+                self.versions.pop(service, None)
+
+        return self._answer(name, write)
+
     def _page(self, topic: Topic, offset: int) -> StorePage:
         log = self._log[topic]
         if not self._first[topic] <= offset <= len(log):
@@ -207,6 +228,16 @@
         """Return all crashes."""
         return self._store.list_crashes(self._name)
 
+    def list_versions(self) -> Deferred[dict[str, tuple[str, ...]]]:
+        """Return the stored versions."""
+        return self._store.list_versions(self._name)
+
+    def write_versions(
+        self, service: str, versions: tuple[str, ...]
+    ) -> Deferred[None]:
+        """Store the versions of a service."""
+        return self._store.write_versions(self._name, service, versions)
+
     def read_lease(self) -> Deferred[LeaseState]:
         """Never answer: the fleet needs no leader."""
         return Deferred()
--- a/features/steps/prefixes_steps.py
+++ b/features/steps/prefixes_steps.py
@@ -5,9 +5,8 @@
 
 from behave import then
 from behave.runner import Context
-from hypothesis import example
+from hypothesis import example, settings
 from hypothesis import given as forall
-from hypothesis import settings
 from hypothesis import strategies as st
 
 from yuccagauge.prefixes import CacheScope, Message, prefix_schemes
--- a/features/steps/version_fleet_steps.py
+++ b/features/steps/version_fleet_steps.py
@@ -273,7 +273,7 @@
 def check_nothing_written(context: Context) -> None:
     """Guard against messages that nobody needs."""
     fleet = context.fleet
-    sent = [
-        fleet.router(name).stream_origins_sent for name in fleet.router_names
-    ]
-    assert not any(sent), sent
+    routers = map(fleet.router, fleet.router_names)
+    reported = [router.reported_streams for router in routers]
+    assert not any(reported), reported
+    assert not fleet.store.version_writes
--- a/yuccagauge/exchange/merger.py
+++ b/yuccagauge/exchange/merger.py
@@ -6,7 +6,11 @@
 from yuccagauge.directory.records import KeyedRecord
 from yuccagauge.directory.state import Directory, Topic
 from yuccagauge.exchange.members import Member, MemberList
-from yuccagauge.exchange.parts import limit_report, parse_part_evidence
+from yuccagauge.exchange.parts import (
+    limit_report,
+    parse_part_evidence,
+    version_sightings,
+)
 from yuccagauge.quarantine.base import CrashSuspicion, Quarantine
 from yuccagauge.quarantine.parts import PartQuarantine
 from yuccagauge.selection.load import PEER_LOAD_LIFETIME, PeerLoad
@@ -102,7 +106,7 @@
             self._observe_members(message, now)
         self._apply_records(message, now)
         self._apply_loads(message, now)
-        self._apply_statements(message)
+        self._apply_statements(message, now)
         if message.pauses:
             self.on_pause_received()
         for pause in message.pauses:
@@ -142,10 +146,17 @@
         )
         self._part_quarantine.merge(parse_part_evidence(message.parts), now)
 
-    def _apply_statements(self, message: FleetExchange) -> None:
+    def _apply_statements(self, message: FleetExchange, now: Millis) -> None:
+        """Apply who leaves, and which versions services had."""
         statements = self._selector.statements
         for leaving in message.leaving:
             statements.record_leaving(leaving.server, leaving.started_at)
+        if message.asks or message.answers:
+            self._selector.versions.merge(
+                version_sightings(message.versions),
+                Millis(message.versions_known_ms),
+                now,
+            )
 
     def _apply_unresponsive_report(
         self, server_id: str, peer: str, now: Millis
--- /dev/null
+++ b/yuccagauge/exchange/origins.py
@@ -0,0 +1,274 @@
+"""Keeps the origins of streams at several routers, and asks them for it."""
+
+from collections import defaultdict
+from collections.abc import Mapping
+from itertools import starmap
+from typing import Any
+
+from twisted.internet.defer import Deferred
+from twisted.python.failure import Failure
+
+from yuccagauge.clock import Clock, Millis, in_seconds
+from yuccagauge.exchange.merger import MessageMerger
+from yuccagauge.origins.base import KEY_BYTES, StreamOrigin
+from yuccagauge.origins.events import REPORTED
+from yuccagauge.origins.table import OriginTable
+from yuccagauge.origins.versions import VersionHistory
+from yuccagauge.rendezvous import rendezvous_rank
+from yuccagauge.settings.options import Endpoint
+from yuccagauge.wire.base import Received
+from yuccagauge.wire.client import PeerClient
+from yuccagauge.wire.errors import PeerFailedError, PeerUnavailableError
+from yuccagauge.wire.fleetmessages import (
+    StreamGroup,
+    StreamOriginPull,
+    StreamOriginReply,
+    StreamOriginReport,
+    StreamOriginRequest,
+)
+from yuccagauge.wire.messages import Accepted
+from yuccagauge.wire.server import PeerServer
+
+#: Routers that keep the origin of a stream, besides the one that began it.
+_KEEPERS = 2
+
+#: Routers that are asked for it. More than keep it, because each router leaves
+#: itself out of the ranking, and others come and go.
+_ASKED = 4
+
+#: How long streams wait for others that are reported in the same message. The
+#: first event of a stream takes longer.
+_REPORT_DELAY = Millis(20)
+
+#: Longest wait for the answers of peers. The caller has its stream back after
+#: it, or comes back itself.
+_REPLY_TIMEOUT = Millis(300)
+
+
+class OriginBroker:
+    """Reports the streams that this router begins, and finds those of others.
+
+    Parameters
+    ----------
+    name
+        Name of this router.
+    merger
+        Knows the other routers.
+    history
+        Tells whether a service has several versions. Only then is anything
+        reported.
+    server, client
+        Accept and open connections with other routers.
+    reactor, clock
+        Schedule the reports and tell the time.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        *,
+        merger: MessageMerger,
+        history: VersionHistory,
+        server: PeerServer,
+        client: PeerClient,
+        reactor: Any,
+        clock: Clock,
+    ) -> None:
+        """Create a broker that answers nothing yet."""
+        self._name = name
+        self._merger = merger
+        self._history = history
+        self._server = server
+        self._client = client
+        self._reactor = reactor
+        self._clock = clock
+        self._table = OriginTable()
+        #: Streams that wait to be reported.
+        self._unreported: dict[bytes, StreamOrigin] = {}
+        #: Services that had several versions when last looked at.
+        self._mixed: frozenset[str] = frozenset()
+        #: Names of the peers that were asked for what this router should keep.
+        self._pulled: set[str] = set()
+        #: By the first byte of a key, so that hundreds of routers need not be
+        #: ranked for each stream.
+        self._rankings: dict[int, tuple[str, ...]] = {}
+        self._endpoints: dict[str, Endpoint] = {}
+        #: Streams that were reported to another router.
+        self.reported_streams = 0
+
+    def start(self) -> None:
+        """Begin to answer peers."""
+        self._server.add_handler(StreamOriginReport, self._handle_report)
+        self._server.add_handler(StreamOriginRequest, self._handle_request)
+        self._server.add_handler(StreamOriginPull, self._handle_pull)
+
+    def record(self, key: bytes, origin: StreamOrigin) -> None:
+        """Keep the origin of a stream that this router sends to a server."""
+        self._table.add(key, origin, self._clock.now(), is_own=True)
+        if self._history.is_mixed(origin.service):
+            self._report(key, origin)
+
+    def update(self) -> None:
+        """Report and fetch what a change of versions or routers asks for."""
+        self._report_mixed()
+        if self._mixed:
+            self._pull()
+
+    def find(self, key: bytes) -> Deferred[StreamOrigin | None]:
+        """Return what this router or a peer knows of a stream.
+
+        ``None`` if none of those that answer in time knows it.
+        """
+        found: Deferred[StreamOrigin | None] = Deferred()
+        known = self._table.find(key, self._clock.now())
+        peers = self._peers_for(key, _ASKED)
+        if known is not None or not peers:
+            found.callback(known)
+            return found
+        waiting = set(peers)
+
+        def take(reply: Any, peer: Endpoint) -> None:
+            waiting.discard(peer)
+            if found.called:
+                return
+            if isinstance(reply, StreamOriginReply) and reply.is_known:
+                origin = _origin(reply)
+                self._table.add(key, origin, self._clock.now(), is_own=False)
+                found.callback(origin)
+            elif not waiting:
+                found.callback(None)
+
+        request = StreamOriginRequest(key=key)
+        for peer in peers:
+            answer = self._client.request(peer, request, _REPLY_TIMEOUT)
+            answer.addErrback(self._handle_no_reply, peer)
+            answer.addCallback(take, peer)
+        return found
+
+    def _report_mixed(self) -> None:
+        """Report the streams of services that have just become mixed.
+
+        They were begun while there was one version, so nothing was reported.
+        """
+        now = self._clock.now()
+        mixed = self._history.mixed_services
+        for service in mixed - self._mixed:
+            for key, origin in self._table.own_streams(service, now):
+                self._report(key, origin)
+        self._mixed = mixed
+
+    def _pull(self) -> None:
+        """Ask each peer once for the streams that this router should keep.
+
+        A router that starts has lost those that it kept before.
+        """
+        for peer in self._merger.peers:
+            if peer.name not in self._pulled:
+                self._pulled.add(peer.name)
+                answer = self._client.request(
+                    peer.endpoint, StreamOriginPull(), _REPLY_TIMEOUT
+                )
+                answer.addCallbacks(
+                    self._merge_report,
+                    self._handle_no_reply,
+                    errbackArgs=(peer.endpoint,),
+                )
+
+    def _report(self, key: bytes, origin: StreamOrigin) -> None:
+        if not self._unreported:
+            self._reactor.callLater(
+                in_seconds(_REPORT_DELAY), self._send_reports
+            )
+        self._unreported[key] = origin
+
+    def _send_reports(self) -> None:
+        """Send each peer the streams that it keeps, in one message."""
+        unreported, self._unreported = self._unreported, {}
+        by_peer: dict[Endpoint, dict[StreamOrigin, list[bytes]]] = defaultdict(
+            lambda: defaultdict(list)
+        )
+        for key, origin in unreported.items():
+            for peer in self._peers_for(key, _KEEPERS):
+                by_peer[peer][origin].append(key)
+        for peer, groups in by_peer.items():
+            answer = self._client.request(
+                peer, _report_message(groups), _REPLY_TIMEOUT
+            )
+            answer.addErrback(self._handle_no_reply, peer)
+        self.reported_streams += len(unreported)
+        REPORTED.add(len(unreported))
+
+    def _handle_no_reply(self, failure: Failure, peer: Endpoint) -> None:
+        failure.trap(PeerUnavailableError, PeerFailedError)
+        self._client.drop(peer)
+
+    def _handle_report(self, received: Received) -> Accepted:
+        self._merge_report(received.message)
+        return Accepted()
+
+    def _handle_pull(self, received: Received) -> StreamOriginReport:
+        """Return the streams of which the sender is one of the keepers."""
+        groups: dict[StreamOrigin, list[bytes]] = defaultdict(list)
+        for key, origin in self._table.streams(self._clock.now()):
+            names = self._ranking(key)[: _KEEPERS + 1]
+            if received.sender in names and self._history.is_mixed(
+                origin.service
+            ):
+                groups[origin].append(key)
+        return _report_message(groups)
+
+    def _merge_report(self, report: StreamOriginReport) -> None:
+        now = self._clock.now()
+        for group in report.groups:
+            origin = _origin(group)
+            for start in range(0, len(group.keys), KEY_BYTES):
+                key = group.keys[start : start + KEY_BYTES]
+                self._table.add(key, origin, now, is_own=False)
+
+    def _handle_request(self, received: Received) -> StreamOriginReply:
+        origin = self._table.find(received.message.key, self._clock.now())
+        if origin is None:
+            return StreamOriginReply(is_known=False)
+        return StreamOriginReply(
+            is_known=True,
+            service=origin.service,
+            software_version=origin.software_version,
+        )
+
+    def _peers_for(self, key: bytes, count: int) -> list[Endpoint]:
+        """Return the peers that come first for a stream."""
+        ranking = self._ranking(key)
+        return [self._endpoints[name] for name in ranking[:count]]
+
+    def _ranking(self, key: bytes) -> tuple[str, ...]:
+        """Return the names of the peers in their order for a stream."""
+        endpoints = {peer.name: peer.endpoint for peer in self._merger.peers}
+        if endpoints != self._endpoints:
+            self._endpoints = endpoints
+            self._rankings.clear()
+        bucket = key[0]
+        ranking = self._rankings.get(bucket)
+        if ranking is None:
+            ranking = rendezvous_rank(endpoints, f'streams/{bucket}')
+            self._rankings[bucket] = ranking
+        return ranking
+
+
+def _report_message(
+    groups: Mapping[StreamOrigin, list[bytes]],
+) -> StreamOriginReport:
+    return StreamOriginReport(groups=tuple(starmap(_group, groups.items())))
+
+
+def _group(origin: StreamOrigin, keys: list[bytes]) -> StreamGroup:
+    return StreamGroup(
+        service=origin.service,
+        software_version=origin.software_version,
+        keys=b''.join(keys),
+    )
+
+
+def _origin(part: StreamGroup | StreamOriginReply) -> StreamOrigin:
+    return StreamOrigin(
+        service=part.service, software_version=part.software_version
+    )
--- a/yuccagauge/exchange/parts.py
+++ b/yuccagauge/exchange/parts.py
@@ -1,10 +1,12 @@
 """Builds the parts of an exchange message from this router's state."""
 
 from collections.abc import Iterable, Mapping
+from typing import Any
 
 from yuccagauge.clock import Millis
 from yuccagauge.directory.state import Directory, Topic
 from yuccagauge.exchange.members import Member
+from yuccagauge.origins.versions import VersionHistory, VersionSighting
 from yuccagauge.quarantine.base import CrashSuspicion
 from yuccagauge.quarantine.evidence import PartCrash, PartEvidence
 from yuccagauge.ratelimit.limits import LimitReport
@@ -19,6 +21,7 @@
     FleetPartEvidence,
     FleetRecord,
     FleetSuspicion,
+    FleetVersion,
     PermitRequest,
 )
 
@@ -199,3 +202,32 @@
             peer_next_offsets.get(topic.value, 0),
         )
     )
+
+
+def versions(history: VersionHistory, now: Millis) -> dict[str, Any]:
+    """Return the parts with the software versions of mixed services."""
+    return {
+        'versions': tuple(
+            FleetVersion(
+                service=sighting.service,
+                software_version=sighting.software_version,
+                age_ms=sighting.age,
+            )
+            for sighting in history.sightings(now)
+        ),
+        'versions_known_ms': history.known_age(now),
+    }
+
+
+def version_sightings(
+    parts: Iterable[FleetVersion],
+) -> tuple[VersionSighting, ...]:
+    """Return the versions that a message lists."""
+    return tuple(
+        VersionSighting(
+            service=part.service,
+            software_version=part.software_version,
+            age=Millis(part.age_ms),
+        )
+        for part in parts
+    )
--- a/yuccagauge/exchange/service.py
+++ b/yuccagauge/exchange/service.py
@@ -365,6 +365,7 @@
                     )
                 ),
                 weights=self._recent_weights.messages(now),
+                **message_parts.versions(self._selector.versions, now),
                 limits=message_parts.limits(
                     self._selector.limits.reports(
                         message_parts.MAXIMUM_LIMITS, now
--- /dev/null
+++ b/yuccagauge/origins/__init__.py
@@ -0,0 +1,1 @@
+"""Which software version of a service began each stream."""
--- a/yuccagauge/platform/adapter.py
+++ b/yuccagauge/platform/adapter.py
@@ -37,6 +37,7 @@
         store=store,
         lease_store=store,
         crash_store=store,
+        version_store=store,
         order_client=engines,
         cache_event_source=engines,
         ready_path=names.READY_PATH,
--- a/yuccagauge/platform/store.py
+++ b/yuccagauge/platform/store.py
@@ -40,6 +40,10 @@
 _CRASHES_TOPIC = 'keyed.crashes'
 _CRASH_KEY_SEPARATOR = '/'
 
+#: Topic of the software versions of services that had several lately. The key
+#: of a record is the service.
+_VERSIONS_TOPIC = 'keyed.versions'
+
 #: Follows the name of the lease holder in a record.
 _HOLDER_TERMINATOR = '\n'
 
@@ -154,6 +158,19 @@
         decoded = map(_decode_crash, page.records)
         return tuple(crash for crash in decoded if crash is not None)
 
+    @inlineCallbacks
+    def write_versions(self, service: str, versions: tuple[str, ...]) -> Any:
+        """Store the versions of a service, or remove it if there are none."""
+        value = json.dumps(versions) if versions else ''
+        query = {'topic': _VERSIONS_TOPIC, 'part': 0}
+        yield self._append(query, _encode_record(service, value))
+
+    @inlineCallbacks
+    def list_versions(self) -> Any:
+        """Return the versions of all services that are stored."""
+        page = yield self._list_topic(_VERSIONS_TOPIC)
+        return {record.key: _decode_versions(record) for record in page.records}
+
     @inlineCallbacks
     def _append(
         self, query: dict[str, Any], body: bytes, also_accepted: int = _OK
@@ -244,6 +261,24 @@
         return None
 
 
+def _decode_versions(record: KeyedRecord) -> tuple[str, ...]:
+    """Return the versions.
+
+    A malformed record is logged and stands for one that is not known, because
+    the service had several.
+    """
+    try:
+        versions = json.loads(record.value)
+    except ValueError as error:
+        versions = str(error)
+    if isinstance(versions, list):
+        return tuple(map(str, versions))
+    log_state_change(
+        'record_unreadable', key=record.key[:80], reason=str(versions)
+    )
+    return ('',)
+
+
 def _decode_record(content: bytes, offset: int) -> KeyedRecord:
     """Decode one keyed record; an empty value removes the key."""
     key_end = 1 + content[0]
--- a/yuccagauge/relay/adapter.py
+++ b/yuccagauge/relay/adapter.py
@@ -8,6 +8,7 @@
 from yuccagauge.directory.state import RecordDecoder
 from yuccagauge.directory.store import KeyedStore
 from yuccagauge.dispatch.connection import ConnectionPool
+from yuccagauge.origins.archive import VersionStore
 from yuccagauge.quarantine.archive import CrashStore
 from yuccagauge.relay.base import BackendProtocol, CallDecoder, ResponseInfo
 from yuccagauge.rollout.base import LeaseStore, WeightsOrderClient
@@ -27,6 +28,7 @@
     store: KeyedStore
     lease_store: LeaseStore
     crash_store: CrashStore
+    version_store: VersionStore
     order_client: WeightsOrderClient
     cache_event_source: CacheEventSource
     #: Path of the load balancer's readiness check.
--- a/yuccagauge/relay/attempt.py
+++ b/yuccagauge/relay/attempt.py
@@ -1,6 +1,7 @@
 """One attempt of a call on a backend server, and its effects on the router."""
 
 from yuccagauge.clock import Millis
+from yuccagauge.dispatch.errors import ContinuationError
 from yuccagauge.quarantine.entry import Evidence, crash_id
 from yuccagauge.quarantine.events import short_fingerprint
 from yuccagauge.quarantine.evidence import PartCrash
@@ -49,7 +50,8 @@
             selection_request,
             placement,
             self._sent_at,
-            is_movable=is_movable,
+            is_movable=is_movable
+            and context.selector.versions.has_several_servers(placement.server),
         )
         self._first_output_at: Millis | None = None
         #: Whether the server outlived the beginning of the answer.
@@ -79,6 +81,24 @@
         """Time since the server last sent data, or since the send."""
         return Millis(self._now() - self._last_activity_at)
 
+    def check_version(self) -> None:
+        """Raise an error if the server has restarted with other software.
+
+        An id names a server over its restarts, so that a call may have reached
+        the next incarnation.
+
+        Raises
+        ------
+        ContinuationError
+            If the version that a stream goes on at is not that of the server.
+        """
+        sent_to = self._placement.server
+        listed = self._context.directory.servers.get(sent_to.server_id)
+        if listed is None or not self._call.route.is_resumable:
+            return
+        if listed.software_version != sent_to.software_version:
+            raise ContinuationError('the server has another software version')
+
     def record_activity(self, info: ResponseInfo | None = None) -> None:
         """Record that the server sent data, and what a response head states."""
         self._last_activity_at = self._now()
--- a/yuccagauge/relay/base.py
+++ b/yuccagauge/relay/base.py
@@ -121,6 +121,13 @@
         is_stream = self.route.kind is RouteKind.STREAMING
         return self.fields.last_event_id if is_stream else ''
 
+    @property
+    def takes_stream_up(self) -> bool:
+        """Whether the caller has events of the stream from an earlier call."""
+        fields = self.fields
+        has_part = bool(fields.resumed_request_id or fields.last_event_id)
+        return has_part and self.route.is_resumable
+
     @property
     def deadline(self) -> Millis:
         """Time by which the answer has to be complete."""
--- a/yuccagauge/relay/call.py
+++ b/yuccagauge/relay/call.py
@@ -19,15 +19,12 @@
 from yuccagauge.relay.repeats import CallRepeats
 from yuccagauge.relay.report import CallReporter
 from yuccagauge.relay.response import ResponseForwarder
-from yuccagauge.relay.stall import CONNECT_STALL_LIMIT, stall_limit
+from yuccagauge.relay.stall import StallMonitor
 from yuccagauge.selection.base import SelectionDecision, SelectionRequest
 from yuccagauge.verdict import Refusal, Verdict
 
 _FIRST_SERVER_ERROR_STATUS = 500
 
-#: Time between two checks whether a call has stalled.
-_STALL_CHECK_INTERVAL = Millis(100)
-
 #: Delay, before jitter is added, after which a caller may retry a call that was
 #: refused because servers are full or unreachable.
 FULL_RETRY_AFTER = Millis(250)
@@ -70,6 +67,12 @@
         self._has_ended = False
         self._timers = Timers(context.call_later)
         self._end_check = EndCheck(context.pool, self._timers)
+        self._stall_monitor = StallMonitor(
+            self._repeats,
+            self._timers,
+            on_connect_stall=self._handle_connect_stall,
+            on_stall=self._handle_stall,
+        )
 
     def start(self) -> None:
         """Select a server and send the call; the sink receives the answer."""
@@ -78,7 +81,7 @@
         self._sink.watch(self)
         remaining = self._call.deadline - self._now()
         self._timers.start('deadline', remaining, self._handle_deadline)
-        self._select_server()
+        self._context.origins.resolve(self._call, self._handle_origin)
 
     def pause(self) -> None:
         """Stop reading from the server, because the caller reads slower."""
@@ -114,6 +117,7 @@
             return
         headers = self._context.backend_protocol.end_to_end_headers(head)
         try:
+            self._attempt.check_version()
             self._response.accept_head(head, headers)
         except ContinuationError as error:
             self._handle_failed_continuation(str(error))
@@ -139,7 +143,7 @@
         if self._response.is_inside_event and not failed:
             self._handle_broken_attempt('the stream ended inside an event')
         elif self._response.ends_with_connection and not failed:
-            self._timers.stop('stall')
+            self._stall_monitor.stop()
             self._end_check.start(
                 self._attempt.placement.server.endpoint, self._handle_end_check
             )
@@ -163,7 +167,7 @@
 
     def _complete_attempt(self, *, failed: bool) -> None:
         """Handle a complete response."""
-        self._exchange = None
+        self._end_exchange()
         self._attempt.end_attempt(failed=failed)
         self._repeats.record_run()
         self._verdict = Verdict.ANSWERED
@@ -193,8 +197,22 @@
         self._attempt.end_attempt(failed=True)
         self._run_again_or_refuse('not_continued', reason)
 
+    def _handle_origin(
+        self, software_version: str | None, refusal: Refusal | None
+    ) -> None:
+        """Send the call to a server of the version that began its stream."""
+        if self._has_ended:
+            return
+        if refusal is not None:
+            self._refuse(refusal)
+            return
+        self._selection_request = dataclasses.replace(
+            self._selection_request, software_version=software_version
+        )
+        self._select_server()
+
     def _run_again_or_refuse(self, ending: str, reason: str) -> None:
-        self._exchange = None
+        self._end_exchange()
         self._repeats.record_run()
         self._verdict = self._verdict.combine(Verdict.MAY_HAVE_RUN)
         self._reporter.record_failed_attempt(
@@ -208,7 +226,7 @@
 
     def _handle_rejection(self, head: ResponseHead, info: ResponseInfo) -> None:
         """Handle a response that states that the call has not run."""
-        self._exchange = None
+        self._end_exchange()
         self._attempt.record_rejection(info)
         self._attempt.end_attempt(failed=not info.is_misdirected)
         self._reporter.record_failed_attempt(f'turned_away_{head.status}')
@@ -227,12 +245,17 @@
         self._refuse(refusals.broken_attempt(code))
 
     def _retry_on_another_server(self) -> None:
-        server_id = self._attempt.placement.server.server_id
+        server = self._attempt.placement.server
         excluded_servers = self._selection_request.excluded_servers | {
-            server_id
+            server.server_id
         }
+        software_version = self._selection_request.software_version
+        if self._response.has_started:
+            software_version = server.software_version
         self._selection_request = dataclasses.replace(
-            self._selection_request, excluded_servers=excluded_servers
+            self._selection_request,
+            excluded_servers=excluded_servers,
+            software_version=software_version,
         )
         self._select_server()
 
@@ -266,6 +289,7 @@
 
     def _send_attempt(self, decision: SelectionDecision) -> None:
         self._repeats.record_send()
+        self._context.origins.record_send(self._call, decision.placement.server)
         timeout = Millis(max(1, self._call.deadline - self._now()))
         attempt = AttemptRequest(
             call=self._call,
@@ -291,51 +315,23 @@
         )
         self._exchange.start(fresh=not self._repeats.is_retryable)
         if not self._has_ended:
-            self._schedule_stall_check(self._exchange)
-
-    def _schedule_stall_check(self, exchange: Exchange) -> None:
-        self._timers.start(
-            'stall',
-            _STALL_CHECK_INTERVAL,
-            self._check_for_stall,
-            exchange,
-        )
+            self._stall_monitor.start(self._exchange, self._attempt)
 
-    def _check_for_stall(self, exchange: Exchange) -> None:
-        """Move the call to another server if its server is unresponsive.
+    def _handle_connect_stall(self) -> None:
+        """Move to another server; this one accepts no connection."""
+        self._abandon_exchange()
+        server_id = self._attempt.placement.server.server_id
+        self._context.on_unresponsive(server_id)
+        self._handle_connect_failure('connect_stalled')
 
-        A call that may run only once moves only while its connection is not
-        established.
-        """
-        if self._has_ended or exchange is not self._exchange:
-            return
-        if exchange.verdict is Verdict.NOT_RUN:
-            if self._attempt.time_without_response >= CONNECT_STALL_LIMIT:
-                self._abandon_exchange()
-                self._context.on_unresponsive(
-                    self._attempt.placement.server.server_id,
-                )
-                self._handle_connect_failure('connect_stalled')
-                return
-        elif not self._repeats.is_retryable:
-            return
-        elif self._has_stalled():
-            self._abandon_exchange()
-            self._handle_broken_attempt('the server is unresponsive')
-            return
-        self._schedule_stall_check(exchange)
-
-    def _has_stalled(self) -> bool:
-        expected = self._attempt.placement.expected_first_output_ms
-        limit = stall_limit(self._call.route, expected)
-        return (
-            self._attempt.time_without_response >= limit
-            and self._repeats.allows_another_run
-        )
+    def _handle_stall(self) -> None:
+        """Move to another server; this one sends nothing any more."""
+        self._abandon_exchange()
+        self._handle_broken_attempt('the server is unresponsive')
 
     def _handle_connect_failure(self, ending: str) -> None:
         """Handle a server that accepted no connection."""
-        self._exchange = None
+        self._end_exchange()
         self._attempt.record_unreachable()
         self._attempt.end_attempt(failed=True)
         self._reporter.record_failed_attempt(ending)
@@ -389,6 +385,10 @@
         if self._exchange is not None:
             self._exchange.abandon()
 
+    def _end_exchange(self) -> None:
+        self._exchange = None
+        self._stall_monitor.stop()
+
     def _add_jitter(self, retry_after: Millis | None) -> Millis | None:
         """Add jitter, so that refused callers do not all retry at once."""
         if retry_after is None:
--- a/yuccagauge/relay/context.py
+++ b/yuccagauge/relay/context.py
@@ -11,6 +11,7 @@
 from yuccagauge.quarantine.base import Quarantine, QuarantineStatus
 from yuccagauge.quarantine.parts import PartQuarantine
 from yuccagauge.relay.base import BackendProtocol, CallDecoder, RelayCall
+from yuccagauge.relay.origins import NoOrigins, OriginStore, StreamOrigins
 from yuccagauge.selection.budget import FleetRetryBudget
 from yuccagauge.selection.selector import Selector
 from yuccagauge.settings.relay import RetrySection
@@ -67,8 +68,18 @@
     part_quarantine: PartQuarantine = field(default_factory=PartQuarantine)
     #: Calls that are not answered yet, by request id.
     running_calls: dict[str, RunningCall] = field(default_factory=dict)
+    #: Finds the software versions that began streams.
+    origins: StreamOrigins = field(init=False)
     _budgets: dict[str, FleetRetryBudget] = field(default_factory=dict)
 
+    def __post_init__(self) -> None:
+        """Begin without a store for the origins of streams."""
+        self.use_origin_store(NoOrigins())
+
+    def use_origin_store(self, store: OriginStore) -> None:
+        """Keep the origins of streams in a store."""
+        self.origins = StreamOrigins(store, self.selector.versions, self.clock)
+
     def is_quarantined(self, call: RelayCall, now: Millis) -> bool:
         """Return whether a call may crash servers and is not to be sent."""
         status = self.quarantine.status(call.fingerprint, now)
--- /dev/null
+++ b/yuccagauge/relay/origins.py
@@ -0,0 +1,137 @@
+"""Decides at which software version a call may go on with a stream."""
+
+from collections.abc import Callable
+from typing import Protocol
+
+from twisted.internet.defer import Deferred, succeed
+
+from yuccagauge.clock import Clock, Millis
+from yuccagauge.directory.base import BackendServer, CustomerSpec
+from yuccagauge.origins.base import StreamOrigin, origin_key
+from yuccagauge.origins.events import log_resumption
+from yuccagauge.origins.versions import VersionHistory
+from yuccagauge.relay import refusals
+from yuccagauge.relay.base import CallFields, RelayCall
+from yuccagauge.verdict import Refusal
+
+#: Longest request id that a caller may name. Others are taken for unknown.
+_MAXIMUM_ID_LENGTH = 200
+
+#: Delay after which a caller may ask again for a stream whose version is not
+#: known yet.
+_UNKNOWN_RETRY_AFTER = Millis(500)
+
+#: Gets the version that the server has to have, ``None`` for any, or a refusal.
+OriginCallback = Callable[[str | None, Refusal | None], None]
+
+
+class OriginStore(Protocol):
+    """Keeps the origins of streams."""
+
+    def record(self, key: bytes, origin: StreamOrigin) -> None:
+        """Keep the origin of a stream."""
+
+    def find(self, key: bytes) -> Deferred[StreamOrigin | None]:
+        """Return the origin of a stream, ``None`` if nobody knows it."""
+
+
+class NoOrigins:
+    """Knows no stream, and keeps none."""
+
+    def record(self, key: bytes, origin: StreamOrigin) -> None:
+        """Keep nothing."""
+
+    def find(self, key: bytes) -> Deferred[StreamOrigin | None]:
+        """Return that the stream is not known."""
+        return succeed(None)
+
+
+class StreamOrigins:
+    """Records which version begins each stream, and finds it for the rest.
+
+    Only streams that may be resumed have an origin.
+
+    Parameters
+    ----------
+    store
+        Keeps the origins.
+    history
+        Tells which versions can have begun a stream that nobody knows.
+    clock
+        The source of time.
+    """
+
+    def __init__(
+        self, store: OriginStore, history: VersionHistory, clock: Clock
+    ) -> None:
+        """Use a store and a history."""
+        self._store = store
+        self._history = history
+        self._clock = clock
+
+    def record_send(self, call: RelayCall, server: BackendServer) -> None:
+        """Record that a server is to send the next events of a stream.
+
+        The last server that got the call before its first event began it. A
+        stream that is taken up goes on at its version, which is kept for
+        longer by this.
+        """
+        if call.route.is_resumable:
+            origin = StreamOrigin(
+                service=server.service,
+                software_version=server.software_version,
+            )
+            self._store.record(stream_key(call.fields, call.customer), origin)
+
+    def resolve(self, call: RelayCall, on_result: OriginCallback) -> None:
+        """Find the version at which a call has to go on, or a refusal."""
+        if not call.takes_stream_up:
+            on_result(None, None)
+            return
+        resumed = call.fields.resumed_request_id
+        if not resumed or len(resumed) > _MAXIMUM_ID_LENGTH:
+            self._handle_unknown(call, on_result)
+            return
+
+        def handle(origin: StreamOrigin | None) -> None:
+            if origin is None:
+                self._handle_unknown(call, on_result)
+            elif origin.service == call.service:
+                version = origin.software_version
+                self._report(call, 'known', version)
+                on_result(version, None)
+            else:
+                self._report(call, 'other_service', None)
+                on_result(None, refusals.not_run('stream_gone', None))
+
+        self._store.find(stream_key(call.fields, call.customer)).addCallback(
+            handle
+        )
+
+    def _handle_unknown(
+        self, call: RelayCall, on_result: OriginCallback
+    ) -> None:
+        """Go on only at a version that must have begun the stream."""
+        version = self._history.only_version(call.service, self._clock.now())
+        is_split = len(call.route.traffic_shares) > 1
+        if version is None or is_split:
+            self._report(call, 'unknown', None)
+            refusal = refusals.not_run('stream_unknown', _UNKNOWN_RETRY_AFTER)
+            on_result(None, refusal)
+            return
+        self._report(call, 'only_version', version)
+        on_result(version, None)
+
+    def _report(
+        self, call: RelayCall, source: str, version: str | None
+    ) -> None:
+        fields = call.fields
+        log_resumption(
+            fields.request_id, fields.resumed_request_id, source, version
+        )
+
+
+def stream_key(fields: CallFields, customer: CustomerSpec | None) -> bytes:
+    """Return the key of the stream that a call begins or takes up."""
+    name = '' if customer is None else customer.name
+    return origin_key(name, fields.resumed_request_id or fields.request_id)
--- /dev/null
+++ b/yuccagauge/relay/peers.py
@@ -0,0 +1,50 @@
+"""Creates the components that speak to other routers."""
+
+from collections.abc import Callable
+from typing import Any
+
+from yuccagauge.clock import Clock
+from yuccagauge.exchange.origins import OriginBroker
+from yuccagauge.exchange.service import ExchangeService
+from yuccagauge.relay.context import RelayContext
+from yuccagauge.settings.relay import RelaySettings
+from yuccagauge.wire.client import PeerClient
+from yuccagauge.wire.server import PeerServer
+
+
+def build_peer_services(
+    settings: RelaySettings,
+    context: RelayContext,
+    reactor: Any,
+    clock: Clock,
+    random_fraction: Callable[[], float],
+) -> tuple[ExchangeService, OriginBroker]:
+    """Return the exchange and the broker, which share their connections."""
+    section = settings.relay
+    server = PeerServer(reactor, section.peer_listen, section.name)
+    client = PeerClient(reactor, section.name)
+    exchange = ExchangeService(
+        section.name,
+        section.peer_listen,
+        section.data_centre,
+        seeds=section.seeds,
+        server=server,
+        client=client,
+        directory=context.directory,
+        selector=context.selector,
+        quarantine=context.quarantine,
+        part_quarantine=context.part_quarantine,
+        reactor=reactor,
+        clock=clock,
+        random_fraction=random_fraction,
+    )
+    broker = OriginBroker(
+        section.name,
+        merger=exchange.merger,
+        history=context.selector.versions,
+        server=server,
+        client=client,
+        reactor=reactor,
+        clock=clock,
+    )
+    return exchange, broker
--- a/yuccagauge/relay/relay.py
+++ b/yuccagauge/relay/relay.py
@@ -11,6 +11,7 @@
     RouteKind,
 )
 from yuccagauge.dispatch.base import AnswerSink
+from yuccagauge.origins.base import KEY_BYTES
 from yuccagauge.quarantine.base import QuarantineStatus
 from yuccagauge.quarantine.events import short_fingerprint
 from yuccagauge.relay import refusals
@@ -23,6 +24,7 @@
 )
 from yuccagauge.relay.call import CallForwarder
 from yuccagauge.relay.context import RelayContext
+from yuccagauge.relay.origins import stream_key
 from yuccagauge.selection.base import SelectionRequest
 from yuccagauge.telemetry.journal import log_decision
 from yuccagauge.verdict import Refusal, RefusedError
@@ -37,6 +39,8 @@
 FIRST_EVENT_OBJECTIVE_FACTOR = 4
 FIRST_EVENT_GAP_FACTOR = 8
 
+_KEY_VALUES = 256**KEY_BYTES
+
 
 class Relay:
     """Accepts requests of callers as calls, or refuses them.
@@ -85,6 +89,26 @@
         for call in tuple(self._context.running_calls.values()):
             call.abort_call()
 
+    def draw_service(
+        self, route: Route, fields: CallFields, customer: CustomerSpec | None
+    ) -> str:
+        """Return a random service, by the weights of the traffic shares.
+
+        It is the same for all tries of a stream, at any router, because only
+        the service that began the stream can go on with it.
+        """
+        fraction = self._context.random_fraction()
+        if route.is_resumable:
+            key = stream_key(fields, customer)
+            fraction = int.from_bytes(key) / _KEY_VALUES
+        total = sum(share.weight for share in route.traffic_shares)
+        drawn = fraction * total
+        for traffic_share in route.traffic_shares:
+            drawn -= traffic_share.weight
+            if drawn < 0:
+                return traffic_share.service
+        return route.traffic_shares[-1].service
+
     def _admit_call(
         self, request: IncomingRequest, fields: CallFields
     ) -> RelayCall:
@@ -114,7 +138,7 @@
             request=request,
             fields=fields,
             route=route,
-            service=self._draw_service(route),
+            service=self.draw_service(route, fields, customer),
             customer=customer,
             configuration_version=configuration.version,
             fingerprint=fingerprint,
@@ -194,18 +218,6 @@
             if server.endpoint in endpoints
         )
 
-    def _draw_service(self, route: Route) -> str:
-        """Return a random service, by the weights of the traffic shares."""
-        total = sum(
-            traffic_share.weight for traffic_share in route.traffic_shares
-        )
-        drawn = self._context.random_fraction() * total
-        for traffic_share in route.traffic_shares:
-            drawn -= traffic_share.weight
-            if drawn < 0:
-                return traffic_share.service
-        return route.traffic_shares[-1].service
-
     def _refuse(
         self, request_id: str, sink: AnswerSink, refusal: Refusal
     ) -> None:
--- a/yuccagauge/relay/repeats.py
+++ b/yuccagauge/relay/repeats.py
@@ -1,7 +1,7 @@
 """Counts the sends and runs of one call, and bounds them."""
 
 from yuccagauge.clock import Millis
-from yuccagauge.directory.base import RouteKind
+from yuccagauge.directory.base import Route, RouteKind
 from yuccagauge.relay.base import RelayCall
 from yuccagauge.relay.context import RelayContext
 from yuccagauge.relay.response import ResponseForwarder
@@ -32,6 +32,11 @@
         self._sends = 0
         self._runs = 0
 
+    @property
+    def route(self) -> Route:
+        """The route of the call."""
+        return self._call.route
+
     @property
     def is_retryable(self) -> bool:
         """Whether the call may run more than once."""
--- a/yuccagauge/relay/router.py
+++ b/yuccagauge/relay/router.py
@@ -15,16 +15,15 @@
 from yuccagauge.directory.state import Directory, Topic
 from yuccagauge.dispatch.connection import ConnectionPool
 from yuccagauge.errors import SettingsError
-from yuccagauge.exchange.service import ExchangeService
-from yuccagauge.quarantine.archive import CrashArchive
-from yuccagauge.quarantine.ledger import CrashLedger
 from yuccagauge.ratelimit.limits import ServerLimits
 from yuccagauge.relay.adapter import AdapterFactory
+from yuccagauge.relay.archives import build_archives
 from yuccagauge.relay.base import ResponseInfo
 from yuccagauge.relay.changes import log_configuration, log_fleet_changes
 from yuccagauge.relay.channel import CallerFactory
 from yuccagauge.relay.context import RelayContext, retry_budget_settings
 from yuccagauge.relay.pages import MetricsPage, ReadyPage, page_site
+from yuccagauge.relay.peers import build_peer_services
 from yuccagauge.relay.relay import Relay
 from yuccagauge.rendezvous import rendezvous_rank
 from yuccagauge.rollout.driver import RolloutDriver
@@ -40,8 +39,6 @@
 )
 from yuccagauge.tasks import PeriodicTask
 from yuccagauge.telemetry.journal import log_state_change
-from yuccagauge.wire.client import PeerClient
-from yuccagauge.wire.server import PeerServer
 
 #: Number of routers that take part in the leader election. If all of a fleet
 #: did, they would load the store more than all else.
@@ -123,15 +120,17 @@
             )
             for topic in Topic
         }
-        self._exchange = self._build_exchange()
-        self._crash_archive = CrashArchive(
-            CrashLedger(
-                self._context.quarantine, self._context.part_quarantine
-            ),
-            self._adapter.crash_store,
+        self._exchange, self._origin_broker = build_peer_services(
+            settings, self._context, reactor, clock, random_fraction
+        )
+        self._context.use_origin_store(self._origin_broker)
+        self._crash_archive, self._version_archive = build_archives(
+            self._adapter,
+            self._context,
             reactor,
             clock,
-            lambda: self._exchange.is_isolated,
+            is_isolated=lambda: self._exchange.is_isolated,
+            rank=self._rank,
         )
         self._cache_feed = CacheFeed(
             self._adapter.cache_event_source,
@@ -186,6 +185,11 @@
         """The rate limits that the router knows."""
         return self._selector.limits
 
+    @property
+    def reported_streams(self) -> int:
+        """Streams whose software version other routers were told."""
+        return self._origin_broker.reported_streams
+
     def start(self) -> None:
         """Open the ports and start to follow the store."""
         section = self._settings.relay
@@ -194,12 +198,14 @@
         self._listen(section.listen, self._callers)
         self._listen(section.ready_listen, page_site(ready))
         self._listen(section.metrics_listen, page_site(MetricsPage()))
+        self._origin_broker.start()
         self._exchange.start()
-        self._crash_archive.start()
+        for archive in (self._crash_archive, self._version_archive):
+            archive.start()
         for follower in self._followers.values():
             follower.start()
-        self._rollout.start()
-        self._election.start()
+        for duty in (self._rollout, self._election):
+            duty.start()
         self._upkeep.start(_UPKEEP_INTERVAL_S, now=False)
         log_state_change(
             'router_started',
@@ -216,6 +222,7 @@
             follower.read_delay = partial(self._read_delay, topic)
             follower.read_wait = partial(self._read_wait, topic)
         self._election.on_leadership_change = self._rollout.set_leading
+        self._exchange.own_confirmed_at = self._store_confirmed_at
         self._exchange.merger.on_pause_received = lambda: (
             self._leader_lease.observe_peer_order(self._clock.now())
         )
@@ -265,6 +272,7 @@
     def _close(self) -> Deferred[Any]:
         self._upkeep.close()
         self._crash_archive.close()
+        self._version_archive.close()
         for follower in self._followers.values():
             follower.close()
         self._cache_feed.close()
@@ -287,27 +295,8 @@
         # The last data is sent within one more interval.
         self._reactor.callLater(_IDLE_CHECK_INTERVAL_S, done.callback, None)
 
-    def _build_exchange(self) -> ExchangeService:
-        section = self._settings.relay
-        exchange = ExchangeService(
-            section.name,
-            section.peer_listen,
-            section.data_centre,
-            seeds=section.seeds,
-            server=PeerServer(self._reactor, section.peer_listen, section.name),
-            client=PeerClient(self._reactor, section.name),
-            directory=self._directory,
-            selector=self._selector,
-            quarantine=self._context.quarantine,
-            part_quarantine=self._context.part_quarantine,
-            reactor=self._reactor,
-            clock=self._clock,
-            random_fraction=self._random_fraction,
-        )
-        exchange.own_confirmed_at = lambda topic: (
-            self._followers[topic].confirmed_at
-        )
-        return exchange
+    def _store_confirmed_at(self, topic: Topic) -> Millis:
+        return self._followers[topic].confirmed_at
 
     def _is_election_candidate(self) -> bool:
         """Return whether this router takes part in the leader election."""
@@ -362,8 +351,13 @@
         if lapsed:
             log_state_change('servers_lapsed', servers=lapsed)
         self._selector.limits.remove_gone(self._directory.servers, now)
+        self._observe_versions(now)
         self._cache_feed.update_pollers()
 
+    def _observe_versions(self, now: Millis) -> None:
+        self._selector.versions.observe(self._directory.servers.values(), now)
+        self._origin_broker.update()
+
     def _apply_directory_change(self) -> None:
         """Apply and log a change of configuration, servers or weights."""
         directory = self._directory
@@ -373,6 +367,7 @@
             target_history=dict(directory.target_history),
         )
         self._selector.update_fleet_view(view)
+        self._observe_versions(self._clock.now())
         log_fleet_changes(before, view)
         configuration = directory.configuration
         if configuration is not None and (
--- a/yuccagauge/relay/stall.py
+++ b/yuccagauge/relay/stall.py
@@ -1,8 +1,15 @@
-"""Limits after which a call counts as stalled."""
+"""Limits after which a call counts as stalled, and the check for them."""
+
+from collections.abc import Callable
 
 from yuccagauge.clock import Millis
 from yuccagauge.directory.base import Route, RouteKind
 from yuccagauge.dispatch.endcheck import ACCEPT_LIMIT
+from yuccagauge.dispatch.exchange import Exchange
+from yuccagauge.dispatch.timers import Timers
+from yuccagauge.relay.attempt import AttemptTracker
+from yuccagauge.relay.repeats import CallRepeats
+from yuccagauge.verdict import Verdict
 
 #: A retryable call moves to another server if its server sends nothing for
 #: this long. Streams and plain calls have separate limits.
@@ -16,6 +23,73 @@
 #: expected time.
 EXPECTED_TIME_FACTOR = 2
 
+#: Time between two checks whether a call has stalled.
+_CHECK_INTERVAL = Millis(100)
+
+_TIMER = 'stall'
+
+
+class StallMonitor:
+    """Notices that the server of a call is unresponsive.
+
+    A call that may run only once counts as stalled only while its connection is
+    not established.
+
+    Parameters
+    ----------
+    repeats
+        Tells whether the call may run again.
+    timers
+        Timers of the call.
+    on_connect_stall, on_stall
+        Called once if the server does not accept the connection, or sends
+        nothing on it.
+    """
+
+    def __init__(
+        self,
+        repeats: CallRepeats,
+        timers: Timers,
+        *,
+        on_connect_stall: Callable[[], None],
+        on_stall: Callable[[], None],
+    ) -> None:
+        """Create a monitor that checks nothing yet."""
+        self._repeats = repeats
+        self._timers = timers
+        self._on_connect_stall = on_connect_stall
+        self._on_stall = on_stall
+
+    def start(self, exchange: Exchange, attempt: AttemptTracker) -> None:
+        """Check an attempt, instead of an earlier one, until ``stop``."""
+        self._timers.start(
+            _TIMER, _CHECK_INTERVAL, self._check, exchange, attempt
+        )
+
+    def stop(self) -> None:
+        """Check no longer."""
+        self._timers.stop(_TIMER)
+
+    def _check(self, exchange: Exchange, attempt: AttemptTracker) -> None:
+        if exchange.verdict is Verdict.NOT_RUN:
+            if attempt.time_without_response >= CONNECT_STALL_LIMIT:
+                self._on_connect_stall()
+                return
+        elif not self._repeats.is_retryable:
+            return
+        elif self._has_stalled(attempt):
+            self._on_stall()
+            return
+        self.start(exchange, attempt)
+
+    def _has_stalled(self, attempt: AttemptTracker) -> bool:
+        expected = attempt.placement.expected_first_output_ms
+        limit = stall_limit(self._repeats.route, expected)
+        return (
+            attempt.time_without_response >= limit
+            and self._repeats.allows_another_run
+        )
+
 
 def stall_limit(route: Route, expected_first_output_ms: float) -> Millis:
     """Return how long a server may send nothing before the call moves.
--- a/yuccagauge/selection/base.py
+++ b/yuccagauge/selection/base.py
@@ -36,6 +36,14 @@
     #: Ids of servers that must not get the call: an earlier attempt failed
     #: there, or the request is a suspect and another suspect runs there.
     excluded_servers: frozenset[str] = frozenset()
+    #: Software version that the server must have, because it began the stream;
+    #: ``None`` for any.
+    software_version: str | None = None
+
+    def accepts(self, server: BackendServer) -> bool:
+        """Return whether a server may get the call."""
+        has_version = self.software_version in {None, server.software_version}
+        return has_version and server.server_id not in self.excluded_servers
 
     @property
     def shared_tokens(self) -> int:
--- a/yuccagauge/selection/deferral.py
+++ b/yuccagauge/selection/deferral.py
@@ -1,6 +1,7 @@
 """Decision to delay or refuse a call that no server can take now."""
 
 from yuccagauge.clock import Millis
+from yuccagauge.origins.versions import VersionHistory
 from yuccagauge.selection.base import SelectionDecision, SelectionRequest
 
 #: Longest time before the router decides again about a waiting call.
@@ -14,6 +15,9 @@
 MINIMUM_RETRY_AFTER = Millis(120)
 MAXIMUM_RETRY_AFTER = Millis(1500)
 
+#: An engine that crashed is back within this time.
+RESTART_TIME = Millis(6000)
+
 
 def wait_or_refuse(
     available_at: Millis | None,
@@ -78,3 +82,21 @@
 
 def _clamp(retry_after: Millis) -> Millis:
     return max(MINIMUM_RETRY_AFTER, min(MAXIMUM_RETRY_AFTER, retry_after))
+
+
+def refuse_without_version(
+    history: VersionHistory, request: SelectionRequest, now: Millis
+) -> SelectionDecision:
+    """Refuse a stream whose software version no server has.
+
+    Load pattern: the last engines of a version leave amid a roll-out. The
+    stream cannot go on anywhere else, so that its caller is told at once. A
+    version that was listed just now may come back with an engine that restarts.
+    """
+    version = request.software_version or ''
+    age = history.age_of(request.service.name, version, now)
+    may_return = age < RESTART_TIME
+    return SelectionDecision(
+        retry_after=MAXIMUM_RETRY_AFTER if may_return else None,
+        reason='version_gone',
+    )
--- a/yuccagauge/selection/selector.py
+++ b/yuccagauge/selection/selector.py
@@ -4,6 +4,7 @@
 
 from yuccagauge.clock import Millis
 from yuccagauge.directory.base import BackendServer, KvCacheStore, ServerState
+from yuccagauge.origins.versions import VersionHistory
 from yuccagauge.ratelimit.limits import ServerLimits
 from yuccagauge.ratelimit.permits import Permits
 from yuccagauge.relay.base import Placement
@@ -15,7 +16,7 @@
     SelectionRequest,
 )
 from yuccagauge.selection.cachemap import CacheMap
-from yuccagauge.selection.deferral import wait_or_refuse
+from yuccagauge.selection.deferral import refuse_without_version, wait_or_refuse
 from yuccagauge.selection.kvcachestores import (
     KvCacheStoreTracker,
     cache_scope_of,
@@ -68,6 +69,8 @@
         self.cache_map = CacheMap()
         self._rate_gate = RateGate()
         self.statements = ServerStatements()
+        #: The software versions that each service had lately.
+        self.versions = VersionHistory()
         #: Ids of the engines whose cache events this router receives.
         self.engines_with_cache_events: set[str] = set()
 
@@ -162,9 +165,11 @@
             server
             for server in servers
             if server.state is ServerState.READY
-            and server.server_id not in request.excluded_servers
+            and request.accepts(server)
             and not self.statements.is_leaving(server)
         ]
+        if not ready and request.software_version is not None:
+            return refuse_without_version(self.versions, request, now)
         available = [
             server for server in ready if self._is_available(server, now)
         ]
--- a/yuccagauge/wire/fleetmessages.py
+++ b/yuccagauge/wire/fleetmessages.py
@@ -132,6 +132,16 @@
     age_ms: int
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class FleetVersion(Message):
+    """A software version that a service had lately, besides others."""
+
+    service: str
+    software_version: str
+    #: Time since a server was last listed with it, in ms.
+    age_ms: int
+
+
 @register(50)
 @dataclass(frozen=True, slots=True, kw_only=True)
 class FleetExchange(Message):
@@ -156,6 +166,9 @@
     limits: tuple[FleetLimit, ...] = ()
     parts: tuple[FleetPartEvidence, ...] = ()
     leaving: tuple[FleetLeaving, ...] = ()
+    versions: tuple[FleetVersion, ...] = ()
+    #: How far back the sender knows the versions, in ms.
+    versions_known_ms: int = 0
 
 
 @register(51)
@@ -183,3 +196,45 @@
     wait_ms: int
     #: Time between two permits, in us.
     interval_us: int = 0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StreamGroup(Message):
+    """Streams that were begun by one software version of a service."""
+
+    service: str
+    software_version: str
+    #: The keys of the streams, one after the other.
+    keys: bytes
+
+
+@register(53)
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StreamOriginReport(Message):
+    """Tell a peer which versions began some streams."""
+
+    groups: tuple[StreamGroup, ...]
+
+
+@register(54)
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StreamOriginRequest(Message):
+    """Ask which version began a stream."""
+
+    key: bytes
+
+
+@register(55)
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StreamOriginReply(Message):
+    """The version that began a stream, if the sender knows it."""
+
+    is_known: bool
+    service: str = ''
+    software_version: str = ''
+
+
+@register(56)
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StreamOriginPull(Message):
+    """Ask for all streams that the sender should keep, after its start."""
--- a/yuccagauge/wire/messages.capnp
+++ b/yuccagauge/wire/messages.capnp
@@ -275,6 +275,37 @@
   intervalUs @2 :UInt32;
 }
 
+struct FleetVersion {
+  service @0 :Text;
+  softwareVersion @1 :Text;
+  # Time since a server was last listed with it.
+  ageMs @2 :UInt32;
+}
+
+struct StreamGroup {
+  service @0 :Text;
+  softwareVersion @1 :Text;
+  # Keys of 16 bytes, one after the other.
+  keys @2 :Data;
+}
+
+struct StreamOriginReport {
+  groups @0 :List(StreamGroup);
+}
+
+struct StreamOriginRequest {
+  key @0 :Data;
+}
+
+struct StreamOriginPull {
+}
+
+struct StreamOriginReply {
+  isKnown @0 :Bool;
+  service @1 :Text;
+  softwareVersion @2 :Text;
+}
+
 struct FleetExchange {
   name @0 :Text;
   leaves @1 :Bool;
@@ -298,4 +329,8 @@
   parts @15 :List(FleetPartEvidence);
   # Servers that have stated that they leave.
   leaving @16 :List(FleetLeaving);
+  # Software versions of the services that had several lately.
+  versions @17 :List(FleetVersion);
+  # How far back the sender knows them.
+  versionsKnownMs @18 :UInt32;
 }
