Rank the routers for streams once for each batch

The list of live routers was made anew for each stream that is reported, which takes a part of the control budget in a fleet of 450. No change of behaviour.

--- a/yuccagauge/exchange/origins.py
+++ b/yuccagauge/exchange/origins.py
@@ -50,8 +50,6 @@
 
     Parameters
     ----------
-    name
-        Name of this router.
     merger
         Knows the other routers.
     history
@@ -65,7 +63,6 @@
 
     def __init__(
         self,
-        name: str,
         *,
         merger: MessageMerger,
         history: VersionHistory,
@@ -75,7 +72,6 @@
         clock: Clock,
     ) -> None:
         """Create a broker that answers nothing yet."""
-        self._name = name
         self._merger = merger
         self._history = history
         self._server = server
@@ -121,6 +117,7 @@
         """
         found: Deferred[StreamOrigin | None] = Deferred()
         known = self._table.find(key, self._clock.now())
+        self._refresh_rankings()
         peers = self._peers_for(key, _ASKED)
         if known is not None or not peers:
             found.callback(known)
@@ -183,6 +180,7 @@
 
     def _send_reports(self) -> None:
         """Send each peer the streams that it keeps, in one message."""
+        self._refresh_rankings()
         unreported, self._unreported = self._unreported, {}
         by_peer: dict[Endpoint, dict[StreamOrigin, list[bytes]]] = defaultdict(
             lambda: defaultdict(list)
@@ -208,6 +206,7 @@
 
     def _handle_pull(self, received: Received) -> StreamOriginReport:
         """Return the streams of which the sender is one of the keepers."""
+        self._refresh_rankings()
         groups: dict[StreamOrigin, list[bytes]] = defaultdict(list)
         for key, origin in self._table.streams(self._clock.now()):
             names = self._ranking(key)[: _KEEPERS + 1]
@@ -240,16 +239,19 @@
         ranking = self._ranking(key)
         return [self._endpoints[name] for name in ranking[:count]]
 
-    def _ranking(self, key: bytes) -> tuple[str, ...]:
-        """Return the names of the peers in their order for a stream."""
+    def _refresh_rankings(self) -> None:
+        """Drop the rankings if the peers have changed."""
         endpoints = {peer.name: peer.endpoint for peer in self._merger.peers}
         if endpoints != self._endpoints:
             self._endpoints = endpoints
             self._rankings.clear()
+
+    def _ranking(self, key: bytes) -> tuple[str, ...]:
+        """Return the names of the peers in their order for a stream."""
         bucket = key[0]
         ranking = self._rankings.get(bucket)
         if ranking is None:
-            ranking = rendezvous_rank(endpoints, f'streams/{bucket}')
+            ranking = rendezvous_rank(self._endpoints, f'streams/{bucket}')
             self._rankings[bucket] = ranking
         return ranking
 
--- a/yuccagauge/relay/peers.py
+++ b/yuccagauge/relay/peers.py
@@ -39,7 +39,6 @@
         random_fraction=random_fraction,
     )
     broker = OriginBroker(
-        section.name,
         merger=exchange.merger,
         history=context.selector.versions,
         server=server,
