--- a/features/crash_fleet.py
+++ b/features/crash_fleet.py
@@ -107,7 +107,6 @@
         self.caller_timeout = Millis(2000)
         self._request_count = 0
         self._reactors: dict[str, NodeReactor] = {}
-        self._started_at: dict[str, Millis] = {}
         self._routers: dict[str, RelayRouter] = {}
         self.servers = [
             self.server_type(self, number) for number in range(servers)
@@ -144,7 +143,6 @@
         )
         reactor = NodeReactor(self.network, host)
         self._reactors[name] = reactor
-        self._started_at[name] = self.clock.now()
         self._routers[name] = RelayRouter(
             settings,
             reactor,
@@ -162,10 +160,6 @@
         """Return whether the process of a router runs."""
         return name in self._reactors
 
-    def uptime_ms(self, name: str) -> Millis:
-        """Return the time since the process of a router started."""
-        return Millis(self.clock.now() - self._started_at[name])
-
     def kill_router(self, name: str) -> None:
         """End the process of a router, with all that it knows."""
         if name in self._reactors:
--- a/features/version_fleet.py
+++ b/features/version_fleet.py
@@ -27,9 +27,6 @@
 #: Time for which a server that leaves goes on.
 _DRAIN_S = 2.5
 
-#: Time from its start on which a router counts as in touch, by the users.
-_IN_TOUCH_MS = 3000
-
 #: How long callers wait for an answer, in ms.
 _TIMEOUT_MS = 15_000
 
@@ -145,9 +142,7 @@
 class _Attempt(Protocol):
     """One attempt of a caller."""
 
-    def __init__(
-        self, fleet: 'VersionFleet', stream: Stream, router: str
-    ) -> None:
+    def __init__(self, fleet: 'VersionFleet', stream: Stream) -> None:
         self._fleet = fleet
         self._stream = stream
         self._received = b''
@@ -155,11 +150,9 @@
         self.status = 0
         self.has_event = False
         self.is_resumption = bool(stream.last_event)
-        #: Whether the users count it: its router has been up for some time, and
-        #: two engines of the stream's version serve.
-        self.is_counted = fleet.uptime_ms(router) >= _IN_TOUCH_MS and (
-            not self.is_resumption
-            or len(fleet.engines_of(stream.versions[0])) > 1
+        #: Whether two engines of the stream's version serve.
+        self.is_counted = not self.is_resumption or (
+            len(fleet.engines_of(stream.versions[0])) > 1
         )
 
     def connectionMade(self) -> None:  # noqa: N802
@@ -301,7 +294,7 @@
             self.come_back(stream)
             return
         name = self.random.choice(names)
-        attempt = _Attempt(self, stream, name)
+        attempt = _Attempt(self, stream)
         factory = Factory()
         factory.startedConnecting = lambda connector: None
         factory.clientConnectionFailed = lambda connector, reason: None
