Log how long a server was silent, and whether its caller had a part of the answer

Cause: call_ended named the same outcome for an answer that was reset and for a refusal in its place, and attempt_failed did not say for how long the server that was given up had sent nothing.

Change: call_ended has answer_begun, attempt_failed has silent_ms.

Measured: the features of features/relay pass.

--- a/yuccagauge/relay/call.py
+++ b/yuccagauge/relay/call.py
@@ -216,7 +216,10 @@
         self._repeats.record_run()
         self._verdict = self._verdict.combine(Verdict.MAY_HAVE_RUN)
         self._reporter.record_failed_attempt(
-            ending, reason, self._response.summary
+            ending,
+            reason,
+            self._response.summary,
+            self._attempt.time_without_response,
         )
         self._response.discard_unsent()
         if self._repeats.try_run_again(self._response):
@@ -378,7 +381,11 @@
             self._attempt.release_slot()
         self._context.running_calls.pop(self._selection_request.call_id, None)
         self._reporter.record_end(
-            outcome, status, refusal, self._response.summary
+            outcome,
+            status,
+            refusal,
+            self._response.summary,
+            is_answer_begun=self._response.has_started,
         )
 
     def _abandon_exchange(self) -> None:
--- a/yuccagauge/relay/report.py
+++ b/yuccagauge/relay/report.py
@@ -71,8 +71,15 @@
         ending: str,
         detail: str = '',
         response: ResponseSummary | None = None,
+        silent_ms: Millis | None = None,
     ) -> None:
-        """Log and count an attempt that did not answer the call."""
+        """Log and count an attempt that did not answer the call.
+
+        Parameters
+        ----------
+        silent_ms
+            Time for which the server had sent nothing.
+        """
         metrics.SENDS.add(1, {'service': self._call.service, 'ending': ending})
         self._log(
             'attempt_failed',
@@ -81,6 +88,7 @@
             ending=ending,
             detail=detail,
             output_ms=self._time_since_output(),
+            silent_ms=silent_ms,
             **_response_fields(response),
         )
 
@@ -97,8 +105,17 @@
         status: int,
         refusal: Refusal | None,
         response: ResponseSummary | None = None,
+        *,
+        is_answer_begun: bool = False,
     ) -> None:
-        """Log the outcome of the call, and record its duration."""
+        """Log the outcome of the call, and record its duration.
+
+        Parameters
+        ----------
+        is_answer_begun
+            Whether the caller was sent a part of an answer. If so, a refusal
+            resets its connection.
+        """
         received = self._call.request.received_at
         elapsed = self._clock.now() - received
         first_output_ms = (
@@ -113,6 +130,7 @@
             'call_ended',
             outcome=outcome,
             status=status,
+            answer_begun=is_answer_begun,
             verdict=refusal.verdict.value if refusal is not None else None,
             retry_after_ms=refusal.retry_after if refusal else None,
             server=self._server,
