Show that calls end because their server is silent for a second

Callers of a server that sends nothing for 0.9 to 1.3 s and then goes on get 502, or a reset in the middle of their stream: a request that was accepted ends without an answer.

--- /dev/null
+++ b/features/silent_servers.py
@@ -0,0 +1,108 @@
+"""Scripts of servers that send nothing for some time and then go on."""
+
+from collections.abc import Callable
+
+from twisted.internet import reactor
+
+from features.relay_servers import (
+    BEHAVIOURS,
+    CHUNKED,
+    FAILED_CONTINUATIONS,
+    event,
+    open_event_stream,
+    stream_events,
+)
+from features.scripted_server import Exchange
+
+#: Events of a whole stream.
+EVENTS = 4
+
+#: The part of event 2 that is sent before the silence, and the one after it.
+_EVENT_PARTS = (event(2)[:5], event(2)[5:])
+
+
+def _after(silence_s: float, function: Callable[[], None]) -> None:
+    reactor.callLater(silence_s, function)
+
+
+def _send(exchange: Exchange, parts: tuple[bytes, ...]) -> None:
+    for part in parts:
+        exchange.chunk(part)
+
+
+def _answer_late(silence_s: float) -> Callable[[Exchange], None]:
+    return lambda exchange: _after(
+        silence_s, lambda: BEHAVIOURS['answers'](exchange)
+    )
+
+
+def _begin_late(silence_s: float) -> Callable[[Exchange], None]:
+    def script(exchange: Exchange) -> None:
+        whole = stream_events(EVENTS, resets=False)
+        _after(silence_s, lambda: whole(exchange))
+
+    return script
+
+
+def _pause_stream(
+    silence_s: float, before: tuple[bytes, ...], after: tuple[bytes, ...]
+) -> Callable[[Exchange], None]:
+    def script(exchange: Exchange) -> None:
+        open_event_stream(exchange, CHUNKED)
+        _send(exchange, before)
+        _after(silence_s, lambda: _send(exchange, (*after, b'')))
+
+    return script
+
+
+def pausing_script(
+    place: str, silence_s: float
+) -> tuple[str, Callable[[Exchange], None]]:
+    """Return the service and the script of a server that pauses once.
+
+    Parameters
+    ----------
+    place
+        Where in its answer the server pauses.
+    silence_s
+        Length of the pause, in seconds.
+    """
+    first = (event(0), event(1))
+    last = (event(2), event(3))
+    half, rest = _EVENT_PARTS
+    return {
+        'before a plain answer': ('plain', _answer_late(silence_s)),
+        'before a stream': ('model', _begin_late(silence_s)),
+        'between two events': ('model', _pause_stream(silence_s, first, last)),
+        'inside an event': (
+            'model',
+            _pause_stream(silence_s, (*first, half), (rest, event(3))),
+        ),
+    }[place]
+
+
+def other_script(
+    service: str, behaviour: str, silence_s: float
+) -> Callable[[Exchange], None]:
+    """Return the script of the other server of a service.
+
+    Parameters
+    ----------
+    silence_s
+        How long it sends nothing, if it is silent as well, in seconds.
+    """
+    is_model = service == 'model'
+    return {
+        'is sound': (
+            stream_events(EVENTS, resets=False)
+            if is_model
+            else BEHAVIOURS['answers']
+        ),
+        'is full': BEHAVIOURS['says the call did not run'],
+        'fails': FAILED_CONTINUATIONS['500 and JSON'],
+        'resets': BEHAVIOURS['resets after the request'],
+        'is silent as well': (
+            _begin_late(silence_s) if is_model else _answer_late(silence_s)
+        ),
+        'refuses connections': BEHAVIOURS['never answers'],
+    }[behaviour]
--- /dev/null
+++ b/features/steps/relay_silent_steps.py
@@ -0,0 +1,114 @@
+"""Steps for servers that send nothing for some time."""
+
+from behave import given, then, when
+from behave.runner import Context
+
+from features.loop import wait_until
+from features.relay_fixture import MODEL_HEADERS, request
+from features.relay_servers import event
+from features.silent_servers import EVENTS, other_script, pausing_script
+from features.steps.relay_steps import add_server, send_request, start_relay
+from features.unresponsive_port import UnresponsivePort
+from yuccagauge.clock import Millis
+from yuccagauge.relay.context import RetryBudgetSettings
+from yuccagauge.selection.budget import MINIMUM_RETRIES_PER_WINDOW
+
+_STREAM_END = b'\r\n0\r\n\r\n'
+_ROUTES = {'plain': 'read', 'model': 'stream'}
+
+
+@given('a relay with a server that is silent for {silence:f} s {place}')
+def relay_with_silent_server(
+    context: Context, silence: float, place: str
+) -> None:
+    """Start a relay with one server that pauses."""
+    start_relay(context)
+    context.fixture.configure()
+    context.silence_s = silence
+    context.service, script = pausing_script(place, silence)
+    add_server(context, context.service, script)
+
+
+@given('a second server of it that {behaviour}')
+def second_server(context: Context, behaviour: str) -> None:
+    """Add a server of the same service."""
+    if behaviour == 'is missing':
+        return
+    if behaviour == 'accepts nothing':
+        server = UnresponsivePort()
+        context.add_cleanup(server.close)
+        context.servers.append(server)
+        context.fixture.add_server('i1', context.service, server)
+        return
+    add_server(
+        context,
+        context.service,
+        other_script(context.service, behaviour, context.silence_s),
+        refuses_connections=behaviour == 'refuses connections',
+    )
+
+
+@given('a retry budget that is {state}')
+def retry_budget(context: Context, state: str) -> None:
+    """Spend all retries that the router may make, or none."""
+    if state == 'free':
+        return
+    relay_context = context.fixture.relay_context
+    relay_context.retry_settings = RetryBudgetSettings(
+        ratio=0, slack=0, window=Millis(10_000)
+    )
+    for _ in range(MINIMUM_RETRIES_PER_WINDOW):
+        assert relay_context.try_spend_retry(context.service)
+    assert not relay_context.try_spend_retry(context.service)
+
+
+def _prefer_first_server(context: Context) -> None:
+    if len(context.servers) == 1:
+        return
+    selector = context.fixture.selector
+    now = context.fixture.relay_context.clock.now()
+    selector.load_of('i1').record_service_time(900)
+    selector.load_of('i1').record_outcome(failed=True, now=now)
+    for part in ('aa', 'bb'):
+        selector.cache_map.add('i0', '1/anna', part)
+
+
+@when('a caller calls the silent server by "{route}"')
+def call_silent_server_by(context: Context, route: str) -> None:
+    """Call a route, and have the first server selected."""
+    _prefer_first_server(context)
+    headers = MODEL_HEADERS if context.service == 'model' else ()
+    send_request(context, request(route, headers=headers))
+
+
+@when('a caller calls the silent server')
+def call_silent_server(context: Context) -> None:
+    """Call a route that may be repeated."""
+    call_silent_server_by(context, _ROUTES[context.service])
+
+
+@then('the caller gets the whole answer once')
+def check_whole_answer(context: Context) -> None:
+    """Guard against calls that end although their server goes on."""
+    caller = context.caller
+    if context.service == 'plain':
+        received = caller.read_until(b'\r\n\r\ndone')
+        assert received.startswith(b'HTTP/1.1 200'), received
+        return
+    received = caller.read_until(_STREAM_END)
+    assert received.startswith(b'HTTP/1.1 200'), received
+    assert received.endswith(_STREAM_END), received
+    for number in range(EVENTS):
+        assert received.count(event(number)) == 1, received
+
+
+@then("the silent server's connection is closed")
+def check_silent_connection(context: Context) -> None:
+    """Guard against two servers that both go on with a call."""
+    wait_until(lambda: context.servers[0].exchanges[0].lost)
+
+
+@then('the second server gets no request')
+def check_second_server(context: Context) -> None:
+    """Guard against a second run of a call that may run once."""
+    assert not context.servers[1].headers, context.servers[1].headers
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -20,7 +20,7 @@
 from features.unresponsive_port import UnresponsivePort
 
 
-def _add_server(
+def add_server(
     context: Context,
     service: str,
     script: object,
@@ -49,7 +49,7 @@
     return server
 
 
-def _start_relay(context: Context) -> None:
+def start_relay(context: Context) -> None:
     context.fixture = RelayFixture()
     context.add_cleanup(context.fixture.close)
     context.servers = []
@@ -59,16 +59,16 @@
 @given('a relay without a configuration')
 def relay_without_configuration(context: Context) -> None:
     """Start a relay without configuration and servers."""
-    _start_relay(context)
+    start_relay(context)
 
 
 def start_relay_with_plain_server(
     context: Context, script: object, *, refuses_connections: bool = False
 ) -> None:
     """Start a relay with one plain server that follows a script."""
-    _start_relay(context)
+    start_relay(context)
     context.fixture.configure()
-    _add_server(
+    add_server(
         context, 'plain', script, refuses_connections=refuses_connections
     )
 
@@ -86,7 +86,7 @@
 @given('a relay with a plain server whose port accepts no connection')
 def relay_with_unresponsive_server(context: Context) -> None:
     """Start a relay with a server whose port accepts no connection."""
-    _start_relay(context)
+    start_relay(context)
     context.fixture.configure()
     context.reported_servers = []
     context.fixture.relay_context.on_unresponsive = (
@@ -111,19 +111,19 @@
 @given('a second plain server that {behaviour}')
 def second_plain(context: Context, behaviour: str) -> None:
     """Add a plain server."""
-    _add_server(context, 'plain', BEHAVIOURS[behaviour])
+    add_server(context, 'plain', BEHAVIOURS[behaviour])
 
 
 def start_relay_with_engine(context: Context, script: object) -> None:
     """Start a relay with one engine that follows a script."""
-    _start_relay(context)
+    start_relay(context)
     context.fixture.configure()
-    _add_server(context, 'model', script)
+    add_server(context, 'model', script)
 
 
 def add_engine(context: Context, script: object) -> None:
     """Add an engine that follows a script."""
-    _add_server(context, 'model', script)
+    add_server(context, 'model', script)
 
 
 @given('a relay with a model engine that streams {count:d} events')
