Leave a silent server only for one that has taken the call

What callers saw: a stream that was reset in the middle, or 502 in place of an answer, because their server sent nothing for a second or so, although it went on afterwards.

Cause: the run was abandoned as soon as it counted as stalled (250 ms for plain calls, 900 ms for streams). Only then the retry budget, the number of sends, the time left and the selection were asked, and each of them could refuse what had already been given up. The class is that of giving up a running attempt before its replacement is certain.

Change: Takeover owns the decision. A call leaves a silent server only if another one can take it at once and the budget has a retry for it. The attempt at the silent server is kept meanwhile: it ends when the next server has begun an answer, and the call returns to it if the next one is full, fails, breaks or does not accept, or if the silent server sends something first. Two servers have the same stream for 300 ms at most; then the next one keeps it, unless it is silent as well. Plain calls that may be repeated wait for both.

--- a/yuccagauge/dispatch/exchange.py
+++ b/yuccagauge/dispatch/exchange.py
@@ -207,6 +207,10 @@
         self._core.opening = opening
         opening.addCallbacks(self._machine.connected, self._refused)
 
+    def hand_over(self, user: ResponseUser) -> None:
+        """Report the rest of the response to another user."""
+        self._core.user = user
+
     def abandon(self) -> None:
         """Drop whatever would still arrive."""
         self._machine.abandon()
--- a/yuccagauge/relay/attempt.py
+++ b/yuccagauge/relay/attempt.py
@@ -81,6 +81,21 @@
         """Time since the server last sent data, or since the send."""
         return Millis(self._now() - self._last_activity_at)
 
+    @property
+    def is_server_quiet(self) -> bool:
+        """Whether the server sent nothing to this router since it got the run.
+
+        A server that ends as it begins the answer sends the beginning, and
+        what it had sent for other runs until then.
+        """
+        last_activity_at = self._load().last_activity_at
+        if last_activity_at <= self._sent_at:
+            return True
+        if self._first_output_at is None or self._is_sound:
+            return False
+        quiet_at = self._first_output_at + SOUND_OUTPUT_TIME
+        return last_activity_at < quiet_at <= self._now()
+
     def check_version(self) -> None:
         """Raise an error if the server has restarted with other software.
 
@@ -169,7 +184,7 @@
         A server that lost power resets no connection. It sends nothing either,
         unlike a server that was only slow with this run, until it restarts.
         """
-        if self._is_server_quiet() or not self.is_same_incarnation:
+        if self.is_server_quiet or not self.is_same_incarnation:
             self._record_possible_crash()
 
     def end_attempt(self, *, failed: bool) -> None:
@@ -216,20 +231,6 @@
             statements = self._context.selector.statements
             statements.record(server, info, self._now())
 
-    def _is_server_quiet(self) -> bool:
-        """Return whether the server sent nothing since it got the run.
-
-        A server that ends as it begins the answer sends the beginning, and
-        what it had sent for other runs until then.
-        """
-        last_activity_at = self._load().last_activity_at
-        if last_activity_at <= self._sent_at:
-            return True
-        if self._first_output_at is None or self._is_sound:
-            return False
-        quiet_at = self._first_output_at + SOUND_OUTPUT_TIME
-        return last_activity_at < quiet_at <= self._now()
-
     def _is_loading_weights(self) -> bool:
         """Return whether the server may reset its runs to load weights."""
         return self._now() < self._load().loading_until
--- a/yuccagauge/relay/call.py
+++ b/yuccagauge/relay/call.py
@@ -4,9 +4,6 @@
 The verdict over all attempts determines which statuses a refusal may have.
 """
 
-import dataclasses
-
-from yuccagauge.clock import Millis
 from yuccagauge.dispatch.base import AnswerSink, ResponseHead
 from yuccagauge.dispatch.endcheck import EndCheck
 from yuccagauge.dispatch.errors import ContinuationError
@@ -14,21 +11,19 @@
 from yuccagauge.dispatch.timers import Timers
 from yuccagauge.relay import refusals
 from yuccagauge.relay.attempt import AttemptTracker
-from yuccagauge.relay.base import AttemptRequest, RelayCall, ResponseInfo
+from yuccagauge.relay.base import RelayCall, ResponseInfo
 from yuccagauge.relay.context import RelayContext
+from yuccagauge.relay.exchanges import open_exchange
 from yuccagauge.relay.repeats import CallRepeats
 from yuccagauge.relay.report import CallReporter
 from yuccagauge.relay.response import ResponseForwarder
 from yuccagauge.relay.stall import StallMonitor
+from yuccagauge.relay.takeover import Takeover
 from yuccagauge.selection.base import SelectionDecision, SelectionRequest
 from yuccagauge.verdict import Refusal, Verdict
 
 _FIRST_SERVER_ERROR_STATUS = 500
 
-#: Delay, before jitter is added, after which a caller may retry a call that was
-#: refused because servers are full or unreachable.
-FULL_RETRY_AFTER = Millis(250)
-
 
 class CallForwarder:
     """Forwards one call, from its acceptance to its answer.
@@ -73,13 +68,21 @@
             on_connect_stall=self._handle_connect_stall,
             on_stall=self._handle_stall,
         )
+        self._takeover = Takeover(
+            self,
+            context,
+            self._timers,
+            repeats=self._repeats,
+            response=self._response,
+            reporter=self._reporter,
+        )
 
     def start(self) -> None:
         """Select a server and send the call; the sink receives the answer."""
         self._context.running_calls[self._selection_request.call_id] = self
         self._context.record_request(self._call.service)
         self._sink.watch(self)
-        remaining = self._call.deadline - self._now()
+        remaining = self._call.deadline - self._context.clock.now()
         self._timers.start('deadline', remaining, self._handle_deadline)
         self._context.origins.resolve(self._call, self._handle_origin)
 
@@ -118,6 +121,9 @@
         headers = self._context.backend_protocol.end_to_end_headers(head)
         try:
             self._attempt.check_version()
+            if self._takeover.keeps_attempt:
+                self._response.check_replaces(head)
+                self._takeover.end('another server has begun its answer')
             self._response.accept_head(head, headers)
         except ContinuationError as error:
             self._handle_failed_continuation(str(error))
@@ -206,8 +212,8 @@
         if refusal is not None:
             self._refuse(refusal)
             return
-        self._selection_request = dataclasses.replace(
-            self._selection_request, software_version=software_version
+        self._selection_request = self._selection_request.for_version(
+            software_version
         )
         self._select_server()
 
@@ -221,6 +227,8 @@
             self._response.summary,
             self._attempt.time_without_response,
         )
+        if self._takeover.try_return():
+            return
         self._response.discard_unsent()
         if self._repeats.try_run_again(self._response):
             self._retry_on_another_server()
@@ -237,70 +245,48 @@
 
     def _retry_or_refuse(self, code: str) -> None:
         """Retry a call that did not run in the last attempt, or refuse it."""
+        if self._takeover.try_return():
+            return
         if self._repeats.try_send_again():
             self._retry_on_another_server()
             return
         if self._verdict is Verdict.NOT_RUN:
-            jitter = 1 + self._context.random_fraction()
-            retry_after = Millis(int(FULL_RETRY_AFTER * jitter))
-            self._refuse(refusals.not_run(code, retry_after))
+            wait = self._context.add_jitter(refusals.FULL_RETRY_AFTER, share=1)
+            self._refuse(refusals.not_run(code, wait))
             return
         self._refuse(refusals.broken_attempt(code))
 
     def _retry_on_another_server(self) -> None:
-        server = self._attempt.placement.server
-        excluded_servers = self._selection_request.excluded_servers | {
-            server.server_id
-        }
-        software_version = self._selection_request.software_version
-        if self._response.has_started:
-            software_version = server.software_version
-        self._selection_request = dataclasses.replace(
-            self._selection_request,
-            excluded_servers=excluded_servers,
-            software_version=software_version,
-        )
+        self._selection_request = self._request_for_another_server()
         self._select_server()
 
+    def _request_for_another_server(self) -> SelectionRequest:
+        return self._selection_request.for_another_server(
+            self._attempt.placement.server,
+            keeps_version=self._response.has_started,
+        )
+
     def _select_server(self) -> None:
         if self._has_ended:
             return
-        decision = self._choose_server()
+        decision = self._context.choose_server(
+            self._call, self._selection_request
+        )
         if decision.placement is not None:
             self._send_attempt(decision)
         elif decision.wait_until is not None:
-            wait = max(1, decision.wait_until - self._now())
+            wait = max(1, decision.wait_until - self._context.clock.now())
             self._reporter.record_wait(decision.reason)
             self._timers.start('selection', wait, self._select_server)
         elif self._verdict is Verdict.NOT_RUN:
-            retry_after = self._add_jitter(decision.retry_after)
+            retry_after = self._context.add_jitter(decision.retry_after)
             self._refuse(refusals.not_run(decision.reason, retry_after))
         else:
             self._refuse(refusals.broken_attempt(decision.reason))
 
-    def _choose_server(self) -> SelectionDecision:
-        """Return the selector's decision, unless the call is quarantined.
-
-        Servers may crash at other routers while the call waits or runs.
-        """
-        context = self._context
-        now = self._now()
-        if context.is_quarantined(self._call, now):
-            return SelectionDecision(reason='crashes_servers')
-        stores = context.directory.configuration.kv_cache_stores
-        return context.selector.choose(self._selection_request, stores, now)
-
     def _send_attempt(self, decision: SelectionDecision) -> None:
         self._repeats.record_send()
         self._context.origins.record_send(self._call, decision.placement.server)
-        timeout = Millis(max(1, self._call.deadline - self._now()))
-        attempt = AttemptRequest(
-            call=self._call,
-            placement=decision.placement,
-            timeout=timeout,
-            priority=self._call.priority,
-            last_event_id=self._response.last_event_id,
-        )
         self._attempt = AttemptTracker(
             self._call,
             self._selection_request,
@@ -310,10 +296,11 @@
             and self._repeats.allows_another_run,
         )
         self._reporter.record_send(decision)
-        self._exchange = Exchange(
-            self._context.pool,
-            decision.placement.server.endpoint,
-            self._context.backend_protocol.encode_attempt(attempt),
+        self._exchange = open_exchange(
+            self._call,
+            decision.placement,
+            self._response.last_event_id,
+            self._context,
             self,
         )
         self._exchange.start(fresh=not self._repeats.is_retryable)
@@ -323,14 +310,38 @@
     def _handle_connect_stall(self) -> None:
         """Move to another server; this one accepts no connection."""
         self._abandon_exchange()
-        server_id = self._attempt.placement.server.server_id
-        self._context.on_unresponsive(server_id)
+        self._context.on_unresponsive(self._attempt.placement.server.server_id)
         self._handle_connect_failure('connect_stalled')
 
     def _handle_stall(self) -> None:
-        """Move to another server; this one sends nothing any more."""
-        self._abandon_exchange()
-        self._handle_broken_attempt('the server is unresponsive')
+        """Send the call to another server too; this one is silent.
+
+        It stays with the silent server, which may go on, unless another one
+        can take it at once.
+        """
+        request = self._request_for_another_server()
+        decision = self._takeover.choose_server(self._call, request)
+        if decision is None:
+            self._stall_monitor.start(self._exchange, self._attempt)
+            return
+        self._verdict = self._verdict.combine(Verdict.MAY_HAVE_RUN)
+        self._takeover.keep(self._exchange, self._attempt)
+        self._selection_request = request
+        self._send_attempt(decision)
+        self._takeover.limit_overlap(self._exchange, self._attempt)
+
+    def return_to(self, exchange: Exchange, attempt: AttemptTracker) -> None:
+        """Go on with an attempt whose server was silent."""
+        if self._exchange is not None:
+            if self._exchange.verdict is Verdict.MAY_HAVE_RUN:
+                self._repeats.record_run()
+            self._exchange.abandon()
+            self._attempt.release_slot()
+            self._reporter.record_failed_attempt('superseded')
+        self._exchange = exchange
+        self._attempt = attempt
+        self._reporter.record_return(attempt.placement.server.server_id)
+        self._stall_monitor.start(exchange, attempt)
 
     def _handle_connect_failure(self, ending: str) -> None:
         """Handle a server that accepted no connection."""
@@ -360,33 +371,23 @@
         verdict = self._verdict
         if self._exchange is not None:
             verdict = verdict.combine(self._exchange.verdict)
-        if verdict is Verdict.NOT_RUN:
-            return refusals.not_run(code, None)
-        return refusals.out_of_time()
+        return refusals.unanswered(code, verdict)
 
     def _refuse(self, refusal: Refusal) -> None:
         self._finish_call(refusal.code, refusal.status, refusal)
         self._sink.refuse(refusal)
 
     def _finish_call(
-        self,
-        outcome: str,
-        status: int = 0,
-        refusal: Refusal | None = None,
+        self, outcome: str, status: int = 0, refusal: Refusal | None = None
     ) -> None:
         self._has_ended = True
         self._end_check.close()
+        self._takeover.close()
         self._timers.close()
         if self._attempt is not None:
             self._attempt.release_slot()
         self._context.running_calls.pop(self._selection_request.call_id, None)
-        self._reporter.record_end(
-            outcome,
-            status,
-            refusal,
-            self._response.summary,
-            is_answer_begun=self._response.has_started,
-        )
+        self._reporter.record_end(outcome, status, refusal, self._response)
 
     def _abandon_exchange(self) -> None:
         if self._exchange is not None:
@@ -395,13 +396,3 @@
     def _end_exchange(self) -> None:
         self._exchange = None
         self._stall_monitor.stop()
-
-    def _add_jitter(self, retry_after: Millis | None) -> Millis | None:
-        """Add jitter, so that refused callers do not all retry at once."""
-        if retry_after is None:
-            return None
-        factor = 1 + self._context.random_fraction() / 2
-        return Millis(int(retry_after * factor))
-
-    def _now(self) -> Millis:
-        return self._context.clock.now()
--- a/yuccagauge/relay/context.py
+++ b/yuccagauge/relay/context.py
@@ -12,6 +12,7 @@
 from yuccagauge.quarantine.parts import PartQuarantine
 from yuccagauge.relay.base import BackendProtocol, CallDecoder, RelayCall
 from yuccagauge.relay.origins import NoOrigins, OriginStore, StreamOrigins
+from yuccagauge.selection.base import SelectionDecision, SelectionRequest
 from yuccagauge.selection.budget import FleetRetryBudget
 from yuccagauge.selection.selector import Selector
 from yuccagauge.settings.relay import RetrySection
@@ -89,6 +90,33 @@
             is not None
         )
 
+    def choose_server(
+        self, call: RelayCall, request: SelectionRequest
+    ) -> SelectionDecision:
+        """Return the selector's decision, unless the call is quarantined.
+
+        Servers may crash at other routers while the call waits or runs.
+        """
+        now = self.clock.now()
+        if self.is_quarantined(call, now):
+            return SelectionDecision(reason='crashes_servers')
+        stores = self.directory.configuration.kv_cache_stores
+        return self.selector.choose(request, stores, now)
+
+    def add_jitter(
+        self, retry_after: Millis | None, *, share: float = 0.5
+    ) -> Millis | None:
+        """Add jitter, so that refused callers do not all retry at once.
+
+        Parameters
+        ----------
+        share
+            Most that is added, as a share of the time.
+        """
+        if retry_after is None:
+            return None
+        return Millis(int(retry_after * (1 + share * self.random_fraction())))
+
     def record_request(self, service: str) -> None:
         """Count a new request, which raises the retry budget of its service."""
         self._budget(service).record_request(self.clock.now())
--- a/yuccagauge/relay/refusals.py
+++ b/yuccagauge/relay/refusals.py
@@ -3,6 +3,10 @@
 from yuccagauge.clock import Millis
 from yuccagauge.verdict import Refusal, Verdict, not_run_refusal
 
+#: Delay, before jitter is added, after which a caller may retry a call that was
+#: refused because servers are full or unreachable.
+FULL_RETRY_AFTER = Millis(250)
+
 BAD_REQUEST = 400
 UNAUTHORIZED = 401
 NOT_FOUND = 404
@@ -81,3 +85,10 @@
         message='the request was not answered before its deadline',
         verdict=Verdict.MAY_HAVE_RUN,
     )
+
+
+def unanswered(code: str, verdict: Verdict) -> Refusal:
+    """Return the refusal of a call whose time is over, by what has run."""
+    if verdict is Verdict.NOT_RUN:
+        return not_run(code, None)
+    return out_of_time()
--- a/yuccagauge/relay/repeats.py
+++ b/yuccagauge/relay/repeats.py
@@ -55,11 +55,9 @@
         """Count an attempt that ran, or may have run."""
         self._runs += 1
 
-    def try_run_again(self, response: ResponseForwarder) -> bool:
+    def may_run_again(self, response: ResponseForwarder) -> bool:
         """Return whether a call that may have run may be sent again.
 
-        If so, one retry of the budget is spent.
-
         Parameters
         ----------
         response
@@ -70,13 +68,20 @@
             return False
         if response.has_started and route.kind is not RouteKind.STREAMING:
             return False
-        return response.can_be_continued and self.try_send_again()
+        return response.can_be_continued and self._may_send_again()
+
+    def try_run_again(self, response: ResponseForwarder) -> bool:
+        """Return ``may_run_again``; if so, spend a retry of the budget."""
+        return self.may_run_again(response) and self.try_send_again()
 
     def try_send_again(self) -> bool:
         """Return whether the call may be sent again; if so, spend a retry."""
-        now = self._context.clock.now()
+        return self._may_send_again() and self._context.try_spend_retry(
+            self._call.service
+        )
+
+    def _may_send_again(self) -> bool:
         if self._sends >= MAXIMUM_SENDS_PER_CALL or self._call.is_probe:
             return False
-        if self._call.deadline - now < MINIMUM_RETRY_TIME:
-            return False
-        return self._context.try_spend_retry(self._call.service)
+        remaining = self._call.deadline - self._context.clock.now()
+        return remaining >= MINIMUM_RETRY_TIME
--- a/yuccagauge/relay/report.py
+++ b/yuccagauge/relay/report.py
@@ -4,7 +4,7 @@
 from yuccagauge.quarantine.events import short_fingerprint
 from yuccagauge.relay import metrics
 from yuccagauge.relay.base import RelayCall
-from yuccagauge.relay.response import ResponseSummary
+from yuccagauge.relay.response import ResponseForwarder, ResponseSummary
 from yuccagauge.selection.base import SelectionDecision
 from yuccagauge.telemetry.journal import log_decision
 from yuccagauge.verdict import Refusal
@@ -72,6 +72,7 @@
         detail: str = '',
         response: ResponseSummary | None = None,
         silent_ms: Millis | None = None,
+        server: str = '',
     ) -> None:
         """Log and count an attempt that did not answer the call.
 
@@ -79,12 +80,14 @@
         ----------
         silent_ms
             Time for which the server had sent nothing.
+        server
+            Its id, if it is not the server of the latest attempt.
         """
         metrics.SENDS.add(1, {'service': self._call.service, 'ending': ending})
         self._log(
             'attempt_failed',
             send=self._sends,
-            server=self._server,
+            server=server or self._server,
             ending=ending,
             detail=detail,
             output_ms=self._time_since_output(),
@@ -92,6 +95,11 @@
             **_response_fields(response),
         )
 
+    def record_return(self, server: str) -> None:
+        """Log that the call returns to a server that was silent."""
+        self._server = server
+        self._log('call_returned', send=self._sends, server=server)
+
     def record_first_output(self) -> None:
         """Record the time to the first output, once per call."""
         if self._first_output_at is None:
@@ -104,17 +112,12 @@
         outcome: str,
         status: int,
         refusal: Refusal | None,
-        response: ResponseSummary | None = None,
-        *,
-        is_answer_begun: bool = False,
+        response: ResponseForwarder,
     ) -> None:
         """Log the outcome of the call, and record its duration.
 
-        Parameters
-        ----------
-        is_answer_begun
-            Whether the caller was sent a part of an answer. If so, a refusal
-            resets its connection.
+        A refusal resets the connection of a caller that has a part of an
+        answer.
         """
         received = self._call.request.received_at
         elapsed = self._clock.now() - received
@@ -130,7 +133,7 @@
             'call_ended',
             outcome=outcome,
             status=status,
-            answer_begun=is_answer_begun,
+            answer_begun=response.has_started,
             verdict=refusal.verdict.value if refusal is not None else None,
             retry_after_ms=refusal.retry_after if refusal else None,
             server=self._server,
@@ -139,7 +142,7 @@
             first_ms=first_output_ms,
             total_ms=elapsed,
             route=self._call.route.name,
-            **_response_fields(response),
+            **_response_fields(response.summary),
         )
 
     def _time_since_output(self) -> Millis | None:
--- a/yuccagauge/relay/response.py
+++ b/yuccagauge/relay/response.py
@@ -14,6 +14,7 @@
 _CONTENT_LENGTH = b'content-length'
 _OK = 200
 _FIRST_ERROR_STATUS = 400
+_FIRST_SERVER_ERROR_STATUS = 500
 
 #: Responses up to this size are buffered until they are complete, so that a
 #: retryable call can still move to another server.
@@ -194,6 +195,23 @@
         self._splitter = None
         self._latest_head = None
 
+    def check_replaces(self, head: ResponseHead) -> None:
+        """Raise an error if a response is no better than one that may go on.
+
+        Raises
+        ------
+        ContinuationError
+            If its server failed, or if it is not the rest of the stream that
+            the caller has a part of.
+        """
+        is_rest = self._is_stream and head.status == _OK
+        if head.status >= _FIRST_SERVER_ERROR_STATUS or (
+            self._has_started and not is_rest
+        ):
+            raise ContinuationError(
+                f'status {head.status} replaces no answer that may go on'
+            )
+
     def _check_needs_no_events(self, head: ResponseHead) -> None:
         """Raise an error if only events may follow what the caller has."""
         is_failure = head.status >= _FIRST_ERROR_STATUS
--- a/yuccagauge/selection/base.py
+++ b/yuccagauge/selection/base.py
@@ -1,7 +1,7 @@
 """Inputs and results of the server selection."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from yuccagauge.clock import Millis
 from yuccagauge.directory.base import BackendServer, ObservedTarget, ServiceSpec
@@ -45,6 +45,29 @@
         has_version = self.software_version in {None, server.software_version}
         return has_version and server.server_id not in self.excluded_servers
 
+    def for_version(self, software_version: str | None) -> 'SelectionRequest':
+        """Return the request for servers of a software version, or of any."""
+        return replace(self, software_version=software_version)
+
+    def for_another_server(
+        self, server: BackendServer, *, keeps_version: bool
+    ) -> 'SelectionRequest':
+        """Return the request for a server instead of one.
+
+        Parameters
+        ----------
+        keeps_version
+            Whether the other server must have the same software version.
+        """
+        version = self.software_version
+        return replace(
+            self,
+            excluded_servers=self.excluded_servers | {server.server_id},
+            software_version=(
+                server.software_version if keeps_version else version
+            ),
+        )
+
     @property
     def shared_tokens(self) -> int:
         """Number of tokens in the parts that other prompts may share."""
