Count no server as silent while its caller does not read

What callers saw: a stream that was reset, or went on at another server, because they read slowly.

Cause: while the caller's connection is full, the router does not read from the server either. After 900 ms that counted as the server's silence.

Change: an attempt that is paused is not silent; its time starts anew when the router reads again.

--- a/features/relay/silent_servers.feature
+++ b/features/relay/silent_servers.feature
@@ -65,3 +65,10 @@
     When a caller calls the silent server by "book"
     Then the caller gets the whole answer once
     And the second server gets no request
+
+  Scenario: A call whose caller reads slowly stays with its server
+    Given a relay with a server that streams 12 MB at once
+    And a second server of it that is sound
+    When a caller calls the silent server and reads nothing for 1.2 s
+    Then the caller gets all 12 MB
+    And the second server gets no request
--- a/features/relay_fixture.py
+++ b/features/relay_fixture.py
@@ -206,6 +206,11 @@
         run_blocking(self._read, delimiter)
         return self.received
 
+    def read_until_end(self, suffix: bytes) -> bytes:
+        """Read until all that arrived ends with a suffix, or to the close."""
+        run_blocking(self._read_to_suffix, suffix)
+        return self.received
+
     def read_all(self) -> bytes:
         """Read until the connection is closed; append ``RESET`` for a reset."""
         run_blocking(self._read, None)
@@ -215,6 +220,13 @@
         """Close the connection."""
         self._socket.close()
 
+    def _read_to_suffix(self, suffix: bytes) -> None:
+        while not self.received.endswith(suffix):
+            data = self._socket.recv(65_536)
+            if not data:
+                return
+            self.received += data
+
     def _read(self, delimiter: bytes | None) -> None:
         while delimiter is None or delimiter not in self.received:
             try:
--- a/features/silent_servers.py
+++ b/features/silent_servers.py
@@ -17,6 +17,9 @@
 #: Events of a whole stream.
 EVENTS = 4
 
+LARGE_EVENTS_PER_MB = 20
+_LARGE_EVENT_BYTES = 50_000
+
 #: The part of event 2 that is sent before the silence, and the one after it.
 _EVENT_PARTS = (event(2)[:5], event(2)[5:])
 
@@ -81,6 +84,19 @@
     }[place]
 
 
+def large_stream(megabytes: int) -> Callable[[Exchange], None]:
+    """Return a script that sends a stream of so many events of 50 KB each."""
+
+    def script(exchange: Exchange) -> None:
+        open_event_stream(exchange, CHUNKED)
+        for number in range(megabytes * LARGE_EVENTS_PER_MB):
+            filler = b'x' * _LARGE_EVENT_BYTES
+            exchange.chunk(b'id: %d\ndata: %s\n\n' % (number, filler))
+        exchange.chunk(b'')
+
+    return script
+
+
 def other_script(
     service: str, behaviour: str, silence_s: float
 ) -> Callable[[Exchange], None]:
--- a/features/steps/relay_silent_steps.py
+++ b/features/steps/relay_silent_steps.py
@@ -1,12 +1,20 @@
 """Steps for servers that send nothing for some time."""
 
+import time
+
 from behave import given, then, when
 from behave.runner import Context
 
-from features.loop import wait_until
+from features.loop import run_blocking, wait_until
 from features.relay_fixture import MODEL_HEADERS, request
 from features.relay_servers import event
-from features.silent_servers import EVENTS, other_script, pausing_script
+from features.silent_servers import (
+    EVENTS,
+    LARGE_EVENTS_PER_MB,
+    large_stream,
+    other_script,
+    pausing_script,
+)
 from features.steps.relay_steps import add_server, send_request, start_relay
 from features.unresponsive_port import UnresponsivePort
 from yuccagauge.clock import Millis
@@ -29,6 +37,16 @@
     add_server(context, context.service, script)
 
 
+@given('a relay with a server that streams {megabytes:d} MB at once')
+def relay_with_large_stream(context: Context, megabytes: int) -> None:
+    """Start a relay with one server whose answer fills all buffers."""
+    start_relay(context)
+    context.fixture.configure()
+    context.silence_s = 0
+    context.service = 'model'
+    add_server(context, context.service, large_stream(megabytes))
+
+
 @given('a second server of it that {behaviour}')
 def second_server(context: Context, behaviour: str) -> None:
     """Add a server of the same service."""
@@ -87,6 +105,22 @@
     call_silent_server_by(context, _ROUTES[context.service])
 
 
+@when('a caller calls the silent server and reads nothing for {seconds:f} s')
+def call_and_read_late(context: Context, seconds: float) -> None:
+    """Call a route whose answer the caller reads late."""
+    call_silent_server(context)
+    run_blocking(time.sleep, seconds)
+
+
+@then('the caller gets all {megabytes:d} MB')
+def check_large_answer(context: Context, megabytes: int) -> None:
+    """Guard against servers that count as silent for their caller's sake."""
+    received = context.caller.read_until_end(_STREAM_END)
+    assert received.endswith(_STREAM_END), len(received)
+    events = received.count(b'data: x')
+    assert events == megabytes * LARGE_EVENTS_PER_MB, events
+
+
 @then('the caller gets the whole answer once')
 def check_whole_answer(context: Context) -> None:
     """Guard against calls that end although their server goes on."""
--- a/yuccagauge/relay/attempt.py
+++ b/yuccagauge/relay/attempt.py
@@ -45,6 +45,7 @@
         self._context = context
         self._sent_at = context.clock.now()
         self._last_activity_at = self._sent_at
+        self._is_paused = False
         self._holds_slot = True
         context.selector.record_send(
             selection_request,
@@ -78,7 +79,12 @@
 
     @property
     def time_without_response(self) -> Millis:
-        """Time since the server last sent data, or since the send."""
+        """Time since the server last sent data, or since the send.
+
+        It is 0 while the router does not read what the server sends.
+        """
+        if self._is_paused:
+            return Millis(0)
         return Millis(self._now() - self._last_activity_at)
 
     @property
@@ -96,6 +102,15 @@
         quiet_at = self._first_output_at + SOUND_OUTPUT_TIME
         return last_activity_at < quiet_at <= self._now()
 
+    def pause(self) -> None:
+        """Record that the router does not read, for its caller's sake."""
+        self._is_paused = True
+
+    def resume(self) -> None:
+        """Record that the router reads again."""
+        self._is_paused = False
+        self._last_activity_at = self._now()
+
     def check_version(self) -> None:
         """Raise an error if the server has restarted with other software.
 
--- a/yuccagauge/relay/call.py
+++ b/yuccagauge/relay/call.py
@@ -90,10 +90,12 @@
         """Stop reading from the server, because the caller reads slower."""
         if self._exchange is not None:
             self._exchange.pause()
+            self._attempt.pause()
 
     def resume(self) -> None:
         """Resume reading from the server."""
         if self._exchange is not None:
+            self._attempt.resume()
             self._exchange.resume()
 
     def left(self) -> None:
