--- a/features/relay_fixture.py
+++ b/features/relay_fixture.py
@@ -129,9 +129,10 @@
         self._port = reactor.listenTCP(0, self.callers, interface='127.0.0.1')
         self.address = ('127.0.0.1', self._port.getHost().port)
 
-    def configure(self) -> None:
-        """Apply the configuration of the tests."""
-        self._write(Topic.OPERATIONS, 'config', configuration())
+    def configure(self, document: dict[str, Any] | None = None) -> None:
+        """Apply a configuration; by default that of the tests."""
+        document = document or configuration()
+        self._write(Topic.OPERATIONS, 'config', document)
 
     def add_server(
         self,
