Refuse a request whose handling raises an unexpected error

Callers saw their channel closed without an answer, or left open behind an earlier one, when a route named a service that the configuration lacks, or when decoding, selection or encoding raised an error: nothing caught it between the handler and Twisted, which closes the channel. A request that waited behind an answer ended worse, because the error then went to the server's connection.

The handler now refuses with 503 and not-run before the call starts. Once it has started, abort_call ends it with the verdict of what was sent, removes it from the running calls and releases its server. A service that is not configured is a refusal of its own. The log line has the type and the place of the error, not its message, which may hold what the caller sent.

--- a/yuccagauge/relay/relay.py
+++ b/yuccagauge/relay/relay.py
@@ -26,6 +26,7 @@
 from yuccagauge.relay.context import RelayContext
 from yuccagauge.relay.origins import stream_key
 from yuccagauge.selection.base import SelectionRequest
+from yuccagauge.telemetry.guard import record_call_fault
 from yuccagauge.telemetry.journal import log_decision
 from yuccagauge.verdict import Refusal, RefusedError
 
@@ -74,15 +75,25 @@
             fields = self._context.call_decoder.decode_request(request)
             request_id = fields.request_id
             call = self._admit_call(request, fields)
+            selection_request = self._selection_request(call)
         except CallFieldError as error:
             self._refuse(request_id, sink, refusals.malformed(str(error)))
             return
         except RefusedError as error:
             self._refuse(request_id, sink, error.refusal)
             return
-        CallForwarder(
-            call, self._selection_request(call), sink, self._context
-        ).start()
+        except Exception as error:  # noqa: BLE001
+            # Without a refusal the caller's channel would just be closed.
+            record_call_fault('admit_call', request_id, error)
+            refusal = refusals.not_run('internal_error', None)
+            self._refuse(request_id, sink, refusal)
+            return
+        forwarder = CallForwarder(call, selection_request, sink, self._context)
+        try:
+            forwarder.start()
+        except Exception as error:  # noqa: BLE001
+            record_call_fault('start_call', request_id, error)
+            forwarder.abort_call()
 
     def abort_calls(self) -> None:
         """End all running calls at once, because the router stops."""
@@ -176,7 +187,17 @@
         return False
 
     def _selection_request(self, call: RelayCall) -> SelectionRequest:
+        """Return the requirements of a call.
+
+        Raises
+        ------
+        RefusedError
+            If the configuration lacks the service of the route.
+        """
         configuration = self._context.directory.configuration
+        service = configuration.services.get(call.service)
+        if service is None:
+            raise RefusedError(refusals.not_run('no_service', None))
         customer = call.customer
         is_isolated = customer is not None and customer.is_isolated
         received = call.request.received_at
@@ -184,7 +205,7 @@
         excluded_servers = self._servers_with_other_suspects(call.fingerprint)
         return SelectionRequest(
             call_id=fields.request_id,
-            service=configuration.services[call.service],
+            service=service,
             received_at=received,
             objective_at=Millis(received + call.route.objective),
             deadline=call.deadline,
