End an attempt whose request cannot be written

If writing a request raised an error, the Deferred of the connection swallowed it, without a line in the log until its garbage was collected, and the caller got 504 at the deadline. The exchange now logs it, closes the connection and reports it as lost, so that the call is sent again or refused at once. The verdict stays "may have run": it changes before the write.

--- a/yuccagauge/dispatch/exchange.py
+++ b/yuccagauge/dispatch/exchange.py
@@ -19,6 +19,7 @@
     ResponseUser,
 )
 from yuccagauge.settings.options import Endpoint
+from yuccagauge.telemetry.guard import record_call_fault
 from yuccagauge.verdict import Verdict
 
 
@@ -206,6 +207,7 @@
         opening = self._pool.open(self._server, fresh=fresh)
         self._core.opening = opening
         opening.addCallbacks(self._machine.connected, self._refused)
+        opening.addErrback(self._handle_failed_send)
 
     def abandon(self) -> None:
         """Drop whatever would still arrive."""
@@ -225,5 +227,12 @@
         if not failure.check(CancelledError):
             self._machine.refused(failure.getErrorMessage())
 
+    def _handle_failed_send(self, failure: Failure) -> None:
+        """End the exchange, whose request could not be sent."""
+        record_call_fault('send_request', '', failure.value)
+        if self._core.connection is not None:
+            self._core.connection.abort()
+        self._machine.lost(f'not sent: {failure.type.__name__}')
+
     def _give_back(self, connection: Connection) -> None:
         self._pool.give_back(self._server, connection)
