Reject a configuration with limits, weights or priorities of a wrong type

A weight that is text was accepted, and each request of its route then raised an error, so that its channel was closed. An infinite timeout raised an error that no code expected in the directory. Limits and priorities were not checked either. Such a record is now logged as unreadable, and the configuration in force stays.

--- a/yuccagauge/platform/records.py
+++ b/yuccagauge/platform/records.py
@@ -1,6 +1,7 @@
 """Decodes the records of the platform's store into typed values."""
 
 import json
+import math
 from typing import Any
 
 from yuccagauge.clock import Millis
@@ -33,6 +34,8 @@
 _DECODING_ERRORS = (
     AttributeError,
     KeyError,
+    # Raised for numbers that are infinite.
+    OverflowError,
     RecordError,
     # Raised for JSON that is nested too deeply.
     RecursionError,
@@ -89,7 +92,7 @@
             CustomerSpec(
                 name=entry['name'],
                 api_keys=tuple(entry['apiKeys']),
-                priority=entry.get('priority'),
+                priority=_optional_priority(entry),
                 is_isolated=bool(entry.get('isolated', False)),
             )
             for entry in document.get('tenants', ())
@@ -102,7 +105,10 @@
     traffic_split = entry.get('trafficSplit')
     if traffic_split:
         traffic_shares = tuple(
-            TrafficShare(service=part['service'], weight=part['weight'])
+            TrafficShare(
+                service=_non_empty_string(part, 'service'),
+                weight=_non_negative_number(part, 'weight'),
+            )
             for part in traffic_split
         )
     else:
@@ -151,16 +157,29 @@
 
 def _decode_limits(entry: dict[str, Any]) -> CallerLimits:
     default = CallerLimits()
+    limits = {
+        'maxHeaderBytes': default.header_bytes,
+        'maxBodyBytes': default.body_bytes,
+        'headerTimeoutMs': default.header_timeout,
+        'idleTimeoutMs': default.idle_timeout,
+        **entry,
+    }
     return CallerLimits(
-        header_bytes=entry.get('maxHeaderBytes', default.header_bytes),
-        body_bytes=entry.get('maxBodyBytes', default.body_bytes),
+        header_bytes=int(_non_negative_number(limits, 'maxHeaderBytes')),
+        body_bytes=int(_non_negative_number(limits, 'maxBodyBytes')),
         header_timeout=Millis(
-            entry.get('headerTimeoutMs', default.header_timeout),
+            int(_non_negative_number(limits, 'headerTimeoutMs'))
         ),
-        idle_timeout=Millis(entry.get('idleTimeoutMs', default.idle_timeout)),
+        idle_timeout=Millis(int(_non_negative_number(limits, 'idleTimeoutMs'))),
     )
 
 
+def _optional_priority(entry: dict[str, Any]) -> int | None:
+    if entry.get('priority') is None:
+        return None
+    return _non_negative_integer(entry, 'priority')
+
+
 def _decode_weights_target(document: dict[str, Any]) -> WeightsTarget:
     version = _non_negative_integer(document, 'version')
     return WeightsTarget(
@@ -215,6 +234,15 @@
     return value
 
 
+def _non_negative_number(entry: dict[str, Any], key: str) -> float:
+    number = entry.get(key)
+    if isinstance(number, bool) or not isinstance(number, int | float):
+        raise RecordError(f'{key} is not a number')
+    if not (math.isfinite(number) and number >= 0):
+        raise RecordError(f'{key} is not a finite non-negative number')
+    return number
+
+
 def _non_negative_integer(entry: dict[str, Any], key: str) -> int:
     value = entry.get(key)
     if isinstance(value, bool) or not isinstance(value, int) or value < 0:
