Read what has arrived before a caller's channel is closed or timed out

After a pause of the process, or when idle channels were closed at a stop, the timer of a channel came before the bytes that waited in its socket: callers saw an idle channel closed on a whole request, or 408 for a request that was there. A timeout now takes effect only after a pass of the event loop in which nothing was read. A stop waits until no call ran at two checks, because a request that is read then must not be passed on and dropped.

The idle timeout came from the configuration in force when the channel fell idle: callers who went by a higher one met a closed channel. The time is now compared with the newest limits when the timer is due, so that a higher timeout holds for idle channels too. A lower one still holds from the next answer on. Both faults are in the same few lines and are mended together.

--- a/yuccagauge/relay/channel.py
+++ b/yuccagauge/relay/channel.py
@@ -15,7 +15,7 @@
 from twisted.protocols.policies import TimeoutMixin
 from twisted.python.failure import Failure
 
-from yuccagauge.clock import Clock, in_seconds
+from yuccagauge.clock import Clock, Millis, in_seconds
 from yuccagauge.directory.base import CallerLimits
 from yuccagauge.dispatch.base import AnswerSink, Header, SinkWatcher
 from yuccagauge.relay import refusals
@@ -27,9 +27,9 @@
 #: caller closes it.
 _MAXIMUM_PIPELINED_BYTES = 262_144
 
-#: Seconds that a connection stays open beyond the configured idle timeout, so
+#: Time that a connection stays open beyond the configured idle timeout, so
 #: that a request sent just before the timeout is still read.
-_IDLE_MARGIN_S = 1
+_IDLE_MARGIN = Millis(1000)
 
 #: Timeout for reading a body, as a multiple of the timeout for a head.
 _BODY_TIMEOUT_FACTOR = 5
@@ -59,6 +59,9 @@
         self._is_answering = False
         self._has_sent_head = False
         self._is_open = False
+        #: Whether the timeout passed and no bytes were read since.
+        self._is_timeout_due = False
+        self._idle_since = Millis(0)
         #: Whether the channel closes after the next answer.
         self._closes_after_answer = False
         self._pipelined: list[bytes] = []
@@ -92,6 +95,7 @@
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Parse a request, or buffer data until the current one is answered."""
+        self._is_timeout_due = False
         if self._is_answering:
             self._pipelined.append(data)
             self._pipelined_bytes += len(data)
@@ -103,11 +107,24 @@
         self._feed(data)
 
     def timeoutConnection(self) -> None:  # noqa: N802
-        """Refuse an incomplete request, or close an idle channel."""
-        if self._head is None and not self._parser.trailing_data[0]:
-            self._close()
+        """Refuse an incomplete request, or close an idle channel.
+
+        After a pause of the process, timers are due before the bytes that
+        arrived meanwhile are read, so those are read first.
+        """
+        if not self._is_timeout_due:
+            self._is_timeout_due = True
+            self.setTimeout(0)
+            return
+        self._is_timeout_due = False
+        if not self.is_idle:
+            self._reject_request(refusals.slow_request())
             return
-        self._reject_request(refusals.slow_request())
+        time_left = self._idle_time_left()
+        if time_left > 0:
+            self.setTimeout(in_seconds(time_left))
+        else:
+            self._close()
 
     def pauseProducing(self) -> None:  # noqa: N802
         """Pause the call, because the caller reads too slowly."""
@@ -185,9 +202,10 @@
         self.finish()
 
     def close_if_idle(self) -> None:
-        """Close the channel if no request is being read or answered."""
+        """Close the channel if no request has arrived or is being answered."""
         if self._is_open and self.is_idle:
-            self._close()
+            self._closes_after_answer = True
+            self.setTimeout(0)
 
     def abort(self) -> None:
         """Reset the connection at once."""
@@ -284,8 +302,16 @@
         )
 
     def _start_idle_timeout(self) -> None:
-        idle = in_seconds(self._factory.limits().idle_timeout)
-        self.setTimeout(idle + _IDLE_MARGIN_S)
+        self._idle_since = self._factory.clock.now()
+        self.setTimeout(in_seconds(self._idle_time_left()))
+
+    def _idle_time_left(self) -> Millis:
+        """Return how long an idle channel stays open by the limits in force."""
+        if self._closes_after_answer:
+            return Millis(0)
+        limit = self._factory.limits().idle_timeout + _IDLE_MARGIN
+        elapsed = self._factory.clock.now() - self._idle_since
+        return Millis(max(0, limit - elapsed))
 
     def _write(self, event: Any) -> None:
         encoded = self._parser.send(event)
--- a/yuccagauge/relay/router.py
+++ b/yuccagauge/relay/router.py
@@ -286,14 +286,18 @@
         self._ports[0].stopListening()
         self._callers.close_idle_channels()
 
-    def _wait_until_idle(self, done: Deferred[None]) -> None:
-        if self._relay.running_call_count:
-            self._reactor.callLater(
-                _IDLE_CHECK_INTERVAL_S, self._wait_until_idle, done
-            )
+    def _wait_until_idle(
+        self, done: Deferred[None], *, was_idle: bool = False
+    ) -> None:
+        """Finish when no call ran for an interval, which sends the rest."""
+        is_idle = not self._relay.running_call_count
+        if is_idle and was_idle:
+            done.callback(None)
             return
-        # The last data is sent within one more interval.
-        self._reactor.callLater(_IDLE_CHECK_INTERVAL_S, done.callback, None)
+        self._reactor.callLater(
+            _IDLE_CHECK_INTERVAL_S,
+            partial(self._wait_until_idle, done, was_idle=is_idle),
+        )
 
     def _store_confirmed_at(self, topic: Topic) -> Millis:
         return self._followers[topic].confirmed_at
