Answer what was read behind an answer that announced no end of its channel

When a stop began while an answer was under way, its head had announced no end of the channel. The channel was closed behind the answer all the same, and a whole request that had been read meanwhile was dropped without a word. The channel now closes behind an answer only if its head said so. Otherwise the next request is answered, with "Connection: close", or the idle channel is closed.

--- a/yuccagauge/relay/channel.py
+++ b/yuccagauge/relay/channel.py
@@ -166,7 +166,8 @@
         self._write(h11.EndOfMessage())
         self._is_answering = False
         self._has_sent_head = False
-        if self._parser.our_state is not h11.DONE or not self._is_kept_alive():
+        if self._parser.our_state is not h11.DONE:
+            # The head has said that the channel closes.
             self._close()
             return
         self._parser.start_next_cycle()
@@ -177,6 +178,8 @@
         self.transport.resumeProducing()
         if pipelined or self._parser.trailing_data[0]:
             self._feed(pipelined)
+        if not self._is_kept_alive():
+            self.close_if_idle()
 
     def refuse(self, refusal: Refusal) -> None:
         """Send a refusal, or reset the connection after a partial answer."""
