Withhold a request id that is like a credential instead of failing

The log raised an error for a request id with "bearer " or "basic " in it. The id is the caller's choice, so its channel was closed without an answer. The line of a decision now has "withheld" in its place; other fields still raise, since they are ours.

The row of the request id failed before and passes.

--- a/yuccagauge/telemetry/journal.py
+++ b/yuccagauge/telemetry/journal.py
@@ -45,6 +45,7 @@
 
 # Starts of a credential inside of a text.
 _CREDENTIAL_MARKS = ('bearer ', 'basic ', '-----begin')
+_WITHHELD = 'withheld'
 _RESERVED = frozenset(('event', 'severity', 'time'))
 
 
@@ -117,9 +118,18 @@
     fields
         The inputs that decided, their age or version, and the outcome.
     """
+    # A caller may choose an id that is like a credential; that must not end
+    # its request.
+    if _has_credential_mark(request_id):
+        request_id = _WITHHELD
     log_state_change(event, request_id=request_id, **fields)
 
 
+def _has_credential_mark(text: str) -> bool:
+    lowered = text.lower()
+    return any(mark in lowered for mark in _CREDENTIAL_MARKS)
+
+
 def _check(name: str, value: Any) -> Any:
     if name in _RESERVED:
         raise LogFieldError(f'log field {name!r} is reserved')
@@ -134,7 +144,6 @@
     if not isinstance(value, str):
         kind = type(value).__name__
         raise LogFieldError(f'log field {name!r} cannot hold a {kind}')
-    lowered = value.lower()
-    if any(mark in lowered for mark in _CREDENTIAL_MARKS):
+    if _has_credential_mark(value):
         raise LogFieldError(f'log field {name!r} holds a credential')
     return value[:MAXIMUM_TEXT]
