Drop the length of a response that comes in chunks

A server that sends chunks and a length which differs from them made h11 refuse the end of the answer; the error went to the server's connection, the call counted as answered, and the caller's channel stayed open without the rest. Chunks override a length (RFC 9112, 6.3), so that a proxy drops it.

--- a/yuccagauge/platform/requests.py
+++ b/yuccagauge/platform/requests.py
@@ -4,7 +4,12 @@
 from collections.abc import Iterable
 
 from yuccagauge.clock import Millis, in_millis
-from yuccagauge.dispatch.base import BackendMessage, Header, ResponseHead
+from yuccagauge.dispatch.base import (
+    BackendMessage,
+    Framing,
+    Header,
+    ResponseHead,
+)
 from yuccagauge.platform import names
 from yuccagauge.relay.base import (
     AttemptRequest,
@@ -120,7 +125,15 @@
 
     def end_to_end_headers(self, head: ResponseHead) -> tuple[Header, ...]:
         """Return the response headers to forward to the caller."""
-        return tuple(_remove_hop_by_hop(head.headers))
+        headers = _remove_hop_by_hop(head.headers)
+        if head.framing is Framing.CHUNKS:
+            # Chunks override a length, which may be wrong.
+            headers = [
+                (name, value)
+                for name, value in headers
+                if name.lower() != b'content-length'
+            ]
+        return tuple(headers)
 
 
 def _parse_rate_limit(head: ResponseHead) -> tuple[float | None, str]:
