Withhold any id of a caller that is like a credential

The row of the header that names a stream to be resumed used a name that the relay does not know, so that it passed without a test of anything. With "Resumes", the log line of the send raised an error, and the call was refused.

The row, as it is now, failed before and passes.

--- a/features/relay/accepted_requests.feature
+++ b/features/relay/accepted_requests.feature
@@ -131,7 +131,7 @@
     Examples:
       | header                           |
       | X-Yuccagauge-Request-Id: basic 1 |
-      | X-Yuccagauge-Resumes: bearer 1   |
+      | Resumes: bearer 1                |
 
   Scenario: A body that is not as long as its server says ends as incomplete
     Given a relay whose plain server sends chunks and a wrong length
--- a/yuccagauge/telemetry/journal.py
+++ b/yuccagauge/telemetry/journal.py
@@ -118,11 +118,18 @@
     fields
         The inputs that decided, their age or version, and the outcome.
     """
-    # A caller may choose an id that is like a credential; that must not end
-    # its request.
-    if _has_credential_mark(request_id):
-        request_id = _WITHHELD
-    log_state_change(event, request_id=request_id, **fields)
+    # Callers choose ids, and one that is like a credential must not end its
+    # request.
+    texts = {'request_id': request_id, **fields}
+    log_state_change(
+        event, **{name: _withhold(value) for name, value in texts.items()}
+    )
+
+
+def _withhold(value: Any) -> Any:
+    if isinstance(value, str) and _has_credential_mark(value):
+        return _WITHHELD
+    return value
 
 
 def _has_credential_mark(text: str) -> bool:
