--- a/yuccagauge/telemetry/journal.py
+++ b/yuccagauge/telemetry/journal.py
@@ -45,6 +45,7 @@
 
 # Starts of a credential inside of a text.
 _CREDENTIAL_MARKS = ('bearer ', 'basic ', '-----begin')
+_WITHHELD = 'withheld'
 _RESERVED = frozenset(('event', 'severity', 'time'))
 
 
@@ -117,7 +118,23 @@
     fields
         The inputs that decided, their age or version, and the outcome.
     """
-    log_state_change(event, request_id=request_id, **fields)
+    # Callers choose ids, and one that is like a credential must not end its
+    # request.
+    texts = {'request_id': request_id, **fields}
+    log_state_change(
+        event, **{name: _withhold(value) for name, value in texts.items()}
+    )
+
+
+def _withhold(value: Any) -> Any:
+    if isinstance(value, str) and _has_credential_mark(value):
+        return _WITHHELD
+    return value
+
+
+def _has_credential_mark(text: str) -> bool:
+    lowered = text.lower()
+    return any(mark in lowered for mark in _CREDENTIAL_MARKS)
 
 
 def _check(name: str, value: Any) -> Any:
@@ -134,7 +151,6 @@
     if not isinstance(value, str):
         kind = type(value).__name__
         raise LogFieldError(f'log field {name!r} cannot hold a {kind}')
-    lowered = value.lower()
-    if any(mark in lowered for mark in _CREDENTIAL_MARKS):
+    if _has_credential_mark(value):
         raise LogFieldError(f'log field {name!r} holds a credential')
     return value[:MAXIMUM_TEXT]
