Give a silent run of the own interface up only for something better

Callers saw an error event (retry_budget_spent) or 502 although their engine went on: 11 rows of silent_servers.feature failed before, with silences of 2.5 s.

Cause: _check_stall broke the run off after 2 s without an event and only then asked for the rest of the stream. An engine that drops a run whose connection ends, or that is asked for a stream it does not keep, answers 404; without a retry in the budget or a server that takes the call, nothing was left. The run given up also counted as a suspected crash.

Now the silent connection stays open. Beside it the rest of the stream is asked for on a second connection to the same run, which adds no run: it takes over once it is heard or has opened, and goes if the first is heard again. A run anew needs an engine, a retry and time first; only then is the silent one dropped and cancelled, so that two runs are never at work. Else the call waits until its time has run out. Each silence has the time of a new call if events came since the last.

--- a/yuccagauge/dispatch/candidates.py
+++ b/yuccagauge/dispatch/candidates.py
@@ -49,6 +49,10 @@
                 return candidate
         return self._place(now)
 
+    def put_back(self, candidate: Candidate) -> None:
+        """Take it that an engine was not tried after all."""
+        self._tried.discard(candidate.engine)
+
     def start_again(self) -> int:
         """Allow all engines once more; return how often this was done."""
         self._tried.clear()
--- a/yuccagauge/dispatch/model.py
+++ b/yuccagauge/dispatch/model.py
@@ -4,23 +4,29 @@
 
 from yuccagauge.clock import Millis
 from yuccagauge.dispatch import metrics
-from yuccagauge.dispatch.attempt import AttemptPlan, ModelAttempt, Outcome
-from yuccagauge.dispatch.base import AnswerSink, BackendMessage, Call
+from yuccagauge.dispatch.attempt import ModelAttempt, Outcome
+from yuccagauge.dispatch.base import AnswerSink, Call
 from yuccagauge.dispatch.candidates import CandidateList
 from yuccagauge.dispatch.delivery import Delivery
 from yuccagauge.dispatch.errors import BackendProtocolError
-from yuccagauge.dispatch.messages import resume_message, run_message
 from yuccagauge.dispatch.outputs import CollectedOutput, StreamOutput
 from yuccagauge.dispatch.recording import RequestRecorder
-from yuccagauge.dispatch.recovery import Ending, Progress, Step, next_step
+from yuccagauge.dispatch.recovery import (
+    MAXIMUM_RUNS,
+    Ending,
+    Progress,
+    Recovery,
+    Step,
+    next_step,
+)
 from yuccagauge.dispatch.refusals import (
     deadline_passed,
     given_up,
     no_server,
     quarantined,
 )
+from yuccagauge.dispatch.running import RunningAttempts
 from yuccagauge.dispatch.service import ServiceState
-from yuccagauge.dispatch.sidecalls import cancel_stream
 from yuccagauge.dispatch.timers import Timers
 from yuccagauge.placement.base import Candidate
 from yuccagauge.verdict import Refusal, Verdict
@@ -64,19 +70,18 @@
         self._candidates = CandidateList(service, call)
         self._timers = Timers(service.around.call_later)
         self._recorder = RequestRecorder(service, call)
-        self._message: BackendMessage | None = None
-        self._active: list[ModelAttempt] = []
+        self._attempts = RunningAttempts(
+            service, call, self._delivery, self._recorder, self
+        )
         self._verdict = Verdict.NOT_RUN
         self._done: Deferred[Verdict] = Deferred()
         self._admitted = False
         self._ended = False
         self._paused = False
         self._runs = 0
-        self._resumes = 0
-        self._delivered_before = 0
+        self._recovery = Recovery(call)
         self._owner = f'"{call.request_id}"'.encode()
         self._event_at = call.received_at
-        self._late_at = call.deadline
 
     def start(self) -> Deferred[Verdict]:
         """Place the call and send it; fires with the final verdict."""
@@ -94,7 +99,6 @@
             return self._done
         self._admitted = True
         self._timers.start('deadline', self._call.deadline - now, self._late)
-        self._message = run_message(self._call)
         self._run(candidate, 'run')
         self._plan_hedge()
         return self._done
@@ -102,23 +106,21 @@
     def pause(self) -> None:
         """Stop reading from engines: the caller is slow."""
         self._paused = True
-        for attempt in self._active:
-            attempt.pause()
+        self._attempts.pause()
 
     def resume(self) -> None:
         """Read from engines again."""
         self._paused = False
         self._event_at = self._now()
-        for attempt in self._active:
-            attempt.resume()
+        self._attempts.resume()
 
     def left(self) -> None:
         """Cancel the work for a caller that is gone."""
         if self._ended:
             return
         metrics.CALLERS_LEFT.add(1, {'service': self._service.name})
-        self._abandon(self._active)
-        self._end(self._verdict.combine(self._started_verdict()))
+        self._attempts.abandon()
+        self._end(self._verdict.combine(self._attempts.verdict))
 
     def attempt_events(
         self,
@@ -130,6 +132,8 @@
             return
         self._check_owner(events)
         self._event_at = self._now()
+        if self._attempts.standby is not None:
+            self._end_silence(attempt)
         is_first = self._delivery.delivered == 0
         self._delivery.events(attempt, events)
         if is_first:
@@ -142,26 +146,31 @@
 
     def attempt_ended(self, attempt: ModelAttempt, outcome: Outcome) -> None:
         """Decide what follows an attempt."""
-        self._active.remove(attempt)
-        self._recorder.ended(attempt, outcome)
+        is_standby = attempt is self._attempts.standby
+        self._attempts.ended(attempt, outcome)
         if self._ended:
             return
         if outcome.ending is not Ending.REJECTED:
             self._verdict = self._verdict.combine(outcome.verdict)
-        if self._active and attempt is not self._delivery.current:
+        if is_standby:
+            self._recovery.note_refusal(outcome.ending)
+            self._replace(outcome.reason)
+            return
+        if self._attempts.standby is not None:
+            self._attempts.take_standby()
+            return
+        if self._attempts and attempt is not self._delivery.current:
             return
         was_replaying = self._delivery.replaying
-        if self._delivery.delivered > self._delivered_before:
-            self._resumes = 0
         self._delivery.interrupt()
-        self._note_break()
+        self._recovery.note_break(self._delivery.delivered, self._now())
         progress = Progress(
             begun=self._delivery.delivered > 0,
             resumable=attempt.is_resumable and not was_replaying,
             runs=self._runs,
-            resumes=self._resumes,
+            resumes=self._recovery.resumes,
             idempotent=self._call.idempotent,
-            late=self._now() >= self._late_at,
+            late=self._now() >= self._recovery.late_at,
         )
         step = next_step(outcome.ending, outcome.verdict, progress)
         self._follow(step, attempt, outcome)
@@ -176,30 +185,9 @@
         return self._service.admit_request(self._call, candidate.cost_ms, now)
 
     def _run(self, candidate: Candidate, kind: str) -> None:
-        cache_scope = self._call.chat.prefix.cache_scope
         self._runs += kind != 'hedge'
-        self._send(
-            AttemptPlan(
-                engine=candidate.engine,
-                message=self._message,
-                weights_version=cache_scope.weights_version,
-                truthful=self._service.is_truthful(candidate.engine),
-                expected_tokens=candidate.expected_tokens,
-            ),
-            kind,
-        )
-
-    def _send(self, plan: AttemptPlan, kind: str) -> None:
-        attempt = ModelAttempt(self._service.around.pool, plan, self)
-        self._active.append(attempt)
-        self._recorder.started(attempt, kind)
         self._event_at = self._now()
-        self._delivered_before = self._delivery.delivered
-        if self._delivery.delivered and plan.resumes:
-            self._delivery.resume(attempt)
-        elif self._delivery.delivered:
-            self._delivery.replay(attempt)
-        attempt.start()
+        self._attempts.run(candidate, kind)
 
     def _follow(
         self,
@@ -210,8 +198,8 @@
         if step is Step.PASS_ON:
             self._pass_on(outcome)
         elif step is Step.RESUME:
-            wait = _FIRST_WAIT << self._resumes
-            self._resumes += 1
+            wait = _FIRST_WAIT << self._recovery.resumes
+            self._recovery.resumes += 1
             self._timers.start('retry', wait, self._resume_on, attempt)
         elif step is Step.GIVE_UP:
             self._give_up(self._last_word(outcome))
@@ -227,20 +215,8 @@
             )
 
     def _resume_on(self, attempt: ModelAttempt) -> None:
-        plan = attempt.plan
-        after = self._delivery.delivered - 1
-        self._send(
-            AttemptPlan(
-                engine=plan.engine,
-                message=resume_message(self._call.request_id, after),
-                weights_version=plan.weights_version,
-                truthful=plan.truthful,
-                incarnation=attempt.incarnation,
-                resumes=True,
-                expected_tokens=plan.expected_tokens,
-            ),
-            'resume',
-        )
+        self._event_at = self._now()
+        self._attempts.resume_on(attempt)
 
     def _rerun(self, attempt: ModelAttempt | None) -> None:
         now = self._now()
@@ -253,25 +229,25 @@
             self._wait_for_engine()
             return
         if attempt is not None and candidate.engine != attempt.engine:
-            self._cancel_at(attempt)
+            self._attempts.cancel_at(attempt)
         kind = 'replay' if self._delivery.delivered else 'run'
         self._run(candidate, kind)
 
     def _wait_for_engine(self) -> None:
         """Try all engines once more after a pause that grows."""
         wait = _FIRST_WAIT << self._candidates.start_again()
-        if self._now() + wait >= self._late_at:
+        if self._now() + wait >= self._recovery.late_at:
             self._give_up(no_server(self._verdict))
             return
         self._timers.start('retry', wait, self._rerun, None)
 
     def _plan_hedge(self) -> None:
         delay = self._service.latency.hedge_delay
-        if self._call.idempotent and delay is not None and self._active:
+        if self._call.idempotent and delay is not None and self._attempts:
             self._timers.start('hedge', max(1, delay), self._hedge)
 
     def _hedge(self) -> None:
-        if self._delivery.delivered or len(self._active) != 1:
+        if self._delivery.delivered or len(self._attempts) != 1:
             return
         now = self._now()
         candidate = self._candidates.following(now)
@@ -283,44 +259,86 @@
         self._timers.stop('hedge')
         if self._call.chat.stream:
             self._timers.stop('deadline')
-        others = [other for other in self._active if other is not attempt]
-        self._abandon(others)
+        self._attempts.abandon_others(attempt)
         self._recorder.begun(attempt)
         stall_time = self._service.around.stall_time
         self._timers.start('stall', stall_time, self._check_stall)
 
     def _check_stall(self) -> None:
-        """End attempts that make no progress; a rerun has longer."""
+        """Look after an answer that makes no progress."""
         stall_time = self._service.around.stall_time
         quiet = self._now() - self._event_at
         waits = self._paused or self._timers.is_running('retry')
-        limit = stall_time
-        if any(not attempt.opened for attempt in self._active):
-            limit = max(limit, self._call.deadline - self._call.received_at)
-        if not waits and quiet >= limit:
-            for attempt in tuple(self._active):
-                attempt.break_off(f'no event for {quiet} ms')
+        if not waits and quiet >= stall_time:
+            self._handle_silence(quiet)
         if not self._ended:
             left = stall_time - quiet if quiet < stall_time else stall_time
             self._timers.start('stall', left, self._check_stall)
 
+    def _handle_silence(self, quiet: int) -> None:
+        """Give a silent attempt up for something better, or at the end."""
+        now = self._now()
+        reason = f'no event for {quiet} ms'
+        current = self._delivery.current
+        if current is None:
+            return
+        self._recovery.note_break(self._delivery.delivered, now)
+        if self._recovery.has_run_out(quiet, now):
+            self._attempts.drop_standby()
+            current.break_off(reason)
+            return
+        standby = self._attempts.standby
+        if standby is not None and standby.opened:
+            self._attempts.take_standby()
+            current = standby
+        elif standby is not None or not current.opened:
+            # A resume or a rerun has longer to open its stream.
+            return
+        can_resume = current.is_resumable and not self._delivery.replaying
+        if can_resume and self._recovery.may_ask_again:
+            self._recovery.resumes += 1
+            self._attempts.add_standby(current)
+        else:
+            self._replace(reason)
+
+    def _end_silence(self, attempt: ModelAttempt) -> None:
+        """Go on with the connection on which the run is heard again."""
+        if attempt is self._attempts.standby:
+            self._attempts.take_standby()
+        else:
+            self._attempts.drop_standby()
+
+    def _replace(self, reason: str) -> None:
+        """Run the call anew if engine, budget and time are there for it."""
+        now = self._now()
+        silent = self._delivery.current
+        is_allowed = now < self._recovery.late_at and self._runs < MAXIMUM_RUNS
+        if not is_allowed or self._service.is_quarantined(self._call, now):
+            return
+        candidate = self._candidates.following(now)
+        if candidate is None and self._recovery.is_gone:
+            self._candidates.start_again()
+            candidate = self._candidates.following(now)
+        if candidate is None:
+            return
+        if not self._spend():
+            self._candidates.put_back(candidate)
+            return
+        self._recorder.placed(self._candidates.latest)
+        self._verdict = self._verdict.combine(silent.verdict)
+        self._attempts.give_up(silent, reason)
+        if candidate.engine != silent.engine:
+            self._attempts.cancel_at(silent)
+        self._run(candidate, 'replay')
+
     def _check_owner(self, events: list[bytes]) -> None:
         """Refuse events that name another request of this fleet."""
         first = events[0]
         if _QUOTED_PREFIX in first and self._owner not in first:
             raise BackendProtocolError('an event of another request')
 
-    def _note_break(self) -> None:
-        """Give a stream that broke as long to recover as a new call has."""
-        if self._call.chat.stream and self._delivery.delivered:
-            if self._late_at == self._call.deadline:
-                allowed = self._call.deadline - self._call.received_at
-                self._late_at = Millis(self._now() + allowed)
-
     def _finish(self, attempt: ModelAttempt) -> None:
-        self._active.remove(attempt)
-        attempt.finish()
-        self._recorder.finished(attempt)
+        self._attempts.finish(attempt)
         self._delivery.end()
         self._output.done()
         self._end(Verdict.ANSWERED)
@@ -333,8 +351,8 @@
         self._end(Verdict.ANSWERED)
 
     def _late(self) -> None:
-        verdict = self._verdict.combine(self._started_verdict())
-        self._abandon(self._active)
+        verdict = self._verdict.combine(self._attempts.verdict)
+        self._attempts.abandon()
         self._give_up(deadline_passed(verdict))
 
     def _refuse_quarantined(self) -> None:
@@ -345,7 +363,7 @@
         self._give_up(quarantined(remaining, self._verdict))
 
     def _last_word(self, outcome: Outcome) -> Refusal:
-        if self._now() >= self._late_at:
+        if self._now() >= self._recovery.late_at:
             return deadline_passed(self._verdict)
         code = outcome.ending.value.replace('-', '_')
         return given_up(f'backend_{code}', outcome.reason, self._verdict)
@@ -366,27 +384,6 @@
             )
         self._done.callback(verdict)
 
-    def _abandon(self, attempts: list[ModelAttempt]) -> None:
-        for attempt in tuple(attempts):
-            attempt.abandon()
-            self._active.remove(attempt)
-            self._recorder.abandoned(attempt)
-            self._cancel_at(attempt)
-
-    def _cancel_at(self, attempt: ModelAttempt) -> None:
-        if attempt.verdict is not Verdict.NOT_RUN:
-            cancel_stream(
-                self._service.around.pool,
-                attempt.engine,
-                self._call.request_id,
-            )
-
-    def _started_verdict(self) -> Verdict:
-        verdict = Verdict.NOT_RUN
-        for attempt in self._active:
-            verdict = verdict.combine(attempt.verdict)
-        return verdict
-
     def _spend(self) -> bool:
         return self._service.spend_retry(self._now())
 
--- a/yuccagauge/dispatch/recording.py
+++ b/yuccagauge/dispatch/recording.py
@@ -73,27 +73,16 @@
 
     def started(self, attempt: ModelAttempt, kind: str) -> None:
         """Count an attempt that is about to be sent."""
-        now = self._now()
-        self._kinds[id(attempt)] = (kind, now)
-        missing = self._call.chat.prefix.prompt_tokens
-        missing -= attempt.plan.expected_tokens
-        if attempt.plan.resumes:
-            missing = 0
-        known_crashes = self._service.quarantine.record_start(
-            self._call.fingerprint,
-            attempt.engine,
-        )
-        table = self._service.table_of(attempt.engine)
-        self._runs[id(attempt)] = _Run(
-            incarnation=table.incarnation(attempt.engine),
-            known_crashes=known_crashes,
-        )
-        table.record_send(
-            attempt.engine,
-            self._call.request_id,
-            max(0, missing),
-            now,
-        )
+        self._kinds[id(attempt)] = (kind, self._now())
+        self._start_run(attempt)
+
+    def asked_again(self, attempt: ModelAttempt) -> None:
+        """Note a second connection to a run, which adds no load."""
+        self._kinds[id(attempt)] = ('resume', self._now())
+
+    def took_over(self, attempt: ModelAttempt) -> None:
+        """Count a run on the connection that carries it now."""
+        self._start_run(attempt)
 
     def begun(self, attempt: ModelAttempt) -> None:
         """Record the first token."""
@@ -125,7 +114,7 @@
 
     def ended(self, attempt: ModelAttempt, outcome: Outcome) -> None:
         """Record an attempt that ended without a complete answer."""
-        self._release(attempt)
+        run = self._release(attempt)
         now = self._now()
         engine = attempt.engine
         # A stream that broke after it opened is resumed first, which tells
@@ -133,8 +122,8 @@
         is_down = outcome.ending in {Ending.BROKEN, Ending.NOT_RUN}
         if is_down and not attempt.opened:
             self._service.table_of(engine).suspend_engine(engine, now)
-        if outcome.ending is Ending.BROKEN and attempt.was_sent:
-            run = self._runs[id(attempt)]
+        is_broken = outcome.ending is Ending.BROKEN and attempt.was_sent
+        if is_broken and run is not None:
             self._service.quarantine.record_broken_connection(
                 self._call.fingerprint,
                 engine,
@@ -162,7 +151,33 @@
     def _build_sample(self, verdict: Verdict) -> RequestSample:
         return self._sample.build(verdict)
 
-    def _release(self, attempt: ModelAttempt) -> None:
+    def _start_run(self, attempt: ModelAttempt) -> None:
+        now = self._now()
+        missing = self._call.chat.prefix.prompt_tokens
+        missing -= attempt.plan.expected_tokens
+        if attempt.plan.resumes:
+            missing = 0
+        known_crashes = self._service.quarantine.record_start(
+            self._call.fingerprint,
+            attempt.engine,
+        )
+        table = self._service.table_of(attempt.engine)
+        self._runs[id(attempt)] = _Run(
+            incarnation=table.incarnation(attempt.engine),
+            known_crashes=known_crashes,
+        )
+        table.record_send(
+            attempt.engine,
+            self._call.request_id,
+            max(0, missing),
+            now,
+        )
+
+    def _release(self, attempt: ModelAttempt) -> _Run | None:
+        """Return what was known of the run that an attempt carried."""
+        run = self._runs.pop(id(attempt), None)
+        if run is None:
+            return None
         self._service.quarantine.record_end(
             self._call.fingerprint, attempt.engine
         )
@@ -172,6 +187,7 @@
             self._now(),
             self._computed,
         )
+        return run
 
     def _take_usage(
         self,
--- a/yuccagauge/dispatch/recovery.py
+++ b/yuccagauge/dispatch/recovery.py
@@ -3,6 +3,8 @@
 import enum
 from dataclasses import dataclass
 
+from yuccagauge.clock import Millis
+from yuccagauge.dispatch.base import Call
 from yuccagauge.verdict import Verdict
 
 #: Attempts of one call, with the first; hedges and resumes not counted.
@@ -35,6 +37,10 @@
     ABANDONED = 'abandoned'
 
 
+#: Answers to a resume by which the engine does not run the stream any more.
+_ENDED_STREAM = frozenset((Ending.GONE, Ending.WRONG_VERSION))
+
+
 @enum.unique
 class Step(enum.Enum):
     """What to do next."""
@@ -64,6 +70,55 @@
     late: bool
 
 
+class Recovery:
+    """How long a call may still recover, and what it has tried for it.
+
+    Parameters
+    ----------
+    call
+        The call; its ``chat`` is set.
+    """
+
+    def __init__(self, call: Call) -> None:
+        """Start with a call that did not break."""
+        self._allowed = call.deadline - call.received_at
+        self._is_stream = call.chat.stream
+        self._delivered = 0
+        #: When no further step is taken.
+        self.late_at = call.deadline
+        #: Resumes in a row that brought no event.
+        self.resumes = 0
+        #: Whether the engine said that it does not run the stream.
+        self.is_gone = False
+
+    @property
+    def may_ask_again(self) -> bool:
+        """Whether a silent run is asked for on a second connection."""
+        return not self.is_gone and self.resumes < MAXIMUM_RESUMES
+
+    def note_break(self, delivered: int, now: Millis) -> None:
+        """Give a stream that broke as long to recover as a new call has.
+
+        Events that were passed on since the last break show that it had
+        recovered from that one.
+        """
+        if delivered == self._delivered:
+            return
+        self._delivered = delivered
+        self.resumes = 0
+        self.is_gone = False
+        if self._is_stream:
+            self.late_at = Millis(now + self._allowed)
+
+    def note_refusal(self, ending: Ending) -> None:
+        """Take the end of a second connection to a silent run."""
+        self.is_gone = ending in _ENDED_STREAM
+
+    def has_run_out(self, quiet: int, now: Millis) -> bool:
+        """Return whether a silent run has no time left; a rerun has longer."""
+        return now >= self.late_at and quiet >= self._allowed
+
+
 def next_step(ending: Ending, verdict: Verdict, progress: Progress) -> Step:
     """Return what follows an attempt that ended.
 
--- a/yuccagauge/dispatch/running.py
+++ b/yuccagauge/dispatch/running.py
@@ -97,7 +97,8 @@
         """Continue a run whose connection is gone."""
         attempt = self._create(self._resume_plan(broken))
         self._recorder.started(attempt, 'resume')
-        self._delivery.resume(attempt)
+        if self._delivery.delivered:
+            self._delivery.resume(attempt)
         attempt.start()
 
     def add_standby(self, silent: ModelAttempt) -> None:
