Show that a rejected run still ends a call whose engine goes on

A stream whose engine is silent for 2.5 s and answers the resume as unknown, beside a server that rejects, with one retry left, ends with retry_budget_spent after 2.07 s: the silent run is dropped for a server that then rejects.

--- a/features/dispatch/silent_servers.feature
+++ b/features/dispatch/silent_servers.feature
@@ -47,6 +47,7 @@
       | 2.5     | a rejecting | spent  |
       | 2.5     | a sound     | spent  |
       | 2.5     | a sound     | free   |
+      | 2.5     | a rejecting | free   |
 
   Scenario: A second silence has as much time as the first
     Given a scripted engine that falls silent for 2.5 s before each of its last 3 events and drops streams
