Begin each answer of the silent engine with its head

The step kept per connection whether the head was sent, so that the second request on a kept connection got an answer without one and broke. Seen once, in a trial at load 20: row @1.5 of "A stream whose engine refuses to go on with it stays with its run" ended after 25 ms. The mark now belongs to the request; no check changes.

--- a/features/steps/dispatch_silence_steps.py
+++ b/features/steps/dispatch_silence_steps.py
@@ -97,24 +97,40 @@
         else:
             exchange.answer(404, b'{}')
 
-    def _send(self, exchange: Exchange, number: int) -> None:
+    def _send(
+        self,
+        exchange: Exchange,
+        number: int,
+        *,
+        is_begun: bool = False,
+    ) -> None:
         if exchange.lost:
             return
         if number in self._pauses - self._has_paused:
             self._has_paused.add(number)
             if self.is_all_silent:
                 self.server.fall_silent(self._silence)
-            reactor.callLater(self._silence, self._send, exchange, number)
+            self._send_after(self._silence, exchange, number, is_begun)
             return
-        if not getattr(exchange, 'is_begun', False):
-            exchange.is_begun = True
+        if not is_begun:
             exchange.open_stream('i1', 'w1')
         exchange.chunk(self._events[number])
         if number + 1 < len(self._events):
-            reactor.callLater(0, self._send, exchange, number + 1)
+            self._send_after(0, exchange, number + 1, is_begun=True)
         else:
             exchange.chunk(b'')
 
+    def _send_after(
+        self,
+        delay: float,
+        exchange: Exchange,
+        number: int,
+        is_begun: bool,
+    ) -> None:
+        reactor.callLater(
+            delay, self._send, exchange, number, is_begun=is_begun
+        )
+
 
 def _keep_engine(context: Context, engine: _SilentEngine) -> None:
     context.silent = engine
