Replace no silent run while its caller reads nothing

While a caller reads nothing, nothing is read from the engine either, so that a refused resume says nothing about the run; the next check after the pause decides.

--- a/yuccagauge/dispatch/model.py
+++ b/yuccagauge/dispatch/model.py
@@ -154,7 +154,8 @@
             self._verdict = self._verdict.combine(outcome.verdict)
         if is_standby:
             self._recovery.note_refusal(outcome.ending)
-            self._replace(outcome.reason)
+            if not self._paused:
+                self._replace(outcome.reason)
             return
         if self._attempts.standby is not None:
             self._attempts.take_standby()
