Show in a fleet that routers without a path to servers refuse what others serve

While some routers were partitioned from all servers, their callers got 503: the users saw 4 of 62 and 2 of 76 first attempts served there, and 170 of 172 and 147 of 147 at the others.

The test runs whole routers in virtual time before a model service and a plain one. The path between chosen routers and all servers is cut for 12 s, in three faces: connections hang; open ones are reset, and new ones refused or reset once open; open ones live on and new ones are refused. Callers, the store and peers still reach these routers. Bounds are the users': from 3 s after the cut began, two thirds of what the others serve, or failures of at most 10 + 1 in 50.

--- a/features/crash_fleet.py
+++ b/features/crash_fleet.py
@@ -130,7 +130,7 @@
             {
                 'relay': {
                     'name': name,
-                    'data_centre': 'a',
+                    'data_centre': self.data_centre(name),
                     'listen': f'{host}:{SERVER_PORT}',
                     'ready_listen': f'{host}:{SERVER_PORT + 1}',
                     'peer_listen': f'{host}:{_PEER_PORT}',
@@ -152,6 +152,10 @@
         )
         self._routers[name].start()
 
+    def data_centre(self, name: str) -> str:
+        """Return the data centre of a router."""
+        return 'a'
+
     def router(self, name: str) -> RelayRouter:
         """Return the latest process of a router."""
         return self._routers[name]
--- a/features/memory_network.py
+++ b/features/memory_network.py
@@ -1,5 +1,6 @@
 """A TCP network in memory, in virtual time, for routers in one process."""
 
+import enum
 from collections.abc import Callable
 from functools import partial
 from typing import Any
@@ -12,6 +13,7 @@
     ConnectionRefusedError,
     TCPTimedOutError,
 )
+from twisted.internet.protocol import Protocol
 from twisted.protocols.policies import TimeoutMixin
 from twisted.python.failure import Failure
 
@@ -27,6 +29,15 @@
 _FIRST_CLIENT_PORT = 40_000
 
 
+class ConnectFate(enum.Enum):
+    """What becomes of a connection that a host opens to another one."""
+
+    OPENED = enum.auto()
+    REFUSED = enum.auto()
+    #: Opened at its near side, and then reset.
+    RESET = enum.auto()
+
+
 class MemoryTransport:
     """One side of a connection."""
 
@@ -234,6 +245,10 @@
         self.reactor = VirtualReactor()
         #: Returns whether no data passes between two hosts.
         self.is_cut: Callable[[str, str], bool] = lambda host, other: False
+        #: Returns what becomes of a connection from a host to another one.
+        self.connect_fate: Callable[[str, str], ConnectFate] = (
+            lambda source, host: ConnectFate.OPENED
+        )
         #: Hosts without power: nothing answers there, not even a reset.
         self.silent_hosts: set[str] = set()
         #: Hosts whose processes do nothing; connections to them open still.
@@ -280,6 +295,16 @@
             if transport.host == host and transport.is_open:
                 transport.abortConnection()
 
+    def reset_between(self, source: str, host: str) -> None:
+        """Reset the connections that one host has opened to another one."""
+        for transport in self._transports:
+            is_between = (transport.host, transport.other.host) == (
+                source,
+                host,
+            )
+            if is_between and transport.is_open:
+                transport.abortConnection()
+
     def end_host(self, host: str, *, silently: bool = False) -> None:
         """End the process of a host, with its ports and connections."""
         self._factories = {
@@ -303,8 +328,8 @@
         if connector.is_stopped:
             return
         target = connector.getDestination()
-        accepting = self._factories.get((target.host, target.port))
-        accepted = accepting and accepting.buildProtocol(None)
+        fate = self.connect_fate(source, target.host)
+        accepted = self._accept(target, fate)
         if accepted is None:
             _fail(connector, factory, ConnectionRefusedError())
             return
@@ -318,6 +343,17 @@
             _use_virtual_time(protocol, self.reactor)
         accepted.makeConnection(far)
         opened.makeConnection(near)
+        if fate is ConnectFate.RESET:
+            far.abortConnection()
+
+    def _accept(self, target: IPv4Address, fate: ConnectFate) -> Any:
+        """Return the far side of a connection, if it is not refused."""
+        if fate is ConnectFate.REFUSED:
+            return None
+        if fate is ConnectFate.RESET:
+            return Protocol()
+        accepting = self._factories.get((target.host, target.port))
+        return accepting and accepting.buildProtocol(None)
 
 
 def _use_virtual_time(protocol: Any, reactor: VirtualReactor) -> None:
--- a/features/simulated_store.py
+++ b/features/simulated_store.py
@@ -65,6 +65,12 @@
             record = _Record(key, value, self._reactor.seconds())
             self._log[Topic.SERVERS].append(record)
 
+    def append_configuration(self, document: dict[str, Any]) -> None:
+        """Write a version of the configuration."""
+        value = json.dumps(document).encode()
+        record = _Record('config', value, self._reactor.seconds())
+        self._log[Topic.OPERATIONS].append(record)
+
     def remove_lapsed(self) -> None:
         """Remove the entries without a heartbeat for some time."""
         now = self._reactor.seconds()
