Let a message take a peer connection over, and add those of a path

A path through a peer needs a connection between routers that carries one connection to a server.

Change: PeerServer hands a connection over to the handler of its first message; FrameProtocol.hand_over changes the receivers and the idle limit. Messages PathOpen, PathOpened, PathData and PathEnd, kinds 57 to 60.

--- a/yuccagauge/wire/fleetmessages.py
+++ b/yuccagauge/wire/fleetmessages.py
@@ -238,3 +238,32 @@
 @dataclass(frozen=True, slots=True, kw_only=True)
 class StreamOriginPull(Message):
     """Ask for all streams that the sender should keep, after its start."""
+
+
+@register(57)
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PathOpen(Message):
+    """Ask to carry the bytes of one connection to a backend server."""
+
+    server: str
+    target: Endpoint
+
+
+@register(58)
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PathOpened(Message):
+    """Say that the server has accepted the connection."""
+
+
+@register(59)
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PathData(Message):
+    """Carry bytes of the connection, in either direction."""
+
+    payload: bytes
+
+
+@register(60)
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PathEnd(Message):
+    """Say that the server has closed the connection regularly."""
--- a/yuccagauge/wire/messages.capnp
+++ b/yuccagauge/wire/messages.capnp
@@ -334,3 +334,19 @@
   # How far back the sender knows them.
   versionsKnownMs @18 :UInt32;
 }
+
+struct PathOpen {
+  server @0 :Text;
+  # Address of the server.
+  target @1 :Data;
+}
+
+struct PathOpened {
+}
+
+struct PathData {
+  payload @0 :Data;
+}
+
+struct PathEnd {
+}
--- a/yuccagauge/wire/server.py
+++ b/yuccagauge/wire/server.py
@@ -28,6 +28,9 @@
 #: Answers one request; returns a message or a Deferred of one.
 RequestHandler = Callable[[Received], Any]
 
+#: Takes a whole connection over, which begins with one message.
+ConnectionHandler = Callable[[FrameProtocol, Received], None]
+
 
 class PeerServer(Factory):
     """Answer requests by the handler of their message class.
@@ -59,6 +62,7 @@
         self._sender = sender
         self._tls = tls
         self._handlers: dict[type[Message], RequestHandler] = {}
+        self._connection_handlers: dict[type[Message], ConnectionHandler] = {}
         self._connections: set[FrameProtocol] = set()
         self._port: Any = None
 
@@ -77,6 +81,14 @@
         """Answer all requests of one message class."""
         self._handlers[message] = handler
 
+    def add_connection_handler(
+        self,
+        message: type[Message],
+        handler: ConnectionHandler,
+    ) -> None:
+        """Hand over the connections on which one message class arrives."""
+        self._connection_handlers[message] = handler
+
     def start(self) -> None:
         """Open the socket."""
         factory: Any = self
@@ -113,6 +125,10 @@
         self._connections.discard(protocol)
 
     def _answer(self, protocol: FrameProtocol, received: Received) -> None:
+        take_over = self._connection_handlers.get(type(received.message))
+        if take_over is not None:
+            take_over(protocol, received)
+            return
         handler = self._handlers.get(type(received.message))
         if handler is None:
             count_ignored('unhandled-kind')
--- a/yuccagauge/wire/stream.py
+++ b/yuccagauge/wire/stream.py
@@ -97,7 +97,25 @@
         self.setTimeout(None)
         self._on_lost(self, reason)
 
-    def send_message(self, message: Message, sequence: int) -> None:
+    def hand_over(
+        self,
+        idle_seconds: float,
+        on_frame: FrameHandler,
+        on_lost: LossHandler,
+    ) -> None:
+        """Give the frames to other handlers, beside the old one of the end."""
+        previous_on_lost = self._on_lost
+
+        def report_loss(protocol: 'FrameProtocol', reason: Failure) -> None:
+            previous_on_lost(protocol, reason)
+            on_lost(protocol, reason)
+
+        self._on_frame = on_frame
+        self._on_lost = report_loss
+        self._idle_seconds = idle_seconds
+        self.setTimeout(idle_seconds)
+
+    def send_message(self, message: Message, sequence: int = 0) -> None:
         """Send one frame.
 
         Raises
