Lead calls through a peer where a server is not reached directly

Change: package peerpath. The pool of callers' calls opens connections by a race: the direct way, and 60 ms later or when it is refused, paths through up to four peers, 60 ms apart; the first that opens wins, and no byte was sent on the others. After a direct attempt failed, paths come first, and one direct attempt in 500 ms (jittered) finds the way back. A peer opens direct connections to servers of its own directory only, 256 at most, and refuses at once what it does not reach itself. The end of a server's connection is a message; a path that ends without it is lost. Carried connections serve one call and delay the stop of their peer. The router's own requests stay direct.

--- a/yuccagauge/dispatch/connection.py
+++ b/yuccagauge/dispatch/connection.py
@@ -11,7 +11,6 @@
 
 import h11
 from twisted.internet.defer import Deferred, succeed
-from twisted.internet.endpoints import TCP4ClientEndpoint, TCP6ClientEndpoint
 from twisted.internet.error import ConnectionDone
 from twisted.internet.interfaces import IStreamClientEndpoint
 from twisted.internet.protocol import Factory, connectionDone
@@ -23,12 +22,10 @@
 )
 
 from yuccagauge.dispatch.base import BackendMessage, ResponseHead
+from yuccagauge.dispatch.endpoints import tcp_endpoint
 from yuccagauge.dispatch.errors import BackendProtocolError
 from yuccagauge.settings.options import Endpoint
 
-#: A backend server on the same continent accepts well within this time.
-_CONNECT_TIMEOUT_S = 1
-
 #: Methods whose requests have no body unless one is given.
 _BODILESS_METHODS = frozenset(('GET', 'HEAD', 'DELETE', 'OPTIONS'))
 
@@ -102,6 +99,7 @@
     def connectionMade(self) -> None:
         """Send small messages without delay."""
         self.transport.setTcpNoDelay(True)
+        self._may_reuse = getattr(self.transport, 'allows_reuse', True)
 
     def send(self, message: BackendMessage, user: ResponseUser) -> None:
         """Hand a whole request to the transport.
@@ -320,12 +318,6 @@
     return head + body + parser.send(h11.EndOfMessage())
 
 
-def tcp_endpoint(reactor: Any, server: Endpoint) -> IStreamClientEndpoint:
-    """Return the way to a backend server without encryption."""
-    kind = TCP6ClientEndpoint if ':' in server.host else TCP4ClientEndpoint
-    return kind(reactor, server.host, server.port, timeout=_CONNECT_TIMEOUT_S)
-
-
 class ConnectionPool:
     """Open connections by backend server.
 
@@ -335,6 +327,8 @@
         Gives connections and timers.
     endpoint
         Makes the way to a backend server.
+    may_hang
+        Returns whether open connections to a backend server may hang.
     """
 
     def __init__(
@@ -343,9 +337,11 @@
         endpoint: Callable[[Any, Endpoint], IStreamClientEndpoint] = (
             tcp_endpoint
         ),
+        may_hang: Callable[[Endpoint], bool] = lambda server: False,
     ) -> None:
         """Start without connections."""
         self._reactor = reactor
+        self._may_hang = may_hang
         self._endpoint = endpoint
         self._idle: dict[Endpoint, deque[Connection]] = defaultdict(deque)
 
@@ -359,6 +355,8 @@
             while the request is written, which ends in ``may have run``.
         """
         idle = self._idle[server]
+        if idle and self._may_hang(server):
+            _abort_all(idle)
         while idle and not fresh:
             connection = idle.pop()
             connection.idle_timer.cancel()
@@ -383,13 +381,17 @@
     def close(self) -> None:
         """Close all idle connections."""
         for idle in self._idle.values():
-            while idle:
-                connection = idle.pop()
-                connection.idle_timer.cancel()
-                connection.abort()
+            _abort_all(idle)
 
     def _forget(self, server: Endpoint, connection: Connection) -> None:
         if connection in self._idle[server]:
             self._idle[server].remove(connection)
         if connection.idle_timer.active():
             connection.idle_timer.cancel()
+
+
+def _abort_all(idle: deque[Connection]) -> None:
+    while idle:
+        connection = idle.pop()
+        connection.idle_timer.cancel()
+        connection.abort()
--- /dev/null
+++ b/yuccagauge/peerpath/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to backend servers that a peer carries."""
--- /dev/null
+++ b/yuccagauge/peerpath/dialer.py
@@ -0,0 +1,143 @@
+"""Opens connections to backend servers, directly or through a peer."""
+
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from twisted.internet.defer import Deferred
+from twisted.internet.interfaces import IStreamClientEndpoint
+from twisted.internet.protocol import Factory, Protocol
+from twisted.python.failure import Failure
+from zope.interface import implementer
+
+from yuccagauge.clock import Clock
+from yuccagauge.directory.state import Directory
+from yuccagauge.dispatch.endcheck import ACCEPT_LIMIT
+from yuccagauge.dispatch.endpoints import tcp_endpoint
+from yuccagauge.exchange.members import Member
+from yuccagauge.peerpath.choice import PeerChoice
+from yuccagauge.peerpath.direct import DirectAttempt
+from yuccagauge.peerpath.race import Race, RaceParts
+from yuccagauge.peerpath.reach import DirectReach
+from yuccagauge.settings.options import Endpoint
+from yuccagauge.wire.fleetmessages import PathOpen
+
+
+class PathDialer:
+    """Makes the ways to backend servers for the calls of callers.
+
+    Parameters
+    ----------
+    name
+        Name of this router.
+    directory
+        Knows the servers.
+    peers
+        Returns the other live routers.
+    reach, choice
+        Remember what is reached directly, and through which peers.
+    reactor, clock
+        Open connections and tell the time.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        directory: Directory,
+        peers: Callable[[], Iterable[Member]],
+        *,
+        reach: DirectReach,
+        choice: PeerChoice,
+        reactor: Any,
+        clock: Clock,
+    ) -> None:
+        """Open no connection yet."""
+        self._name = name
+        self._directory = directory
+        self._peers = peers
+        self._reach = reach
+        self._choice = choice
+        self._reactor = reactor
+        self._clock = clock
+
+    def endpoint(self, reactor: Any, server: Endpoint) -> IStreamClientEndpoint:
+        """Return the way to a backend server, for a connection pool."""
+        return _ServerEndpoint(self, server)
+
+    def connect(self, server: Endpoint, factory: Any) -> Deferred[Any]:
+        """Connect by the first way that opens."""
+        parts = RaceParts(
+            name=self._name,
+            server=server,
+            reach=self._reach,
+            choice=self._choice,
+            reactor=self._reactor,
+            clock=self._clock,
+            choose_peers=lambda: self._choose_peers(server),
+            path_request=self._path_request(server),
+        )
+        if self._reach.try_probe(server, self._clock.now()):
+            self._probe(server)
+        return Race(parts, factory).start()
+
+    def remove_gone(self) -> None:
+        """Forget the peers and the servers that are not listed any more."""
+        servers = {
+            server.endpoint for server in self._directory.servers.values()
+        }
+        self._reach.remove_gone(servers)
+        self._choice.remove_gone((peer.name for peer in self._peers()), servers)
+
+    def _probe(self, server: Endpoint) -> None:
+        probe_server(server, self._reach, self._reactor, self._clock)
+
+    def _choose_peers(self, server: Endpoint) -> tuple[Member, ...]:
+        return self._choice.choose(self._peers(), server, self._clock.now())
+
+    def _path_request(self, target: Endpoint) -> PathOpen:
+        server_id = next(
+            (
+                server.server_id
+                for server in self._directory.servers.values()
+                if server.endpoint == target
+            ),
+            '',
+        )
+        return PathOpen(server=server_id, target=target)
+
+
+@implementer(IStreamClientEndpoint)
+class _ServerEndpoint:
+    """The way to one backend server."""
+
+    def __init__(self, dialer: PathDialer, server: Endpoint) -> None:
+        self._dialer = dialer
+        self._server = server
+
+    def connect(self, factory: Any) -> Deferred[Any]:
+        """Connect by the first way that opens."""
+        return self._dialer.connect(self._server, factory)
+
+
+def probe_server(
+    server: Endpoint, reach: DirectReach, reactor: Any, clock: Clock
+) -> None:
+    """Record whether a server is reached directly; close the connection."""
+    factory = Factory.forProtocol(Protocol)
+    factory.noisy = False
+    DirectAttempt(
+        server,
+        tcp_endpoint(reactor, server),
+        reach=reach,
+        reactor=reactor,
+        clock=clock,
+        on_opened=_close,
+        on_failed=_ignore,
+    ).start(factory, ACCEPT_LIMIT)
+
+
+def _close(protocol: Any) -> None:
+    protocol.transport.loseConnection()
+
+
+def _ignore(failure: Failure) -> None:
+    """The attempt has recorded it."""
--- a/yuccagauge/relay/changes.py
+++ b/yuccagauge/relay/changes.py
@@ -1,10 +1,27 @@
-"""Log lines of changes of the configuration, servers and named weights."""
+"""Log lines of changes of settings, configuration, servers and weights."""
 
 from yuccagauge.directory.base import Configuration
+from yuccagauge.errors import SettingsError
 from yuccagauge.selection.base import FleetView
+from yuccagauge.settings.relay import (
+    RelaySettings,
+    changed_sections,
+    load_relay_settings,
+)
 from yuccagauge.telemetry.journal import log_state_change
 
 
+def log_changed_settings(settings: RelaySettings, path: str) -> None:
+    """Check a settings file, and log how it differs from those in use."""
+    try:
+        new_settings = load_relay_settings(path)
+    except SettingsError as error:
+        log_state_change('settings_refused', reason=str(error))
+        return
+    changed = changed_sections(settings, new_settings)
+    log_state_change('settings_read', changed_sections=changed)
+
+
 def log_configuration(configuration: Configuration) -> None:
     """Log the size of a configuration that is in force from now on."""
     log_state_change(
--- /dev/null
+++ b/yuccagauge/relay/paths.py
@@ -0,0 +1,98 @@
+"""Creates the components that lead calls to servers through peers."""
+
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from yuccagauge.clock import Clock
+from yuccagauge.directory.state import Directory
+from yuccagauge.dispatch.connection import ConnectionPool
+from yuccagauge.exchange.members import Member
+from yuccagauge.peerpath.carrier import PathCarrier
+from yuccagauge.peerpath.choice import PeerChoice
+from yuccagauge.peerpath.dialer import PathDialer
+from yuccagauge.peerpath.reach import DirectReach
+from yuccagauge.settings.relay import RelaySection
+from yuccagauge.wire.server import PeerServer
+
+
+class RelayPaths:
+    """The ways of callers' calls to servers, and those of peers.
+
+    The router's own requests do not use them: the servers accept orders from
+    one VM only.
+
+    Parameters
+    ----------
+    section
+        Name and data centre of this router.
+    directory
+        Knows the servers.
+    peers
+        Returns the other live routers.
+    reactor, clock
+        Open connections and tell the time.
+    random_fraction
+        Returns a random number from 0 to 1.
+    """
+
+    def __init__(
+        self,
+        section: RelaySection,
+        directory: Directory,
+        peers: Callable[[], Iterable[Member]],
+        *,
+        reactor: Any,
+        clock: Clock,
+        random_fraction: Callable[[], float],
+    ) -> None:
+        """Create and connect the components."""
+        self._directory = directory
+        self._reactor = reactor
+        self._clock = clock
+        self._reach = DirectReach(random_fraction)
+        self._dialer = PathDialer(
+            section.name,
+            directory,
+            peers,
+            reach=self._reach,
+            choice=PeerChoice(section.data_centre, random_fraction),
+            reactor=reactor,
+            clock=clock,
+        )
+        self._pool = ConnectionPool(
+            reactor, self._dialer.endpoint, self._reach.may_hang
+        )
+        self._carrier: PathCarrier | None = None
+
+    @property
+    def pool(self) -> ConnectionPool:
+        """The connections of callers' calls."""
+        return self._pool
+
+    @property
+    def carried_count(self) -> int:
+        """Number of connections that are carried for peers."""
+        return self._carrier.carried_count
+
+    def accept_from(self, server: PeerServer) -> None:
+        """Carry connections for the peers that connect to a server."""
+        self._carrier = PathCarrier(
+            server, self._directory, self._reach, self._reactor, self._clock
+        )
+        self._carrier.start()
+
+    def remove_gone(self) -> None:
+        """Forget the peers and the servers that are not listed any more."""
+        self._dialer.remove_gone()
+
+    def stop_accepting(self) -> None:
+        """Refuse new paths of peers, because the router stops."""
+        self._carrier.stop_accepting()
+
+    def abort_paths(self) -> None:
+        """End the paths of peers, because the router stops."""
+        self._carrier.abort_paths()
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        self._pool.close()
--- a/yuccagauge/relay/peers.py
+++ b/yuccagauge/relay/peers.py
@@ -7,6 +7,7 @@
 from yuccagauge.exchange.origins import OriginBroker
 from yuccagauge.exchange.service import ExchangeService
 from yuccagauge.relay.context import RelayContext
+from yuccagauge.relay.paths import RelayPaths
 from yuccagauge.settings.relay import RelaySettings
 from yuccagauge.wire.client import PeerClient
 from yuccagauge.wire.server import PeerServer
@@ -15,14 +16,20 @@
 def build_peer_services(
     settings: RelaySettings,
     context: RelayContext,
+    paths: RelayPaths,
+    *,
     reactor: Any,
     clock: Clock,
     random_fraction: Callable[[], float],
 ) -> tuple[ExchangeService, OriginBroker]:
-    """Return the exchange and the broker, which share their connections."""
+    """Return the exchange and the broker, which share their connections.
+
+    The paths accept requests of peers at the same port.
+    """
     section = settings.relay
     server = PeerServer(reactor, section.peer_listen, section.name)
     client = PeerClient(reactor, section.name)
+    paths.accept_from(server)
     exchange = ExchangeService(
         section.name,
         section.peer_listen,
--- a/yuccagauge/relay/router.py
+++ b/yuccagauge/relay/router.py
@@ -14,15 +14,15 @@
 from yuccagauge.directory.follower import TopicFollower
 from yuccagauge.directory.state import Directory, Topic
 from yuccagauge.dispatch.connection import ConnectionPool
-from yuccagauge.errors import SettingsError
 from yuccagauge.ratelimit.limits import ServerLimits
+from yuccagauge.relay import changes
 from yuccagauge.relay.adapter import AdapterFactory
 from yuccagauge.relay.archives import build_archives
 from yuccagauge.relay.base import ResponseInfo
-from yuccagauge.relay.changes import log_configuration, log_fleet_changes
 from yuccagauge.relay.channel import CallerFactory
 from yuccagauge.relay.context import RelayContext, retry_budget_settings
 from yuccagauge.relay.pages import MetricsPage, ReadyPage, page_site
+from yuccagauge.relay.paths import RelayPaths
 from yuccagauge.relay.peers import build_peer_services
 from yuccagauge.relay.relay import Relay
 from yuccagauge.rendezvous import rendezvous_rank
@@ -32,11 +32,7 @@
 from yuccagauge.selection.base import FleetView
 from yuccagauge.selection.selector import Selector
 from yuccagauge.settings.options import Endpoint
-from yuccagauge.settings.relay import (
-    RelaySettings,
-    changed_sections,
-    load_relay_settings,
-)
+from yuccagauge.settings.relay import RelaySettings
 from yuccagauge.tasks import PeriodicTask
 from yuccagauge.telemetry.journal import log_state_change
 
@@ -93,10 +89,18 @@
         self._selector = Selector(
             section.data_centre, settings.weights.limit_ms
         )
+        self._paths = RelayPaths(
+            section,
+            self._directory,
+            lambda: self._exchange.peers,
+            reactor=reactor,
+            clock=clock,
+            random_fraction=random_fraction,
+        )
         self._context = RelayContext(
             clock=clock,
             call_later=reactor.callLater,
-            pool=self._pool,
+            pool=self._paths.pool,
             call_decoder=self._adapter.call_decoder,
             backend_protocol=self._adapter.backend_protocol,
             directory=self._directory,
@@ -121,7 +125,12 @@
             for topic in Topic
         }
         self._exchange, self._origin_broker = build_peer_services(
-            settings, self._context, reactor, clock, random_fraction
+            settings,
+            self._context,
+            self._paths,
+            reactor=reactor,
+            clock=clock,
+            random_fraction=random_fraction,
         )
         self._context.use_origin_store(self._origin_broker)
         self._crash_archive, self._version_archive = build_archives(
@@ -200,12 +209,10 @@
         self._listen(section.metrics_listen, page_site(MetricsPage()))
         self._origin_broker.start()
         self._exchange.start()
-        for archive in (self._crash_archive, self._version_archive):
-            archive.start()
-        for follower in self._followers.values():
-            follower.start()
-        for duty in (self._rollout, self._election):
-            duty.start()
+        archives = (self._crash_archive, self._version_archive)
+        duties = (self._rollout, self._election)
+        for part in (*archives, *self._followers.values(), *duties):
+            part.start()
         self._upkeep.start(_UPKEEP_INTERVAL_S, now=False)
         log_state_change(
             'router_started',
@@ -239,13 +246,7 @@
 
         All settings apply at process start; a change waits for the next start.
         """
-        try:
-            new_settings = load_relay_settings(path)
-        except SettingsError as error:
-            log_state_change('settings_refused', reason=str(error))
-            return
-        changed = changed_sections(self._settings, new_settings)
-        log_state_change('settings_read', changed_sections=changed)
+        changes.log_changed_settings(self._settings, path)
 
     def stop_gracefully(self) -> Deferred[Any]:
         """Stop gracefully; the Deferred fires after the last call has ended."""
@@ -265,7 +266,8 @@
         self._reactor.callLater(accept_s, self._stop_accepting)
         self._reactor.callLater(accept_s, self._wait_until_idle, done)
         abort_after_s = max(accept_s, stop.grace_s - _ABORT_MARGIN_S)
-        self._reactor.callLater(abort_after_s, self._relay.abort_calls)
+        for abort in (self._relay.abort_calls, self._paths.abort_paths):
+            self._reactor.callLater(abort_after_s, abort)
         done.addCallback(lambda _: DeferredList([election_end, self._close()]))
         return done
 
@@ -277,6 +279,7 @@
             follower.close()
         self._cache_feed.close()
         self._callers.close()
+        self._paths.close()
         self._pool.close()
         closing = [maybeDeferred(port.stopListening) for port in self._ports]
         closing.append(self._exchange.close())
@@ -285,9 +288,10 @@
     def _stop_accepting(self) -> None:
         self._ports[0].stopListening()
         self._callers.close_idle_channels()
+        self._paths.stop_accepting()
 
     def _wait_until_idle(self, done: Deferred[None]) -> None:
-        if self._relay.running_call_count:
+        if self._relay.running_call_count or self._paths.carried_count:
             self._reactor.callLater(
                 _IDLE_CHECK_INTERVAL_S, self._wait_until_idle, done
             )
@@ -352,6 +356,7 @@
             log_state_change('servers_lapsed', servers=lapsed)
         self._selector.limits.remove_gone(self._directory.servers, now)
         self._observe_versions(now)
+        self._paths.remove_gone()
         self._cache_feed.update_pollers()
 
     def _observe_versions(self, now: Millis) -> None:
@@ -368,13 +373,13 @@
         )
         self._selector.update_fleet_view(view)
         self._observe_versions(self._clock.now())
-        log_fleet_changes(before, view)
+        changes.log_fleet_changes(before, view)
         configuration = directory.configuration
         if configuration is not None and (
             configuration.version != self._configuration_version
         ):
             self._configuration_version = configuration.version
-            log_configuration(configuration)
+            changes.log_configuration(configuration)
 
     def _record_engine_answer(
         self, endpoint: Endpoint, info: ResponseInfo
