Check the direct way to a server on which a call broke or hung

Cause: a connection that is partitioned while it is idle hangs under the next call, which looks like a slow server.

Change: a broken attempt has the direct way tried once, at most each 500 ms for a server. If it is not accepted in 60 ms, idle connections are not used.

--- a/features/peerpath/paths.feature
+++ b/features/peerpath/paths.feature
@@ -79,6 +79,20 @@
       | hang        | does not get |
       | are refused | gets         |
 
+  Scenario: A call that hung on an idle connection keeps others from them
+    Given a path network with 3 peers
+    And the router keeps an idle connection to the server
+    When the router is separated from the server, so that connections hang
+    And a call has hung on a connection to the server
+    And the router asks for any connection
+    Then it does not get the idle connection
+
+  Scenario: Calls that break on a server that is reached cost few connections
+    Given a path network with 3 peers
+    When 1000 calls break on the server in 2000 ms
+    Then it tried the direct way at most 5 times
+    And the server counts as reached directly
+
   Scenario: A carried connection is not used again
     Given a path network with 3 peers
     When the router is separated from the server, so that connections are refused
--- a/features/steps/peerpath_steps.py
+++ b/features/steps/peerpath_steps.py
@@ -113,6 +113,22 @@
         context.outcomes += outcomes
 
 
+@when('a call has hung on a connection to the server')
+def when_hung(context: Context) -> None:
+    """Let the router check the server, within the time of a retry."""
+    context.paths.dialer.check(SERVER)
+    context.paths.run(100)
+
+
+@when('{count:d} calls break on the server in {duration:d} ms')
+def when_broken(context: Context, count: int, duration: int) -> None:
+    """Report each of them."""
+    for _ in range(count):
+        context.paths.dialer.check(SERVER)
+        context.paths.run(duration // count)
+    context.paths.run(_CALL_LIMIT)
+
+
 @when('the router asks for any connection')
 def when_ask(context: Context) -> None:
     """Take an idle connection, or open one."""
--- a/yuccagauge/peerpath/dialer.py
+++ b/yuccagauge/peerpath/dialer.py
@@ -79,6 +79,15 @@
             self._probe(server)
         return Race(parts, factory).start()
 
+    def check(self, server: Endpoint) -> None:
+        """Try the direct way to a server on which a call broke or hung.
+
+        A connection that hangs looks like a slow server, and other calls would
+        be sent on connections that hang as well.
+        """
+        if self._reach.try_check(server, self._clock.now()):
+            self._probe(server)
+
     def remove_gone(self) -> None:
         """Forget the peers and the servers that are not listed any more."""
         servers = {
--- a/yuccagauge/peerpath/reach.py
+++ b/yuccagauge/peerpath/reach.py
@@ -56,6 +56,8 @@
         """Expect all servers to be reached."""
         self._random_fraction = random_fraction
         self._lost: dict[Endpoint, _LostWay] = {}
+        #: When servers that are reached were last checked.
+        self._checked_at: dict[Endpoint, Millis] = {}
         #: When each kind of line about each server was last logged.
         self._logged_at: dict[tuple[str, Endpoint], Millis] = {}
 
@@ -102,6 +104,16 @@
         lost.probe_at = self._next_probe(now)
         return True
 
+    def try_check(self, server: Endpoint, now: Millis) -> bool:
+        """Return whether a direct attempt is due after a broken call."""
+        if self.is_lost(server):
+            return self.try_probe(server, now)
+        checked_at = self._checked_at.get(server)
+        if checked_at is not None and now - checked_at < PROBE_INTERVAL:
+            return False
+        self._checked_at[server] = now
+        return True
+
     def remove_gone(self, servers: Container[Endpoint]) -> None:
         """Forget the servers that are not listed any more."""
         self._lost = {
@@ -109,6 +121,11 @@
             for server, lost in self._lost.items()
             if server in servers
         }
+        self._checked_at = {
+            server: at
+            for server, at in self._checked_at.items()
+            if server in servers
+        }
         self._logged_at = {
             (event, server): at
             for (event, server), at in self._logged_at.items()
--- a/yuccagauge/relay/attempt.py
+++ b/yuccagauge/relay/attempt.py
@@ -161,6 +161,7 @@
         """End an attempt that may have run and has no complete response."""
         is_loading_weights = self._is_loading_weights()
         self._record_possible_crash()
+        self._context.on_broken(self._placement.server.endpoint)
         self.end_attempt(failed=not is_loading_weights)
 
     def abandon_run(self) -> None:
--- a/yuccagauge/relay/context.py
+++ b/yuccagauge/relay/context.py
@@ -14,6 +14,7 @@
 from yuccagauge.relay.origins import NoOrigins, OriginStore, StreamOrigins
 from yuccagauge.selection.budget import FleetRetryBudget
 from yuccagauge.selection.selector import Selector
+from yuccagauge.settings.options import Endpoint
 from yuccagauge.settings.relay import RetrySection
 
 
@@ -63,6 +64,8 @@
     router_count: Callable[[], int] = lambda: 1
     #: Called with the id of a server that does not answer a connection attempt.
     on_unresponsive: Callable[[str], None] = lambda server_id: None
+    #: Called with the address of a server on which a call broke or hung.
+    on_broken: Callable[[Endpoint], None] = lambda server: None
     quarantine: Quarantine = field(default_factory=Quarantine)
     #: The shared parts of prompts that may crash servers.
     part_quarantine: PartQuarantine = field(default_factory=PartQuarantine)
--- a/yuccagauge/relay/paths.py
+++ b/yuccagauge/relay/paths.py
@@ -11,6 +11,7 @@
 from yuccagauge.peerpath.choice import PeerChoice
 from yuccagauge.peerpath.dialer import PathDialer
 from yuccagauge.peerpath.reach import DirectReach
+from yuccagauge.settings.options import Endpoint
 from yuccagauge.settings.relay import RelaySection
 from yuccagauge.wire.server import PeerServer
 
@@ -81,6 +82,10 @@
         )
         self._carrier.start()
 
+    def check(self, server: Endpoint) -> None:
+        """Find out whether a server is reached on which a call broke."""
+        self._dialer.check(server)
+
     def remove_gone(self) -> None:
         """Forget the peers and the servers that are not listed any more."""
         self._dialer.remove_gone()
--- a/yuccagauge/relay/peers.py
+++ b/yuccagauge/relay/peers.py
@@ -17,7 +17,6 @@
     settings: RelaySettings,
     context: RelayContext,
     paths: RelayPaths,
-    *,
     reactor: Any,
     clock: Clock,
     random_fraction: Callable[[], float],
@@ -30,6 +29,7 @@
     server = PeerServer(reactor, section.peer_listen, section.name)
     client = PeerClient(reactor, section.name)
     paths.accept_from(server)
+    context.on_broken = paths.check
     exchange = ExchangeService(
         section.name,
         section.peer_listen,
--- a/yuccagauge/relay/router.py
+++ b/yuccagauge/relay/router.py
@@ -128,9 +128,9 @@
             settings,
             self._context,
             self._paths,
-            reactor=reactor,
-            clock=clock,
-            random_fraction=random_fraction,
+            reactor,
+            clock,
+            random_fraction,
         )
         self._context.use_origin_store(self._origin_broker)
         self._crash_archive, self._version_archive = build_archives(
