Let callers of partitioned routers differ, and count detours by their own time

All requests of a route had the same body, so that those whose connections are reset look like a request that crashes servers. Such requests stay as they are in all rows, and two rows (reset, 2 of 5 and 5 of 8) get requests that differ.

The check that servers are reached directly took the requests that were sent before a partition, or later than 2 s after it. A stream that is sent just before one goes on through a peer rightly, and one that is sent during it may go on through a peer long after.

--- a/features/partition_callers.py
+++ b/features/partition_callers.py
@@ -45,6 +45,7 @@
     router: str
     route: str
     sent_at: Millis
+    body: bytes = b'x'
     #: Whether the router accepted the connection.
     is_connected: bool = False
     status: int = 0
@@ -122,7 +123,7 @@
         f'X-Yuccagauge-Request-Id: {attempt.request_id}',
         f'X-Yuccagauge-Deadline-Ms: {DEADLINES[attempt.route]}',
         f'Authorization: Bearer {KEY}',
-        'Content-Length: 1',
+        f'Content-Length: {len(attempt.body)}',
     ]
     if attempt.route in STREAM_ROUTES:
         lines.append('X-Yuccagauge-Model: m')
@@ -130,4 +131,4 @@
             f'X-Yuccagauge-Prefix-Hash: aa:200,{attempt.request_id}:100'
         )
         lines.append('X-Yuccagauge-Token-Usage: 300,8')
-    return '\r\n'.join([*lines, '', 'x']).encode()
+    return '\r\n'.join([*lines, '', '']).encode() + attempt.body
--- a/features/partition_fleet.py
+++ b/features/partition_fleet.py
@@ -82,6 +82,8 @@
         """Start a fleet without a partition."""
         self.partitions: list[Partition] = []
         self.attempts: list[FirstAttempt] = []
+        #: Whether the requests of a route have the same body.
+        self.sends_alike = True
         #: The runs of each request at servers, by its id.
         self.runs: dict[str, list[Run]] = {}
         #: When processes of each router started and were killed.
@@ -130,6 +132,8 @@
             route=self.random.choice(list(DEADLINES)),
             sent_at=self.clock.now(),
         )
+        if not self.sends_alike:
+            attempt.body = attempt.request_id.encode()
         self.attempts.append(attempt)
         caller = CallerProtocol(attempt, self.clock)
         factory = Factory()
@@ -175,6 +179,14 @@
             at <= kill <= until for kill in self.kills.get(attempt.router, ())
         )
 
+    def has_path(self, name: str, at: Millis) -> bool:
+        """Return whether a router has no partition, and none of late."""
+        return all(
+            _has_healed(each, at)
+            for each in self.partitions
+            if name in each.names
+        )
+
     def _role_with_path(self, at: Millis, *, has_healed: bool) -> Role:
         """Return how an attempt counts whose router reaches the servers."""
         acting = [each for each in self.partitions if each.is_active(at)]
--- a/features/partition_servers.py
+++ b/features/partition_servers.py
@@ -35,6 +35,8 @@
     at: Millis
     #: The host that had opened the connection.
     source: str
+    #: When the connection was opened.
+    opened_at: Millis
 
 
 class PartitionServer(SimulatedServer):
@@ -57,9 +59,15 @@
             document['models'] = [{'name': 'm', 'version': 1, 'adapters': []}]
         return document
 
-    def record_run(self, request_id: str, source: str) -> None:
+    def now(self) -> Millis:
+        """Return the time."""
+        return self._fleet.clock.now()
+
+    def record_run(
+        self, request_id: str, source: str, opened_at: Millis
+    ) -> None:
         """Note that a request has begun to run."""
-        run = Run(at=self._fleet.clock.now(), source=source)
+        run = Run(at=self.now(), source=source, opened_at=opened_at)
         self._fleet.runs.setdefault(request_id, []).append(run)
 
     def closes_connection(self) -> bool:
@@ -83,11 +91,15 @@
     #: Time from the arrival of a request to the first byte of its answer.
     delay_s: float
 
+    def connectionMade(self) -> None:  # noqa: N802
+        """Note when the connection was opened."""
+        self._opened_at = self._server.now()
+
     def run_request(self, headers: dict[str, str], body: bytes) -> None:
         """Answer a request after a while."""
         request_id = headers['x-yuccagauge-request-id']
         source = self.transport.getPeer().host
-        self._server.record_run(request_id, source)
+        self._server.record_run(request_id, source, self._opened_at)
         last_event = int(headers.get('last-event-id', '0'))
         self._server.later(
             self.delay_s, lambda: self.begin(request_id, last_event)
--- a/features/peerpath/fleet.feature
+++ b/features/peerpath/fleet.feature
@@ -6,6 +6,7 @@
   Scenario Outline: Routers that are partitioned from all servers serve what others can
     Given <routers> routers before servers of two services
     And <choice> of them are partitioned from all servers, <face>
+    And the requests of a route are <requests>
     And meanwhile there is <disturbance>
     When <rate> first attempts a second come for 28 s
     Then partitioned routers serve two thirds of what the others serve
@@ -14,21 +15,23 @@
     And afterwards they serve as the others do, and reach servers directly
 
     Examples:
-      | routers | choice                 | face    | rate | disturbance         |
-      | 5       | 2                      | silent  | 30   | nothing             |
-      | 5       | 2                      | reset   | 30   | nothing             |
-      | 5       | 2                      | refused | 30   | nothing             |
-      | 8       | 5                      | silent  | 30   | nothing             |
-      | 8       | 5                      | reset   | 30   | nothing             |
-      | 8       | 5                      | refused | 30   | nothing             |
-      | 8       | all of one data centre | silent  | 30   | nothing             |
-      | 8       | all of one data centre | reset   | 30   | nothing             |
-      | 8       | all of one data centre | refused | 30   | nothing             |
-      | 8       | 5                      | silent  | 30   | kills of routers    |
-      | 8       | 5                      | reset   | 30   | a new configuration |
-      | 8       | 5                      | silent  | 30   | a second partition  |
-      | 8       | 3                      | refused | 30   | a second partition  |
-      | 100     | 50                     | silent  | 30   | nothing             |
+      | routers | choice                 | face    | rate | requests  | disturbance         |
+      | 5       | 2                      | silent  | 30   | alike     | nothing             |
+      | 5       | 2                      | reset   | 30   | alike     | nothing             |
+      | 5       | 2                      | refused | 30   | alike     | nothing             |
+      | 8       | 5                      | silent  | 30   | alike     | nothing             |
+      | 8       | 5                      | reset   | 30   | alike     | nothing             |
+      | 8       | 5                      | refused | 30   | alike     | nothing             |
+      | 8       | all of one data centre | silent  | 30   | alike     | nothing             |
+      | 8       | all of one data centre | reset   | 30   | alike     | nothing             |
+      | 8       | all of one data centre | refused | 30   | alike     | nothing             |
+      | 8       | 5                      | silent  | 30   | alike     | kills of routers    |
+      | 8       | 5                      | reset   | 30   | alike     | a new configuration |
+      | 8       | 5                      | silent  | 30   | alike     | a second partition  |
+      | 8       | 3                      | refused | 30   | alike     | a second partition  |
+      | 100     | 50                     | silent  | 30   | alike     | nothing             |
+      | 5       | 2                      | reset   | 30   | different | nothing             |
+      | 8       | 5                      | reset   | 30   | different | nothing             |
 
   Scenario Outline: Partitions in series leave nothing behind
     Given 8 routers before servers of two services
--- a/features/steps/peerpath_fleet_steps.py
+++ b/features/steps/peerpath_fleet_steps.py
@@ -11,6 +11,7 @@
 from features.crash_fleet import router_host
 from features.partition_callers import ONCE_ROUTES, PROMISES, FirstAttempt
 from features.partition_fleet import Face, PartitionFleet, Role
+from features.partition_servers import Run
 from features.relay_fixture import configuration
 from yuccagauge.clock import Millis
 
@@ -114,6 +115,12 @@
     )
 
 
+@given('the requests of a route are {likeness}')
+def choose_bodies(context: Context, likeness: str) -> None:
+    """Let callers send the same body again and again, or not."""
+    context.fleet.sends_alike = likeness == 'alike'
+
+
 @given('meanwhile there is {disturbance}')
 def disturb(context: Context, disturbance: str) -> None:
     """Schedule a disturbance beside the partition."""
@@ -197,7 +204,7 @@
     fleet = context.fleet
     healed, calm = _of_role(fleet, Role.HEALED), _of_role(fleet, Role.CALM)
     _check_alike(healed, calm)
-    detours = _detours(fleet, [*healed, *calm])
+    detours = _detours(fleet)
     assert not detours, (len(detours), detours[:5])
 
 
@@ -205,20 +212,21 @@
 def check_direct(context: Context) -> None:
     """Guard against a detour that nothing asks for."""
     fleet = context.fleet
-    detours = _detours(fleet, fleet.attempts)
+    detours = _detours(fleet)
     assert len(fleet.runs) >= _COUNTED_FROM
     assert not detours, (len(detours), detours[:5])
 
 
 def _detours(
-    fleet: PartitionFleet, attempts: list[FirstAttempt]
-) -> list[tuple[str, str]]:
-    """Return router and connecting host of runs that came through a peer."""
+    fleet: PartitionFleet,
+) -> list[tuple[str, Run]]:
+    """Return runs that came through a peer though there was a direct path."""
     return [
-        (attempt.router, run.source)
-        for attempt in attempts
+        (attempt.router, run)
+        for attempt in fleet.attempts
         for run in fleet.runs.get(attempt.request_id, ())
         if run.source != router_host(attempt.router)
+        and fleet.has_path(attempt.router, run.at)
     ]
 
 
