Stay with a silent server until the next one has sent the next event

What callers saw after it: a stream that returned from a sound server, which began after 0.5 s, to a dead one, and was reset at its deadline; a full server that was asked twice while a third one was free; and, as before it, a reset or 502 if the next server sent a head and then broke, answered JSON or started at another event.

Cause: the replacement counted as certain after 300 ms, or with its head.

Change: what the next server sends is withheld until it is the next event, or the whole of another answer; only then the silent server is left. Both are kept until then, because an engine begins to run a stream with its first event. A call that returns excludes the server that failed, records its origin again and counts a possible crash of the other. Pauses reach both servers.

The scenario of the slow reader failed once beside other processes, by the deadline of its request of 2 s; it has 14 s now, because it is not about the deadline.

--- a/features/relay/silent_servers.feature
+++ b/features/relay/silent_servers.feature
@@ -23,7 +23,9 @@
       | 0.9     | before a plain answer | refuses connections | free   |
       | 0.9     | before a plain answer | accepts nothing     | free   |
       | 0.9     | before a plain answer | is silent as well   | free   |
+      | 0.9     | before a plain answer | breaks after its head | free |
       | 1.3     | before a stream       | is missing          | free   |
+      | 1.3     | before a stream       | breaks after its head | free |
       | 1.3     | before a stream       | is sound            | free   |
       | 1.3     | before a stream       | is sound            | spent  |
       | 1.3     | before a stream       | is full             | free   |
@@ -41,23 +43,44 @@
       | 1.3     | between two events    | refuses connections | free   |
       | 1.3     | between two events    | accepts nothing     | free   |
       | 1.3     | between two events    | is silent as well   | free   |
+      | 1.3     | between two events    | answers JSON        | free   |
+      | 1.3     | between two events    | starts at another event | free |
+      | 1.3     | between two events    | breaks after its head | free |
+      | 1.3     | inside an event       | breaks after its head | free |
       | 1.3     | inside an event       | is missing          | free   |
       | 1.3     | inside an event       | is sound            | free   |
       | 1.3     | inside an event       | is full             | free   |
 
   Scenario Outline: A call of a silent server goes on at another one once that has taken it
     Given a relay with a server that is silent for 9.0 s <place>
-    And a second server of it that is sound
+    And a second server of it that <other>
     When a caller calls the silent server
     Then the caller gets the whole answer once
     And the silent server's connection is closed
 
+    Examples:
+      | place                 | other              |
+      | before a plain answer | is sound           |
+      | before a stream       | is sound           |
+      | between two events    | is sound           |
+      | inside an event       | is sound           |
+      | before a plain answer | begins after 0.5 s |
+      | before a stream       | begins after 0.5 s |
+      | between two events    | begins after 0.5 s |
+
+  Scenario Outline: A call leaves a silent server for a third one if the second cannot take it
+    Given a relay with a server that is silent for 9.0 s <place>
+    And a second server of it that is full
+    And a third server of it that is sound
+    When a caller calls the silent server
+    Then the caller gets the whole answer once
+    And the second server gets 1 request
+
     Examples:
       | place                 |
       | before a plain answer |
       | before a stream       |
       | between two events    |
-      | inside an event       |
 
   Scenario: A call that may run once waits for its silent server
     Given a relay with a server that is silent for 0.9 s before a plain answer
--- a/features/silent_servers.py
+++ b/features/silent_servers.py
@@ -10,6 +10,7 @@
     FAILED_CONTINUATIONS,
     event,
     open_event_stream,
+    restart_events,
     stream_events,
 )
 from features.scripted_server import Exchange
@@ -20,6 +21,11 @@
 LARGE_EVENTS_PER_MB = 20
 _LARGE_EVENT_BYTES = 50_000
 
+#: Time to the answer of a server that is busy, and to the end of one that
+#: breaks its answer off.
+_LATE_BEGIN_S = 0.5
+_BREAK_S = 0.1
+
 #: The part of event 2 that is sent before the silence, and the one after it.
 _EVENT_PARTS = (event(2)[:5], event(2)[5:])
 
@@ -97,6 +103,11 @@
     return script
 
 
+def _break_stream(exchange: Exchange) -> None:
+    open_event_stream(exchange, CHUNKED)
+    _after(_BREAK_S, exchange.cut)
+
+
 def other_script(
     service: str, behaviour: str, silence_s: float
 ) -> Callable[[Exchange], None]:
@@ -121,4 +132,14 @@
             _begin_late(silence_s) if is_model else _answer_late(silence_s)
         ),
         'refuses connections': BEHAVIOURS['never answers'],
+        'answers JSON': FAILED_CONTINUATIONS['200 and JSON'],
+        'starts at another event': restart_events(0, EVENTS),
+        'breaks after its head': (
+            _break_stream if is_model else BEHAVIOURS['resets in the answer']
+        ),
+        'begins after 0.5 s': (
+            _begin_late(_LATE_BEGIN_S)
+            if is_model
+            else _answer_late(_LATE_BEGIN_S)
+        ),
     }[behaviour]
--- a/features/steps/relay_silent_steps.py
+++ b/features/steps/relay_silent_steps.py
@@ -22,6 +22,12 @@
 from yuccagauge.selection.budget import MINIMUM_RETRIES_PER_WINDOW
 
 _STREAM_END = b'\r\n0\r\n\r\n'
+_DEADLINE = b'Deadline-Ms: 2000'
+_LONG_DEADLINE = b'Deadline-Ms: 14000'
+
+#: Service time of the server that is selected last.
+_LONG_SERVICE_MS = 950
+
 _ROUTES = {'plain': 'read', 'model': 'stream'}
 
 
@@ -66,6 +72,17 @@
     )
 
 
+@given('a third server of it that {behaviour}')
+def third_server(context: Context, behaviour: str) -> None:
+    """Add a server of the same service that is less preferred."""
+    second_server(context, behaviour)
+    now = context.fixture.relay_context.clock.now()
+    load = context.fixture.selector.load_of('i2')
+    load.record_service_time(_LONG_SERVICE_MS)
+    for _ in range(3):
+        load.record_outcome(failed=True, now=now)
+
+
 @given('a retry budget that is {state}')
 def retry_budget(context: Context, state: str) -> None:
     """Spend all retries that the router may make, or none."""
@@ -108,7 +125,10 @@
 @when('a caller calls the silent server and reads nothing for {seconds:f} s')
 def call_and_read_late(context: Context, seconds: float) -> None:
     """Call a route whose answer the caller reads late."""
-    call_silent_server(context)
+    _prefer_first_server(context)
+    sent = request('stream', headers=MODEL_HEADERS)
+    assert _DEADLINE in sent, sent
+    send_request(context, sent.replace(_DEADLINE, _LONG_DEADLINE))
     run_blocking(time.sleep, seconds)
 
 
@@ -142,6 +162,12 @@
     wait_until(lambda: context.servers[0].exchanges[0].lost)
 
 
+@then('the second server gets 1 request')
+def check_one_request(context: Context) -> None:
+    """Guard against retries that are spent on the same full server."""
+    assert len(context.servers[1].headers) == 1, context.servers[1].headers
+
+
 @then('the second server gets no request')
 def check_second_server(context: Context) -> None:
     """Guard against a second run of a call that may run once."""
--- a/yuccagauge/relay/call.py
+++ b/yuccagauge/relay/call.py
@@ -69,12 +69,7 @@
             on_stall=self._handle_stall,
         )
         self._takeover = Takeover(
-            self,
-            context,
-            self._timers,
-            repeats=self._repeats,
-            response=self._response,
-            reporter=self._reporter,
+            self, context, self._repeats, self._response, self._reporter
         )
 
     def start(self) -> None:
@@ -88,12 +83,14 @@
 
     def pause(self) -> None:
         """Stop reading from the server, because the caller reads slower."""
+        self._takeover.pause()
         if self._exchange is not None:
             self._exchange.pause()
             self._attempt.pause()
 
     def resume(self) -> None:
         """Resume reading from the server."""
+        self._takeover.resume()
         if self._exchange is not None:
             self._attempt.resume()
             self._exchange.resume()
@@ -123,9 +120,8 @@
         headers = self._context.backend_protocol.end_to_end_headers(head)
         try:
             self._attempt.check_version()
-            if self._takeover.keeps_attempt:
-                self._response.check_replaces(head)
-                self._takeover.end('another server has begun its answer')
+            if self._takeover.withholds_head(head):
+                return
             self._response.accept_head(head, headers)
         except ContinuationError as error:
             self._handle_failed_continuation(str(error))
@@ -134,6 +130,8 @@
         """Handle a part of the body of a server's response."""
         self._attempt.record_activity()
         try:
+            if self._takeover.withholds_data(data):
+                return
             is_forwarded = self._response.forward_data(data)
         except ContinuationError as error:
             self._handle_failed_continuation(str(error))
@@ -147,6 +145,7 @@
     def complete(self) -> None:
         """Handle the end of a response by its framing."""
         self._attempt.record_activity()
+        self._takeover.finish()
         failed = self._response.status >= _FIRST_SERVER_ERROR_STATUS
         if self._response.is_inside_event and not failed:
             self._handle_broken_attempt('the stream ended inside an event')
@@ -316,10 +315,9 @@
         self._handle_connect_failure('connect_stalled')
 
     def _handle_stall(self) -> None:
-        """Send the call to another server too; this one is silent.
+        """Send the call to another server too, if one can take it at once.
 
-        It stays with the silent server, which may go on, unless another one
-        can take it at once.
+        The silent server may go on.
         """
         request = self._request_for_another_server()
         decision = self._takeover.choose_server(self._call, request)
@@ -330,18 +328,20 @@
         self._takeover.keep(self._exchange, self._attempt)
         self._selection_request = request
         self._send_attempt(decision)
-        self._takeover.limit_overlap(self._exchange, self._attempt)
 
     def return_to(self, exchange: Exchange, attempt: AttemptTracker) -> None:
         """Go on with an attempt whose server was silent."""
         if self._exchange is not None:
             if self._exchange.verdict is Verdict.MAY_HAVE_RUN:
                 self._repeats.record_run()
+                self._attempt.abandon_run()
             self._exchange.abandon()
             self._attempt.release_slot()
             self._reporter.record_failed_attempt('superseded')
+        self._selection_request = self._request_for_another_server()
         self._exchange = exchange
         self._attempt = attempt
+        self._context.origins.record_send(self._call, attempt.placement.server)
         self._reporter.record_return(attempt.placement.server.server_id)
         self._stall_monitor.start(exchange, attempt)
 
--- a/yuccagauge/relay/response.py
+++ b/yuccagauge/relay/response.py
@@ -1,5 +1,6 @@
 """Forwards the response of a backend server to the caller."""
 
+import copy
 from dataclasses import dataclass
 
 from yuccagauge.dispatch.base import AnswerSink, Framing, Header, ResponseHead
@@ -139,8 +140,7 @@
         self._latest_head = head
         self._is_continuation = self._has_started
         self._events = 0
-        content_type = head.get(b'content-type').lower()
-        is_stream = content_type.startswith(_EVENT_STREAM_TYPE)
+        is_stream = _is_event_stream(head)
         self._splitter = (
             EventSplitter(_MAXIMUM_EVENT_BYTES) if is_stream else None
         )
@@ -204,14 +204,38 @@
             If its server failed, or if it is not the rest of the stream that
             the caller has a part of.
         """
-        is_rest = self._is_stream and head.status == _OK
+        is_rest = _is_event_stream(head) and head.status == _OK
         if head.status >= _FIRST_SERVER_ERROR_STATUS or (
-            self._has_started and not is_rest
+            (self._has_started or self._resumed_after) and not is_rest
         ):
             raise ContinuationError(
                 f'status {head.status} replaces no answer that may go on'
             )
 
+    def is_reading(self, head: ResponseHead) -> bool:
+        """Return whether the latest response is that of a head."""
+        return self._latest_head is head
+
+    def may_begin(self, head: ResponseHead, data: bytes) -> bool:
+        """Return whether a response that was received so far is to begin.
+
+        A stream begins with its first event, another answer once it is long.
+
+        Raises
+        ------
+        ContinuationError
+            If the first event does not follow the last one of the caller.
+        """
+        if not _is_event_stream(head):
+            return len(data) > _BUFFER_LIMIT_BYTES
+        events = EventSplitter(_MAXIMUM_EVENT_BYTES).feed(data)
+        if not events:
+            return False
+        order = copy.copy(self._order)
+        order.start_response()
+        order.accept(events[0])
+        return True
+
     def _check_needs_no_events(self, head: ResponseHead) -> None:
         """Raise an error if only events may follow what the caller has."""
         is_failure = head.status >= _FIRST_ERROR_STATUS
@@ -251,3 +275,8 @@
                 if header[0].lower() != _CONTENT_LENGTH
             )
         self._sink.begin(self.status, headers)
+
+
+def _is_event_stream(head: ResponseHead) -> bool:
+    content_type = head.get(b'content-type').lower()
+    return content_type.startswith(_EVENT_STREAM_TYPE)
--- a/yuccagauge/relay/stall.py
+++ b/yuccagauge/relay/stall.py
@@ -91,16 +91,6 @@
         )
 
 
-def is_silent(attempt: AttemptTracker) -> bool:
-    """Return whether a server sends nothing though its output is due.
-
-    What it sends for other calls shows that it works on this one as well.
-    """
-    expected = attempt.placement.expected_first_output_ms
-    due_ms = EXPECTED_TIME_FACTOR * expected
-    return attempt.is_server_quiet and attempt.time_without_response >= due_ms
-
-
 def stall_limit(route: Route, expected_first_output_ms: float) -> Millis:
     """Return how long a server may send nothing before the call moves.
 
--- a/yuccagauge/relay/takeover.py
+++ b/yuccagauge/relay/takeover.py
@@ -2,30 +2,19 @@
 
 from typing import Protocol
 
-from yuccagauge.clock import Millis
-from yuccagauge.directory.base import RouteKind
 from yuccagauge.dispatch.base import ResponseHead
 from yuccagauge.dispatch.connection import ResponseUser
 from yuccagauge.dispatch.exchange import Exchange
-from yuccagauge.dispatch.timers import Timers
 from yuccagauge.relay.attempt import AttemptTracker
-from yuccagauge.relay.base import RelayCall
+from yuccagauge.relay.base import RelayCall, ResponseInfo
 from yuccagauge.relay.context import RelayContext
 from yuccagauge.relay.repeats import CallRepeats
 from yuccagauge.relay.report import CallReporter
 from yuccagauge.relay.response import ResponseForwarder
-from yuccagauge.relay.stall import is_silent
 from yuccagauge.selection.base import SelectionDecision, SelectionRequest
-from yuccagauge.verdict import Verdict
 
 _FIRST_SERVER_ERROR_STATUS = 500
 
-#: How long two servers may have the same stream. One that is full rejects it
-#: well within this time.
-STREAM_OVERLAP_LIMIT = Millis(300)
-
-_TIMER = 'takeover'
-
 
 class TakeoverOwner(ResponseUser, Protocol):
     """The call, which sends the next attempt."""
@@ -37,9 +26,13 @@
 class Takeover:
     """Keeps an attempt while the call is sent to another server.
 
-    A silent server may go on. Its attempt ends once the next server has begun
-    an answer. The call returns to it if the next attempt fails, or if the
-    silent server sends something first.
+    A silent server may go on. Its attempt ends once the next server has sent
+    the next event, or another answer as a whole. Until then, what the next
+    server sends is withheld, and the call returns to the silent server if the
+    next attempt fails, or if the silent server sends something first.
+
+    A model engine begins to run a stream with its first event, so that two
+    engines do not work on it side by side for longer than its way takes.
 
     Parameters
     ----------
@@ -47,8 +40,6 @@
         The call.
     context
         What all calls share.
-    timers
-        Timers of the call.
     repeats, response, reporter
         Runs, response and log lines of the call.
     """
@@ -57,8 +48,6 @@
         self,
         owner: TakeoverOwner,
         context: RelayContext,
-        timers: Timers,
-        *,
         repeats: CallRepeats,
         response: ResponseForwarder,
         reporter: CallReporter,
@@ -66,12 +55,13 @@
         """Keep no attempt."""
         self._owner = owner
         self._context = context
-        self._timers = timers
         self._repeats = repeats
         self._response = response
         self._reporter = reporter
         self._exchange: Exchange | None = None
         self._attempt: AttemptTracker | None = None
+        self._withheld_head: ResponseHead | None = None
+        self._withheld_data = b''
 
     @property
     def keeps_attempt(self) -> bool:
@@ -100,19 +90,57 @@
         self._attempt = attempt
         exchange.hand_over(self)
 
-    def limit_overlap(
-        self, exchange: Exchange, attempt: AttemptTracker
-    ) -> None:
-        """Let only one of two servers go on with a stream after a limit."""
-        is_stream = self._repeats.route.kind is RouteKind.STREAMING
-        if is_stream and self.keeps_attempt:
-            self._timers.start(
-                _TIMER,
-                STREAM_OVERLAP_LIMIT,
-                self._end_overlap,
-                exchange,
-                attempt,
-            )
+    def pause(self) -> None:
+        """Stop reading from the kept server as well."""
+        if self._exchange is not None:
+            self._exchange.pause()
+            self._attempt.pause()
+
+    def resume(self) -> None:
+        """Resume reading from the kept server as well."""
+        if self._exchange is not None:
+            self._attempt.resume()
+            self._exchange.resume()
+
+    def withholds_head(self, head: ResponseHead) -> bool:
+        """Return whether a head waits until its server has begun the answer.
+
+        Raises
+        ------
+        ContinuationError
+            If the response is no better than one that may go on.
+        """
+        if self._exchange is None:
+            return False
+        self._response.check_replaces(head)
+        self._withheld_head = head
+        self._withheld_data = b''
+        return True
+
+    def withholds_data(self, data: bytes) -> bool:
+        """Return whether the data waits for the rest of the first event.
+
+        Raises
+        ------
+        ContinuationError
+            If the event is not the next one of the stream.
+        """
+        if self._withheld_head is None:
+            return False
+        self._withheld_data += data
+        if self._response.may_begin(self._withheld_head, self._withheld_data):
+            self.finish()
+        return True
+
+    def finish(self) -> None:
+        """Let the next server go on with the call, if it has answered."""
+        head, data = self._withheld_head, self._withheld_data
+        if head is None:
+            return
+        self.end('another server has begun its answer')
+        self._owner.head(head)
+        if data and self._response.is_reading(head):
+            self._owner.data(data)
 
     def try_return(self) -> bool:
         """Return the call to the kept attempt; return whether there was one."""
@@ -130,13 +158,7 @@
             exchange.abandon()
             attempt.end_broken_attempt()
             self._repeats.record_run()
-            self._response.discard_unsent()
-            self._reporter.record_failed_attempt(
-                'silent',
-                reason,
-                silent_ms=attempt.time_without_response,
-                server=attempt.placement.server.server_id,
-            )
+            self._record_end(attempt, reason)
 
     def close(self) -> None:
         """End the kept attempt together with the call."""
@@ -149,9 +171,11 @@
     def head(self, head: ResponseHead) -> None:
         """Return to the server that begins its answer, unless it failed."""
         info = self._context.backend_protocol.parse_head(head)
-        is_failure = head.status >= _FIRST_SERVER_ERROR_STATUS
-        if is_failure or info.is_not_run or info.is_misdirected:
-            self.end(f'the server answered {head.status}')
+        if info.is_not_run or info.is_misdirected:
+            self._end_answered(head, info)
+        elif head.status >= _FIRST_SERVER_ERROR_STATUS:
+            self._repeats.record_run()
+            self._end_answered(head, info)
         elif self.try_return():
             self._owner.head(head)
 
@@ -169,16 +193,28 @@
         """End the attempt, because its connection is lost."""
         self.end(reason)
 
-    def _end_overlap(self, exchange: Exchange, attempt: AttemptTracker) -> None:
-        if exchange.verdict is Verdict.NOT_RUN:
-            self.limit_overlap(exchange, attempt)
-        elif is_silent(attempt):
-            self.try_return()
-        else:
-            self.end('another server has accepted the call')
+    def _end_answered(self, head: ResponseHead, info: ResponseInfo) -> None:
+        """End the kept attempt after its server has rejected or failed it."""
+        exchange, attempt = self._release()
+        exchange.abandon()
+        attempt.record_activity(info)
+        if info.is_not_run or info.is_misdirected:
+            attempt.record_rejection(info)
+        attempt.end_attempt(failed=not info.is_misdirected)
+        self._record_end(attempt, f'the server answered {head.status}')
+
+    def _record_end(self, attempt: AttemptTracker, reason: str) -> None:
+        self._response.discard_unsent()
+        self._reporter.record_failed_attempt(
+            'silent',
+            reason,
+            silent_ms=attempt.time_without_response,
+            server=attempt.placement.server.server_id,
+        )
 
     def _release(self) -> tuple[Exchange | None, AttemptTracker | None]:
         kept = (self._exchange, self._attempt)
         self._exchange = self._attempt = None
-        self._timers.stop(_TIMER)
+        self._withheld_head = None
+        self._withheld_data = b''
         return kept
