Read the store less often where many routers share what they read

Cause: in a data centre of nine routers or more, two routers poll the operator's records every 250 ms and the servers' entries every 400 ms, whatever the deployment allows, and each router that looks for evidence that a server lives reads every 400 ms for 10 s.

Change: the age up to which records of peers are relied on, the waits and the intervals follow the bounds of the deployment (new settings drain_bound_ms and change_bound_ms); one reader in a data centre that shares reads; a router that awaits evidence reads every 2.5 s, from its own last read on, so that no heartbeat is skipped. Three rows of the tests of reads have other figures, since their policy has changed.

--- a/features/directory/directory.feature
+++ b/features/directory/directory.feature
@@ -91,33 +91,56 @@
       | routers | readers |
       | 1       | 1       |
       | 3       | 2       |
-      | 30      | 2       |
+      | 8       | 2       |
+      | 10      | 1       |
+      | 30      | 1       |
 
   Scenario Outline: How long a router relies on its peers before it reads the store
-    Given data centres of <routers> routers
+    Given data centres of <routers> routers, and changes that must be in force after <bound> ms
     Then for <topic> a router that is <reader> reader and whose records were confirmed <age> ms ago reads after <ms> ms
 
     Examples:
-      | routers | topic      | reader | age  | ms   |
-      | 30      | SERVERS    | a      | 0    | 0    |
-      | 30      | SERVERS    | no     | 0    | 1500 |
-      | 30      | SERVERS    | no     | 1400 | 100  |
-      | 30      | SERVERS    | no     | 1500 | 0    |
-      | 3       | SERVERS    | no     | 1400 | 100  |
-      | 30      | OPERATIONS | a      | 0    | 0    |
-      | 30      | OPERATIONS | no     | 1400 | 100  |
-      | 30      | OPERATIONS | no     | 1500 | 0    |
-      | 3       | OPERATIONS | no     | 0    | 0    |
+      | routers | bound | topic      | reader | age  | ms   |
+      | 30      | 2000  | SERVERS    | a      | 0    | 0    |
+      | 30      | 2000  | SERVERS    | no     | 0    | 1500 |
+      | 30      | 2000  | SERVERS    | no     | 1400 | 100  |
+      | 30      | 2000  | SERVERS    | no     | 1500 | 0    |
+      | 30      | 4000  | SERVERS    | no     | 1500 | 1500 |
+      | 30      | 4000  | SERVERS    | no     | 3000 | 0    |
+      | 3       | 2000  | SERVERS    | no     | 1400 | 100  |
+      | 30      | 2000  | OPERATIONS | a      | 0    | 0    |
+      | 30      | 2000  | OPERATIONS | no     | 1400 | 100  |
+      | 30      | 2000  | OPERATIONS | no     | 1500 | 0    |
+      | 30      | 4000  | OPERATIONS | no     | 1500 | 1500 |
+      | 3       | 2000  | OPERATIONS | no     | 0    | 0    |
 
   Scenario Outline: How long a read waits at the store
-    Given data centres of <routers> routers
+    Given data centres of <routers> routers, and changes that must be in force after <bound> ms
     Then a read of <topic> waits <ms> ms
 
     Examples:
-      | routers | topic      | ms   |
-      | 3       | OPERATIONS | 2000 |
-      | 30      | OPERATIONS | 250  |
-      | 30      | SERVERS    | 2000 |
+      | routers | bound | topic      | ms   |
+      | 3       | 2000  | OPERATIONS | 2000 |
+      | 30      | 2000  | OPERATIONS | 500  |
+      | 30      | 4000  | OPERATIONS | 1000 |
+      | 30      | 2000  | SERVERS    | 2000 |
+
+  Scenario Outline: A fleet calls the store no more often when it grows
+    Given data centres of <routers> routers, and changes that must be in force after <bound> ms
+    Then all routers of a data centre read at most <calls> times a second while their records are recent
+
+    Examples:
+      | routers | bound | calls |
+      | 9       | 2000  | 6     |
+      | 9       | 4000  | 3     |
+      | 39      | 4000  | 3     |
+      | 450     | 4000  | 3     |
+
+  Scenario: A router that awaits evidence of a server reads its heartbeats, though peers move its offset
+    Given a follower of a store with the keys "a b", whose entries are noted
+    And it awaits evidence that servers live
+    When the keys "s1 s2" are written and a peer sends all but their entries
+    Then the next read notes the entries of "s1 s2"
 
   Scenario: The follower does not read while peers send recent records
     Given a follower of a store with the keys "a b"
--- a/features/exchange/exchange.feature
+++ b/features/exchange/exchange.feature
@@ -42,16 +42,19 @@
       | 6100  | is not alive |
 
   Scenario Outline: Records that a few routers read soon reach all of a large fleet
-    Given a fleet of <routers> routers in 3 data centres, of which 2 in each read every 400 ms
+    Given a fleet of <routers> routers in 3 data centres, of which some in each read every <period> ms
     When they exchange for 20 s
     Then the state of a router was confirmed less than <age> ms ago in 99 of 100 samples
     And no data centre gets more than half of its answers from others
 
     Examples:
-      | routers | age  |
-      | 9       | 2000 |
-      | 90      | 2000 |
-      | 450     | 2000 |
+      | routers | period | age  |
+      | 9       | 400    | 2000 |
+      | 90      | 400    | 2000 |
+      | 450     | 400    | 2000 |
+      | 90      | 800    | 3000 |
+      | 195     | 800    | 3000 |
+      | 450     | 800    | 3000 |
 
   Scenario Outline: Exchanges that each list a few routers keep all routers known
     Given a fleet of <routers> routers in 3 data centres, of which each knows the first
--- a/features/steps/exchange_fleet_steps.py
+++ b/features/steps/exchange_fleet_steps.py
@@ -32,7 +32,7 @@
 
 
 @given(
-    'a fleet of {routers:d} routers in 3 data centres, of which 2 in each '
+    'a fleet of {routers:d} routers in 3 data centres, of which some in each '
     'read every {ms:d} ms'
 )
 def start_fleet(context: Context, routers: int, ms: int) -> None:
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -300,6 +300,8 @@
         'bounds.retryBudgetRatio': '0.2',
         'bounds.budgetSlack': '54',
         'bounds.budgetWindowS': '10',
+        'bounds.drainMs': '4000',
+        'bounds.configApplyMs': '3000',
         'bounds.versionMs': '12000',
         'bounds.leaseMs': '3000',
         'bounds.requireFence': 'true',
@@ -313,6 +315,8 @@
     settings = build_relay_settings(read_text(text, 'router.ini'), 'router.ini')
     assert len(settings.relay.seeds) == 2
     assert settings.weights.engines_check_fences
+    assert settings.store.drain_bound_ms == 4000
+    assert settings.store.change_bound_ms == 3000
 
 
 @then('the relay settings "{text}" are rejected with "{message}"')
--- a/yuccagauge/directory/follower.py
+++ b/yuccagauge/directory/follower.py
@@ -22,10 +22,9 @@
 #: detection of the end of the outage.
 PROBE_WAIT = Millis(0)
 
-#: Time between two reads of the servers' entries. Every server writes its entry
-#: about once a second, and each read costs a call to the store. Routers have to
-#: know of a draining server within two seconds.
-SERVER_READ_INTERVAL = Millis(400)
+#: Longest time since the last read of which the records are read again. The
+#: store keeps records for some tens of seconds.
+LONGEST_REPEATED_READ = Millis(5000)
 
 #: Time between two attempts while reads fail.
 RETRY_DELAY = Millis(250)
@@ -73,10 +72,17 @@
         self._is_reachable: bool | None = None
         self._is_closed = False
         self._confirmed_at = Millis(0)
+        #: Offset behind the last record that this router read itself.
+        self._read_up_to = 0
         #: Returns the time until this router has to read; 0 if it is due now.
         self.read_delay: Callable[[], Millis] = lambda: Millis(0)
         #: Returns how long a read waits at the store for records.
         self.read_wait: Callable[[], Millis] = lambda: READ_WAIT
+        #: Returns whether to read also what peers have sent since the last
+        #: read, because only records that are read here go to ``on_entry``.
+        self.reads_again: Callable[[], bool] = bool
+        #: Time between the answer to one read and the next read.
+        self.read_interval = Millis(0)
         #: Called with the key of each record that was read and has a value,
         #: and with a time after which it was written. Not called for the
         #: records of a listing, which may be of any age.
@@ -155,12 +161,13 @@
 
     @inlineCallbacks
     def _read_records(self) -> Any:
-        offset = self._directory.next_offset(self._topic)
+        offset = self._next_read_offset()
         wait = PROBE_WAIT if self._is_reachable is False else self.read_wait()
         previous_read_at = self._confirmed_at
         sent_at = self._clock.now()
         page = yield self._store.read_from(self._topic, offset, wait)
         self._record_answer(sent_at)
+        self._read_up_to = page.next_offset
         now = self._clock.now()
         self._directory.apply_records(
             self._topic, page.records, page.next_offset, now
@@ -168,8 +175,20 @@
         for record in page.records:
             if record.value is not None:
                 self.on_entry(record.key, previous_read_at)
-        if self._topic is Topic.SERVERS:
-            yield self._delay(SERVER_READ_INTERVAL)
+        if self.read_interval:
+            yield self._delay(self.read_interval)
+
+    def _next_read_offset(self) -> int:
+        """Return the offset from which to read.
+
+        Load pattern: peers send a router what has changed, and so move its
+        offset past the heartbeats of servers, most of which change nothing.
+        """
+        known_offset = self._directory.next_offset(self._topic)
+        read_age = self._clock.now() - self._confirmed_at
+        if self.reads_again() and read_age <= LONGEST_REPEATED_READ:
+            return min(known_offset, self._read_up_to)
+        return known_offset
 
     def _delay(self, duration: Millis) -> Deferred[None]:
         factor = 1 + DELAY_JITTER * (self._random_fraction() - 0.5)
--- a/yuccagauge/directory/readpolicy.py
+++ b/yuccagauge/directory/readpolicy.py
@@ -1,11 +1,12 @@
 """Decides which routers read the store, and how often. Pure functions.
 
-Load pattern: nearly a hundred routers would each read the entries of all
-servers and the operator's records every second. Instead, a few routers of each
-data centre read the store and send the records to the others.
+Load pattern: hundreds of routers would each read the entries of all servers
+and the operator's records every second. Instead, a few routers of each data
+centre read the store and send the records to the others.
 """
 
 from collections.abc import Sequence
+from dataclasses import dataclass
 
 from yuccagauge.clock import Millis
 from yuccagauge.directory.state import Topic
@@ -15,23 +16,75 @@
 #: still receive changes soon if one of them fails.
 READERS_PER_DATA_CENTRE = 2
 
+#: The same for a data centre that shares reads. When its reader fails, each of
+#: the others reads once its records are too old, and passes on what it read.
+READERS_PER_SHARING_DATA_CENTRE = 1
+
 #: A data centre with fewer routers than this does not share the reads of the
 #: operator's records: one long poll by each router costs less than the short
 #: polls of the readers.
 MINIMUM_ROUTERS_TO_SHARE_READS = 9
 
-#: A router reads the store itself if the records from its peers were confirmed
-#: longer ago than this. Routers have to know of a draining server and of a
-#: change by the operator within two seconds.
-MAXIMUM_CONFIRMATION_AGE = Millis(1500)
+#: Share of the time in which a change must be in force for which a router
+#: relies on records that its peers have confirmed. Its own read and the
+#: decision that it changes take the rest.
+CONFIRMATION_SHARE = 0.75
 
 #: How long one read waits at the store for records. A connection that stopped
 #: responding is detected after this time.
 READ_WAIT = Millis(2000)
 
-#: The same for routers that read for others. A long wait delays the answers
-#: that confirm the records, and the other routers need recent confirmations.
-SHARED_READ_WAIT = Millis(250)
+#: Waits of routers that read for others, for each wait in which the others
+#: would begin to read. Only the answer to a read confirms the records, and
+#: takes some exchanges to reach all.
+SHARED_WAITS_PER_AGE = 3
+
+#: Reads of the servers' entries in the time for which other routers rely on
+#: them. Every server writes its entry about once a second, and each read costs
+#: a call to the store.
+SERVER_READS_PER_AGE = 3.75
+
+#: Time between two reads of the servers' entries by a router that looks for
+#: evidence that a server lives. Two reads with a heartbeat between them show
+#: it.
+EVIDENCE_READ_INTERVAL = Millis(2500)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ReadLimits:
+    """How old the records may be on which a router relies."""
+
+    servers: Millis
+    operations: Millis
+
+    @classmethod
+    def from_bounds(
+        cls, drain_bound: Millis, configuration_bound: Millis
+    ) -> 'ReadLimits':
+        """Return the limits that keep the bounds of the deployment.
+
+        Parameters
+        ----------
+        drain_bound
+            Time after which a server that leaves gets no more calls.
+        configuration_bound
+            Time after which a change by the operator is in force.
+        """
+        return cls(
+            servers=Millis(int(CONFIRMATION_SHARE * drain_bound)),
+            operations=Millis(int(CONFIRMATION_SHARE * configuration_bound)),
+        )
+
+    def maximum_age(self, topic: Topic) -> Millis:
+        """Return the age of the confirmation from which a router reads."""
+        if topic is Topic.SERVERS:
+            return self.servers
+        return self.operations
+
+    @property
+    def server_read_interval(self) -> Millis:
+        """Time between two reads of the servers' entries."""
+        return Millis(int(self.servers / SERVER_READS_PER_AGE))
 
 
 def is_reader(name: str, others: Sequence[str]) -> bool:
@@ -42,10 +95,13 @@
     others
         The other live routers of its data centre.
     """
-    return (
-        name
-        in rendezvous_rank({name, *others}, 'reader')[:READERS_PER_DATA_CENTRE]
+    names = {name, *others}
+    readers = (
+        READERS_PER_DATA_CENTRE
+        if len(names) < MINIMUM_ROUTERS_TO_SHARE_READS
+        else READERS_PER_SHARING_DATA_CENTRE
     )
+    return name in rendezvous_rank(names, 'reader')[:readers]
 
 
 def read_delay(
@@ -53,6 +109,7 @@
     name: str,
     others: Sequence[str],
     age: Millis,
+    limits: ReadLimits,
 ) -> Millis:
     """Return the time until a router has to read the store itself.
 
@@ -65,8 +122,10 @@
     age
         Time since the store last confirmed the records of this router,
         directly or to a peer.
+    limits
+        How old the records may be.
     """
-    remaining = max(0, MAXIMUM_CONFIRMATION_AGE - age)
+    remaining = max(0, limits.maximum_age(topic) - age)
     if (
         topic is Topic.OPERATIONS
         and len(others) + 1 < MINIMUM_ROUTERS_TO_SHARE_READS
@@ -75,11 +134,27 @@
     return Millis(0 if remaining and is_reader(name, others) else remaining)
 
 
-def read_wait(topic: Topic, others: Sequence[str]) -> Millis:
+def evidence_read_delay(own_age: Millis) -> Millis:
+    """Return the time until the next read for evidence that a server lives.
+
+    Load pattern: many connections break at once, and each of many routers
+    looks for 10 s for what shows that its servers have not crashed.
+
+    Parameters
+    ----------
+    own_age
+        Time since the store last confirmed the records to this router itself.
+    """
+    return Millis(max(0, EVIDENCE_READ_INTERVAL - own_age))
+
+
+def read_wait(
+    topic: Topic, others: Sequence[str], limits: ReadLimits
+) -> Millis:
     """Return how long a read waits at the store for records."""
     if (
         topic is Topic.OPERATIONS
         and len(others) + 1 >= MINIMUM_ROUTERS_TO_SHARE_READS
     ):
-        return SHARED_READ_WAIT
+        return Millis(int(limits.operations / SHARED_WAITS_PER_AGE))
     return READ_WAIT
--- a/yuccagauge/relay/router.py
+++ b/yuccagauge/relay/router.py
@@ -10,7 +10,6 @@
 
 from yuccagauge.cachefeed.feed import CacheFeed
 from yuccagauge.clock import Clock, Millis, in_seconds
-from yuccagauge.directory import readpolicy
 from yuccagauge.directory.follower import TopicFollower
 from yuccagauge.directory.state import Directory, Topic
 from yuccagauge.dispatch.connection import ConnectionPool
@@ -24,6 +23,7 @@
 from yuccagauge.relay.pages import MetricsPage, ReadyPage, page_site
 from yuccagauge.relay.paths import RelayPaths
 from yuccagauge.relay.peers import build_peer_services
+from yuccagauge.relay.reading import LATE_HEARTBEAT_TIME, ReadSchedule
 from yuccagauge.relay.relay import Relay
 from yuccagauge.rendezvous import rendezvous_rank
 from yuccagauge.rollout.driver import RolloutDriver
@@ -43,10 +43,6 @@
 #: Seconds between checks for lapsed servers and for cache holders to poll.
 _UPKEEP_INTERVAL_S = 0.5
 
-#: Longest time from a server's heartbeat to its entry in the store: a write
-#: that got no answer may be done seconds later.
-LATE_HEARTBEAT_TIME = Millis(10_000)
-
 #: Seconds before the end of the grace period at which running calls are ended.
 _ABORT_MARGIN_S = 0.9
 
@@ -225,9 +221,18 @@
         self._directory.listeners.append(self._apply_directory_change)
         server_follower = self._followers[Topic.SERVERS]
         server_follower.on_entry = self._record_server_entry
+        schedule = ReadSchedule(
+            self._settings.relay,
+            self._settings.store,
+            self._exchange,
+            self._context.quarantine,
+            self._clock,
+        )
+        server_follower.read_interval = schedule.server_read_interval
+        server_follower.reads_again = schedule.awaits_evidence
         for topic, follower in self._followers.items():
-            follower.read_delay = partial(self._read_delay, topic)
-            follower.read_wait = partial(self._read_wait, topic)
+            follower.read_delay = partial(schedule.delay, topic)
+            follower.read_wait = partial(schedule.wait, topic)
         self._election.on_leadership_change = self._rollout.set_leading
         self._exchange.own_confirmed_at = self._store_confirmed_at
         self._exchange.merger.on_pause_received = lambda: (
@@ -315,32 +320,6 @@
         names = {own_name, *self._router_names()}
         return rendezvous_rank(names, key).index(own_name)
 
-    def _read_delay(self, topic: Topic) -> Millis:
-        """Return how long the messages of peers replace reading a topic."""
-        now = self._clock.now()
-        if topic is Topic.SERVERS and self._context.quarantine.awaits_evidence(
-            LATE_HEARTBEAT_TIME, now
-        ):
-            # Only an entry that this router reads itself is evidence.
-            return Millis(0)
-        return readpolicy.read_delay(
-            topic,
-            self._settings.relay.name,
-            self._peers_in_data_centre(),
-            self._exchange.confirmation_age(topic, now),
-        )
-
-    def _read_wait(self, topic: Topic) -> Millis:
-        return readpolicy.read_wait(topic, self._peers_in_data_centre())
-
-    def _peers_in_data_centre(self) -> tuple[str, ...]:
-        """Return the other routers of this data centre."""
-        return tuple(
-            member.name
-            for member in self._exchange.peers
-            if member.data_centre == self._settings.relay.data_centre
-        )
-
     def _router_names(self) -> Iterable[str]:
         return (peer.name for peer in self._exchange.peers)
 
--- a/yuccagauge/settings/relay.py
+++ b/yuccagauge/settings/relay.py
@@ -48,6 +48,18 @@
     """``[store]``: the store that keeps configuration and entries."""
 
     address: Endpoint = endpoint_option('Address of the store.')
+    drain_bound_ms: Millis = millis_option(
+        'Time after which a server that leaves gets no more calls.',
+        default=Millis(2000),
+        minimum=500,
+        maximum=_LONGEST,
+    )
+    change_bound_ms: Millis = millis_option(
+        'Time after which a change by the operator is in force.',
+        default=Millis(2000),
+        minimum=500,
+        maximum=_LONGEST,
+    )
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
