Spread the calls of many routers by rank instead of by what each has used

Cause: in a large fleet each router hears of the calls of a tenth of the others, when most of them have ended, and of no cache events. It took the few engines that it had used for the only ones that hold the part that all prompts begin with, and sent its calls there; engines that seemed alike were taken by name, the same one by all.

Change: with more than ten routers, all rank the engines alike by the last shared part and prefer the first three or so; engines that are not heard count as holding what any of them is known to hold; ties are broken by a hash of the call. With up to ten routers only the tie-break changes.

--- a/yuccagauge/selection/base.py
+++ b/yuccagauge/selection/base.py
@@ -94,10 +94,8 @@
     #: Whether the router receives the cache events of the engine, and so
     #: learns of evictions.
     has_cache_events: bool = True
-    #: Whether the engine ranks first in the rendezvous hashing of the shared
-    #: parts. All routers prefer it while no engine is known to have them
-    #: cached.
-    is_preferred: bool = True
+    #: Cost of leaving the engines that all routers prefer for the prompt.
+    spread_cost_ms: float = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/yuccagauge/selection/kvcachestores.py
+++ b/yuccagauge/selection/kvcachestores.py
@@ -1,11 +1,9 @@
-"""Choice of the KV cache store and of the engine for shared parts."""
+"""Choice of the KV cache store for the shared parts of prompts."""
 
-import dataclasses
 from collections.abc import Iterable
 
 from yuccagauge.clock import Millis
 from yuccagauge.directory.base import KvCacheStore
-from yuccagauge.rendezvous import rendezvous_rank
 from yuccagauge.selection.base import Candidate, SelectionRequest
 from yuccagauge.settings.options import Endpoint
 
@@ -112,32 +110,3 @@
     ):
         return None
     return store.endpoint
-
-
-def mark_preferred_engine(
-    candidates: list[Candidate],
-    request: SelectionRequest,
-) -> list[Candidate]:
-    """Mark the preferred engine if no engine is known to hold the parts.
-
-    The first engine in the rendezvous ranking of the shared parts stays
-    marked as preferred, and the others lose the mark. All candidates stay
-    equal if one of them holds the parts, or if the parts are too short to be
-    fetched.
-    """
-    shared_tokens = request.shared_tokens
-    if shared_tokens < MINIMUM_FETCH_TOKENS or not candidates:
-        return candidates
-    if any(
-        candidate.cached_tokens + MINIMUM_FETCH_TOKENS > shared_tokens
-        for candidate in candidates
-    ):
-        return candidates
-    server_ids = (candidate.server.server_id for candidate in candidates)
-    preferred = rendezvous_rank(server_ids, request.parts[-2][0])[0]
-    return [
-        candidate
-        if candidate.server.server_id == preferred
-        else dataclasses.replace(candidate, is_preferred=False)
-        for candidate in candidates
-    ]
--- a/yuccagauge/selection/load.py
+++ b/yuccagauge/selection/load.py
@@ -83,6 +83,8 @@
 
     #: Number of live peers for each peer whose load is known.
     scale_factor: float = 1
+    #: Number of live routers, including this one.
+    routers: int = 1
 
     def update(self, live_peers: int, reporting_peers: int) -> None:
         """Set the factor from the peers that are alive and those that reported.
@@ -95,6 +97,7 @@
             Number of peers whose load is known.
         """
         self.scale_factor = max(1.0, live_peers / max(1, reporting_peers))
+        self.routers = live_peers + 1
 
 
 @dataclass(slots=True)
--- a/yuccagauge/selection/model.py
+++ b/yuccagauge/selection/model.py
@@ -5,6 +5,7 @@
 
 from yuccagauge.clock import Millis
 from yuccagauge.selection.base import Candidate, SelectionRequest
+from yuccagauge.selection.spread import tie_break
 
 #: Prompt tokens that an engine prefills in a millisecond by its data sheet.
 PREFILL_TOKENS_PER_MS = 90.0
@@ -27,10 +28,6 @@
 #: Cost of an engine in another data centre: the round trip and the traffic.
 REMOTE_COST_MS = 4.0
 
-#: Cost of an engine that is not the preferred one for the shared parts: about
-#: the time to fetch them from the KV cache store.
-NOT_PREFERRED_COST_MS = 15.0
-
 #: Cost of a failed call, as an equivalent waiting time.
 FAILURE_COST_MS = 2000.0
 
@@ -109,8 +106,7 @@
     )
     if candidate.is_outdated:
         cost_ms += OUTDATED_COST_MS
-    if not candidate.is_preferred:
-        cost_ms += NOT_PREFERRED_COST_MS
+    cost_ms += candidate.spread_cost_ms
     if not candidate.is_local:
         cost_ms += REMOTE_COST_MS
         first_token_ms += REMOTE_COST_MS / 2
@@ -135,7 +131,7 @@
     ]
     return min(
         estimates,
-        key=lambda pair: (pair[1].cost_ms, pair[0].server.server_id),
+        key=lambda pair: (pair[1].cost_ms, tie_break(pair[0], request)),
         default=None,
     )
 
--- a/yuccagauge/selection/selector.py
+++ b/yuccagauge/selection/selector.py
@@ -1,5 +1,6 @@
 """Selection of a server for each call, and the state that it needs."""
 
+from collections import defaultdict
 from collections.abc import Mapping
 
 from yuccagauge.clock import Millis
@@ -21,13 +22,13 @@
     KvCacheStoreTracker,
     cache_scope_of,
     choose_fetch_endpoint,
-    mark_preferred_engine,
     store_holder_name,
 )
 from yuccagauge.selection.latewaits import LateWaitEstimator
 from yuccagauge.selection.load import ActiveCall, PeerCoverage, ServerLoad
 from yuccagauge.selection.rategate import RateGate
 from yuccagauge.selection.responsive import responsive_servers
+from yuccagauge.selection.spread import PrefixHolders, spread_costs
 from yuccagauge.selection.statements import ServerStatements
 from yuccagauge.settings.options import Endpoint
 
@@ -135,11 +136,9 @@
                 self.load_of(server_id).own_calls = previous_load.own_calls
         self.limits.forget(restarted)
         self._view = view
-        self._servers_by_service = {}
+        self._servers_by_service = defaultdict(list)
         for server in view.servers.values():
-            self._servers_by_service.setdefault(server.service, []).append(
-                server
-            )
+            self._servers_by_service[server.service].append(server)
         return restarted
 
     def weights_version_of(self, server: BackendServer, model_name: str) -> int:
@@ -242,8 +241,8 @@
     ) -> BackendServer | None:
         """Return the server that would get the call without rate limits."""
         if not request.service.is_model:
-            plain_servers = map(self._plain_candidate, servers)
-            cheapest = plain.cheapest_server(plain_servers, now)
+            candidates = map(self._plain_candidate, servers)
+            cheapest = plain.cheapest_server(candidates, now)
             return cheapest and cheapest.server
         store = self._store_tracker.nearest(stores)
         candidates = self._engine_candidates(servers, request, store, now)
@@ -316,8 +315,10 @@
         now: Millis,
     ) -> list[Candidate]:
         """Return the engines that may run the model, with their cache state."""
-        candidates: list[Candidate] = []
-        prefix_tokens: dict[int, dict[str, int]] = {}
+        candidates = []
+        store_name = store_holder_name(store.endpoint) if store else ''
+        holders_by_version: dict[int, PrefixHolders] = {}
+        routers = self.peer_coverage.routers
         for server in servers:
             version = self.weights_version_of(server, request.model)
             superseded_at = self._view.superseded_at(request.model, version)
@@ -327,17 +328,16 @@
                 or age > self._outdated_weights_limit - OUTDATED_STOP_MARGIN
             ):
                 continue
-            if version not in prefix_tokens:
-                cache_scope = cache_scope_of(request, version)
-                prefix_tokens[version] = self.cache_map.prefix_tokens(
-                    cache_scope, request.parts
+            if version not in holders_by_version:
+                holders_by_version[version] = PrefixHolders.among(
+                    servers,
+                    self.cache_map.prefix_tokens(
+                        cache_scope_of(request, version), request.parts
+                    ),
+                    routers,
                 )
-            held_tokens = prefix_tokens[version]
-            stored_tokens = (
-                held_tokens.get(store_holder_name(store.endpoint), 0)
-                if store
-                else 0
-            )
+            holders = holders_by_version[version]
+            is_heard = server.server_id in self.engines_with_cache_events
             candidates.append(
                 Candidate(
                     server=server,
@@ -345,13 +345,14 @@
                     is_local=server.data_centre == self._data_centre,
                     weights_version=version,
                     is_outdated=age > OUTDATED_GRACE,
-                    cached_tokens=held_tokens.get(server.server_id, 0),
-                    stored_tokens=stored_tokens,
-                    has_cache_events=server.server_id
-                    in self.engines_with_cache_events,
+                    cached_tokens=holders.tokens_at(
+                        server.server_id, is_heard=is_heard
+                    ),
+                    stored_tokens=holders.tokens_in_store(store_name),
+                    has_cache_events=is_heard,
                 ),
             )
-        return mark_preferred_engine(candidates, request)
+        return spread_costs(candidates, request, routers)
 
     def _plain_candidate(self, server: BackendServer) -> Candidate:
         return Candidate(
