Answer the first request of a connection that a stopping router has accepted

Change: only connections with a request under way end with their answer; one on which nothing has arrived has a second for its first request, one on which a request arrives is answered.

--- a/yuccagauge/gateway/channel.py
+++ b/yuccagauge/gateway/channel.py
@@ -15,6 +15,10 @@
 from yuccagauge.verdict import Refusal, not_run_refusal
 
 #: An idle connection between two requests is closed after this time.
+#: Time for which a connection that was accepted may bring its first request
+#: while the router stops.
+_FIRST_REQUEST_SECONDS = 1
+
 _IDLE_SECONDS = 75
 
 #: The most headers of one request.
@@ -69,6 +73,7 @@
     limits: LimitsSection
     refused = False
     _clock_call: Any = None
+    _has_received = False
 
     def connectionMade(self) -> None:
         """Apply the bounds, and the limit on connections."""
@@ -91,10 +96,27 @@
         """Start the time of a request with its first byte."""
         if self.refused:
             return
+        self._has_received = True
         if self._clock_call is None and not self._handlingRequest:
             self._limit_time(self.limits.header_timeout_ms, 'header_timeout')
         super().dataReceived(data)
 
+    def close_if_idle(self, *, may_be_new: bool) -> None:
+        """Close the connection unless a request is under way.
+
+        Parameters
+        ----------
+        may_be_new
+            Whether a connection on which nothing has arrived stays open: its
+            first request may be on the way.
+        """
+        is_new = may_be_new and not self._has_received
+        is_arriving = self._clock_call is not None
+        if self not in self.site.channels:
+            return
+        if not (self.requests or is_arriving or is_new):
+            self.loseConnection()
+
     def checkPersistence(self, request: Request, version: bytes) -> bool:
         """Close after this answer once the router leaves."""
         if self.site.leaving:
@@ -192,16 +214,26 @@
         self._waiting: list[Deferred[None]] = []
 
     def leave(self) -> None:
-        """Close connections after the answers that are under way."""
+        """Close connections after the answers that are under way.
+
+        A channel that does not persist drops the bytes of its next request, so
+        one without a request stays as it is.
+        """
         self.leaving = True
         for channel in self.channels:
-            channel.persistent = False
+            if channel.requests:
+                channel.persistent = False
 
     def close_idle(self) -> None:
-        """Close the connections that carry no request."""
+        """Close the connections that carry no request.
+
+        Those that have just been accepted have time for their first one.
+        """
         for channel in tuple(self.channels):
-            if not channel.requests:
-                channel.loseConnection()
+            channel.close_if_idle(may_be_new=True)
+            channel.callLater(
+                _FIRST_REQUEST_SECONDS, channel.close_if_idle, may_be_new=False
+            )
 
     def when_empty(self) -> Deferred[None]:
         """Fire when every connection is closed and its bytes are sent."""
