Look for the direct way to a server without waiting for a call

Cause: a router that had lost the direct way to a server tried it again only beside its next call there, which itself went through a peer, also long after the partition.

Change: servers that are not reached are tried every second or so, two times more slowly than beside calls.

--- a/yuccagauge/peerpath/dialer.py
+++ b/yuccagauge/peerpath/dialer.py
@@ -88,6 +88,11 @@
         if self._reach.try_check(server, self._clock.now()):
             self._probe(server)
 
+    def probe_lost(self) -> None:
+        """Try the direct way to servers that are not reached."""
+        for server in self._reach.due_probes(self._clock.now()):
+            self._probe(server)
+
     def remove_gone(self) -> None:
         """Forget the peers and the servers that are not listed any more."""
         servers = {
--- a/yuccagauge/peerpath/reach.py
+++ b/yuccagauge/peerpath/reach.py
@@ -11,6 +11,10 @@
 #: Mean time between two direct attempts at a server that is not reached.
 PROBE_INTERVAL = Millis(500)
 
+#: Mean time between two direct attempts while no call asks for the server. A
+#: server that returns meets as many attempts as routers have missed it.
+IDLE_PROBE_INTERVAL = Millis(1000)
+
 #: Share by which the time between two probes varies to both sides.
 _PROBE_JITTER = 0.3
 
@@ -104,6 +108,19 @@
         lost.probe_at = self._next_probe(now)
         return True
 
+    def due_probes(self, now: Millis) -> tuple[Endpoint, ...]:
+        """Return the servers that are due for an attempt that no call makes.
+
+        Load pattern: a partition ends, and a router with few calls would send
+        the next one to each server through a peer.
+        """
+        return tuple(
+            server
+            for server, lost in self._lost.items()
+            if now - lost.probe_at >= IDLE_PROBE_INTERVAL - PROBE_INTERVAL
+            and self.try_probe(server, now)
+        )
+
     def try_check(self, server: Endpoint, now: Millis) -> bool:
         """Return whether a direct attempt is due after a broken call."""
         if self.is_lost(server):
--- a/yuccagauge/relay/paths.py
+++ b/yuccagauge/relay/paths.py
@@ -86,9 +86,10 @@
         """Find out whether a server is reached on which a call broke."""
         self._dialer.check(server)
 
-    def remove_gone(self) -> None:
-        """Forget the peers and the servers that are not listed any more."""
+    def update(self) -> None:
+        """Forget what is not listed any more, and look for the rest again."""
         self._dialer.remove_gone()
+        self._dialer.probe_lost()
 
     def stop_accepting(self) -> None:
         """Refuse new paths of peers, because the router stops."""
--- a/yuccagauge/relay/router.py
+++ b/yuccagauge/relay/router.py
@@ -336,7 +336,7 @@
             log_state_change('servers_lapsed', servers=lapsed)
         self._selector.limits.remove_gone(self._directory.servers, now)
         self._observe_versions(now)
-        self._paths.remove_gone()
+        self._paths.update()
         self._cache_feed.update_pollers()
 
     def _observe_versions(self, now: Millis) -> None:
