Keep the origins of streams in the store while a service is mixed

Cause: which software version began a stream was known to routers alone. No stream was joined from two versions.

Change: a few routers append the streams of all to a topic whose records expire; a router that starts and hears that a service is mixed reads it once. A record that is malformed is logged and left out. Row 1.1 of the fleet's test has no caller that takes a stream up any more, since routers go on with all that break; it then asks that all streams are complete.

--- a/features/run.py
+++ b/features/run.py
@@ -26,6 +26,19 @@
     )
 )
 
+#: Features whose scenarios mostly wait for timeouts on the real reactor, and so
+#: share the processors with the others.
+_WAITING_FEATURES = frozenset(
+    Path(name)
+    for name in (
+        'features/dispatch/silent_servers.feature',
+        'features/relay/silent_servers.feature',
+    )
+)
+
+#: Waiting scenarios that one process runs: it takes a second to start.
+_SCENARIOS_PER_PROCESS = 4
+
 #: Features that measure time or start many processes; they run by themselves.
 _LONE_FEATURES = frozenset((Path('features/soak/soak.feature'),))
 
@@ -52,14 +65,21 @@
     whole: list[list[str]] = []
     for feature in features:
         if feature in _SPLIT_FEATURES:
-            split += [
-                [f'{feature}:{each.line}'] for each in _scenarios(feature)
-            ]
+            split += _groups(feature, 1)
         else:
             whole.append([str(feature)])
     return split + whole
 
 
+def _groups(feature: Path, size: int) -> list[list[str]]:
+    """Return the scenarios of a feature in groups of a size."""
+    locations = [f'{feature}:{each.line}' for each in _scenarios(feature)]
+    return [
+        locations[start : start + size]
+        for start in range(0, len(locations), size)
+    ]
+
+
 def _run(parts: list[list[str]], workers: int) -> list[PartResult]:
     with ThreadPoolExecutor(workers) as pool:
         return list(pool.map(run_part.start, parts))
@@ -69,9 +89,19 @@
     """Run the features named by the arguments, or all; return the exit code."""
     features = _feature_files(arguments)
     workers = max(1, int((os.cpu_count() or 1) * _PROCESSOR_SHARE))
-    beside = [each for each in features if each not in _LONE_FEATURES]
+    waiting = [each for each in features if each in _WAITING_FEATURES]
     alone = [each for each in features if each in _LONE_FEATURES]
-    results = _run(_parts(beside), workers) + _run(_parts(alone), 1)
+    beside = [each for each in features if each not in {*waiting, *alone}]
+    groups = [
+        group
+        for feature in waiting
+        for group in _groups(feature, _SCENARIOS_PER_PROCESS)
+    ]
+    with ThreadPoolExecutor(1) as pool:
+        waited = pool.submit(_run, groups, workers)
+        results = _run(_parts(beside), workers)
+        results += waited.result()
+    results += _run(_parts(alone), 1)
     expected = sum(len(_scenarios(feature)) for feature in features)
     known_red = known_red_names()
     passed = 0
--- a/features/run_part.py
+++ b/features/run_part.py
@@ -4,6 +4,7 @@
 import subprocess
 import sys
 import tempfile
+import time
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -41,6 +42,7 @@
 
 def start(locations: list[str]) -> PartResult:
     """Run features or scenarios in another process; return how they ended."""
+    started_at = time.monotonic()
     with tempfile.NamedTemporaryFile(suffix='.json') as results:
         command = [sys.executable, '-m', 'features.run_part', results.name]
         process = subprocess.run(
@@ -57,7 +59,8 @@
         return PartResult(
             passed=[], failed=[], aborted=[f'{name} did not end:\n{output}']
         )
-    sys.stdout.write(f'{" ".join(locations)}\n')
+    seconds = time.monotonic() - started_at
+    sys.stdout.write(f'{" ".join(locations)} ({seconds:.0f} s)\n')
     sys.stdout.flush()
     return PartResult(**json.loads(content))
 
--- a/features/simulated_store.py
+++ b/features/simulated_store.py
@@ -1,6 +1,7 @@
 """The platform's store in memory, in virtual time, with its faults."""
 
 import json
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
 
@@ -16,6 +17,12 @@
     StorePage,
     StoreUnavailableError,
 )
+from yuccagauge.origins.base import StreamOrigin
+from yuccagauge.platform.originlog import (
+    decode_records,
+    encode_records,
+    split_page,
+)
 from yuccagauge.quarantine.archive import StoredCrash
 from yuccagauge.rollout.base import LeaseState
 
@@ -27,6 +34,9 @@
 _STORE_DELAY_S = 0.004
 _STORE_POLL_S = 0.05
 
+#: Size of what precedes the records in an answer.
+_PAGE_HEADER_BYTES = 16
+
 
 @dataclass(frozen=True, slots=True)
 class _Record:
@@ -57,6 +67,9 @@
         #: Software versions of services that had several, and their writes.
         self.versions: dict[str, tuple[str, ...]] = {}
         self.version_writes = 0
+        #: The log of stream origins, and the appends to it.
+        self._origins = b''
+        self.origin_appends = 0
         self._crashes: dict[tuple[bytes, str], StoredCrash] = {}
 
     def append_entry(self, key: str, value: bytes | None) -> None:
@@ -161,6 +174,26 @@
 
         return self._answer(name, write)
 
+    def append_origins(
+        self, name: str, streams: Mapping[StreamOrigin, tuple[bytes, ...]]
+    ) -> Deferred[None]:
+        """Append the keys of streams by their origin."""
+
+        def append() -> None:
+            self.origin_appends += 1
+            self._origins += encode_records(streams)
+
+        return self._answer(name, append)
+
+    def read_origins(self, name: str) -> Deferred[dict[bytes, StreamOrigin]]:
+        """Return the origin of each stream that was appended."""
+
+        def read() -> dict[bytes, StreamOrigin]:
+            _, contents = split_page(bytes(_PAGE_HEADER_BYTES) + self._origins)
+            return dict(decode_records(contents))
+
+        return self._answer(name, read)
+
     def _page(self, topic: Topic, offset: int) -> StorePage:
         log = self._log[topic]
         if not self._first[topic] <= offset <= len(log):
@@ -251,3 +284,13 @@
     def append_lease(self, holder: str, expected_count: int) -> Deferred[bool]:
         """Never answer."""
         return Deferred()
+
+    def append_origins(
+        self, streams: Mapping[StreamOrigin, tuple[bytes, ...]]
+    ) -> Deferred[None]:
+        """Append the keys of streams by their origin."""
+        return self._store.append_origins(self._name, streams)
+
+    def read_origins(self) -> Deferred[dict[bytes, StreamOrigin]]:
+        """Return the origin of each stream that was appended."""
+        return self._store.read_origins(self._name)
--- a/features/steps/version_fleet_steps.py
+++ b/features/steps/version_fleet_steps.py
@@ -256,9 +256,20 @@
     """Guard against routers that refuse what they could serve."""
     _, begun = context.fleet.share_with_events(resumed=False)
     attempts, taken_up = context.fleet.share_with_events(resumed=True)
+    if not attempts:
+        # The routers have gone on with all streams that broke off.
+        _check_complete(context)
+        return
     assert taken_up >= _SHARE * begun, (taken_up, begun, attempts)
 
 
+def _check_complete(context: Context) -> None:
+    fleet = context.fleet
+    assert fleet.continuations >= _COUNTED_FROM, fleet.continuations
+    broken = [each for each in fleet.streams if not each.is_complete]
+    assert not broken, (len(broken), len(fleet.streams))
+
+
 @then('no stream that is taken up is refused')
 def check_no_refusal(context: Context) -> None:
     """Guard against refusals where no other version can have begun a stream."""
--- a/yuccagauge/directory/readpolicy.py
+++ b/yuccagauge/directory/readpolicy.py
@@ -49,6 +49,10 @@
 #: it.
 EVIDENCE_READ_INTERVAL = Millis(2500)
 
+#: Time for which a router looks for evidence on one call: enough for two reads,
+#: between which each server that lives has written its entry.
+EVIDENCE_READ_TIME = Millis(4500)
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ReadLimits:
--- a/yuccagauge/exchange/origins.py
+++ b/yuccagauge/exchange/origins.py
@@ -1,7 +1,7 @@
 """Keeps the origins of streams at several routers, and asks them for it."""
 
 from collections import defaultdict
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from itertools import starmap
 from typing import Any
 
@@ -12,6 +12,7 @@
 from yuccagauge.exchange.merger import MessageMerger
 from yuccagauge.origins.base import KEY_BYTES, StreamOrigin
 from yuccagauge.origins.events import REPORTED
+from yuccagauge.origins.log import ROUTERS_PER_WRITER, OriginLog
 from yuccagauge.origins.table import OriginTable
 from yuccagauge.origins.versions import VersionHistory
 from yuccagauge.rendezvous import rendezvous_rank
@@ -50,11 +51,15 @@
 
     Parameters
     ----------
+    name
+        Name of this router.
     merger
         Knows the other routers.
     history
         Tells whether a service has several versions. Only then is anything
         reported.
+    log
+        Keeps the streams when all routers restart.
     server, client
         Accept and open connections with other routers.
     reactor, clock
@@ -63,17 +68,21 @@
 
     def __init__(
         self,
+        name: str,
         *,
         merger: MessageMerger,
         history: VersionHistory,
+        log: OriginLog,
         server: PeerServer,
         client: PeerClient,
         reactor: Any,
         clock: Clock,
     ) -> None:
         """Create a broker that answers nothing yet."""
+        self._name = name
         self._merger = merger
         self._history = history
+        self._log = log
         self._server = server
         self._client = client
         self._reactor = reactor
@@ -89,6 +98,8 @@
         #: ranked for each stream.
         self._rankings: dict[int, tuple[str, ...]] = {}
         self._endpoints: dict[str, Endpoint] = {}
+        #: Names of the routers that append streams to the log.
+        self._writers: tuple[str, ...] = (name,)
         #: Streams that were reported to another router.
         self.reported_streams = 0
 
@@ -109,6 +120,8 @@
         self._report_mixed()
         if self._mixed:
             self._pull()
+            if self._log.must_be_read:
+                self._log.read(self._restore)
 
     def find(self, key: bytes) -> Deferred[StreamOrigin | None]:
         """Return what this router or a peer knows of a stream.
@@ -142,6 +155,12 @@
             answer.addCallback(take, peer)
         return found
 
+    def _restore(self, key: bytes, origin: StreamOrigin) -> None:
+        """Take a stream of the log unless something newer is known."""
+        now = self._clock.now()
+        if self._table.find(key, now) is None:
+            self._table.add(key, origin, now, is_own=False)
+
     def _report_mixed(self) -> None:
         """Report the streams of services that have just become mixed.
 
@@ -186,8 +205,9 @@
             lambda: defaultdict(list)
         )
         for key, origin in unreported.items():
-            for peer in self._peers_for(key, _KEEPERS):
+            for peer in self._recipients(key):
                 by_peer[peer][origin].append(key)
+            self._log_if_writer(key, origin)
         for peer, groups in by_peer.items():
             answer = self._client.request(
                 peer, _report_message(groups), _REPLY_TIMEOUT
@@ -201,6 +221,9 @@
         self._client.drop(peer)
 
     def _handle_report(self, received: Received) -> Accepted:
+        self._refresh_rankings()
+        for key, origin in _streams(received.message):
+            self._log_if_writer(key, origin)
         self._merge_report(received.message)
         return Accepted()
 
@@ -218,11 +241,8 @@
 
     def _merge_report(self, report: StreamOriginReport) -> None:
         now = self._clock.now()
-        for group in report.groups:
-            origin = _origin(group)
-            for start in range(0, len(group.keys), KEY_BYTES):
-                key = group.keys[start : start + KEY_BYTES]
-                self._table.add(key, origin, now, is_own=False)
+        for key, origin in _streams(report):
+            self._table.add(key, origin, now, is_own=False)
 
     def _handle_request(self, received: Received) -> StreamOriginReply:
         origin = self._table.find(received.message.key, self._clock.now())
@@ -239,12 +259,29 @@
         ranking = self._ranking(key)
         return [self._endpoints[name] for name in ranking[:count]]
 
+    def _recipients(self, key: bytes) -> set[Endpoint]:
+        """Return the peers that keep a stream, and the one that logs it."""
+        writer = self._endpoints.get(self._writer(key))
+        recipients = set(self._peers_for(key, _KEEPERS))
+        return recipients if writer is None else {*recipients, writer}
+
+    def _log_if_writer(self, key: bytes, origin: StreamOrigin) -> None:
+        if self._writer(key) == self._name:
+            self._log.add(key, origin)
+
+    def _writer(self, key: bytes) -> str:
+        """Return the name of the router that logs a stream."""
+        return self._writers[key[-1] % len(self._writers)]
+
     def _refresh_rankings(self) -> None:
         """Drop the rankings if the peers have changed."""
         endpoints = {peer.name: peer.endpoint for peer in self._merger.peers}
         if endpoints != self._endpoints:
             self._endpoints = endpoints
             self._rankings.clear()
+            names = {self._name, *endpoints}
+            count = 1 + len(names) // ROUTERS_PER_WRITER
+            self._writers = rendezvous_rank(names, 'streams/log')[:count]
 
     def _ranking(self, key: bytes) -> tuple[str, ...]:
         """Return the names of the peers in their order for a stream."""
@@ -270,6 +307,16 @@
     )
 
 
+def _streams(
+    report: StreamOriginReport,
+) -> Iterator[tuple[bytes, StreamOrigin]]:
+    """Return the key and the origin of each stream of a report."""
+    for group in report.groups:
+        origin = _origin(group)
+        for start in range(0, len(group.keys), KEY_BYTES):
+            yield group.keys[start : start + KEY_BYTES], origin
+
+
 def _origin(part: StreamGroup | StreamOriginReply) -> StreamOrigin:
     return StreamOrigin(
         service=part.service, software_version=part.software_version
--- /dev/null
+++ b/yuccagauge/platform/originlog.py
@@ -0,0 +1,96 @@
+"""Records of the log of stream origins."""
+
+import json
+import struct
+from collections.abc import Iterable, Iterator, Mapping
+
+from yuccagauge.directory.store import StoreUnavailableError
+from yuccagauge.origins.base import KEY_BYTES, StreamOrigin
+from yuccagauge.telemetry.journal import log_state_change
+
+#: Keys of one record, so that it stays below the size that the store accepts.
+_KEYS_PER_RECORD = 4096
+
+_LENGTH = struct.Struct('>I')
+_NAME_LENGTH = struct.Struct('>H')
+_PAGE_HEADER = struct.Struct('>QQ')
+
+
+def encode_records(
+    streams: Mapping[StreamOrigin, tuple[bytes, ...]],
+) -> bytes:
+    """Return the records with the keys of streams by their origin."""
+    return b''.join(
+        _encode_record(origin, keys[start : start + _KEYS_PER_RECORD])
+        for origin, keys in streams.items()
+        for start in range(0, len(keys), _KEYS_PER_RECORD)
+    )
+
+
+def decode_records(
+    contents: Iterable[bytes],
+) -> Iterator[tuple[bytes, StreamOrigin]]:
+    """Return the key and the origin of each stream.
+
+    A malformed record is logged and left out.
+    """
+    for content in contents:
+        try:
+            origin, keys = _decode_record(content)
+        except (struct.error, ValueError, TypeError) as error:
+            log_state_change(
+                'record_unreadable', key='origins', reason=str(error)
+            )
+            continue
+        for start in range(0, len(keys) - KEY_BYTES + 1, KEY_BYTES):
+            yield keys[start : start + KEY_BYTES], origin
+
+
+def split_page(body: bytes) -> tuple[int, tuple[bytes, ...]]:
+    """Return the end offset of the log, and the records of one answer.
+
+    Raises
+    ------
+    StoreUnavailableError
+        If the answer is malformed or truncated.
+    """
+    contents: list[bytes] = []
+    position = _PAGE_HEADER.size
+    try:
+        end, _ = _PAGE_HEADER.unpack_from(body)
+        while position < len(body):
+            length = _LENGTH.unpack_from(body, position)[0]
+            position += _LENGTH.size
+            contents.extend(struct.unpack_from(f'{length}s', body, position))
+            position += length
+    except struct.error as error:
+        raise StoreUnavailableError(f'malformed records: {error}') from None
+    return end, tuple(contents)
+
+
+def first_offset(body: bytes) -> int:
+    """Return the first offset that the store has, by its answer to a gap.
+
+    Raises
+    ------
+    StoreUnavailableError
+        If the answer is malformed.
+    """
+    try:
+        return int(json.loads(body)['first'])
+    except (LookupError, TypeError, ValueError) as error:
+        kind = type(error).__name__
+        raise StoreUnavailableError(f'malformed response: {kind}') from None
+
+
+def _encode_record(origin: StreamOrigin, keys: tuple[bytes, ...]) -> bytes:
+    name = json.dumps([origin.service, origin.software_version]).encode()
+    content = _NAME_LENGTH.pack(len(name)) + name + b''.join(keys)
+    return _LENGTH.pack(len(content)) + content
+
+
+def _decode_record(content: bytes) -> tuple[StreamOrigin, bytes]:
+    end = _NAME_LENGTH.size + _NAME_LENGTH.unpack_from(content)[0]
+    service, version = json.loads(content[_NAME_LENGTH.size : end])
+    origin = StreamOrigin(service=str(service), software_version=str(version))
+    return origin, content[end:]
--- a/yuccagauge/platform/store.py
+++ b/yuccagauge/platform/store.py
@@ -1,9 +1,9 @@
-"""Client of the platform's log: keyed topics, leader lease and crashes."""
+"""Client of the platform's log: keyed topics, lease, crashes and origins."""
 
 import base64
 import json
 import struct
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Any
 from urllib.parse import urlencode
@@ -20,7 +20,8 @@
 )
 from yuccagauge.dispatch.base import BackendMessage
 from yuccagauge.dispatch.fetch import Fetched, FetchError
-from yuccagauge.platform import names
+from yuccagauge.origins.base import StreamOrigin
+from yuccagauge.platform import names, originlog
 from yuccagauge.quarantine.archive import StoredCrash
 from yuccagauge.rollout.base import LeaseState
 from yuccagauge.telemetry.journal import log_state_change
@@ -44,6 +45,10 @@
 #: of a record is the service.
 _VERSIONS_TOPIC = 'keyed.versions'
 
+#: Topic of the streams that routers begin while a service has several software
+#: versions. It is not keyed, so its records expire.
+_ORIGINS_TOPIC = 'origins'
+
 #: Follows the name of the lease holder in a record.
 _HOLDER_TERMINATOR = '\n'
 
@@ -171,6 +176,32 @@
         page = yield self._list_topic(_VERSIONS_TOPIC)
         return {record.key: _decode_versions(record) for record in page.records}
 
+    @inlineCallbacks
+    def append_origins(
+        self, streams: Mapping[StreamOrigin, tuple[bytes, ...]]
+    ) -> Any:
+        """Append the keys of streams by their origin."""
+        query = {'topic': _ORIGINS_TOPIC, 'part': 0}
+        yield self._append(query, originlog.encode_records(streams))
+
+    @inlineCallbacks
+    def read_origins(self) -> Any:
+        """Return the origin of each stream in the log, by its key."""
+        contents: list[bytes] = []
+        offset, end = 0, 1
+        while offset < end:
+            query = {'topic': _ORIGINS_TOPIC, 'part': 0, 'from': offset}
+            response = yield self._get(
+                names.LOG_READ_PATH, query, _REPLY_TIMEOUT, _GONE
+            )
+            if response.head.status == _GONE:
+                offset = max(offset + 1, originlog.first_offset(response.body))
+                continue
+            end, records = originlog.split_page(response.body)
+            contents += records
+            offset = offset + len(records) if records else end
+        return dict(originlog.decode_records(contents))
+
     @inlineCallbacks
     def _append(
         self, query: dict[str, Any], body: bytes, also_accepted: int = _OK
@@ -184,12 +215,18 @@
         return response
 
     @inlineCallbacks
-    def _get(self, path: str, query: dict[str, Any], timeout: Millis) -> Any:
+    def _get(
+        self,
+        path: str,
+        query: dict[str, Any],
+        timeout: Millis,
+        also_accepted: int = _OK,
+    ) -> Any:
         message = BackendMessage(
             method='GET',
             path=f'{path}?{urlencode(query)}',
         )
-        response = yield self._request(message, timeout)
+        response = yield self._request(message, timeout, also_accepted)
         return response
 
     @inlineCallbacks
@@ -205,7 +242,7 @@
         except FetchError as error:
             raise StoreUnavailableError(f'{path}: {error}') from None
         status = response.head.status
-        if status == _GONE:
+        if status == _GONE and also_accepted != _GONE:
             raise StoreGapError(path)
         if status not in {_OK, also_accepted}:
             raise StoreUnavailableError(f'{path}: unexpected status {status}')
--- a/yuccagauge/quarantine/base.py
+++ b/yuccagauge/quarantine/base.py
@@ -104,13 +104,17 @@
             return Millis(0)
         return Millis(entry.crashed_at + QUARANTINE_DURATION - now)
 
-    def awaits_evidence(self, delay: Millis, now: Millis) -> bool:
+    def awaits_evidence(
+        self, delay: Millis, now: Millis, duration: Millis = WATCH_DURATION
+    ) -> bool:
         """Return whether an engine's incarnation may dismiss a crash now.
 
         Parameters
         ----------
         delay
             Time after a run before which no incarnation is evidence.
+        duration
+            Time after that for which it is looked for.
         """
         is_awaited = False
         for engine in tuple(self._watched):
@@ -120,7 +124,7 @@
                 if age >= WATCH_DURATION:
                     self._entries[fingerprint].watched.pop(crash)
                 elif run.evidence is Evidence.INCARNATION:
-                    is_awaited = is_awaited or age >= delay
+                    is_awaited |= delay <= age < delay + duration
         return is_awaited
 
     def engines_with_other_suspects(
--- a/yuccagauge/relay/peers.py
+++ b/yuccagauge/relay/peers.py
@@ -6,6 +6,8 @@
 from yuccagauge.clock import Clock
 from yuccagauge.exchange.origins import OriginBroker
 from yuccagauge.exchange.service import ExchangeService
+from yuccagauge.origins.log import OriginLog
+from yuccagauge.relay.adapter import PlatformAdapter
 from yuccagauge.relay.context import RelayContext
 from yuccagauge.relay.paths import RelayPaths
 from yuccagauge.settings.relay import RelaySettings
@@ -15,6 +17,7 @@
 
 def build_peer_services(
     settings: RelaySettings,
+    adapter: PlatformAdapter,
     context: RelayContext,
     paths: RelayPaths,
     reactor: Any,
@@ -46,8 +49,10 @@
         random_fraction=random_fraction,
     )
     broker = OriginBroker(
+        section.name,
         merger=exchange.merger,
         history=context.selector.versions,
+        log=OriginLog(adapter.origin_store, reactor),
         server=server,
         client=client,
         reactor=reactor,
--- a/yuccagauge/relay/reading.py
+++ b/yuccagauge/relay/reading.py
@@ -70,7 +70,9 @@
     def awaits_evidence(self) -> bool:
         """Return whether an entry of a server may dismiss a crash now."""
         return self._quarantine.awaits_evidence(
-            LATE_HEARTBEAT_TIME, self._clock.now()
+            LATE_HEARTBEAT_TIME,
+            self._clock.now(),
+            readpolicy.EVIDENCE_READ_TIME,
         )
 
     def wait(self, topic: Topic) -> Millis:
--- a/yuccagauge/relay/router.py
+++ b/yuccagauge/relay/router.py
@@ -122,6 +122,7 @@
         }
         self._exchange, self._origin_broker = build_peer_services(
             settings,
+            self._adapter,
             self._context,
             self._paths,
             reactor,
