--- a/yuccagauge/platform/store.py
+++ b/yuccagauge/platform/store.py
@@ -188,8 +188,9 @@
     def read_origins(self) -> Any:
         """Return the origin of each stream in the log, by its key."""
         contents: list[bytes] = []
-        offset, end = 0, 1
-        while offset < end:
+        offset = 0
+        has_more = True
+        while has_more:
             query = {'topic': _ORIGINS_TOPIC, 'part': 0, 'from': offset}
             response = yield self._get(
                 names.LOG_READ_PATH, query, _REPLY_TIMEOUT, _GONE
@@ -199,7 +200,8 @@
                 continue
             end, records = originlog.split_page(response.body)
             contents += records
-            offset = offset + len(records) if records else end
+            offset += len(records)
+            has_more = bool(records) and offset < end
         return dict(originlog.decode_records(contents))
 
     @inlineCallbacks
