--- a/features/quarantine/quarantine.feature
+++ b/features/quarantine/quarantine.feature
@@ -128,3 +128,15 @@
     Given a scripted engine that restarts under a request and then breaks the connection
     When a chat request is sent to it and its load is reported again
     Then the quarantine of the router has 1 crash that counts
+
+  Scenario Outline: Evidence is looked for only while it can come
+    Given a quarantine with a run that ended without an answer
+    Then its router <looks> for evidence <ms> ms later
+
+    Examples:
+      | ms    | looks         |
+      | 9999  | does not look |
+      | 10000 | looks         |
+      | 14499 | looks         |
+      | 14500 | does not look |
+      | 19000 | does not look |
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -9,6 +9,7 @@
 from features.loop import wait_for_call, wait_until
 from features.router_fleet import chat, chat_body
 from yuccagauge.clock import ManualClock, Millis
+from yuccagauge.directory.readpolicy import EVIDENCE_READ_TIME
 from yuccagauge.quarantine import events
 from yuccagauge.quarantine.base import (
     QUARANTINE_DURATION,
@@ -16,11 +17,13 @@
     Quarantine,
     QuarantineStatus,
 )
+from yuccagauge.relay.reading import LATE_HEARTBEAT_TIME
 from yuccagauge.settings.options import Endpoint
 
 _ENGINE = Endpoint('127.0.0.1', 9101)
 _POISON = 'poison: which shift crashes you?'
 _EXPORT_LIMIT = 100
+_ENDED_AT = Millis(5000)
 
 
 def _confirm_crash(context: Context, quarantine: Quarantine, name: str) -> None:
@@ -269,3 +272,21 @@
     assert found == event, context.log_lines
     assert fields['crashes'] == count, fields
     assert fields['fingerprint'] == b'a'.hex(), fields
+
+
+@given('a quarantine with a run that ended without an answer')
+def record_end_of_run(context: Context) -> None:
+    """Record a run whose engine may live on."""
+    context.quarantine = Quarantine()
+    context.quarantine.record_broken_connection(
+        b'fingerprint', _ENGINE, 'incarnation', _ENDED_AT
+    )
+
+
+@then('its router {looks} for evidence {ms:d} ms later')
+def check_evidence_time(context: Context, looks: str, ms: int) -> None:
+    """Guard against hundreds of routers that read the store for 10 s."""
+    found = context.quarantine.awaits_evidence(
+        LATE_HEARTBEAT_TIME, Millis(_ENDED_AT + ms), EVIDENCE_READ_TIME
+    )
+    assert found is (looks == 'looks'), found
