List the servers once for each gap while evidence is awaited

Cause: after a listing the offset of the router's own last read was still the one from before the gap, and a router that awaits evidence reads from there: gap, listing, gap, for up to 4.5 s.

Change: a listing moves that offset.

--- a/features/directory/directory.feature
+++ b/features/directory/directory.feature
@@ -147,3 +147,10 @@
     When peers send recent records for 4 s and the store gets the key "c"
     Then the follower made at most 1 read meanwhile
     And the follower has the keys "a b c"
+
+  Scenario: A router that awaits evidence lists the servers once for each gap
+    Given a follower of a store with the keys "a b", whose entries are noted
+    And it awaits evidence that servers live
+    When the store drops its history and gets the key "c"
+    Then the follower has the keys "a b c"
+    And the store was listed 2 times
--- a/features/steps/directory_reading_steps.py
+++ b/features/steps/directory_reading_steps.py
@@ -239,3 +239,9 @@
 def check_entry_missing(context: Context, key: str) -> None:
     """Guard against an entry that was listed after a gap."""
     assert key not in context.entries, context.entries
+
+
+@then('the store was listed {count:d} times')
+def check_listings(context: Context, count: int) -> None:
+    """Guard against listings that lead to the same gap again and again."""
+    assert context.flaky.listings == count, context.flaky.listings
--- a/features/steps/directory_steps.py
+++ b/features/steps/directory_steps.py
@@ -199,6 +199,7 @@
         """Create an empty store without failures."""
         self.records: list[KeyedRecord] = []
         self.first = 0
+        self.listings = 0
         self.failures = 0
         self.raises_unexpected_error = False
         #: For each read, whether it failed as unavailable, and its wait in ms.
@@ -215,6 +216,7 @@
 
     def list_newest(self, topic: Topic) -> Deferred[StorePage]:
         """Return all records."""
+        self.listings += 1
         page = StorePage(
             records=tuple(self.records),
             next_offset=len(self.records),
--- a/yuccagauge/directory/follower.py
+++ b/yuccagauge/directory/follower.py
@@ -145,6 +145,7 @@
         sent_at = self._clock.now()
         page = yield self._store.list_newest(self._topic)
         self._record_answer(sent_at)
+        self._read_up_to = page.next_offset
         now = self._clock.now()
         self._directory.apply_listing(
             self._topic, page.records, page.next_offset, now
--- a/yuccagauge/gateway/channel.py
+++ b/yuccagauge/gateway/channel.py
@@ -15,12 +15,12 @@
 from yuccagauge.verdict import Refusal, not_run_refusal
 
 #: An idle connection between two requests is closed after this time.
+_IDLE_SECONDS = 75
+
 #: Time for which a connection that was accepted may bring its first request
 #: while the router stops.
 _FIRST_REQUEST_SECONDS = 1
 
-_IDLE_SECONDS = 75
-
 #: The most headers of one request.
 _MAXIMUM_HEADERS = 200
 
@@ -110,10 +110,10 @@
             Whether a connection on which nothing has arrived stays open: its
             first request may be on the way.
         """
-        is_new = may_be_new and not self._has_received
-        is_arriving = self._clock_call is not None
         if self not in self.site.channels:
             return
+        is_new = may_be_new and not self._has_received
+        is_arriving = self._clock_call is not None
         if not (self.requests or is_arriving or is_new):
             self.loseConnection()
 
