--- a/features/crash_fleet.py
+++ b/features/crash_fleet.py
@@ -239,7 +239,7 @@
             lease_store=store,
             crash_store=store,
             version_store=store,
-            origin_store=store,
+            origin_log_store=store,
             order_client=None,
             cache_event_source=self.cache_event_source,
             ready_path='/ready',
--- a/yuccagauge/origins/log.py
+++ b/yuccagauge/origins/log.py
@@ -27,7 +27,7 @@
 _MAXIMUM_READS = 10
 
 
-class OriginStore(Protocol):
+class OriginLogStore(Protocol):
     """Appends the origins of streams to a log, and reads them."""
 
     def append_origins(
@@ -62,7 +62,7 @@
         Schedules the appends.
     """
 
-    def __init__(self, store: OriginStore, reactor: Any) -> None:
+    def __init__(self, store: OriginLogStore, reactor: Any) -> None:
         """Create a log that makes no call yet."""
         self._store = store
         self._reactor = reactor
--- a/yuccagauge/peerpath/dialer.py
+++ b/yuccagauge/peerpath/dialer.py
@@ -90,7 +90,7 @@
 
     def probe_lost(self) -> None:
         """Try the direct way to servers that are not reached."""
-        for server in self._reach.due_probes(self._clock.now()):
+        for server in self._reach.take_due_probes(self._clock.now()):
             self._probe(server)
 
     def remove_gone(self) -> None:
--- a/yuccagauge/peerpath/reach.py
+++ b/yuccagauge/peerpath/reach.py
@@ -108,8 +108,8 @@
         lost.probe_at = self._next_probe(now)
         return True
 
-    def due_probes(self, now: Millis) -> tuple[Endpoint, ...]:
-        """Return the servers that are due for an attempt that no call makes.
+    def take_due_probes(self, now: Millis) -> tuple[Endpoint, ...]:
+        """Return the servers that are due for an attempt, and plan the next.
 
         Load pattern: a partition ends, and a router with few calls would send
         the next one to each server through a peer.
--- a/yuccagauge/relay/adapter.py
+++ b/yuccagauge/relay/adapter.py
@@ -9,7 +9,7 @@
 from yuccagauge.directory.store import KeyedStore
 from yuccagauge.dispatch.connection import ConnectionPool
 from yuccagauge.origins.archive import VersionStore
-from yuccagauge.origins.log import OriginStore
+from yuccagauge.origins.log import OriginLogStore
 from yuccagauge.quarantine.archive import CrashStore
 from yuccagauge.relay.base import BackendProtocol, CallDecoder, ResponseInfo
 from yuccagauge.rollout.base import LeaseStore, WeightsOrderClient
@@ -30,7 +30,7 @@
     lease_store: LeaseStore
     crash_store: CrashStore
     version_store: VersionStore
-    origin_store: OriginStore
+    origin_log_store: OriginLogStore
     order_client: WeightsOrderClient
     cache_event_source: CacheEventSource
     #: Path of the load balancer's readiness check.
--- a/yuccagauge/relay/peers.py
+++ b/yuccagauge/relay/peers.py
@@ -52,7 +52,7 @@
         section.name,
         merger=exchange.merger,
         history=context.selector.versions,
-        log=OriginLog(adapter.origin_store, reactor),
+        log=OriginLog(adapter.origin_log_store, reactor),
         server=server,
         client=client,
         reactor=reactor,
