Check how many routers read the store in each data centre of a test

Cause: a step of the exchange's test had said that two routers of each data centre read, and said some since their number follows the size.

Change: each row names the number, and the step checks it; two more rows at the size at which it changes.

--- a/features/exchange/exchange.feature
+++ b/features/exchange/exchange.feature
@@ -42,19 +42,21 @@
       | 6100  | is not alive |
 
   Scenario Outline: Records that a few routers read soon reach all of a large fleet
-    Given a fleet of <routers> routers in 3 data centres, of which some in each read every <period> ms
+    Given a fleet of <routers> routers in 3 data centres, of which <readers> in each read every <period> ms
     When they exchange for 20 s
     Then the state of a router was confirmed less than <age> ms ago in 99 of 100 samples
     And no data centre gets more than half of its answers from others
 
     Examples:
-      | routers | period | age  |
-      | 9       | 400    | 2000 |
-      | 90      | 400    | 2000 |
-      | 450     | 400    | 2000 |
-      | 90      | 800    | 3000 |
-      | 195     | 800    | 3000 |
-      | 450     | 800    | 3000 |
+      | routers | readers | period | age  |
+      | 9       | 2       | 400    | 2000 |
+      | 24      | 2       | 400    | 2000 |
+      | 27      | 1       | 400    | 2000 |
+      | 90      | 1       | 400    | 2000 |
+      | 450     | 1       | 400    | 2000 |
+      | 90      | 1       | 800    | 3000 |
+      | 195     | 1       | 800    | 3000 |
+      | 450     | 1       | 800    | 3000 |
 
   Scenario Outline: Exchanges that each list a few routers keep all routers known
     Given a fleet of <routers> routers in 3 data centres, of which each knows the first
--- a/features/steps/exchange_fleet_steps.py
+++ b/features/steps/exchange_fleet_steps.py
@@ -32,10 +32,10 @@
 
 
 @given(
-    'a fleet of {routers:d} routers in 3 data centres, of which some in each '
-    'read every {ms:d} ms'
+    'a fleet of {routers:d} routers in 3 data centres, of which {readers:d} in '
+    'each read every {ms:d} ms'
 )
-def start_fleet(context: Context, routers: int, ms: int) -> None:
+def start_fleet(context: Context, routers: int, readers: int, ms: int) -> None:
     """Create the routers and choose those that read the store."""
     context.fleet = [_member(number) for number in range(routers)]
     context.read_period = ms
@@ -52,6 +52,7 @@
             ),
         )
     }
+    assert len(context.readers) == 3 * readers, len(context.readers)
 
 
 @when('they exchange for {seconds:d} s')
