Split the steps of channels from those of accepted requests

Change: the steps for channels that are idle, paused or about to close are in a file of their own; no step has changed.

--- a/features/steps/relay_accepted_steps.py
+++ b/features/steps/relay_accepted_steps.py
@@ -10,8 +10,8 @@
 from twisted.internet import reactor
 
 from features.config_changes import changed_configuration
-from features.loop import run_blocking, wait_until
-from features.relay_fixture import MODEL_HEADERS, configuration, request
+from features.loop import wait_until
+from features.relay_fixture import MODEL_HEADERS, request
 from features.relay_servers import (
     BEHAVIOURS,
     CHUNKED,
@@ -33,10 +33,10 @@
 _HEAD_END = b'\r\n\r\n'
 _LAST_CHUNK = b'\r\n0\r\n\r\n'
 _SELECTION_INTERVAL = Millis(20)
-_MEGABYTE = 1_000_000
 
 
-def _run_reactor(ms: int) -> None:
+def run_reactor(ms: int) -> None:
+    """Run the event loop for a time."""
     end = reactor.seconds() + ms / 1000
     wait_until(lambda: reactor.seconds() >= end)
 
@@ -110,7 +110,7 @@
     send_request(context, request('book'))
     wait_until(lambda: context.has_waited or bool(context.servers[0].exchanges))
     # The relay reads what the server sent, and some time is used.
-    _run_reactor(20)
+    run_reactor(20)
 
 
 @when('the configuration changes: {change}')
@@ -119,7 +119,7 @@
     known = context.fixture.directory.configuration
     document = changed_configuration(change, known.version + 1)
     context.fixture.configure(document)
-    _run_reactor(20)
+    run_reactor(20)
 
 
 @when('the server goes on')
@@ -128,7 +128,8 @@
     context.go_on()
 
 
-def _wait_until_no_call_is_left(context: Context) -> None:
+def wait_until_no_call_is_left(context: Context) -> None:
+    """Run the event loop until the relay has no call."""
     relay_context = context.fixture.relay_context
     wait_until(lambda: not relay_context.running_calls)
     for load in context.fixture.selector.loads.values():
@@ -144,7 +145,14 @@
     assert received.endswith(end), received
     if context.is_stream:
         assert received.count(b'data: ') == 3, received
-    _wait_until_no_call_is_left(context)
+    wait_until_no_call_is_left(context)
+
+
+def send_and_read(context: Context) -> None:
+    """Send a request, and read its answer."""
+    send_request(context, request('book'))
+    context.caller.read_until(b'done')
+    context.caller.received = b''
 
 
 @given('a channel of a caller with an answer')
@@ -152,7 +160,7 @@
     """Leave an idle channel to a relay whose server answers."""
     context.go_on = None
     start_relay_with_plain_server(context, BEHAVIOURS['answers'])
-    _send_and_read(context)
+    send_and_read(context)
 
 
 @given('a channel of a caller with an answer that has begun')
@@ -170,7 +178,7 @@
     context.caller.send(request('book', 'r2'))
     if context.go_on is None:
         return
-    _run_reactor(20)
+    run_reactor(20)
     context.go_on()
     received = context.caller.read_until(_LAST_CHUNK)
     assert _LAST_CHUNK in received, received
@@ -182,7 +190,7 @@
     """Guard against channels that end without an answer to a request."""
     received = context.caller.read_until(_HEAD_END)
     assert received.startswith(b'HTTP/1.1 %d' % status), received
-    _wait_until_no_call_is_left(context)
+    wait_until_no_call_is_left(context)
 
 
 @then('a new caller gets status {status:d}')
@@ -250,7 +258,7 @@
 @then('no call is left, and the log names the error')
 def check_logged_error(context: Context) -> None:
     """Guard against errors that leave no line and calls that stay."""
-    _wait_until_no_call_is_left(context)
+    wait_until_no_call_is_left(context)
     errors = [fields.get('error') for _, fields in context.log_lines]
     assert 'RuntimeError' in errors, context.log_lines
 
@@ -285,120 +293,4 @@
     assert received.startswith(b'HTTP/1.1 200'), received
     if b'Content-Length: 9' in received:
         assert context.caller.read_all().endswith(b'RESET')
-    _wait_until_no_call_is_left(context)
-
-
-@given('an idle timeout of {ms:d} ms')
-def relay_with_idle_timeout(context: Context, ms: int) -> None:
-    """Start a relay whose channels close soon."""
-    context.go_on = None
-    start_relay_with_plain_server(context, BEHAVIOURS['answers'])
-    document = configuration()
-    document['version'] += 1
-    document['limits']['idleTimeoutMs'] = ms
-    context.fixture.configure(document)
-
-
-def _send_and_read(context: Context) -> None:
-    send_request(context, request('book'))
-    context.caller.read_until(b'done')
-    context.caller.received = b''
-
-
-@given('a caller that {before}')
-def caller_before_pause(context: Context, before: str) -> None:
-    """Bring a channel into a state."""
-    data = request('book', 'r2')
-    sent = {
-        'was answered': 0,
-        'has sent half a head': 40,
-        'has sent half a body': len(data) - 2,
-    }[before]
-    if sent:
-        send_request(context, data[:sent])
-    else:
-        _send_and_read(context)
-    _run_reactor(20)
-    context.rest = data[sent:]
-
-
-@when('the relay is paused for {ms:d} ms, and {some_bytes} arrives meanwhile')
-def pause_relay(context: Context, ms: int, some_bytes: str) -> None:
-    """Do not run the event loop while bytes arrive and timers fall due."""
-    context.caller.send(context.rest)
-    time.sleep(ms / 1000)
-
-
-@when('{ms:d} ms pass')
-def pass_time(context: Context, ms: int) -> None:
-    """Run the relay for a time."""
-    _run_reactor(ms)
-
-
-@then('the channel is closed')
-def check_closed(context: Context) -> None:
-    """Guard against channels that stay open for good."""
-    wait_until(lambda: not context.fixture.callers.channels)
-    assert not context.caller.read_all()
-
-
-@when('its next request is sent and idle channels are closed before it is read')
-def close_before_read(context: Context) -> None:
-    """Close idle channels while a request waits to be read."""
-    context.caller.send(request('book', 'r2'))
-    time.sleep(0.02)
-    context.fixture.callers.stop_keep_alive()
-    context.fixture.callers.close_idle_channels()
-
-
-@when('the relay stops to keep channels alive')
-def stop_keep_alive(context: Context) -> None:
-    """Begin a stop while an answer is under way."""
-    context.fixture.callers.stop_keep_alive()
-
-
-@when('a caller sends {some_bytes} and then reads')
-def send_refused_bytes(context: Context, some_bytes: str) -> None:
-    """Send bytes that the relay refuses before it has read them all."""
-    data = request('book', body=b'x' * 1_000_000)
-    if 'malformed' in some_bytes:
-        data = request('book').replace(b'Host:', b'Host :')
-        data += request('book', 'r2', body=b'x' * 1_000_000)
-    caller = send_request(context, data[:100])
-    run_blocking(caller.send, data[100:])
-
-
-@then('the caller has a whole refusal with status {status:d} and no reset')
-def check_whole_refusal(context: Context, status: int) -> None:
-    """Guard against resets that overtake a refusal."""
-    received = context.caller.read_all()
-    assert received.startswith(b'HTTP/1.1 %d' % status), received
-    assert received.endswith(b'}'), received
-
-
-@given('a relay whose plain server answers with {size:d} MB')
-def relay_with_large_answer(context: Context, size: int) -> None:
-    """Start a relay whose answers do not fit into the buffers of a socket."""
-    body = b'x' * (size * _MEGABYTE)
-    start_relay_with_plain_server(
-        context, lambda exchange: exchange.answer(200, body)
-    )
-
-
-@when(
-    'a caller asks to close its channel after the answer, and sends more bytes'
-)
-def send_behind_last_request(context: Context) -> None:
-    """Send bytes that the relay may ignore, before the answer is read."""
-    data = request('book', headers=('Connection: close',))
-    send_request(context, data)
-    _wait_until_no_call_is_left(context)
-    context.caller.send(request('book', 'r2'))
-    _run_reactor(50)
-
-
-@then('the caller gets all {size:d} MB of the answer')
-def check_large_answer(context: Context, size: int) -> None:
-    """Guard against resets that overtake an answer."""
-    received = context.caller.read_all().partition(_HEAD_END)[2]
-    assert len(received) == size * _MEGABYTE, len(received)
+    wait_until_no_call_is_left(context)
