End a call at once when a timer of it raises an unexpected exception

Cause: only what runs within the acceptance of a call was guarded. A later selection, as each other timer of a call and the answer to a question for the origin of its stream, raised into the reactor, and the caller waited until its deadline.

Change: the timers of a call and what follows such an answer end the call with a refusal that says what has run. One constant that stood in four files is a property of the response head.

--- a/yuccagauge/dispatch/base.py
+++ b/yuccagauge/dispatch/base.py
@@ -87,6 +87,9 @@
         """End without a complete answer; at any time before ``finish``."""
 
 
+#: From this status on, a server states that it failed.
+_FIRST_SERVER_ERROR = 500
+
 #: Statuses whose responses have no body.
 _BODILESS_STATUSES = frozenset((204, 304))
 
@@ -108,6 +111,11 @@
     status: int
     headers: tuple[Header, ...]
 
+    @property
+    def is_server_error(self) -> bool:
+        """Whether the server states that it failed."""
+        return self.status >= _FIRST_SERVER_ERROR
+
     @property
     def framing(self) -> Framing:
         """What ends the body."""
--- a/yuccagauge/dispatch/plainattempt.py
+++ b/yuccagauge/dispatch/plainattempt.py
@@ -23,7 +23,6 @@
 #: in part; a longer one is refused.
 MAXIMUM_ANSWER_BYTES = 8_000_000
 
-_FIRST_SERVER_ERROR = 500
 _UNAVAILABLE = 503
 
 #: Headers that belong to one connection, or that the router sets itself.
@@ -123,7 +122,7 @@
         has_no_frame = self._head.framing is Framing.CONNECTION
         if is_refusal and self._plan.truthful:
             self._end(Ending.NOT_RUN, Verdict.NOT_RUN, 'refused as not run')
-        elif has_no_frame and self._head.status < _FIRST_SERVER_ERROR:
+        elif has_no_frame and not self._head.is_server_error:
             self._end_check.start(self.server, self._judge_end)
         else:
             self._end(Ending.DONE, Verdict.ANSWERED, '')
--- a/yuccagauge/relay/call.py
+++ b/yuccagauge/relay/call.py
@@ -14,6 +14,7 @@
 from yuccagauge.relay.base import RelayCall, ResponseInfo
 from yuccagauge.relay.context import RelayContext
 from yuccagauge.relay.exchanges import open_exchange
+from yuccagauge.relay.faults import CallGuard
 from yuccagauge.relay.repeats import CallRepeats
 from yuccagauge.relay.report import CallReporter
 from yuccagauge.relay.response import ResponseForwarder
@@ -22,8 +23,6 @@
 from yuccagauge.selection.base import SelectionDecision, SelectionRequest
 from yuccagauge.verdict import Refusal, Verdict
 
-_FIRST_SERVER_ERROR_STATUS = 500
-
 
 class CallForwarder:
     """Forwards one call, from its acceptance to its answer.
@@ -60,7 +59,8 @@
         self._verdict = Verdict.NOT_RUN
         self._repeats = CallRepeats(call, context)
         self._has_ended = False
-        self._timers = Timers(context.call_later)
+        self._guard = CallGuard(call.fields.request_id, self.abort_call)
+        self._timers = Timers(self._guard.guard_timers(context.call_later))
         self._end_check = EndCheck(context.pool, self._timers)
         self._stall_monitor = StallMonitor(
             self._repeats,
@@ -79,7 +79,8 @@
         self._sink.watch(self)
         remaining = self._call.deadline - self._context.clock.now()
         self._timers.start('deadline', remaining, self._handle_deadline)
-        self._context.origins.resolve(self._call, self._handle_origin)
+        handle_origin = self._guard.guard(self._handle_origin)
+        self._context.origins.resolve(self._call, handle_origin)
 
     def pause(self) -> None:
         """Stop reading from the server, because the caller reads slower."""
@@ -146,7 +147,7 @@
         """Handle the end of a response by its framing."""
         self._attempt.record_activity()
         self._takeover.finish()
-        failed = self._response.status >= _FIRST_SERVER_ERROR_STATUS
+        failed = self._response.is_server_error
         if self._response.is_inside_event and not failed:
             self._handle_broken_attempt('the stream ended inside an event')
         elif self._response.ends_with_connection and not failed:
@@ -159,8 +160,7 @@
 
     def lost(self, reason: str) -> None:
         """Handle a connection that failed before the response was complete."""
-        verdict = self._exchange.verdict
-        if verdict is Verdict.NOT_RUN:
+        if self._exchange.verdict is Verdict.NOT_RUN:
             self._handle_connect_failure('unreachable')
             return
         self._handle_broken_attempt(reason)
--- a/yuccagauge/relay/response.py
+++ b/yuccagauge/relay/response.py
@@ -15,7 +15,6 @@
 _CONTENT_LENGTH = b'content-length'
 _OK = 200
 _FIRST_ERROR_STATUS = 400
-_FIRST_SERVER_ERROR_STATUS = 500
 
 #: Responses up to this size are buffered until they are complete, so that a
 #: retryable call can still move to another server.
@@ -106,6 +105,11 @@
         """The status of the response, or 0 before its head arrives."""
         return self._head.status if self._head is not None else 0
 
+    @property
+    def is_server_error(self) -> bool:
+        """Whether the server states that it failed."""
+        return self._head is not None and self._head.is_server_error
+
     @property
     def is_inside_event(self) -> bool:
         """Whether the last event of a stream is not complete."""
@@ -205,7 +209,7 @@
             the caller has a part of.
         """
         is_rest = _is_event_stream(head) and head.status == _OK
-        if head.status >= _FIRST_SERVER_ERROR_STATUS or (
+        if head.is_server_error or (
             (self._has_started or self._resumed_after) and not is_rest
         ):
             raise ContinuationError(
--- a/yuccagauge/relay/takeover.py
+++ b/yuccagauge/relay/takeover.py
@@ -13,8 +13,6 @@
 from yuccagauge.relay.response import ResponseForwarder
 from yuccagauge.selection.base import SelectionDecision, SelectionRequest
 
-_FIRST_SERVER_ERROR_STATUS = 500
-
 
 class TakeoverOwner(ResponseUser, Protocol):
     """The call, which sends the next attempt."""
@@ -173,7 +171,7 @@
         info = self._context.backend_protocol.parse_head(head)
         if info.is_not_run or info.is_misdirected:
             self._end_answered(head, info)
-        elif head.status >= _FIRST_SERVER_ERROR_STATUS:
+        elif head.is_server_error:
             self._repeats.record_run()
             self._end_answered(head, info)
         elif self.try_return():
