Name an internal error in the refusal of a call that it ends

Cause: a call that an unexpected exception ended was refused as if the router stopped.

Change: the code of the refusal is internal_error. A scenario for the second place of the cause, what follows the answer to a question for the origin of a stream, is added; it fails without the guard there.

--- a/features/origins/origins.feature
+++ b/features/origins/origins.feature
@@ -77,3 +77,9 @@
     When a router starts with engines of "v2" only
     Then it knows that "v1 v2" may have begun a stream
     And it writes "nothing" once "v1" is forgotten
+
+  Scenario: An unexpected error after the origin of a stream is found ends the call at once
+    Given a relay with engines of the versions "v1 v2" that know how to go on
+    And the origin of a stream is found after 50 ms, and the selection of a server then fails
+    When a caller takes up the stream of "r0" after event 1
+    Then the caller gets status 503 and the code "internal_error"
--- a/features/steps/origins_steps.py
+++ b/features/steps/origins_steps.py
@@ -5,8 +5,10 @@
 
 from behave import given, then, when
 from behave.runner import Context
+from twisted.internet import reactor
 from twisted.internet.defer import Deferred, succeed
 from twisted.internet.task import Clock as TaskClock
+from twisted.internet.task import deferLater
 
 from features.relay_fixture import KEY, MODEL_HEADERS, configuration, request
 from features.relay_servers import event, send_events, stream_events
@@ -124,6 +126,25 @@
     server.script = restart
 
 
+def _fail(*_: object) -> None:
+    raise RuntimeError('unexpected')
+
+
+@given(
+    'the origin of a stream is found after {ms:d} ms, and the selection of a '
+    'server then fails'
+)
+def fail_after_origin(context: Context, ms: int) -> None:
+    """Answer the question for an origin late, and break what follows."""
+    origin = StreamOrigin(service='model', software_version='v1')
+
+    def find(key: bytes) -> Deferred[StreamOrigin | None]:
+        return deferLater(reactor, ms / 1000, lambda: origin)
+
+    context.origins.find = find
+    context.fixture.selector.choose = _fail
+
+
 @when('a caller takes up the stream of "{request_id}" after event {number:d}')
 def take_up(context: Context, request_id: str, number: int) -> None:
     """Send a request for the rest of a stream."""
--- a/yuccagauge/relay/call.py
+++ b/yuccagauge/relay/call.py
@@ -104,11 +104,11 @@
         self._abandon_exchange()
         self._finish_call('caller_left')
 
-    def abort_call(self) -> None:
-        """End the call at once, because the router stops."""
+    def abort_call(self, code: str = 'router_stops') -> None:
+        """End the call at once, because the router stops or has failed."""
         if not self._has_ended:
             self._abandon_exchange()
-            self._refuse(self._unanswered_refusal('router_stops'))
+            self._refuse(self._unanswered_refusal(code))
 
     def head(self, head: ResponseHead) -> None:
         """Handle the head of a server's response."""
--- a/yuccagauge/relay/faults.py
+++ b/yuccagauge/relay/faults.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from yuccagauge.dispatch.base import CallLater
+from yuccagauge.relay import refusals
 from yuccagauge.telemetry.guard import record_call_fault
 
 
@@ -18,10 +19,12 @@
     request_id
         Id of the request, for the log.
     abort_call
-        Ends the call with a refusal that says what has run.
+        Ends the call with a refusal that has a code and says what has run.
     """
 
-    def __init__(self, request_id: str, abort_call: Callable[[], None]) -> None:
+    def __init__(
+        self, request_id: str, abort_call: Callable[[str], None]
+    ) -> None:
         """Guard one call."""
         self._request_id = request_id
         self._abort_call = abort_call
@@ -35,7 +38,7 @@
                 function(*arguments)
             except Exception as error:  # noqa: BLE001
                 record_call_fault('continue_call', self._request_id, error)
-                self._abort_call()
+                self._abort_call(refusals.INTERNAL_ERROR)
 
         return run
 
--- a/yuccagauge/relay/refusals.py
+++ b/yuccagauge/relay/refusals.py
@@ -7,6 +7,9 @@
 #: refused because servers are full or unreachable.
 FULL_RETRY_AFTER = Millis(250)
 
+#: Code of refusals after an exception that no code expected.
+INTERNAL_ERROR = 'internal_error'
+
 BAD_REQUEST = 400
 UNAUTHORIZED = 401
 NOT_FOUND = 404
--- a/yuccagauge/relay/relay.py
+++ b/yuccagauge/relay/relay.py
@@ -85,7 +85,7 @@
         except Exception as error:  # noqa: BLE001
             # Without a refusal the caller's channel would just be closed.
             record_call_fault('admit_call', request_id, error)
-            refusal = refusals.not_run('internal_error', None)
+            refusal = refusals.not_run(refusals.INTERNAL_ERROR, None)
             self._refuse(request_id, sink, refusal)
             return
         forwarder = CallForwarder(call, selection_request, sink, self._context)
@@ -93,7 +93,7 @@
             forwarder.start()
         except Exception as error:  # noqa: BLE001
             record_call_fault('start_call', request_id, error)
-            forwarder.abort_call()
+            forwarder.abort_call(refusals.INTERNAL_ERROR)
 
     def abort_calls(self) -> None:
         """End all running calls at once, because the router stops."""
