--- a/features/sparse_fleet.py
+++ b/features/sparse_fleet.py
@@ -25,7 +25,7 @@
 _PARTNERS = 3
 _EXCHANGE_PERIOD = 500
 
-#: The engines of the users' large site, in ms and tokens.
+#: Speed and cache of an engine, in ms and tokens.
 _PREFILL_TOKENS_PER_MS = 90.0
 _FIRST_TOKEN_MS = 83
 _CACHED_SUBJECTS = 14
