--- a/features/platform/origin_log.feature
+++ b/features/platform/origin_log.feature
@@ -35,3 +35,16 @@
     Given a store of origins that is down
     When a router looks for what must be read 50 times
     Then the log was read 10 times, and nothing was raised
+
+  Scenario Outline: Streams of an outage are appended after it
+    Given a store of origins that is down
+    And a router appends <streams> streams
+    When the store is back after <seconds> s
+    Then the log has the last <kept> of them, after at most <calls> calls
+
+    Examples:
+      | streams | seconds | kept   | calls |
+      | 3       | 0       | 3      | 1     |
+      | 3       | 4       | 3      | 10    |
+      | 70000   | 0       | 70000  | 2     |
+      | 140000  | 2       | 131072 | 8     |
--- a/features/simulated_store.py
+++ b/features/simulated_store.py
@@ -1,7 +1,7 @@
 """The platform's store in memory, in virtual time, with its faults."""
 
 import json
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from typing import Any
 
@@ -175,7 +175,7 @@
         return self._answer(name, write)
 
     def append_origins(
-        self, name: str, streams: Mapping[StreamOrigin, tuple[bytes, ...]]
+        self, name: str, streams: Mapping[StreamOrigin, Sequence[bytes]]
     ) -> Deferred[None]:
         """Append the keys of streams by their origin."""
 
@@ -286,7 +286,7 @@
         return Deferred()
 
     def append_origins(
-        self, streams: Mapping[StreamOrigin, tuple[bytes, ...]]
+        self, streams: Mapping[StreamOrigin, Sequence[bytes]]
     ) -> Deferred[None]:
         """Append the keys of streams by their origin."""
         return self._store.append_origins(self._name, streams)
--- a/features/steps/platform_origins_steps.py
+++ b/features/steps/platform_origins_steps.py
@@ -3,6 +3,8 @@
 import json
 import struct
 from collections import Counter
+from collections.abc import Mapping, Sequence
+from itertools import repeat
 
 from behave import given, then, when
 from behave.runner import Context
@@ -20,6 +22,7 @@
 
 _OK = 200
 _GONE = 410
+_STEP_S = 0.05
 _LENGTH = struct.Struct('>I')
 
 _MALFORMED = {
@@ -134,10 +137,24 @@
 
 
 class _DownStore:
-    """Answers nothing, and counts the reads."""
+    """Answers nothing until it is back, and counts the calls."""
 
     def __init__(self) -> None:
+        self.is_down = True
         self.reads = 0
+        self.appends = 0
+        self.keys: list[bytes] = []
+
+    def append_origins(
+        self, streams: Mapping[StreamOrigin, Sequence[bytes]]
+    ) -> Deferred[None]:
+        """Keep the keys, or fail."""
+        self.appends += 1
+        if self.is_down:
+            return fail(StoreUnavailableError('down'))
+        for keys in streams.values():
+            self.keys += keys
+        return succeed(None)
 
     def read_origins(self) -> Deferred[None]:
         """Fail as a store that is down."""
@@ -149,7 +166,8 @@
 def start_log(context: Context) -> None:
     """Create a log before a store that is down."""
     context.down = _DownStore()
-    context.log = OriginLog(context.down, Clock())
+    context.time = Clock()
+    context.log = OriginLog(context.down, context.time)
 
 
 @when('a router looks for what must be read {times:d} times')
@@ -164,3 +182,27 @@
 def check_reads(context: Context, times: int) -> None:
     """Guard against calls to the store that never end."""
     assert context.down.reads == times, context.down.reads
+
+
+@given('a router appends {count:d} streams')
+def append_streams(context: Context, count: int) -> None:
+    """Add streams of one version."""
+    context.keys = _keys('v1', count)
+    origin = StreamOrigin(service='s', software_version='v1')
+    for key in context.keys:
+        context.log.add(key, origin)
+
+
+@when('the store is back after {seconds:d} s')
+def bring_back(context: Context, seconds: int) -> None:
+    """Pass the time of the outage, and some time after it."""
+    context.time.pump(repeat(_STEP_S, 20 * seconds))
+    context.down.is_down = False
+    context.time.pump(repeat(_STEP_S, 40))
+
+
+@then('the log has the last {kept:d} of them, after at most {calls:d} calls')
+def check_appended(context: Context, kept: int, calls: int) -> None:
+    """Guard against streams that are lost, and calls that repeat all."""
+    assert sorted(context.down.keys) == sorted(context.keys[-kept:])
+    assert context.down.appends <= calls, context.down.appends
--- a/yuccagauge/platform/originlog.py
+++ b/yuccagauge/platform/originlog.py
@@ -2,7 +2,7 @@
 
 import json
 import struct
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 
 from yuccagauge.directory.store import StoreUnavailableError
 from yuccagauge.origins.base import KEY_BYTES, StreamOrigin
@@ -17,7 +17,7 @@
 
 
 def encode_records(
-    streams: Mapping[StreamOrigin, tuple[bytes, ...]],
+    streams: Mapping[StreamOrigin, Sequence[bytes]],
 ) -> bytes:
     """Return the records with the keys of streams by their origin."""
     return b''.join(
@@ -83,7 +83,7 @@
         raise StoreUnavailableError(f'malformed response: {kind}') from None
 
 
-def _encode_record(origin: StreamOrigin, keys: tuple[bytes, ...]) -> bytes:
+def _encode_record(origin: StreamOrigin, keys: Sequence[bytes]) -> bytes:
     name = json.dumps([origin.service, origin.software_version]).encode()
     content = _NAME_LENGTH.pack(len(name)) + name + b''.join(keys)
     return _LENGTH.pack(len(content)) + content
--- a/yuccagauge/platform/store.py
+++ b/yuccagauge/platform/store.py
@@ -3,7 +3,7 @@
 import base64
 import json
 import struct
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Any
 from urllib.parse import urlencode
@@ -178,7 +178,7 @@
 
     @inlineCallbacks
     def append_origins(
-        self, streams: Mapping[StreamOrigin, tuple[bytes, ...]]
+        self, streams: Mapping[StreamOrigin, Sequence[bytes]]
     ) -> Any:
         """Append the keys of streams by their origin."""
         query = {'topic': _ORIGINS_TOPIC, 'part': 0}
