Decode the pages of the store's log in one place

Cause: the framing of records was decoded once for keyed topics and once for the log of stream origins.

Change: platform/pages.py has it; no behaviour.

--- a/features/simulated_store.py
+++ b/features/simulated_store.py
@@ -18,11 +18,8 @@
     StoreUnavailableError,
 )
 from yuccagauge.origins.base import StreamOrigin
-from yuccagauge.platform.originlog import (
-    decode_records,
-    encode_records,
-    split_page,
-)
+from yuccagauge.platform.originlog import decode_records, encode_records
+from yuccagauge.platform.pages import split_page
 from yuccagauge.quarantine.archive import StoredCrash
 from yuccagauge.rollout.base import LeaseState
 
--- a/yuccagauge/platform/originlog.py
+++ b/yuccagauge/platform/originlog.py
@@ -13,7 +13,6 @@
 
 _LENGTH = struct.Struct('>I')
 _NAME_LENGTH = struct.Struct('>H')
-_PAGE_HEADER = struct.Struct('>QQ')
 
 
 def encode_records(
@@ -46,28 +45,6 @@
             yield keys[start : start + KEY_BYTES], origin
 
 
-def split_page(body: bytes) -> tuple[int, tuple[bytes, ...]]:
-    """Return the end offset of the log, and the records of one answer.
-
-    Raises
-    ------
-    StoreUnavailableError
-        If the answer is malformed or truncated.
-    """
-    contents: list[bytes] = []
-    position = _PAGE_HEADER.size
-    try:
-        end, _ = _PAGE_HEADER.unpack_from(body)
-        while position < len(body):
-            length = _LENGTH.unpack_from(body, position)[0]
-            position += _LENGTH.size
-            contents.extend(struct.unpack_from(f'{length}s', body, position))
-            position += length
-    except struct.error as error:
-        raise StoreUnavailableError(f'malformed records: {error}') from None
-    return end, tuple(contents)
-
-
 def first_offset(body: bytes) -> int:
     """Return the first offset that the store has, by its answer to a gap.
 
--- a/yuccagauge/platform/store.py
+++ b/yuccagauge/platform/store.py
@@ -22,6 +22,7 @@
 from yuccagauge.dispatch.fetch import Fetched, FetchError
 from yuccagauge.origins.base import StreamOrigin
 from yuccagauge.platform import names, originlog
+from yuccagauge.platform.pages import split_page
 from yuccagauge.quarantine.archive import StoredCrash
 from yuccagauge.rollout.base import LeaseState
 from yuccagauge.telemetry.journal import log_state_change
@@ -56,7 +57,6 @@
 _REPLY_TIMEOUT = Millis(1200)
 
 _RECORD_LENGTH = struct.Struct('>I')
-_PAGE_HEADER = struct.Struct('>QQ')
 
 #: Sends a request to the store and returns a Deferred of the response.
 StoreCall = Callable[[BackendMessage, Millis], Deferred[Fetched]]
@@ -198,7 +198,7 @@
             if response.head.status == _GONE:
                 offset = max(offset + 1, originlog.first_offset(response.body))
                 continue
-            end, records = originlog.split_page(response.body)
+            end, records = split_page(response.body)
             contents += records
             offset += len(records)
             has_more = bool(records) and offset < end
@@ -259,20 +259,16 @@
     StoreUnavailableError
         If the body is malformed or truncated.
     """
-    records: list[KeyedRecord] = []
-    position = _PAGE_HEADER.size
+    _, contents = split_page(body)
     try:
-        _PAGE_HEADER.unpack_from(body)
-        while position < len(body):
-            length = _RECORD_LENGTH.unpack_from(body, position)[0]
-            position += _RECORD_LENGTH.size
-            content = struct.unpack_from(f'{length}s', body, position)[0]
-            position += length
-            records.append(_decode_record(content, offset + len(records)))
-    except (struct.error, IndexError) as error:
+        records = tuple(
+            _decode_record(content, number)
+            for number, content in enumerate(contents, offset)
+        )
+    except IndexError as error:
         raise StoreUnavailableError(f'malformed records: {error}') from None
     return StorePage(
-        records=tuple(records),
+        records=records,
         next_offset=offset + len(records),
     )
 
