--- a/yuccagauge/relay/base.py
+++ b/yuccagauge/relay/base.py
@@ -149,6 +149,9 @@
     server: BackendServer
     #: Weights version that the engine has to use; ``None`` for plain calls.
     weights_version: int | None = None
+    #: Time since newer weights were named, as far as this router knows;
+    #: ``None`` if there are none.
+    superseded_ms: Millis | None = None
     #: Cache scope in which the engine looks up the parts of the prompt.
     cache_scope: str = ''
     #: Where the engine fetches the KV cache of parts that it has not cached.
--- a/yuccagauge/relay/report.py
+++ b/yuccagauge/relay/report.py
@@ -54,6 +54,7 @@
             prompt_tokens=fields.prompt_tokens,
             cached_tokens=placement.cached_tokens,
             weights=placement.weights_version,
+            superseded_ms=placement.superseded_ms,
             software=placement.server.software_version,
             resumes=fields.resumed_request_id,
             rate_limit=placement.rate_limit,
--- a/yuccagauge/rollout/driver.py
+++ b/yuccagauge/rollout/driver.py
@@ -11,6 +11,7 @@
 from yuccagauge.directory.state import Directory
 from yuccagauge.dispatch.fetch import FetchError
 from yuccagauge.ratelimit.schedule import interval_ms
+from yuccagauge.rollout.backlog import BacklogReporter
 from yuccagauge.rollout.base import (
     EngineStatus,
     OrderAnswer,
@@ -105,6 +106,7 @@
         #: Engines in the last announcement of drains, and when it was sent.
         self._announced_drains: tuple[str, ...] = ()
         self._announced_at = Millis(0)
+        self._backlog = BacklogReporter()
         self._check_task = PeriodicTask('rollout', self._check_engines, reactor)
         #: Called with engine ids and the duration for which all routers send
         #: these engines no calls; 0 ends the pause.
@@ -175,6 +177,7 @@
             if self._progress_of(each.server).draining_since is not None
         )
         self._announce_drains(draining, now)
+        self._backlog.report(service.name, engines, targets, now)
         for engine in engines:
             swap_mode = due_swap_mode(engine, now)
             if swap_mode is not None and has_load_slot(
--- a/yuccagauge/selection/base.py
+++ b/yuccagauge/selection/base.py
@@ -84,8 +84,9 @@
     is_local: bool
     #: Weights version that the engine runs; ``None`` for plain servers.
     weights_version: int | None = None
-    #: Whether the operator named newer weights more than ``OUTDATED_GRACE``
-    #: ago.
+    #: Time since the operator named newer weights; ``None`` if there are none.
+    superseded_ms: Millis | None = None
+    #: Whether that is more than ``OUTDATED_GRACE``.
     is_outdated: bool = False
     #: Leading tokens of the prompt that the engine has cached.
     cached_tokens: int = 0
--- a/yuccagauge/selection/selector.py
+++ b/yuccagauge/selection/selector.py
@@ -295,6 +295,7 @@
         placement = Placement(
             server=candidate.server,
             weights_version=candidate.weights_version,
+            superseded_ms=candidate.superseded_ms,
             cache_scope=cache_scope_of(request, candidate.weights_version),
             kv_fetch_endpoint=choose_fetch_endpoint(candidate, request, store),
             kv_save_endpoint=self._store_tracker.choose_save_endpoint(
@@ -322,11 +323,9 @@
         for server in servers:
             version = self.weights_version_of(server, request.model)
             superseded_at = self._view.superseded_at(request.model, version)
-            age = 0 if superseded_at is None else now - superseded_at
-            if (
-                not version
-                or age > self._outdated_weights_limit - OUTDATED_STOP_MARGIN
-            ):
+            age = None if superseded_at is None else Millis(now - superseded_at)
+            limit = self._outdated_weights_limit - OUTDATED_STOP_MARGIN
+            if not version or (age is not None and age > limit):
                 continue
             if version not in holders_by_version:
                 holders_by_version[version] = PrefixHolders.among(
@@ -344,7 +343,8 @@
                     load=self.load_of(server.server_id),
                     is_local=server.data_centre == self._data_centre,
                     weights_version=version,
-                    is_outdated=age > OUTDATED_GRACE,
+                    superseded_ms=age,
+                    is_outdated=age is not None and age > OUTDATED_GRACE,
                     cached_tokens=holders.tokens_at(
                         server.server_id, is_heard=is_heard
                     ),
