--- a/features/crash_fleet.py
+++ b/features/crash_fleet.py
@@ -15,7 +15,7 @@
 from features.relay_fixture import HOST, KEY
 from features.rollout_engines import VirtualClock
 from features.simulated_store import SimulatedStore, StoreClient
-from yuccagauge.clock import Millis
+from yuccagauge.clock import Clock, Millis
 from yuccagauge.platform.records import PlatformRecordDecoder
 from yuccagauge.platform.requests import (
     PlatformBackendProtocol,
@@ -138,6 +138,7 @@
                     'seeds': seeds,
                 },
                 'store': {'address': '10.2.0.1:8784'},
+                **self.more_settings(),
             },
             name,
         )
@@ -146,7 +147,7 @@
         self._routers[name] = RelayRouter(
             settings,
             reactor,
-            self.clock,
+            self.router_clock(name),
             self._build_adapter,
             self.random.random,
         )
@@ -156,6 +157,21 @@
         """Return the data centre of a router."""
         return 'a'
 
+    def more_settings(self) -> dict[str, dict[str, str]]:
+        """Return further sections of the settings of routers."""
+        return {}
+
+    def router_clock(self, name: str) -> Clock:
+        """Return the clock of a new process of a router."""
+        return self.clock
+
+    def build_order_client(self, reactor: Any, pool: Any, name: str) -> Any:
+        """Return what a router sends orders with; nothing by default."""
+
+    def build_store_client(self, name: str) -> StoreClient:
+        """Return the store as a router sees it."""
+        return StoreClient(self.store, name)
+
     def router(self, name: str) -> RelayRouter:
         """Return the latest process of a router."""
         return self._routers[name]
@@ -230,7 +246,9 @@
     def _build_adapter(
         self, settings: Any, reactor: Any, pool: Any
     ) -> PlatformAdapter:
-        store = StoreClient(self.store, settings.relay.name)
+        name = settings.relay.name
+        store = self.build_store_client(name)
+        order_client = self.build_order_client(reactor, pool, name)
         return PlatformAdapter(
             call_decoder=PlatformCallDecoder(),
             backend_protocol=PlatformBackendProtocol(),
@@ -240,7 +258,8 @@
             crash_store=store,
             version_store=store,
             origin_log_store=store,
-            order_client=None,
+            order_client=order_client,
             cache_event_source=self.cache_event_source,
             ready_path='/ready',
+            answer_listeners=getattr(order_client, 'answer_listeners', []),
         )
--- a/features/simulated_store.py
+++ b/features/simulated_store.py
@@ -31,6 +31,9 @@
 _STORE_DELAY_S = 0.004
 _STORE_POLL_S = 0.05
 
+#: Time after which a router gives up a call without an answer.
+_GIVE_UP_S = 1.2
+
 #: Size of what precedes the records in an answer.
 _PAGE_HEADER_BYTES = 16
 
@@ -48,6 +51,8 @@
     def __init__(self, network: MemoryNetwork) -> None:
         """Create a store that has the configuration."""
         self.is_down = False
+        #: Whether calls get no answer, so that routers give them up.
+        self.is_silent = False
         #: Routers that the store refuses.
         self.refused: set[str] = set()
         #: When it last refused a router.
@@ -68,6 +73,8 @@
         self._origins = b''
         self.origin_appends = 0
         self._crashes: dict[tuple[bytes, str], StoredCrash] = {}
+        #: The holders in the records of the leader lease.
+        self._lease_holders: list[str] = []
 
     def append_entry(self, key: str, value: bytes | None) -> None:
         """Write an entry of a server, unless the store is down."""
@@ -81,6 +88,13 @@
         record = _Record('config', value, self._reactor.seconds())
         self._log[Topic.OPERATIONS].append(record)
 
+    def append_weights(self, model: str, version: int) -> None:
+        """Name weights, as the operator does."""
+        value = json.dumps({'model': model, 'version': version}).encode()
+        key = f'version/{model}'
+        record = _Record(key, value, self._reactor.seconds())
+        self._log[Topic.OPERATIONS].append(record)
+
     def remove_lapsed(self) -> None:
         """Remove the entries without a heartbeat for some time."""
         now = self._reactor.seconds()
@@ -171,6 +185,29 @@
 
         return self._answer(name, write)
 
+    def read_lease(self, name: str) -> Deferred[LeaseState]:
+        """Return the last holder and the number of records of the lease."""
+        return self._answer(
+            name,
+            lambda: LeaseState(
+                record_count=len(self._lease_holders),
+                holder=self._lease_holders[-1] if self._lease_holders else '',
+            ),
+        )
+
+    def append_lease(
+        self, name: str, holder: str, expected_count: int
+    ) -> Deferred[bool]:
+        """Append a record if the number of records is as expected."""
+
+        def append() -> bool:
+            if len(self._lease_holders) != expected_count:
+                return False
+            self._lease_holders.append(holder)
+            return True
+
+        return self._answer(name, append)
+
     def append_origins(
         self, name: str, streams: Mapping[StreamOrigin, Sequence[bytes]]
     ) -> Deferred[None]:
@@ -216,16 +253,18 @@
         }
 
     def _serves(self, name: str) -> bool:
-        return not self.is_down and name not in self.refused
+        is_up = not self.is_down and not self.is_silent
+        return is_up and name not in self.refused
 
     def _answer(self, name: str, read: Any) -> Deferred[StorePage]:
         result: Deferred[StorePage] = Deferred()
+        is_lost = self.is_silent
 
         def answer() -> None:
             if result.called:
                 return
             self.on_read(name)
-            if not self._serves(name):
+            if is_lost or not self._serves(name):
                 self.refused_at = Millis(round(self._reactor.seconds() * 1000))
                 result.errback(StoreUnavailableError('refused'))
                 return
@@ -234,7 +273,8 @@
             except StoreGapError as error:
                 result.errback(error)
 
-        self._reactor.callLater(_STORE_DELAY_S, answer)
+        delay_s = _GIVE_UP_S if self.is_silent else _STORE_DELAY_S
+        self._reactor.callLater(delay_s, answer)
         return result
 
 
