--- a/features/crash_fleet.py
+++ b/features/crash_fleet.py
@@ -257,6 +257,7 @@
             lease_store=store,
             crash_store=store,
             version_store=store,
+            target_store=store,
             origin_log_store=store,
             order_client=order_client,
             cache_event_source=self.cache_event_source,
--- a/features/selection_fixture.py
+++ b/features/selection_fixture.py
@@ -1,6 +1,8 @@
 """Servers and calls for tests of the server selection."""
 
 from collections import Counter
+from collections.abc import Mapping
+from itertools import pairwise
 
 from behave.runner import Context
 
@@ -8,7 +10,8 @@
 from yuccagauge.clock import Millis
 from yuccagauge.directory.base import (
     BackendServer,
-    ObservedTarget,
+    NamedWeights,
+    TargetEvidence,
 )
 from yuccagauge.selection.base import (
     FleetView,
@@ -33,6 +36,23 @@
     )
 
 
+def named_weights(named_at: Mapping[int, Millis]) -> NamedWeights:
+    """Return the named versions of a router that saw each at its naming."""
+    versions = sorted(named_at)
+    return NamedWeights(
+        version=versions[-1],
+        evidence=tuple(
+            TargetEvidence(
+                model=MODEL,
+                version=version,
+                previous=previous,
+                named_after=named_at[version],
+            )
+            for previous, version in pairwise((0, *versions))
+        ),
+    )
+
+
 def start_selector(
     context: Context,
     count: int,
@@ -47,12 +67,9 @@
     context.selector.update_fleet_view(
         FleetView(
             servers={server.server_id: server for server in servers},
-            target_history={
-                MODEL: (
-                    ObservedTarget(
-                        version=newest or version,
-                        observed_at=Millis(NOW - named_ms_ago),
-                    ),
+            named_weights={
+                MODEL: named_weights(
+                    {newest or version: Millis(NOW - named_ms_ago)}
                 ),
             },
         ),
--- a/features/simulated_store.py
+++ b/features/simulated_store.py
@@ -17,6 +17,7 @@
     StorePage,
     StoreUnavailableError,
 )
+from yuccagauge.directory.targetarchive import StoredTarget
 from yuccagauge.origins.base import StreamOrigin
 from yuccagauge.platform.originlog import decode_records, encode_records
 from yuccagauge.platform.pages import split_page
@@ -69,6 +70,9 @@
         #: Software versions of services that had several, and their writes.
         self.versions: dict[str, tuple[str, ...]] = {}
         self.version_writes = 0
+        #: When the versions of each model were named, and the writes of that.
+        self.targets: dict[str, tuple[StoredTarget, ...]] = {}
+        self.target_writes = 0
         #: The log of stream origins, and the appends to it.
         self._origins = b''
         self.origin_appends = 0
@@ -208,6 +212,23 @@
 
         return self._answer(name, append)
 
+    def list_targets(
+        self, name: str
+    ) -> Deferred[dict[str, tuple[StoredTarget, ...]]]:
+        """Return when the versions of each model were named."""
+        return self._answer(name, lambda: dict(self.targets))
+
+    def write_targets(
+        self, name: str, model: str, targets: Sequence[StoredTarget]
+    ) -> Deferred[None]:
+        """Store when the versions of a model were named."""
+
+        def write() -> None:
+            self.target_writes += 1
+            self.targets[model] = tuple(targets)
+
+        return self._answer(name, write)
+
     def append_origins(
         self, name: str, streams: Mapping[StreamOrigin, Sequence[bytes]]
     ) -> Deferred[None]:
@@ -314,6 +335,16 @@
         """Store the versions of a service."""
         return self._store.write_versions(self._name, service, versions)
 
+    def list_targets(self) -> Deferred[dict[str, tuple[StoredTarget, ...]]]:
+        """Return when the versions of each model were named."""
+        return self._store.list_targets(self._name)
+
+    def write_targets(
+        self, model: str, targets: Sequence[StoredTarget]
+    ) -> Deferred[None]:
+        """Store when the versions of a model were named."""
+        return self._store.write_targets(self._name, model, targets)
+
     def read_lease(self) -> Deferred[LeaseState]:
         """Never answer: the fleet needs no leader."""
         return Deferred()
--- a/features/sparse_fleet.py
+++ b/features/sparse_fleet.py
@@ -15,7 +15,7 @@
 
 from features.directory_fixtures import backend_server, service_spec
 from yuccagauge.clock import Millis
-from yuccagauge.directory.base import ObservedTarget
+from yuccagauge.directory.base import NamedWeights
 from yuccagauge.selection.base import FleetView, SelectionRequest
 from yuccagauge.selection.load import PEER_LOAD_LIFETIME, PeerLoad
 from yuccagauge.selection.selector import Selector
@@ -95,9 +95,7 @@
         ]
         view = FleetView(
             servers={server.server_id: server for server in servers},
-            target_history={
-                _MODEL: (ObservedTarget(version=1, observed_at=Millis(0)),)
-            },
+            named_weights={_MODEL: NamedWeights(version=1)},
         )
         self._selectors = [
             Selector('a', Millis(15_000)) for _ in range(routers)
--- a/features/steps/selection_fleet_steps.py
+++ b/features/steps/selection_fleet_steps.py
@@ -9,12 +9,12 @@
 from features.selection_fixture import (
     MODEL,
     NOW,
+    named_weights,
     new_request,
     place,
     start_selector,
 )
 from yuccagauge.clock import Millis
-from yuccagauge.directory.base import ObservedTarget
 from yuccagauge.selection.load import PeerLoad
 
 
@@ -181,14 +181,12 @@
 )
 def name_versions(context: Context, ms: int, apart: int) -> None:
     """Name versions in quick succession, none of which an engine loads."""
-    target_history = tuple(
-        ObservedTarget(
-            version=version, observed_at=Millis(NOW - ms + step * apart)
-        )
+    named_at = {
+        version: Millis(NOW - ms + step * apart)
         for step, version in enumerate((2, 3, 4))
-    )
+    }
     view = dataclasses.replace(
         context.selector.view,
-        target_history={MODEL: target_history},
+        named_weights={MODEL: named_weights(named_at)},
     )
     context.selector.update_fleet_view(view)
--- a/yuccagauge/directory/base.py
+++ b/yuccagauge/directory/base.py
@@ -199,8 +199,19 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class ObservedTarget:
-    """A target weights version, and when this router received it."""
+class TargetEvidence:
+    """A time before which none of a range of weights versions was named."""
+
+    model: str
+    #: The range: all versions after ``previous``, up to ``version``.
+    version: int
+    previous: int
+    named_after: Millis
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class NamedWeights:
+    """The newest weights version of a model, and how old versions can be."""
 
     version: int
-    observed_at: Millis
+    evidence: tuple[TargetEvidence, ...] = ()
--- a/yuccagauge/directory/follower.py
+++ b/yuccagauge/directory/follower.py
@@ -72,6 +72,7 @@
         self._is_reachable: bool | None = None
         self._is_closed = False
         self._confirmed_at = Millis(0)
+        self._unchanged_until: Millis | None = None
         #: Offset behind the last record that this router read itself.
         self._read_up_to = 0
         #: Returns the time until this router has to read; 0 if it is due now.
@@ -97,6 +98,15 @@
         """
         return self._confirmed_at
 
+    @property
+    def unchanged_until(self) -> Millis | None:
+        """When the store had no record yet that this router did not read.
+
+        ``None`` before the first answer. The store answers a read without
+        records only after the time for which it may wait.
+        """
+        return self._unchanged_until
+
     def start(self) -> None:
         """Start to read the topic."""
         self._task.start()
@@ -148,8 +158,13 @@
         self._read_up_to = page.next_offset
         now = self._clock.now()
         self._directory.apply_listing(
-            self._topic, page.records, page.next_offset, now
+            self._topic,
+            page.records,
+            page.next_offset,
+            now,
+            self._unchanged_until,
         )
+        self._unchanged_until = sent_at
 
     @inlineCallbacks
     def _wait_until_due(self) -> Any:
@@ -171,7 +186,14 @@
         self._read_up_to = page.next_offset
         now = self._clock.now()
         self._directory.apply_records(
-            self._topic, page.records, page.next_offset, now
+            self._topic,
+            page.records,
+            page.next_offset,
+            now,
+            self._unchanged_until,
+        )
+        self._unchanged_until = (
+            sent_at if page.records else min(Millis(sent_at + wait), now)
         )
         for record in page.records:
             if record.value is not None:
--- a/yuccagauge/directory/state.py
+++ b/yuccagauge/directory/state.py
@@ -1,17 +1,19 @@
 """The decoded configuration, backend servers and weights targets."""
 
 import enum
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import Protocol
 
 from yuccagauge.clock import Millis
 from yuccagauge.directory.base import (
     BackendServer,
     Configuration,
-    ObservedTarget,
+    NamedWeights,
+    TargetEvidence,
     WeightsTarget,
 )
 from yuccagauge.directory.records import KeyedRecord, KeyedRecords
+from yuccagauge.directory.targets import TargetHistory
 
 #: An outage of the store also stops live servers from renewing their entries.
 #: Such a server writes its entry again within about two seconds of the end of
@@ -22,10 +24,6 @@
 #: Time after an outage in which an entry may lapse because of the outage.
 OUTAGE_LAPSE_WINDOW = Millis(3000)
 
-#: Weights targets that are stored for each model. The operator may change the
-#: target every few seconds, and servers may use old weights for longer.
-MAXIMUM_TARGET_HISTORY = 16
-
 
 @enum.unique
 class Topic(enum.IntEnum):
@@ -74,8 +72,7 @@
         self._topics = {topic: KeyedRecords() for topic in Topic}
         self._configuration: Configuration | None = None
         self._servers: dict[str, BackendServer] = {}
-        #: The latest targets of each model, the newest version last.
-        self._target_history: dict[str, tuple[ObservedTarget, ...]] = {}
+        self._targets = TargetHistory()
         #: Servers whose entry lapsed in an outage, and when they are removed.
         self._lapsed_until: dict[str, Millis] = {}
         self._outage_ended_at: Millis | None = None
@@ -96,10 +93,7 @@
     @property
     def targets(self) -> Mapping[str, int]:
         """The newest target weights version of each model."""
-        return {
-            model: target_history[-1].version
-            for model, target_history in self._target_history.items()
-        }
+        return self._targets.newest
 
     @property
     def is_ready(self) -> bool:
@@ -110,9 +104,13 @@
         )
 
     @property
-    def target_history(self) -> Mapping[str, tuple[ObservedTarget, ...]]:
-        """The latest target weights versions of each model, newest last."""
-        return self._target_history
+    def named_weights(self) -> Mapping[str, NamedWeights]:
+        """The newest target version of each model, and the ages of all."""
+        return self._targets.snapshot()
+
+    def target_evidence(self, now: Millis) -> tuple[TargetEvidence, ...]:
+        """Return what is known of when versions were named lately."""
+        return self._targets.recent_evidence(now)
 
     def next_offset(self, topic: Topic) -> int:
         """Return the offset below which all records have been applied."""
@@ -142,10 +140,18 @@
         records: tuple[KeyedRecord, ...],
         next_offset: int,
         now: Millis,
+        unchanged_until: Millis | None = None,
     ) -> None:
-        """Merge records of a topic."""
+        """Merge records of a topic.
+
+        Parameters
+        ----------
+        unchanged_until
+            Time before which none of the records had been written that this
+            router does not have yet; ``None`` if it does not know.
+        """
         changed = self._topics[topic].apply_records(records, next_offset)
-        self._process_changes(topic, changed, now)
+        self._process_changes(topic, changed, now, unchanged_until)
 
     def apply_listing(
         self,
@@ -153,10 +159,16 @@
         records: tuple[KeyedRecord, ...],
         next_offset: int,
         now: Millis,
+        unchanged_until: Millis | None = None,
     ) -> None:
-        """Merge a complete listing of a topic."""
+        """Merge a complete listing of a topic; see ``apply_records``."""
         changed = self._topics[topic].apply_listing(records, next_offset)
-        self._process_changes(topic, changed, now)
+        self._process_changes(topic, changed, now, unchanged_until)
+
+    def merge_target_evidence(self, evidence: Iterable[TargetEvidence]) -> None:
+        """Add what peers or the store know of when weights were named."""
+        if self._targets.merge(evidence):
+            self._notify_listeners()
 
     def remove_lapsed_servers(self, now: Millis) -> tuple[str, ...]:
         """Remove and return the servers whose grace period has ended."""
@@ -177,17 +189,17 @@
         topic: Topic,
         changed: tuple[KeyedRecord, ...],
         now: Millis,
+        unchanged_until: Millis | None,
     ) -> None:
         must_notify = topic not in self._received_topics
         self._received_topics.add(topic)
-        apply_record = (
-            self._apply_server_entry
-            if topic is Topic.SERVERS
-            else self._apply_operator_record
-        )
         for record in changed:
             # Most entries differ from the previous one only in a counter.
-            is_change = apply_record(record, now)
+            is_change = (
+                self._apply_server_entry(record, now)
+                if topic is Topic.SERVERS
+                else self._apply_operator_record(record, unchanged_until)
+            )
             must_notify = must_notify or is_change
             if is_change or record.value is None:
                 self._topics[topic].mark_changed(record)
@@ -229,7 +241,9 @@
             return False
         return self._servers.pop(server_id, None) is not None
 
-    def _apply_operator_record(self, record: KeyedRecord, now: Millis) -> bool:
+    def _apply_operator_record(
+        self, record: KeyedRecord, unchanged_until: Millis | None
+    ) -> bool:
         """Apply a record of the operator; return whether it is newer."""
         if record.value is None:
             return False
@@ -243,14 +257,9 @@
             return True
         if not isinstance(found, WeightsTarget):
             return False
-        known = self._target_history.get(found.model, ())
-        if known and found.version <= known[-1].version:
-            return False
-        target = ObservedTarget(version=found.version, observed_at=now)
-        self._target_history[found.model] = (*known, target)[
-            -MAXIMUM_TARGET_HISTORY:
-        ]
-        return True
+        return self._targets.record_named(
+            found.model, found.version, unchanged_until
+        )
 
     def _notify_listeners(self) -> None:
         for listener in self.listeners:
--- a/yuccagauge/exchange/merger.py
+++ b/yuccagauge/exchange/merger.py
@@ -9,6 +9,7 @@
 from yuccagauge.exchange.parts import (
     limit_report,
     parse_part_evidence,
+    target_evidence,
     version_sightings,
 )
 from yuccagauge.quarantine.base import CrashSuspicion, Quarantine
@@ -62,6 +63,11 @@
         self._confirmed_at: dict[Topic, Millis] = {}
         #: When the calls of each peer were last received.
         self._loads_received_at: dict[str, Millis] = {}
+        #: Returns when the store had no record of a topic yet that this router
+        #: has not read itself.
+        self.unchanged_until: Callable[[Topic], Millis | None] = lambda topic: (
+            None
+        )
         #: Called when another router announces that servers are paused.
         self.on_pause_received: Callable[[], None] = lambda: None
         #: Called once when another router announces that it stops.
@@ -94,8 +100,16 @@
         """
         return self._confirmed_at.get(topic, Millis(0))
 
-    def merge_message(self, message: FleetExchange) -> None:
-        """Apply all parts of one message."""
+    def merge_message(
+        self, message: FleetExchange, asked_at: Millis | None = None
+    ) -> None:
+        """Apply all parts of one message.
+
+        Parameters
+        ----------
+        asked_at
+            If the message is an answer, when this router asked.
+        """
         now = self._clock.now()
         self._received_at = now
         self._has_peer_state |= message.asks or message.answers
@@ -104,7 +118,7 @@
                 self.on_peer_left()
         else:
             self._observe_members(message, now)
-        self._apply_records(message, now)
+        self._apply_records(message, asked_at, now)
         self._apply_loads(message, now)
         self._apply_statements(message, now)
         if message.pauses:
@@ -189,12 +203,18 @@
             self._known_names = names
             log_state_change('routers_known', count=len(names) + 1)
 
-    def _apply_records(self, message: FleetExchange, now: Millis) -> None:
-        """Apply records and confirmation times.
+    def _apply_records(
+        self, message: FleetExchange, asked_at: Millis | None, now: Millis
+    ) -> None:
+        """Apply records, confirmation times and evidence on their ages.
 
         Only answers carry records. They have all changes from this router's
         next offset on.
         """
+        if asked_at is not None:
+            self._directory.merge_target_evidence(
+                target_evidence(message.targets, asked_at)
+            )
         for part in message.marks:
             topic = Topic(part.topic)
             records = tuple(
@@ -204,7 +224,13 @@
             )
             is_ahead = part.mark > self._directory.next_offset(topic)
             if records or message.answers and is_ahead:
-                self._directory.apply_records(topic, records, part.mark, now)
+                self._directory.apply_records(
+                    topic,
+                    records,
+                    part.mark,
+                    now,
+                    self.unchanged_until(topic),
+                )
             if self._directory.next_offset(topic) >= part.mark:
                 confirmed_at = Millis(now - part.age_ms)
                 known = self._confirmed_at.get(topic, Millis(0))
--- a/yuccagauge/exchange/parts.py
+++ b/yuccagauge/exchange/parts.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from yuccagauge.clock import Millis
+from yuccagauge.directory.base import TargetEvidence
 from yuccagauge.directory.state import Directory, Topic
 from yuccagauge.exchange.members import Member
 from yuccagauge.origins.versions import VersionHistory, VersionSighting
@@ -21,6 +22,7 @@
     FleetPartEvidence,
     FleetRecord,
     FleetSuspicion,
+    FleetTarget,
     FleetVersion,
     PermitRequest,
 )
@@ -70,6 +72,36 @@
     )
 
 
+def targets(
+    evidence: Iterable[TargetEvidence], now: Millis
+) -> tuple[FleetTarget, ...]:
+    """Return the longest time since each range of versions was named."""
+    return tuple(
+        FleetTarget(
+            model=each.model,
+            version=each.version,
+            previous=each.previous,
+            age_ms=now - each.named_after,
+        )
+        for each in evidence
+    )
+
+
+def target_evidence(
+    parts: Iterable[FleetTarget], asked_at: Millis
+) -> tuple[TargetEvidence, ...]:
+    """Return what an answer says of when versions were named."""
+    return tuple(
+        TargetEvidence(
+            model=part.model,
+            version=part.version,
+            previous=part.previous,
+            named_after=Millis(asked_at - part.age_ms),
+        )
+        for part in parts
+    )
+
+
 def loads(known: Mapping[str, ServerLoad]) -> tuple[FleetLoad, ...]:
     """Return this router's own calls in flight at each server."""
     return tuple(
--- a/yuccagauge/exchange/service.py
+++ b/yuccagauge/exchange/service.py
@@ -316,6 +316,7 @@
         reply.addCallbacks(
             self._merger.merge_message,
             self._handle_no_reply,
+            callbackArgs=(self._clock.now(),),
             errbackArgs=(endpoint,),
         )
 
@@ -334,11 +335,15 @@
             return self._build_message(**self._load_parts(self._clock.now()))
         if not message.asks:
             return self._build_message()
+        now = self._clock.now()
         next_offsets = {part.topic: part.mark for part in message.marks}
         return self._build_message(
             full_state=True,
             answers=True,
             records=message_parts.records(self._directory, next_offsets),
+            targets=message_parts.targets(
+                self._directory.target_evidence(now), now
+            ),
         )
 
     def _build_message(
--- a/yuccagauge/platform/adapter.py
+++ b/yuccagauge/platform/adapter.py
@@ -38,6 +38,7 @@
         lease_store=store,
         crash_store=store,
         version_store=store,
+        target_store=store,
         origin_log_store=store,
         order_client=engines,
         cache_event_source=engines,
--- a/yuccagauge/platform/store.py
+++ b/yuccagauge/platform/store.py
@@ -18,10 +18,11 @@
     StorePage,
     StoreUnavailableError,
 )
+from yuccagauge.directory.targetarchive import StoredTarget
 from yuccagauge.dispatch.base import BackendMessage
 from yuccagauge.dispatch.fetch import Fetched, FetchError
 from yuccagauge.origins.base import StreamOrigin
-from yuccagauge.platform import names, originlog
+from yuccagauge.platform import names, originlog, targetrecords
 from yuccagauge.platform.pages import split_page
 from yuccagauge.quarantine.archive import StoredCrash
 from yuccagauge.rollout.base import LeaseState
@@ -46,6 +47,10 @@
 #: of a record is the service.
 _VERSIONS_TOPIC = 'keyed.versions'
 
+#: Topic of the times at which weights versions were named. The key of a record
+#: is the model.
+_TARGETS_TOPIC = 'keyed.targets'
+
 #: Topic of the streams that routers begin while a service has several software
 #: versions. It is not keyed, so its records expire.
 _ORIGINS_TOPIC = 'origins'
@@ -176,6 +181,22 @@
         page = yield self._list_topic(_VERSIONS_TOPIC)
         return {record.key: _decode_versions(record) for record in page.records}
 
+    @inlineCallbacks
+    def write_targets(self, model: str, targets: Sequence[StoredTarget]) -> Any:
+        """Replace the times at which versions of a model were named."""
+        query = {'topic': _TARGETS_TOPIC, 'part': 0}
+        yield self._append(
+            query, _encode_record(model, targetrecords.encode(targets))
+        )
+
+    @inlineCallbacks
+    def list_targets(self) -> Any:
+        """Return the times at which versions of each model were named."""
+        page = yield self._list_topic(_TARGETS_TOPIC)
+        return {
+            record.key: targetrecords.decode(record) for record in page.records
+        }
+
     @inlineCallbacks
     def append_origins(
         self, streams: Mapping[StreamOrigin, Sequence[bytes]]
--- a/yuccagauge/relay/adapter.py
+++ b/yuccagauge/relay/adapter.py
@@ -7,6 +7,7 @@
 from yuccagauge.cachefeed.base import CacheEventSource
 from yuccagauge.directory.state import RecordDecoder
 from yuccagauge.directory.store import KeyedStore
+from yuccagauge.directory.targetarchive import TargetStore
 from yuccagauge.dispatch.connection import ConnectionPool
 from yuccagauge.origins.archive import VersionStore
 from yuccagauge.origins.log import OriginLogStore
@@ -30,6 +31,7 @@
     lease_store: LeaseStore
     crash_store: CrashStore
     version_store: VersionStore
+    target_store: TargetStore
     origin_log_store: OriginLogStore
     order_client: WeightsOrderClient
     cache_event_source: CacheEventSource
--- a/yuccagauge/relay/archives.py
+++ b/yuccagauge/relay/archives.py
@@ -3,7 +3,8 @@
 from collections.abc import Callable
 from typing import Any
 
-from yuccagauge.clock import Clock
+from yuccagauge.clock import Clock, Millis
+from yuccagauge.directory.targetarchive import TargetArchive
 from yuccagauge.origins.archive import VersionArchive
 from yuccagauge.quarantine.archive import CrashArchive
 from yuccagauge.quarantine.ledger import CrashLedger
@@ -13,6 +14,9 @@
 #: Routers that write to the store which services have several versions.
 VERSION_WRITERS = 2
 
+#: Routers that write to the store when weights were named.
+TARGET_WRITERS = 2
+
 
 def build_archives(
     adapter: PlatformAdapter,
@@ -20,13 +24,16 @@
     reactor: Any,
     clock: Clock,
     *,
+    clock_skew: Millis,
     is_isolated: Callable[[], bool],
     rank: Callable[[str], int],
-) -> tuple[CrashArchive, VersionArchive]:
-    """Return the archives of crashes and of software versions.
+) -> tuple[CrashArchive, VersionArchive, TargetArchive]:
+    """Return the archives of crashes, software versions and named weights.
 
     Parameters
     ----------
+    clock_skew
+        Largest difference between the times of day of two VMs.
     is_isolated
         Returns whether this router hears no other one.
     rank
@@ -43,4 +50,12 @@
         clock,
         lambda: rank('versions') < VERSION_WRITERS,
     )
-    return crash_archive, version_archive
+    target_archive = TargetArchive(
+        context.directory,
+        adapter.target_store,
+        reactor,
+        clock,
+        clock_skew=clock_skew,
+        is_writer=lambda: rank('targets') < TARGET_WRITERS,
+    )
+    return crash_archive, version_archive, target_archive
--- a/yuccagauge/relay/changes.py
+++ b/yuccagauge/relay/changes.py
@@ -1,5 +1,6 @@
 """Log lines of changes of settings, configuration, servers and weights."""
 
+from yuccagauge.clock import Millis
 from yuccagauge.directory.base import Configuration
 from yuccagauge.errors import SettingsError
 from yuccagauge.selection.base import FleetView
@@ -33,8 +34,11 @@
     )
 
 
-def log_fleet_changes(before: FleetView, after: FleetView) -> None:
-    """Log servers that appear, change or disappear, and new weights."""
+def log_fleet_changes(before: FleetView, after: FleetView, now: Millis) -> None:
+    """Log servers that appear, change or disappear, and new weights.
+
+    Each range of versions has the time in ms for which it is named at most.
+    """
     for server_id, server in after.servers.items():
         previous = before.servers.get(server_id)
         if previous is not None and (
@@ -54,7 +58,14 @@
     for server_id in before.servers:
         if server_id not in after.servers:
             log_state_change('server_gone', server=server_id)
-    for model, target_history in after.target_history.items():
-        if before.target_history.get(model) != target_history:
-            version = target_history[-1].version
-            log_state_change('weights_named', model=model, version=version)
+    for model, named in after.named_weights.items():
+        if before.named_weights.get(model) != named:
+            log_state_change(
+                'weights_named',
+                model=model,
+                version=named.version,
+                evidence=[
+                    f'{each.previous}-{each.version}:{now - each.named_after}'
+                    for each in named.evidence
+                ],
+            )
--- a/yuccagauge/relay/router.py
+++ b/yuccagauge/relay/router.py
@@ -130,11 +130,12 @@
             random_fraction,
         )
         self._context.use_origin_store(self._origin_broker)
-        self._crash_archive, self._version_archive = build_archives(
+        self._archives = build_archives(
             self._adapter,
             self._context,
             reactor,
             clock,
+            clock_skew=settings.weights.clock_skew_ms,
             is_isolated=lambda: self._exchange.is_isolated,
             rank=self._rank,
         )
@@ -181,7 +182,7 @@
         """Whether the router accepts new connections."""
         return (
             self._directory.is_ready
-            and self._crash_archive.is_ready
+            and self._archives[0].is_ready
             and self._exchange.is_ready
             and not self._is_stopping
         )
@@ -206,9 +207,8 @@
         self._listen(section.metrics_listen, page_site(MetricsPage()))
         self._origin_broker.start()
         self._exchange.start()
-        archives = (self._crash_archive, self._version_archive)
         duties = (self._rollout, self._election)
-        for part in (*archives, *self._followers.values(), *duties):
+        for part in (*self._archives, *self._followers.values(), *duties):
             part.start()
         self._upkeep.start(_UPKEEP_INTERVAL_S, now=False)
         log_state_change(
@@ -236,6 +236,7 @@
             follower.read_wait = partial(schedule.wait, topic)
         self._election.on_leadership_change = self._rollout.set_leading
         self._exchange.own_confirmed_at = self._store_confirmed_at
+        self._exchange.merger.unchanged_until = self._store_unchanged_until
         self._exchange.merger.on_pause_received = lambda: (
             self._leader_lease.observe_peer_order(self._clock.now())
         )
@@ -280,7 +281,7 @@
     def _close(self) -> Deferred[Any]:
         for follower in self._followers.values():
             follower.close()
-        for archive in (self._crash_archive, self._version_archive):
+        for archive in self._archives:
             archive.close()
         for part in (self._upkeep, self._cache_feed, self._callers):
             part.close()
@@ -309,6 +310,9 @@
     def _store_confirmed_at(self, topic: Topic) -> Millis:
         return self._followers[topic].confirmed_at
 
+    def _store_unchanged_until(self, topic: Topic) -> Millis | None:
+        return self._followers[topic].unchanged_until
+
     def _is_election_candidate(self) -> bool:
         """Return whether this router takes part in the leader election."""
         if not self._directory.is_ready:
@@ -350,11 +354,11 @@
         before = self._selector.view
         view = FleetView(
             servers=dict(directory.servers),
-            target_history=dict(directory.target_history),
+            named_weights=directory.named_weights,
         )
         self._selector.update_fleet_view(view)
         self._observe_versions(self._clock.now())
-        changes.log_fleet_changes(before, view)
+        changes.log_fleet_changes(before, view, self._clock.now())
         configuration = directory.configuration
         if configuration is not None and (
             configuration.version != self._configuration_version
--- a/yuccagauge/selection/base.py
+++ b/yuccagauge/selection/base.py
@@ -4,7 +4,8 @@
 from dataclasses import dataclass, field, replace
 
 from yuccagauge.clock import Millis
-from yuccagauge.directory.base import BackendServer, ObservedTarget, ServiceSpec
+from yuccagauge.directory.base import BackendServer, NamedWeights, ServiceSpec
+from yuccagauge.directory.targets import UNKNOWN_TIME
 from yuccagauge.relay.base import Placement
 from yuccagauge.selection.load import ServerLoad
 
@@ -121,22 +122,26 @@
     """The servers and the named weights versions of the fleet."""
 
     servers: Mapping[str, BackendServer]
-    #: The weights versions that the operator named last, by model, newest
-    #: last.
-    target_history: Mapping[str, tuple[ObservedTarget, ...]] = field(
-        default_factory=dict
-    )
+    #: The weights versions that the operator named, by model.
+    named_weights: Mapping[str, NamedWeights] = field(default_factory=dict)
 
     def superseded_at(self, model: str, version: int) -> Millis | None:
-        """Return when a newer version was named, or ``None`` if there is none.
+        """Return the earliest time at which a newer version can be named.
+
+        ``None`` if there is no newer version.
 
         Load pattern: the operator names a version every few seconds. A
         version counts as outdated from the first newer one on. If the latest
         one counted, each new version would start the age again.
         """
-        newer = (
-            observed_target.observed_at
-            for observed_target in self.target_history.get(model, ())
-            if observed_target.version > version
+        named = self.named_weights.get(model)
+        if named is None or named.version <= version:
+            return None
+        return max(
+            (
+                evidence.named_after
+                for evidence in named.evidence
+                if evidence.previous <= version < evidence.version
+            ),
+            default=UNKNOWN_TIME,
         )
-        return min(newer, default=None)
--- a/yuccagauge/settings/relay.py
+++ b/yuccagauge/settings/relay.py
@@ -117,6 +117,12 @@
         minimum=1000,
         maximum=_LONGEST,
     )
+    clock_skew_ms: Millis = millis_option(
+        'Largest difference between the times of day of two VMs.',
+        default=Millis(5000),
+        minimum=0,
+        maximum=_LONGEST,
+    )
     lease_ms: Millis = millis_option(
         'Time after which a silent leader is replaced.',
         default=Millis(3000),
--- a/yuccagauge/wire/fleetmessages.py
+++ b/yuccagauge/wire/fleetmessages.py
@@ -142,6 +142,18 @@
     age_ms: int
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class FleetTarget(Message):
+    """Evidence on when weights versions of a model were named."""
+
+    model: str
+    #: The versions after ``previous``, up to ``version``.
+    version: int
+    previous: int
+    #: Longest time since the first of them was named, in ms.
+    age_ms: int
+
+
 @register(50)
 @dataclass(frozen=True, slots=True, kw_only=True)
 class FleetExchange(Message):
@@ -169,6 +181,9 @@
     versions: tuple[FleetVersion, ...] = ()
     #: How far back the sender knows the versions, in ms.
     versions_known_ms: int = 0
+    #: Only answers have these. The asker counts the ages from when it asked, so
+    #: that a message that waits while the asker is suspended is not too young.
+    targets: tuple[FleetTarget, ...] = ()
 
 
 @register(51)
--- a/yuccagauge/wire/messages.capnp
+++ b/yuccagauge/wire/messages.capnp
@@ -306,6 +306,15 @@
   softwareVersion @2 :Text;
 }
 
+struct FleetTarget {
+  # Evidence on when the versions after the previous one were named.
+  model @0 :Text;
+  version @1 :UInt32;
+  previous @2 :UInt32;
+  # Longest time since the first of them was named.
+  ageMs @3 :UInt32;
+}
+
 struct FleetExchange {
   name @0 :Text;
   leaves @1 :Bool;
@@ -333,6 +342,8 @@
   versions @17 :List(FleetVersion);
   # How far back the sender knows them.
   versionsKnownMs @18 :UInt32;
+  # Only in answers; the asker counts the ages from when it asked.
+  targets @19 :List(FleetTarget);
 }
 
 struct PathOpen {
