--- a/features/rollout/rollout.feature
+++ b/features/rollout/rollout.feature
@@ -9,6 +9,25 @@
       | receive each other's announcements     | 2900 |
       | use engines that ignore fencing tokens | 2500 |
       | receive no announcements               | 400  |
+      | may restart                            | 400  |
+      | started at least 3 s ago               | 2900 |
+
+  Scenario: A restart of the former leader costs no lease duration
+    Given a router that held the lease when it was killed
+    When it starts again and reads its own record
+    Then it takes the lease over and may give orders at once
+    And its fencing token is higher than the former one
+
+  Scenario Outline: A router that starts takes over no lease but its own
+    Given a router that <how>
+    When it starts again and reads the record of "<holder>"
+    Then it may acquire the lease only after 3000 ms
+
+    Examples:
+      | how                                                 | holder |
+      | held the lease when it was killed                   | r1     |
+      | held the lease when it was killed, before another   | r1 r0  |
+      | held the lease where engines ignore fencing tokens  | r0     |
 
   Scenario Outline: Which engines begin to drain
     Given engines with weights "<weights>" and the newest version 3
@@ -83,6 +102,22 @@
       | released it         | at once            |
       | stopped renewing it | only after 2900 ms |
 
+  Scenario: A restarted leader gives its first order as soon as the directory is ready
+    Given 4 engines that load weights in 500 ms and a router that leads
+    When the router is killed, starts again and the directory is ready after 1 s
+    Then the router gives an order within 0.5 s
+
+  Scenario: A follower acquires the lease at the moment when it expires
+    Given 4 engines that load weights in 500 ms and a router that leads
+    When the router reads 0.3 s after a renewal is due that another router holds the lease
+    Then the router holds the lease 3 to 3.1 s after it first read that record
+
+  Scenario: A former process's record that the store writes late extends no lease
+    Given 4 engines that load weights in 500 ms and a router that leads
+    When the router is killed, starts again and its first read is answered 2 s later
+    And the store writes a record of the former process during that read
+    Then the router's lease ends within 3 s of the late record
+
   Scenario: A router that stops releases the leader lease
     Given 4 engines that load weights in 500 ms and a router that leads
     When the router stops
--- a/features/rollout_engines.py
+++ b/features/rollout_engines.py
@@ -3,7 +3,7 @@
 from collections import Counter
 from typing import Any
 
-from twisted.internet.defer import fail, succeed
+from twisted.internet.defer import Deferred, fail, succeed
 from twisted.internet.task import Clock as TaskClock
 
 from features.directory_fixtures import backend_server, service_spec
@@ -45,6 +45,31 @@
         return self.now()
 
 
+class ProcessReactor:
+    """A virtual reactor of one process, which may be killed."""
+
+    def __init__(self, reactor: TaskClock) -> None:
+        """Follow the time of the reactor that all processes share."""
+        self._reactor = reactor
+        self._is_killed = False
+
+    def kill(self) -> None:
+        """Run nothing more."""
+        self._is_killed = True
+
+    def seconds(self) -> float:
+        """Return the shared time."""
+        return self._reactor.seconds()
+
+    def callLater(self, delay: float, function: Any, *args: Any) -> Any:
+        """Call the function later, unless the process is killed."""
+        return self._reactor.callLater(delay, self._run, function, args)
+
+    def _run(self, function: Any, args: tuple[Any, ...]) -> None:
+        if not self._is_killed:
+            function(*args)
+
+
 def model_engine(number: int) -> BackendServer:
     """Return an engine with version 1."""
     return backend_server(
@@ -139,15 +164,27 @@
         self.is_unavailable = False
         self.loses_answers = False
         self.holders: list[str] = []
+        #: Answers to reads, which wait while ``holds_answers`` is set.
+        self.holds_answers = False
+        self.held: list[tuple[Deferred[LeaseState], LeaseState]] = []
 
     def read_lease(self) -> Any:
         """Return the last holder and the number of records."""
         if self.is_unavailable:
             return fail(StoreUnavailableError('simulated outage'))
         holder = self.holders[-1] if self.holders else ''
-        return succeed(
-            LeaseState(record_count=len(self.holders), holder=holder)
-        )
+        state = LeaseState(record_count=len(self.holders), holder=holder)
+        if not self.holds_answers:
+            return succeed(state)
+        answer: Deferred[LeaseState] = Deferred()
+        self.held.append((answer, state))
+        return answer
+
+    def answer_held(self) -> None:
+        """Answer the reads that wait, with the state when they were made."""
+        self.holds_answers = False
+        for answer, state in self.held:
+            answer.callback(state)
 
     def append_lease(self, holder: str, expected_count: int) -> Any:
         """Append a record if the number of records is as expected."""
--- a/features/steps/rollout_driver_steps.py
+++ b/features/steps/rollout_driver_steps.py
@@ -1,5 +1,6 @@
 """Steps for the orders that a leader gives, on a virtual clock."""
 
+from collections.abc import Callable
 from itertools import pairwise
 
 from behave import given, then, when
@@ -8,6 +9,7 @@
 
 from features.rollout_engines import (
     MODEL,
+    ProcessReactor,
     SimulatedEngines,
     SimulatedStore,
     TargetDecoder,
@@ -48,23 +50,36 @@
     selector.update_fleet_view(
         FleetView(servers=dict(context.directory.servers))
     )
-    leader_lease = LeaderLease(
+    _start_process(context)
+    context.add_cleanup(_close_process, context)
+    _advance(context, 4)
+
+
+def _start_process(
+    context: Context, is_candidate: Callable[[], bool] = lambda: True
+) -> None:
+    """Start the process of the router, again after it was killed."""
+    selector = context.selector
+    process = ProcessReactor(context.reactor)
+    context.process = process
+    context.leader_lease = LeaderLease(
         'router', _LEASE, context.clock.now(), engines_check_fences=True
     )
     context.election = LeaderElection(
         'router',
         context.store,
-        leader_lease,
-        reactor,
+        context.leader_lease,
+        process,
         context.clock,
         lease_duration=_LEASE,
+        is_candidate=is_candidate,
     )
     driver = RolloutDriver(
-        leader_lease,
+        context.leader_lease,
         context.engines,
         context.directory,
         selector,
-        reactor,
+        process,
         context.clock,
         load_share=0.4,
     )
@@ -82,9 +97,12 @@
     context.election.on_leadership_change = driver.set_leading
     driver.start()
     context.election.start()
-    context.add_cleanup(context.election.close)
-    context.add_cleanup(driver.close)
-    _advance(context, 4)
+    context.driver = driver
+
+
+def _close_process(context: Context) -> None:
+    context.election.close()
+    context.driver.close()
 
 
 def _advance(context: Context, seconds: float) -> None:
@@ -212,3 +230,73 @@
 def check_lease_free(context: Context) -> None:
     """Compare the holder in the last record."""
     assert context.store.holders[-1] == ''
+
+
+@when(
+    'the router is killed, starts again and the directory is ready after '
+    '{seconds:d} s'
+)
+def restart_router(context: Context, seconds: int) -> None:
+    """Start a process that takes no part before the directory is ready."""
+    context.process.kill()
+    ready: list[bool] = []
+    _start_process(context, lambda: bool(ready))
+    _advance(context, seconds)
+    ready.append(True)
+    context.election.check_now()
+
+
+@when(
+    'the router reads {seconds:g} s after a renewal is due that another router '
+    'holds the lease'
+)
+def read_other_record(context: Context, seconds: float) -> None:
+    """Read the record at another time than that of a renewal."""
+    context.store.holders.append('other')
+    while context.leader_lease.is_leader:
+        _advance(context, 0.05)
+    _advance(context, seconds)
+    context.store.holders.append('other')
+    context.election.check_now()
+    context.read_at = context.clock.now()
+
+
+@then(
+    'the router holds the lease {first:g} to {last:g} s after it first read '
+    'that record'
+)
+def check_acquired(context: Context, first: float, last: float) -> None:
+    """Guard against an expiry that is rounded up to the next renewal."""
+    while not context.leader_lease.is_leader:
+        _advance(context, 0.05)
+    waited = (context.clock.now() - context.read_at) / 1000
+    assert first <= waited <= last, waited
+
+
+@when(
+    'the router is killed, starts again and its first read is answered '
+    '{seconds:d} s later'
+)
+def restart_with_slow_read(context: Context, seconds: int) -> None:
+    """Let the store read the records now and answer later."""
+    context.process.kill()
+    context.store.holds_answers = True
+    _start_process(context)
+    context.answer_after_s = seconds
+
+
+@when('the store writes a record of the former process during that read')
+def write_late_record(context: Context) -> None:
+    """Write the record of an append that the former process sent."""
+    context.store.holders.append('router')
+    context.written_at = context.clock.now()
+    _advance(context, context.answer_after_s)
+    context.store.answer_held()
+    context.store.is_unavailable = True
+
+
+@then("the router's lease ends within {seconds:d} s of the late record")
+def check_lease_end(context: Context, seconds: int) -> None:
+    """Guard against a lease that others count from an earlier time."""
+    end = Millis(context.written_at + 1000 * seconds)
+    assert context.leader_lease.fencing_token(end) is None
--- a/features/steps/rollout_steps.py
+++ b/features/steps/rollout_steps.py
@@ -22,6 +22,9 @@
 )
 
 _LEASE = Millis(3000)
+
+#: Time after its start from which a router counts as in touch, by the users.
+_IN_TOUCH_AFTER = 3000
 _NOW = Millis(10_000)
 
 
@@ -32,38 +35,54 @@
 def check_order_gap(context: Context, how: str, gap: int) -> None:
     """Guard against two leaders at once after lost and late answers."""
     checks_fences = how != 'use engines that ignore fencing tokens'
-    receives_announcements = how == "receive each other's announcements"
+    counts_touch = how == 'started at least 3 s ago'
+    receives_announcements = counts_touch or (
+        how == "receive each other's announcements"
+    )
     answers = st.lists(
         st.tuples(
             st.integers(100, 2500),
             st.integers(0, 1),
             st.booleans(),
             st.integers(0, 900),
+            st.booleans(),
         ),
         max_size=30,
     )
+    may_restart = counts_touch or how == 'may restart'
 
     @REPEATABLE
     @forall(answers)
-    def replay(attempts: list[tuple[int, int, bool, int]]) -> None:
-        start = Millis(-100_000)
-        leader_leases = tuple(
-            LeaderLease(
-                f'r{number}', _LEASE, start, engines_check_fences=checks_fences
+    def replay(attempts: list[tuple[int, int, bool, int, bool]]) -> None:
+        def started_lease(router: int, now: int) -> LeaderLease:
+            return LeaderLease(
+                f'r{router}',
+                _LEASE,
+                Millis(now),
+                engines_check_fences=checks_fences,
             )
-            for number in range(2)
-        )
+
+        in_touch_from = [-100_000, -100_000]
+        leader_leases = [started_lease(router, -100_000) for router in (0, 1)]
         holders: list[str] = []
         now = 0
         last_order = [-100_000, -100_000]
-        for pause, router, is_answered, delay in attempts:
+        for pause, router, is_answered, delay, restarts in attempts:
             now += pause
+            if may_restart and restarts:
+                leader_leases[router] = started_lease(router, now)
+                in_touch_from[router] = now + _IN_TOUCH_AFTER * counts_touch
             _renew_or_acquire(
                 leader_leases[router], router, holders, now, is_answered, delay
             )
             for at in range(now, now + delay + 1, 100):
                 _give_allowed_orders(
-                    leader_leases, last_order, at, gap, receives_announcements
+                    leader_leases,
+                    last_order,
+                    at,
+                    in_touch_from,
+                    gap,
+                    receives_announcements,
                 )
 
     replay()
@@ -97,9 +116,10 @@
 
 
 def _give_allowed_orders(
-    leader_leases: tuple[LeaderLease, ...],
+    leader_leases: list[LeaderLease],
     last_order: list[int],
     at: int,
+    in_touch_from: list[int],
     gap: int,
     receives_announcements: bool,
 ) -> None:
@@ -108,7 +128,8 @@
         if leader_lease.fencing_token(Millis(at)) is None:
             continue
         other = 1 - index
-        assert at - last_order[other] >= gap, (at, last_order)
+        if at >= in_touch_from[index]:
+            assert at - last_order[other] >= gap, (at, last_order)
         last_order[index] = at
         if receives_announcements:
             leader_leases[other].observe_peer_order(Millis(at))
@@ -229,3 +250,56 @@
         context.leader_lease.record_count, now, now
     )
     assert context.leader_lease.fencing_token(now) is not None
+
+
+@given('a router that held the lease when it was killed')
+@given('a router that held the lease when it was killed, before another')
+def kill_leader(context: Context) -> None:
+    """Leave records of former leaders behind."""
+    context.checks_fences = True
+
+
+@given('a router that held the lease where engines ignore fencing tokens')
+def kill_leader_without_fences(context: Context) -> None:
+    """Leave a record behind where an old fencing token is accepted."""
+    context.checks_fences = False
+
+
+@when('it starts again and reads its own record')
+def read_own_record(context: Context) -> None:
+    """Read the record that the former process wrote."""
+    read_records(context, 'r0')
+
+
+@when('it starts again and reads the record of "{holders}"')
+def read_records(context: Context, holders: str) -> None:
+    """Read one record after the other, the first at once."""
+    context.leader_lease = LeaderLease(
+        'r0', _LEASE, _NOW, engines_check_fences=context.checks_fences
+    )
+    for number, holder in enumerate(holders.split()):
+        state = LeaseState(record_count=7 + number, holder=holder)
+        context.leader_lease.observe_state(state, _NOW)
+
+
+@then('it takes the lease over and may give orders at once')
+def check_takes_over(context: Context) -> None:
+    """Guard against restarts that leave engines on old weights for ever."""
+    assert context.leader_lease.can_acquire(_NOW)
+    context.leader_lease.confirm_append(7, _NOW, _NOW)
+    assert context.leader_lease.fencing_token(_NOW) is not None
+
+
+@then('its fencing token is higher than the former one')
+def check_higher_token(context: Context) -> None:
+    """Guard against two processes that use one fencing token."""
+    assert context.leader_lease.fencing_token(_NOW) == 8
+
+
+@then('it may acquire the lease only after {ms:d} ms')
+def check_acquires_later(context: Context, ms: int) -> None:
+    """Guard against a lease that is taken from a leader that may give orders."""
+    leader_lease = context.leader_lease
+    for elapsed in range(0, ms, 100):
+        assert not leader_lease.can_acquire(Millis(_NOW + elapsed)), elapsed
+    assert leader_lease.can_acquire(Millis(_NOW + ms))
--- a/yuccagauge/relay/router.py
+++ b/yuccagauge/relay/router.py
@@ -175,6 +175,7 @@
         self._upkeep = PeriodicTask('upkeep', self._run_upkeep, reactor)
         self._is_stopping = False
         self._configuration_version = 0
+        self._was_directory_ready = False
 
     @property
     def is_ready(self) -> bool:
@@ -355,6 +356,9 @@
         self._selector.update_fleet_view(view)
         self._observe_versions(self._clock.now())
         changes.log_fleet_changes(before, view)
+        if directory.is_ready and not self._was_directory_ready:
+            self._was_directory_ready = True
+            self._election.check_now()
         configuration = directory.configuration
         if configuration is not None and (
             configuration.version != self._configuration_version
--- a/yuccagauge/rollout/election.py
+++ b/yuccagauge/rollout/election.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from twisted.internet.defer import Deferred, inlineCallbacks, succeed
+from twisted.internet.interfaces import IDelayedCall
 
 from yuccagauge.clock import Clock, Millis, in_seconds
 from yuccagauge.directory.store import StoreUnavailableError
@@ -15,6 +16,10 @@
 #: Renewals within one lease duration.
 RENEWALS_PER_LEASE = 4
 
+#: Time after the expiry of another router's lease at which it is checked, so
+#: that a clock that truncates to whole ms shows it as expired.
+EXPIRY_CHECK_DELAY = Millis(2)
+
 
 class LeaderElection:
     """Appends and reads the records of the leader lease in the store.
@@ -51,12 +56,15 @@
         self._name = name
         self._store = store
         self._leader_lease = leader_lease
+        self._reactor = reactor
         self._clock = clock
         self._is_candidate = is_candidate
         self._is_checking = False
         self._was_leader = False
-        #: When the first append that has no answer yet was sent.
+        #: When the first append that has no answer yet was sent, or the read
+        #: before it.
         self._unanswered_at: Millis | None = None
+        self._expiry_check: IDelayedCall | None = None
         #: Called with whether this router leads, when that changes.
         self.on_leadership_change: Callable[[bool], None] = lambda is_leader: (
             None
@@ -71,6 +79,7 @@
     def close(self) -> Deferred[Any]:
         """Stop, and release the lease if this router holds it."""
         self._renewal_task.close()
+        self._cancel_expiry_check()
         if not self._leader_lease.is_leader:
             return succeed(None)
         self._leader_lease.step_down()
@@ -109,15 +118,19 @@
     @inlineCallbacks
     def _renew_or_acquire(self) -> Any:
         leader_lease = self._leader_lease
+        asked_at = self._clock.now()
         if not leader_lease.is_leader:
             if not self._is_candidate():
                 return
             yield self._read_lease()
             if not leader_lease.can_acquire(self._clock.now()):
+                self._check_at_expiry()
                 return
         record_count = leader_lease.record_count
         sent_at = self._clock.now()
-        self._unanswered_at = self._unanswered_at or sent_at
+        # The store may write a record of this router's former process, which
+        # counts as this append, at any time after the read.
+        self._unanswered_at = self._unanswered_at or asked_at
         is_written = yield self._store.append_lease(self._name, record_count)
         if is_written:
             self._unanswered_at = None
@@ -128,6 +141,18 @@
             leader_lease.step_down()
             yield self._read_lease()
 
+    def _check_at_expiry(self) -> None:
+        """Check again when the lease expires, if that is before a period."""
+        self._cancel_expiry_check()
+        wait = self._leader_lease.time_until_free(self._clock.now())
+        wait_s = in_seconds(Millis(wait + EXPIRY_CHECK_DELAY))
+        if self._renewal_task.is_running and wait_s < self._period_s:
+            self._expiry_check = self._reactor.callLater(wait_s, self.check_now)
+
+    def _cancel_expiry_check(self) -> None:
+        if self._expiry_check is not None and self._expiry_check.active():
+            self._expiry_check.cancel()
+
     @inlineCallbacks
     def _read_lease(self) -> Any:
         """Read the lease.
--- a/yuccagauge/rollout/leaderlease.py
+++ b/yuccagauge/rollout/leaderlease.py
@@ -22,7 +22,15 @@
     the last order that another router announced is older than the lease
     duration. If engines check fencing tokens, it does not wait after the
     previous leader released the lease: that router gives no more orders, and
-    engines refuse its older token. The clock must include the time in which
+    engines refuse its older token.
+
+    If engines check fencing tokens, a router that starts and finds its own
+    record as the last one takes the lease over at once: no other router
+    acquired the lease since, the process that wrote the record has ended, and
+    the new token is higher. Load pattern: all routers restart again and again
+    at intervals of a few seconds, and no weights load while one waits.
+
+    The clock must include the time in which
     the VM is suspended, so that a resumed leader sees that its lease has
     expired.
 
@@ -53,7 +61,10 @@
         self._name = name
         self._lease_duration = lease_duration
         self._engines_check_fences = engines_check_fences
+        self._started_at = started_at
         self._peer_ordered_at = started_at
+        #: Number of records when this router started, if it wrote the last one.
+        self._resumable_count: int | None = None
         #: The last state that was read or written, and when it was first seen.
         self._state: LeaseState | None = None
         self._unchanged_since = Millis(0)
@@ -94,17 +105,26 @@
             and state.record_count <= self._state.record_count
         ):
             return
+        if self._state is None:
+            self._observe_first_state(state, now)
         self._state = state
         self._unchanged_since = now
         self._leader_since = None
 
     def can_acquire(self, now: Millis) -> bool:
-        """Return whether the lease of another router is released or expired."""
+        """Return whether the lease is released, expired or resumable."""
         if self._state is None or self.is_leader:
             return False
-        if not self._state.holder:
-            return True
-        return now - self._unchanged_since >= self._lease_duration
+        return self.time_until_free(now) <= 0
+
+    def time_until_free(self, now: Millis) -> Millis:
+        """Return how long the known lease of a router lasts."""
+        if self._state is None:
+            return self._lease_duration
+        is_resumable = self._state.record_count == self._resumable_count
+        if is_resumable or not self._state.holder:
+            return Millis(0)
+        return Millis(self._unchanged_since + self._lease_duration - now)
 
     def confirm_append(
         self, expected_count: int, sent_at: Millis, now: Millis
@@ -155,3 +175,11 @@
     def reject_token(self, fencing_token: int) -> None:
         """Stop using a fencing token that an engine refused as outdated."""
         self._rejected_token = max(self._rejected_token, fencing_token)
+
+    def _observe_first_state(self, state: LeaseState, now: Millis) -> None:
+        """Let this router resume a lease that its former process held."""
+        if not self._engines_check_fences or state.holder != self._name:
+            return
+        self._resumable_count = state.record_count
+        if self._peer_ordered_at == self._started_at:
+            self._peer_ordered_at = Millis(now - self._lease_duration)
