--- a/features/rollout/rollout.feature
+++ b/features/rollout/rollout.feature
@@ -44,6 +44,17 @@
       | 1 3 2 3 3     |         |          | 0 2   |
       | 2             |         |          | 0     |
 
+  Scenario Outline: An order without an answer occupies a load slot
+    Given 6 engines of which <loading> load, <ordered> have been sent an order and the others drain
+    Then one more engine may load with a load share of 0.4: <may load>
+
+    Examples:
+      | loading | ordered | may load |
+      | 1       | 0       | yes      |
+      | 1       | 1       | no       |
+      | 0       | 2       | no       |
+      | 2       | 0       | no       |
+
   Scenario Outline: How a draining engine swaps its weights
     Then an engine with <active> calls, <unmovable> of them unmovable, that drained for <ms> ms swaps in the mode "<mode>"
 
@@ -57,6 +68,28 @@
       | 5      | 3         | 1300 | wait        |
       | 5      | 3         | 2600 | finish-runs |
 
+  Scenario Outline: An engine that no call may use swaps its weights at once
+    Then an unusable engine with <active> calls, <unmovable> of them unmovable, swaps in the mode "<mode>" at once
+
+    Examples:
+      | active | unmovable | mode        |
+      | 0      | 0         | finish-runs |
+      | 3      | 0         | reset-runs  |
+      | 3      | 1         | finish-runs |
+
+  Scenario Outline: Loads of replaced weights wait for no drain once no call may use them
+    Given 6 engines that load weights in 1300 ms and a router that leads
+    And 2 calls that no other engine may continue run on each engine that is not loading
+    When version 2 became the target <age> ms ago
+    Then the first orders are given within <first> s, 2 of them
+    And within <all> s all engines have version 2
+    And at most 2 engines loaded at the same time
+
+    Examples:
+      | age   | first | all |
+      | 10600 | 0.15  | 5   |
+      | 0     | 1.4   | 9   |
+
   Scenario: Every engine loads the newest weights while the target version changes quickly
     Given 6 engines that load weights in 1300 ms and a router that leads
     When the versions 2, 3 and 4 become the target 2 s apart
--- a/features/steps/rollout_driver_steps.py
+++ b/features/steps/rollout_driver_steps.py
@@ -22,6 +22,7 @@
 from yuccagauge.rollout.election import RENEWALS_PER_LEASE, LeaderElection
 from yuccagauge.rollout.leaderlease import LeaderLease
 from yuccagauge.selection.base import FleetView
+from yuccagauge.selection.load import ActiveCall
 from yuccagauge.selection.selector import Selector
 
 _LEASE = Millis(3000)
@@ -300,3 +301,41 @@
     """Guard against a lease that others count from an earlier time."""
     end = Millis(context.written_at + 1000 * seconds)
     assert context.leader_lease.fencing_token(end) is None
+
+
+@given(
+    '{count:d} calls that no other engine may continue run on each engine that '
+    'is not loading'
+)
+def run_calls(context: Context, count: int) -> None:
+    """Put calls in flight that do not end by themselves."""
+    for name in context.engines.versions:
+        load = context.selector.load_of(name)
+        for number in range(count):
+            call = ActiveCall(sent_at=context.clock.now())
+            load.own_calls[f'{name}-{number}'] = call
+
+
+@when('version 2 became the target {ms:d} ms ago')
+def set_old_target(context: Context, ms: int) -> None:
+    """Name a version at an earlier time, which this process knows."""
+    now = context.clock.now()
+    record = KeyedRecord(key=f'v/{MODEL}', offset=2, value=b'2')
+    context.directory.apply_records(
+        Topic.OPERATIONS, (record,), 3, Millis(now - ms)
+    )
+    context.selector.update_fleet_view(
+        FleetView(
+            servers=dict(context.directory.servers),
+            target_history=dict(context.directory.target_history),
+        )
+    )
+    context.named_at = context.reactor.seconds()
+
+
+@then('the first orders are given within {seconds:g} s, {count:d} of them')
+def check_first_orders(context: Context, seconds: float, count: int) -> None:
+    """Guard against slots that stay empty while no engine may serve."""
+    _advance(context, seconds)
+    ordered_at = context.engines.ordered_at
+    assert len(ordered_at) == count, (context.named_at, ordered_at)
--- a/features/steps/rollout_steps.py
+++ b/features/steps/rollout_steps.py
@@ -19,6 +19,7 @@
     EngineWeights,
     due_swap_mode,
     engines_to_drain,
+    has_load_slot,
 )
 
 _LEASE = Millis(3000)
@@ -303,3 +304,54 @@
     for elapsed in range(0, ms, 100):
         assert not leader_lease.can_acquire(Millis(_NOW + elapsed)), elapsed
     assert leader_lease.can_acquire(Millis(_NOW + ms))
+
+
+@then(
+    'an unusable engine with {active:d} calls, {unmovable:d} of them '
+    'unmovable, swaps in the mode "{mode}" at once'
+)
+def check_unusable_swap(
+    context: Context, active: int, unmovable: int, mode: str
+) -> None:
+    """Guard against a drain that keeps no call away and delays the load."""
+    engine = EngineWeights(
+        server=model_engine(0),
+        model=MODEL,
+        version=1,
+        active_calls=active,
+        unmovable_calls=unmovable,
+        draining_since=_NOW,
+        is_usable=False,
+    )
+    found = due_swap_mode(engine, _NOW)
+    assert found is not None
+    assert found.value == mode, found
+
+
+@given(
+    '{count:d} engines of which {loading:d} load, {ordered:d} have been sent an '
+    'order and the others drain'
+)
+def create_ordered_engines(
+    context: Context, count: int, loading: int, ordered: int
+) -> None:
+    """Create the engines of one service."""
+    context.engines = [
+        EngineWeights(
+            server=model_engine(number),
+            model=MODEL,
+            version=1,
+            ordered_at=_NOW if number < loading else None,
+            is_loading=number < loading,
+            is_ordering=loading <= number < loading + ordered,
+            draining_since=None if number < loading else _NOW,
+        )
+        for number in range(count)
+    ]
+
+
+@then('one more engine may load with a load share of {share:g}: {expected:w}')
+def check_load_slot(context: Context, share: float, expected: str) -> None:
+    """Guard against loads that slow each other down."""
+    found = has_load_slot(context.engines, share, _NOW)
+    assert found == (expected == 'yes'), found
--- a/yuccagauge/rollout/driver.py
+++ b/yuccagauge/rollout/driver.py
@@ -1,7 +1,7 @@
 """Orders engines to load weights while this router leads."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from twisted.internet.defer import inlineCallbacks
@@ -169,17 +169,19 @@
             engines, targets, self._load_share, expected_load_ms, now
         ):
             self._progress_of(chosen.server).draining_since = now
+            engines[engines.index(chosen)] = replace(chosen, draining_since=now)
         draining = tuple(
             each.server.server_id
             for each in engines
-            if self._progress_of(each.server).draining_since is not None
+            if each.draining_since is not None
         )
         self._announce_drains(draining, now)
-        for engine in engines:
+        for index, engine in enumerate(engines):
             swap_mode = due_swap_mode(engine, now)
             if swap_mode is not None and has_load_slot(
                 engines, self._load_share, now
             ):
+                engines[index] = replace(engine, is_ordering=True)
                 self._start_load(engine, targets[engine.model], swap_mode)
 
     def _status_poll_period(self, server: BackendServer) -> Millis:
@@ -226,6 +228,11 @@
             draining_since=progress.draining_since,
             ordered_at=progress.ordered_at,
             is_loading=progress.is_loading,
+            is_ordering=(
+                progress.has_pending_request
+                and progress.draining_since is not None
+            ),
+            is_usable=self._selector.may_serve(server, model, now),
             is_reachable=now >= load.paused_until,
         )
 
--- a/yuccagauge/rollout/plan.py
+++ b/yuccagauge/rollout/plan.py
@@ -56,6 +56,10 @@
     ordered_at: Millis | None = None
     #: Whether the engine is known to carry out an order.
     is_loading: bool = False
+    #: Whether a status request or an order to the engine is under way.
+    is_ordering: bool = False
+    #: Whether calls may begin on the weights of the engine.
+    is_usable: bool = True
     #: False while this router pauses its calls to the engine.
     is_reachable: bool = True
 
@@ -132,7 +136,10 @@
 ) -> bool:
     """Return whether one more engine of a service may load now."""
     available = [engine for engine in engines if engine.is_available]
-    loading = sum(_has_running_load(engine, now) for engine in available)
+    loading = sum(
+        engine.is_ordering or _has_running_load(engine, now)
+        for engine in available
+    )
     return loading < maximum_loads(len(available), load_share)
 
 
@@ -142,9 +149,17 @@
     Load pattern: long streams run beside short calls. Once only movable
     streams are left, a reset moves them to other engines; waiting for their
     end would delay the load by seconds.
+
+    Load pattern: routers restart again and again, and weights are superseded
+    so long ago that no call may begin on them. A drain keeps no more calls
+    away, so the engine is ordered at once. It finishes calls that no other
+    engine may continue: until they end, its slot serves nobody else.
     """
-    if engine.draining_since is None:
+    if engine.draining_since is None or engine.is_ordering:
         return None
+    if not engine.is_usable:
+        is_movable = engine.active_calls and not engine.unmovable_calls
+        return SwapMode.RESET_RUNS if is_movable else SwapMode.FINISH_RUNS
     drained_ms = now - engine.draining_since
     if drained_ms < MINIMUM_DRAIN:
         return None
--- a/yuccagauge/selection/model.py
+++ b/yuccagauge/selection/model.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from yuccagauge.clock import Millis
-from yuccagauge.selection.base import Candidate, SelectionRequest
+from yuccagauge.selection.base import Candidate, FleetView, SelectionRequest
 from yuccagauge.selection.spread import tie_break
 
 #: Prompt tokens that an engine prefills in a millisecond by its data sheet.
@@ -31,6 +31,10 @@
 #: Cost of a failed call, as an equivalent waiting time.
 FAILURE_COST_MS = 2000.0
 
+#: Time after newer weights were named from which engines with older ones count
+#: as outdated, and their answers as worth less.
+OUTDATED_GRACE = Millis(1000)
+
 #: Cost of an answer on outdated weights.
 OUTDATED_COST_MS = 40.0
 
@@ -46,6 +50,14 @@
 QUEUED_CALL_MS = 12.0
 
 
+def superseded_ms(
+    view: FleetView, model_name: str, version: int, now: Millis
+) -> int:
+    """Return how long ago a newer version was named; 0 if there is none."""
+    superseded_at = view.superseded_at(model_name, version)
+    return 0 if superseded_at is None else now - superseded_at
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class EngineEstimate:
     """Estimated times and costs of a call on one engine."""
--- a/yuccagauge/selection/selector.py
+++ b/yuccagauge/selection/selector.py
@@ -36,10 +36,6 @@
 #: superseded weights. The engine already gets none within this margin.
 OUTDATED_STOP_MARGIN = Millis(1500)
 
-#: Time after newer weights were named from which engines with older ones count
-#: as outdated, and their answers as worth less.
-OUTDATED_GRACE = Millis(1000)
-
 
 class Selector:
     """Selects servers by load, cached parts and weights versions.
@@ -143,12 +139,20 @@
 
     def weights_version_of(self, server: BackendServer, model_name: str) -> int:
         """Return the newest weights version that a server is known to run."""
-        listed = server.weights.get(model_name, 0)
+        reported = self.load_of(server.server_id).reported_weights
         return max(
-            listed,
-            self.load_of(server.server_id).reported_weights.get(model_name, 0),
+            server.weights.get(model_name, 0), reported.get(model_name, 0)
         )
 
+    def may_serve(
+        self, server: BackendServer, model_name: str, now: Millis
+    ) -> bool:
+        """Return whether calls may begin on a server's weights of a model."""
+        version = self.weights_version_of(server, model_name)
+        age = model.superseded_ms(self._view, model_name, version, now)
+        limit = self._outdated_weights_limit - OUTDATED_STOP_MARGIN
+        return version > 0 and age <= limit
+
     def choose(
         self,
         request: SelectionRequest,
@@ -320,14 +324,10 @@
         holders_by_version: dict[int, PrefixHolders] = {}
         routers = self.peer_coverage.routers
         for server in servers:
-            version = self.weights_version_of(server, request.model)
-            superseded_at = self._view.superseded_at(request.model, version)
-            age = 0 if superseded_at is None else now - superseded_at
-            if (
-                not version
-                or age > self._outdated_weights_limit - OUTDATED_STOP_MARGIN
-            ):
+            if not self.may_serve(server, request.model, now):
                 continue
+            version = self.weights_version_of(server, request.model)
+            age = model.superseded_ms(self._view, request.model, version, now)
             if version not in holders_by_version:
                 holders_by_version[version] = PrefixHolders.among(
                     servers,
@@ -344,7 +344,7 @@
                     load=self.load_of(server.server_id),
                     is_local=server.data_centre == self._data_centre,
                     weights_version=version,
-                    is_outdated=age > OUTDATED_GRACE,
+                    is_outdated=age > model.OUTDATED_GRACE,
                     cached_tokens=holders.tokens_at(
                         server.server_id, is_heard=is_heard
                     ),
