--- a/features/memory_network.py
+++ b/features/memory_network.py
@@ -19,7 +19,7 @@
 
 from features.virtual_reactor import VirtualReactor
 
-#: One-way delay between two hosts, in seconds.
+#: One-way delay between two hosts unless it is set, in seconds.
 _LATENCY_S = 0.001
 
 #: Time between two attempts to deliver data over a cut link, in seconds.
@@ -135,7 +135,9 @@
 
     def _send(self, action: Callable[..., None], argument: Any) -> None:
         if not self._outbox:
-            self._network.reactor.callLater(_LATENCY_S, self._deliver)
+            self._network.reactor.callLater(
+                self._network.latency_s, self._deliver
+            )
         self._outbox.append((action, argument))
 
     def _deliver(self) -> None:
@@ -243,6 +245,8 @@
     def __init__(self) -> None:
         """Create a network without hosts."""
         self.reactor = VirtualReactor()
+        #: One-way delay between two hosts, in seconds.
+        self.latency_s = _LATENCY_S
         #: Returns whether no data passes between two hosts.
         self.is_cut: Callable[[str, str], bool] = lambda host, other: False
         #: Returns what becomes of a connection from a host to another one.
@@ -285,7 +289,7 @@
             )
         else:
             self.reactor.callLater(
-                2 * _LATENCY_S, self._establish, connector, source, factory
+                2 * self.latency_s, self._establish, connector, source, factory
             )
         return connector
 
--- a/yuccagauge/exchange/merger.py
+++ b/yuccagauge/exchange/merger.py
@@ -13,6 +13,7 @@
 )
 from yuccagauge.quarantine.base import CrashSuspicion, Quarantine
 from yuccagauge.quarantine.parts import PartQuarantine
+from yuccagauge.ratelimit.limits import MAXIMUM_MESSAGE_DELAY
 from yuccagauge.selection.load import PEER_LOAD_LIFETIME, PeerLoad
 from yuccagauge.selection.selector import Selector
 from yuccagauge.telemetry.journal import log_state_change
@@ -95,6 +96,42 @@
         return self._confirmed_at.get(topic, Millis(0))
 
     def merge_message(self, message: FleetExchange) -> None:
+        """Apply a message that a router sent by itself.
+
+        How long it was under way is not known: it may have waited while this
+        router was suspended. It therefore confirms no records, and the routers
+        that its sender knows count as seen a whole message delay earlier.
+        """
+        self._merge(message, None)
+
+    def merge_reply(self, message: FleetExchange, asked_at: Millis) -> None:
+        """Apply the answer to a message of this router.
+
+        The ages in it count from when this router asked, which was before the
+        answer was written. If they counted from its arrival, each hop would
+        make a fact younger, and one that circulates would never become old.
+        """
+        self._merge(message, asked_at)
+
+    def apply_pause(self, server_id: str, duration: Millis) -> None:
+        """Pause calls to a server for a duration; 0 ends the pause."""
+        load = self._selector.load_of(server_id)
+        load.loading_until = Millis(self._clock.now() + duration)
+
+    def apply_weights(self, notification: FleetWeights) -> None:
+        """End the pause of a server that reports newer weights."""
+        load = self._selector.load_of(notification.server)
+        if (
+            load.reported_weights.get(notification.model, 0)
+            < notification.version
+        ):
+            load.reported_weights[notification.model] = notification.version
+            load.loading_until = Millis(0)
+            server = self._directory.servers.get(notification.server)
+            if server is not None:
+                self._quarantine.record_load(server.endpoint, self._clock.now())
+
+    def _merge(self, message: FleetExchange, asked_at: Millis | None) -> None:
         """Apply all parts of one message."""
         now = self._clock.now()
         self._received_at = now
@@ -103,8 +140,8 @@
             if self._members.remove_member(message.name, now):
                 self.on_peer_left()
         else:
-            self._observe_members(message, now)
-        self._apply_records(message, now)
+            self._observe_members(message, asked_at, now)
+        self._apply_records(message, asked_at, now)
         self._apply_loads(message, now)
         self._apply_statements(message, now)
         if message.pauses:
@@ -121,24 +158,6 @@
             self._apply_unresponsive_report(report.server, message.name, now)
         self._apply_crashes(message, now)
 
-    def apply_pause(self, server_id: str, duration: Millis) -> None:
-        """Pause calls to a server for a duration; 0 ends the pause."""
-        load = self._selector.load_of(server_id)
-        load.loading_until = Millis(self._clock.now() + duration)
-
-    def apply_weights(self, notification: FleetWeights) -> None:
-        """End the pause of a server that reports newer weights."""
-        load = self._selector.load_of(notification.server)
-        if (
-            load.reported_weights.get(notification.model, 0)
-            < notification.version
-        ):
-            load.reported_weights[notification.model] = notification.version
-            load.loading_until = Millis(0)
-            server = self._directory.servers.get(notification.server)
-            if server is not None:
-                self._quarantine.record_load(server.endpoint, self._clock.now())
-
     def _apply_crashes(self, message: FleetExchange, now: Millis) -> None:
         self._quarantine.merge_suspicions(
             tuple(_suspicion(part) for part in message.suspicions),
@@ -167,19 +186,22 @@
         if load.is_reported_unresponsive(now) and not was_unresponsive:
             log_state_change('server_told_silent', server=server_id, peer=peer)
 
-    def _observe_members(self, message: FleetExchange, now: Millis) -> None:
+    def _observe_members(
+        self, message: FleetExchange, asked_at: Millis | None, now: Millis
+    ) -> None:
         sender = Member(
             name=message.name,
             endpoint=message.endpoint,
             data_centre=message.data_centre,
-            last_seen_at=now,
+            last_seen_at=now if asked_at is None else asked_at,
         )
+        told_at = now - MAXIMUM_MESSAGE_DELAY if asked_at is None else asked_at
         others = (
             Member(
                 name=part.name,
                 endpoint=part.endpoint,
                 data_centre=part.data_centre,
-                last_seen_at=Millis(now - part.age_ms),
+                last_seen_at=Millis(told_at - part.age_ms),
             )
             for part in message.members
         )
@@ -189,7 +211,9 @@
             self._known_names = names
             log_state_change('routers_known', count=len(names) + 1)
 
-    def _apply_records(self, message: FleetExchange, now: Millis) -> None:
+    def _apply_records(
+        self, message: FleetExchange, asked_at: Millis | None, now: Millis
+    ) -> None:
         """Apply records and confirmation times.
 
         Only answers carry records. They have all changes from this router's
@@ -205,8 +229,9 @@
             is_ahead = part.mark > self._directory.next_offset(topic)
             if records or message.answers and is_ahead:
                 self._directory.apply_records(topic, records, part.mark, now)
-            if self._directory.next_offset(topic) >= part.mark:
-                confirmed_at = Millis(now - part.age_ms)
+            has_reached = self._directory.next_offset(topic) >= part.mark
+            if asked_at is not None and has_reached:
+                confirmed_at = Millis(asked_at - part.age_ms)
                 known = self._confirmed_at.get(topic, Millis(0))
                 self._confirmed_at[topic] = max(known, confirmed_at)
 
--- a/yuccagauge/exchange/service.py
+++ b/yuccagauge/exchange/service.py
@@ -312,10 +312,10 @@
             self._send_message(member.endpoint, message)
 
     def _send_message(self, endpoint: Endpoint, message: FleetExchange) -> None:
-        reply = self._client.request(endpoint, message, REPLY_TIMEOUT)
-        reply.addCallbacks(
-            self._merger.merge_message,
+        self._client.request(endpoint, message, REPLY_TIMEOUT).addCallbacks(
+            self._merger.merge_reply,
             self._handle_no_reply,
+            callbackArgs=(self._clock.now(),),
             errbackArgs=(endpoint,),
         )
 
