--- a/features/membership/membership.feature
+++ b/features/membership/membership.feature
@@ -69,6 +69,24 @@
     And 60000 ms pass in the membership network
     Then all see membership router 2 leaving
 
+  Scenario Outline: A router that left is forgotten by all in the end
+    Given a membership network of <size> routers, seed <seed>, loss <loss>
+    When membership router 2 leaves
+    And 5000 ms pass in the membership network
+    And membership router 2 crashes
+    And membership router 3 crashes
+    And 300000 ms pass in the membership network
+    And membership router 3 starts again with incarnation 2
+    And 660000 ms pass in the membership network
+    Then nobody remembers membership router 2
+    And the membership network converges within 60000 ms
+
+    Examples:
+      | size | seed | loss |
+      | 8    | 1    | 0    |
+      | 8    | 2    | 0.1  |
+      | 30   | 3    | 0.1  |
+
   Scenario Outline: A restart under the same address is one member again
     Given a membership network of 8 routers, seed 1, loss 0
     When membership router 2 crashes
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -110,6 +110,13 @@
     assert set(views) == {MemberState.LEAVING}, views
 
 
+@then('nobody remembers membership router {index:d}')
+def then_forgotten(context: Context, index: int) -> None:
+    """Guard against a table that fills with routers that left."""
+    views = context.network.views(_name(index))
+    assert set(views) == {None}, views
+
+
 @then('nobody saw another membership router dead')
 def then_no_false_death(context: Context) -> None:
     """Any other death is a false one."""
--- a/yuccagauge/membership/table.py
+++ b/yuccagauge/membership/table.py
@@ -110,8 +110,10 @@
         return changes
 
     def _add(self, member: Member, now: Millis) -> bool:
-        # A dead member that nobody here knew needs no tombstone.
-        if member.state is MemberState.DEAD:
+        # A member that is gone needs no tombstone where nobody knew it. One that
+        # was forgotten would otherwise be learned again from a peer that forgets
+        # it a little later, as if it had just gone.
+        if not member.is_live:
             return False
         if len(self._records) >= self._maximum and not self._make_room():
             return False
