--- a/features/exchange/ages.feature
+++ b/features/exchange/ages.feature
@@ -47,3 +47,16 @@
     And the last router is frozen for 5 s
     And 0.02 s of exchanges pass
     Then no router takes that confirmation for younger than it is
+
+  Scenario Outline: A crash of a request is not younger at the routers that hear of it
+    Given <routers> exchanging routers with a one-way delay of <ms> ms
+    When a request crashes 3 servers at the first router
+    And 4 s of exchanges pass
+    Then all routers refuse the request, and none for longer than the first
+
+    Examples:
+      | routers | ms  |
+      | 3       | 1   |
+      | 8       | 1   |
+      | 8       | 60  |
+      | 8       | 250 |
--- a/features/steps/exchange_age_steps.py
+++ b/features/steps/exchange_age_steps.py
@@ -11,7 +11,7 @@
 from yuccagauge.clock import Millis
 from yuccagauge.directory.state import Directory, Topic
 from yuccagauge.exchange.service import ExchangeService
-from yuccagauge.quarantine.base import Quarantine
+from yuccagauge.quarantine.base import Quarantine, QuarantineStatus
 from yuccagauge.quarantine.parts import PartQuarantine
 from yuccagauge.selection.selector import Selector
 from yuccagauge.settings.options import Endpoint
@@ -20,6 +20,8 @@
 
 _PEER_PORT = 8783
 
+_FINGERPRINT = b'request'
+
 #: Longest and shortest time by which the clock advances at once, in seconds.
 _LONGEST_STEP_S = 0.01
 _SHORTEST_STEP_S = 0.001
@@ -38,6 +40,7 @@
         self.clock = VirtualClock(network.reactor)
         self.reactor = NodeReactor(network, self.host)
         self.confirmed_at = Millis(0)
+        self.quarantine = Quarantine()
         endpoint = Endpoint(self.host, _PEER_PORT)
         self.exchange = ExchangeService(
             self.name,
@@ -48,7 +51,7 @@
             client=PeerClient(self.reactor, self.name),
             directory=Directory(PlainDecoder()),
             selector=Selector('a', Millis(12_000)),
-            quarantine=Quarantine(),
+            quarantine=self.quarantine,
             part_quarantine=PartQuarantine(),
             reactor=self.reactor,
             clock=self.clock,
@@ -96,6 +99,19 @@
     context.ended = node.name
 
 
+@when('a request crashes {count:d} servers at the first router')
+def crash_servers(context: Context, count: int) -> None:
+    """Record the crashes at one router."""
+    first = context.nodes[0]
+    for number in range(count):
+        first.quarantine.record_broken_connection(
+            _FINGERPRINT,
+            Endpoint('10.1.0.1', number + 1),
+            f'incarnation-{number}',
+            first.clock.now(),
+        )
+
+
 @when('{seconds:g} s of exchanges pass')
 def pass_seconds(context: Context, seconds: float) -> None:
     """Let the routers exchange."""
@@ -150,3 +166,14 @@
     for node in context.nodes:
         found = len(node.exchange.peers)
         assert found == len(context.nodes) - 1, (node.name, found)
+
+
+@then('all routers refuse the request, and none for longer than the first')
+def check_refusals(context: Context) -> None:
+    """Guard against a crash that circulates and never expires."""
+    now = context.nodes[0].clock.now()
+    quarantines = [node.quarantine for node in context.nodes]
+    statuses = {each.status(_FINGERPRINT, now) for each in quarantines}
+    assert statuses == {QuarantineStatus.REFUSED}, statuses
+    remaining = [each.remaining_time(_FINGERPRINT, now) for each in quarantines]
+    assert max(remaining) == remaining[0], remaining
--- a/yuccagauge/exchange/merger.py
+++ b/yuccagauge/exchange/merger.py
@@ -99,8 +99,8 @@
         """Apply a message that a router sent by itself.
 
         How long it was under way is not known: it may have waited while this
-        router was suspended. It therefore confirms no records, and the routers
-        that its sender knows count as seen a whole message delay earlier.
+        router was suspended. It therefore confirms no records, and what its
+        sender knows otherwise counts as older by a whole message delay.
         """
         self._merge(message, None)
 
@@ -132,15 +132,25 @@
                 self._quarantine.record_load(server.endpoint, self._clock.now())
 
     def _merge(self, message: FleetExchange, asked_at: Millis | None) -> None:
-        """Apply all parts of one message."""
+        """Apply all parts of one message.
+
+        Parameters
+        ----------
+        asked_at
+            When this router asked; ``None`` if it did not.
+        """
         now = self._clock.now()
+        told_at = Millis(
+            now - MAXIMUM_MESSAGE_DELAY if asked_at is None else asked_at
+        )
         self._received_at = now
         self._has_peer_state |= message.asks or message.answers
         if message.leaves:
             if self._members.remove_member(message.name, now):
                 self.on_peer_left()
         else:
-            self._observe_members(message, asked_at, now)
+            seen_at = now if asked_at is None else asked_at
+            self._observe_members(message, seen_at, told_at, now)
         self._apply_records(message, asked_at, now)
         self._apply_loads(message, now)
         self._apply_statements(message, now)
@@ -156,11 +166,14 @@
             )
         for report in message.silences:
             self._apply_unresponsive_report(report.server, message.name, now)
-        self._apply_crashes(message, now)
+        self._apply_crashes(message, told_at, now)
 
-    def _apply_crashes(self, message: FleetExchange, now: Millis) -> None:
+    def _apply_crashes(
+        self, message: FleetExchange, told_at: Millis, now: Millis
+    ) -> None:
+        delay = Millis(now - told_at)
         self._quarantine.merge_suspicions(
-            tuple(_suspicion(part) for part in message.suspicions),
+            tuple(_suspicion(part, delay) for part in message.suspicions),
             now,
         )
         self._part_quarantine.merge(parse_part_evidence(message.parts), now)
@@ -187,15 +200,18 @@
             log_state_change('server_told_silent', server=server_id, peer=peer)
 
     def _observe_members(
-        self, message: FleetExchange, asked_at: Millis | None, now: Millis
+        self,
+        message: FleetExchange,
+        seen_at: Millis,
+        told_at: Millis,
+        now: Millis,
     ) -> None:
         sender = Member(
             name=message.name,
             endpoint=message.endpoint,
             data_centre=message.data_centre,
-            last_seen_at=now if asked_at is None else asked_at,
+            last_seen_at=seen_at,
         )
-        told_at = now - MAXIMUM_MESSAGE_DELAY if asked_at is None else asked_at
         others = (
             Member(
                 name=part.name,
@@ -278,10 +294,10 @@
     )
 
 
-def _suspicion(part: FleetSuspicion) -> CrashSuspicion:
+def _suspicion(part: FleetSuspicion, delay: Millis) -> CrashSuspicion:
     return CrashSuspicion(
         fingerprint=part.fingerprint,
         crashes=frozenset(filter(None, part.crashes.split(','))),
         cleared=frozenset(filter(None, part.cleared.split(','))),
-        age=Millis(part.age_ms),
+        age=Millis(part.age_ms + delay),
     )
