--- a/features/rollout/rollout.feature
+++ b/features/rollout/rollout.feature
@@ -107,6 +107,37 @@
     When the versions 2, 3 and 4 become the target 4 s apart
     Then engine e0 is asked for its status at most 3 times in any s
 
+  Scenario Outline: An engine whose load ended unseen gets its order once it can be read
+    Given 4 engines that load weights in 500 ms and a router that leads
+    And engine e0 <state> and answers no status for 8 s after that
+    When the versions 2, 3 and 4 become the target 0 s apart
+    Then within 11 s all engines have version 4
+
+    Examples:
+      | state                                     |
+      | carries out an order of a former leader   |
+      | is reborn with its old weights in a load  |
+
+  Scenario: An engine that resets all calls of the leader loads the newest weights
+    Given 4 engines that load weights in 500 ms and a router that leads
+    And engine e0 cannot be reached by calls of this router that overlap
+    When the versions 2, 3 and 4 become the target 0 s apart
+    Then within 6 s all engines have version 4
+
+  Scenario: An engine that only the leader cannot reach is not drained
+    Given 4 engines that load weights in 500 ms and a router that leads
+    And engine e0 cannot be reached by calls of this router
+    And engine e0 answers no status for 30 s
+    When the versions 2, 3 and 4 become the target 4 s apart
+    Then no announcement drains engine e0
+    And engine e0 is asked for its status at most 1 times in any s
+
+  Scenario: An engine that this router pauses leaves no load slot empty
+    Given engines with weights "2 2 2 2 2 2" and the newest version 3
+    And of these "" have been loading for 300 ms and "" drain
+    When this router pauses its calls to 2 of them
+    Then the engines "2 4" drain next with a load share of 0.4
+
   Scenario: An order without an answer has no effect after a newer one
     Given 4 engines that load weights in 500 ms and a router that leads
     And the first order to each engine gets no answer and arrives 3 s later
--- a/features/rollout_engines.py
+++ b/features/rollout_engines.py
@@ -99,13 +99,18 @@
         #: Engines whose next order arrives late and gets no answer.
         self.delayed: set[str] = set()
         self.order_delay_s = float(0)
+        #: Time until which an engine answers no request for its status, in s.
+        self.unread_until: dict[str, float] = {}
         self._load_s = load_s
         self._reactor = reactor
 
     def read_status(self, server: BackendServer) -> Any:
         """Return the current status."""
         name = server.server_id
-        self.asked_at[name].append(self._reactor.seconds())
+        now = self._reactor.seconds()
+        self.asked_at[name].append(now)
+        if now < self.unread_until.get(name, 0):
+            return fail(FetchError('simulated silence', Verdict.NOT_RUN))
         return succeed(
             EngineStatus(
                 is_busy=self.busy.get(name, False),
--- a/features/steps/rollout_driver_steps.py
+++ b/features/steps/rollout_driver_steps.py
@@ -27,6 +27,9 @@
 
 _LEASE = Millis(3000)
 
+#: Time before the end of a pause at which another call fails, in ms.
+_OVERLAP = 60
+
 
 @given(
     '{count:d} engines that load weights in {ms:d} ms and a router that leads'
@@ -339,3 +342,63 @@
     _advance(context, seconds)
     ordered_at = context.engines.ordered_at
     assert len(ordered_at) == count, (context.named_at, ordered_at)
+
+
+@given('engine {name} answers no status for {seconds:d} s')
+def silence_engine(context: Context, name: str, seconds: int) -> None:
+    """Lose the answers of one engine to status requests."""
+    now = context.reactor.seconds()
+    context.engines.unread_until[name] = now + seconds
+
+
+@given(
+    'engine {name} carries out an order of a former leader and answers no '
+    'status for {seconds:d} s after that'
+)
+def start_foreign_load(context: Context, name: str, seconds: int) -> None:
+    """Let the leader see a load and then nothing of its end."""
+    _make_busy(context, name, seconds)
+    context.engines.order_numbers[name] += 1
+
+
+@given(
+    'engine {name} is reborn with its old weights in a load and answers no '
+    'status for {seconds:d} s after that'
+)
+def restart_engine(context: Context, name: str, seconds: int) -> None:
+    """Let a restart during a load clear the order number."""
+    _make_busy(context, name, seconds)
+    context.reactor.callLater(1, context.engines.order_numbers.clear)
+
+
+def _make_busy(context: Context, name: str, seconds: int) -> None:
+    engines = context.engines
+    engines.busy[name] = True
+    context.reactor.callLater(0.9, silence_engine, context, name, seconds)
+    context.reactor.callLater(1, engines.busy.pop, name)
+
+
+@given('engine {name} cannot be reached by calls of this router that overlap')
+def refuse_overlapping_calls(context: Context, name: str) -> None:
+    """Let the last of several calls fail just before the pause ends."""
+    refuse_calls(context, name, _OVERLAP)
+
+
+@given('engine {name} cannot be reached by calls of this router')
+def refuse_calls(context: Context, name: str, overlap: int = 0) -> None:
+    """Pause the engine again whenever a call tries it."""
+    load = context.selector.load_of(name)
+
+    def try_call() -> None:
+        if context.clock.now() >= load.paused_until - overlap:
+            load.record_unreachable(context.clock.now())
+        context.reactor.callLater(0.01, try_call)
+
+    try_call()
+
+
+@then('no announcement drains engine {name}')
+def check_not_drained(context: Context, name: str) -> None:
+    """Guard against drains of an engine that only other routers reach."""
+    drained = [at for at, names, _ in context.announced if name in names]
+    assert not drained, drained
--- a/features/steps/rollout_steps.py
+++ b/features/steps/rollout_steps.py
@@ -1,5 +1,7 @@
 """Steps for the rollout of weights."""
 
+from dataclasses import replace
+
 from behave import given, then, when
 from behave.runner import Context
 from hypothesis import given as forall
@@ -355,3 +357,12 @@
     """Guard against loads that slow each other down."""
     found = has_load_slot(context.engines, share, _NOW)
     assert found == (expected == 'yes'), found
+
+
+@when('this router pauses its calls to {count:d} of them')
+def pause_engines(context: Context, count: int) -> None:
+    """Let the first engines count as unreachable."""
+    context.engines = [
+        replace(engine, is_reachable=number >= count)
+        for number, engine in enumerate(context.engines)
+    ]
--- a/yuccagauge/rollout/driver.py
+++ b/yuccagauge/rollout/driver.py
@@ -1,7 +1,7 @@
 """Orders engines to load weights while this router leads."""
 
-from collections.abc import Callable
-from dataclasses import dataclass, replace
+from collections.abc import Callable, Mapping
+from dataclasses import replace
 from typing import Any
 
 from twisted.internet.defer import inlineCallbacks
@@ -24,7 +24,9 @@
     due_swap_mode,
     engines_to_drain,
     has_load_slot,
+    needs_probe,
 )
+from yuccagauge.rollout.progress import EngineProgress
 from yuccagauge.selection.selector import Selector
 from yuccagauge.tasks import PeriodicTask
 from yuccagauge.telemetry.journal import log_state_change
@@ -39,6 +41,10 @@
 #: Time between two requests for the status of an engine that loads.
 STATUS_POLL_PERIOD = Millis(200)
 
+#: Time for which this router has paused its calls to an engine before it asks
+#: for its status, and the time between two such requests.
+PAUSED_STATUS_PERIOD = Millis(1000)
+
 #: How long routers send no calls to an engine after one announcement of its
 #: drain; the announcement is repeated while the drain lasts.
 DRAIN_PAUSE = Millis(600)
@@ -52,18 +58,6 @@
 LOAD_AVERAGE_WEIGHT = 0.3
 
 
-@dataclass(slots=True)
-class _EngineProgress:
-    """State of the drain, order and load of one engine."""
-
-    draining_since: Millis | None = None
-    ordered_at: Millis | None = None
-    ordered_version: int = 0
-    is_loading: bool = False
-    has_pending_request: bool = False
-    status_requested_at: Millis = Millis(0)
-
-
 class RolloutDriver:
     """Drains engines and sends them orders while this router leads.
 
@@ -99,7 +93,7 @@
         self._clock = clock
         self._load_share = load_share
         self._leader_lease = leader_lease
-        self._progress: dict[str, _EngineProgress] = {}
+        self._progress: dict[str, EngineProgress] = {}
         self._mean_load_ms = INITIAL_LOAD_MS
         self._is_started = False
         #: Engines in the last announcement of drains, and when it was sent.
@@ -155,18 +149,10 @@
         ]
         targets = self._directory.targets
         for engine in engines:
-            progress = self._progress_of(engine.server)
-            period = self._status_poll_period(engine.server)
-            is_due = now - progress.status_requested_at > period
-            if (
-                progress.is_loading
-                and is_due
-                and not progress.has_pending_request
-            ):
+            if self._is_status_due(engine, targets, now):
                 self._poll_status(engine)
-        expected_load_ms = self._mean_load_ms
         for chosen in engines_to_drain(
-            engines, targets, self._load_share, expected_load_ms, now
+            engines, targets, self._load_share, self._mean_load_ms, now
         ):
             self._progress_of(chosen.server).draining_since = now
             engines[engines.index(chosen)] = replace(chosen, draining_since=now)
@@ -184,6 +170,20 @@
                 engines[index] = replace(engine, is_ordering=True)
                 self._start_load(engine, targets[engine.model], swap_mode)
 
+    def _is_status_due(
+        self, engine: EngineWeights, targets: Mapping[str, int], now: Millis
+    ) -> bool:
+        """Return whether to ask a loading or paused engine for its status."""
+        progress = self._progress_of(engine.server)
+        period = self._status_poll_period(engine.server)
+        last = progress.status_requested_at
+        if not progress.is_loading:
+            if not needs_probe(engine, targets):
+                return False
+            period = max(period, PAUSED_STATUS_PERIOD)
+            last = max(last, progress.unpaused_at)
+        return now - last > period and not progress.has_pending_request
+
     def _status_poll_period(self, server: BackendServer) -> Millis:
         """Return the time between two status requests to a loading engine.
 
@@ -219,6 +219,8 @@
         version = self._selector.weights_version_of(server, model)
         if progress.is_loading and version >= progress.ordered_version:
             self._record_loaded(server, model, version)
+        if now >= load.paused_until and not load.unreachable_count:
+            progress.unpaused_at = now
         return EngineWeights(
             server=server,
             model=model,
@@ -233,7 +235,7 @@
                 and progress.draining_since is not None
             ),
             is_usable=self._selector.may_serve(server, model, now),
-            is_reachable=now >= load.paused_until,
+            is_reachable=progress.is_reachable(now),
         )
 
     @inlineCallbacks
@@ -342,6 +344,9 @@
             return
         finally:
             progress.has_pending_request = False
+        progress.answered_at = self._clock.now()
+        if not progress.is_loading:
+            return
         version = status.weights.get(engine.model, 0)
         if version >= progress.ordered_version:
             self._record_loaded(engine.server, engine.model, version)
@@ -378,5 +383,5 @@
         progress.ordered_at = None
         self.on_weights_loaded(server.server_id, model, version)
 
-    def _progress_of(self, server: BackendServer) -> _EngineProgress:
-        return self._progress.setdefault(server.incarnation, _EngineProgress())
+    def _progress_of(self, server: BackendServer) -> EngineProgress:
+        return self._progress.setdefault(server.incarnation, EngineProgress())
--- a/yuccagauge/rollout/plan.py
+++ b/yuccagauge/rollout/plan.py
@@ -60,14 +60,19 @@
     is_ordering: bool = False
     #: Whether calls may begin on the weights of the engine.
     is_usable: bool = True
-    #: False while this router pauses its calls to the engine.
+    #: False while this router pauses its calls to the engine, unless the
+    #: engine answered a status request lately.
     is_reachable: bool = True
 
+    @property
+    def is_ready(self) -> bool:
+        """Whether the engine does not leave."""
+        return self.server.state is ServerState.READY
+
     @property
     def is_available(self) -> bool:
         """Whether the engine is ready and reachable, so that it can load."""
-        is_ready = self.server.state is ServerState.READY
-        return is_ready and self.is_reachable
+        return self.is_ready and self.is_reachable
 
 
 def maximum_loads(engines: int, load_share: float) -> int:
@@ -103,7 +108,8 @@
     expected_load_ms
         Expected duration of a load, in ms.
     """
-    available = [engine for engine in engines if engine.is_available]
+    ready = [engine for engine in engines if engine.is_ready]
+    available = [engine for engine in ready if engine.is_reachable]
     occupied = sum(
         _occupies_slot(engine, expected_load_ms, now) for engine in available
     )
@@ -125,7 +131,7 @@
             engine.server.server_id,
         ),
     )
-    free_slots = maximum_loads(len(available), load_share) - occupied
+    free_slots = maximum_loads(len(ready), load_share) - occupied
     return tuple(due[: max(0, free_slots)])
 
 
@@ -135,12 +141,26 @@
     now: Millis,
 ) -> bool:
     """Return whether one more engine of a service may load now."""
-    available = [engine for engine in engines if engine.is_available]
+    ready = [engine for engine in engines if engine.is_ready]
     loading = sum(
         engine.is_ordering or _has_running_load(engine, now)
-        for engine in available
+        for engine in ready
+        if engine.is_reachable
     )
-    return loading < maximum_loads(len(available), load_share)
+    return loading < maximum_loads(len(ready), load_share)
+
+
+def needs_probe(engine: EngineWeights, targets: Mapping[str, int]) -> bool:
+    """Return whether to ask an engine without calls if it can load.
+
+    Load pattern: more calls come than an engine takes, so it resets
+    connections. This router pauses its calls again after each that it tries,
+    and the engine would get no order, though it answers status requests. An
+    engine that answers none is not drained, as other routers may reach it.
+    """
+    is_paused = engine.is_ready and not engine.is_reachable
+    is_behind = engine.version < targets.get(engine.model, 0)
+    return is_paused and is_behind and not engine.is_loading
 
 
 def due_swap_mode(engine: EngineWeights, now: Millis) -> SwapMode | None:
