--- a/features/steps/weights_fleet_steps.py
+++ b/features/steps/weights_fleet_steps.py
@@ -1,7 +1,7 @@
 """Steps for routers that restart while engines get new weights."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import partial
 
 from behave import given, then, when
@@ -12,12 +12,19 @@
 from yuccagauge.registry import Registry
 
 #: Time before the first call, and from there to the first naming.
-_WARM_UP_S = 7.0
-_BEFORE_S = 3.0
+_WARM_UP_S = 4.5
+_BEFORE_S = 1.0
 
-#: Time from the naming to the loss of power, and for which it lasts.
+#: Size of a fleet whose seconds take long to play, and its time before the
+#: first call.
+_LARGE = 50
+_LARGE_WARM_UP_S = 2.0
+
+#: Time from the naming to the loss of power, and for which it lasts: as a rule,
+#: and if that alone is nearly the users' ``versionMs``.
 _NAMED_BEFORE_S = 0.3
 _DOWN_S = 1.5
+_LONG_DOWN_S = 11.0
 
 #: Time from the first of several restarts to the last one at most.
 _SERIES_S = 20.0
@@ -26,6 +33,9 @@
 _SILENCE_S = 3.0
 _STEP = 2000
 
+#: Time between two looks at whether engines have loaded.
+_CHECK_S = 0.5
+
 #: Time from a start until calls are no longer compared.
 _COMPARED = Millis(10_000)
 
@@ -35,6 +45,8 @@
     """What happens to a fleet, beside its calls."""
 
     restarted: str
+    #: For how long the power is off, in seconds.
+    down_s: float
     #: Times from the naming to each restart, in seconds.
     restarts: tuple[float, ...]
     trouble: type['Trouble']
@@ -156,7 +168,7 @@
 
 def _restart_times(again: str) -> tuple[float, ...]:
     """Return the times of the restarts from the naming on, in seconds."""
-    if again == 'once':
+    if again.startswith('once'):
         return (_NAMED_BEFORE_S,)
     period_s = float(again.removeprefix('every ').removesuffix(' s'))
     count = int(_SERIES_S / period_s) + 1
@@ -169,7 +181,7 @@
     trouble = plan.trouble()
 
     def restart() -> None:
-        fleet.restart(_RESTARTED[plan.restarted](fleet), _DOWN_S)
+        fleet.restart(_RESTARTED[plan.restarted](fleet), plan.down_s)
 
     if plan.names_weights:
         reactor.callLater(_BEFORE_S, fleet.name_weights, 2)
@@ -180,19 +192,35 @@
             off_s - _NAMED_BEFORE_S, trouble.before, fleet, number
         )
         reactor.callLater(
-            off_s + _DOWN_S / 2,
+            off_s + plan.down_s / 2,
             partial(trouble.at_start, fleet, is_last=is_last),
         )
         reactor.callLater(off_s, restart)
 
 
-def _play(fleet: WeightsFleet, plan: _Plan, rate: int, seconds: float) -> None:
-    """Let calls come until some time after the last start."""
+def _play(
+    fleet: WeightsFleet,
+    plan: _Plan,
+    rate: int,
+    seconds: float,
+    *,
+    stops_once_loaded: bool = False,
+) -> None:
+    """Let calls come until some time after the last start.
+
+    Once all engines have loaded, none can begin a call on other weights.
+    """
     _disturb(fleet, plan)
-    length_s = _BEFORE_S + plan.restarts[-1] + _DOWN_S + seconds
-    for _ in range(round(rate * length_s)):
-        fleet.begin_call()
-        fleet.run(1 / rate)
+    reactor = fleet.network.reactor
+    length_s = _BEFORE_S + plan.restarts[-1] + plan.down_s + seconds
+    for number in range(round(rate * length_s)):
+        reactor.callLater(number / rate, fleet.begin_call)
+    end = reactor.seconds() + length_s
+    fleet.run(length_s - seconds)
+    while reactor.seconds() < end and not (
+        stops_once_loaded and fleet.all_loaded_at() is not None
+    ):
+        fleet.run(_CHECK_S)
 
 
 @given('{routers:d} routers before {engines:d} engines with the first weights')
@@ -201,7 +229,8 @@
     context.sizes = (routers, engines)
     context.trouble = NoTrouble
     context.fleet = WeightsFleet(routers, engines)
-    context.fleet.run(_WARM_UP_S)
+    is_large = routers >= _LARGE
+    context.fleet.run(_LARGE_WARM_UP_S if is_large else _WARM_UP_S)
 
 
 @given('beside restarts {trouble}')
@@ -216,10 +245,20 @@
     context.plan = _Plan(
         restarted=restarted,
         restarts=_restart_times(again),
+        down_s=_LONG_DOWN_S if again == 'once for 11 s' else _DOWN_S,
         trouble=context.trouble,
     )
 
 
+@when(
+    '{rate:d} calls a second come until all engines have loaded, or {seconds:d} '
+    's after the last start'
+)
+def play_until_loaded(context: Context, rate: int, seconds: int) -> None:
+    """Let calls come while any may begin on superseded weights."""
+    _play(context.fleet, context.plan, rate, seconds, stops_once_loaded=True)
+
+
 @when('{rate:d} calls a second come until {seconds:d} s after the last start')
 def play(context: Context, rate: int, seconds: int) -> None:
     """Let calls come."""
@@ -255,6 +294,13 @@
     assert after <= seconds * 1000, f'{after} ms'
 
 
+@then('no two routers have ordered with one fence, or in turns')
+def check_orders(context: Context) -> None:
+    """Guard against a former leader and a new one that act at once."""
+    conflicts = context.fleet.conflicting_orders()
+    assert not conflicts, (len(conflicts), conflicts[0])
+
+
 @then('an engine has taken an order within {seconds:d} s of the last start')
 def check_first_order(context: Context, seconds: int) -> None:
     """Guard against waits before the first order after a restart."""
@@ -279,12 +325,7 @@
     """Guard against calls that are refused for lack of the newest weights."""
     other = WeightsFleet(*context.sizes)
     other.run(_WARM_UP_S)
-    plan = _Plan(
-        restarted=context.plan.restarted,
-        restarts=context.plan.restarts,
-        trouble=context.plan.trouble,
-        names_weights=False,
-    )
+    plan = replace(context.plan, names_weights=False)
     _play(other, plan, *context.traffic)
     with_weights, without = map(_share_served, (context.fleet, other))
     assert without > 0
--- a/features/weights_engine.py
+++ b/features/weights_engine.py
@@ -24,12 +24,12 @@
 _EVENT_INTERVAL_S = 0.1
 
 #: Events of a stream.
-EVENTS = 6
+EVENTS = 8
 
 #: Age of what a report states.
 _REPORT_AGE = Millis(200)
 
-_SLOTS = 4
+_SLOTS = 3
 _KV_TOKENS = 90_000
 
 _REASONS = {
@@ -49,7 +49,7 @@
     at: Millis
     engine: str
     version: int
-    #: Host of the router that sent it.
+    #: Name of the router that sent it.
     router: str
 
 
@@ -168,7 +168,7 @@
             return 421
         return 503 if self.is_busy else None
 
-    def begin_run(self, connection: 'EngineProtocol', router: str) -> None:
+    def begin_run(self, connection: 'EngineProtocol', host: str) -> None:
         """Note that a request has begun to run."""
         self._runs.append(connection)
         self._fleet.runs.append(
@@ -176,7 +176,7 @@
                 at=self._fleet.clock.now(),
                 engine=self.server_id,
                 version=self.weights,
-                router=router,
+                router=f'router{host.removeprefix("10.0.0.")}',
             )
         )
 
--- a/features/weights_fleet.py
+++ b/features/weights_fleet.py
@@ -4,6 +4,7 @@
 version, what each engine ran when a call began, and each order.
 """
 
+import itertools
 import re
 from collections import Counter
 from collections.abc import Callable
@@ -28,6 +29,9 @@
 VERSION_TIME = Millis(12_000)
 STABLE_TIME = Millis(3000)
 
+#: The users' ``leaseMs``.
+LEASE_TIME = Millis(3000)
+
 #: How long callers wait for a whole answer.
 DEADLINE = Millis(5000)
 
@@ -204,8 +208,8 @@
         #: When processes of each router started and ended.
         self.starts: dict[str, list[Millis]] = {}
         self.kills: dict[str, list[Millis]] = {}
-        #: Begins and ends of the store's silences.
-        self.silences: list[Millis] = []
+        #: Begin and end of each silence of the store.
+        self.silences: list[tuple[Millis, Millis]] = []
         #: By how much the wall clocks of routers are off, in ms.
         self.steps: Counter[str] = Counter()
         super().__init__(routers, servers, seed)
@@ -215,7 +219,7 @@
         return {
             'weights': {
                 'limit_ms': str(VERSION_TIME),
-                'lease_ms': '3000',
+                'lease_ms': str(LEASE_TIME),
                 'engines_check_fences': 'true',
             }
         }
@@ -270,12 +274,12 @@
 
     def silence_store(self, seconds: float) -> None:
         """Let the store answer nobody for some time."""
+        now = self.clock.now()
         self.store.is_silent = True
-        self.silences.append(self.clock.now())
+        self.silences.append((now, Millis(now + round(seconds * 1000))))
 
         def end() -> None:
             self.store.is_silent = False
-            self.silences.append(self.clock.now())
 
         self.network.reactor.callLater(seconds, end)
 
@@ -326,7 +330,22 @@
             (age, run)
             for run in self.runs
             if (age := self._age_of(run)) > VERSION_TIME
-            and (not in_touch or self._is_in_touch(run))
+            and (not in_touch or self._is_in_touch(run.router, run.at))
+        ]
+
+    def conflicting_orders(self) -> list[tuple[Order, Order]]:
+        """Return the orders of two routers with one fence, or in turns.
+
+        They are in turns if two routers in touch ordered one engine within the
+        lease.
+        """
+        return [
+            (first, second)
+            for first, second in itertools.combinations(self.orders, 2)
+            if first.holder != second.holder
+            and (
+                first.fence == second.fence or self._are_in_turns(first, second)
+            )
         ]
 
     def share_served(self, since: Millis, until: Millis) -> float:
@@ -345,6 +364,16 @@
         """Return when a process of a router started last."""
         return max(max(starts) for starts in self.starts.values())
 
+    def _are_in_turns(self, first: Order, second: Order) -> bool:
+        return (
+            first.engine == second.engine
+            and second.at - first.at < LEASE_TIME
+            and all(
+                self._is_in_touch(order.holder, order.at)
+                for order in (first, second)
+            )
+        )
+
     def _age_of(self, run: Run) -> Millis:
         """Return how long before a run its weights were replaced."""
         newer = [
@@ -352,15 +381,13 @@
         ]
         return Millis(run.at - min(newer, default=run.at))
 
-    def _is_in_touch(self, run: Run) -> bool:
-        name = f'router{run.router.removeprefix("10.0.0.")}'
-        started = max(at for at in self.starts[name] if at <= run.at)
-        begins, ends = self.silences[::2], self.silences[1::2]
+    def _is_in_touch(self, name: str, at: Millis) -> bool:
+        """Return whether a router ran for some time, beside a sound store."""
+        started = max(start for start in self.starts[name] if start <= at)
         is_core_stable = not any(
-            begin <= run.at < end + STABLE_TIME
-            for begin, end in zip(begins, ends, strict=True)
+            begin <= at < end + STABLE_TIME for begin, end in self.silences
         )
-        return is_core_stable and started + STABLE_TIME <= run.at
+        return is_core_stable and started + STABLE_TIME <= at
 
     def _attempt(self, call: WeightsCall) -> None:
         names = [name for name in self.router_names if self.is_running(name)]
