--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -304,7 +304,7 @@
         'bounds.configApplyMs': '3000',
         'bounds.versionMs': '12000',
         'bounds.leaseMs': '3000',
-        'bounds.maxSkewMs': '5000',
+        'heartbeatMs': '1200',
         'bounds.requireFence': 'true',
     }
     template = Path('deploy/router.ini').read_text(encoding='utf-8')
--- a/yuccagauge/directory/readpolicy.py
+++ b/yuccagauge/directory/readpolicy.py
@@ -34,6 +34,10 @@
 #: responding is detected after this time.
 READ_WAIT = Millis(2000)
 
+#: The same for the operator's records. New weights count as named since the
+#: start of the read that shows them, or nearly so.
+OPERATIONS_READ_WAIT = Millis(1000)
+
 #: Waits of routers that read for others, for each wait in which the others
 #: would begin to read. Only the answer to a read confirms the records, and
 #: takes some exchanges to reach all.
@@ -156,9 +160,8 @@
     topic: Topic, others: Sequence[str], limits: ReadLimits
 ) -> Millis:
     """Return how long a read waits at the store for records."""
-    if (
-        topic is Topic.OPERATIONS
-        and len(others) + 1 >= MINIMUM_ROUTERS_TO_SHARE_READS
-    ):
-        return Millis(int(limits.operations / SHARED_WAITS_PER_AGE))
-    return READ_WAIT
+    if topic is not Topic.OPERATIONS:
+        return READ_WAIT
+    if len(others) + 1 < MINIMUM_ROUTERS_TO_SHARE_READS:
+        return OPERATIONS_READ_WAIT
+    return Millis(int(limits.operations / SHARED_WAITS_PER_AGE))
--- a/yuccagauge/directory/targetarchive.py
+++ b/yuccagauge/directory/targetarchive.py
@@ -14,7 +14,7 @@
 
 from yuccagauge.clock import Clock, Millis, in_seconds
 from yuccagauge.directory.base import TargetEvidence
-from yuccagauge.directory.state import Directory
+from yuccagauge.directory.state import Directory, Topic
 from yuccagauge.directory.store import StoreUnavailableError
 from yuccagauge.tasks import PeriodicTask
 from yuccagauge.telemetry.journal import log_state_change
@@ -22,6 +22,9 @@
 #: Time between two looks at what has to be read or written.
 _PERIOD = Millis(250)
 
+#: By how much both estimates of an age may fall short in common.
+AGE_MARGIN = Millis(1000)
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class StoredTarget:
@@ -31,6 +34,9 @@
     previous: int
     #: Unix time.
     named_after: Millis
+    #: Servers, and entries that these had written to the store in all.
+    servers: int
+    entries: int
 
 
 class TargetStore(Protocol):
@@ -60,8 +66,9 @@
 class TargetArchive:
     """Reads the times at the start, and writes those of new versions.
 
-    The clocks of two VMs may differ, so that weights count as older than the
-    stored time by the largest difference.
+    The time since a record is estimated by the time of day and by the number
+    of entries that servers have written since. Clocks may step, and servers
+    may be silent, so the larger estimate counts.
 
     Parameters
     ----------
@@ -71,8 +78,8 @@
         Keeps the times for all routers.
     reactor, clock
         Schedule the calls and tell the time.
-    clock_skew
-        Largest difference between the times of day of two VMs.
+    heartbeat
+        Time between two entries of a server.
     is_writer
         Returns whether this router writes. A few do, so that hundreds do not
         write the same.
@@ -85,14 +92,14 @@
         reactor: Any,
         clock: Clock,
         *,
-        clock_skew: Millis,
+        heartbeat: Millis,
         is_writer: Callable[[], bool],
     ) -> None:
         """Create an archive that makes no call before ``start``."""
         self._directory = directory
         self._store = store
         self._clock = clock
-        self._clock_skew = clock_skew
+        self._heartbeat = heartbeat
         self._is_writer = is_writer
         self._task = PeriodicTask('target_archive', self._update, reactor)
         self._is_updating = False
@@ -103,21 +110,21 @@
 
     def start(self) -> None:
         """Read the times, and write those of new versions from now on."""
-        self._directory.listeners.append(self._write_soon)
+        self._directory.listeners.append(self._update_soon)
         self._task.start(in_seconds(_PERIOD))
 
     def close(self) -> None:
         """Stop calling the store."""
         self._task.close()
 
-    def _write_soon(self) -> None:
-        """Write at once: all routers may end before the next look."""
-        if self._task.is_running and self._has_read:
+    def _update_soon(self) -> None:
+        """Read or write at once: all routers may end before the next look."""
+        if self._task.is_running:
             self._update()
 
     @inlineCallbacks
     def _update(self) -> Any:
-        if self._is_updating:
+        if self._is_updating or not self._directory.is_ready:
             return
         self._is_updating = True
         try:
@@ -144,17 +151,12 @@
 
     def _merge(self, stored: Mapping[str, Sequence[StoredTarget]]) -> None:
         now = self._clock.now()
-        wall_time = self._clock.wall_time()
         evidence = tuple(
             TargetEvidence(
                 model=model,
                 version=target.version,
                 previous=target.previous,
-                named_after=Millis(
-                    now
-                    - max(0, wall_time - target.named_after)
-                    - self._clock_skew
-                ),
+                named_after=Millis(now - self._age_of(target)),
             )
             for model, targets in stored.items()
             for target in targets
@@ -162,6 +164,15 @@
         self._stored.update(map(_key, evidence))
         self._directory.merge_target_evidence(evidence)
 
+    def _age_of(self, target: StoredTarget) -> Millis:
+        """Return the longest time since a version was named."""
+        by_clock = self._clock.wall_time() - target.named_after
+        directory = self._directory
+        entries = directory.next_offset(Topic.SERVERS) - target.entries
+        servers = max(1, min(target.servers, len(directory.servers)))
+        by_entries = self._heartbeat * entries // servers
+        return Millis(max(0, by_clock, by_entries) + AGE_MARGIN)
+
     def _unstored(self) -> dict[str, list[TargetEvidence]]:
         """Return all evidence on the models with something new."""
         evidence = self._directory.target_evidence(self._clock.now())
@@ -181,6 +192,8 @@
             version=evidence.version,
             previous=evidence.previous,
             named_after=Millis(self._clock.wall_time() - age),
+            servers=len(self._directory.servers),
+            entries=self._directory.next_offset(Topic.SERVERS),
         )
 
     def _record_reachable(
--- a/yuccagauge/platform/targetrecords.py
+++ b/yuccagauge/platform/targetrecords.py
@@ -10,10 +10,16 @@
 
 
 def encode(targets: Sequence[StoredTarget]) -> str:
-    """Return the value of a record: version, previous one and Unix ms each."""
+    """Return the value of a record: a list of numbers for each range."""
     return json.dumps(
         [
-            [target.version, target.previous, target.named_after]
+            [
+                target.version,
+                target.previous,
+                target.named_after,
+                target.servers,
+                target.entries,
+            ]
             for target in targets
         ]
     )
@@ -27,8 +33,12 @@
                 version=int(version),
                 previous=int(previous),
                 named_after=Millis(int(named_after)),
+                servers=int(servers),
+                entries=int(entries),
+            )
+            for version, previous, named_after, servers, entries in json.loads(
+                record.value
             )
-            for version, previous, named_after in json.loads(record.value)
         )
     except (TypeError, ValueError) as error:
         log_state_change(
--- a/yuccagauge/relay/archives.py
+++ b/yuccagauge/relay/archives.py
@@ -24,7 +24,7 @@
     reactor: Any,
     clock: Clock,
     *,
-    clock_skew: Millis,
+    heartbeat: Millis,
     is_isolated: Callable[[], bool],
     rank: Callable[[str], int],
 ) -> tuple[CrashArchive, VersionArchive, TargetArchive]:
@@ -32,8 +32,8 @@
 
     Parameters
     ----------
-    clock_skew
-        Largest difference between the times of day of two VMs.
+    heartbeat
+        Time between two entries of a server in the store.
     is_isolated
         Returns whether this router hears no other one.
     rank
@@ -55,7 +55,7 @@
         adapter.target_store,
         reactor,
         clock,
-        clock_skew=clock_skew,
+        heartbeat=heartbeat,
         is_writer=lambda: rank('targets') < TARGET_WRITERS,
     )
     return crash_archive, version_archive, target_archive
--- a/yuccagauge/relay/router.py
+++ b/yuccagauge/relay/router.py
@@ -135,7 +135,7 @@
             self._context,
             reactor,
             clock,
-            clock_skew=settings.weights.clock_skew_ms,
+            heartbeat=settings.weights.heartbeat_ms,
             is_isolated=lambda: self._exchange.is_isolated,
             rank=self._rank,
         )
--- a/yuccagauge/settings/relay.py
+++ b/yuccagauge/settings/relay.py
@@ -117,10 +117,10 @@
         minimum=1000,
         maximum=_LONGEST,
     )
-    clock_skew_ms: Millis = millis_option(
-        'Largest difference between the times of day of two VMs.',
-        default=Millis(5000),
-        minimum=0,
+    heartbeat_ms: Millis = millis_option(
+        'Time between two entries of an engine in the store.',
+        default=Millis(1200),
+        minimum=1,
         maximum=_LONGEST,
     )
     lease_ms: Millis = millis_option(
