--- a/features/crash_fleet.py
+++ b/features/crash_fleet.py
@@ -5,6 +5,8 @@
 """
 
 import random
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import Any
 
 from twisted.internet.protocol import Factory, Protocol, connectionDone
@@ -80,6 +82,9 @@
     #: Gives the cache events of engines; plain servers have none.
     cache_event_source: Any = None
 
+    #: Settings of how engines are brought to new weights.
+    weights_settings: Mapping[str, str] = MappingProxyType({})
+
     def __init__(self, routers: int, servers: int, seed: int = 1) -> None:
         """Start the fleet."""
         self.network = MemoryNetwork()
@@ -138,6 +143,7 @@
                     'seeds': seeds,
                 },
                 'store': {'address': '10.2.0.1:8784'},
+                'weights': dict(self.weights_settings),
             },
             name,
         )
--- a/features/partition_fleet.py
+++ b/features/partition_fleet.py
@@ -58,11 +58,13 @@
 
 @dataclass(slots=True, kw_only=True)
 class Partition:
-    """Routers without a path to any server."""
+    """Routers without a path to any server, or to some."""
 
     names: frozenset[str]
     face: Face
     begun_at: Millis
+    #: Hosts of the servers that are not reached; ``None`` for all.
+    hosts: frozenset[str] | None = None
     ended_at: Millis | None = None
 
     def is_active(self, at: Millis) -> bool:
@@ -109,13 +111,19 @@
         super().kill_router(name)
 
     def partition(
-        self, names: frozenset[str], face: Face, seconds: float
+        self,
+        names: frozenset[str],
+        face: Face,
+        seconds: float,
+        hosts: frozenset[str] | None = None,
     ) -> None:
-        """Take the path to all servers from routers for some time."""
-        partition = Partition(names=names, face=face, begun_at=self.clock.now())
+        """Take the path to all servers, or some, from routers for a time."""
+        partition = Partition(
+            names=names, face=face, begun_at=self.clock.now(), hosts=hosts
+        )
         self.partitions.append(partition)
         if face is Face.RESET:
-            self._reset_connections(names)
+            self._reset_connections(partition)
 
         def end() -> None:
             partition.ended_at = self.clock.now()
@@ -205,7 +213,10 @@
         now = self.clock.now()
         for partition in self.partitions:
             hosts = map(router_host, partition.names)
-            if partition.is_active(now) and other in hosts:
+            is_reached = partition.hosts is not None and (
+                host not in partition.hosts
+            )
+            if partition.is_active(now) and other in hosts and not is_reached:
                 return partition.face
         return None
 
@@ -220,10 +231,11 @@
             return self.random.choice((ConnectFate.REFUSED, ConnectFate.RESET))
         return ConnectFate.OPENED
 
-    def _reset_connections(self, names: frozenset[str]) -> None:
-        for name in sorted(names):
+    def _reset_connections(self, partition: Partition) -> None:
+        for name in sorted(partition.names):
             for server in self.servers:
-                self.network.reset_between(router_host(name), server.host)
+                if partition.hosts is None or server.host in partition.hosts:
+                    self.network.reset_between(router_host(name), server.host)
 
 
 def _has_healed(partition: Partition, at: Millis) -> bool:
--- a/features/partition_servers.py
+++ b/features/partition_servers.py
@@ -45,7 +45,7 @@
     def build_protocol(self) -> Protocol:
         """Return the server's side of a new connection."""
         is_model = self._number % 2 == 0
-        return (_StreamProtocol if is_model else _PlainProtocol)(self)
+        return (StreamProtocol if is_model else _PlainProtocol)(self)
 
     def entry_document(self) -> dict[str, Any]:
         """Return what the server writes to the store."""
@@ -135,7 +135,7 @@
             self.transport.loseConnection()
 
 
-class _StreamProtocol(_RunningProtocol):
+class StreamProtocol(_RunningProtocol):
     """A connection to a model server."""
 
     delay_s = _EVENT_INTERVAL_S
--- /dev/null
+++ b/features/rollout/handover_fleet.feature
@@ -0,0 +1,49 @@
+Feature: A leader that does not reach the engines hands over
+  An order has to come from the leader's own VM. The store and the other routers
+  still reach a leader that is partitioned from engines.
+
+  Scenario Outline: Engines get new weights though the leader is partitioned from them
+    Given <routers> routers that elect a leader, before 6 engines, with <calls> calls a second
+    When <who> is partitioned from <engines> engines for 12 s, <face>, and weights are named <delay> s later
+    Then all engines have the newest weights within 8 s of the naming
+    And orders come from the holders of the lease, and the fence never goes back
+    And the lease gets at most <changes> new holders
+
+    Examples:
+      | routers | who                                 | engines | face    | calls | delay | changes |
+      | 5       | the leader                          | all     | silent  | 10    | 0     | 2       |
+      | 5       | the leader                          | all     | reset   | 10    | 0     | 2       |
+      | 5       | the leader                          | all     | refused | 10    | 0     | 2       |
+      | 5       | the leader                          | 2       | silent  | 10    | 0     | 2       |
+      | 5       | the leader                          | 2       | reset   | 10    | 0     | 2       |
+      | 5       | the leader                          | all     | silent  | 0     | 0     | 2       |
+      | 5       | the leader                          | all     | reset   | 0     | 3     | 2       |
+      | 8       | the leader and the 4 next in rank   | all     | silent  | 20    | 0     | 3       |
+      | 8       | the leader and the 4 next in rank   | all     | reset   | 20    | 2     | 3       |
+      | 40      | the leader and the 20 next in rank  | all     | silent  | 40    | 0     | 3       |
+
+  Scenario: A leader hands over where engines ignore fencing tokens
+    Given 5 routers that elect a leader, before 6 engines that ignore fences, with 10 calls a second
+    When the leader is partitioned from all engines for 12 s, silent, and weights are named 0 s later
+    Then all engines have the newest weights within 12 s of the naming
+    And orders come from the holders of the lease, and the fence never goes back
+    And two holders never order the same engine within 3000 ms
+
+  Scenario Outline: A leader keeps the lease when nobody else would do better
+    Given 5 routers that elect a leader, before 6 engines, with <calls> calls a second
+    When <fault> for 12 s, and weights are named
+    Then the lease gets at most 0 new holders
+
+    Examples:
+      | fault                                                   | calls |
+      | one engine ends silently                                | 10    |
+      | one engine ends with a reset                            | 0     |
+      | all routers are partitioned from all engines, silent    | 10    |
+      | all routers are partitioned from all engines, reset     | 0     |
+
+  Scenario: Routers that each miss other engines take turns at a bounded rate
+    Given 3 routers that elect a leader, before 6 engines, with 10 calls a second
+    When each router is partitioned from 2 other engines for 30 s, silent, and weights are named
+    Then all engines have the newest weights within 16 s of the naming
+    And the lease gets at most 6 new holders
+    And orders come from the holders of the lease, and the fence never goes back
--- a/features/simulated_store.py
+++ b/features/simulated_store.py
@@ -77,8 +77,12 @@
 
     def append_configuration(self, document: dict[str, Any]) -> None:
         """Write a version of the configuration."""
+        self.append_operation('config', document)
+
+    def append_operation(self, key: str, document: dict[str, Any]) -> None:
+        """Write a record of the operator."""
         value = json.dumps(document).encode()
-        record = _Record('config', value, self._reactor.seconds())
+        record = _Record(key, value, self._reactor.seconds())
         self._log[Topic.OPERATIONS].append(record)
 
     def remove_lapsed(self) -> None:
--- /dev/null
+++ b/features/steps/handover_fleet_steps.py
@@ -0,0 +1,186 @@
+"""Steps for leaders that are partitioned from engines."""
+
+from itertools import pairwise
+
+from behave import given, then, when
+from behave.runner import Context
+
+from features.crash_fleet import router_host
+from features.order_fleet import OrderFleet
+from features.order_servers import OrderServer
+from features.partition_fleet import Face
+from yuccagauge.rendezvous import rendezvous_rank
+
+#: Time until there is a leader that may give orders, in seconds.
+_WARM_UP_S = 9.0
+
+_NEWEST = 2
+
+
+def _start(
+    context: Context, routers: int, engines: int, calls: int, *, fences: bool
+) -> None:
+    context.fleet = OrderFleet(routers, 2 * engines, checks_fences=fences)
+    context.calls = calls
+    context.fleet.run(_WARM_UP_S)
+    context.first_leader = context.fleet.leader
+    assert context.first_leader
+
+
+@given(
+    '{routers:d} routers that elect a leader, before {engines:d} engines, '
+    'with {calls:d} calls a second'
+)
+def start_fleet(
+    context: Context, routers: int, engines: int, calls: int
+) -> None:
+    """Start a fleet whose engines refuse old fencing tokens."""
+    _start(context, routers, engines, calls, fences=True)
+
+
+@given(
+    '{routers:d} routers that elect a leader, before {engines:d} engines that '
+    'ignore fences, with {calls:d} calls a second'
+)
+def start_without_fences(
+    context: Context, routers: int, engines: int, calls: int
+) -> None:
+    """Start a fleet whose routers do not count on fencing tokens."""
+    _start(context, routers, engines, calls, fences=False)
+
+
+def _run(context: Context, seconds: float) -> None:
+    """Pass time, with calls at all routers."""
+    fleet = context.fleet
+    for _ in range(round(seconds * context.calls)):
+        fleet.send_first_attempt()
+        fleet.run(1 / context.calls)
+    if not context.calls:
+        fleet.run(seconds)
+
+
+def _begin(context: Context) -> None:
+    context.begun_at = context.fleet.clock.now()
+
+
+@when(
+    '{who} is partitioned from {engines} engines for {seconds:d} s, {face}, '
+    'and weights are named {delay:d} s later'
+)
+def partition_leader(
+    context: Context,
+    who: str,
+    engines: str,
+    seconds: int,
+    face: str,
+    delay: int,
+) -> None:
+    """Partition the leader, and perhaps those that would be next."""
+    fleet = context.fleet
+    names = {fleet.leader}
+    if who != 'the leader':
+        count = int(who.split()[4])
+        ranked = rendezvous_rank(fleet.router_names, 'lead')
+        names.update([each for each in ranked if each not in names][:count])
+    hosts = None
+    if engines != 'all':
+        hosts = _hosts(fleet.engines[: int(engines)])
+    _begin(context)
+    fleet.partition(frozenset(names), Face(face), seconds, hosts)
+    _run(context, delay)
+    fleet.name_weights(_NEWEST)
+
+
+def _hosts(engines: list[OrderServer]) -> frozenset[str]:
+    return frozenset(engine.host for engine in engines)
+
+
+@when('one engine ends {manner} for {seconds:d} s, and weights are named')
+def end_engine(context: Context, manner: str, seconds: int) -> None:
+    """End an engine that no router reaches then."""
+    fleet = context.fleet
+    fleet.ends_silently = manner == 'silently'
+    fleet.down_s = seconds
+    _begin(context)
+    fleet.engines[0].end()
+    fleet.name_weights(_NEWEST)
+    _run(context, seconds)
+
+
+@when(
+    'all routers are partitioned from all engines, {face} for {seconds:d} s, '
+    'and weights are named'
+)
+def partition_all(context: Context, face: str, seconds: int) -> None:
+    """Leave no router that reaches an engine."""
+    fleet = context.fleet
+    _begin(context)
+    fleet.partition(frozenset(fleet.router_names), Face(face), seconds)
+    fleet.name_weights(_NEWEST)
+    _run(context, seconds)
+
+
+@when(
+    'each router is partitioned from {count:d} other engines for {seconds:d} '
+    's, {face}, and weights are named'
+)
+def partition_each(
+    context: Context, count: int, seconds: int, face: str
+) -> None:
+    """Leave no router that reaches all engines."""
+    fleet = context.fleet
+    _begin(context)
+    for number, name in enumerate(fleet.router_names):
+        engines = fleet.engines[number * count : (number + 1) * count]
+        hosts = _hosts(engines)
+        fleet.partition(frozenset((name,)), Face(face), seconds, hosts)
+    fleet.name_weights(_NEWEST)
+
+
+@then('all engines have the newest weights within {seconds:d} s of the naming')
+def check_loaded(context: Context, seconds: int) -> None:
+    """Guard against engines that keep old weights while a leader is cut off."""
+    fleet = context.fleet
+    _run(context, seconds)
+    versions = {each.server_id: each.weights_version for each in fleet.engines}
+    figures = (
+        versions,
+        [each.loaded_at - fleet.named_at[_NEWEST] for each in fleet.engines],
+        [(at, name) for at, name in fleet.holders if at > context.begun_at],
+    )
+    assert set(versions.values()) == {_NEWEST}, figures
+
+
+@then('orders come from the holders of the lease, and the fence never goes back')
+def check_orders(context: Context) -> None:
+    """Guard against two leaders, and against an order that a peer carries."""
+    orders = context.fleet.orders
+    assert orders
+    for order in orders:
+        assert order.source == router_host(order.holder), order
+        assert context.fleet.holders[order.fence - 1][1] == order.holder, order
+    for engine in context.fleet.engines:
+        own = [each for each in orders if each.engine == engine.server_id]
+        fences = [each.fence for each in own]
+        assert fences == sorted(fences), own
+
+
+@then('two holders never order the same engine within {gap:d} ms')
+def check_gap(context: Context, gap: int) -> None:
+    """Guard against holders that take turns where engines check no fences."""
+    for engine in context.fleet.engines:
+        own = [
+            each
+            for each in context.fleet.orders
+            if each.engine == engine.server_id
+        ]
+        for before, after in pairwise(own):
+            is_same = before.holder == after.holder
+            assert is_same or after.at - before.at >= gap, (before, after)
+
+
+@then('the lease gets at most {count:d} new holders')
+def check_changes(context: Context, count: int) -> None:
+    """Guard against a lease that goes round in circles."""
+    found = context.fleet.changes_of_holder(context.begun_at)
+    assert found <= count, context.fleet.holders[-40:]
