--- a/features/crash_fleet.py
+++ b/features/crash_fleet.py
@@ -9,6 +9,7 @@
 from types import MappingProxyType
 from typing import Any
 
+from twisted.internet.defer import fail
 from twisted.internet.protocol import Factory, Protocol, connectionDone
 from twisted.python.failure import Failure
 
@@ -18,6 +19,7 @@
 from features.rollout_engines import VirtualClock
 from features.simulated_store import SimulatedStore, StoreClient
 from yuccagauge.clock import Millis
+from yuccagauge.dispatch.fetch import FetchError
 from yuccagauge.platform.records import PlatformRecordDecoder
 from yuccagauge.platform.requests import (
     PlatformBackendProtocol,
@@ -26,6 +28,7 @@
 from yuccagauge.relay.adapter import PlatformAdapter
 from yuccagauge.relay.router import RelayRouter
 from yuccagauge.settings.relay import build_relay_settings
+from yuccagauge.verdict import Verdict
 
 #: Time for which a server that ended is down.
 _DOWN_S = 3.0
@@ -65,6 +68,18 @@
         """Ignore the end."""
 
 
+class _NoOrders:
+    """Engines that do not answer calls of the routers' own."""
+
+    def through(self, pool: Any) -> '_NoOrders':
+        """Return this client."""
+        return self
+
+    def read_status(self, server: Any) -> Any:
+        """Fail."""
+        return fail(FetchError('no interface for orders', Verdict.NOT_RUN))
+
+
 class CrashFleet:
     """Routers before servers, with a store, in virtual time.
 
@@ -246,7 +261,7 @@
             crash_store=store,
             version_store=store,
             origin_log_store=store,
-            order_client=None,
+            order_client=_NoOrders(),
             cache_event_source=self.cache_event_source,
             ready_path='/ready',
         )
--- a/features/rollout/handover_fleet.feature
+++ b/features/rollout/handover_fleet.feature
@@ -47,3 +47,18 @@
     Then all engines have the newest weights within 16 s of the naming
     And the lease gets at most 6 new holders
     And orders come from the holders of the lease, and the fence never goes back
+
+  Scenario Outline: A partition that ends or comes again leaves the lease with one router
+    Given 5 routers that elect a leader, before 6 engines, with 10 calls a second
+    When <who> is partitioned from all engines <times> times for <length> ms, <apart> ms apart, <face>
+    Then the lease gets at most <changes> new holders
+    And all routers may lead again
+    And 1 version that is named then reaches all engines within 8 s
+
+    Examples:
+      | who        | times | length | apart | face   | changes |
+      | the leader | 1     | 12000  | 12000 | silent | 1       |
+      | the leader | 1     | 12000  | 12000 | reset  | 1       |
+      | a follower | 1     | 12000  | 12000 | silent | 0       |
+      | the leader | 12    | 500    | 1000  | silent | 1       |
+      | the leader | 6     | 2000   | 4000  | reset  | 1       |
--- a/features/steps/handover_fleet_steps.py
+++ b/features/steps/handover_fleet_steps.py
@@ -16,6 +16,9 @@
 
 _NEWEST = 2
 
+#: Time after a partition in which routers notice its end, in seconds.
+_HEALING_S = 8.0
+
 
 def _start(
     context: Context, routers: int, engines: int, calls: int, *, fences: bool
@@ -95,6 +98,39 @@
     return frozenset(engine.host for engine in engines)
 
 
+@when(
+    '{who} is partitioned from all engines {times:d} times for {length:d} ms, '
+    '{apart:d} ms apart, {face}'
+)
+def partition_again(
+    context: Context, who: str, times: int, length: int, apart: int, face: str
+) -> None:
+    """Partition the same router in series, and let it reach engines again."""
+    fleet = context.fleet
+    name = fleet.leader
+    if who != 'the leader':
+        name = next(each for each in fleet.router_names if each != name)
+    _begin(context)
+    for _ in range(times):
+        fleet.partition(frozenset((name,)), Face(face), length / 1000)
+        _run(context, apart / 1000)
+    _run(context, _HEALING_S)
+
+
+@then('all routers may lead again')
+def check_fit(context: Context) -> None:
+    """Guard against routers that do not stand after a partition."""
+    for name in context.fleet.router_names:
+        assert context.fleet.router(name).can_lead, name
+
+
+@then('1 version that is named then reaches all engines within {seconds:d} s')
+def check_named_later(context: Context, seconds: int) -> None:
+    """Guard against a fleet without a leader that gives orders."""
+    context.fleet.name_weights(_NEWEST)
+    check_loaded(context, seconds)
+
+
 @when('one engine ends {manner} for {seconds:d} s, and weights are named')
 def end_engine(context: Context, manner: str, seconds: int) -> None:
     """End an engine that no router reaches then."""
@@ -151,7 +187,9 @@
     assert set(versions.values()) == {_NEWEST}, figures
 
 
-@then('orders come from the holders of the lease, and the fence never goes back')
+@then(
+    'orders come from the holders of the lease, and the fence never goes back'
+)
 def check_orders(context: Context) -> None:
     """Guard against two leaders, and against an order that a peer carries."""
     orders = context.fleet.orders
--- a/yuccagauge/exchange/merger.py
+++ b/yuccagauge/exchange/merger.py
@@ -11,6 +11,7 @@
     parse_part_evidence,
     version_sightings,
 )
+from yuccagauge.exchange.standings import LeadStandings
 from yuccagauge.quarantine.base import CrashSuspicion, Quarantine
 from yuccagauge.quarantine.parts import PartQuarantine
 from yuccagauge.selection.load import PEER_LOAD_LIFETIME, PeerLoad
@@ -54,6 +55,7 @@
         self._part_quarantine = part_quarantine
         self._clock = clock
         self._members = MemberList(name)
+        self._standings = LeadStandings()
         self._known_names: frozenset[str] = frozenset()
         self._received_at = Millis(0)
         self._has_peer_state = False
@@ -77,6 +79,11 @@
         """The list of other routers."""
         return self._members
 
+    @property
+    def standings(self) -> LeadStandings:
+        """Which routers cannot lead."""
+        return self._standings
+
     @property
     def received_at(self) -> Millis:
         """When the last message of another router was received."""
@@ -184,6 +191,7 @@
             for part in message.members
         )
         self._members.observe_members((sender, *others), now)
+        self._standings.observe_message(message)
         names = frozenset(member.name for member in self.peers)
         if names != self._known_names:
             self._known_names = names
--- a/yuccagauge/exchange/service.py
+++ b/yuccagauge/exchange/service.py
@@ -28,10 +28,7 @@
 from yuccagauge.wire.base import Received
 from yuccagauge.wire.client import PeerClient
 from yuccagauge.wire.errors import PeerFailedError, PeerUnavailableError
-from yuccagauge.wire.fleetmessages import (
-    FleetExchange,
-    FleetWeights,
-)
+from yuccagauge.wire.fleetmessages import FleetExchange, FleetWeights
 from yuccagauge.wire.server import PeerServer
 
 #: Time between two exchange periods.
@@ -201,6 +198,10 @@
         self._is_leaving = True
         self._broadcast(self._build_message(leaves=True))
 
+    def broadcast_standing(self, *, released_lease: bool = False) -> None:
+        """Notify all peers that this router cannot lead."""
+        self._broadcast(self._build_message(released_lease=released_lease))
+
     def broadcast_pause(
         self,
         server_ids: tuple[str, ...],
@@ -346,8 +347,11 @@
     ) -> FleetExchange:
         now = self._clock.now()
         if full_state:
+            members = self._merger.members.sample(
+                MAXIMUM_MEMBERS, now, self._random_fraction
+            )
             parts.update(
-                members=message_parts.members(self._sample_members(now), now),
+                members=message_parts.members(members, now),
                 **self._load_parts(now),
                 suspicions=message_parts.suspicions(
                     self._quarantine.recent_suspicions(
@@ -373,6 +377,7 @@
                 ),
             )
         parts.setdefault('leaves', self._is_leaving)
+        parts['cannot_lead'] = self._merger.standings.cannot_lead
         return FleetExchange(
             name=self._name,
             endpoint=self._endpoint,
@@ -387,14 +392,8 @@
         """
         return {
             'marks': message_parts.marks(
-                self._directory, self._confirmation_ages(now)
+                self._directory,
+                {topic: self.confirmation_age(topic, now) for topic in Topic},
             ),
             'loads': message_parts.loads(self._selector.loads),
         }
-
-    def _sample_members(self, now: Millis) -> tuple[Member, ...]:
-        members = self._merger.members
-        return members.sample(MAXIMUM_MEMBERS, now, self._random_fraction)
-
-    def _confirmation_ages(self, now: Millis) -> dict[Topic, Millis]:
-        return {topic: self.confirmation_age(topic, now) for topic in Topic}
--- a/yuccagauge/explain/logfile.py
+++ b/yuccagauge/explain/logfile.py
@@ -13,6 +13,7 @@
         'cache_holder_lost',
         'configuration_in_force',
         'lead_changed',
+        'lead_handed_over',
         'lines_dropped',
         'order_unanswered',
         'router_leaving',
--- a/yuccagauge/peerpath/dialer.py
+++ b/yuccagauge/peerpath/dialer.py
@@ -1,6 +1,7 @@
 """Opens connections to backend servers, directly or through a peer."""
 
 from collections.abc import Callable, Iterable
+from functools import partial
 from typing import Any
 
 from twisted.internet.defer import Deferred
@@ -61,11 +62,26 @@
 
     def endpoint(self, reactor: Any, server: Endpoint) -> IStreamClientEndpoint:
         """Return the way to a backend server, for a connection pool."""
-        return _ServerEndpoint(self, server)
+        return _ServerEndpoint(partial(self.connect, server))
+
+    def peer_endpoint(
+        self, reactor: Any, server: Endpoint
+    ) -> IStreamClientEndpoint:
+        """Return the way through a peer, for a connection pool."""
+        return _ServerEndpoint(
+            lambda factory: Race(self._parts(server), factory).start(
+                peers_only=True
+            )
+        )
 
     def connect(self, server: Endpoint, factory: Any) -> Deferred[Any]:
         """Connect by the first way that opens."""
-        parts = RaceParts(
+        if self._reach.try_probe(server, self._clock.now()):
+            self._probe(server)
+        return Race(self._parts(server), factory).start()
+
+    def _parts(self, server: Endpoint) -> RaceParts:
+        return RaceParts(
             name=self._name,
             server=server,
             reach=self._reach,
@@ -75,9 +91,6 @@
             choose_peers=lambda: self._choose_peers(server),
             path_request=self._path_request(server),
         )
-        if self._reach.try_probe(server, self._clock.now()):
-            self._probe(server)
-        return Race(parts, factory).start()
 
     def check(self, server: Endpoint) -> None:
         """Try the direct way to a server on which a call broke or hung.
@@ -123,13 +136,12 @@
 class _ServerEndpoint:
     """The way to one backend server."""
 
-    def __init__(self, dialer: PathDialer, server: Endpoint) -> None:
-        self._dialer = dialer
-        self._server = server
+    def __init__(self, connect: Callable[[Any], Deferred[Any]]) -> None:
+        self._connect = connect
 
     def connect(self, factory: Any) -> Deferred[Any]:
         """Connect by the first way that opens."""
-        return self._dialer.connect(self._server, factory)
+        return self._connect(factory)
 
 
 def probe_server(
--- a/yuccagauge/peerpath/race.py
+++ b/yuccagauge/peerpath/race.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from twisted.internet.defer import Deferred
+from twisted.internet.error import ConnectionRefusedError
 from twisted.python.failure import Failure
 
 from yuccagauge.clock import Clock, Millis
@@ -66,9 +67,18 @@
         self._paths: list[PathAttempt] = []
         self._has_ended = False
 
-    def start(self) -> Deferred[Any]:
-        """Return a Deferred of the protocol; cancelling it closes all."""
-        if self._parts.reach.is_lost(self._parts.server):
+    def start(self, *, peers_only: bool = False) -> Deferred[Any]:
+        """Return a Deferred of the protocol; cancelling it closes all.
+
+        Parameters
+        ----------
+        peers_only
+            Whether the direct way is left out.
+        """
+        if peers_only:
+            self._direct_failure = Failure(ConnectionRefusedError())
+            self._ask_peers()
+        elif self._parts.reach.is_lost(self._parts.server):
             self._ask_peers()
         else:
             self._connect_directly()
@@ -117,7 +127,7 @@
         attempt.start()
 
     def _handle_no_peer(self) -> None:
-        if self._direct is None:
+        if self._direct is None and self._direct_failure is None:
             self._connect_directly()
         self._check_failed()
 
--- a/yuccagauge/peerpath/reach.py
+++ b/yuccagauge/peerpath/reach.py
@@ -69,6 +69,11 @@
         """Return whether the last direct attempt failed."""
         return server in self._lost
 
+    @property
+    def lost(self) -> tuple[Endpoint, ...]:
+        """The servers whose last direct attempt failed."""
+        return tuple(self._lost)
+
     def may_hang(self, server: Endpoint) -> bool:
         """Return whether open connections to a server may hang."""
         lost = self._lost.get(server)
--- a/yuccagauge/platform/engines.py
+++ b/yuccagauge/platform/engines.py
@@ -77,6 +77,10 @@
         #: Called with the endpoint of an engine that has answered.
         self.answer_listeners: list[AnswerListener] = []
 
+    def through(self, pool: ConnectionPool) -> 'PlatformEngineClient':
+        """Return a client that uses other connections."""
+        return PlatformEngineClient(self._reactor, pool, self._router_name)
+
     @inlineCallbacks
     def read_status(self, server: BackendServer) -> Any:
         """Request the report of an engine and return its ``EngineStatus``."""
--- a/yuccagauge/relay/paths.py
+++ b/yuccagauge/relay/paths.py
@@ -19,8 +19,7 @@
 class RelayPaths:
     """The ways of callers' calls to servers, and those of peers.
 
-    The router's own requests do not use them: the servers accept orders from
-    one VM only.
+    Orders do not use them: the servers accept those from one VM only.
 
     Parameters
     ----------
@@ -63,8 +62,19 @@
         self._pool = ConnectionPool(
             reactor, self._dialer.endpoint, self._reach.may_hang
         )
+        self._peer_pool = ConnectionPool(reactor, self._dialer.peer_endpoint)
         self._carrier: PathCarrier | None = None
 
+    @property
+    def peer_pool(self) -> ConnectionPool:
+        """Connections that peers carry, to see what they reach."""
+        return self._peer_pool
+
+    @property
+    def lost(self) -> tuple[Endpoint, ...]:
+        """The servers whose last direct attempt failed."""
+        return self._reach.lost
+
     @property
     def pool(self) -> ConnectionPool:
         """The connections of callers' calls."""
@@ -102,3 +112,4 @@
     def close(self) -> None:
         """Close all idle connections."""
         self._pool.close()
+        self._peer_pool.close()
--- a/yuccagauge/relay/router.py
+++ b/yuccagauge/relay/router.py
@@ -20,6 +20,7 @@
 from yuccagauge.relay.base import ResponseInfo
 from yuccagauge.relay.channel import CallerFactory
 from yuccagauge.relay.context import RelayContext, retry_budget_settings
+from yuccagauge.relay.leading import LeadDuty
 from yuccagauge.relay.pages import MetricsPage, ReadyPage, page_site
 from yuccagauge.relay.paths import RelayPaths
 from yuccagauge.relay.peers import build_peer_services
@@ -36,10 +37,6 @@
 from yuccagauge.tasks import PeriodicTask
 from yuccagauge.telemetry.journal import log_state_change
 
-#: Number of routers that take part in the leader election. If all of a fleet
-#: did, they would load the store more than all else.
-ELECTION_CANDIDATES = 3
-
 #: Seconds between checks for lapsed servers and for cache holders to poll.
 _UPKEEP_INTERVAL_S = 0.5
 
@@ -147,6 +144,17 @@
             section.data_centre,
             self._router_names,
         )
+        self._lead_duty = LeadDuty(
+            section.name,
+            self._exchange,
+            self._paths,
+            self._directory,
+            self._selector,
+            reactor,
+            clock,
+            order_client=self._adapter.order_client,
+            random_fraction=random_fraction,
+        )
         self._leader_lease = LeaderLease(
             section.name,
             settings.weights.lease_ms,
@@ -160,7 +168,7 @@
             reactor,
             clock,
             lease_duration=settings.weights.lease_ms,
-            is_candidate=self._is_election_candidate,
+            is_candidate=self._lead_duty.is_candidate,
         )
         self._rollout = RolloutDriver(
             self._leader_lease,
@@ -191,6 +199,11 @@
         """The rate limits that the router knows."""
         return self._selector.limits
 
+    @property
+    def can_lead(self) -> bool:
+        """Whether the router misses no engines that others reach."""
+        return not self._exchange.merger.standings.cannot_lead
+
     @property
     def reported_streams(self) -> int:
         """Streams whose software version other routers were told."""
@@ -210,6 +223,7 @@
         duties = (self._rollout, self._election)
         for part in (*archives, *self._followers.values(), *duties):
             part.start()
+        self._lead_duty.start(self._election, self._leader_lease)
         self._upkeep.start(_UPKEEP_INTERVAL_S, now=False)
         log_state_change(
             'router_started',
@@ -245,6 +259,7 @@
         self._context.on_unresponsive = self._exchange.broadcast_unresponsive
         self._selector.limits.on_change = self._exchange.broadcast_limit
         self._rollout.on_engines_paused = self._exchange.broadcast_pause
+        self._rollout.on_engine_unanswered = self._lead_duty.try_engine
         self._rollout.on_weights_loaded = self._exchange.broadcast_weights
 
     def reload(self, path: str) -> None:
@@ -265,6 +280,7 @@
         self._callers.stop_keep_alive()
         self._exchange.announce_leave()
         self._rollout.close()
+        self._lead_duty.close()
         election_end = self._election.close()
         done: Deferred[None] = Deferred()
         stop = self._settings.stop
@@ -309,12 +325,6 @@
     def _store_confirmed_at(self, topic: Topic) -> Millis:
         return self._followers[topic].confirmed_at
 
-    def _is_election_candidate(self) -> bool:
-        """Return whether this router takes part in the leader election."""
-        if not self._directory.is_ready:
-            return False
-        return self._rank('lead') < ELECTION_CANDIDATES
-
     def _rank(self, key: str) -> int:
         """Return how many live routers come before this one for a key."""
         own_name = self._settings.relay.name
--- a/yuccagauge/rollout/base.py
+++ b/yuccagauge/rollout/base.py
@@ -3,7 +3,7 @@
 import enum
 from collections.abc import Mapping
 from dataclasses import dataclass, field
-from typing import Protocol
+from typing import Any, Protocol
 
 from twisted.internet.defer import Deferred
 
@@ -111,6 +111,9 @@
 class WeightsOrderClient(Protocol):
     """Reads the status of engines and sends them orders."""
 
+    def through(self, pool: Any) -> 'WeightsOrderClient':
+        """Return a client that uses the connections of another pool."""
+
     def read_status(self, server: BackendServer) -> Deferred[EngineStatus]:
         """Return the status that an engine reports.
 
--- a/yuccagauge/rollout/driver.py
+++ b/yuccagauge/rollout/driver.py
@@ -116,6 +116,11 @@
             lambda server_id, model, version: None
         )
 
+        #: Called with an engine that has not answered.
+        self.on_engine_unanswered: Callable[[BackendServer], None] = (
+            lambda server: None
+        )
+
     def start(self) -> None:
         """Allow checks; they begin when this router leads."""
         self._is_started = True
@@ -252,6 +257,7 @@
                 reason=str(error),
                 verdict=error.verdict.value,
             )
+            self.on_engine_unanswered(engine.server)
         finally:
             progress.has_pending_request = False
             progress.draining_since = None
--- a/yuccagauge/rollout/election.py
+++ b/yuccagauge/rollout/election.py
@@ -61,6 +61,10 @@
         self.on_leadership_change: Callable[[bool], None] = lambda is_leader: (
             None
         )
+        #: Whether the lease is released instead of renewed.
+        self._hands_over = False
+        #: Called when this router has released the lease to its peers.
+        self.on_released: Callable[[], None] = lambda: None
         self._renewal_task = PeriodicTask('lead', self._check_lease, reactor)
         self._period_s = in_seconds(lease_duration / RENEWALS_PER_LEASE)
 
@@ -83,6 +87,11 @@
         if self._renewal_task.is_running:
             self._check_lease()
 
+    def hand_over(self) -> None:
+        """Release the lease at once, or after the renewal under way."""
+        self._hands_over = True
+        self.check_now()
+
     @inlineCallbacks
     def _check_lease(self) -> Any:
         """Renew or acquire the lease, and report a change of leadership."""
@@ -97,6 +106,9 @@
             return
         finally:
             self._is_checking = False
+        if self._hands_over:
+            # A renewal was under way when the hand-over was decided.
+            self.check_now()
         if self._leader_lease.is_leader != self._was_leader:
             self._was_leader = self._leader_lease.is_leader
             self.on_leadership_change(self._was_leader)
@@ -109,7 +121,11 @@
     @inlineCallbacks
     def _renew_or_acquire(self) -> Any:
         leader_lease = self._leader_lease
+        if leader_lease.is_leader and self._hands_over:
+            yield self._release()
+            return
         if not leader_lease.is_leader:
+            self._hands_over = False
             if not self._is_candidate():
                 return
             yield self._read_lease()
@@ -128,6 +144,18 @@
             leader_lease.step_down()
             yield self._read_lease()
 
+    @inlineCallbacks
+    def _release(self) -> Any:
+        """Stop giving orders, and then release the lease."""
+        self._hands_over = False
+        self._leader_lease.step_down()
+        is_written = yield self._store.append_lease(
+            '', self._leader_lease.record_count
+        )
+        yield self._read_lease()
+        if is_written:
+            self.on_released()
+
     @inlineCallbacks
     def _read_lease(self) -> Any:
         """Read the lease.
--- a/yuccagauge/wire/fleetmessages.py
+++ b/yuccagauge/wire/fleetmessages.py
@@ -169,6 +169,10 @@
     versions: tuple[FleetVersion, ...] = ()
     #: How far back the sender knows the versions, in ms.
     versions_known_ms: int = 0
+    #: Whether the sender misses engines that others reach.
+    cannot_lead: bool = False
+    #: Whether the sender has just released the leader lease.
+    released_lease: bool = False
 
 
 @register(51)
--- a/yuccagauge/wire/messages.capnp
+++ b/yuccagauge/wire/messages.capnp
@@ -333,6 +333,10 @@
   versions @17 :List(FleetVersion);
   # How far back the sender knows them.
   versionsKnownMs @18 :UInt32;
+  # Whether the sender misses engines that others reach.
+  cannotLead @19 :Bool;
+  # Whether the sender has just released the leader lease.
+  releasedLease @20 :Bool;
 }
 
 struct PathOpen {
