--- a/yuccagauge/relay/leading.py
+++ b/yuccagauge/relay/leading.py
@@ -44,6 +44,9 @@
 #: Time for a direct answer before an engine is also asked through a peer.
 PEER_DELAY = Millis(100)
 
+#: Time for which a router tries engines in the same order.
+_ORDER_PERIOD = Millis(1000)
+
 _RANK_KEY = 'lead'
 
 
@@ -64,8 +67,6 @@
         Schedule the checks and tell the time.
     order_client
         Reads the status of engines.
-    random_fraction
-        Returns a random number from 0 to 1.
     """
 
     def __init__(
@@ -79,7 +80,6 @@
         clock: Clock,
         *,
         order_client: WeightsOrderClient,
-        random_fraction: Callable[[], float],
     ) -> None:
         """Start as a router that reaches all engines."""
         self._name = name
@@ -91,7 +91,6 @@
         self._clock = clock
         self._reactor = reactor
         self._order_client = order_client
-        self._random_fraction = random_fraction
         self._handover = Handover()
         self._trials = EngineTrials()
         self._election: LeaderElection | None = None
@@ -188,15 +187,22 @@
         Of these, the ones with old weights do.
         """
         limits = self._selector.limits
+        servers = self._directory.servers
+        # Another order for each router and second: engines that are down for
+        # all do not keep the others from being tried.
+        order = rendezvous_rank(
+            (name for name, server in servers.items() if server.weights),
+            f'{self._name}/{self._clock.now() // _ORDER_PERIOD}',
+        )
         found = sorted(
             (
                 limits.limit_of(name) is not None,
-                not self._is_due(server),
-                self._random_fraction(),
+                not self._is_due(servers[name]),
+                place,
                 name,
             )
-            for name, server in self._directory.servers.items()
-            if server.weights and admits(server)
+            for place, name in enumerate(order)
+            if admits(servers[name])
         )
         names = [entry[-1] for entry in found]
         self._trials.begin(names[:count], self._clock.now())
--- a/yuccagauge/relay/router.py
+++ b/yuccagauge/relay/router.py
@@ -153,7 +153,6 @@
             reactor,
             clock,
             order_client=self._adapter.order_client,
-            random_fraction=random_fraction,
         )
         self._leader_lease = LeaderLease(
             section.name,
