--- a/features/crash_fleet.py
+++ b/features/crash_fleet.py
@@ -7,6 +7,7 @@
 import random
 from typing import Any
 
+from twisted.internet.defer import fail
 from twisted.internet.protocol import Factory, Protocol, connectionDone
 from twisted.python.failure import Failure
 
@@ -16,6 +17,7 @@
 from features.rollout_engines import VirtualClock
 from features.simulated_store import SimulatedStore, StoreClient
 from yuccagauge.clock import Clock, Millis
+from yuccagauge.dispatch.fetch import FetchError
 from yuccagauge.platform.records import PlatformRecordDecoder
 from yuccagauge.platform.requests import (
     PlatformBackendProtocol,
@@ -24,6 +26,7 @@
 from yuccagauge.relay.adapter import PlatformAdapter
 from yuccagauge.relay.router import RelayRouter
 from yuccagauge.settings.relay import build_relay_settings
+from yuccagauge.verdict import Verdict
 
 #: Time for which a server that ended is down.
 _DOWN_S = 3.0
@@ -63,6 +66,18 @@
         """Ignore the end."""
 
 
+class _NoOrders:
+    """Engines that do not answer calls of the routers' own."""
+
+    def through(self, pool: Any) -> '_NoOrders':
+        """Return this client."""
+        return self
+
+    def read_status(self, server: Any) -> Any:
+        """Fail."""
+        return fail(FetchError('no interface for orders', Verdict.NOT_RUN))
+
+
 class CrashFleet:
     """Routers before servers, with a store, in virtual time.
 
@@ -166,7 +181,8 @@
         return self.clock
 
     def build_order_client(self, reactor: Any, pool: Any, name: str) -> Any:
-        """Return what a router sends orders with; nothing by default."""
+        """Return what a router sends orders with."""
+        return _NoOrders()
 
     def build_store_client(self, name: str) -> StoreClient:
         """Return the store as a router sees it."""
--- a/yuccagauge/rollout/election.py
+++ b/yuccagauge/rollout/election.py
@@ -69,6 +69,10 @@
         self.on_leadership_change: Callable[[bool], None] = lambda is_leader: (
             None
         )
+        #: Whether the lease is released instead of renewed.
+        self._hands_over = False
+        #: Called when this router has released the lease to its peers.
+        self.on_released: Callable[[], None] = lambda: None
         self._renewal_task = PeriodicTask('lead', self._check_lease, reactor)
         self._period_s = in_seconds(lease_duration / RENEWALS_PER_LEASE)
 
@@ -92,6 +96,11 @@
         if self._renewal_task.is_running:
             self._check_lease()
 
+    def hand_over(self) -> None:
+        """Release the lease at once, or after the renewal under way."""
+        self._hands_over = True
+        self.check_now()
+
     @inlineCallbacks
     def _check_lease(self) -> Any:
         """Renew or acquire the lease, and report a change of leadership."""
@@ -106,6 +115,9 @@
             return
         finally:
             self._is_checking = False
+        if self._hands_over:
+            # A renewal was under way when the hand-over was decided.
+            self.check_now()
         if self._leader_lease.is_leader != self._was_leader:
             self._was_leader = self._leader_lease.is_leader
             self.on_leadership_change(self._was_leader)
@@ -119,10 +131,17 @@
     def _renew_or_acquire(self) -> Any:
         leader_lease = self._leader_lease
         asked_at = self._clock.now()
+        if leader_lease.is_leader and self._hands_over:
+            yield self._release()
+            return
         if not leader_lease.is_leader:
-            if not self._is_candidate():
+            self._hands_over = False
+            is_candidate = self._is_candidate()
+            if not (is_candidate or self._may_resume()):
                 return
             yield self._read_lease()
+            if not is_candidate and not leader_lease.is_resumable:
+                return
             if not leader_lease.can_acquire(self._clock.now()):
                 self._check_at_expiry()
                 return
@@ -141,6 +160,15 @@
             leader_lease.step_down()
             yield self._read_lease()
 
+    def _may_resume(self) -> bool:
+        """Return whether the lease may be that of the former process.
+
+        Whoever led before a restart goes on, even if it is no candidate by now:
+        the others wait for the end of its lease.
+        """
+        lease = self._leader_lease
+        return lease.is_resumable or not lease.has_been_read
+
     def _check_at_expiry(self) -> None:
         """Check again when the lease expires, if that is before a period."""
         self._cancel_expiry_check()
@@ -153,6 +181,18 @@
         if self._expiry_check is not None and self._expiry_check.active():
             self._expiry_check.cancel()
 
+    @inlineCallbacks
+    def _release(self) -> Any:
+        """Stop giving orders, and then release the lease."""
+        self._hands_over = False
+        self._leader_lease.step_down()
+        is_written = yield self._store.append_lease(
+            '', self._leader_lease.record_count
+        )
+        yield self._read_lease()
+        if is_written:
+            self.on_released()
+
     @inlineCallbacks
     def _read_lease(self) -> Any:
         """Read the lease.
--- a/yuccagauge/rollout/leaderlease.py
+++ b/yuccagauge/rollout/leaderlease.py
@@ -80,6 +80,19 @@
         """
         return self._leader_since is not None
 
+    @property
+    def has_been_read(self) -> bool:
+        """Whether any state of the lease is known."""
+        return self._state is not None
+
+    @property
+    def is_resumable(self) -> bool:
+        """Whether the last record is that of this router's former process."""
+        return (
+            self._state is not None
+            and self._state.record_count == self._resumable_count
+        )
+
     @property
     def record_count(self) -> int:
         """Number of records in the last known state; the fencing token."""
@@ -121,8 +134,7 @@
         """Return how long the known lease of a router lasts."""
         if self._state is None:
             return self._lease_duration
-        is_resumable = self._state.record_count == self._resumable_count
-        if is_resumable or not self._state.holder:
+        if self.is_resumable or not self._state.holder:
             return Millis(0)
         return Millis(self._unchanged_since + self._lease_duration - now)
 
--- a/yuccagauge/wire/fleetmessages.py
+++ b/yuccagauge/wire/fleetmessages.py
@@ -184,6 +184,10 @@
     #: Only answers have these. The asker counts the ages from when it asked, so
     #: that a message that waits while the asker is suspended is not too young.
     targets: tuple[FleetTarget, ...] = ()
+    #: Whether the sender misses engines that others reach.
+    cannot_lead: bool = False
+    #: Whether the sender has just released the leader lease.
+    released_lease: bool = False
 
 
 @register(51)
--- a/yuccagauge/wire/messages.capnp
+++ b/yuccagauge/wire/messages.capnp
@@ -344,6 +344,10 @@
   versionsKnownMs @18 :UInt32;
   # Only in answers; the asker counts the ages from when it asked.
   targets @19 :List(FleetTarget);
+  # Whether the sender misses engines that others reach.
+  cannotLead @20 :Bool;
+  # Whether the sender has just released the leader lease.
+  releasedLease @21 :Bool;
 }
 
 struct PathOpen {
