--- a/features/directory/targets.feature
+++ b/features/directory/targets.feature
@@ -38,9 +38,10 @@
     Examples:
       | ago | step  | entries | ms   |
       | 500 | 0     | 30      | 5500 |
-      | 500 | -2000 | 33      | 4960 |
+      | 500 | -2000 | 33      | 5560 |
       | 500 | 2000  | 30      | 7500 |
-      | 500 | 0     | 50      | 7000 |
+      | 500 | 0     | 50      | 7600 |
+      | 8000 | -5000 | 34     | 13120 |
 
   Scenario Outline: A malformed record of named weights says nothing
     When the store has the record <record>
@@ -58,3 +59,4 @@
       | [[-2, -3, 1000, 3, 4]]        |
       | [[2, 0, 1000, -3, 4]]         |
       | [[2, 0, 1e400, 3, 4]]         |
+      | [[4294967296, 0, 1000, 3, 4]] |
--- a/yuccagauge/directory/targetarchive.py
+++ b/yuccagauge/directory/targetarchive.py
@@ -34,7 +34,7 @@
     previous: int
     #: Unix time.
     named_after: Millis
-    #: Servers, and entries that these had written to the store in all.
+    #: Servers, and entries that had been written to the store in all by then.
     servers: int
     entries: int
 
@@ -160,6 +160,7 @@
             )
             for model, targets in stored.items()
             for target in targets
+            if target.entries <= self._directory.next_offset(Topic.SERVERS)
         )
         self._stored.update(map(_key, evidence))
         self._directory.merge_target_evidence(evidence)
@@ -188,12 +189,16 @@
 
     def _as_stored(self, evidence: TargetEvidence) -> StoredTarget:
         age = self._clock.now() - evidence.named_after
+        servers = len(self._directory.servers)
+        # The record may be written long after the naming.
+        written_since = -(-servers * age // self._heartbeat)
+        entries = self._directory.next_offset(Topic.SERVERS) - written_since
         return StoredTarget(
             version=evidence.version,
             previous=evidence.previous,
-            named_after=Millis(self._clock.wall_time() - age),
-            servers=len(self._directory.servers),
-            entries=self._directory.next_offset(Topic.SERVERS),
+            named_after=Millis(max(0, self._clock.wall_time() - age)),
+            servers=servers,
+            entries=max(0, entries),
         )
 
     def _record_reachable(
--- a/yuccagauge/exchange/parts.py
+++ b/yuccagauge/exchange/parts.py
@@ -84,6 +84,7 @@
             age_ms=now - each.named_after,
         )
         for each in evidence
+        if each.version <= MAXIMUM_NUMBER
     )
 
 
--- a/yuccagauge/platform/targetrecords.py
+++ b/yuccagauge/platform/targetrecords.py
@@ -12,6 +12,9 @@
 #: Numbers of one range of versions in a record.
 _FIELDS = 5
 
+#: Largest version that messages between routers can hold.
+_MAXIMUM_VERSION = 2**32 - 1
+
 
 def encode(targets: Sequence[StoredTarget]) -> str:
     """Return the value of a record: a list of numbers for each range."""
@@ -33,7 +36,7 @@
     """Return the times; none after logging a malformed record."""
     try:
         rows = json.loads(record.value)
-    except ValueError:
+    except (TypeError, ValueError):
         rows = None
     if isinstance(rows, list) and all(map(_is_sound, rows)):
         return tuple(_target(*row) for row in rows)
@@ -46,7 +49,7 @@
 def _is_sound(row: Any) -> bool:
     if not isinstance(row, list) or len(row) != _FIELDS:
         return False
-    return all(map(_is_count, row)) and row[0] > row[1]
+    return all(map(_is_count, row)) and row[1] < row[0] <= _MAXIMUM_VERSION
 
 
 def _is_count(number: Any) -> bool:
