--- a/yuccagauge/directory/follower.py
+++ b/yuccagauge/directory/follower.py
@@ -192,9 +192,9 @@
             now,
             self._unchanged_until,
         )
-        self._unchanged_until = (
-            sent_at if page.records else min(Millis(sent_at + wait), now)
-        )
+        if page.is_last:
+            waited = Millis(0 if page.records else min(wait, now - sent_at))
+            self._unchanged_until = Millis(sent_at + waited)
         for record in page.records:
             if record.value is not None:
                 self.on_entry(record.key, previous_read_at)
--- a/yuccagauge/directory/store.py
+++ b/yuccagauge/directory/store.py
@@ -29,6 +29,8 @@
 
     records: tuple[KeyedRecord, ...]
     next_offset: int
+    #: Whether the topic had no record after these when the store answered.
+    is_last: bool = True
 
 
 class KeyedStore(Protocol):
--- a/yuccagauge/platform/store.py
+++ b/yuccagauge/platform/store.py
@@ -280,7 +280,7 @@
     StoreUnavailableError
         If the body is malformed or truncated.
     """
-    _, contents = split_page(body)
+    end, contents = split_page(body)
     try:
         records = tuple(
             _decode_record(content, number)
@@ -291,6 +291,7 @@
     return StorePage(
         records=records,
         next_offset=offset + len(records),
+        is_last=offset + len(records) >= end,
     )
 
 
