--- a/yuccagauge/relay/leading.py
+++ b/yuccagauge/relay/leading.py
@@ -208,6 +208,8 @@
         self._trials.begin(names[:count], self._clock.now())
 
     def _run_trials(self) -> None:
+        # An engine may have left while its answer was awaited.
+        self._trials.remove_old(self._directory.servers, self._clock.now())
         for name in self._trials.take_due(self._clock.now()):
             server = self._directory.servers[name]
             self._try_directly(server)
