--- a/features/directory/directory.feature
+++ b/features/directory/directory.feature
@@ -120,7 +120,7 @@
 
     Examples:
       | routers | bound | topic      | ms   |
-      | 3       | 2000  | OPERATIONS | 2000 |
+      | 3       | 2000  | OPERATIONS | 1000 |
       | 30      | 2000  | OPERATIONS | 500  |
       | 30      | 4000  | OPERATIONS | 1000 |
       | 30      | 2000  | SERVERS    | 2000 |
--- a/yuccagauge/exchange/service.py
+++ b/yuccagauge/exchange/service.py
@@ -313,18 +313,16 @@
             self._send_message(member.endpoint, message)
 
     def _send_message(self, endpoint: Endpoint, message: FleetExchange) -> None:
+        asked_at = self._clock.now()
         self._client.request(endpoint, message, REPLY_TIMEOUT).addCallbacks(
             self._merger.merge_reply,
             self._handle_no_reply,
-            callbackArgs=(self._clock.now(),),
+            callbackArgs=(asked_at,),
             errbackArgs=(endpoint,),
         )
 
     def _handle_no_reply(self, failure: Failure, peer: Endpoint) -> None:
-        """Drop the connection, so that the next message opens a new one.
-
-        The peer stays known until no router has seen it for some time.
-        """
+        """Drop the connection; the peer stays known for some time."""
         failure.trap(PeerUnavailableError, PeerFailedError)
         self._client.drop(peer)
 
@@ -390,10 +388,7 @@
         )
 
     def _load_parts(self, now: Millis) -> dict[str, Any]:
-        """Return this router's calls and next offsets.
-
-        Receivers use the calls only of messages that have offsets.
-        """
+        """Return this router's calls, and the offsets that they need."""
         return {
             'marks': message_parts.marks(
                 self._directory,
