--- a/features/rollout/rollout.feature
+++ b/features/rollout/rollout.feature
@@ -11,6 +11,7 @@
       | receive no announcements               | 400  |
       | may restart                            | 400  |
       | started at least 3 s ago               | 2900 |
+      | use engines that ignore fencing tokens, and may restart | 2500 |
 
   Scenario: A restart of the former leader costs no lease duration
     Given a router that held the lease when it was killed
@@ -27,7 +28,12 @@
       | how                                                 | holder |
       | held the lease when it was killed                   | r1     |
       | held the lease when it was killed, before another   | r1 r0  |
-      | held the lease where engines ignore fencing tokens  | r0     |
+      | held the lease where engines ignore fencing tokens  | r1     |
+
+  Scenario: Where engines ignore fencing tokens, a restarted leader waits for one lease duration
+    Given a router that held the lease where engines ignore fencing tokens
+    When it starts again and reads its own record
+    Then it takes the lease over and may give orders only after 3000 ms
 
   Scenario Outline: Which engines begin to drain
     Given engines with weights "<weights>" and the newest version 3
--- a/features/steps/rollout_steps.py
+++ b/features/steps/rollout_steps.py
@@ -37,7 +37,7 @@
 )
 def check_order_gap(context: Context, how: str, gap: int) -> None:
     """Guard against two leaders at once after lost and late answers."""
-    checks_fences = how != 'use engines that ignore fencing tokens'
+    checks_fences = 'ignore fencing tokens' not in how
     counts_touch = how == 'started at least 3 s ago'
     receives_announcements = counts_touch or (
         how == "receive each other's announcements"
@@ -52,7 +52,7 @@
         ),
         max_size=30,
     )
-    may_restart = counts_touch or how == 'may restart'
+    may_restart = counts_touch or 'may restart' in how
 
     @REPEATABLE
     @forall(answers)
@@ -293,6 +293,18 @@
     assert context.leader_lease.fencing_token(_NOW) is not None
 
 
+@then('it takes the lease over and may give orders only after {ms:d} ms')
+def check_resumes_later(context: Context, ms: int) -> None:
+    """Guard against orders within a lease duration of another router's."""
+    leader_lease = context.leader_lease
+    assert leader_lease.can_acquire(_NOW)
+    for elapsed in range(0, ms + 1, 100):
+        now = Millis(_NOW + elapsed)
+        leader_lease.confirm_append(leader_lease.record_count, now, now)
+        may_order = leader_lease.fencing_token(now) is not None
+        assert may_order == (elapsed >= ms), elapsed
+
+
 @then('its fencing token is higher than the former one')
 def check_higher_token(context: Context) -> None:
     """Guard against two processes that use one fencing token."""
--- a/yuccagauge/rollout/leaderlease.py
+++ b/yuccagauge/rollout/leaderlease.py
@@ -28,7 +28,10 @@
     record as the last one takes the lease over at once: no other router
     acquired the lease since, the process that wrote the record has ended, and
     the new token is higher. Load pattern: all routers restart again and again
-    at intervals of a few seconds, and no weights load while one waits.
+    at intervals of a few seconds, and no weights load while one waits. If they
+    do not check them, it takes the lease over as well and waits only for the
+    lease duration from its start: another router gave its last order before
+    this one's first record, which its former process wrote.
 
     The clock must include the time in which
     the VM is suspended, so that a resumed leader sees that its lease has
@@ -65,6 +68,8 @@
         self._peer_ordered_at = started_at
         #: Number of records when this router started, if it wrote the last one.
         self._resumable_count: int | None = None
+        #: Whether this router leads as its former process did.
+        self._has_resumed = False
         #: The last state that was read or written, and when it was first seen.
         self._state: LeaseState | None = None
         self._unchanged_since = Millis(0)
@@ -123,6 +128,7 @@
         self._state = state
         self._unchanged_since = now
         self._leader_since = None
+        self._has_resumed = False
 
     def can_acquire(self, now: Millis) -> bool:
         """Return whether the lease is released, expired or resumable."""
@@ -150,6 +156,7 @@
         sent_at
             When the append was sent; the lease runs from then.
         """
+        self._has_resumed |= expected_count == self._resumable_count
         was_released = self._state is not None and not self._state.holder
         if was_released and expected_count and self._engines_check_fences:
             self._peer_ordered_at = Millis(now - self._lease_duration)
@@ -164,6 +171,7 @@
     def step_down(self) -> None:
         """Stop leading, on a release or after another router's record."""
         self._leader_since = None
+        self._has_resumed = False
 
     def fencing_token(self, now: Millis) -> int | None:
         """Return the fencing token; ``None`` while orders are not allowed."""
@@ -174,7 +182,7 @@
         if now - self._peer_ordered_at < self._lease_duration:
             return None
         if (
-            not self._engines_check_fences
+            not (self._engines_check_fences or self._has_resumed)
             and now - self._leader_since < self._lease_duration
         ):
             return None
@@ -190,8 +198,9 @@
 
     def _observe_first_state(self, state: LeaseState, now: Millis) -> None:
         """Let this router resume a lease that its former process held."""
-        if not self._engines_check_fences or state.holder != self._name:
+        if state.holder != self._name:
             return
         self._resumable_count = state.record_count
-        if self._peer_ordered_at == self._started_at:
+        is_wait_needless = self._peer_ordered_at == self._started_at
+        if self._engines_check_fences and is_wait_needless:
             self._peer_ordered_at = Millis(now - self._lease_duration)
