--- a/yuccagauge/directory/follower.py
+++ b/yuccagauge/directory/follower.py
@@ -100,7 +100,7 @@
 
     @property
     def unchanged_until(self) -> Millis | None:
-        """When the store had no record yet that this router did not read.
+        """Time before which the store had no record that is not read yet.
 
         ``None`` before the first answer. The store answers a read without
         records only after the time for which it may wait.
--- a/yuccagauge/exchange/merger.py
+++ b/yuccagauge/exchange/merger.py
@@ -66,8 +66,8 @@
         self._confirmed_at: dict[Topic, Millis] = {}
         #: When the calls of each peer were last received.
         self._loads_received_at: dict[str, Millis] = {}
-        #: Returns when the store had no record of a topic yet that this router
-        #: has not read itself.
+        #: Returns a time before which the store had no record of a topic that
+        #: this router has not read itself; ``None`` if it has read nothing.
         self.unchanged_until: Callable[[Topic], Millis | None] = lambda topic: (
             None
         )
--- a/yuccagauge/relay/router.py
+++ b/yuccagauge/relay/router.py
@@ -136,6 +136,7 @@
             is_isolated=lambda: self._exchange.is_isolated,
             rank=self._rank,
         )
+        self._crash_archive = self._archives[0]
         self._cache_feed = CacheFeed(
             self._adapter.cache_event_source,
             self._directory,
@@ -190,7 +191,7 @@
         """Whether the router accepts new connections."""
         return (
             self._directory.is_ready
-            and self._archives[0].is_ready
+            and self._crash_archive.is_ready
             and self._exchange.is_ready
             and not self._is_stopping
         )
--- a/yuccagauge/rollout/leaderlease.py
+++ b/yuccagauge/rollout/leaderlease.py
@@ -33,9 +33,8 @@
     lease duration from its start: another router gave its last order before
     this one's first record, which its former process wrote.
 
-    The clock must include the time in which
-    the VM is suspended, so that a resumed leader sees that its lease has
-    expired.
+    The clock must include the time in which the VM is suspended, so that a
+    resumed leader sees that its lease has expired.
 
     Parameters
     ----------
