--- a/review/lib/models.py
+++ b/review/lib/models.py
@@ -115,7 +115,7 @@
 
 
 
-async def start(yard, zones, engines, *, checks_fences):
+async def start(yard, zones, engines, *, checks_fences, **more):
     """Start the store, the engines and the routers, with weights 1 named."""
     await yard.store.listen()
     yard.configure(configuration(3))
@@ -129,6 +129,7 @@
             64,
             model=MODEL,
             checks_fences=checks_fences,
+            **more,
         )
         yard.engines.append(engine)
         await engine.start()
--- a/review/lib/yard.py
+++ b/review/lib/yard.py
@@ -465,7 +465,16 @@
     """An engine that runs a model and takes orders to load weights."""
 
     def __init__(
-        self, *args, model, checks_fences, load_s=0.57, step_s=0.02, **more
+        self,
+        *args,
+        model,
+        checks_fences,
+        load_s=0.57,
+        step_s=0.02,
+        first_s=0.02,
+        events=8,
+        id_step=1,
+        **more,
     ):
         super().__init__(*args, **more)
         self.model = model
@@ -473,6 +482,11 @@
         self.checks_fences = checks_fences
         self.load_s = load_s
         self.step_s = step_s
+        self.first_s = first_s
+        self.events = events
+        self.id_step = id_step
+        #: Ids of all requests that arrived whole.
+        self.received = []
         self.order_seq = 0
         self.highest_fence = 0
         self.is_loading = False
@@ -570,6 +584,7 @@
         self.write_entry()
 
     async def _run(self, request, writer):
+        self.received.append(request.get(PREFIX + 'Request-Id'))
         wrong = self.misdirected(request)
         if wrong is not None:
             writer.write(wrong)
@@ -592,8 +607,8 @@
             self._runs.discard(run)
 
     async def _stream(self, request, writer):
-        await asyncio.sleep(self.step_s)
         request_id = request.get(PREFIX + 'Request-Id')
+        await asyncio.sleep(self.first_s)
         self.ran.append((time.monotonic(), request_id, request.path))
         self.begun.append((time.monotonic(), request_id, self.version))
         lines = [
@@ -604,9 +619,10 @@
         ]
         lines += [f'{n}: {v}' for n, v in self.answer_headers(request)]
         writer.write('\r\n'.join([*lines, '', '']).encode())
-        first = int(request.get('Last-Event-Id') or 0) + 1
-        for number in range(first, 9):
-            event = f'id: {number}\ndata: token {number}\n\n'.encode()
+        done = int(request.get('Last-Event-Id') or 0) // self.id_step
+        for number in range(done + 1, self.events + 1):
+            event_id = number * self.id_step
+            event = f'id: {event_id}\ndata: piece {number}\n\n'.encode()
             writer.write(b'%x\r\n%s\r\n' % (len(event), event))
             await writer.drain()
             await asyncio.sleep(self.step_s)
