--- a/review/lib/models.py
+++ b/review/lib/models.py
@@ -115,13 +115,22 @@
 
 
 
-async def start(yard, zones, engines, *, checks_fences, **more):
+async def start(
+    yard,
+    zones,
+    engines,
+    *,
+    checks_fences,
+    engine_class=y.ModelEngine,
+    first_configuration=None,
+    **more,
+):
     """Start the store, the engines and the routers, with weights 1 named."""
     await yard.store.listen()
-    yard.configure(configuration(3))
+    yard.configure(first_configuration or configuration(3))
     yard.name_weights(MODEL, 1)
     for number in range(engines):
-        engine = y.ModelEngine(
+        engine = engine_class(
             yard.host(100 + number),
             yard.store,
             'lm',
