--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""LOST: whole answers of an engine that leaves are taken for broken ones."""
+"""WALL: a tenant becomes isolated, and another one still gets its KV cache."""
 
 import asyncio
 import pathlib
@@ -11,96 +11,87 @@
 import models as m  # noqa: E402
 import yard as y  # noqa: E402
 
-CLIENTS = 15
-EVENTS = 30
-EVENT_S = 0.1
-DRAIN_S = 2.0
-#: "and a little longer (at times many seconds)".
-LONGER_S = 3.0
-DEADLINE_MS = 15_000
+CONFIG_APPLY_S = 2.0
+#: Parts that prompts of both tenants have in common.
+SHARED = '5c1e07a2:2520,91bd3f06:3780'
+CALLS = 6
 
 
-class UnframedEngine(y.ModelEngine):
-    """Its answers have no length and no chunks, and end with the channel."""
+class CachingEngine(y.ModelEngine):
+    """Keeps the parts that it has read, under salt, model and id."""
 
     def __init__(self, *args, **more):
         super().__init__(*args, **more)
-        #: Ids of the requests that were answered to the end.
-        self.finished = set()
+        #: (salt, parts up to and with this one): the tenant that made it.
+        self.made_by = {}
+        #: (time, request id, tenant, maker, part) of each part used again.
+        self.uses = []
 
     async def _stream(self, request, writer):
+        salt = request.get(y.PREFIX + 'Cache-Salt')
+        tenant = request.get(y.PREFIX + 'Tenant')
         request_id = request.get(y.PREFIX + 'Request-Id')
-        events = int(request.get(y.PREFIX + 'Token-Usage').split(',')[1])
-        await asyncio.sleep(self.first_s)
-        self.ran.append((time.monotonic(), request_id, request.path))
-        lines = [
-            'HTTP/1.1 200 OK',
-            'Content-Type: text/event-stream',
-            'Connection: close',
-            f'{y.PREFIX}Weight-Versions: {self.version}',
-        ]
-        lines += [f'{n}: {v}' for n, v in self.answer_headers(request)]
-        writer.write('\r\n'.join([*lines, '', '']).encode())
-        for number in range(1, events + 1):
-            writer.write(f'id: {number}\ndata: piece {number}\n\n'.encode())
-            await writer.drain()
-            await asyncio.sleep(self.step_s)
-        self.finished.add(request_id)
-        writer.close()
-        await writer.wait_closed()
-
-    def leave(self):
-        """Have the entry removed, and go on serving for the same time."""
-        self._beating.cancel()
-        self.store.put('keyed.servers', self.server_id, b'')
-        self.extra_headers = [('Server-Leaving', '1')]
-        loop = asyncio.get_running_loop()
-        loop.call_later(DRAIN_S + LONGER_S, self.crash)
-
-
-def configuration():
-    document = m.configuration(3)
-    document['routes'][0].update(
-        timeoutMs=DEADLINE_MS, attempts=1, canResume=False, gapAimMs=300
-    )
+        parts = request.get(y.PREFIX + 'Prefix-Hash').split(',')
+        prefix = (salt,)
+        is_unbroken = True
+        for part in parts:
+            prefix = (*prefix, part)
+            maker = self.made_by.get(prefix)
+            is_unbroken = is_unbroken and maker is not None
+            if is_unbroken:
+                self.uses.append(
+                    (time.monotonic(), request_id, tenant, maker, part)
+                )
+            else:
+                self.made_by[prefix] = tenant
+        await super()._stream(request, writer)
+
+    async def _load(self, order):
+        await super()._load(order)
+        self.made_by.clear()
+
+
+def configuration(version, *, is_isolated):
+    document = m.configuration(version)
+    document['tenants'] = [
+        {
+            'name': 'tenant-a',
+            'apiKeys': ['ka'],
+            'priority': 1,
+            'isolated': is_isolated,
+        },
+        {
+            'name': 'tenant-b',
+            'apiKeys': ['kb'],
+            'priority': 1,
+            'isolated': False,
+        },
+    ]
     return document
 
 
-class Client:
-    """A client with a kept channel."""
-
-    def __init__(self, router, number):
-        self.router = router
-        self.number = number
-
-    async def open(self):
-        self.reader, self.writer = await asyncio.open_connection(
-            *self.router.front
-        )
-
-    async def stream(self, events):
-        self.request_id = y.new_id()
-        self.answer = y.Answer()
-        raw = y.request_bytes(
-            'POST',
-            '/lepu270/2f',
-            'jepu9.example',
-            self.request_id,
-            DEADLINE_MS,
-            'k1',
-            (
-                (y.PREFIX + 'Model', m.MODEL),
-                (y.PREFIX + 'Token-Usage', f'826,{events}'),
-                (
-                    y.PREFIX + 'Prefix-Hash',
-                    f'{self.number % 3:08x}:198,{self.request_id}:628',
-                ),
-            ),
-            b'{}',
-        )
-        self.writer.write(raw)
-        await y.read_answer(self.reader, self.answer)
-        return self.answer
+async def send(yard, record, router, key):
+    request_id = y.new_id()
+    raw = y.request_bytes(
+        'POST',
+        '/lepu270/2f',
+        'jepu9.example',
+        request_id,
+        5000,
+        key,
+        (
+            (y.PREFIX + 'Model', m.MODEL),
+            (y.PREFIX + 'Token-Usage', '7000,13'),
+            (y.PREFIX + 'Prefix-Hash', f'{SHARED},{request_id}:700'),
+        ),
+        b'{}',
+    )
+    answer = await y.call(router.front, raw, 6)
+    record.write(
+        f'{request_id} of key {key} at {router.name}: status {answer.status}, '
+        f'complete {answer.is_complete}'
+    )
+    return request_id
 
 
 async def case(record):
@@ -117,43 +108,47 @@
         ['a', 'b', 'c'],
         3,
         checks_fences=True,
-        engine_class=UnframedEngine,
-        first_configuration=configuration(),
-        step_s=EVENT_S,
+        engine_class=CachingEngine,
+        first_configuration=configuration(3, is_isolated=False),
     )
     await asyncio.sleep(4)
-    clients = [Client(yard.routers[n % 3], n) for n in range(CLIENTS)]
-    for client in clients:
-        await client.open()
-    # The channels have carried a request before: they are kept ones.
-    for answer in await asyncio.gather(*(c.stream(1) for c in clients)):
-        if not answer.is_complete:
-            raise y.CannotRunError(f'first answer: {answer.status}')
-    await asyncio.sleep(1)
-    streams = [asyncio.create_task(c.stream(EVENTS)) for c in clients]
-    await asyncio.sleep(1)
-    engine = max(yard.engines, key=lambda each: each.active)
-    record.say(f'{engine.active} streams run at {engine.server_id}')
+    # Tenant A's prompts are read by the engines; sharing them is allowed.
+    for number in range(CALLS):
+        await send(yard, record, yard.routers[number % 3], 'ka')
     if y.trouble():
-        record.say(f'disruption: the entry of {engine.server_id} is removed')
-        engine.leave()
-    await asyncio.wait_for(asyncio.gather(*streams), 20)
-    lost = 0
-    for client in clients:
-        where = [e for e in yard.engines if client.request_id in e.finished]
-        got = client.answer.body.count(b'data: piece')
-        record.write(
-            f'{client.request_id} at {client.router.name}: status '
-            f'{client.answer.status}, {got} of {EVENTS} events, complete '
-            f'{client.answer.is_complete}, ended whole by '
-            f'{[e.server_id for e in where]}, {client.answer.error}'
-        )
-        lost += bool(where) and not client.answer.is_complete
+        yard.configure(configuration(7, is_isolated=True))
+    else:
+        yard.configure(configuration(7, is_isolated=False))
+    await asyncio.sleep(CONFIG_APPLY_S + 1)
+    since = time.monotonic()
+    sent = [
+        await send(yard, record, yard.routers[number % 3], 'kb')
+        for number in range(CALLS)
+    ]
+    isolated = {
+        tenant['name']
+        for tenant in yard.configuration['tenants']
+        if tenant['isolated']
+    }
+    breaks = 0
+    for engine in yard.engines:
+        for at, request_id, tenant, maker, part in engine.uses:
+            is_break = (
+                at >= since
+                and tenant != maker
+                and bool({tenant, maker} & isolated)
+            )
+            breaks += is_break
+            if tenant != maker:
+                record.write(
+                    f'{engine.server_id}: {request_id} of {tenant} used part '
+                    f'{part} that {maker} made; isolated: {sorted(isolated)}'
+                )
     record.say(
-        f'LOST: {lost} requests of kept channels were answered whole by a '
-        'sound engine, and their channels were reset'
+        f'WALL: {breaks} parts of an isolated tenant were used by '
+        f'{len(sent)} requests of another one'
     )
-    return y.BROKEN if lost > 3 else y.HELD
+    return y.BROKEN if breaks else y.HELD
 
 
 if __name__ == '__main__':
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,8 +1,7 @@
-"""LOST: streams of a split route do not go on after a router was killed."""
+"""LOST: whole answers of an engine that leaves are taken for broken ones."""
 
 import asyncio
 import pathlib
-import signal
 import sys
 import time
 
@@ -12,110 +11,96 @@
 import models as m  # noqa: E402
 import yard as y  # noqa: E402
 
-EVENTS = 40
-EVENT_S = 0.08
-STREAMS = 24
+CLIENTS = 15
+EVENTS = 30
+EVENT_S = 0.1
+DRAIN_S = 2.0
+#: "and a little longer (at times many seconds)".
+LONGER_S = 3.0
 DEADLINE_MS = 15_000
-SERVICES = ('lm-a', 'lm-b')
-
-
-def configuration(version, weights):
-    document = m.configuration(version)
-    route = document['routes'][0]
-    del route['service']
-    route['timeoutMs'] = DEADLINE_MS
-    route['trafficSplit'] = [
-        {'service': name, 'weight': weight}
-        for name, weight in zip(SERVICES, weights, strict=True)
-    ]
-    document['services'] = [y.model_service(name, m.MODEL) for name in SERVICES]
+
+
+class UnframedEngine(y.ModelEngine):
+    """Its answers have no length and no chunks, and end with the channel."""
+
+    def __init__(self, *args, **more):
+        super().__init__(*args, **more)
+        #: Ids of the requests that were answered to the end.
+        self.finished = set()
+
+    async def _stream(self, request, writer):
+        request_id = request.get(y.PREFIX + 'Request-Id')
+        events = int(request.get(y.PREFIX + 'Token-Usage').split(',')[1])
+        await asyncio.sleep(self.first_s)
+        self.ran.append((time.monotonic(), request_id, request.path))
+        lines = [
+            'HTTP/1.1 200 OK',
+            'Content-Type: text/event-stream',
+            'Connection: close',
+            f'{y.PREFIX}Weight-Versions: {self.version}',
+        ]
+        lines += [f'{n}: {v}' for n, v in self.answer_headers(request)]
+        writer.write('\r\n'.join([*lines, '', '']).encode())
+        for number in range(1, events + 1):
+            writer.write(f'id: {number}\ndata: piece {number}\n\n'.encode())
+            await writer.drain()
+            await asyncio.sleep(self.step_s)
+        self.finished.add(request_id)
+        writer.close()
+        await writer.wait_closed()
+
+    def leave(self):
+        """Have the entry removed, and go on serving for the same time."""
+        self._beating.cancel()
+        self.store.put('keyed.servers', self.server_id, b'')
+        self.extra_headers = [('Server-Leaving', '1')]
+        loop = asyncio.get_running_loop()
+        loop.call_later(DRAIN_S + LONGER_S, self.crash)
+
+
+def configuration():
+    document = m.configuration(3)
+    document['routes'][0].update(
+        timeoutMs=DEADLINE_MS, attempts=1, canResume=False, gapAimMs=300
+    )
     return document
 
 
-class Stream:
-    """One stream of a client, over all of its tries."""
+class Client:
+    """A client with a kept channel."""
 
-    def __init__(self, number):
+    def __init__(self, router, number):
+        self.router = router
         self.number = number
-        self.first_id = ''
-        self.events = []
-        self.tries = []
-        self.is_complete = False
-        self.retry_after_s = 0.1
-
-    async def run(self, record, routers):
-        for router in routers:
-            await self._try(record, router)
-            if self.is_complete:
-                return
-            # A client may take a stream up on a new channel.
-            await asyncio.sleep(self.retry_after_s)
-
-    async def _try(self, record, router):
-        request_id = y.new_id()
-        more = [
-            (y.PREFIX + 'Model', m.MODEL),
-            (y.PREFIX + 'Token-Usage', '826,300'),
-            (y.PREFIX + 'Prefix-Hash', f'5c1e07a2:198,{self.number:08x}:628'),
-        ]
-        had = len(self.events)
-        if had:
-            more.append(('Last-Event-Id', str(self.events[-1])))
-            more.append(('Resumes', self.first_id))
+
+    async def open(self):
+        self.reader, self.writer = await asyncio.open_connection(
+            *self.router.front
+        )
+
+    async def stream(self, events):
+        self.request_id = y.new_id()
+        self.answer = y.Answer()
         raw = y.request_bytes(
             'POST',
             '/lepu270/2f',
             'jepu9.example',
-            request_id,
+            self.request_id,
             DEADLINE_MS,
             'k1',
-            more,
+            (
+                (y.PREFIX + 'Model', m.MODEL),
+                (y.PREFIX + 'Token-Usage', f'826,{events}'),
+                (
+                    y.PREFIX + 'Prefix-Hash',
+                    f'{self.number % 3:08x}:198,{self.request_id}:628',
+                ),
+            ),
             b'{}',
         )
-        status, ending = 0, ''
-        writer = None
-        try:
-            reader, writer = await asyncio.wait_for(
-                asyncio.open_connection(*router.front), 1
-            )
-            writer.write(raw)
-            head, headers = await y.read_head(reader)
-            status = int(head.split()[1])
-            chunked = y.header(headers, 'Transfer-Encoding') == 'chunked'
-            wait = y.header(headers, 'Retry-After')
-            self.retry_after_s = float(wait or 0.1)
-            if status == 200 and chunked:
-                await self._read_events(reader, request_id)
-        except (OSError, ValueError, asyncio.IncompleteReadError) as error:
-            ending = type(error).__name__
-        except asyncio.TimeoutError:
-            ending = 'no channel'
-        finally:
-            if writer is not None:
-                writer.close()
-        got = len(self.events) - had
-        self.tries.append((bool(had), got))
-        record.write(
-            f'stream {self.number} {request_id} at {router.name}: '
-            f'{"taken up" if had else "new"}, status {status}, {got} events, '
-            f'complete {self.is_complete} {ending}'
-        )
-
-    async def _read_events(self, reader, request_id):
-        rest = b''
-        while True:
-            size = int((await reader.readline()).strip(), 16)
-            chunk = await reader.readexactly(size + 2)
-            if not size:
-                self.is_complete = True
-                return
-            rest += chunk[:-2]
-            *whole, rest = rest.split(b'\n\n')
-            for event in whole:
-                if not self.events:
-                    self.first_id = request_id
-                number = event.split(b'id: ')[1].split(b'\n')[0]
-                self.events.append(int(number))
+        self.writer.write(raw)
+        await y.read_answer(self.reader, self.answer)
+        return self.answer
 
 
 async def case(record):
@@ -127,59 +112,48 @@
 
 
 async def play(yard, record):
-    await yard.store.listen()
-    yard.configure(configuration(3, (90, 10)))
-    yard.name_weights(m.MODEL, 1)
-    zones = ['a', 'b', 'c']
-    for number in range(6):
-        engine = y.ModelEngine(
-            yard.host(100 + number),
-            yard.store,
-            SERVICES[number % 2],
-            zones[number % 3],
-            64,
-            model=m.MODEL,
-            checks_fences=True,
-            events=EVENTS,
-            step_s=EVENT_S,
-        )
-        yard.engines.append(engine)
-        await engine.start()
-    yard.add_routers(zones)
-    await yard.start_routers()
+    await m.start(
+        yard,
+        ['a', 'b', 'c'],
+        3,
+        checks_fences=True,
+        engine_class=UnframedEngine,
+        first_configuration=configuration(),
+        step_s=EVENT_S,
+    )
     await asyncio.sleep(4)
-    first, *others = yard.routers
-    streams = [Stream(number) for number in range(STREAMS)]
-    runs = []
-    for stream in streams:
-        # Those that are refused come back once more.
-        routers = [first, others[stream.number % 2]]
-        routers.append(others[1 - stream.number % 2])
-        runs.append(asyncio.create_task(stream.run(record, routers)))
-        await asyncio.sleep(0.02)
+    clients = [Client(yard.routers[n % 3], n) for n in range(CLIENTS)]
+    for client in clients:
+        await client.open()
+    # The channels have carried a request before: they are kept ones.
+    for answer in await asyncio.gather(*(c.stream(1) for c in clients)):
+        if not answer.is_complete:
+            raise y.CannotRunError(f'first answer: {answer.status}')
+    await asyncio.sleep(1)
+    streams = [asyncio.create_task(c.stream(EVENTS)) for c in clients]
     await asyncio.sleep(1)
+    engine = max(yard.engines, key=lambda each: each.active)
+    record.say(f'{engine.active} streams run at {engine.server_id}')
     if y.trouble():
-        first.signal(signal.SIGKILL)
-    await asyncio.wait_for(asyncio.gather(*runs), 25)
-    # New streams at the same machines, for comparison.
-    fresh = [Stream(100 + number) for number in range(STREAMS)]
-    await asyncio.gather(
-        *(s.run(record, [others[s.number % 2]]) for s in fresh)
-    )
-    begun = sum(s.tries[0][1] > 0 for s in fresh) / len(fresh)
-    taken_up = [t for s in streams for t in s.tries if t[0]]
-    went_on = sum(got > 0 for _, got in taken_up)
-    for name in SERVICES:
-        count = sum(
-            len(engine.ran) for engine in yard.engines if engine.service == name
+        record.say(f'disruption: the entry of {engine.server_id} is removed')
+        engine.leave()
+    await asyncio.wait_for(asyncio.gather(*streams), 20)
+    lost = 0
+    for client in clients:
+        where = [e for e in yard.engines if client.request_id in e.finished]
+        got = client.answer.body.count(b'data: piece')
+        record.write(
+            f'{client.request_id} at {client.router.name}: status '
+            f'{client.answer.status}, {got} of {EVENTS} events, complete '
+            f'{client.answer.is_complete}, ended whole by '
+            f'{[e.server_id for e in where]}, {client.answer.error}'
         )
-        record.write(f'{count} runs at {name}')
-    record.say(f'{begun:.0%} of the new streams begin')
-    record.say(f'LOST: {went_on} of {len(taken_up)} streams taken up go on')
-    is_broken = len(taken_up) >= 12 and (
-        went_on / len(taken_up) < begun / 2
+        lost += bool(where) and not client.answer.is_complete
+    record.say(
+        f'LOST: {lost} requests of kept channels were answered whole by a '
+        'sound engine, and their channels were reset'
     )
-    return y.BROKEN if is_broken else y.HELD
+    return y.BROKEN if lost > 3 else y.HELD
 
 
 if __name__ == '__main__':
