--- a/review/lib/yard.py
+++ b/review/lib/yard.py
@@ -517,6 +517,7 @@
                 'kvUsed': 0,
                 'kvTotal': 128361,
                 'handles': 0,
+                'born': self.born,
             }
             writer.write(json_response(200, document, self.extra_headers))
         elif path == '/api/order':
@@ -632,6 +633,13 @@
 # ------------------------------------------------------------- routers
 
 
+def free_port(host):
+    """Return a port that nobody listens on."""
+    with socket.socket() as sock:
+        sock.bind((host, 0))
+        return sock.getsockname()[1]
+
+
 class Router:
     """One process of the project, as the deploy file starts it."""
 
@@ -640,9 +648,10 @@
         self.name = f'edge-{zone}-{number}'
         self.zone = zone
         self.host = yard.host(number)
-        self.front = (self.host, 8782)
-        self.ready = (self.host, 8789)
-        self.control = f'{self.host}:8783'
+        # Only the port of the metrics stands in the deploy file.
+        self.front = (self.host, free_port(self.host))
+        self.ready = (self.host, free_port(self.host))
+        self.control = f'{self.host}:{free_port(self.host)}'
         self.process = None
         self.starts = 0
 
@@ -652,8 +661,8 @@
             'nodeName': self.name,
             'zone': self.zone,
             'ip': self.host,
-            'listen.frontend': f'{self.host}:8782',
-            'listen.readiness': f'{self.host}:8789',
+            'listen.frontend': f'{self.host}:{self.front[1]}',
+            'listen.readiness': f'{self.host}:{self.ready[1]}',
             'listen.control': self.control,
             'seeds': ','.join(self.yard.seeds),
             'platform.address': self.yard.store.address,
