--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,16 +1,20 @@
 """WALL: a tenant becomes isolated, and another one still gets its KV cache."""
 
 import asyncio
+import os
 import pathlib
 import sys
 import time
 
 HERE = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(HERE.parent / 'lib'))
+sys.path.insert(0, str(HERE.parent))
 
 import models as m  # noqa: E402
 import yard as y  # noqa: E402
 
+#: With ``TROUBLE=0`` all is the same without the disruption.
+TROUBLE = os.environ.get('TROUBLE', '1') != '0'
+
 CONFIG_APPLY_S = 2.0
 #: Parts that prompts of both tenants have in common.
 SHARED = '5c1e07a2:2520,91bd3f06:3780'
@@ -115,7 +119,7 @@
     # Tenant A's prompts are read by the engines; sharing them is allowed.
     for number in range(CALLS):
         await send(yard, record, yard.routers[number % 3], 'ka')
-    if y.trouble():
+    if TROUBLE:
         yard.configure(configuration(7, is_isolated=True))
     else:
         yard.configure(configuration(7, is_isolated=False))
@@ -152,4 +156,4 @@
 
 
 if __name__ == '__main__':
-    y.main(case, HERE)
+    y.main(case, HERE, trouble=TROUBLE)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,16 +1,20 @@
 """LOST: whole answers of an engine that leaves are taken for broken ones."""
 
 import asyncio
+import os
 import pathlib
 import sys
 import time
 
 HERE = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(HERE.parent / 'lib'))
+sys.path.insert(0, str(HERE.parent))
 
 import models as m  # noqa: E402
 import yard as y  # noqa: E402
 
+#: With ``TROUBLE=0`` all is the same without the disruption.
+TROUBLE = os.environ.get('TROUBLE', '1') != '0'
+
 #: Clients at the first machine, and at each of the others.
 CLIENTS = 15
 OTHERS = 3
@@ -141,7 +145,7 @@
         yard.engines, key=lambda each: sum(run[1] in sent for run in each.ran)
     )
     record.say(f'{engine.active} streams run at {engine.server_id}')
-    if y.trouble():
+    if TROUBLE:
         record.say(f'disruption: the entry of {engine.server_id} is removed')
         engine.leave()
     await asyncio.wait_for(asyncio.gather(*streams), 20)
@@ -165,4 +169,4 @@
 
 
 if __name__ == '__main__':
-    y.main(case, HERE)
+    y.main(case, HERE, trouble=TROUBLE)
--- a/review/lib/yard.py
+++ b/review/yard.py
@@ -24,7 +24,7 @@
 import tomllib
 from urllib.parse import parse_qs, urlsplit
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+ROOT = pathlib.Path(__file__).resolve().parents[1]
 PREFIX = 'X-Yuccagauge-'
 
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
@@ -949,15 +949,10 @@
 }
 
 
-def trouble():
-    """Return whether the case is played with its disruption."""
-    return os.environ.get('TROUBLE', '1') != '0'
-
-
-def main(case, folder, limit_s=110):
+def main(case, folder, *, trouble, limit_s=110):
     """Run a case and exit with its result."""
     record = Record(pathlib.Path(folder) / 'record.txt')
-    record.say(f'disruption: {"yes" if trouble() else "no"}')
+    record.say(f'disruption: {"yes" if trouble else "no"}')
 
     async def run():
         return await asyncio.wait_for(case(record), limit_s)
