Log the age of superseded weights when an answer begins on them

The log had the age at the choice of the engine only (call_sent). Whether a call began late because it waited, or because the router counted a wrong age or none, could not be told apart.

began_on_superseded names the age at the first output and the time since the send; the metric superseded_weights.age has all of them. A call that waits shows as a low age at call_sent and a high one here; wrong evidence shows as different ages of one naming at two routers; a router that knows no newer weights logs no line. The comparison of weights moves from the selector to a module of its own, without a change of what it decides.

--- a/yuccagauge/relay/attempt.py
+++ b/yuccagauge/relay/attempt.py
@@ -8,6 +8,7 @@
 from yuccagauge.quarantine.parts import SOUND_OUTPUT_TIME
 from yuccagauge.relay.base import Placement, RelayCall, ResponseInfo
 from yuccagauge.relay.context import RelayContext
+from yuccagauge.relay.report import CallReporter
 from yuccagauge.selection import model
 from yuccagauge.selection.base import SelectionRequest
 from yuccagauge.selection.load import ServerLoad
@@ -77,6 +78,19 @@
         listed = self._context.directory.servers.get(sent_to.server_id)
         return listed is not None and listed.incarnation == sent_to.incarnation
 
+    @property
+    def superseded_ms(self) -> Millis | None:
+        """Time since newer weights than those of the attempt were named.
+
+        ``None`` if there are none, or for a plain call.
+        """
+        version = self._placement.weights_version
+        if version is None:
+            return None
+        return self._context.selector.weights.superseded_ms(
+            self._selection_request.model, version, self._now()
+        )
+
     @property
     def time_without_response(self) -> Millis:
         """Time since the server last sent data, or since the send.
@@ -141,12 +155,17 @@
             self._record_rate_limit(info)
             self._record_statements(info)
 
-    def record_output(self) -> None:
+    def record_output(self, reporter: CallReporter) -> None:
         """Record that the server sent a part of the answer."""
         now = self._now()
         if self._first_output_at is None:
             self._first_output_at = now
             self._record_first_output()
+            age = self.superseded_ms
+            if age is not None:
+                reporter.record_beginning(
+                    self._placement, age, Millis(now - self._sent_at)
+                )
         if now - self._first_output_at >= SOUND_OUTPUT_TIME:
             self.record_sound()
 
--- a/yuccagauge/relay/call.py
+++ b/yuccagauge/relay/call.py
@@ -139,7 +139,7 @@
             return
         if self._has_ended:
             return
-        self._attempt.record_output()
+        self._attempt.record_output(self._reporter)
         if is_forwarded:
             self._reporter.record_first_output()
 
--- a/yuccagauge/relay/leading.py
+++ b/yuccagauge/relay/leading.py
@@ -281,7 +281,7 @@
 
     def _is_due(self, server: BackendServer) -> bool:
         return any(
-            self._selector.weights_version_of(server, model)
+            self._selector.weights.version_of(server, model)
             < self._directory.targets.get(model, 0)
             for model in server.weights
         )
--- a/yuccagauge/relay/metrics.py
+++ b/yuccagauge/relay/metrics.py
@@ -22,6 +22,11 @@
     'Time from the request to the end of its answer.',
     's',
 )
+SUPERSEDED_AGE = histogram(
+    'yuccagauge.relay.superseded_weights.age',
+    'Time since newer weights were named, of answers that began on older ones.',
+    's',
+)
 CACHED_TOKENS = counter(
     'yuccagauge.relay.cached_tokens',
     'Prompt tokens of placed calls, by whether they were expected in a cache.',
--- a/yuccagauge/relay/report.py
+++ b/yuccagauge/relay/report.py
@@ -3,7 +3,7 @@
 from yuccagauge.clock import Clock, Millis, in_seconds
 from yuccagauge.quarantine.events import short_fingerprint
 from yuccagauge.relay import metrics
-from yuccagauge.relay.base import RelayCall
+from yuccagauge.relay.base import Placement, RelayCall
 from yuccagauge.relay.response import ResponseForwarder, ResponseSummary
 from yuccagauge.selection.base import SelectionDecision
 from yuccagauge.telemetry.journal import log_decision
@@ -96,6 +96,28 @@
             **_response_fields(response),
         )
 
+    def record_beginning(
+        self, placement: Placement, superseded_ms: Millis, waited: Millis
+    ) -> None:
+        """Log that an answer on superseded weights began, and their age.
+
+        Parameters
+        ----------
+        superseded_ms
+            Time since newer weights were named, as far as this router knows.
+        waited
+            Time since the call was sent to the server.
+        """
+        metrics.SUPERSEDED_AGE.record(in_seconds(superseded_ms))
+        self._log(
+            'began_on_superseded',
+            send=self._sends,
+            server=placement.server.server_id,
+            weights=placement.weights_version,
+            superseded_ms=superseded_ms,
+            waited_ms=waited,
+        )
+
     def record_return(self, server: str) -> None:
         """Log that the call returns to a server that was silent."""
         self._server = server
--- a/yuccagauge/rollout/driver.py
+++ b/yuccagauge/rollout/driver.py
@@ -224,7 +224,7 @@
         """Return an engine's state; record its load if that is complete."""
         progress = self._progress_of(server)
         load = self._selector.load_of(server.server_id)
-        version = self._selector.weights_version_of(server, model)
+        version = self._selector.weights.version_of(server, model)
         if progress.is_loading and version >= progress.ordered_version:
             self._record_loaded(server, model, version)
         if now >= load.paused_until and not load.unreachable_count:
@@ -242,7 +242,7 @@
                 progress.has_pending_request
                 and progress.draining_since is not None
             ),
-            is_usable=self._selector.may_serve(server, model, now),
+            is_usable=self._selector.weights.may_serve(server, model, now),
             is_reachable=progress.is_reachable(now),
         )
 
--- a/yuccagauge/selection/model.py
+++ b/yuccagauge/selection/model.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from yuccagauge.clock import Millis
-from yuccagauge.selection.base import Candidate, FleetView, SelectionRequest
+from yuccagauge.selection.base import Candidate, SelectionRequest
 from yuccagauge.selection.spread import tie_break
 
 #: Prompt tokens that an engine prefills in a millisecond by its data sheet.
@@ -50,17 +50,6 @@
 QUEUED_CALL_MS = 12.0
 
 
-def superseded_ms(
-    view: FleetView, model_name: str, version: int, now: Millis
-) -> Millis | None:
-    """Return how long ago a newer version was named at most.
-
-    ``None`` if there is no newer version.
-    """
-    superseded_at = view.superseded_at(model_name, version)
-    return None if superseded_at is None else Millis(now - superseded_at)
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class EngineEstimate:
     """Estimated times and costs of a call on one engine."""
--- a/yuccagauge/selection/selector.py
+++ b/yuccagauge/selection/selector.py
@@ -30,12 +30,9 @@
 from yuccagauge.selection.responsive import responsive_servers
 from yuccagauge.selection.spread import PrefixHolders, spread_costs
 from yuccagauge.selection.statements import ServerStatements
+from yuccagauge.selection.weightsages import WeightsAges
 from yuccagauge.settings.options import Endpoint
 
-#: Margin before the time from which no call may start on an engine with
-#: superseded weights. The engine already gets none within this margin.
-OUTDATED_STOP_MARGIN = Millis(1500)
-
 
 class Selector:
     """Selects servers by load, cached parts and weights versions.
@@ -54,7 +51,8 @@
     ) -> None:
         """Create a selector without servers."""
         self._data_centre = data_centre
-        self._outdated_weights_limit = outdated_weights_limit
+        #: Compares the weights of engines with the named ones.
+        self.weights = WeightsAges(outdated_weights_limit, self.load_of)
         self._view = FleetView(servers={})
         self._servers_by_service: dict[str, list[BackendServer]] = {}
         self._loads: dict[str, ServerLoad] = {}
@@ -132,27 +130,12 @@
                 self.load_of(server_id).own_calls = previous_load.own_calls
         self.limits.forget(restarted)
         self._view = view
+        self.weights.update_fleet_view(view)
         self._servers_by_service = defaultdict(list)
         for server in view.servers.values():
             self._servers_by_service[server.service].append(server)
         return restarted
 
-    def weights_version_of(self, server: BackendServer, model_name: str) -> int:
-        """Return the newest weights version that a server is known to run."""
-        reported = self.load_of(server.server_id).reported_weights
-        return max(
-            server.weights.get(model_name, 0), reported.get(model_name, 0)
-        )
-
-    def may_serve(
-        self, server: BackendServer, model_name: str, now: Millis
-    ) -> bool:
-        """Return whether calls may begin on a server's weights of a model."""
-        version = self.weights_version_of(server, model_name)
-        age = model.superseded_ms(self._view, model_name, version, now)
-        limit = self._outdated_weights_limit - OUTDATED_STOP_MARGIN
-        return version > 0 and (age is None or age <= limit)
-
     def choose(
         self,
         request: SelectionRequest,
@@ -325,10 +308,10 @@
         holders_by_version: dict[int, PrefixHolders] = {}
         routers = self.peer_coverage.routers
         for server in servers:
-            if not self.may_serve(server, request.model, now):
+            if not self.weights.may_serve(server, request.model, now):
                 continue
-            version = self.weights_version_of(server, request.model)
-            age = model.superseded_ms(self._view, request.model, version, now)
+            version = self.weights.version_of(server, request.model)
+            age = self.weights.superseded_ms(request.model, version, now)
             if version not in holders_by_version:
                 holders_by_version[version] = PrefixHolders.among(
                     servers,
