--- a/features/relay_fixture.py
+++ b/features/relay_fixture.py
@@ -72,6 +72,7 @@
                 resume=True,
                 timeout=15_000,
             ),
+            _route('once', 'streaming', service='model', timeout=15_000),
             _route('short', 'non_idempotent', timeout=300),
         ],
         'services': [
--- a/features/weights_fleet.py
+++ b/features/weights_fleet.py
@@ -194,6 +194,9 @@
 class WeightsFleet(CrashFleet):
     """Routers before model engines, in virtual time."""
 
+    #: Name of the route of all calls.
+    route = 'stream'
+
     server_type = WeightsEngine
     cache_event_source = NoCacheEvents()
 
@@ -301,7 +304,7 @@
         request_id = f'c{self._request_count}'
         left = max(1, call.deadline_at - self.clock.now())
         lines = (
-            'POST /stream/x HTTP/1.1',
+            f'POST /{self.route}/x HTTP/1.1',
             f'Host: {HOST}',
             f'X-Yuccagauge-Request-Id: {request_id}',
             f'X-Yuccagauge-Deadline-Ms: {left}',
