Withdraw calls before they begin on weights superseded too long ago

Cause: the age of superseded weights was compared with the limit when a router chose the engine, with 1.5 s to spare. From then on the call waits in the queue of the engine, at a silent engine or on its way through a peer, for as long as that takes, and begins there. The class: a permission that is checked when the decision is made and not when it takes effect.

Change: each attempt of a model call is watched until its first output. 0.5 s before the limit, by the newest evidence on the naming, an attempt that has not begun is given up: its connection is closed, and the call goes to another engine or is refused with a verdict that says that it may have run. An attempt that a silent engine keeps is watched as well. The choice leaves out engines at which the expected wait goes beyond that time. Weights that are superseded while a call waits are covered, since the age is looked up when the timer fires.

Why it works: the engine drops a request whose connection has closed, and the evidence never says that weights were named later than they were.

--- a/yuccagauge/relay/attempt.py
+++ b/yuccagauge/relay/attempt.py
@@ -78,6 +78,16 @@
         listed = self._context.directory.servers.get(sent_to.server_id)
         return listed is not None and listed.incarnation == sent_to.incarnation
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether the server has sent a part of the answer."""
+        return self._first_output_at is not None
+
+    @property
+    def has_ended(self) -> bool:
+        """Whether the attempt is no longer a load of the server."""
+        return not self._holds_slot
+
     @property
     def superseded_ms(self) -> Millis | None:
         """Time since newer weights than those of the attempt were named.
@@ -91,6 +101,18 @@
             self._selection_request.model, version, self._now()
         )
 
+    @property
+    def time_to_begin(self) -> Millis | None:
+        """Time for which a call of a model may still wait for its beginning.
+
+        ``None`` while the weights of the attempt are the newest.
+        """
+        return self._context.selector.weights.time_to_begin(
+            self._selection_request.model,
+            self._placement.weights_version,
+            self._now(),
+        )
+
     @property
     def time_without_response(self) -> Millis:
         """Time since the server last sent data, or since the send.
--- a/yuccagauge/relay/call.py
+++ b/yuccagauge/relay/call.py
@@ -12,6 +12,7 @@
 from yuccagauge.relay import refusals
 from yuccagauge.relay.attempt import AttemptTracker
 from yuccagauge.relay.base import RelayCall, ResponseInfo
+from yuccagauge.relay.beginning import BeginningMonitor
 from yuccagauge.relay.context import RelayContext
 from yuccagauge.relay.exchanges import open_exchange
 from yuccagauge.relay.faults import CallGuard
@@ -71,6 +72,9 @@
         self._takeover = Takeover(
             self, context, self._repeats, self._response, self._reporter
         )
+        self._beginning_monitor = BeginningMonitor(
+            self, self._takeover, self._timers
+        )
 
     def start(self) -> None:
         """Select a server and send the call; the sink receives the answer."""
@@ -110,6 +114,18 @@
             self._abandon_exchange()
             self._refuse(self._unanswered_refusal(code))
 
+    def withdraw(self, reason: str) -> None:
+        """Leave the server of the latest attempt, which has not begun."""
+        verdict = self._exchange.verdict
+        self._abandon_exchange()
+        self._attempt.release_slot()
+        if verdict is Verdict.MAY_HAVE_RUN:
+            self._run_again_or_refuse('withdrawn', reason)
+            return
+        self._end_exchange()
+        self._reporter.record_failed_attempt('withdrawn', reason)
+        self._retry_or_refuse('servers_full')
+
     def head(self, head: ResponseHead) -> None:
         """Handle the head of a server's response."""
         info = self._context.backend_protocol.parse_head(head)
@@ -304,6 +320,7 @@
             self._context,
             self,
         )
+        self._beginning_monitor.watch(self._attempt)
         self._exchange.start(fresh=not self._repeats.is_retryable)
         if not self._has_ended:
             self._stall_monitor.start(self._exchange, self._attempt)
--- a/yuccagauge/relay/takeover.py
+++ b/yuccagauge/relay/takeover.py
@@ -66,6 +66,10 @@
         """Whether an attempt is kept."""
         return self._exchange is not None
 
+    def keeps(self, attempt: AttemptTracker) -> bool:
+        """Return whether this attempt is kept."""
+        return self._attempt is attempt
+
     def choose_server(
         self, call: RelayCall, request: SelectionRequest
     ) -> SelectionDecision | None:
--- a/yuccagauge/selection/base.py
+++ b/yuccagauge/selection/base.py
@@ -87,7 +87,9 @@
     weights_version: int | None = None
     #: Time since the operator named newer weights; ``None`` if there are none.
     superseded_ms: Millis | None = None
-    #: Whether that is more than ``OUTDATED_GRACE``.
+    #: Time within which the call has to begin; ``None`` if there is no bound.
+    time_to_begin: Millis | None = None
+    #: Whether ``superseded_ms`` is more than ``OUTDATED_GRACE``.
     is_outdated: bool = False
     #: Leading tokens of the prompt that the engine has cached.
     cached_tokens: int = 0
--- a/yuccagauge/selection/model.py
+++ b/yuccagauge/selection/model.py
@@ -128,13 +128,17 @@
     request: SelectionRequest,
     now: Millis,
 ) -> tuple[Candidate, EngineEstimate] | None:
-    """Return the engine with the lowest cost and its estimate."""
+    """Return the engine with the lowest cost and its estimate.
+
+    An engine at which the call would begin too late for the weights there is
+    left out.
+    """
     estimates = [
         (candidate, estimate_call(candidate, request, now))
         for candidate in candidates
     ]
     return min(
-        estimates,
+        (pair for pair in estimates if _begins_in_time(*pair)),
         key=lambda pair: (pair[1].cost_ms, tie_break(pair[0], request)),
         default=None,
     )
@@ -152,6 +156,11 @@
     return backlog_ms <= LATE_BACKLOG_MS + LATE_BACKLOG_GROWTH * waited
 
 
+def _begins_in_time(candidate: Candidate, estimate: EngineEstimate) -> bool:
+    bound = candidate.time_to_begin
+    return bound is None or estimate.first_token_ms <= bound
+
+
 def _kv_overflow_cost(
     candidate: Candidate,
     request: SelectionRequest,
--- a/yuccagauge/selection/selector.py
+++ b/yuccagauge/selection/selector.py
@@ -329,6 +329,9 @@
                     is_local=server.data_centre == self._data_centre,
                     weights_version=version,
                     superseded_ms=age,
+                    time_to_begin=self.weights.time_to_begin(
+                        request.model, version, now
+                    ),
                     is_outdated=age is not None and age > model.OUTDATED_GRACE,
                     cached_tokens=holders.tokens_at(
                         server.server_id, is_heard=is_heard
--- a/yuccagauge/selection/weightsages.py
+++ b/yuccagauge/selection/weightsages.py
@@ -11,6 +11,10 @@
 #: superseded weights. The engine already gets none within this margin.
 OUTDATED_STOP_MARGIN = Millis(1500)
 
+#: Margin before that time at which a call that waits leaves the engine, so that
+#: the engine has noticed it by then.
+WITHDRAWAL_MARGIN = Millis(500)
+
 
 class WeightsAges:
     """Compares the weights of engines with those that the operator named.
@@ -53,6 +57,18 @@
         superseded_at = self._view.superseded_at(model_name, version)
         return None if superseded_at is None else Millis(now - superseded_at)
 
+    def time_to_begin(
+        self, model_name: str, version: int, now: Millis
+    ) -> Millis | None:
+        """Return how long a call may still wait to begin on these weights.
+
+        ``None`` if there is no newer version.
+        """
+        age = self.superseded_ms(model_name, version, now)
+        if age is None:
+            return None
+        return Millis(self._limit - WITHDRAWAL_MARGIN - age)
+
     def may_serve(
         self, server: BackendServer, model_name: str, now: Millis
     ) -> bool:
