Let calls wait for the engine that loads if no other may begin them

Cause: the time at which the first engine takes calls again was the least of all ready engines, and one whose weights are too old, but which is idle, counts as free now; that reads as unknown. Engines on whose weights no call may begin no longer count while another one loads or may serve.

--- a/features/selection/selection.feature
+++ b/features/selection/selection.feature
@@ -97,6 +97,19 @@
       | 300  | 5000 | waits                   |
       | 1500 | 2000 | may retry after 1500 ms |
 
+  # Guards against calls that are refused although an engine will have the
+  # newest weights soon, because the other engines look free.
+  Scenario Outline: A call waits for the only engine that loads, if none may begin it
+    Given 3 engines of version 1, and version 2 named 11000 ms ago
+    And engine "s1" loads weights for <ms> ms
+    Then a prompt with <left> ms left <outcome>
+
+    Examples:
+      | ms   | left | outcome                         |
+      | 300  | 5000 | waits until 300 ms have passed  |
+      | 1600 | 5000 | waits until 1600 ms have passed |
+      | 1400 | 2000 | may retry after 1400 ms         |
+
   Scenario: A call without any server is refused after a short wait
     Then without servers a prompt with an objective of 500 ms waits at most 80 ms
 
--- a/features/steps/selection_steps.py
+++ b/features/steps/selection_steps.py
@@ -222,6 +222,24 @@
         context.selector.load_of(name).loading_until = Millis(NOW + ms)
 
 
+@given('engine "{name}" loads weights for {ms:d} ms')
+def load_engine(context: Context, name: str, ms: int) -> None:
+    """Mark one engine as loading weights."""
+    context.selector.load_of(name).loading_until = Millis(NOW + ms)
+
+
+@then('a prompt with {left:d} ms left waits until {ms:d} ms have passed')
+def check_wait_for_load(context: Context, left: int, ms: int) -> None:
+    """Check that the call is not refused before the end of the load."""
+    request = new_request(context, left=left)
+    now = int(NOW)
+    while now < NOW + ms:
+        decision = context.selector.choose(request, (), Millis(now))
+        assert decision.wait_until is not None, (now - NOW, decision)
+        now = int(decision.wait_until)
+    assert now == NOW + ms, now - NOW
+
+
 @then('a prompt with {left:d} ms left waits')
 def check_waits(context: Context, left: int) -> None:
     """Check that the call waits."""
--- a/yuccagauge/selection/selector.py
+++ b/yuccagauge/selection/selector.py
@@ -356,6 +356,8 @@
         now: Millis,
     ) -> SelectionDecision:
         """Decide about a call that no server can take now."""
+        if request.service.is_model:
+            ready = self.weights.awaited(ready, request.model, now) or ready
         available_at, server = min(
             (
                 (self._available_at(server, request, now), server)
--- a/yuccagauge/selection/weightsages.py
+++ b/yuccagauge/selection/weightsages.py
@@ -1,6 +1,6 @@
 """How old the weights of engines are, and whether calls may begin on them."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from yuccagauge.clock import Millis
 from yuccagauge.directory.base import BackendServer
@@ -77,3 +77,18 @@
         age = self.superseded_ms(model_name, version, now)
         limit = self._limit - OUTDATED_STOP_MARGIN
         return version > 0 and (age is None or age <= limit)
+
+    def awaited(
+        self, servers: Sequence[BackendServer], model_name: str, now: Millis
+    ) -> list[BackendServer]:
+        """Return the engines that may take calls without another order.
+
+        An engine on whose weights no call may begin takes none before it has
+        loaded others, though it may be idle.
+        """
+        return [
+            server
+            for server in servers
+            if now < self._load_of(server.server_id).loading_until
+            or self.may_serve(server, model_name, now)
+        ]
