Show that whole answers of leaving servers are taken for broken ones

The fleet runs whole routers in virtual time. A server whose answers have neither a length nor chunks has its entry removed and serves on. Each of the four routes fails: 502 for a call that may run once, a second run for an idempotent one and for a resumable stream, a reset for a stream that may run once.

Eight further rows hold on the code as it is: a server that is killed amid its answers, or that starts anew under its id before the routers notice, does not make an answer look complete, whether its entry was removed before or not.

--- /dev/null
+++ b/features/leaving_fleet.py
@@ -0,0 +1,139 @@
+"""Routers before servers whose answers end with their connections.
+
+Servers leave without a word: their entries are removed, and they serve on.
+"""
+
+import json
+from typing import Any
+
+from twisted.internet.protocol import Protocol
+
+from features.partition_fleet import PartitionFleet
+from features.partition_servers import EVENTS, PartitionServer, StreamProtocol
+from yuccagauge.clock import Millis
+
+#: Time between two halves of a body, and between two events. Routers read a
+#: change of the list before an answer ends.
+_HALF_INTERVAL_S = 0.18
+_EVENT_INTERVAL_S = 0.1
+
+#: Time from the end of a process to the start of the next one, and for which
+#: the links of its host hold data back. The next process is listed before the
+#: routers notice the end.
+_RESTART_S = 0.03
+_LATE_END_S = 0.32
+
+_BODY = (b'o', b'k')
+
+
+class UnframedServer(PartitionServer):
+    """A server whose answers have neither a length nor chunks."""
+
+    def __init__(self, fleet: Any, number: int) -> None:
+        """Create a server that is listed once it runs."""
+        super().__init__(fleet, number)
+        self._is_listed = True
+        self._connections: list[Protocol] = []
+        self._begun: set[str] = set()
+        #: Ids of the requests that were answered whole.
+        self.answered: set[str] = set()
+
+    @property
+    def is_model(self) -> bool:
+        """Whether it answers with streams."""
+        return self._number % 2 == 0
+
+    @property
+    def part_interval_s(self) -> float:
+        """Time between two parts of an answer, in seconds."""
+        return _EVENT_INTERVAL_S if self.is_model else _HALF_INTERVAL_S
+
+    @property
+    def parts(self) -> tuple[bytes, ...]:
+        """The parts of an answer."""
+        if not self.is_model:
+            return _BODY
+        return tuple(
+            b'id: %d\ndata: token\n\n' % number
+            for number in range(1, EVENTS + 1)
+        )
+
+    def start(self) -> None:
+        """Start the server, and list it at once."""
+        super().start()
+        self._write_entry(self._entry())
+
+    def build_protocol(self) -> Protocol:
+        """Return the server's side of a new connection."""
+        connection = _UnframedProtocol(self)
+        self._connections.append(connection)
+        return connection
+
+    def is_running(self, request_id: str) -> bool:
+        """Return whether a request runs here."""
+        return request_id in self._begun - self.answered
+
+    def record_run(
+        self, request_id: str, source: str, opened_at: Millis
+    ) -> None:
+        """Note that a request has begun to run."""
+        super().record_run(request_id, source, opened_at)
+        self._begun.add(request_id)
+
+    def leave(self) -> None:
+        """Have the entry removed, and serve on."""
+        self._is_listed = False
+        self._fleet.store.append_entry(self.server_id, None)
+
+    def kill(self) -> None:
+        """End the process; the system closes its connections and its port."""
+        for connection in self._connections:
+            connection.transport.loseConnection()
+        self._connections.clear()
+        self.is_up = False
+        self._fleet.network.end_host(self.host)
+
+    def restart(self) -> None:
+        """End, and start anew before the routers notice the end."""
+        network = self._fleet.network
+        network.is_cut = lambda *hosts: self.host in hosts
+        self.kill()
+        self._is_listed = True
+
+        def heal() -> None:
+            network.is_cut = lambda *hosts: False
+
+        network.reactor.callLater(_RESTART_S, self.start)
+        network.reactor.callLater(_LATE_END_S, heal)
+
+    def _write_entry(self, entry: tuple[str, bytes]) -> None:
+        is_current = json.loads(entry[1])['born'] == self._born
+        if self._is_listed and is_current:
+            super()._write_entry(entry)
+
+
+class _UnframedProtocol(StreamProtocol):
+    """A connection that ends with its answer."""
+
+    def begin(self, request_id: str, last_event: int) -> None:
+        """Write the head and what follows it."""
+        kind = 'event-stream' if self._server.is_model else 'plain'
+        self.write_head(request_id, f'Content-Type: text/{kind}')
+        self._send_next(request_id, last_event)
+
+    def _send_next(self, request_id: str, number: int) -> None:
+        if number == len(self._server.parts):
+            self._server.answered.add(request_id)
+            self.transport.loseConnection()
+            return
+        self.transport.write(self._server.parts[number])
+        self._server.later(
+            self._server.part_interval_s,
+            lambda: self._send_next(request_id, number + 1),
+        )
+
+
+class LeavingFleet(PartitionFleet):
+    """Routers before servers whose answers end with their connections."""
+
+    server_type = UnframedServer
--- a/features/partition_fleet.py
+++ b/features/partition_fleet.py
@@ -130,14 +130,14 @@
 
         self.network.reactor.callLater(seconds, end)
 
-    def send_first_attempt(self) -> None:
-        """Send a request on any route to any router that runs."""
+    def send_first_attempt(self, route: str = '') -> None:
+        """Send a request on a route, or on any, to any router that runs."""
         names = [name for name in self.router_names if self.is_running(name)]
         self._request_count += 1
         attempt = FirstAttempt(
             request_id=f'c{self._request_count}',
             router=self.random.choice(names),
-            route=self.random.choice(list(DEADLINES)),
+            route=route or self.random.choice(list(DEADLINES)),
             sent_at=self.clock.now(),
         )
         if not self.sends_alike:
--- /dev/null
+++ b/features/relay/leaving_servers.feature
@@ -0,0 +1,32 @@
+Feature: Answers of servers that leave
+  An answer with neither a length nor chunks ends with its connection. The entry
+  of a server that leaves may be removed while it serves on. Whether its answer
+  is whole shows at the connection and at the server, not in the list.
+
+  Scenario Outline: A whole answer reaches its caller though its server is no longer listed
+    Given 3 routers before servers whose answers have no length
+    When a server leaves while it answers requests of "<route>"
+    Then their callers have whole answers of one run
+
+    Examples:
+      | route  |
+      | book   |
+      | read   |
+      | talk   |
+      | stream |
+
+  Scenario Outline: A broken answer does not look complete, whether its server was listed or not
+    Given 3 routers before servers whose answers have no length
+    When a server <ends> while it answers requests of "<route>"
+    Then none of their callers has an answer that looks complete
+
+    Examples:
+      | ends                   | route |
+      | is killed              | book  |
+      | is killed              | talk  |
+      | leaves and is killed   | book  |
+      | leaves and is killed   | talk  |
+      | starts anew            | book  |
+      | starts anew            | talk  |
+      | leaves and starts anew | book  |
+      | leaves and starts anew | talk  |
