Take the answer of a server without an entry for whole if it lives

A server that leaves may have its entry removed and serve on. Callers lost whole answers that ended with their connections there: their connections were reset after the last event, a call that may run once got 502 after it had run, and others ran a second time.

The check of such an end asked whether the server is listed as it was at the send, besides whether it accepts a connection. That finds a server that ended and started anew at once. A missing entry counted as one that differs, though it shows nothing of the kind. Now only an entry of another incarnation counts against the answer.

The four rows of features/relay/leaving_servers.feature failed before: status 502, a second run and 504, a reset after the last event, a second run. The eight rows of servers that are killed, or that start anew and are listed, hold before and after, also if the entry had been removed before. Abandoned runs ask as before.

What remains: a server that ends and accepts connections again before its next entry is read. Its answer passes as whole, as it did while the old entry was listed.

--- a/yuccagauge/relay/attempt.py
+++ b/yuccagauge/relay/attempt.py
@@ -78,6 +78,16 @@
         listed = self._context.directory.servers.get(sent_to.server_id)
         return listed is not None and listed.incarnation == sent_to.incarnation
 
+    @property
+    def has_restarted(self) -> bool:
+        """Whether the server is listed with another incarnation.
+
+        A server that leaves may serve on without an entry.
+        """
+        server_id = self._placement.server.server_id
+        is_listed = server_id in self._context.directory.servers
+        return is_listed and not self.is_same_incarnation
+
     @property
     def superseded_ms(self) -> Millis | None:
         """Time since newer weights than those of the attempt were named.
--- a/yuccagauge/relay/call.py
+++ b/yuccagauge/relay/call.py
@@ -167,7 +167,7 @@
 
     def _handle_end_check(self, is_alive: bool) -> None:
         """Handle the end of a response that only its connection showed."""
-        if is_alive and self._attempt.is_same_incarnation:
+        if is_alive and not self._attempt.has_restarted:
             self._complete_attempt(failed=False)
             return
         self._handle_broken_attempt('the server ended with its connection')
