--- a/features/origins/fleet.feature
+++ b/features/origins/fleet.feature
@@ -35,3 +35,33 @@
       | engines that crash       |
       | routers that are killed  |
       | a restart of all routers |
+
+  Scenario Outline: Streams of a split route go on where they began
+    Given <routers> routers before 3 engines of one software version
+    And half of the streams go to another service with the versions "w1 w1 w1"
+    And the fleet is disturbed by <disturbance>
+    When 8 streams a second begin for 20 s
+    Then no stream that is taken up is refused
+    And at most 0 streams have events of two versions
+    And no router has told another one of a stream
+
+    Examples:
+      | routers | disturbance              |
+      | 3       | routers that are killed  |
+      | 8       | routers that are killed  |
+      | 8       | a restart of all routers |
+
+  Scenario Outline: Streams of a split route go on if one of its services has two versions
+    Given <routers> routers before 3 engines of one software version
+    And half of the streams go to another service with the versions "w1 w1 w2 w2"
+    And the fleet is disturbed by <disturbance>
+    When 8 streams a second begin for 20 s
+    Then at most 0 streams have events of two versions
+    And no stream of "v1" that is taken up is refused
+    And at least half as many streams that are taken up go on as new ones begin
+
+    Examples:
+      | routers | disturbance              |
+      | 3       | routers that are killed  |
+      | 8       | routers that are killed  |
+      | 8       | a restart of all routers |
--- a/features/origins/origins.feature
+++ b/features/origins/origins.feature
@@ -14,6 +14,18 @@
       | v1 v2    | r0      | 503    | stream_unknown |
       | v1 v2    |         | 503    | stream_unknown |
 
+  Scenario Outline: A stream of a split route goes on only if its name tells the service
+    Given a relay with engines of the versions "<versions>" that know how to go on
+    And the route is split, and all its calls get these engines
+    When a caller takes up the stream of "<resumed>" after event 1
+    Then the caller gets status <status> and the code "<code>"
+
+    Examples:
+      | versions | resumed | status | code           |
+      | v1       | r0      | 200    |                |
+      | v1       |         | 503    | stream_unknown |
+      | v1 v2    | r0      | 503    | stream_unknown |
+
   Scenario: A version that has left counts until its streams are forgotten
     Given a relay with engines of the versions "v1 v2" that know how to go on
     And the engine of "v1" has left
--- a/features/steps/origins_steps.py
+++ b/features/steps/origins_steps.py
@@ -2,6 +2,7 @@
 
 import json
 from functools import partial
+from typing import Any
 
 from behave import given, then, when
 from behave.runner import Context
@@ -61,6 +62,16 @@
     context.fixture.relay_context.use_origin_store(context.origins)
 
 
+def _split(document: dict[str, Any], **weights: int) -> None:
+    """Split a route of a configuration."""
+    route = next(
+        each for each in document['routes'] if each['name'] == 'resume'
+    )
+    route['trafficSplit'] = [
+        {'service': name, 'weight': weight} for name, weight in weights.items()
+    ]
+
+
 def _list(context: Context, number: int, version: str) -> None:
     context.fixture.add_server(
         f'i{number}', 'model', context.servers[number], version=version
@@ -83,6 +94,15 @@
     _start(context, versions, send_events(event(1), resets=True))
 
 
+@given('the route is split, and all its calls get these engines')
+def split_without_weight(context: Context) -> None:
+    """Add a service that gets no call."""
+    document = configuration()
+    document['version'] += 1
+    _split(document, model=1, plain=0)
+    context.fixture.configure(document)
+
+
 @given('the engine of "{version}" has left')
 def remove_engine(context: Context, version: str) -> None:
     """Remove the entry of an engine."""
@@ -191,13 +211,7 @@
 def split_route(context: Context) -> None:
     """Decode a configuration with a traffic split."""
     document = configuration()
-    route = next(
-        each for each in document['routes'] if each['name'] == 'resume'
-    )
-    route['trafficSplit'] = [
-        {'service': 'model', 'weight': 60},
-        {'service': 'plain', 'weight': 40},
-    ]
+    _split(document, model=60, plain=40)
     decoder = PlatformRecordDecoder()
     decoded = decoder.decode_operator_record(
         'config', json.dumps(document).encode()
--- a/features/steps/version_fleet_steps.py
+++ b/features/steps/version_fleet_steps.py
@@ -203,6 +203,15 @@
     context.fleet.run(_WARM_UP_S)
 
 
+@given(
+    'half of the streams go to another service with the versions "{versions}"'
+)
+def split_route(context: Context, versions: str) -> None:
+    """Split the route, and let the fleet run."""
+    context.fleet.split_route('other', versions.split())
+    context.fleet.run(_WARM_UP_S)
+
+
 @given('the software is rolled out {direction}, disturbed by {disturbance}')
 def roll_out(context: Context, direction: str, disturbance: str) -> None:
     """Replace one engine after the other, and back if so named."""
@@ -280,6 +289,19 @@
     assert not refused, (refused, len(attempts))
 
 
+@then('no stream of "{version}" that is taken up is refused')
+def check_no_refusal_of(context: Context, version: str) -> None:
+    """Guard against refusals for the versions of another service."""
+    attempts = [
+        each
+        for each in context.fleet.attempts
+        if each.is_resumption and each.begun_by == version
+    ]
+    refused = [each.status for each in attempts if each.status not in {0, 200}]
+    assert attempts
+    assert not refused, (refused, len(attempts))
+
+
 @then('no router has told another one of a stream')
 def check_nothing_written(context: Context) -> None:
     """Guard against messages that nobody needs."""
--- a/features/version_fleet.py
+++ b/features/version_fleet.py
@@ -14,7 +14,7 @@
 from features.crash_fleet import CrashFleet, router_host
 from features.crash_server import SERVER_PORT, ServerProtocol, SimulatedServer
 from features.engine_fleet import NoCacheEvents
-from features.relay_fixture import HOST, KEY
+from features.relay_fixture import HOST, KEY, configuration
 from yuccagauge.clock import Millis
 
 #: Time from the arrival of a request to the first event, and between events.
@@ -47,6 +47,11 @@
         """The version of its software."""
         return self._fleet.versions.get(self._number, 'v1')
 
+    @property
+    def service(self) -> str:
+        """The service of the engine, by its version."""
+        return self._fleet.services.get(self.version, 'model')
+
     def build_protocol(self) -> Protocol:
         """Return the engine's side of a new connection."""
         return _EngineProtocol(self)
@@ -55,7 +60,7 @@
         """Return what the engine writes to the store."""
         return {
             **super().entry_document(),
-            'service': 'model',
+            'service': self.service,
             'version': self.version,
             'slots': 64,
             'state': 'draining' if self.leaves else 'ready',
@@ -145,6 +150,8 @@
     def __init__(self, fleet: 'VersionFleet', stream: Stream) -> None:
         self._fleet = fleet
         self._stream = stream
+        #: The version that began the stream that is taken up.
+        self.begun_by = ''.join(stream.versions[:1])
         self._received = b''
         self._request_id = fleet.next_request_id()
         self.status = 0
@@ -152,7 +159,7 @@
         self.is_resumption = bool(stream.last_event)
         #: Whether two engines of the stream's version serve.
         self.is_counted = not self.is_resumption or (
-            len(fleet.engines_of(stream.versions[0])) > 1
+            len(fleet.engines_of(self.begun_by)) > 1
         )
 
     def connectionMade(self) -> None:  # noqa: N802
@@ -217,6 +224,8 @@
         """Start a fleet whose engines all have the version ``v1``."""
         #: Version of each engine by its number.
         self.versions: dict[int, str] = {}
+        #: Service of each version; all others are in one.
+        self.services: dict[str, str] = {}
         self.streams: list[Stream] = []
         self.attempts: list[_Attempt] = []
         #: Requests for the rest of a stream that reached an engine.
@@ -255,6 +264,26 @@
         engine.start()
         return engine
 
+    def split_route(self, service: str, versions: list[str]) -> None:
+        """Add a service with engines, which gets half of the streams."""
+        document = configuration()
+        document['version'] += 1
+        engines = next(
+            each for each in document['services'] if each['name'] == 'model'
+        )
+        document['services'].append({**engines, 'name': service})
+        for route in document['routes']:
+            if route['name'] == self.route:
+                route.pop('service')
+                route['trafficSplit'] = [
+                    {'service': name, 'weight': 1}
+                    for name in ('model', service)
+                ]
+        self.services.update(dict.fromkeys(versions, service))
+        for version in versions:
+            self.add_engine(version)
+        self.store.append_configuration(document)
+
     def engines_of(self, version: str) -> list[VersionedEngine]:
         """Return the engines of a version that serve and do not leave."""
         return [
