Go on with a stream of a split route that nobody knows

With one software version no router tells another one what it began, and a router that does not know a stream refused it whenever its route was split.

The draw of the service needs no knowledge: it takes the name of the stream, which is the same in all tries, so that each router gets the same service. A stream that nobody knows now goes on if that service had one version, whatever versions the others have. Without a name the draw would be another one; such a stream is refused as before.

What remains, as for routes that are not split: if the route or its weights changed since the stream began, it goes on at the service that it has now.

--- a/yuccagauge/relay/origins.py
+++ b/yuccagauge/relay/origins.py
@@ -111,10 +111,14 @@
     def _handle_unknown(
         self, call: RelayCall, on_result: OriginCallback
     ) -> None:
-        """Go on only at a version that must have begun the stream."""
+        """Go on only at a version that must have begun the stream.
+
+        All calls that name the same stream are for the same service, even if
+        the route is split; calls that name none may be for another one.
+        """
         version = self._history.only_version(call.service, self._clock.now())
         is_split = len(call.route.traffic_shares) > 1
-        if version is None or is_split:
+        if version is None or (is_split and not call.fields.resumed_request_id):
             self._report(call, 'unknown', None)
             refusal = refusals.not_run('stream_unknown', _UNKNOWN_RETRY_AFTER)
             on_result(None, refusal)
