Carry no calls to servers that told this VM to wait

While some routers were partitioned from the servers, servers that had answered 503 with Retry-After got further calls from the same VM, up to 19 within the stated time; the users' rule allows two. No caller lost an answer by it.

The permission to send belongs to the VM that the call leaves from. It was checked by the router that chose the server, with what that router had been told, and never by the router that carries the call.

A router now reads the head of each answer that it carries, records what the server states as for its own calls, and refuses to open a path to a server that wants no call from it. Connections of the check whether a server lives, and status calls through a peer, carry no call: PathOpen says so in a new field, and they are carried still, as whole answers without a length would be taken for broken otherwise. A router of an older build does not set the field; it loses only such a check while all peers that it asks were told to wait.

--- a/features/peerpath/carrying.feature
+++ b/features/peerpath/carrying.feature
@@ -77,6 +77,27 @@
       | is stopping                | the server                   |
       | carries as many as it may  | the server                   |
       | has lost its direct way    | the server                   |
+      | was told by it to wait     | the server                   |
+
+  Scenario: A peer that was told to wait still shows that the server lives
+    Given a server that a peer reaches
+    And the peer was told by it to wait
+    When the router probes the server on a path
+    Then the path is opened
+
+  Scenario Outline: A peer hears what a server states in an answer that it carries
+    Given a server that a peer reaches
+    When the router sends a request on a path
+    And the server answers "<bytes>" in parts of <size> bytes
+    Then the peer has heard "<heard>"
+
+    Examples:
+      | bytes                                                          | size | heard              |
+      | HTTP/1.1 503 X\r\nRetry-After: 2\r\nContent-Length: 0\r\n\r\n  | 100  | 503, retry after 2 |
+      | HTTP/1.1 503 X\r\nRetry-After: 2\r\nContent-Length: 0\r\n\r\n  | 1    | 503, retry after 2 |
+      | HTTP/1.1 100 X\r\n\r\nHTTP/1.1 503 X\r\nRetry-After: 2\r\n\r\n | 30   | 503, retry after 2 |
+      | HTTP/1.1 200 X\r\nContent-Length: 4\r\n\r\nHTTP                | 100  | 200, retry after - |
+      | no bytes of an answer\r\n\r\n                                  | 100  | nothing            |
 
   Scenario: A peer gives up connecting to a server that does not answer
     Given a server that a peer reaches
--- a/features/steps/peerpath_carrying_steps.py
+++ b/features/steps/peerpath_carrying_steps.py
@@ -14,7 +14,7 @@
 from features.path_network import ServerConnection, directory
 from features.unresponsive_port import UnresponsivePort
 from yuccagauge.clock import Millis, SystemClock
-from yuccagauge.dispatch.base import BackendMessage
+from yuccagauge.dispatch.base import BackendMessage, ResponseHead
 from yuccagauge.dispatch.connection import Connection
 from yuccagauge.exchange.members import Member
 from yuccagauge.peerpath import carrier as carrier_module
@@ -30,6 +30,9 @@
 _BLOCK = bytes(range(250)) * 4000
 _QUIET_S = 0.5
 
+#: Time for a part of an answer to reach the peer, in seconds.
+_PART_S = 0.005
+
 
 class _Sender:
     """Sends blocks for as long as the transport takes them."""
@@ -95,6 +98,11 @@
     wait_until(is_quiet)
 
 
+def _run_reactor(seconds: float) -> None:
+    end = reactor.seconds() + seconds
+    wait_until(lambda: reactor.seconds() >= end)
+
+
 @given('a server that a peer reaches')
 def given_server(context: Context) -> None:
     """Open a server, and a peer that knows it."""
@@ -130,9 +138,13 @@
     elif state == 'has lost its direct way':
         now = SystemClock().now()
         context.reach.record_loss(context.server, Loss.REFUSED, now)
+    elif state == 'was told by it to wait':
+        context.carrier.refuses_calls = lambda server: True
 
 
-def _ask(context: Context, server: str, target: Endpoint) -> list[Any]:
+def _ask(
+    context: Context, server: str, target: Endpoint, *, is_probe: bool = False
+) -> list[Any]:
     """Ask the peer for a path; return the outcome when it is there."""
     outcomes: list[Any] = []
     attempt = PathAttempt(
@@ -142,7 +154,7 @@
             data_centre='a',
             last_seen_at=Millis(0),
         ),
-        PathOpen(server=server, target=target),
+        PathOpen(server=server, target=target, is_probe=is_probe),
         sender='router',
         reactor=reactor,
         on_opened=lambda each: outcomes.append('opened'),
@@ -292,6 +304,43 @@
     )
 
 
+@when('the router probes the server on a path')
+def when_probe(context: Context) -> None:
+    """Ask for a connection that shows whether the server lives."""
+    context.outcomes = _ask(context, 's1', context.server, is_probe=True)
+
+
+@then('the path is opened')
+def then_opened(context: Context) -> None:
+    """Guard against whole answers that are taken for broken ones."""
+    assert context.outcomes == ['opened'], context.outcomes
+
+
+@when('the server answers "{text}" in parts of {size:d} bytes')
+def when_answer_in_parts(context: Context, text: str, size: int) -> None:
+    """Send each part once the one before has passed, and close."""
+    heads: list[ResponseHead] = []
+    context.heads = heads
+    context.carrier.on_answer = lambda server, head: heads.append(head)
+    data = text.encode().decode('unicode_escape').encode()
+    transport = context.connections[0].transport
+    for start in range(0, len(data), size):
+        transport.write(data[start : start + size])
+        _run_reactor(_PART_S)
+    transport.loseConnection()
+    wait_until(lambda: not context.carrier.carried_count)
+
+
+@then('the peer has heard "{text}"')
+def then_heard(context: Context, text: str) -> None:
+    """Guard against a peer that does not know that it was told to wait."""
+    heard = [
+        f'{head.status}, retry after {head.get(b"retry-after") or "-"}'
+        for head in context.heads
+    ]
+    assert heard == ([] if text == 'nothing' else [text]), heard
+
+
 @then('the path is refused')
 def then_refused(context: Context) -> None:
     """The answer says so."""
--- a/yuccagauge/dispatch/connection.py
+++ b/yuccagauge/dispatch/connection.py
@@ -297,9 +297,7 @@
 
 
 def _encode(
-    parser: h11.Connection,
-    message: BackendMessage,
-    host: str,
+    parser: h11.Connection, message: BackendMessage, host: str
 ) -> bytes:
     headers = [(b'Host', (message.host or host).encode()), *message.headers]
     if message.body or message.method not in _BODILESS_METHODS:
@@ -365,6 +363,10 @@
         endpoint = self._endpoint(self._reactor, server)
         return endpoint.connect(Factory.forProtocol(Connection))
 
+    def probe(self, server: Endpoint) -> Deferred[Connection]:
+        """Connect to see whether a server lives."""
+        return self.open(server, fresh=True)
+
     def give_back(self, server: Endpoint, connection: Connection) -> None:
         """Keep a connection whose response was complete, or close it."""
         idle = self._idle[server]
--- a/yuccagauge/dispatch/endcheck.py
+++ b/yuccagauge/dispatch/endcheck.py
@@ -60,7 +60,7 @@
 
     def _connect(self, server: Endpoint) -> None:
         self._timers.start(_TIMER, ACCEPT_LIMIT, self._report, False)
-        self._opening = self._pool.open(server, fresh=True)
+        self._opening = self._pool.probe(server)
         self._opening.addCallbacks(
             self._handle_connection, self._handle_failure, (server,)
         )
--- a/yuccagauge/peerpath/carrier.py
+++ b/yuccagauge/peerpath/carrier.py
@@ -8,9 +8,12 @@
 from twisted.python.failure import Failure
 
 from yuccagauge.clock import Clock
+from yuccagauge.directory.base import BackendServer
 from yuccagauge.directory.state import Directory
+from yuccagauge.dispatch.base import ResponseHead
 from yuccagauge.dispatch.endcheck import ACCEPT_LIMIT
 from yuccagauge.dispatch.endpoints import tcp_endpoint
+from yuccagauge.peerpath.answers import CarriedAnswer
 from yuccagauge.peerpath.dialer import probe_server
 from yuccagauge.peerpath.direct import DirectAttempt
 from yuccagauge.peerpath.metrics import CARRIED
@@ -71,6 +74,14 @@
         self._clock = clock
         self._paths: set[_CarriedPath] = set()
         self._is_stopping = False
+        #: Returns whether a server wants no call from this VM now.
+        self.refuses_calls: Callable[[BackendServer], bool] = lambda server: (
+            False
+        )
+        #: Called with a server and the head of its answer to a carried call.
+        self.on_answer: Callable[[BackendServer, ResponseHead], None] = (
+            lambda server, head: None
+        )
 
     @property
     def carried_count(self) -> int:
@@ -97,7 +108,9 @@
             CARRIED.add(1, {'outcome': refusal})
             frames.send_message(Failed(reason=refusal))
             return
-        path = _CarriedPath(frames, self._paths.discard)
+        server = self._directory.servers[request.server]
+        answer = CarriedAnswer(lambda head: self.on_answer(server, head))
+        path = _CarriedPath(frames, answer, self._paths.discard)
         self._paths.add(path)
         path.start(
             DirectAttempt(
@@ -118,6 +131,8 @@
         server = self._directory.servers.get(request.server)
         if server is None or server.endpoint != request.target:
             return 'unknown_server'
+        if not request.is_probe and self.refuses_calls(server):
+            return 'server_refuses'
         if len(self._paths) >= MAXIMUM_CARRIED:
             return 'too_many_paths'
         if self._reach.is_lost(request.target):
@@ -137,9 +152,11 @@
     def __init__(
         self,
         frames: FrameProtocol,
+        answer: CarriedAnswer,
         on_closed: 'Callable[[_CarriedPath], None]',
     ) -> None:
         self._frames = frames
+        self._answer = answer
         self._on_closed = on_closed
         self._attempt: DirectAttempt | None = None
         #: The connection to the server while it is open.
@@ -181,6 +198,7 @@
     def handle_data(self, data: bytes) -> None:
         """Pass bytes of the server on."""
         if not self._has_ended:
+            self._answer.receive(data)
             send_payload(self._frames, data)
 
     def handle_server_end(self, reason: Failure) -> None:
--- a/yuccagauge/peerpath/dialer.py
+++ b/yuccagauge/peerpath/dialer.py
@@ -64,23 +64,31 @@
         """Return the way to a backend server, for a connection pool."""
         return _ServerEndpoint(partial(self.connect, server))
 
+    def probe_endpoint(
+        self, reactor: Any, server: Endpoint
+    ) -> IStreamClientEndpoint:
+        """Return the way for connections that carry no call."""
+        return _ServerEndpoint(partial(self.connect, server, is_probe=True))
+
     def peer_endpoint(
         self, reactor: Any, server: Endpoint
     ) -> IStreamClientEndpoint:
-        """Return the way through a peer, for a connection pool."""
+        """Return the way through a peer, to see what it reaches."""
         return _ServerEndpoint(
-            lambda factory: Race(self._parts(server), factory).start(
-                peers_only=True
-            )
+            lambda factory: Race(
+                self._parts(server, is_probe=True), factory
+            ).start(peers_only=True)
         )
 
-    def connect(self, server: Endpoint, factory: Any) -> Deferred[Any]:
+    def connect(
+        self, server: Endpoint, factory: Any, *, is_probe: bool = False
+    ) -> Deferred[Any]:
         """Connect by the first way that opens."""
         if self._reach.try_probe(server, self._clock.now()):
             self._probe(server)
-        return Race(self._parts(server), factory).start()
+        return Race(self._parts(server, is_probe=is_probe), factory).start()
 
-    def _parts(self, server: Endpoint) -> RaceParts:
+    def _parts(self, server: Endpoint, *, is_probe: bool) -> RaceParts:
         return RaceParts(
             name=self._name,
             server=server,
@@ -89,7 +97,7 @@
             reactor=self._reactor,
             clock=self._clock,
             choose_peers=lambda: self._choose_peers(server),
-            path_request=self._path_request(server),
+            path_request=self._path_request(server, is_probe=is_probe),
         )
 
     def check(self, server: Endpoint) -> None:
@@ -120,7 +128,7 @@
     def _choose_peers(self, server: Endpoint) -> tuple[Member, ...]:
         return self._choice.choose(self._peers(), server, self._clock.now())
 
-    def _path_request(self, target: Endpoint) -> PathOpen:
+    def _path_request(self, target: Endpoint, *, is_probe: bool) -> PathOpen:
         server_id = next(
             (
                 server.server_id
@@ -129,7 +137,7 @@
             ),
             '',
         )
-        return PathOpen(server=server_id, target=target)
+        return PathOpen(server=server_id, target=target, is_probe=is_probe)
 
 
 @implementer(IStreamClientEndpoint)
--- a/yuccagauge/relay/paths.py
+++ b/yuccagauge/relay/paths.py
@@ -10,7 +10,9 @@
 from yuccagauge.peerpath.carrier import PathCarrier
 from yuccagauge.peerpath.choice import PeerChoice
 from yuccagauge.peerpath.dialer import PathDialer
+from yuccagauge.peerpath.pool import PathPool
 from yuccagauge.peerpath.reach import DirectReach
+from yuccagauge.relay.carried import CarriedStatements
 from yuccagauge.settings.options import Endpoint
 from yuccagauge.settings.relay import RelaySection
 from yuccagauge.wire.server import PeerServer
@@ -59,9 +61,7 @@
             reactor=reactor,
             clock=clock,
         )
-        self._pool = ConnectionPool(
-            reactor, self._dialer.endpoint, self._reach.may_hang
-        )
+        self._pool = PathPool(reactor, self._dialer, self._reach.may_hang)
         self._peer_pool = ConnectionPool(reactor, self._dialer.peer_endpoint)
         self._carrier: PathCarrier | None = None
 
@@ -85,11 +85,15 @@
         """Number of connections that are carried for peers."""
         return self._carrier.carried_count
 
-    def accept_from(self, server: PeerServer) -> None:
+    def accept_from(
+        self, server: PeerServer, statements: CarriedStatements
+    ) -> None:
         """Carry connections for the peers that connect to a server."""
         self._carrier = PathCarrier(
             server, self._directory, self._reach, self._reactor, self._clock
         )
+        self._carrier.refuses_calls = statements.refuses_calls
+        self._carrier.on_answer = statements.record_answer
         self._carrier.start()
 
     def check(self, server: Endpoint) -> None:
--- a/yuccagauge/relay/peers.py
+++ b/yuccagauge/relay/peers.py
@@ -8,6 +8,7 @@
 from yuccagauge.exchange.service import ExchangeService
 from yuccagauge.origins.log import OriginLog
 from yuccagauge.relay.adapter import PlatformAdapter
+from yuccagauge.relay.carried import CarriedStatements
 from yuccagauge.relay.context import RelayContext
 from yuccagauge.relay.paths import RelayPaths
 from yuccagauge.settings.relay import RelaySettings
@@ -31,7 +32,7 @@
     section = settings.relay
     server = PeerServer(reactor, section.peer_listen, section.name)
     client = PeerClient(reactor, section.name)
-    paths.accept_from(server)
+    paths.accept_from(server, CarriedStatements(context))
     context.on_broken = paths.check
     exchange = ExchangeService(
         section.name,
--- a/yuccagauge/wire/fleetmessages.py
+++ b/yuccagauge/wire/fleetmessages.py
@@ -266,6 +266,8 @@
 
     server: str
     target: Endpoint
+    #: Whether it serves to see what is reached, and carries no call.
+    is_probe: bool = False
 
 
 @register(58)
--- a/yuccagauge/wire/messages.capnp
+++ b/yuccagauge/wire/messages.capnp
@@ -354,6 +354,8 @@
   server @0 :Text;
   # Address of the server.
   target @1 :Data;
+  # Whether no call follows at once.
+  isProbe @2 :Bool;
 }
 
 struct PathOpened {
