Show that an order that waits for its connection outlasts the lead

Failing tests. The leader takes a fencing token and then sends the order, which may wait for a connection until its time of 1.2 s is over: the engine closed the one before, and the first packet of the next is lost and sent again a second later. Nothing looks at the lease again. The order goes out although the router has released the lease or could not renew it, when another router leads already.

Seen on this code: after a hand-over the engine gets the order of the former holder, fence 12, 660 ms after one of the next holder, fence 14; after a stop, 680 ms after it. Engines that check fences refuse it, others carry it out; two holders that order one engine within the lease break ONE. With a store that is down, an order leaves 3450 ms after the last renewal of a lease of 3000 ms; the bound is 2500 ms.

The simulated network can delay a connection, simulated engines can close it after a status and take orders on connections that open late.

--- a/features/memory_network.py
+++ b/features/memory_network.py
@@ -253,6 +253,11 @@
         self.connect_fate: Callable[[str, str], ConnectFate] = (
             lambda source, host: ConnectFate.OPENED
         )
+        #: Returns how much later a connection opens, as after the loss of its
+        #: first packet, in seconds.
+        self.connect_delay_s: Callable[[str, str], float] = (
+            lambda source, host: 0
+        )
         #: Hosts without power: nothing answers there, not even a reset.
         self.silent_hosts: set[str] = set()
         #: Hosts whose processes do nothing; connections to them open still.
@@ -288,8 +293,9 @@
                 timeout, _fail, connector, factory, TCPTimedOutError()
             )
         else:
+            delay_s = 2 * self.latency_s + self.connect_delay_s(source, host)
             self.reactor.callLater(
-                2 * self.latency_s, self._establish, connector, source, factory
+                delay_s, self._establish, connector, source, factory
             )
         return connector
 
--- a/features/order_servers.py
+++ b/features/order_servers.py
@@ -1,6 +1,7 @@
 """Servers whose engines report their status and carry out orders."""
 
 import json
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -41,6 +42,10 @@
         self.is_engine = number % 2 == 0
         self.weights_version = 1
         self.loaded_at = Millis(0)
+        #: Whether each status is the last answer of its connection.
+        self.closes_after_status = False
+        #: Called with the host that has read the status.
+        self.on_status_read: Callable[[str], None] = lambda source: None
         self._is_busy = False
         self._order_count = 0
         self._fence = 0
@@ -123,13 +128,19 @@
             self._answer_router(method, body)
 
     def _answer_router(self, method: str, body: bytes) -> None:
-        status, answer = _OK, b''
+        status, answer, fields = _OK, b'', ''
+        source = self.transport.getPeer().host
         if method == 'GET':
             answer = json.dumps(self._server.report()).encode()
+            self._server.on_status_read(source)
+            if self._server.closes_after_status:
+                fields = 'Connection: close\r\n'
         else:
-            source = self.transport.getPeer().host
             status = self._server.take_order(json.loads(body), source)
-        head = f'HTTP/1.1 {status} X\r\nContent-Length: {len(answer)}\r\n\r\n'
+        head = (
+            f'HTTP/1.1 {status} X\r\nContent-Length: {len(answer)}\r\n'
+            f'{fields}\r\n'
+        )
         self.transport.write(head.encode() + answer)
 
 
--- a/features/rollout/handover_fleet.feature
+++ b/features/rollout/handover_fleet.feature
@@ -22,6 +22,17 @@
       | 8       | the leader and the 4 next in rank   | all     | reset   | 20    | 2     | 3       |
       | 40      | the leader and the 20 next in rank  | all     | silent  | 40    | 0     | 3       |
 
+  Scenario Outline: An order that waits for its connection is not sent after the lead has ended
+    Given 5 routers that elect a leader, before 6 engines, with 0 calls a second
+    When weights are named, and the leader <ending> while an order waits for its connection
+    Then all engines have the newest weights within 8 s of the naming
+    And orders come from the holders of the lease, and the fence never goes back
+
+    Examples:
+      | ending     |
+      | hands over |
+      | stops      |
+
   Scenario: A leader hands over where engines ignore fencing tokens
     Given 5 routers that elect a leader, before 6 engines that ignore fences, with 10 calls a second
     When the leader is partitioned from all engines for 12 s, silent, and weights are named 0 s later
--- a/features/rollout/rollout.feature
+++ b/features/rollout/rollout.feature
@@ -157,6 +157,12 @@
     And the versions 2, 3 and 4 become the target 0 s apart
     Then no order is given during the outage
 
+  Scenario: An order whose connection opens late is not sent after the lease
+    Given 4 engines that load weights in 500 ms and a router that leads
+    And the connection for each order opens after 1100 ms
+    When the store is unavailable from a renewal on, and version 2 becomes the target 2 s later
+    Then an order waits for its connection, but none is sent later than 2500 ms after the renewal
+
   Scenario: A leader keeps its lease when the answers to renewals are lost
     Given 4 engines that load weights in 500 ms and a router that leads
     When the answers to 1 renewals are lost
--- a/features/rollout_engines.py
+++ b/features/rollout_engines.py
@@ -1,6 +1,7 @@
 """Simulated engines and a lease store for rollout tests."""
 
 from collections import Counter
+from collections.abc import Callable
 from typing import Any
 
 from twisted.internet.defer import Deferred, fail, succeed
@@ -99,6 +100,10 @@
         #: Engines whose next order arrives late and gets no answer.
         self.delayed: set[str] = set()
         self.order_delay_s = float(0)
+        #: Time until a connection for an order opens, in seconds.
+        self.connect_s = float(0)
+        #: Number of these connections.
+        self.openings = 0
         #: Time until which an engine answers no request for its status, in s.
         self.unread_until: dict[str, float] = {}
         self._load_s = load_s
@@ -119,8 +124,25 @@
             ),
         )
 
-    def send_order(self, order: WeightsOrder) -> Any:
+    def send_order(
+        self, order: WeightsOrder, may_begin: Callable[[], bool] = lambda: True
+    ) -> Any:
+        """Take an order once a connection is open."""
+        self.openings += 1
+        opening: Deferred[None] = Deferred()
+        opening.addCallback(lambda _: self._take_order(order, may_begin))
+        if self.connect_s:
+            self._reactor.callLater(self.connect_s, opening.callback, None)
+        else:
+            opening.callback(None)
+        return opening
+
+    def _take_order(
+        self, order: WeightsOrder, may_begin: Callable[[], bool]
+    ) -> Any:
         """Accept or refuse an order, or delay it and lose its answer."""
+        if not may_begin():
+            return fail(FetchError('simulated late opening', Verdict.NOT_RUN))
         name = order.server.server_id
         self.ordered_at.append(self._reactor.seconds())
         if name in self.delayed:
--- a/features/steps/handover_fleet_steps.py
+++ b/features/steps/handover_fleet_steps.py
@@ -1,5 +1,6 @@
 """Steps for leaders that are partitioned from engines."""
 
+from functools import partial
 from itertools import pairwise
 
 from behave import given, then, when
@@ -16,6 +17,11 @@
 
 _NEWEST = 2
 
+#: Time after which the first packet of a connection is sent again, and time
+#: for which an order has waited as the lead of its router ends, in seconds.
+_RESENT_S = 1.0
+_WAIT_S = 0.05
+
 #: Time after a partition in which routers notice its end, in seconds.
 _HEALING_S = 8.0
 
@@ -117,6 +123,38 @@
     _run(context, _HEALING_S)
 
 
+@when(
+    'weights are named, and the leader {ending} while an order waits for its '
+    'connection'
+)
+def end_lead(context: Context, ending: str) -> None:
+    """Lose the first packet of the connection for the first order."""
+    fleet = context.fleet
+    router = fleet.router(fleet.leader)
+    host = router_host(fleet.leader)
+    waiting: list[str] = []
+
+    def delay_order(source: str, engine: OrderServer) -> None:
+        if source == host and not waiting:
+            waiting.append(engine.host)
+
+    for engine in fleet.engines:
+        engine.closes_after_status = True
+        engine.on_status_read = partial(delay_order, engine=engine)
+    fleet.network.connect_delay_s = lambda source, target: (
+        _RESENT_S if source == host and target in waiting else 0
+    )
+    _begin(context)
+    fleet.name_weights(_NEWEST)
+    while not waiting:
+        fleet.run(0.01)
+    fleet.run(_WAIT_S)
+    if ending == 'hands over':
+        router._election.hand_over()
+    else:
+        router.stop_gracefully()
+
+
 @then('all routers may lead again')
 def check_fit(context: Context) -> None:
     """Guard against routers that do not stand after a partition."""
--- a/features/steps/rollout_driver_steps.py
+++ b/features/steps/rollout_driver_steps.py
@@ -207,6 +207,44 @@
     assert not context.engines.ordered_at
 
 
+@given('the connection for each order opens after {ms:d} ms')
+def open_late(context: Context, ms: int) -> None:
+    """Lose the first packet of each connection."""
+    context.engines.connect_s = ms / 1000
+
+
+@when(
+    'the store is unavailable from a renewal on, and version {version:d} '
+    'becomes the target {seconds:d} s later'
+)
+def end_renewals(context: Context, version: int, seconds: int) -> None:
+    """Let an order become due shortly before the end of the lease."""
+    renewals = len(context.store.holders)
+    while len(context.store.holders) == renewals:
+        _advance(context, 0.05)
+    context.renewed_at = context.reactor.seconds()
+    context.store.is_unavailable = True
+    _advance(context, seconds)
+    record = KeyedRecord(key=f'v/{MODEL}', offset=2, value=b'%d' % version)
+    context.directory.apply_records(
+        Topic.OPERATIONS, (record,), 3, context.clock.now()
+    )
+    _advance(context, seconds)
+
+
+@then(
+    'an order waits for its connection, but none is sent later than {ms:d} ms '
+    'after the renewal'
+)
+def check_late_orders(context: Context, ms: int) -> None:
+    """Guard against orders beside those of the next holder of the lease."""
+    sent = [
+        1000 * (at - context.renewed_at) for at in context.engines.ordered_at
+    ]
+    assert context.engines.openings
+    assert all(at <= ms for at in sent), sent
+
+
 @when('the answers to {count:d} renewals are lost')
 def lose_answers(context: Context, count: int) -> None:
     """Append records to the store but lose the answers."""
