Look at the lease again as an order goes out

A former leader's order reached an engine up to 680 ms after an order of the next leader, with a lower fence; where engines do not check fences, such an order is carried out, and a load is repeated or undone. The token was taken when the order was decided. The order then waited for a connection for up to 1.2 s, and neither the release of the lease nor its end stopped it.

An exchange now asks, once it has a connection and before the first byte, whether the request may still be sent; if not, it ends as one that was not sent. An order may go out while the router may give orders and has not begun another lead since it took the token. The order is announced at the same moment. So far the announcement came before the wait, and the next leader counted the lease duration from there; and engines were paused for orders that were never sent.

Before: fences 14, then 12 at one engine 660 ms (hand-over) and 680 ms (stop) later; an order 3450 ms after the last renewal of a lease of 3000 ms.

--- a/yuccagauge/dispatch/exchange.py
+++ b/yuccagauge/dispatch/exchange.py
@@ -178,6 +178,9 @@
         The request.
     user
         Hears the response, and ``lost`` with a reason if there is none.
+    may_send
+        Returns whether the request may still be sent, once there is a
+        connection for it.
     """
 
     def __init__(
@@ -186,8 +189,10 @@
         server: Endpoint,
         message: BackendMessage,
         user: ResponseUser,
+        may_send: Callable[[], bool] = lambda: True,
     ) -> None:
         """Prepare without connecting."""
+        self._may_send = may_send
         self._pool = pool
         self._server = server
         self._core = _Core(
@@ -206,7 +211,7 @@
         """Connect and send; ``fresh`` forbids a pooled connection."""
         opening = self._pool.open(self._server, fresh=fresh)
         self._core.opening = opening
-        opening.addCallbacks(self._machine.connected, self._refused)
+        opening.addCallbacks(self._connected, self._refused)
         opening.addErrback(self._handle_failed_send)
 
     def hand_over(self, user: ResponseUser) -> None:
@@ -227,6 +232,13 @@
         if self._core.connection is not None:
             self._core.connection.resume()
 
+    def _connected(self, connection: Connection) -> None:
+        if self._may_send():
+            self._machine.connected(connection)
+        else:
+            connection.abort()
+            self._machine.refused('no longer permitted')
+
     def _refused(self, failure: Failure) -> None:
         if not failure.check(CancelledError):
             self._machine.refused(failure.getErrorMessage())
--- a/yuccagauge/dispatch/fetch.py
+++ b/yuccagauge/dispatch/fetch.py
@@ -1,5 +1,6 @@
 """One whole request and answer, for calls that the router makes itself."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -111,6 +112,7 @@
     *,
     fresh: bool = False,
     maximum: int = MAXIMUM_ANSWER,
+    may_send: Callable[[], bool] = lambda: True,
 ) -> Deferred[Fetched]:
     """Send a request and return a Deferred of its whole answer.
 
@@ -122,6 +124,9 @@
         Never reuse a connection.
     maximum
         Longest answer that is read, in bytes.
+    may_send
+        Returns whether the request may still be sent, once there is a
+        connection for it.
 
     Raises
     ------
@@ -130,7 +135,7 @@
         request may have been carried out.
     """
     running = _Fetch(maximum)
-    running.exchange = Exchange(pool, server, message, running)
+    running.exchange = Exchange(pool, server, message, running, may_send)
     running.timer = reactor.callLater(
         in_seconds(timeout),
         running.run_out,
--- a/yuccagauge/platform/engines.py
+++ b/yuccagauge/platform/engines.py
@@ -1,6 +1,7 @@
 """Status reports, weights orders and cache events of model engines."""
 
 import json
+from collections.abc import Callable
 from typing import Any
 from urllib.parse import urlencode
 
@@ -104,7 +105,9 @@
             ) from None
 
     @inlineCallbacks
-    def send_order(self, order: WeightsOrder) -> Any:
+    def send_order(
+        self, order: WeightsOrder, may_send: Callable[[], bool]
+    ) -> Any:
         """Send a weights order and return the ``OrderAnswer``."""
         document = {
             'op': 'version',
@@ -125,7 +128,7 @@
             body=json.dumps(document).encode(),
         )
         response = yield self._fetch(
-            order.server.endpoint, message, _REPLY_TIMEOUT
+            order.server.endpoint, message, _REPLY_TIMEOUT, may_send
         )
         return _ANSWER_BY_STATUS.get(response.head.status, OrderAnswer.REJECTED)
 
@@ -170,6 +173,7 @@
         endpoint: Endpoint,
         message: BackendMessage,
         timeout: Millis,
+        may_send: Callable[[], bool] = lambda: True,
     ) -> Deferred[Fetched]:
         fetching = fetch(
             self._reactor,
@@ -178,6 +182,7 @@
             message,
             timeout,
             maximum=_MAXIMUM_ANSWER,
+            may_send=may_send,
         )
         return fetching.addCallback(self._report_answer, endpoint)
 
--- a/yuccagauge/rollout/base.py
+++ b/yuccagauge/rollout/base.py
@@ -1,7 +1,7 @@
 """Interfaces of the leader lease and of the orders to engines."""
 
 import enum
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
@@ -123,9 +123,17 @@
             If the engine does not answer.
         """
 
-    def send_order(self, order: WeightsOrder) -> Deferred[OrderAnswer]:
+    def send_order(
+        self, order: WeightsOrder, may_send: Callable[[], bool]
+    ) -> Deferred[OrderAnswer]:
         """Send an order and return the engine's answer.
 
+        Parameters
+        ----------
+        may_send
+            Called when there is a connection; returns whether the order may
+            still be sent.
+
         Raises
         ------
         FetchError
--- a/yuccagauge/rollout/driver.py
+++ b/yuccagauge/rollout/driver.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Mapping
 from dataclasses import replace
+from functools import partial
 from typing import Any
 
 from twisted.internet.defer import inlineCallbacks
@@ -216,10 +217,7 @@
         self._announced_drains = draining
 
     def _engine_weights(
-        self,
-        server: BackendServer,
-        model: str,
-        now: Millis,
+        self, server: BackendServer, model: str, now: Millis
     ) -> EngineWeights:
         """Return an engine's state; record its load if that is complete."""
         progress = self._progress_of(server)
@@ -248,10 +246,7 @@
 
     @inlineCallbacks
     def _start_load(
-        self,
-        engine: EngineWeights,
-        version: int,
-        swap_mode: SwapMode,
+        self, engine: EngineWeights, version: int, swap_mode: SwapMode
     ) -> Any:
         """Read the engine's status and send the order that is due."""
         progress = self._progress_of(engine.server)
@@ -296,7 +291,6 @@
             return
         progress.ordered_at = self._clock.now()
         progress.ordered_version = version
-        self.on_engines_paused((engine.server.server_id,), LOAD_PAUSE)
         answer = yield self._order_client.send_order(
             WeightsOrder(
                 server=engine.server,
@@ -306,9 +300,18 @@
                 fencing_token=fencing_token,
                 expected_order_number=status.last_order_number,
             ),
+            partial(self._begin_order, engine.server, fencing_token),
         )
         self._handle_answer(engine, version, swap_mode, fencing_token, answer)
 
+    def _begin_order(self, server: BackendServer, fencing_token: int) -> bool:
+        """Announce an order as it goes out, unless it no longer may."""
+        if not self._leader_lease.may_send(fencing_token, self._clock.now()):
+            return False
+        # The next leader counts from the announcement.
+        self.on_engines_paused((server.server_id,), LOAD_PAUSE)
+        return True
+
     def _handle_answer(
         self,
         engine: EngineWeights,
--- a/yuccagauge/rollout/leaderlease.py
+++ b/yuccagauge/rollout/leaderlease.py
@@ -73,6 +73,8 @@
         self._state: LeaseState | None = None
         self._unchanged_since = Millis(0)
         self._leader_since: Millis | None = None
+        #: The fencing token with which this router began to lead.
+        self._first_token = 0
         self._renewed_at = Millis(0)
         self._rejected_token = 0
 
@@ -166,6 +168,7 @@
         self._renewed_at = sent_at
         if self._leader_since is None:
             self._leader_since = now
+            self._first_token = self.record_count
 
     def step_down(self) -> None:
         """Stop leading, on a release or after another router's record."""
@@ -191,6 +194,16 @@
             else None
         )
 
+    def may_send(self, fencing_token: int, now: Millis) -> bool:
+        """Return whether an order that waited may go out with its token.
+
+        A renewal meanwhile changes nothing, but another lead does.
+        """
+        return (
+            self.fencing_token(now) is not None
+            and fencing_token >= self._first_token
+        )
+
     def reject_token(self, fencing_token: int) -> None:
         """Stop using a fencing token that an engine refused as outdated."""
         self._rejected_token = max(self._rejected_token, fencing_token)
