Show that streams go on at engines that were upgraded meanwhile

Callers got streams whose events stem from two software versions. An engine that restarts under its id answers with its new software before its entry names it; a router compares the listed version with the one at the send, and both are those of the earlier incarnation.

--- a/features/run.py
+++ b/features/run.py
@@ -19,6 +19,7 @@
     Path(name)
     for name in (
         'features/origins/fleet.feature',
+        'features/origins/upgrade.feature',
         'features/peerpath/fleet.feature',
         'features/quarantine/fleet.feature',
         'features/quarantine/parts_fleet.feature',
--- a/features/version_fleet.py
+++ b/features/version_fleet.py
@@ -49,7 +49,7 @@
 
     def build_protocol(self) -> Protocol:
         """Return the engine's side of a new connection."""
-        return _EngineProtocol(self)
+        return EngineProtocol(self)
 
     def entry_document(self) -> dict[str, Any]:
         """Return what the engine writes to the store."""
@@ -88,7 +88,7 @@
         self._fleet.store.append_entry(self.server_id, None)
 
 
-class _EngineProtocol(ServerProtocol):
+class EngineProtocol(ServerProtocol):
     """A connection to an engine, for one stream after the other."""
 
     def run_request(self, headers: dict[str, str], body: bytes) -> None:
