Let streams go on only where the listed engine still runs

The rest of a stream now goes to an engine only if its report, asked within the last 250 ms and after the last end of a connection there, states the start time that its entry states. The answer takes one round trip, for which the call waits; an engine that reports another start, or nothing in 250 ms, is left out for 500 ms. Once a connection to an engine has ended or was refused, new streams that may be resumed wait for the report too. If it states another start than the entry, they begin there, and their origin names that incarnation instead of a version, until the entry arrives. Start times that fall or lie ahead are logged, at most once in 10 s for each engine.

--- a/features/crash_fleet.py
+++ b/features/crash_fleet.py
@@ -18,6 +18,7 @@
 from features.simulated_store import SimulatedStore, StoreClient
 from yuccagauge.clock import Clock, Millis
 from yuccagauge.dispatch.fetch import FetchError
+from yuccagauge.platform.engines import PlatformEngineClient
 from yuccagauge.platform.records import PlatformRecordDecoder
 from yuccagauge.platform.requests import (
     PlatformBackendProtocol,
@@ -95,6 +96,9 @@
     #: Gives the cache events of engines; plain servers have none.
     cache_event_source: Any = None
 
+    #: Whether routers ask servers when they started.
+    asks_start_times = False
+
     def __init__(self, routers: int, servers: int, seed: int = 1) -> None:
         """Start the fleet."""
         self.network = MemoryNetwork()
@@ -279,4 +283,9 @@
             cache_event_source=self.cache_event_source,
             ready_path='/ready',
             answer_listeners=getattr(order_client, 'answer_listeners', []),
+            start_time_source=(
+                PlatformEngineClient(reactor, pool, name)
+                if self.asks_start_times
+                else None
+            ),
         )
--- a/features/upgrade_fleet.py
+++ b/features/upgrade_fleet.py
@@ -21,15 +21,24 @@
         super().start()
         self.later(self._fleet.entry_s, self._write_first_entry)
 
+    def entry_document(self) -> dict[str, Any]:
+        """Return what the engine writes to the store.
+
+        A start time of 0 would count as none.
+        """
+        return {**super().entry_document(), 'born': self._born + 1}
+
     def build_protocol(self) -> Protocol:
         """Return the engine's side of a new connection."""
         return _ReportingProtocol(self)
 
     def report(self) -> dict[str, Any]:
         """Return what the engine tells of itself."""
+        entry = self.entry_document()
         return {
             'stage': 'colocated',
-            'models': self.entry_document()['models'],
+            'models': entry['models'],
+            'born': entry['born'],
             'busy': False,
             'seq': 0,
             'queued': 0,
@@ -37,7 +46,6 @@
             'kvUsed': 0,
             'kvTotal': 1,
             'handles': 0,
-            'born': self._born,
         }
 
     def _write_first_entry(self) -> None:
@@ -46,7 +54,7 @@
     def _write_entry(self, entry: tuple[str, bytes]) -> None:
         """Write what a heartbeat states, if it is not too early or too late."""
         known_from = self._born + round(self._fleet.entry_s * 1000)
-        is_own = json.loads(entry[1])['born'] == self._born
+        is_own = json.loads(entry[1])['born'] > self._born
         if is_own and self.is_up:
             is_written = self._fleet.clock.now() >= known_from
         else:
@@ -81,6 +89,7 @@
     """
 
     server_type = UpgradedEngine
+    asks_start_times = True
 
     def __init__(self, routers: int, servers: int, entry_s: float) -> None:
         """Start a fleet whose engines all have the version ``v1``."""
--- a/yuccagauge/platform/engines.py
+++ b/yuccagauge/platform/engines.py
@@ -103,6 +103,18 @@
                 f'malformed engine report: {error}', Verdict.ANSWERED
             ) from None
 
+    @inlineCallbacks
+    def read_start_time(self, server: BackendServer, timeout: Millis) -> Any:
+        """Return the start time that a server reports; 0 if it has none."""
+        message = BackendMessage(method='GET', path=names.REPORT_PATH)
+        response = yield self._fetch(server.endpoint, message, timeout)
+        try:
+            born = _json_object(response).get('born')
+        except FetchError:
+            return 0
+        is_time = isinstance(born, int) and not isinstance(born, bool)
+        return born if is_time else 0
+
     @inlineCallbacks
     def send_order(self, order: WeightsOrder) -> Any:
         """Send a weights order and return the ``OrderAnswer``."""
--- a/yuccagauge/relay/adapter.py
+++ b/yuccagauge/relay/adapter.py
@@ -13,6 +13,7 @@
 from yuccagauge.origins.log import OriginLogStore
 from yuccagauge.quarantine.archive import CrashStore
 from yuccagauge.relay.base import BackendProtocol, CallDecoder, ResponseInfo
+from yuccagauge.relay.incarnations import StartTimeSource
 from yuccagauge.rollout.base import LeaseStore, WeightsOrderClient
 from yuccagauge.settings.options import Endpoint
 from yuccagauge.settings.relay import RelaySettings
@@ -39,6 +40,8 @@
     ready_path: str
     #: Called when an engine has answered a call of the router itself.
     answer_listeners: list[AnswerListener] = field(default_factory=list)
+    #: ``None`` if servers cannot be asked.
+    start_time_source: StartTimeSource | None = None
 
 
 class AdapterFactory(Protocol):
--- a/yuccagauge/relay/attempt.py
+++ b/yuccagauge/relay/attempt.py
@@ -140,7 +140,8 @@
         listed = self._context.directory.servers.get(sent_to.server_id)
         if listed is None or not self._call.route.is_resumable:
             return
-        if listed.software_version != sent_to.software_version:
+        version = self._context.listed_version(sent_to.software_version)
+        if version not in {None, listed.software_version}:
             raise ContinuationError('the server has another software version')
 
     def record_activity(self, info: ResponseInfo | None = None) -> None:
@@ -200,6 +201,7 @@
 
     def record_unreachable(self) -> None:
         """Record that no connection to the server could be opened."""
+        self._context.incarnations.record_end(self._placement.server)
         self._load().record_unreachable(self._now())
 
     def record_failure(self) -> None:
@@ -210,6 +212,7 @@
         """End an attempt that may have run and has no complete response."""
         is_loading_weights = self._is_loading_weights()
         self._record_possible_crash()
+        self._context.incarnations.record_end(self._placement.server)
         self._context.on_broken(self._placement.server.endpoint)
         self.end_attempt(failed=not is_loading_weights)
 
--- a/yuccagauge/relay/context.py
+++ b/yuccagauge/relay/context.py
@@ -11,6 +11,7 @@
 from yuccagauge.quarantine.base import Quarantine, QuarantineStatus
 from yuccagauge.quarantine.parts import PartQuarantine
 from yuccagauge.relay.base import BackendProtocol, CallDecoder, RelayCall
+from yuccagauge.relay.incarnations import Incarnations, StartTimeSource
 from yuccagauge.relay.origins import NoOrigins, OriginStore, StreamOrigins
 from yuccagauge.selection.base import SelectionDecision, SelectionRequest
 from yuccagauge.selection.budget import FleetRetryBudget
@@ -74,15 +75,29 @@
     running_calls: dict[str, RunningCall] = field(default_factory=dict)
     #: Finds the software versions that began streams.
     origins: StreamOrigins = field(init=False)
+    #: Tells which servers are the ones that their entries describe.
+    incarnations: Incarnations = field(init=False)
     _budgets: dict[str, FleetRetryBudget] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         """Begin without a store for the origins of streams."""
+        self.incarnations = Incarnations(self.directory, self.clock)
         self.use_origin_store(NoOrigins())
 
     def use_origin_store(self, store: OriginStore) -> None:
         """Keep the origins of streams in a store."""
-        self.origins = StreamOrigins(store, self.selector.versions, self.clock)
+        self.origins = StreamOrigins(
+            store, self.selector.versions, self.clock, self.listed_version
+        )
+
+    def use_start_times(self, source: StartTimeSource | None) -> None:
+        """Ask servers when they started, if they can be asked."""
+        through = None if source is None else source.through(self.pool)
+        self.incarnations = Incarnations(self.directory, self.clock, through)
+
+    def listed_version(self, software_version: str) -> str | None:
+        """Return the version that an origin names, if it is listed."""
+        return self.incarnations.listed_version(software_version)
 
     def is_quarantined(self, call: RelayCall, now: Millis) -> bool:
         """Return whether a call may crash servers and is not to be sent."""
@@ -104,7 +119,11 @@
         if self.is_quarantined(call, now):
             return SelectionDecision(reason='crashes_servers')
         stores = self.directory.configuration.kv_cache_stores
-        return self.selector.choose(request, stores, now)
+        return self.incarnations.choose(
+            call,
+            request,
+            lambda bound: self.selector.choose(bound, stores, now),
+        )
 
     def add_jitter(
         self, retry_after: Millis | None, *, share: float = 0.5
--- a/yuccagauge/relay/router.py
+++ b/yuccagauge/relay/router.py
@@ -127,6 +127,7 @@
             random_fraction,
         )
         self._context.use_origin_store(self._origin_broker)
+        self._context.use_start_times(self._adapter.start_time_source)
         self._archives = build_archives(
             self._adapter,
             self._context,
