Show that weights count as too new after a restart of all routers

Callers saw answers on weights that were replaced more than 12 s before. After a restart of all routers the age of a naming is the longer of an estimate by clocks and one by all entries that servers have written, and 1 s. With clocks 2.4 s ahead at the naming and 2.4 s behind at the start, and two thirds of the servers frozen or cut off from the store for a while, both are too short.

--- a/features/run.py
+++ b/features/run.py
@@ -24,6 +24,7 @@
         'features/quarantine/parts_fleet.feature',
         'features/ratelimit/fleet.feature',
         'features/weights/beginning.feature',
+        'features/weights/evidence.feature',
         'features/weights/fleet.feature',
         'features/rollout/handover_fleet.feature',
     )
--- /dev/null
+++ b/features/weights/evidence.feature
@@ -0,0 +1,41 @@
+Feature: All routers know for how long weights have been superseded
+
+  # Guards against ages that are too low after a restart of all routers, because
+  # clocks were wrong and servers wrote no heartbeats. The bound on calls is the
+  # users' ``versionMs``, counted from the store's acknowledgement.
+
+  Scenario Outline: Ages are not too low after a restart of all routers
+    Given <routers> routers before <engines> engines and <others> servers of another service, which nobody orders to load
+    When weights are named 0.3 s before a restart of all routers, and until the start <trouble>, while 15 calls a second come
+    Then no router has counted less than the time since the naming
+    And no call has begun later than 12 s after the naming at any router
+
+    Examples:
+      | routers | engines | others | trouble                                                         |
+      | 5       | 6       | 0      | nothing happens                                                 |
+      | 5       | 6       | 0      | clocks step                                                     |
+      | 5       | 6       | 0      | clocks step, and routers restart twice                          |
+      | 5       | 6       | 0      | servers freeze                                                  |
+      | 5       | 6       | 0      | clocks step and servers freeze                                  |
+      | 5       | 6       | 0      | clocks step, servers freeze, and routers restart twice          |
+      | 5       | 10      | 0      | clocks step and four fifths of the servers freeze               |
+      | 5       | 6       | 0      | clocks step and servers freeze until after the start            |
+      | 5       | 6       | 20     | clocks step and servers of another service freeze               |
+      | 5       | 6       | 0      | clocks step and servers are cut off from the store              |
+      | 5       | 6       | 0      | clocks step, servers freeze, and others join                    |
+      | 5       | 6       | 6      | clocks step, servers freeze, and others leave                   |
+      | 5       | 6       | 0      | clocks step, servers freeze, and the store drops its history    |
+      | 5       | 6       | 0      | clocks step, servers freeze, and the store is silent at the start |
+      | 8       | 6       | 0      | clocks step and servers freeze                                  |
+      | 24      | 6       | 0      | clocks step and servers freeze                                  |
+
+  Scenario Outline: Ages are little higher than the truth after a restart of all routers
+    Given <routers> routers before 6 engines and 0 servers of another service, which nobody orders to load
+    When weights are named 0.3 s before a restart of all routers, and until the start nothing happens, while 15 calls a second come
+    Then from 3 s after the start on no router counts more than a heartbeat and the margin more than before
+
+    Examples:
+      | routers |
+      | 5       |
+      | 8       |
+      | 24      |
