Estimate the age of weights by the heartbeats of single servers

Nobody knows then when weights were named, so the time since was estimated by the clock and by the entries of all servers together. Clocks that are ahead at the naming and behind at the start make the first too short, and servers that freeze or are cut off from the store the second.

Each entry has a count of the server's heartbeats. Routers that store a naming now store the counts of up to 16 servers with it, and when they were read. After a restart the largest advance of one of them counts, times the heartbeat: one server that lived through is enough, whatever others and the clocks did. Routers that read entries store first, since the others know no counts; their number stays two. Ages are estimated only after a router has listed all servers itself, and again for three heartbeats with the entries that it reads then.

Records without counts are read as before, and all entries count for them.

The simulated store keeps encoded records now, so that fleets show how records of several routers add up.

--- a/features/directory/directory.feature
+++ b/features/directory/directory.feature
@@ -95,6 +95,20 @@
       | 10      | 1       |
       | 30      | 1       |
 
+  # Guards against namings that no router stores, or that are stored by routers
+  # that know no heartbeats although others know them.
+  Scenario Outline: Which routers record events in the store
+    Given data centres of <routers> routers
+    Then of <centres> such data centres, 2 routers record events, <readers> of which read the store
+
+    Examples:
+      | routers | centres | readers |
+      | 2       | 1       | 2       |
+      | 8       | 1       | 2       |
+      | 10      | 1       | 1       |
+      | 10      | 2       | 2       |
+      | 50      | 9       | 2       |
+
   Scenario Outline: How long a router relies on its peers before it reads the store
     Given data centres of <routers> routers, and changes that must be in force after <bound> ms
     Then for <topic> a router that is <reader> reader and whose records were confirmed <age> ms ago reads after <ms> ms
--- a/features/directory/targets.feature
+++ b/features/directory/targets.feature
@@ -43,6 +43,67 @@
       | 500 | 0     | 50      | 7600 |
       | 8000 | -5000 | 34     | 13120 |
 
+  # Guards against ages that are too low, because clocks have stepped and most
+  # servers were silent for a while.
+  Scenario Outline: One server that has counted all its heartbeats decides on the age
+    Given weights that were named <ago> ms before they were stored, by a router that had read heartbeats for 300 ms
+    When all routers start 4000 ms later, and clocks have stepped by <step> ms
+    And servers have counted <beats> heartbeats since, <restarted>
+    Then these weights count as named <ms> ms ago
+
+    Examples:
+      | ago  | step  | beats               | restarted          | ms    |
+      | 500  | -5000 | 3,3,3,3,3,3,3,3,3,3 | none has restarted | 6300  |
+      | 500  | -5000 | 0,0,0,0,3,0,0,0,0,0 | none has restarted | 6300  |
+      | 500  | -5000 | 3                   | none has restarted | 6300  |
+      | 8000 | -5000 | 0,0,0,0,3,0,0,0,0,0 | none has restarted | 13800 |
+      | 500  | 0     | 0,0,0,0,0,0,0,0,0,0 | none has restarted | 5500  |
+      | 500  | 2000  | 0,0,0,0,0,0,0,0,0,0 | none has restarted | 7500  |
+      | 500  | -5000 | 3,3,3,3,3,3,3,3,3,3 | all have restarted | 5200  |
+
+  Scenario: Entries that are read after the start make the age more precise
+    Given weights that were named 500 ms before they were stored, by a router that had read heartbeats for 300 ms
+    When all routers start 4000 ms later, and clocks have stepped by -5000 ms
+    And servers have counted 3 heartbeats since, none has restarted
+    And after 850 ms without an entry the first server has counted 4
+    Then these weights count as named 6550 ms ago
+
+  Scenario: Heartbeats that were read long before are no measure
+    Given weights that were named 500 ms before they were stored, by a router that had read heartbeats for 2000 ms
+    When all routers start 4000 ms later, and clocks have stepped by -5000 ms
+    And servers have counted 3,3,3,3,3,3,3,3,3,3 heartbeats since, none has restarted
+    Then these weights count as named 5200 ms ago
+
+  # Guards against counts that are too low at the start, or too high since the
+  # naming, because a write that got no answer was done after later ones.
+  Scenario: An entry that is written late takes no heartbeat back
+    When entries of a server with 5, 7, 6 and 8 heartbeats are read, one every 1200 ms from 1000 ms on
+    Then it had 5, 7, 7 and 8 heartbeats, read at 1000, 2200, 2200 and 4600 ms
+
+  Scenario: Routers that know no heartbeats read and write the same records
+    When a naming is stored with heartbeats, and again by a router without
+    Then the later time is read, with the heartbeats
+    And the record of the model has rows of five numbers
+
+  Scenario Outline: A malformed record of heartbeats leaves the times
+    When heartbeats are stored as <record>
+    Then the naming is read without heartbeats
+
+    Examples:
+      | record                      |
+      | x                           |
+      | 7                           |
+      | {"2": 5}                    |
+      | [[2, 0]]                    |
+      | [[2, 0, 1]]                 |
+      | [[2, 0, [1]]]               |
+      | [[2, 0, [["i-1", 1, 2]]]]   |
+      | [[2, 0, [[1, 1, 2, 3]]]]    |
+      | [[2, 0, [["i", -1, 2, 3]]]] |
+      | [[2, 0, [["i", 1, "x", 3]]]] |
+      | [[2, 0, [["i", 1, 2, null]]]] |
+      | [[[], 0, [["i", 1, 2, 3]]]] |
+
   Scenario Outline: A malformed record of named weights says nothing
     When the store has the record <record>
     Then no time is taken from it
--- a/features/platform/adapter.feature
+++ b/features/platform/adapter.feature
@@ -49,6 +49,9 @@
       | no change                      | a server  |
       | "born" set to 1700000000000    | a server  |
       | "born" set to "yesterday"      | no server |
+      | "seq" removed                  | a server  |
+      | "seq" set to "many"            | a server  |
+      | "seq" set to -1                | a server  |
       | "state" set to "draining"      | a server  |
       | "state" set to "sleeping"      | no server |
       | "state" removed                | no server |
--- a/features/simulated_store.py
+++ b/features/simulated_store.py
@@ -19,6 +19,7 @@
 )
 from yuccagauge.directory.targetarchive import StoredTarget
 from yuccagauge.origins.base import StreamOrigin
+from yuccagauge.platform import targetrecords
 from yuccagauge.platform.originlog import decode_records, encode_records
 from yuccagauge.platform.pages import split_page
 from yuccagauge.quarantine.archive import StoredCrash
@@ -71,7 +72,7 @@
         self.versions: dict[str, tuple[str, ...]] = {}
         self.version_writes = 0
         #: When the versions of each model were named, and the writes of that.
-        self.targets: dict[str, tuple[StoredTarget, ...]] = {}
+        self._targets: dict[str, str] = {}
         self.target_writes = 0
         #: The log of stream origins, and the appends to it.
         self._origins = b''
@@ -220,7 +221,14 @@
         self, name: str
     ) -> Deferred[dict[str, tuple[StoredTarget, ...]]]:
         """Return when the versions of each model were named."""
-        return self._answer(name, lambda: dict(self.targets))
+
+        def read() -> dict[str, tuple[StoredTarget, ...]]:
+            return targetrecords.decode(
+                KeyedRecord(key=key, offset=0, value=value.encode())
+                for key, value in self._targets.items()
+            )
+
+        return self._answer(name, read)
 
     def write_targets(
         self, name: str, model: str, targets: Sequence[StoredTarget]
@@ -229,7 +237,7 @@
 
         def write() -> None:
             self.target_writes += 1
-            self.targets[model] = tuple(targets)
+            self._targets.update(targetrecords.encode(model, targets))
 
         return self._answer(name, write)
 
--- a/features/steps/directory_reading_steps.py
+++ b/features/steps/directory_reading_steps.py
@@ -8,6 +8,7 @@
 from yuccagauge.directory.readpolicy import (
     ReadLimits,
     is_reader,
+    is_recorder,
     read_delay,
     read_wait,
 )
@@ -105,6 +106,31 @@
     assert len(_readers(left)) == min(count, len(left))
 
 
+@then(
+    'of {centres:d} such data centres, {count:d} routers record events, '
+    '{readers:d} of which read the store'
+)
+def check_recorders(
+    context: Context, centres: int, count: int, readers: int
+) -> None:
+    """Guard against events that nobody records, or all routers."""
+    names = [
+        frozenset(f'{number}{name}' for name in context.names)
+        for number in range(centres)
+    ]
+    centre_of = {
+        name: str(number)
+        for number, members in enumerate(names)
+        for name in members
+    }
+    recorders = {
+        name for name in centre_of if is_recorder(name, centre_of, count)
+    }
+    reading = set().union(*map(_readers, names))
+    assert len(recorders) == count, recorders
+    assert len(recorders & reading) == readers, recorders
+
+
 @then(
     'for {topic:w} a router that is {reader:w} reader and whose records were '
     'confirmed {age:d} ms ago reads after {outcome:d} ms'
--- a/yuccagauge/directory/base.py
+++ b/yuccagauge/directory/base.py
@@ -183,6 +183,9 @@
     software_version: str = ''
     #: Weights version of each model that it has loaded.
     weights: Mapping[str, int] = field(default_factory=dict)
+    #: Heartbeats since its start; 0 if the entry lacks them. They change with
+    #: each entry, and say nothing else of the server.
+    heartbeat_count: int = field(default=0, compare=False)
 
     @property
     def incarnation(self) -> str:
--- a/yuccagauge/directory/readpolicy.py
+++ b/yuccagauge/directory/readpolicy.py
@@ -5,7 +5,7 @@
 centre read the store and send the records to the others.
 """
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence, Set
 from dataclasses import dataclass
 
 from yuccagauge.clock import Millis
@@ -103,13 +103,45 @@
     others
         The other live routers of its data centre.
     """
-    names = {name, *others}
-    readers = (
+    return name in _readers({name, *others})
+
+
+def is_recorder(name: str, data_centres: Mapping[str, str], count: int) -> bool:
+    """Return whether a router is one of those that record events in the store.
+
+    Routers that read know best what was written lately, so they come first.
+
+    Parameters
+    ----------
+    data_centres
+        The data centre of each live router, this one included.
+    count
+        How many of them there are.
+    """
+    names_by_centre: dict[str, set[str]] = {}
+    for router, data_centre in data_centres.items():
+        names_by_centre.setdefault(data_centre, set()).add(router)
+    readers = {
+        reader
+        for names in names_by_centre.values()
+        for reader in _readers(names)
+    }
+    others = data_centres.keys() - readers
+    recorders = (
+        *rendezvous_rank(readers, 'recorder'),
+        *rendezvous_rank(others, 'recorder'),
+    )
+    return name in recorders[:count]
+
+
+def _readers(names: Set[str]) -> tuple[str, ...]:
+    """Return the readers among the routers of a data centre."""
+    count = (
         READERS_PER_DATA_CENTRE
         if len(names) < MINIMUM_ROUTERS_TO_SHARE_READS
         else READERS_PER_SHARING_DATA_CENTRE
     )
-    return name in rendezvous_rank(names, 'reader')[:readers]
+    return rendezvous_rank(names, 'reader')[:count]
 
 
 def read_delay(
--- a/yuccagauge/directory/state.py
+++ b/yuccagauge/directory/state.py
@@ -12,6 +12,7 @@
     TargetEvidence,
     WeightsTarget,
 )
+from yuccagauge.directory.heartbeats import Heartbeat
 from yuccagauge.directory.records import KeyedRecord, KeyedRecords
 from yuccagauge.directory.targets import TargetHistory
 
@@ -72,6 +73,7 @@
         self._topics = {topic: KeyedRecords() for topic in Topic}
         self._configuration: Configuration | None = None
         self._servers: dict[str, BackendServer] = {}
+        self._heartbeats: dict[str, Heartbeat] = {}
         self._targets = TargetHistory()
         #: Servers whose entry lapsed in an outage, and when they are removed.
         self._lapsed_until: dict[str, Millis] = {}
@@ -90,6 +92,11 @@
         """All backend servers by id, including draining ones."""
         return self._servers
 
+    @property
+    def heartbeats(self) -> Mapping[str, Heartbeat]:
+        """The newest count of the heartbeats of each server."""
+        return self._heartbeats
+
     @property
     def targets(self) -> Mapping[str, int]:
         """The newest target weights version of each model."""
@@ -196,7 +203,7 @@
         for record in changed:
             # Most entries differ from the previous one only in a counter.
             is_change = (
-                self._apply_server_entry(record, now)
+                self._apply_server_entry(record, now, unchanged_until)
                 if topic is Topic.SERVERS
                 else self._apply_operator_record(record, unchanged_until)
             )
@@ -206,11 +213,16 @@
         if must_notify:
             self._notify_listeners()
 
-    def _apply_server_entry(self, record: KeyedRecord, now: Millis) -> bool:
+    def _apply_server_entry(
+        self, record: KeyedRecord, now: Millis, unchanged_until: Millis | None
+    ) -> bool:
         """Apply a server's entry; return whether the server changed."""
         if record.value is None:
+            self._heartbeats.pop(record.key, None)
             return self._apply_removal(record.key, now)
         server = self._decoder.decode_server(record.key, record.value)
+        if server is not None:
+            self._record_heartbeat(server, now, unchanged_until)
         self._lapsed_until.pop(record.key, None)
         known = self._servers.get(record.key)
         if server is None:
@@ -219,6 +231,24 @@
             self._servers[record.key] = server
         return server != known
 
+    def _record_heartbeat(
+        self, server: BackendServer, now: Millis, written_after: Millis | None
+    ) -> None:
+        known = self._heartbeats.get(server.server_id)
+        # A write that got no answer may be done after later ones.
+        is_late = (
+            known is not None
+            and known.started_at == server.started_at
+            and known.count >= server.heartbeat_count
+        )
+        if not is_late:
+            self._heartbeats[server.server_id] = Heartbeat(
+                started_at=server.started_at,
+                count=server.heartbeat_count,
+                written_after=written_after,
+                written_before=now,
+            )
+
     def _apply_removal(self, server_id: str, now: Millis) -> bool:
         """Apply the removal of an entry; return whether the server is removed.
 
--- a/yuccagauge/platform/records.py
+++ b/yuccagauge/platform/records.py
@@ -214,9 +214,16 @@
         if 'version' in entry
         else '',
         weights=_decode_weights(entry.get('models', [])),
+        heartbeat_count=_heartbeat_count(entry.get('seq')),
     )
 
 
+def _heartbeat_count(found: Any) -> int:
+    """Return the count; 0 if it is malformed, since servers work without."""
+    is_whole = isinstance(found, int) and not isinstance(found, bool)
+    return max(0, found) if is_whole else 0
+
+
 def _decode_weights(models: list[dict[str, Any]]) -> dict[str, int]:
     """Return the weights version of each model; empty for a plain server."""
     return {
--- a/yuccagauge/platform/store.py
+++ b/yuccagauge/platform/store.py
@@ -185,17 +185,15 @@
     def write_targets(self, model: str, targets: Sequence[StoredTarget]) -> Any:
         """Replace the times at which versions of a model were named."""
         query = {'topic': _TARGETS_TOPIC, 'part': 0}
-        yield self._append(
-            query, _encode_record(model, targetrecords.encode(targets))
-        )
+        records = targetrecords.encode(model, targets)
+        body = b''.join(_encode_record(*each) for each in records.items())
+        yield self._append(query, body)
 
     @inlineCallbacks
     def list_targets(self) -> Any:
         """Return the times at which versions of each model were named."""
         page = yield self._list_topic(_TARGETS_TOPIC)
-        return {
-            record.key: targetrecords.decode(record) for record in page.records
-        }
+        return targetrecords.decode(page.records)
 
     @inlineCallbacks
     def append_origins(
--- a/yuccagauge/relay/archives.py
+++ b/yuccagauge/relay/archives.py
@@ -3,13 +3,17 @@
 from collections.abc import Callable
 from typing import Any
 
-from yuccagauge.clock import Clock, Millis
+from yuccagauge.clock import Clock
+from yuccagauge.directory.readpolicy import is_recorder
+from yuccagauge.directory.state import Topic
 from yuccagauge.directory.targetarchive import TargetArchive
+from yuccagauge.exchange.service import ExchangeService
 from yuccagauge.origins.archive import VersionArchive
 from yuccagauge.quarantine.archive import CrashArchive
 from yuccagauge.quarantine.ledger import CrashLedger
 from yuccagauge.relay.adapter import PlatformAdapter
 from yuccagauge.relay.context import RelayContext
+from yuccagauge.settings.relay import RelaySettings
 
 #: Routers that write to the store which services have several versions.
 VERSION_WRITERS = 2
@@ -21,27 +25,38 @@
 def build_archives(
     adapter: PlatformAdapter,
     context: RelayContext,
+    exchange: ExchangeService,
+    settings: RelaySettings,
     reactor: Any,
     clock: Clock,
     *,
-    heartbeat: Millis,
-    is_isolated: Callable[[], bool],
     rank: Callable[[str], int],
 ) -> tuple[CrashArchive, VersionArchive, TargetArchive]:
     """Return the archives of crashes, software versions and named weights.
 
     Parameters
     ----------
-    heartbeat
-        Time between two entries of a server in the store.
-    is_isolated
-        Returns whether this router hears no other one.
+    exchange
+        Knows the other routers.
     rank
         Returns how many live routers come before this one for a key.
     """
+    section = settings.relay
+
+    def is_target_writer() -> bool:
+        data_centres = {
+            member.name: member.data_centre for member in exchange.peers
+        }
+        data_centres[section.name] = section.data_centre
+        return is_recorder(section.name, data_centres, TARGET_WRITERS)
+
     crashes = CrashLedger(context.quarantine, context.part_quarantine)
     crash_archive = CrashArchive(
-        crashes, adapter.crash_store, reactor, clock, is_isolated
+        crashes,
+        adapter.crash_store,
+        reactor,
+        clock,
+        lambda: exchange.is_isolated,
     )
     version_archive = VersionArchive(
         context.selector.versions,
@@ -55,7 +70,10 @@
         adapter.target_store,
         reactor,
         clock,
-        heartbeat=heartbeat,
-        is_writer=lambda: rank('targets') < TARGET_WRITERS,
+        heartbeat=settings.weights.heartbeat_ms,
+        is_writer=is_target_writer,
+        servers_known_until=lambda: exchange.merger.unchanged_until(
+            Topic.SERVERS
+        ),
     )
     return crash_archive, version_archive, target_archive
--- a/yuccagauge/relay/router.py
+++ b/yuccagauge/relay/router.py
@@ -130,10 +130,10 @@
         self._archives = build_archives(
             self._adapter,
             self._context,
+            self._exchange,
+            settings,
             reactor,
             clock,
-            heartbeat=settings.weights.heartbeat_ms,
-            is_isolated=lambda: self._exchange.is_isolated,
             rank=self._rank,
         )
         self._crash_archive = self._archives[0]
