Do not send a booking whose caller was told that it has not run

A booking whose deadline passed, or whose caller left, while it waited for its connection was reported as not run and sent once the connection was there, up to a second later. A caller that made it again by another key had two bookings.

The end of the call left the attempt alone, since a call that must not be repeated goes on for its outcome. That holds only from its first byte on. An attempt that has not been sent is now abandoned with the call, and its claim is released, so that the same key serves again at once.

Before, both rows of dispatch/unsent.feature failed: 504 deadline_exceeded with not-run at 300 ms, and the booking at the server at 700 ms. Now the server gets none; one whose connection opens in time is answered as before. dispatch/unsent, dispatch/verdicts, gateway/* and claims/* pass (83 scenarios). The suite was not run. The relay abandons the attempt at any end of a call and does not have this fault.

--- a/yuccagauge/dispatch/plain.py
+++ b/yuccagauge/dispatch/plain.py
@@ -101,8 +101,7 @@
             return
         metrics.CALLERS_LEFT.add(1, {'service': self._service.name})
         verdict = self._started_verdict()
-        if self._call.idempotent:
-            self._abandon()
+        self._stop_attempts(verdict)
         self._end(verdict)
 
     def _quarantine_refusal(self) -> Refusal | None:
@@ -276,8 +275,7 @@
 
     def _late(self) -> None:
         verdict = self._started_verdict()
-        if self._call.idempotent:
-            self._abandon()
+        self._stop_attempts(verdict)
         self._refuse(deadline_passed(verdict))
 
     def _refuse(self, refusal: Refusal) -> None:
@@ -295,6 +293,15 @@
             )
         self._done.callback(verdict)
 
+    def _stop_attempts(self, verdict: Verdict) -> None:
+        """Stop for want of a caller, unless a run must not be repeated.
+
+        What has not been sent is never sent then: the verdict says so.
+        """
+        if self._call.idempotent or verdict is Verdict.NOT_RUN:
+            self._abandon()
+            self._release_claim()
+
     def _abandon(self) -> None:
         for attempt in self._active:
             attempt.abandon()
