Show that a quarantined booking is sent after it waited for its claim

Failing test, on the product's own interface. The quarantine is asked when a call arrives. A booking then waits for its claim, for as long as the log takes, and is sent without a second look. If bookings of the same content have crashed servers meanwhile, it crashes one more.

--- a/features/dispatch/unsent.feature
+++ b/features/dispatch/unsent.feature
@@ -17,3 +17,9 @@
     Given a plain service to whose server a connection opens after 700 ms
     When a booking that may take 2000 ms is made, and its caller waits
     Then the booking is answered
+
+  Scenario: A booking that is quarantined while it waits for its claim is not sent
+    Given a plain service whose claims are granted after 500 ms
+    When a booking waits for its claim while such bookings crash servers
+    Then the booking ends as not run, and the server never gets it
+    And its key may be used again
