Ask the quarantine again once a booking has its claim

A booking that had waited for its claim was sent although bookings of the same content had crashed servers meanwhile, and crashed one more. Such a wait lasts as long as the log is slow, up to the deadline of the call. A call that is run again was checked already; the first send was not.

The booking is now refused as quarantined, not run, and its claim is released.

Before, it reached the server and was answered (dispatch/unsent.feature); now it does not. dispatch/unsent and quarantine/quarantine pass (35 scenarios). The suite was not run.

--- a/yuccagauge/dispatch/plain.py
+++ b/yuccagauge/dispatch/plain.py
@@ -130,6 +130,11 @@
             # The deadline passed or the caller left; nothing was sent.
             self._release_claim()
             return
+        refusal = self._quarantine_refusal()
+        if refusal is not None:
+            self._release_claim()
+            self._refuse(refusal)
+            return
         self._run()
 
     def _claim_failed(self, failure: Failure) -> None:
