--- a/features/crash_fleet.py
+++ b/features/crash_fleet.py
@@ -218,7 +218,12 @@
         self.network.reactor.callLater(seconds, thaw)
 
     def send(
-        self, name: str, body: bytes, route: str = 'book', headers: str = ''
+        self,
+        name: str,
+        body: bytes,
+        route: str = 'book',
+        headers: str = '',
+        key: str = KEY,
     ) -> str:
         """Send a request to a router, as a caller does; return its id."""
         self._request_count += 1
@@ -227,7 +232,7 @@
             f'POST /{route}/x HTTP/1.1\r\nHost: {HOST}\r\n'
             f'X-Yuccagauge-Request-Id: {request_id}\r\n{headers}'
             f'X-Yuccagauge-Deadline-Ms: {self.caller_timeout}\r\n'
-            f'Authorization: Bearer {KEY}\r\n'
+            f'Authorization: Bearer {key}\r\n'
             f'Content-Length: {len(body)}\r\n\r\n'
         )
         factory = Factory()
