--- a/features/selection/isolation.feature
+++ b/features/selection/isolation.feature
@@ -18,6 +18,11 @@
       | open, gone, isolated           | run on  |
       | isolated, gone, open, isolated | run on  |
 
+  Scenario: A call that runs again after the change keeps to the new wall
+    Given 3 routers before engines that keep what they have read
+    When a customer becomes isolated while prompts run, and they run again
+    Then no part is found across the wall
+
   Scenario: Open customers share what engines have read
     Given 3 routers before engines that keep what they have read
     When prompts come while a customer is open, isolated, and the routers run on
--- a/features/steps/selection_wall_steps.py
+++ b/features/steps/selection_wall_steps.py
@@ -14,6 +14,10 @@
 _WARM_UP_S = 6.0
 _APPLY_S = 3.0
 
+#: Time from a configuration to the end of the prompts that run. Silent engines
+#: are left after a longer one.
+_RESET_S = 0.6
+
 #: Prompts of each customer on each subject, and the time between two of them.
 _PROMPTS = 6
 _INTERVAL_S = 0.05
@@ -21,6 +25,9 @@
 _TEMPLATE = 'template'
 _COMMON = 'subject'
 
+#: Prompts that come at once, so that all engines get some.
+_CROWD = 60
+
 #: The customer whose isolation changes.
 _CHANGING = 'anna'
 
@@ -71,6 +78,31 @@
         context.phases.append((fleet.reads[begin:], walled))
 
 
+@when('a customer becomes isolated while prompts run, and they run again')
+def change_amid_prompts(context: Context) -> None:
+    """Let engines reset the prompts once the change is in force."""
+    fleet = context.fleet
+    for _ in range(_CROWD):
+        fleet.send_prompt(_CHANGING, _TEMPLATE, _COMMON)
+    fleet.run(_APPLY_S)
+    makers = [read for read in fleet.reads if read.made_by is None]
+    assert len(makers) == 2 * _ENGINES, makers
+    fleet.engines_are_silent = True
+    for customer in sorted(KEYS.keys() - {_CHANGING}):
+        fleet.send_prompt(customer, _TEMPLATE, _COMMON)
+    fleet.run(_INTERVAL_S)
+    fleet.configure({**dict.fromkeys(KEYS, False), _CHANGING: True})
+    fleet.run(_RESET_S)
+    begin = len(fleet.reads)
+    fleet.engines_are_silent = False
+    for engine in fleet.servers:
+        engine.reset_connections()
+    fleet.run(_APPLY_S)
+    reads = fleet.reads[begin:]
+    assert reads
+    context.phases.append((reads, {_CHANGING}))
+
+
 def _is_across(read: Read, walled: set[str]) -> bool:
     return read.made_by not in {None, read.customer} and bool(
         walled.intersection((read.customer, read.made_by))
--- a/features/wall_fleet.py
+++ b/features/wall_fleet.py
@@ -43,6 +43,11 @@
         #: Who had each part read, by the text and the parts up to it.
         self._made_by: dict[tuple[str, ...], str] = {}
 
+    @property
+    def is_silent(self) -> bool:
+        """Whether it answers nothing for now."""
+        return self._fleet.engines_are_silent
+
     def build_protocol(self) -> Protocol:
         """Return the engine's side of a new connection."""
         return _CachingProtocol(self)
@@ -82,9 +87,10 @@
     """A connection to an engine, for one request after the other."""
 
     def run_request(self, headers: dict[str, str], body: bytes) -> None:
-        """Read the prompt, and answer at once."""
+        """Read the prompt, and answer at once unless engines are silent."""
         self._server.read_prompt(headers)
-        super().run_request(headers, body)
+        if not self._server.is_silent:
+            super().run_request(headers, body)
 
 
 class WallFleet(CrashFleet):
@@ -96,6 +102,7 @@
     def __init__(self, routers: int, servers: int, seed: int = 1) -> None:
         """Start a fleet whose customers are open."""
         self.reads: list[Read] = []
+        self.engines_are_silent = False
         self._version = configuration()['version']
         super().__init__(routers, servers, seed)
         self.configure(dict.fromkeys(KEYS, False))
@@ -133,4 +140,6 @@
             f'X-Yuccagauge-Token-Usage: {tokens},8\r\n'
         )
         name = self.random.choice(self.router_names)
-        self.send(name, own_part.encode(), 'talk', headers, key=KEYS[customer])
+        self.send(
+            name, own_part.encode(), 'stream', headers, key=KEYS[customer]
+        )
--- a/yuccagauge/relay/context.py
+++ b/yuccagauge/relay/context.py
@@ -118,7 +118,9 @@
         now = self.clock.now()
         if self.is_quarantined(call, now):
             return SelectionDecision(reason='crashes_servers')
-        stores = self.directory.configuration.kv_cache_stores
+        configuration = self.directory.configuration
+        request = request.for_customer(call.customer, configuration)
+        stores = configuration.kv_cache_stores
         return self.incarnations.choose(
             call,
             request,
