Show that nobody leads after the store came back from a copy

A drill takes the store away for a moment and brings it back from a copy that is some seconds old. Its offsets go back, and so does the number of lease records. The simulated store now loses lease records, stored targets and records of the operator then, and the operator writes his again.

--- a/features/simulated_store.py
+++ b/features/simulated_store.py
@@ -46,12 +46,29 @@
     appended_at: float
 
 
+@dataclass(frozen=True, slots=True)
+class LeaseWrite:
+    """A record of the leader lease, and when it was written, in seconds."""
+
+    holder: str
+    at: float
+
+
+@dataclass(frozen=True, slots=True)
+class _TargetWrite:
+    model: str
+    targets: tuple[StoredTarget, ...]
+    at: float
+
+
 class SimulatedStore:
     """The platform's log: entries of servers, and the configuration."""
 
     def __init__(self, network: MemoryNetwork) -> None:
         """Create a store that has the configuration."""
         self.is_down = False
+        #: Rises each time the store comes back from a copy.
+        self.era = 4
         #: Whether calls get no answer, so that routers give them up.
         self.is_silent = False
         #: Routers that the store refuses.
@@ -73,12 +90,14 @@
         #: When the versions of each model were named, and the writes of that.
         self.targets: dict[str, tuple[StoredTarget, ...]] = {}
         self.target_writes = 0
+        self._target_log: list[_TargetWrite] = []
         #: The log of stream origins, and the appends to it.
         self._origins = b''
         self.origin_appends = 0
         self._crashes: dict[tuple[bytes, str], StoredCrash] = {}
-        #: The holders in the records of the leader lease.
-        self._lease_holders: list[str] = []
+        #: The records of the leader lease, and all that were ever written.
+        self._lease: list[LeaseWrite] = []
+        self.lease_writes: list[LeaseWrite] = []
 
     def append_entry(self, key: str, value: bytes | None) -> None:
         """Write an entry of a server, unless the store is down."""
@@ -115,14 +134,40 @@
         """Drop all records but the newest of each key."""
         self._first = {topic: len(log) for topic, log in self._log.items()}
 
-    def restore_copy(self, age_s: float) -> None:
-        """Return to a copy of the past; its offsets are given out again."""
-        until = self._reactor.seconds() - age_s
-        log = self._log[Topic.SERVERS]
-        self._log[Topic.SERVERS] = [
-            record for record in log if record.appended_at <= until
+    def restore_copy(self, age_s: float, *, rewrites_all: bool = True) -> None:
+        """Return to a copy of the past; its offsets are given out again.
+
+        Parameters
+        ----------
+        rewrites_all
+            Whether the operator writes all lost records again, in their order,
+            or only the newest of each key.
+        """
+        now = self._reactor.seconds()
+        until = now - age_s
+        self.era += 1
+        lost = [
+            record
+            for record in self._log[Topic.OPERATIONS]
+            if record.appended_at > until
+        ]
+        for topic, log in self._log.items():
+            self._log[topic] = [
+                record for record in log if record.appended_at <= until
+            ]
+            self._first[topic] = 0
+        self._lease = [record for record in self._lease if record.at <= until]
+        self._target_log = [
+            write for write in self._target_log if write.at <= until
+        ]
+        self.targets = {
+            write.model: write.targets for write in self._target_log
+        }
+        if not rewrites_all:
+            lost = list({record.key: record for record in lost}.values())
+        self._log[Topic.OPERATIONS] += [
+            _Record(record.key, record.value, now) for record in lost
         ]
-        self._first[Topic.SERVERS] = 0
 
     def list_newest(self, name: str, topic: Topic) -> Deferred[StorePage]:
         """Return the newest record of each key."""
@@ -198,8 +243,8 @@
         return self._answer(
             name,
             lambda: LeaseState(
-                record_count=len(self._lease_holders),
-                holder=self._lease_holders[-1] if self._lease_holders else '',
+                record_count=len(self._lease),
+                holder=self._lease[-1].holder if self._lease else '',
             ),
         )
 
@@ -209,9 +254,10 @@
         """Append a record if the number of records is as expected."""
 
         def append() -> bool:
-            if len(self._lease_holders) != expected_count:
+            if len(self._lease) != expected_count:
                 return False
-            self._lease_holders.append(holder)
+            self._lease.append(LeaseWrite(holder, self._reactor.seconds()))
+            self.lease_writes.append(self._lease[-1])
             return True
 
         return self._answer(name, append)
@@ -230,6 +276,9 @@
         def write() -> None:
             self.target_writes += 1
             self.targets[model] = tuple(targets)
+            self._target_log.append(
+                _TargetWrite(model, tuple(targets), self._reactor.seconds())
+            )
 
         return self._answer(name, write)
 
--- a/features/weights_engine.py
+++ b/features/weights_engine.py
@@ -200,7 +200,7 @@
         """Return the status of an order."""
         if server_id != self.server_id:
             return 421
-        if order['fence'] < self._fence:
+        if self._fleet.checks_fences and order['fence'] < self._fence:
             return 412
         self._fence = order['fence']
         expected = order.get('expected', self._order_count)
--- a/features/weights_fleet.py
+++ b/features/weights_fleet.py
@@ -197,6 +197,9 @@
     #: Name of the route of all calls.
     route = 'stream'
 
+    #: Whether engines refuse old fencing tokens.
+    checks_fences = True
+
     server_type = WeightsEngine
     cache_event_source = NoCacheEvents()
 
@@ -223,7 +226,7 @@
             'weights': {
                 'limit_ms': str(VERSION_TIME),
                 'lease_ms': str(LEASE_TIME),
-                'engines_check_fences': 'true',
+                'engines_check_fences': str(self.checks_fences),
             }
         }
 
