Order records by the era of the store and their offset

Offsets ordered the records of a key over all time, but the store gives them out again when it comes back from a copy.

The adapter now reads Store-Era from each answer. A position in the store is the era and the offset (directory/position.py). A follower that gets an answer of a later era lists the topic anew, and all records of that listing follow the known ones. Entries of servers that the listing lacks are treated as after an outage. An answer of an older era is rejected, one that names none counts as one of the newest era; both are logged once a minute. A line store_restored and the counter yuccagauge.store.restores tell of each topic that was listed anew.

The decoding of listings moves to platform/pages.py, unchanged.

--- /dev/null
+++ b/features/platform/store_era.feature
@@ -0,0 +1,32 @@
+Feature: The era of the store
+  The store names its era in all its answers. The era rises when the store comes
+  back from a copy that is some seconds old.
+
+  # Guards against offsets of an older era that pass for those of a newer one.
+  Scenario Outline: The era of an answer
+    Given a client of the store
+    When answers to reads name the eras "<eras>", 1 s apart
+    Then the reads have the eras "<found>"
+    And <lines> log lines say that an era is not usable, the first <reason>
+
+    Examples:
+      | eras             | found          | lines | reason    |
+      | 7 7 8            | 7 7 8          | 0     | not       |
+      | 0 1              | 0 1            | 0     | not       |
+      | none none        | -1 -1          | 1     | missing   |
+      | none 3           | -1 3           | 1     | missing   |
+      | 3 none none 4    | 3 3 3 4        | 1     | missing   |
+      | 3 x4 -1 3.5 4    | 3 3 3 3 4      | 1     | malformed |
+      | 3 9999999999999999999999 4 | 3 3 4 | 1    | malformed |
+      | 3 2 3            | 3 rejected 3   | 1     | fallen    |
+      | 5 4 4 6          | 5 rejected rejected 6 | 1 | fallen |
+
+  Scenario: Log lines on eras that are not usable are few
+    Given a client of the store
+    When answers to reads name no era for 300 s, 10 times a second
+    Then 5 log lines say that an era is not usable, the first missing
+
+  Scenario: A listing of two eras has the records of the later one alone
+    Given a client of the store
+    When the second page of a listing is of a later era
+    Then the listing has the records of the later era
--- a/features/simulated_store.py
+++ b/features/simulated_store.py
@@ -310,7 +310,7 @@
             KeyedRecord(key=each.key, offset=number, value=each.value)
             for number, each in enumerate(log[offset:], offset)
         )
-        return StorePage(records=records, next_offset=len(log))
+        return StorePage(records=records, next_offset=len(log), era=self.era)
 
     def _list(self, topic: Topic) -> StorePage:
         records = tuple(
@@ -318,7 +318,11 @@
             for number, each in self._newest(topic).values()
             if each.value is not None
         )
-        return StorePage(records=records, next_offset=len(self._log[topic]))
+        return StorePage(
+            records=records,
+            next_offset=len(self._log[topic]),
+            era=self.era,
+        )
 
     def _newest(self, topic: Topic) -> dict[str, tuple[int, _Record]]:
         return {
--- a/yuccagauge/directory/follower.py
+++ b/yuccagauge/directory/follower.py
@@ -7,11 +7,13 @@
 from twisted.internet.task import deferLater
 
 from yuccagauge.clock import Clock, Millis, in_seconds
+from yuccagauge.directory.position import UNKNOWN_ERA
 from yuccagauge.directory.readpolicy import READ_WAIT
 from yuccagauge.directory.state import Directory, Topic
 from yuccagauge.directory.store import (
     KeyedStore,
     StoreGapError,
+    StorePage,
     StoreUnavailableError,
 )
 from yuccagauge.tasks import BackgroundTask
@@ -154,9 +156,11 @@
     def _read_listing(self) -> Any:
         sent_at = self._clock.now()
         page = yield self._store.list_newest(self._topic)
+        now = self._clock.now()
+        self._directory.begin_era(self._topic, page.era, now)
+        self._check_era(page)
         self._record_answer(sent_at)
         self._read_up_to = page.next_offset
-        now = self._clock.now()
         self._directory.apply_listing(
             self._topic,
             page.records,
@@ -182,6 +186,7 @@
         previous_read_at = self._confirmed_at
         sent_at = self._clock.now()
         page = yield self._store.read_from(self._topic, offset, wait)
+        self._check_era(page)
         self._record_answer(sent_at)
         self._read_up_to = page.next_offset
         now = self._clock.now()
@@ -201,6 +206,22 @@
         if self.read_interval:
             yield self._delay(self.read_interval)
 
+    def _check_era(self, page: StorePage) -> None:
+        """Reject records whose offsets are of another era than the known ones.
+
+        Raises
+        ------
+        StoreGapError
+            If the store came back from a copy since the last listing.
+        StoreUnavailableError
+            If a peer already knows that it did.
+        """
+        known = self._directory.era(self._topic)
+        if page.era > known:
+            raise StoreGapError(f'era {page.era} after {known}')
+        if UNKNOWN_ERA < page.era < known:
+            raise StoreUnavailableError(f'era {page.era} before {known}')
+
     def _next_read_offset(self) -> int:
         """Return the offset from which to read.
 
--- a/yuccagauge/directory/records.py
+++ b/yuccagauge/directory/records.py
@@ -1,13 +1,15 @@
 """The newest record of each key of a topic, merged from several sources.
 
-All routers read the same log, so the offsets order the records of a key.
-Applying records is idempotent and commutative: a router may receive them from
-the store and from peers, more than once and in any order.
+All routers read the same log, so the offsets order the records of a key within
+an era of the store. Applying records is idempotent and commutative: a router
+may receive them from the store and from peers, more than once and in any order.
 """
 
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from yuccagauge.directory.position import UNKNOWN_ERA, StorePosition
+
 #: Removals that are stored; older ones are dropped. Only a peer that lags by
 #: this many removals could restore a key whose removal was dropped.
 MAXIMUM_REMOVALS = 2000
@@ -26,20 +28,31 @@
 class KeyedRecords:
     """The newest known record of each key.
 
-    The next offset is the one below which all records have been applied.
+    The next offset is the one below which all records have been applied. All
+    records that are applied are of the era that was begun last.
     """
 
     def __init__(self) -> None:
         """Create an empty topic."""
         self._records: dict[str, KeyedRecord] = {}
-        #: Offset of the last record that changed the decoded value of a key.
-        self._change_offsets: dict[str, int] = {}
-        self._next_offset = 0
+        self._positions: dict[str, StorePosition] = {}
+        #: Position of the last record that changed the decoded value of a key.
+        self._changes: dict[str, StorePosition] = {}
+        self._next = StorePosition(UNKNOWN_ERA, 0)
 
     @property
     def next_offset(self) -> int:
         """The offset below which all records have been applied."""
-        return self._next_offset
+        return self._next.offset
+
+    @property
+    def era(self) -> int:
+        """The era of the next offset."""
+        return self._next.era
+
+    def begin_era(self, era: int) -> None:
+        """Expect records of a later era, which follow all known ones."""
+        self._next = max(self._next, StorePosition(era, 0))
 
     def apply_records(
         self,
@@ -58,7 +71,7 @@
             offset on.
         """
         changed = tuple(record for record in records if self._add(record))
-        self._next_offset = max(self._next_offset, next_offset)
+        self._next = max(self._next, self._position(next_offset))
         self._drop_old_removals()
         return changed
 
@@ -78,35 +91,44 @@
             KeyedRecord(key=key, offset=next_offset - 1, value=None)
             for key, record in self._records.items()
             if key not in keys
-            and record.offset < next_offset - 1
+            and self._positions[key] < self._position(next_offset - 1)
             and record.value is not None
         )
         return self.apply_records((*listed, *removed), next_offset)
 
     def mark_changed(self, record: KeyedRecord) -> None:
         """Mark a record whose decoded value differs from the previous one."""
-        self._change_offsets[record.key] = record.offset
+        self._changes[record.key] = self._position(record.offset)
 
     def changes_since(self, next_offset: int) -> tuple[KeyedRecord, ...]:
         """Return the records that changed from an offset on, oldest first.
 
+        The offset is one of the era that was begun last.
+
         Load pattern: every server writes its entry each second, and nearly
         all entries repeat the values of the previous one. A receiver that has
         applied all records below the offset needs only the changed ones.
         """
+        since = self._position(next_offset)
         found = [
             record
-            for record in self._records.values()
-            if self._change_offsets.get(record.key, record.offset)
-            >= next_offset
+            for key, record in self._records.items()
+            if self._changes.get(key, self._positions[key]) >= since
         ]
-        return tuple(sorted(found, key=lambda record: record.offset))
+        return tuple(
+            sorted(found, key=lambda record: self._positions[record.key])
+        )
+
+    def _position(self, offset: int) -> StorePosition:
+        return StorePosition(self._next.era, offset)
 
     def _add(self, record: KeyedRecord) -> bool:
-        known = self._records.get(record.key)
-        if known is not None and known.offset >= record.offset:
+        position = self._position(record.offset)
+        known = self._positions.get(record.key)
+        if known is not None and known >= position:
             return False
         self._records[record.key] = record
+        self._positions[record.key] = position
         return True
 
     def _drop_old_removals(self) -> None:
@@ -115,7 +137,8 @@
         ]
         if len(removals) <= MAXIMUM_REMOVALS:
             return
-        removals.sort(key=lambda record: record.offset)
+        removals.sort(key=lambda record: self._positions[record.key])
         for record in removals[:-MAXIMUM_REMOVALS]:
             self._records.pop(record.key)
-            self._change_offsets.pop(record.key, None)
+            self._positions.pop(record.key)
+            self._changes.pop(record.key, None)
--- a/yuccagauge/directory/state.py
+++ b/yuccagauge/directory/state.py
@@ -12,8 +12,11 @@
     TargetEvidence,
     WeightsTarget,
 )
+from yuccagauge.directory.position import UNKNOWN_ERA
 from yuccagauge.directory.records import KeyedRecord, KeyedRecords
 from yuccagauge.directory.targets import TargetHistory
+from yuccagauge.telemetry.journal import log_state_change
+from yuccagauge.telemetry.meter import counter
 
 #: An outage of the store also stops live servers from renewing their entries.
 #: Such a server writes its entry again within about two seconds of the end of
@@ -24,6 +27,15 @@
 #: Time after an outage in which an entry may lapse because of the outage.
 OUTAGE_LAPSE_WINDOW = Millis(3000)
 
+#: Keys that one log line names.
+_LOGGED_KEYS = 8
+
+_RESTORES = counter(
+    'yuccagauge.store.restores',
+    'Topics that were listed anew because the store came back from a copy.',
+    '{topic}',
+)
+
 
 @enum.unique
 class Topic(enum.IntEnum):
@@ -78,6 +90,8 @@
         self._outage_ended_at: Millis | None = None
         self._in_outage = False
         self._received_topics: set[Topic] = set()
+        #: Eras of topics that were left since their last listing.
+        self._left_eras: dict[Topic, int] = {}
         self.listeners: list[ChangeListener] = []
 
     @property
@@ -116,6 +130,10 @@
         """Return the offset below which all records have been applied."""
         return self._topics[topic].next_offset
 
+    def era(self, topic: Topic) -> int:
+        """Return the era of the store in which the topic was received."""
+        return self._topics[topic].era
+
     def changes_since(
         self, topic: Topic, next_offset: int
     ) -> tuple[KeyedRecord, ...]:
@@ -134,6 +152,21 @@
             until = Millis(now + LAPSED_ENTRY_GRACE)
             self._lapsed_until = dict.fromkeys(self._lapsed_until, until)
 
+    def begin_era(self, topic: Topic, era: int, now: Millis) -> None:
+        """Expect records of a later era: the store came back from a copy.
+
+        A complete listing has to follow. Entries that it lacks may be those of
+        servers that live, as after an outage.
+        """
+        known = self._topics[topic].era
+        self._topics[topic].begin_era(era)
+        if known == UNKNOWN_ERA or era <= known:
+            return
+        self._left_eras[topic] = known
+        if topic is Topic.SERVERS:
+            self._in_outage = True
+            self.record_store_answer(now)
+
     def apply_records(
         self,
         topic: Topic,
@@ -163,6 +196,7 @@
     ) -> None:
         """Merge a complete listing of a topic; see ``apply_records``."""
         changed = self._topics[topic].apply_listing(records, next_offset)
+        self._log_restore(topic, changed)
         self._process_changes(topic, changed, now, unchanged_until)
 
     def merge_target_evidence(self, evidence: Iterable[TargetEvidence]) -> None:
@@ -206,6 +240,24 @@
         if must_notify:
             self._notify_listeners()
 
+    def _log_restore(
+        self, topic: Topic, changed: tuple[KeyedRecord, ...]
+    ) -> None:
+        """Log what the first listing of an era lacks."""
+        left = self._left_eras.pop(topic, None)
+        if left is None:
+            return
+        _RESTORES.add(1, {'topic': topic.name.lower()})
+        dropped = [record.key for record in changed if record.value is None]
+        log_state_change(
+            'store_restored',
+            topic=topic.name,
+            era=self.era(topic),
+            previous=left,
+            dropped=len(dropped),
+            keys=dropped[:_LOGGED_KEYS],
+        )
+
     def _apply_server_entry(self, record: KeyedRecord, now: Millis) -> bool:
         """Apply a server's entry; return whether the server changed."""
         if record.value is None:
--- a/yuccagauge/directory/store.py
+++ b/yuccagauge/directory/store.py
@@ -6,6 +6,7 @@
 from twisted.internet.defer import Deferred
 
 from yuccagauge.clock import Millis
+from yuccagauge.directory.position import UNKNOWN_ERA
 from yuccagauge.directory.records import KeyedRecord
 from yuccagauge.directory.state import Topic
 from yuccagauge.errors import UnavailableError, YuccagaugeError
@@ -31,6 +32,8 @@
     next_offset: int
     #: Whether the topic had no record after these when the store answered.
     is_last: bool = True
+    #: The era of the store in which it answered.
+    era: int = UNKNOWN_ERA
 
 
 class KeyedStore(Protocol):
@@ -58,5 +61,6 @@
         StoreUnavailableError
             If the store does not answer.
         StoreGapError
-            If the store has dropped the records; call ``list_newest`` then.
+            If the store has dropped the records, or has lost them and came back
+            from a copy; call ``list_newest`` then.
         """
--- a/yuccagauge/platform/adapter.py
+++ b/yuccagauge/platform/adapter.py
@@ -28,7 +28,9 @@
 ) -> PlatformAdapter:
     """Create the platform adapter of a relay process."""
     name = settings.relay.name
-    store = PlatformStore(partial(_send_to_store, reactor, pool, settings))
+    store = PlatformStore(
+        partial(_send_to_store, reactor, pool, settings), reactor.seconds
+    )
     engines = PlatformEngineClient(reactor, pool, name)
     return PlatformAdapter(
         call_decoder=PlatformCallDecoder(),
--- a/yuccagauge/platform/names.py
+++ b/yuccagauge/platform/names.py
@@ -26,6 +26,8 @@
 #: ``1`` in all answers of an engine that leaves.
 SERVER_LEAVING = b'Server-Leaving'
 RETRY_AFTER = b'Retry-After'
+#: In all answers of the store; rises when it comes back from a copy.
+STORE_ERA = b'Store-Era'
 AUTHORIZATION = b'Authorization'
 WAIT_MS = b'Wait-Ms'
 
--- a/yuccagauge/platform/pages.py
+++ b/yuccagauge/platform/pages.py
@@ -1,8 +1,14 @@
 """Framing of the records in the answers of the platform's log."""
 
+import base64
+import json
 import struct
+from dataclasses import dataclass
+from typing import Any
 
+from yuccagauge.directory.records import KeyedRecord
 from yuccagauge.directory.store import StoreUnavailableError
+from yuccagauge.dispatch.fetch import Fetched
 
 _RECORD_LENGTH = struct.Struct('>I')
 
@@ -10,6 +16,16 @@
 _PAGE_HEADER = struct.Struct('>QQ')
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class NewestPage:
+    """One page of the newest records of each key."""
+
+    records: tuple[KeyedRecord, ...]
+    #: Offset of the next record that is written to the topic.
+    end_offset: int
+    has_more: bool
+
+
 def split_page(body: bytes) -> tuple[int, tuple[bytes, ...]]:
     """Return the end offset of the log, and the records of one answer.
 
@@ -30,3 +46,34 @@
     except struct.error as error:
         raise StoreUnavailableError(f'malformed records: {error}') from None
     return end, tuple(contents)
+
+
+def decode_newest_page(response: Fetched) -> NewestPage:
+    """Decode one page.
+
+    Raises
+    ------
+    StoreUnavailableError
+        If the body is malformed.
+    """
+    try:
+        document = json.loads(response.body)
+        records = tuple(
+            _decode_newest_record(item) for item in document['items']
+        )
+        return NewestPage(
+            records=records,
+            end_offset=int(document['end']),
+            has_more=bool(document.get('more')) and bool(records),
+        )
+    except (LookupError, TypeError, ValueError) as error:
+        kind = type(error).__name__
+        raise StoreUnavailableError(f'malformed response: {kind}') from None
+
+
+def _decode_newest_record(item: dict[str, Any]) -> KeyedRecord:
+    return KeyedRecord(
+        key=str(item['key']),
+        offset=int(item['offset']),
+        value=base64.b64decode(item['value']),
+    )
--- a/yuccagauge/platform/store.py
+++ b/yuccagauge/platform/store.py
@@ -1,10 +1,10 @@
 """Client of the platform's log: keyed topics, lease, crashes and origins."""
 
-import base64
 import json
 import struct
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import replace
+from time import monotonic
 from typing import Any
 from urllib.parse import urlencode
 
@@ -23,7 +23,8 @@
 from yuccagauge.dispatch.fetch import Fetched, FetchError
 from yuccagauge.origins.base import StreamOrigin
 from yuccagauge.platform import names, originlog, targetrecords
-from yuccagauge.platform.pages import split_page
+from yuccagauge.platform.era import EraTracker
+from yuccagauge.platform.pages import decode_newest_page, split_page
 from yuccagauge.quarantine.archive import StoredCrash
 from yuccagauge.rollout.base import LeaseState
 from yuccagauge.telemetry.journal import log_state_change
@@ -74,11 +75,18 @@
     ----------
     send
         Sends a request to the store.
+    seconds
+        Returns a time that does not step, in s, for the rate of log lines.
     """
 
-    def __init__(self, send: StoreCall) -> None:
+    def __init__(
+        self, send: StoreCall, seconds: Callable[[], float] = monotonic
+    ) -> None:
         """Create the client; does not connect."""
         self._send = send
+        #: Answers of an older era are rejected, so any answer that a call
+        #: returns is of the newest one.
+        self._eras = EraTracker(seconds)
 
     @inlineCallbacks
     def list_newest(self, topic: Topic) -> Any:
@@ -90,6 +98,7 @@
     def _list_topic(self, topic: str) -> Any:
         records: list[KeyedRecord] = []
         next_offset: int | None = None
+        era = self._eras.newest
         after = ''
         has_more = True
         while has_more:
@@ -99,7 +108,14 @@
             response = yield self._get(
                 names.LOG_NEWEST_PATH, query, _REPLY_TIMEOUT
             )
-            page = _decode_newest_page(response)
+            page = decode_newest_page(response)
+            if after and era != self._eras.newest:
+                # The pages before are of the older era.
+                after = ''
+                records.clear()
+                next_offset = None
+                continue
+            era = self._eras.newest
             if next_offset is None:
                 # Records may be written between two pages. Reading from
                 # the end offset of the first page covers all of these.
@@ -107,7 +123,9 @@
             records.extend(page.records)
             has_more = page.has_more
             after = records[-1].key if records else ''
-        return StorePage(records=tuple(records), next_offset=next_offset)
+        return StorePage(
+            records=tuple(records), next_offset=next_offset, era=era
+        )
 
     @inlineCallbacks
     def read_from(self, topic: Topic, offset: int, wait: Millis) -> Any:
@@ -120,14 +138,15 @@
         }
         timeout = Millis(wait + _REPLY_TIMEOUT)
         response = yield self._get(names.LOG_READ_PATH, query, timeout)
-        return decode_page(response.body, offset)
+        page = decode_page(response.body, offset)
+        return replace(page, era=self._eras.newest)
 
     @inlineCallbacks
     def read_lease(self) -> Any:
         """Return the ``LeaseState`` that the store has."""
         query = {'topic': _LEASE_TOPIC, 'part': 0}
         response = yield self._get(names.LOG_NEWEST_PATH, query, _REPLY_TIMEOUT)
-        page = _decode_newest_page(response)
+        page = decode_newest_page(response)
         holder = ''
         if page.records:
             value = page.records[0].value.decode('utf-8', 'replace')
@@ -264,6 +283,8 @@
             response = yield self._send(message, timeout)
         except FetchError as error:
             raise StoreUnavailableError(f'{path}: {error}') from None
+        if not self._eras.observe(response.head):
+            raise StoreUnavailableError(f'{path}: answer of an older era')
         status = response.head.status
         if status == _GONE and also_accepted != _GONE:
             raise StoreGapError(path)
@@ -344,44 +365,3 @@
         offset=offset,
         value=content[key_end:] or None,
     )
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class _NewestPage:
-    """One page of the newest records of each key."""
-
-    records: tuple[KeyedRecord, ...]
-    #: Offset of the next record that is written to the topic.
-    end_offset: int
-    has_more: bool
-
-
-def _decode_newest_page(response: Fetched) -> _NewestPage:
-    """Decode one page.
-
-    Raises
-    ------
-    StoreUnavailableError
-        If the body is malformed.
-    """
-    try:
-        document = json.loads(response.body)
-        records = tuple(
-            _decode_newest_record(item) for item in document['items']
-        )
-        return _NewestPage(
-            records=records,
-            end_offset=int(document['end']),
-            has_more=bool(document.get('more')) and bool(records),
-        )
-    except (LookupError, TypeError, ValueError) as error:
-        kind = type(error).__name__
-        raise StoreUnavailableError(f'malformed response: {kind}') from None
-
-
-def _decode_newest_record(item: dict[str, Any]) -> KeyedRecord:
-    return KeyedRecord(
-        key=str(item['key']),
-        offset=int(item['offset']),
-        value=base64.b64decode(item['value']),
-    )
