--- a/yuccagauge/platform/store.py
+++ b/yuccagauge/platform/store.py
@@ -1,16 +1,17 @@
 """Client of the platform's log: keyed topics, lease, crashes and origins."""
 
-import base64
 import json
 import struct
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import replace
+from time import monotonic
 from typing import Any
 from urllib.parse import urlencode
 
 from twisted.internet.defer import Deferred, inlineCallbacks
 
 from yuccagauge.clock import Millis
+from yuccagauge.directory.position import UNKNOWN_ERA
 from yuccagauge.directory.records import KeyedRecord
 from yuccagauge.directory.state import Topic
 from yuccagauge.directory.store import (
@@ -22,10 +23,16 @@
 from yuccagauge.dispatch.base import BackendMessage
 from yuccagauge.dispatch.fetch import Fetched, FetchError
 from yuccagauge.origins.base import StreamOrigin
-from yuccagauge.platform import names, originlog, targetrecords
-from yuccagauge.platform.pages import split_page
+from yuccagauge.platform import (
+    leaserecords,
+    names,
+    originlog,
+    targetrecords,
+)
+from yuccagauge.platform.era import EraTracker
+from yuccagauge.platform.pages import decode_newest_page, split_page
 from yuccagauge.quarantine.archive import StoredCrash
-from yuccagauge.rollout.base import LeaseState
+from yuccagauge.rollout.base import LeaseEras, LeaseState
 from yuccagauge.telemetry.journal import log_state_change
 
 _OK = 200
@@ -55,9 +62,6 @@
 #: versions. It is not keyed, so its records expire.
 _ORIGINS_TOPIC = 'origins'
 
-#: Follows the name of the lease holder in a record.
-_HOLDER_TERMINATOR = '\n'
-
 #: Timeout of a reply, beyond the time for which the store may hold a read.
 _REPLY_TIMEOUT = Millis(1200)
 
@@ -74,11 +78,18 @@
     ----------
     send
         Sends a request to the store.
+    seconds
+        Returns a time that does not step, in s, for the rate of log lines.
     """
 
-    def __init__(self, send: StoreCall) -> None:
+    def __init__(
+        self, send: StoreCall, seconds: Callable[[], float] = monotonic
+    ) -> None:
         """Create the client; does not connect."""
         self._send = send
+        #: Answers of an older era are rejected, so any answer that a call
+        #: returns is of the newest one.
+        self._eras = EraTracker(seconds)
 
     @inlineCallbacks
     def list_newest(self, topic: Topic) -> Any:
@@ -90,6 +101,7 @@
     def _list_topic(self, topic: str) -> Any:
         records: list[KeyedRecord] = []
         next_offset: int | None = None
+        era = self._eras.newest
         after = ''
         has_more = True
         while has_more:
@@ -99,7 +111,14 @@
             response = yield self._get(
                 names.LOG_NEWEST_PATH, query, _REPLY_TIMEOUT
             )
-            page = _decode_newest_page(response)
+            page = decode_newest_page(response)
+            if after and era != self._eras.newest:
+                # The pages before are of the older era.
+                after = ''
+                records.clear()
+                next_offset = None
+                continue
+            era = self._eras.newest
             if next_offset is None:
                 # Records may be written between two pages. Reading from
                 # the end offset of the first page covers all of these.
@@ -107,7 +126,9 @@
             records.extend(page.records)
             has_more = page.has_more
             after = records[-1].key if records else ''
-        return StorePage(records=tuple(records), next_offset=next_offset)
+        return StorePage(
+            records=tuple(records), next_offset=next_offset, era=era
+        )
 
     @inlineCallbacks
     def read_from(self, topic: Topic, offset: int, wait: Millis) -> Any:
@@ -120,34 +141,39 @@
         }
         timeout = Millis(wait + _REPLY_TIMEOUT)
         response = yield self._get(names.LOG_READ_PATH, query, timeout)
-        return decode_page(response.body, offset)
+        page = decode_page(response.body, offset)
+        return replace(page, era=self._eras.newest)
 
     @inlineCallbacks
     def read_lease(self) -> Any:
         """Return the ``LeaseState`` that the store has."""
         query = {'topic': _LEASE_TOPIC, 'part': 0}
         response = yield self._get(names.LOG_NEWEST_PATH, query, _REPLY_TIMEOUT)
-        page = _decode_newest_page(response)
-        holder = ''
-        if page.records:
-            value = page.records[0].value.decode('utf-8', 'replace')
-            holder = value.removesuffix(_HOLDER_TERMINATOR)
-        return LeaseState(record_count=page.end_offset, holder=holder)
+        page = decode_newest_page(response)
+        value = page.records[0].value if page.records else b''
+        holder, eras = leaserecords.decode(value)
+        return LeaseState(
+            record_count=page.end_offset,
+            holder=holder,
+            era=self._eras.newest,
+            eras=eras,
+        )
 
     @inlineCallbacks
-    def append_lease(self, holder: str, expected_count: int) -> Any:
+    def append_lease(
+        self, holder: str, expected_count: int, eras: LeaseEras = LeaseEras()
+    ) -> Any:
         """Append a record if the topic has ``expected_count`` of them.
 
-        Returns whether the record was written.
+        Returns whether the record was written, in the era that it names.
         """
         query = {'topic': _LEASE_TOPIC, 'part': 0, 'at': expected_count}
-        # A record without a value would remove the key, so a record without a
-        # holder has the terminator as its value.
-        record = _encode_record(_LEASE_KEY, f'{holder}{_HOLDER_TERMINATOR}')
+        record = _encode_record(_LEASE_KEY, leaserecords.encode(holder, eras))
         response = yield self._append(
             query, record, also_accepted=_PRECONDITION_FAILED
         )
-        return response.head.status == _OK
+        is_same_era = eras.written in {UNKNOWN_ERA, self._eras.newest}
+        return response.head.status == _OK and is_same_era
 
     @inlineCallbacks
     def write_crashes(self, crashes: tuple[StoredCrash, ...]) -> Any:
@@ -262,6 +288,8 @@
             response = yield self._send(message, timeout)
         except FetchError as error:
             raise StoreUnavailableError(f'{path}: {error}') from None
+        if not self._eras.observe(response.head):
+            raise StoreUnavailableError(f'{path}: answer of an older era')
         status = response.head.status
         if status == _GONE and also_accepted != _GONE:
             raise StoreGapError(path)
@@ -342,44 +370,3 @@
         offset=offset,
         value=content[key_end:] or None,
     )
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class _NewestPage:
-    """One page of the newest records of each key."""
-
-    records: tuple[KeyedRecord, ...]
-    #: Offset of the next record that is written to the topic.
-    end_offset: int
-    has_more: bool
-
-
-def _decode_newest_page(response: Fetched) -> _NewestPage:
-    """Decode one page.
-
-    Raises
-    ------
-    StoreUnavailableError
-        If the body is malformed.
-    """
-    try:
-        document = json.loads(response.body)
-        records = tuple(
-            _decode_newest_record(item) for item in document['items']
-        )
-        return _NewestPage(
-            records=records,
-            end_offset=int(document['end']),
-            has_more=bool(document.get('more')) and bool(records),
-        )
-    except (LookupError, TypeError, ValueError) as error:
-        kind = type(error).__name__
-        raise StoreUnavailableError(f'malformed response: {kind}') from None
-
-
-def _decode_newest_record(item: dict[str, Any]) -> KeyedRecord:
-    return KeyedRecord(
-        key=str(item['key']),
-        offset=int(item['offset']),
-        value=base64.b64decode(item['value']),
-    )
