--- a/features/run.py
+++ b/features/run.py
@@ -20,6 +20,7 @@
     for name in (
         'features/origins/fleet.feature',
         'features/peerpath/fleet.feature',
+        'features/peerpath/refusing.feature',
         'features/quarantine/fleet.feature',
         'features/quarantine/parts_fleet.feature',
         'features/ratelimit/fleet.feature',
