--- a/features/run.py
+++ b/features/run.py
@@ -21,6 +21,7 @@
         'features/origins/fleet.feature',
         'features/origins/upgrade.feature',
         'features/peerpath/fleet.feature',
+        'features/peerpath/refusing.feature',
         'features/quarantine/fleet.feature',
         'features/quarantine/parts_fleet.feature',
         'features/ratelimit/fleet.feature',
