Keep what the next server has sent when the silent one is given up

What callers saw: nothing. A stream whose server was silent had been sent to another server, whose head had arrived. When the silent server's attempt ended then (a reset, a rejection with 503, or the limit on superseded weights), what the other server had sent was dropped, its events came without a head, and the call ended as answered with status 0.

Cause: releasing the kept attempt cleared what is withheld of the next one. Now only a return to the silent server discards it; any other end passes it on.

The kept attempt that leaves at the limit is no longer counted as a crash, as attempts that leave directly are not.

--- a/yuccagauge/relay/beginning.py
+++ b/yuccagauge/relay/beginning.py
@@ -67,6 +67,6 @@
         if left is None or left > 0:
             self._start(attempt, timer)
         elif self._takeover.keeps(attempt):
-            self._takeover.end(_REASON)
+            self._takeover.withdraw(_REASON)
         else:
             self._owner.withdraw(_REASON)
--- a/yuccagauge/relay/takeover.py
+++ b/yuccagauge/relay/takeover.py
@@ -136,19 +136,15 @@
 
     def finish(self) -> None:
         """Let the next server go on with the call, if it has answered."""
-        head, data = self._withheld_head, self._withheld_data
-        if head is None:
-            return
-        self.end('another server has begun its answer')
-        self._owner.head(head)
-        if data and self._response.is_reading(head):
-            self._owner.data(data)
+        if self._withheld_head is not None:
+            self.end('another server has begun its answer')
 
     def try_return(self) -> bool:
         """Return the call to the kept attempt; return whether there was one."""
         exchange, attempt = self._release()
         if exchange is None:
             return False
+        self._discard_withheld()
         exchange.hand_over(self._owner)
         self._owner.return_to(exchange, attempt)
         return True
@@ -161,6 +157,16 @@
             attempt.end_broken_attempt()
             self._repeats.record_run()
             self._record_end(attempt, reason)
+        self._pass_on()
+
+    def withdraw(self, reason: str) -> None:
+        """End the kept attempt before it begins; its server is not to blame."""
+        exchange, attempt = self._release()
+        exchange.abandon()
+        attempt.release_slot()
+        self._repeats.record_run()
+        self._record_end(attempt, reason, ending='withdrawn')
+        self._pass_on()
 
     def close(self) -> None:
         """End the kept attempt together with the call."""
@@ -204,11 +210,24 @@
             attempt.record_rejection(info)
         attempt.end_attempt(failed=not info.is_misdirected)
         self._record_end(attempt, f'the server answered {head.status}')
+        self._pass_on()
+
+    def _pass_on(self) -> None:
+        """Let the call have what was withheld, as no attempt is kept now."""
+        head, data = self._withheld_head, self._withheld_data
+        if head is None:
+            return
+        self._discard_withheld()
+        self._owner.head(head)
+        if data and self._response.is_reading(head):
+            self._owner.data(data)
 
-    def _record_end(self, attempt: AttemptTracker, reason: str) -> None:
+    def _record_end(
+        self, attempt: AttemptTracker, reason: str, ending: str = 'silent'
+    ) -> None:
         self._response.discard_unsent()
         self._reporter.record_failed_attempt(
-            'silent',
+            ending,
             reason,
             silent_ms=attempt.time_without_response,
             server=attempt.placement.server.server_id,
@@ -217,6 +236,8 @@
     def _release(self) -> tuple[Exchange | None, AttemptTracker | None]:
         kept = (self._exchange, self._attempt)
         self._exchange = self._attempt = None
+        return kept
+
+    def _discard_withheld(self) -> None:
         self._withheld_head = None
         self._withheld_data = b''
-        return kept
