Return a retry that was spent on a call that is sent nowhere

What callers saw: with a spent retry budget, calls were refused that could have moved to another engine, just when engines had loaded new weights. A call that leaves an engine spends a retry before another engine is chosen, so that it is refused at once if there is none left; if no engine could take it, the retry was gone for 10 s. Older than the withdrawals, which made it common.

The retry goes back when the call ends without another send.

--- a/features/steps/weights_withdrawal_steps.py
+++ b/features/steps/weights_withdrawal_steps.py
@@ -296,6 +296,7 @@
     counts: Counter[str] = Counter()
     sent: set[int] = set()
     spend = RelayContext.try_spend_retry
+    return_spent = RelayContext.return_retry
     send = CallReporter.record_send
 
     def try_spend_retry(self: RelayContext, service: str) -> bool:
@@ -303,6 +304,10 @@
         counts['spent'] += is_spent
         return is_spent
 
+    def return_retry(self: RelayContext, service: str) -> None:
+        counts['spent'] -= 1
+        return_spent(self, service)
+
     def record_send(self: CallReporter, decision: object) -> None:
         counts['sent'] += 1
         counts['calls'] += id(self) not in sent
@@ -316,6 +321,7 @@
     context.reporters = []
     for target, name, replacement in (
         (RelayContext, 'try_spend_retry', try_spend_retry),
+        (RelayContext, 'return_retry', return_retry),
         (CallReporter, 'record_send', record_send),
         (AttemptTracker, '_record_possible_crash', record_crash),
     ):
--- a/yuccagauge/relay/call.py
+++ b/yuccagauge/relay/call.py
@@ -404,6 +404,7 @@
         self._has_ended = True
         self._end_check.close()
         self._takeover.close()
+        self._repeats.close()
         self._timers.close()
         if self._attempt is not None:
             self._attempt.release_slot()
--- a/yuccagauge/relay/context.py
+++ b/yuccagauge/relay/context.py
@@ -150,6 +150,10 @@
         budget = self._budget(service)
         return budget.try_spend(self.router_count(), self.clock.now())
 
+    def return_retry(self, service: str) -> None:
+        """Return a retry that was spent, and not used."""
+        self._budget(service).return_retry()
+
     def _budget(self, service: str) -> FleetRetryBudget:
         budget = self._budgets.get(service)
         if budget is None:
--- a/yuccagauge/relay/repeats.py
+++ b/yuccagauge/relay/repeats.py
@@ -31,6 +31,8 @@
         self._context = context
         self._sends = 0
         self._runs = 0
+        #: Whether a retry of the budget is spent for the next send.
+        self._has_spent = False
 
     @property
     def route(self) -> Route:
@@ -50,6 +52,7 @@
     def record_send(self) -> None:
         """Count a send."""
         self._sends += 1
+        self._has_spent = False
 
     def record_run(self) -> None:
         """Count an attempt that ran, or may have run."""
@@ -76,9 +79,16 @@
 
     def try_send_again(self) -> bool:
         """Return whether the call may be sent again; if so, spend a retry."""
-        return self._may_send_again() and self._context.try_spend_retry(
-            self._call.service
-        )
+        if not self._may_send_again():
+            return False
+        self._has_spent = self._context.try_spend_retry(self._call.service)
+        return self._has_spent
+
+    def close(self) -> None:
+        """Return a retry that was spent for a send that did not follow."""
+        if self._has_spent:
+            self._has_spent = False
+            self._context.return_retry(self._call.service)
 
     def _may_send_again(self) -> bool:
         if self._sends >= MAXIMUM_SENDS_PER_CALL or self._call.is_probe:
--- a/yuccagauge/selection/budget.py
+++ b/yuccagauge/selection/budget.py
@@ -60,6 +60,11 @@
         self._retries.append(now)
         return True
 
+    def return_retry(self) -> None:
+        """Take back the latest retry, which was not used."""
+        if self._retries:
+            self._retries.pop()
+
     def _remove_expired(self, now: Millis) -> None:
         window_start = now - self._window
         for times in (self._requests, self._retries):
