Ask engines again when no connection would show their end

A router that had no call at an engine while it restarted, or that had just started itself, took the version of the entry for that of the engine. Streams that began there were recorded with the wrong version, and went on at engines of that version once their router was killed.

An engine is now asked before the first stream that may be resumed, and again once no idle connection to it is left (ConnectionPool.on_idle_end). A stream that began at an engine before its entry goes on at that incarnation, or at its version once it is listed.

--- a/features/steps/version_upgrade_steps.py
+++ b/features/steps/version_upgrade_steps.py
@@ -1,25 +1,38 @@
 """Steps for engines that restart under their ids with other software."""
 
-from behave import given
+from unittest import mock
+
+from behave import given, then, when
 from behave.runner import Context
 
 from features.upgrade_fleet import UpgradeFleet
+from yuccagauge.relay import incarnations
 
 #: Time before the first stream, and from there to the first end of an engine,
 #: in seconds.
 _WARM_UP_S = 6.0
 _FIRST_END_S = 3.0
 
+#: Time between two entries that contradict each other, in seconds.
+_ALTERNATION_S = 0.2
+
 
 @given(
     '{routers:d} routers before {engines:d} engines that are listed'
     ' {entry_s:f} s after a start'
 )
+@given(
+    '{routers:d} routers before {engines:d} engines that are listed'
+    ' {entry_s:f} s after a start, seed {seed:d}'
+)
 def start_upgrade_fleet(
-    context: Context, routers: int, engines: int, entry_s: float
+    context: Context, routers: int, engines: int, entry_s: float, seed: int = 1
 ) -> None:
-    """Start a fleet and let it run."""
-    context.fleet = UpgradeFleet(routers, engines, entry_s)
+    """Start a fleet whose log lines are counted, and let it run."""
+    patcher = mock.patch.object(incarnations, 'log_state_change')
+    context.log = patcher.start()
+    context.add_cleanup(patcher.stop)
+    context.fleet = UpgradeFleet(routers, engines, entry_s, seed)
     context.fleet.run(_WARM_UP_S)
 
 
@@ -36,3 +49,34 @@
 def allow_late_entries(context: Context) -> None:
     """Let the store take what an engine wrote before its end."""
     context.fleet.has_late_entries = True
+
+
+@given('the clocks of engines that restart are off by {step_s:d} s')
+def set_clocks(context: Context, step_s: int) -> None:
+    """Set the clocks of engines ahead or back at their restarts."""
+    context.fleet.clock_step_ms = step_s * 1000
+
+
+@when('the entry of an engine alternates between two starts for {seconds:d} s')
+def alternate_entries(context: Context, seconds: int) -> None:
+    """Write entries of two starts in turn."""
+    fleet = context.fleet
+    for _ in range(round(seconds / _ALTERNATION_S)):
+        fleet.alternate_start(fleet.servers[0])
+        fleet.run(_ALTERNATION_S)
+
+
+@then('the routers log "{event}" {least:d} to {most:d} times')
+def check_lines(context: Context, event: str, least: int, most: int) -> None:
+    """Guard against start times that nobody notices, or that flood the log."""
+    events = [call.args[0] for call in context.log.call_args_list]
+    assert least <= events.count(event) <= most, events.count(event)
+
+
+@then('all streams are complete')
+def check_complete(context: Context) -> None:
+    """Guard against streams that are lost by entries alone."""
+    streams = context.fleet.streams
+    broken = [each for each in streams if not each.is_complete]
+    assert streams
+    assert not broken, (len(broken), len(streams))
--- a/features/upgrade_fleet.py
+++ b/features/upgrade_fleet.py
@@ -5,28 +5,44 @@
 
 from twisted.internet.protocol import Protocol
 
+from features.rollout_engines import VirtualClock
 from features.version_fleet import EngineProtocol, VersionedEngine, VersionFleet
+from yuccagauge.clock import Clock, Millis
+
+#: Wall time at the start of the fleet, in ms.
+WALL_TIME = 1_700_000_000_000
 
 _NEW_VERSION = 'v2'
 
 
+class _WallClock(VirtualClock):
+    """A clock whose wall time is that of the engines."""
+
+    def wall_time(self) -> Millis:
+        """Return the wall time."""
+        return Millis(WALL_TIME + self.now())
+
+
 class UpgradedEngine(VersionedEngine):
     """An engine that answers reports, and whose entry follows its start."""
 
     #: Requests for its report.
     reports = 0
 
+    @property
+    def _stated_start(self) -> int:
+        """When it started, by its clock, which may be off since a restart."""
+        is_off = self._starts > 1
+        return WALL_TIME + self._born + is_off * self._fleet.clock_step_ms
+
     def start(self) -> None:
         """Start the engine, and write its entry some time later."""
         super().start()
         self.later(self._fleet.entry_s, self._write_first_entry)
 
     def entry_document(self) -> dict[str, Any]:
-        """Return what the engine writes to the store.
-
-        A start time of 0 would count as none.
-        """
-        return {**super().entry_document(), 'born': self._born + 1}
+        """Return what the engine writes to the store."""
+        return {**super().entry_document(), 'born': self._stated_start}
 
     def build_protocol(self) -> Protocol:
         """Return the engine's side of a new connection."""
@@ -54,7 +70,7 @@
     def _write_entry(self, entry: tuple[str, bytes]) -> None:
         """Write what a heartbeat states, if it is not too early or too late."""
         known_from = self._born + round(self._fleet.entry_s * 1000)
-        is_own = json.loads(entry[1])['born'] > self._born
+        is_own = json.loads(entry[1])['born'] == self._stated_start
         if is_own and self.is_up:
             is_written = self._fleet.clock.now() >= known_from
         else:
@@ -86,20 +102,38 @@
     ----------
     entry_s
         Time from the start of an engine to its entry in the store, in seconds.
+    seed
+        Determines all random choices.
     """
 
     server_type = UpgradedEngine
     asks_start_times = True
 
-    def __init__(self, routers: int, servers: int, entry_s: float) -> None:
+    def __init__(
+        self, routers: int, servers: int, entry_s: float, seed: int = 1
+    ) -> None:
         """Start a fleet whose engines all have the version ``v1``."""
         self.entry_s = entry_s
         #: Whether entries of an engine that has ended still reach the store.
         self.has_late_entries = False
-        super().__init__(routers, servers)
+        self._alternations = 0
+        #: By how much the clocks of engines are off that have restarted.
+        self.clock_step_ms = 0
+        super().__init__(routers, servers, seed)
         self.return_kind = 'as it was'
         self.on_end = self._install
 
+    def router_clock(self, name: str) -> Clock:
+        """Return the clock of a new process of a router."""
+        return _WallClock(self.network.reactor)
+
+    def alternate_start(self, engine: UpgradedEngine) -> None:
+        """Write an entry with another start time than the latest one."""
+        document = engine.entry_document()
+        self._alternations += 1
+        document['born'] -= 1000 * (self._alternations % 2)
+        self.store.append_entry(engine.server_id, json.dumps(document).encode())
+
     def upgrade(self, down_s: float, gap_s: float) -> None:
         """Restart each engine with the new version, one after the other.
 
--- a/yuccagauge/dispatch/connection.py
+++ b/yuccagauge/dispatch/connection.py
@@ -297,9 +297,7 @@
 
 
 def _encode(
-    parser: h11.Connection,
-    message: BackendMessage,
-    host: str,
+    parser: h11.Connection, message: BackendMessage, host: str
 ) -> bytes:
     headers = [(b'Host', (message.host or host).encode()), *message.headers]
     if message.body or message.method not in _BODILESS_METHODS:
@@ -344,6 +342,8 @@
         self._may_hang = may_hang
         self._endpoint = endpoint
         self._idle: dict[Endpoint, deque[Connection]] = defaultdict(deque)
+        #: Called when no idle connection to a backend server is left open.
+        self.on_idle_end: Callable[[Endpoint], None] = lambda server: None
 
     def open(self, server: Endpoint, *, fresh: bool) -> Deferred[Connection]:
         """Return an idle connection, or connect.
@@ -373,8 +373,7 @@
             return
         connection.on_close = lambda closed: self._forget(server, closed)
         connection.idle_timer = self._reactor.callLater(
-            _IDLE_S,
-            connection.abort,
+            _IDLE_S, connection.abort
         )
         idle.append(connection)
 
@@ -384,8 +383,11 @@
             _abort_all(idle)
 
     def _forget(self, server: Endpoint, connection: Connection) -> None:
-        if connection in self._idle[server]:
-            self._idle[server].remove(connection)
+        idle = self._idle[server]
+        if connection in idle:
+            idle.remove(connection)
+            if not idle:
+                self.on_idle_end(server)
         if connection.idle_timer.active():
             connection.idle_timer.cancel()
 
--- a/yuccagauge/relay/attempt.py
+++ b/yuccagauge/relay/attempt.py
@@ -140,7 +140,9 @@
         listed = self._context.directory.servers.get(sent_to.server_id)
         if listed is None or not self._call.route.is_resumable:
             return
-        version = self._context.listed_version(sent_to.software_version)
+        version = self._context.incarnations.listed_version(
+            sent_to.software_version
+        )
         if version not in {None, listed.software_version}:
             raise ContinuationError('the server has another software version')
 
--- a/yuccagauge/relay/context.py
+++ b/yuccagauge/relay/context.py
@@ -86,18 +86,13 @@
 
     def use_origin_store(self, store: OriginStore) -> None:
         """Keep the origins of streams in a store."""
-        self.origins = StreamOrigins(
-            store, self.selector.versions, self.clock, self.listed_version
-        )
+        self.origins = StreamOrigins(store, self.selector.versions, self.clock)
 
     def use_start_times(self, source: StartTimeSource | None) -> None:
         """Ask servers when they started, if they can be asked."""
         through = None if source is None else source.through(self.pool)
         self.incarnations = Incarnations(self.directory, self.clock, through)
-
-    def listed_version(self, software_version: str) -> str | None:
-        """Return the version that an origin names, if it is listed."""
-        return self.incarnations.listed_version(software_version)
+        self.pool.on_idle_end = self.incarnations.record_idle_end
 
     def is_quarantined(self, call: RelayCall, now: Millis) -> bool:
         """Return whether a call may crash servers and is not to be sent."""
--- a/yuccagauge/relay/incarnations.py
+++ b/yuccagauge/relay/incarnations.py
@@ -1,6 +1,6 @@
 """Decides whether a server still is the one that its entry describes."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Set
 from dataclasses import dataclass, replace
 from typing import Any, Protocol
 
@@ -11,6 +11,7 @@
 from yuccagauge.directory.state import Directory
 from yuccagauge.relay.base import RelayCall
 from yuccagauge.selection.base import SelectionDecision, SelectionRequest
+from yuccagauge.settings.options import Endpoint
 from yuccagauge.telemetry.journal import log_state_change
 
 #: Longest wait for what a server reports. A server that takes longer is not
@@ -80,19 +81,19 @@
             self.ended_at is None or self.reported_at > self.ended_at
         )
 
-    def is_confirmed(self, server: BackendServer, now: Millis) -> bool:
-        """Return whether the server has just reported the listed start."""
+    def is_confirmed(self, started_at: int, now: Millis) -> bool:
+        """Return whether the server has just reported a start."""
         return (
             self.is_reported
-            and self.reported == server.started_at
+            and self.reported == started_at
             and now - self.reported_at < _CONFIRMED_TIME
         )
 
-    def is_refuted(self, server: BackendServer, now: Millis) -> bool:
+    def is_refuted(self, started_at: int, now: Millis) -> bool:
         """Return whether it has just reported another start, or nothing."""
         return (
             self.reported_at is not None
-            and self.reported != server.started_at
+            and self.reported != started_at
             and now - self.reported_at < _REFUTED_TIME
         )
 
@@ -135,7 +136,14 @@
 
     def record_end(self, server: BackendServer) -> None:
         """Record that a connection to a server ended, or was refused."""
-        self._server(server).ended_at = self._clock.now()
+        if self._source is not None:
+            self._server(server).ended_at = self._clock.now()
+
+    def record_idle_end(self, endpoint: Endpoint) -> None:
+        """Record that no connection is left that would show an end."""
+        for server in self._directory.servers.values():
+            if server.endpoint == endpoint:
+                self.record_end(server)
 
     def choose(
         self, call: RelayCall, request: SelectionRequest, choose: Choice
@@ -176,43 +184,59 @@
     ) -> SelectionDecision:
         """Choose a server whose software version is known."""
         now = self._clock.now()
+        servers = self._directory.servers
         version = self.listed_version(request.software_version)
+        if version is None:
+            return self._choose_same(request, choose)
         refuted = {
             server_id
             for server_id, known in self._servers.items()
-            if server_id in self._directory.servers
-            and known.is_refuted(self._directory.servers[server_id], now)
+            if server_id in servers
+            and known.is_refuted(servers[server_id].started_at, now)
         }
-        decision = choose(
-            replace(
-                request,
-                software_version=version or request.software_version,
-                excluded_servers=request.excluded_servers | refuted,
-            )
-        )
+        decision = choose(_bound(request, version, refuted))
         if decision.placement is None:
             return decision
         server = decision.placement.server
-        if not server.started_at:
+        if not server.started_at or self._server(server).is_confirmed(
+            server.started_at, now
+        ):
             return decision
-        if self._server(server).is_confirmed(server, now):
+        return self._ask_and_wait(server, now)
+
+    def _choose_same(
+        self, request: SelectionRequest, choose: Choice
+    ) -> SelectionDecision:
+        """Choose the server that began the stream before it was listed."""
+        now = self._clock.now()
+        incarnation = request.software_version.removeprefix(_UNLISTED)
+        server_id, _, started_at = incarnation.rpartition('/')
+        server = self._directory.servers.get(server_id)
+        if server is None or not started_at.isdecimal():
+            return choose(request)
+        known = self._server(server)
+        if known.is_refuted(int(started_at), now):
+            return choose(request)
+        others = self._directory.servers.keys() - {server_id}
+        decision = choose(_bound(request, server.software_version, others))
+        if decision.placement is None:
             return decision
+        if known.is_confirmed(int(started_at), now):
+            return self._label(decision)
         return self._ask_and_wait(server, now)
 
     def _label(self, decision: SelectionDecision) -> SelectionDecision:
         """Name the incarnation where the software version is not known."""
         server = decision.placement.server
         now = self._clock.now()
-        if server.server_id not in self._servers or not server.started_at:
+        if not server.started_at:
             return decision
         known = self._server(server)
         if not known.is_reported:
-            if known.ended_at is None:
-                return decision
             return self._ask_and_wait(server, now)
         if known.reported == server.started_at:
             return decision
-        if not known.is_refuted(server, now):
+        if not known.is_refuted(server.started_at, now):
             self._ask_and_wait(server, now)
         incarnation = f'{server.server_id}/{known.reported}'
         unlisted = replace(server, software_version=_UNLISTED + incarnation)
@@ -289,6 +313,11 @@
         for known in (self._servers, self._started_at):
             for server_id in known.keys() - servers.keys():
                 known.pop(server_id)
+        self._logged_at = {
+            line: at
+            for line, at in self._logged_at.items()
+            if line[1] in servers
+        }
 
     def _log(self, event: str, server_id: str, **fields: Any) -> None:
         """Log a line, unless there has just been one of its kind."""
@@ -297,3 +326,14 @@
         if logged_at is None or now - logged_at >= _LOG_INTERVAL:
             self._logged_at[event, server_id] = now
             log_state_change(event, server=server_id, **fields)
+
+
+def _bound(
+    request: SelectionRequest, software_version: str, excluded: Set[str]
+) -> SelectionRequest:
+    """Return the request for servers of a version, some left out."""
+    return replace(
+        request,
+        software_version=software_version,
+        excluded_servers=request.excluded_servers | excluded,
+    )
--- a/yuccagauge/relay/origins.py
+++ b/yuccagauge/relay/origins.py
@@ -59,22 +59,15 @@
         Tells which versions can have begun a stream that nobody knows.
     clock
         The source of time.
-    listed_version
-        Returns the version that an origin names, ``None`` if it is not listed.
     """
 
     def __init__(
-        self,
-        store: OriginStore,
-        history: VersionHistory,
-        clock: Clock,
-        listed_version: Callable[[str], str | None],
+        self, store: OriginStore, history: VersionHistory, clock: Clock
     ) -> None:
         """Use a store and a history."""
         self._store = store
         self._history = history
         self._clock = clock
-        self._listed_version = listed_version
 
     def record_send(self, call: RelayCall, server: BackendServer) -> None:
         """Record that a server is to send the next events of a stream.
@@ -104,7 +97,9 @@
             if origin is None:
                 self._handle_unknown(call, on_result)
             elif origin.service == call.service:
-                self._handle_version(call, origin.software_version, on_result)
+                version = origin.software_version
+                self._report(call, 'known', version)
+                on_result(version, None)
             else:
                 self._report(call, 'other_service', None)
                 on_result(None, refusals.not_run('stream_gone', None))
@@ -113,18 +108,6 @@
             handle
         )
 
-    def _handle_version(
-        self, call: RelayCall, named: str, on_result: OriginCallback
-    ) -> None:
-        version = self._listed_version(named)
-        if version is None:
-            self._report(call, 'unlisted', named)
-            refusal = refusals.not_run('stream_unknown', _UNKNOWN_RETRY_AFTER)
-            on_result(None, refusal)
-            return
-        self._report(call, 'known', version)
-        on_result(version, None)
-
     def _handle_unknown(
         self, call: RelayCall, on_result: OriginCallback
     ) -> None:
