Show that weights of unknown age are not used though younger ones are known

In two of them all routers restart, and a version is named while none runs: the weights before it count as older than any bound 4510 and 4560 ms after that naming, so that calls are refused.

--- a/features/evidence_fleet.py
+++ b/features/evidence_fleet.py
@@ -14,6 +14,9 @@
 #: Number of the first server of another service, which names its host.
 _FIRST_OTHER = 100
 
+#: Time in which a router reads what is named, or stores that it was named.
+_SEEN_TIME = Millis(1000)
+
 #: Time between two looks at the ages that routers count.
 _LOOK_S = 0.05
 
@@ -23,7 +26,10 @@
     """For how long a router takes weights to be superseded."""
 
     router: str
-    #: Time since the store acknowledged the newer weights.
+    #: Time since the start of its process.
+    uptime: Millis
+    #: The weights, and time since the store acknowledged the next ones.
+    version: int
     true: Millis
     counted: Millis
 
@@ -107,29 +113,43 @@
         for name in self.router_names:
             self.steps[name] = step
 
+    def is_seen(self, version: int) -> bool:
+        """Return whether a router ran before and after a naming."""
+        at = self.named[version]
+        return any(
+            start + _SEEN_TIME <= at
+            and not any(
+                start <= kill < at + _SEEN_TIME
+                for kill in self.kills.get(name, [])
+            )
+            for name, starts in self.starts.items()
+            for start in starts
+        )
+
     def later(self, seconds: float, action: Callable[..., None]) -> None:
         """Call an action after some time."""
         self.network.reactor.callLater(seconds, action)
 
     def _look(self) -> None:
         self.later(_LOOK_S, self._look)
-        named_at = self.named.get(2)
-        if named_at is None:
-            return
+        now = self.clock.now()
         for name in filter(self.is_running, self.router_names):
             router = self.router(name)
             view = FleetView(
                 servers={},
                 named_weights=router._directory.named_weights,  # noqa: SLF001
             )
-            superseded_at = view.superseded_at(MODEL, 1)
-            if superseded_at is None:
-                continue
-            now = router._clock.now()  # noqa: SLF001
-            self.ages.append(
-                CountedAge(
-                    router=name,
-                    true=Millis(self.clock.now() - named_at),
-                    counted=Millis(now - superseded_at),
+            for version in self.named.keys() - {max(self.named)}:
+                superseded_at = view.superseded_at(MODEL, version)
+                if superseded_at is None:
+                    continue
+                counted = router._clock.now() - superseded_at  # noqa: SLF001
+                self.ages.append(
+                    CountedAge(
+                        router=name,
+                        uptime=Millis(now - self.starts[name][-1]),
+                        version=version,
+                        true=Millis(now - self.named[version + 1]),
+                        counted=Millis(counted),
+                    )
                 )
-            )
--- a/features/steps/weights_evidence_steps.py
+++ b/features/steps/weights_evidence_steps.py
@@ -46,6 +46,13 @@
 
 _JOINING = 8
 
+#: For how long routers are down that restart again and again.
+_SERIES_DOWN_S = 1.5
+
+#: By how much an age may be too high: a read that waits at the store precedes
+#: the naming by a second, and a restart adds a heartbeat and the margin.
+_LARGEST_EXCESS = Millis(1000 + _HEARTBEAT + AGE_MARGIN)
+
 
 class Trouble:
     """What happens between the naming and the start."""
@@ -264,6 +271,53 @@
     fleet.run(_PLAYED_S - _NAMED_BEFORE_S)
 
 
+@when(
+    '{count:d} versions are named {period:d} s apart, and {restarted} restart '
+    'every {pause:d} s'
+)
+def name_series(
+    context: Context, count: int, period: int, restarted: str, pause: int
+) -> None:
+    """Name versions, and let routers learn several of them at once."""
+    fleet = context.fleet
+    names = list(fleet.router_names)
+    last = {'all routers': names, 'half of the routers': names[::2]}[restarted]
+    for number in range(count):
+        fleet.later(number * period, partial(fleet.name_weights, number + 2))
+    for at_s in range(pause, count * period, pause):
+        fleet.later(at_s, partial(fleet.restart, last, _SERIES_DOWN_S))
+    fleet.run(count * period + _SERIES_DOWN_S)
+
+
+@then(
+    'from {seconds:d} s after its start on a router knows the ages of all '
+    'weights that may be used'
+)
+def check_known(context: Context, seconds: int) -> None:
+    """Guard against ages that get lost among those of other versions."""
+    fleet = context.fleet
+    # Nobody knows more of a naming that no router has seen than that the
+    # weights themselves were named before it.
+    allowed = {
+        version: _LARGEST_EXCESS
+        + (0 if fleet.is_seen(version + 1) else at - fleet.named[version])
+        for version, at in zip(
+            fleet.named, tuple(fleet.named.values())[1:], strict=False
+        )
+    }
+    counted = [
+        each
+        for each in fleet.ages
+        if each.uptime >= seconds * 1000
+        and each.true <= VERSION_TIME - allowed[each.version]
+    ]
+    worst = max(counted, key=lambda each: each.excess - allowed[each.version])
+    assert worst.excess <= allowed[worst.version], (
+        f'{worst} is the worst of {len(counted)}, of '
+        f'{len({each.version for each in counted})} versions'
+    )
+
+
 @then('no router has counted less than the time since the naming')
 def check_ages(context: Context) -> None:
     """Guard against weights that count as newer than they are."""
@@ -272,9 +326,10 @@
     after = [each for each in fleet.ages if each.true > last_start]
     assert after
     worst = min(fleet.ages, key=lambda each: each.excess)
+    shown = f'version {worst.version} at {worst.router}'
     late = fleet.late_runs(in_touch=False)
     assert worst.excess >= 0, (
-        f'{-worst.excess} ms too little at {worst.router} {worst.true} ms '
+        f'{-worst.excess} ms too little for {shown} {worst.true} ms '
         f'after the naming; {len(late)} calls began too late, up to '
         f'{max((age for age, _ in late), default=0)} ms after it'
     )
--- a/features/weights/evidence.feature
+++ b/features/weights/evidence.feature
@@ -39,3 +39,18 @@
       | 5       |
       | 8       |
       | 24      |
+
+  # Guards against ages that get lost or mixed up among those of many versions,
+  # several of which routers learn at once after a start.
+  Scenario Outline: Routers that start late know the ages of all versions
+    Given <routers> routers before 6 engines and 0 servers of another service, which nobody orders to load
+    When 20 versions are named 3 s apart, and <restarted> restart every <pause> s
+    Then no router has counted less than the time since the naming
+    And from 4 s after its start on a router knows the ages of all weights that may be used
+
+    Examples:
+      | routers | restarted           | pause |
+      | 5       | half of the routers | 7     |
+      | 5       | all routers         | 7     |
+      | 5       | all routers         | 25    |
+      | 8       | half of the routers | 11    |
