Take evidence on one version for all later ones

Where a version was named while no router ran, callers were refused although the weights before it had themselves been named seconds before. There is no evidence on such a naming, so that the weights counted as older than any bound.

Evidence on a range says that nothing after the version before it was named at some time. That includes all later versions, as design.md 6.17 already said, but the range ended at its own version. The view of named weights now extends it to the newest one; stored records and messages keep their ranges.

--- a/features/directory/targets.feature
+++ b/features/directory/targets.feature
@@ -29,6 +29,22 @@
       | 0        | 3       | 15000 | 1     | after 15000 ms     |
       | 3        | 4       | 15000 | 2     | at an unknown time |
 
+  # Guards against weights that are not used because nobody saw when the next
+  # ones were named, although they were not named long before themselves.
+  Scenario Outline: What was not named with one version was not named after it either
+    Given a router that started at version 3
+    When it hears that versions after 2 up to 3 were named after 15000 ms
+    And version 5 is read at 20000 ms, and the store had no newer record until none ms
+    Then version <asked> was superseded <when>
+
+    Examples:
+      | asked | when               |
+      | 1     | at an unknown time |
+      | 2     | after 15000 ms     |
+      | 3     | after 15000 ms     |
+      | 4     | after 15000 ms     |
+      | 5     | never              |
+
   Scenario Outline: The time since a stored naming is the longer one of two estimates
     Given weights that were named <ago> ms before they were stored
     When all routers start 4000 ms later, and clocks have stepped by <step> ms
--- a/yuccagauge/directory/targets.py
+++ b/yuccagauge/directory/targets.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Iterable, Mapping
+from dataclasses import replace
 
 from yuccagauge.clock import Millis
 from yuccagauge.directory.base import NamedWeights, TargetEvidence
@@ -46,12 +47,21 @@
         return self._newest
 
     def snapshot(self) -> dict[str, NamedWeights]:
-        """Return the newest version and the evidence of each model."""
+        """Return the newest version and the evidence of each model.
+
+        What was not named yet when nothing after a version was named includes
+        all versions up to the newest one. Load pattern: a version is named
+        while all routers restart, so that there is no evidence on it.
+        """
         return {
             model: NamedWeights(
-                version=version, evidence=self.evidence_of(model)
+                version=newest,
+                evidence=tuple(
+                    replace(each, version=max(newest, each.version))
+                    for each in self.evidence_of(model)
+                ),
             )
-            for model, version in self._newest.items()
+            for model, newest in self._newest.items()
         }
 
     def recent_evidence(self, now: Millis) -> tuple[TargetEvidence, ...]:
