Compare offsets of records with peers only within an era

After a drill routers that learn records from peers did not follow the new era: 12 routers kept configuration 13 when 15 was written (2 rows), most routers kept the entry of an engine whose only entry was lost (4 rows), and engines that live were missed. A mark, an answer and a confirmation compared offsets that the store had given out twice.

A mark now names the era of the offsets in its message; the default, -1, is that of an older build. A router that answers a peer of an earlier era sends all records, which the peer applies as a listing, so that it also learns which keys the copy lacks. Confirmations count only within an era.

An entry that follows its removal, and the first one of an era, now counts as a change towards peers even if its values are as before. Otherwise a peer that got the removal did not get the entry, and dropped a server that lives after 2.2 s: in the feature router1 missed i4 from 2.6 s on although it wrote at 0.4 s, 1.16 s and 2.67 s.

--- a/yuccagauge/directory/records.py
+++ b/yuccagauge/directory/records.py
@@ -50,6 +50,11 @@
         """The era of the next offset."""
         return self._next.era
 
+    @property
+    def records(self) -> tuple[KeyedRecord, ...]:
+        """The newest record of each key."""
+        return tuple(self._records.values())
+
     def begin_era(self, era: int) -> None:
         """Expect records of a later era, which follow all known ones."""
         self._next = max(self._next, StorePosition(era, 0))
@@ -98,7 +103,10 @@
 
     def mark_changed(self, record: KeyedRecord) -> None:
         """Mark a record whose decoded value differs from the previous one."""
-        self._changes[record.key] = self._position(record.offset)
+        position = self._position(record.offset)
+        self._changes[record.key] = max(
+            position, self._changes.get(record.key, position)
+        )
 
     def changes_since(self, next_offset: int) -> tuple[KeyedRecord, ...]:
         """Return the records that changed from an offset on, oldest first.
@@ -127,6 +135,11 @@
         known = self._positions.get(record.key)
         if known is not None and known >= position:
             return False
+        if known is not None and (
+            known.era < position.era or self._records[record.key].value is None
+        ):
+            # A receiver may have a removal that precedes the record.
+            self._changes[record.key] = position
         self._records[record.key] = record
         self._positions[record.key] = position
         return True
--- a/yuccagauge/directory/state.py
+++ b/yuccagauge/directory/state.py
@@ -140,6 +140,10 @@
         """Return the records that a peer with this next offset lacks."""
         return self._topics[topic].changes_since(next_offset)
 
+    def records(self, topic: Topic) -> tuple[KeyedRecord, ...]:
+        """Return all records of a topic, for a peer of an earlier era."""
+        return self._topics[topic].records
+
     def record_store_outage(self) -> None:
         """Record that the store does not answer."""
         self._in_outage = True
--- a/yuccagauge/exchange/merger.py
+++ b/yuccagauge/exchange/merger.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from yuccagauge.clock import Clock, Millis
+from yuccagauge.directory.position import UNKNOWN_ERA
 from yuccagauge.directory.records import KeyedRecord
 from yuccagauge.directory.state import Directory, Topic
 from yuccagauge.exchange.members import Member, MemberList
@@ -21,6 +22,7 @@
 from yuccagauge.telemetry.journal import log_state_change
 from yuccagauge.wire.fleetmessages import (
     FleetExchange,
+    FleetMark,
     FleetRecord,
     FleetSuspicion,
     FleetWeights,
@@ -260,21 +262,36 @@
                 for record in message.records
                 if record.topic == part.topic
             )
-            is_ahead = part.mark > self._directory.next_offset(topic)
-            if records or message.answers and is_ahead:
-                self._directory.apply_records(
-                    topic,
-                    records,
-                    part.mark,
-                    now,
-                    self.unchanged_until(topic),
-                )
-            has_reached = self._directory.next_offset(topic) >= part.mark
+            if message.answers:
+                self._apply_topic(part, records, now)
+            has_reached = part.era == self._directory.era(
+                topic
+            ) and part.mark <= self._directory.next_offset(topic)
             if asked_at is not None and has_reached:
                 confirmed_at = Millis(asked_at - part.age_ms)
                 known = self._confirmed_at.get(topic, Millis(0))
                 self._confirmed_at[topic] = max(known, confirmed_at)
 
+    def _apply_topic(
+        self, mark: FleetMark, records: tuple[KeyedRecord, ...], now: Millis
+    ) -> None:
+        """Apply the records of one topic, unless they are of an earlier era."""
+        topic = Topic(mark.topic)
+        known = self._directory.era(topic)
+        is_ahead = mark.mark > self._directory.next_offset(topic)
+        if mark.era < known or not (records or is_ahead or mark.era > known):
+            return
+        if mark.era > known and not mark.is_listing and known != UNKNOWN_ERA:
+            # The answer is to a question before this router's last listing.
+            return
+        self._directory.begin_era(topic, mark.era, now)
+        apply = (
+            self._directory.apply_listing
+            if mark.is_listing and mark.era > known
+            else self._directory.apply_records
+        )
+        apply(topic, records, mark.mark, now, self.unchanged_until(topic))
+
     def _apply_loads(self, message: FleetExchange, now: Millis) -> None:
         if not message.marks:
             return
--- a/yuccagauge/exchange/parts.py
+++ b/yuccagauge/exchange/parts.py
@@ -5,6 +5,7 @@
 
 from yuccagauge.clock import Millis
 from yuccagauge.directory.base import TargetEvidence
+from yuccagauge.directory.position import UNKNOWN_ERA
 from yuccagauge.directory.state import Directory, Topic
 from yuccagauge.exchange.members import Member
 from yuccagauge.origins.versions import VersionHistory, VersionSighting
@@ -62,16 +63,42 @@
 def marks(
     directory: Directory,
     ages: Mapping[Topic, Millis],
+    peer_marks: Iterable[FleetMark] = (),
 ) -> tuple[FleetMark, ...]:
-    """Return the next offset of each topic and the age of its confirmation."""
+    """Return the next offset of each topic and the age of its confirmation.
+
+    Parameters
+    ----------
+    peer_marks
+        Marks of the peer that the message answers.
+    """
+    listed = _topics_to_list(directory, peer_marks)
     return tuple(
         FleetMark(
-            topic=topic.value, mark=directory.next_offset(topic), age_ms=age
+            topic=topic.value,
+            mark=directory.next_offset(topic),
+            age_ms=age,
+            era=directory.era(topic),
+            is_listing=topic in listed,
         )
         for topic, age in ages.items()
     )
 
 
+def _topics_to_list(
+    directory: Directory, peer_marks: Iterable[FleetMark]
+) -> frozenset[Topic]:
+    """Return the topics that a peer knows from an earlier era.
+
+    A peer that names no era is of an older build, or has received nothing.
+    """
+    return frozenset(
+        Topic(mark.topic)
+        for mark in peer_marks
+        if UNKNOWN_ERA < mark.era < directory.era(Topic(mark.topic))
+    )
+
+
 def targets(
     evidence: Iterable[TargetEvidence], now: Millis
 ) -> tuple[FleetTarget, ...]:
@@ -217,10 +244,15 @@
 
 
 def records(
-    directory: Directory,
-    peer_next_offsets: Mapping[int, int],
+    directory: Directory, peer_marks: Iterable[FleetMark]
 ) -> tuple[FleetRecord, ...]:
-    """Return the records from the peer's next offsets on."""
+    """Return the records that a peer lacks."""
+    next_offsets = {
+        Topic(mark.topic): mark.mark
+        for mark in peer_marks
+        if mark.era <= directory.era(Topic(mark.topic))
+    }
+    listed = _topics_to_list(directory, peer_marks)
     return tuple(
         FleetRecord(
             topic=topic.value,
@@ -229,10 +261,11 @@
             removes=record.value is None,
             value=record.value or b'',
         )
-        for topic in Topic
-        for record in directory.changes_since(
-            topic,
-            peer_next_offsets.get(topic.value, 0),
+        for topic, next_offset in next_offsets.items()
+        for record in (
+            directory.records(topic)
+            if topic in listed
+            else directory.changes_since(topic, next_offset)
         )
     )
 
--- a/yuccagauge/exchange/service.py
+++ b/yuccagauge/exchange/service.py
@@ -334,18 +334,18 @@
         if not message.asks:
             return self._build_message()
         now = self._clock.now()
-        next_offsets = {part.topic: part.mark for part in message.marks}
         return self._build_message(
             full_state=True,
             answers=True,
-            records=message_parts.records(self._directory, next_offsets),
+            peer_marks=message.marks,
+            records=message_parts.records(self._directory, message.marks),
             targets=message_parts.targets(
                 self._directory.target_evidence(now), now
             ),
         )
 
     def _build_message(
-        self, *, full_state: bool = False, **parts: Any
+        self, *, full_state: bool = False, peer_marks: Any = (), **parts: Any
     ) -> FleetExchange:
         now = self._clock.now()
         if full_state:
@@ -354,7 +354,7 @@
             )
             parts.update(
                 members=message_parts.members(members, now),
-                **self._load_parts(now),
+                **self._load_parts(now, peer_marks),
                 suspicions=message_parts.suspicions(
                     self._quarantine.recent_suspicions(
                         message_parts.MAXIMUM_SUSPICIONS, now
@@ -387,12 +387,13 @@
             **parts,
         )
 
-    def _load_parts(self, now: Millis) -> dict[str, Any]:
+    def _load_parts(self, now: Millis, peer_marks: Any = ()) -> dict[str, Any]:
         """Return this router's calls, and the offsets that they need."""
         return {
             'marks': message_parts.marks(
                 self._directory,
                 {topic: self.confirmation_age(topic, now) for topic in Topic},
+                peer_marks,
             ),
             'loads': message_parts.loads(self._selector.loads),
         }
--- a/yuccagauge/wire/fleetmessages.py
+++ b/yuccagauge/wire/fleetmessages.py
@@ -25,6 +25,12 @@
     mark: int
     #: Time since the store confirmed the mark, in ms.
     age_ms: int
+    #: Era of the store that gave out the offsets of the topic in this message;
+    #: -1 if the sender knows none.
+    era: int = -1
+    #: Whether the records are all of the topic, because the asker knows an
+    #: earlier era.
+    is_listing: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/yuccagauge/wire/messages.capnp
+++ b/yuccagauge/wire/messages.capnp
@@ -178,6 +178,11 @@
   mark @1 :UInt64;
   # Time since the store confirmed the mark.
   ageMs @2 :UInt32;
+  # Era of the store that gave out the offsets of the topic in this message.
+  era @3 :Int64 = -1;
+  # Whether the records are all of the topic, because the asker knows an
+  # earlier era.
+  isListing @4 :Bool;
 }
 
 struct FleetRecord {
