--- a/features/selection/selection.feature
+++ b/features/selection/selection.feature
@@ -97,6 +97,21 @@
       | 300  | 5000 | waits                   |
       | 1500 | 2000 | may retry after 1500 ms |
 
+  # Guards against calls that would wait at an engine until its weights are too
+  # old, and be withdrawn there.
+  Scenario Outline: An engine at which a call would begin too late gets no call
+    Given 2 engines of version 1, and version 2 named <ms> ms ago
+    And each engine needs <wait> ms for the prompts ahead of the next one
+    Then a prompt with an objective of 4000 ms <outcome>
+
+    Examples:
+      | ms    | wait | outcome            |
+      | 9000  | 100  | is placed          |
+      | 9000  | 3000 | finds no engine    |
+      | 5000  | 3000 | is placed          |
+      | 10400 | 100  | is placed          |
+      | 10400 | 1500 | finds no engine    |
+
   # Guards against calls that are refused although an engine will have the
   # newest weights soon, because the other engines look free.
   Scenario Outline: A call waits for the only engine that loads, if none may begin it
--- a/features/steps/selection_steps.py
+++ b/features/steps/selection_steps.py
@@ -1,5 +1,7 @@
 """Steps for the server selection."""
 
+from dataclasses import replace
+
 from behave import given, then, when
 from behave.runner import Context
 from hypothesis import given as forall
@@ -20,6 +22,7 @@
 from yuccagauge.relay.base import Placement
 from yuccagauge.selection.budget import FleetRetryBudget
 from yuccagauge.selection.load import ActiveCall, PeerLoad
+from yuccagauge.selection.model import PREFILL_TOKENS_PER_MS
 from yuccagauge.settings.options import Endpoint
 
 _STORE = KvCacheStore(endpoint=Endpoint('127.0.0.1', 99), data_centre='a')
@@ -222,6 +225,29 @@
         context.selector.load_of(name).loading_until = Millis(NOW + ms)
 
 
+@given('each engine needs {ms:d} ms for the prompts ahead of the next one')
+def fill_engines(context: Context, ms: int) -> None:
+    """Record a long prompt that waits at each engine."""
+    for name in context.selector.view.servers:
+        load = context.selector.load_of(name)
+        load.slowdown = 1
+        load.own_calls['ahead'] = ActiveCall(
+            sent_at=NOW,
+            prefill_tokens=int(ms * PREFILL_TOKENS_PER_MS),
+            kv_tokens=0,
+            is_movable=True,
+        )
+
+
+@then('a prompt with an objective of 4000 ms {outcome}')
+def check_patient_call(context: Context, outcome: str) -> None:
+    """Check whether an engine gets a call that may start late."""
+    request = replace(new_request(context), objective_at=Millis(NOW + 4000))
+    decision = place(context, request)
+    is_placed = decision.placement is not None
+    assert is_placed is (outcome == 'is placed'), decision
+
+
 @given('engine "{name}" loads weights for {ms:d} ms')
 def load_engine(context: Context, name: str, ms: int) -> None:
     """Mark one engine as loading weights."""
