Read a log that came back from a copy again

What callers saw: routers of the own interface went on with an old configuration. After the log had come back from a copy that lacked its last records, nothing that operators published was learned until as many records were written as were lost, and what got the offsets of lost records was never read.

Cause: a version of a stream is an offset, and offsets are given out again. A follower took a log that had got shorter for an outdated answer and asked again for ever.

Fix: pages of the log name its era. When it rises, or a log without eras got shorter, the follower reads the stream again from its first record, and its reader begins anew with the version in force kept. After a failed read the follower does not wait for records, so that it learns the era at once. The claims keep what they know; that a router which starts then may grant a lost claim again is a fault of its own.

The stand-in of the log has an era and the knob restore_to. The steps of the follower now wait 0.5 s for records instead of 10 s.

--- a/features/logstream/logstream.feature
+++ b/features/logstream/logstream.feature
@@ -43,6 +43,54 @@
     And a log follower of "s"
     Then the log follower has "gap 0-2, three"
 
+  # Guards against followers that wait for ever for records that the log has lost,
+  # and that skip those which got their offsets.
+  Scenario Outline: A follower reads the log again after it came back from a copy
+    Given a log client of a log stand-in
+    And a log follower of "s"
+    When the log client appends "one, two, three" to "s"
+    Then the log follower has "one, two, three"
+    Given the log stand-in has "restore_to" set to "s:<left>"
+    When the log client appends "<appended>" to "s"
+    Then the log follower has "one, two, three, era 2, <found>"
+
+    Examples:
+      | left | appended        | found                |
+      | 2    | other           | one, two, other      |
+      | 1    | other           | one, other           |
+      | 1    | other, new, far | one, other, new, far |
+      | 0    | other           | other                |
+
+  # Guards against a follower that takes an answer of before the loss for a new one.
+  Scenario Outline: Eras that cannot be used change nothing
+    Given a log follower whose pages name the eras "<eras>"
+    Then the follower of eras has read each record once, and <restarts> times again
+
+    Examples:
+      | eras         | restarts |
+      | 1 1 1        | 0        |
+      | none none    | 0        |
+      | none 3 3     | 0        |
+      | 3 none 3     | 0        |
+      | 3 2 3        | 0        |
+      | 3 4 4        | 1        |
+      | 3 4 3 4 5 5  | 2        |
+
+  Scenario Outline: Malformed eras of the log count as missing
+    Then a page that names the era <value> has the era <era>
+
+    Examples:
+      | value | era |
+      | 7     | 7   |
+      | 0     | 0   |
+      | -1    | -1  |
+      | -5    | -1  |
+      | "7"   | -1  |
+      | 1.5   | -1  |
+      | true  | -1  |
+      | null  | -1  |
+      | [2]   | -1  |
+
   Scenario: A reader that fails is not fed on
     # Going on would leave a hole in the reader's fold.
     Given a log follower whose reader fails on its second page
--- a/features/memory_log.py
+++ b/features/memory_log.py
@@ -22,6 +22,7 @@
         self.reactor = reactor
         self.streams: dict[str, list[LogRecord]] = {}
         self.first: dict[str, int] = {}
+        self.era = 1
         self.outage = False
         self.rate_limited = 0
         #: Appends that take effect but whose answers are lost.
@@ -70,6 +71,17 @@
         """Drop the records below an offset."""
         self.first[stream] = first
 
+    def restore(self, stream: str, lost: int) -> None:
+        """Come back from a copy that lacks the last records of a stream."""
+        records = self.streams.get(stream, [])
+        del records[max(0, len(records) - lost) :]
+        self.era += 1
+        waiting, self._waiting = self._waiting, []
+        for entry in waiting:
+            answer = entry[-1]
+            if not answer.called:
+                answer.errback(LogUnavailableError('restart'))
+
     def read(
         self, stream: str, after: int, limit: int, wait: Millis
     ) -> Deferred:
@@ -93,6 +105,7 @@
             first_offset=first,
             next_offset=len(records),
             records=tuple(records[start : start + limit]),
+            era=self.era,
         )
 
     def _expire(self, answer: Deferred) -> None:
--- a/features/steps/logstream_steps.py
+++ b/features/steps/logstream_steps.py
@@ -1,16 +1,20 @@
 """Steps for the log client and its follower."""
 
+import json
+
 from behave import given, then, when
 from behave.runner import Context
 from twisted.internet import reactor
+from twisted.internet.defer import Deferred, succeed
 
 from features.loop import wait_for, wait_for_call, wait_until
 from features.memory_log import MemoryLog
 from features.simulation import new_reactor, pass_time
 from yuccagauge.clock import Millis
+from yuccagauge.directory.position import UNKNOWN_ERA
 from yuccagauge.logstream.backoff import Backoff
-from yuccagauge.logstream.base import LogError, LogPage
-from yuccagauge.logstream.client import LogClient
+from yuccagauge.logstream.base import LogError, LogPage, LogRecord
+from yuccagauge.logstream.client import LogClient, parse_page
 from yuccagauge.logstream.follower import Follower
 from yuccagauge.settings.options import Endpoint
 from yuccagauge.standins import load_kinds
@@ -28,6 +32,9 @@
     def read_gap(self, expected: int, first_offset: int) -> None:
         self.seen.append(f'gap {expected}-{first_offset}')
 
+    def read_restored(self, era: int) -> None:
+        self.seen.append(f'era {era}')
+
     def read_page(self, page: LogPage) -> None:
         self.seen.extend(record.payload.decode() for record in page.records)
 
@@ -71,7 +78,12 @@
     context.log_reader = Reader()
     backoff = Backoff(1, maximum=Millis(100))
     follower = Follower(
-        context.log_client, stream, context.log_reader, reactor, backoff
+        context.log_client,
+        stream,
+        context.log_reader,
+        reactor,
+        backoff,
+        wait=Millis(500),
     )
     context.log_follower = follower
     follower.start()
@@ -99,6 +111,42 @@
     context.log_pages = pages
 
 
+class EraLog:
+    """A log with one record, whose pages name eras in turn."""
+
+    def __init__(self, eras: str) -> None:
+        self._eras = [
+            UNKNOWN_ERA if era == 'none' else int(era) for era in eras.split()
+        ]
+
+    def read(
+        self, stream: str, after: int, limit: int, wait: Millis
+    ) -> Deferred:
+        """Answer, or wait for ever once all eras were named."""
+        if not self._eras:
+            return Deferred()
+        record = LogRecord(offset=0, time=Millis(0), payload=b'record')
+        page = LogPage(
+            first_offset=0,
+            next_offset=1,
+            records=() if after >= 0 else (record,),
+            era=self._eras.pop(0),
+        )
+        return succeed(page)
+
+
+@given('a log follower whose pages name the eras "{eras}"')
+def given_eras(context: Context, eras: str) -> None:
+    clock = new_reactor()
+    context.log_reader = Reader()
+    follower = Follower(
+        EraLog(eras), 's', context.log_reader, clock, Backoff(1)
+    )
+    follower.start()
+    pass_time(clock, 10)
+    assert not follower.failing
+
+
 @when('the log client appends "{texts}" to "{stream}"')
 def when_appended(context: Context, texts: str, stream: str) -> None:
     context.log_error = None
@@ -140,3 +188,19 @@
     assert len(context.log_pages) == count
     assert context.log_follower.failing
     assert not context.log_follower.caught_up
+
+
+@then(
+    'the follower of eras has read each record once, and {count:d} times again'
+)
+def then_read_again(context: Context, count: int) -> None:
+    assert context.log_reader.seen.count('record') == 1 + count, (
+        context.log_reader.seen
+    )
+
+
+@then('a page that names the era {value} has the era {era:d}')
+def then_era(context: Context, value: str, era: int) -> None:
+    answer = {'first_offset': 0, 'next_offset': 0, 'records': []}
+    page = parse_page('s', answer | {'era': json.loads(value)})
+    assert page.era == era, page
--- a/yuccagauge/adoption/publish.py
+++ b/yuccagauge/adoption/publish.py
@@ -19,11 +19,13 @@
     Conflict,
     Invalid,
     Outcome,
-    apply_record,
+    apply_page,
+    begin_era,
     evaluate_publication,
     skip_trimmed_records,
 )
 from yuccagauge.clock import Millis
+from yuccagauge.directory.position import UNKNOWN_ERA
 from yuccagauge.errors import UnavailableError, YuccagaugeError
 from yuccagauge.logstream.backoff import Backoff
 from yuccagauge.logstream.base import (
@@ -184,10 +186,15 @@
             except LogError as error:
                 yield self._back_off(str(error))
                 continue
+            if UNKNOWN_ERA < self.state.era < page.era:
+                # The log lost records, and what was read may be among them.
+                self.state = begin_era(self.state, page.era)
+                continue
+            if UNKNOWN_ERA < page.era < self.state.era:
+                yield self._back_off('the answer is of an older era')
+                continue
             state = skip_trimmed_records(self.state, page.first_offset)
-            for record in page.records:
-                state = apply_record(state, record)
-            self.state = state
+            self.state = apply_page(state, page)
             at_end = not page.records
 
     @inlineCallbacks
--- a/yuccagauge/adoption/records.py
+++ b/yuccagauge/adoption/records.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from yuccagauge.clock import Millis
 from yuccagauge.errors import YuccagaugeError
 from yuccagauge.settings.document import DocumentChange
 from yuccagauge.settings.reader import RawSections
@@ -50,6 +51,8 @@
     version: int
     as_of: int
     sections: RawSections
+    #: When the log took the publication of the version; 0 if it is not known.
+    published_at: Millis = Millis(0)
 
 
 def config_stream(service: str) -> str:
@@ -74,6 +77,7 @@
             'version': record.version,
             'as_of': record.as_of,
             'sections': record.sections,
+            'published_ms': record.published_at,
         }
     fields['format'] = RECORD_FORMAT
     return zlib.compress(json.dumps(fields, sort_keys=True).encode())
@@ -133,6 +137,7 @@
             version=int(fields['version']),
             as_of=int(fields['as_of']),
             sections=_decode_sections(fields['sections']),
+            published_at=Millis(int(fields.get('published_ms', 0))),
         )
     raise ValueError(fields['kind'])
 
--- a/yuccagauge/adoption/replay.py
+++ b/yuccagauge/adoption/replay.py
@@ -7,6 +7,11 @@
 
 Two readers at the same offset that have a current snapshot have the same
 version in force. The version of a reader never decreases.
+
+If the log comes back from a copy, the last versions are lost and their numbers
+are given out again. Readers begin anew with what is left, and their versions go
+by the time of publication, so that a lost version stays in force until another
+one is published.
 """
 
 import dataclasses
@@ -20,8 +25,10 @@
     RecordFormatError,
     decode_record,
 )
+from yuccagauge.clock import Millis
+from yuccagauge.directory.position import UNKNOWN_ERA
 from yuccagauge.errors import SettingsError
-from yuccagauge.logstream.base import BEFORE_FIRST, LogRecord
+from yuccagauge.logstream.base import BEFORE_FIRST, LogPage, LogRecord
 from yuccagauge.settings.document import (
     ServiceDocument,
     apply_change,
@@ -42,6 +49,10 @@
     as_of: int = BEFORE_FIRST
     #: Empty if there is no version.
     sections: RawSections = dataclasses.field(default_factory=dict)
+    #: When the log took the publication of the version; 0 if it is not known.
+    published_at: Millis = Millis(0)
+    #: The era of the log in which ``version`` and ``as_of`` hold.
+    era: int = UNKNOWN_ERA
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -68,6 +79,15 @@
 Outcome = Accepted | Conflict | Invalid
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PublicationRecord:
+    """A publication as the log has it."""
+
+    offset: int
+    time: Millis
+    publication: Publication
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PublicationOutcome:
     """The outcome of one publication."""
@@ -81,6 +101,8 @@
     """The state of a reader of one configuration stream."""
 
     service: str
+    #: The era of the log that offsets belong to.
+    era: int = UNKNOWN_ERA
     #: The reader has read every record from this offset to ``position``.
     complete_from: int = 0
     #: Offset of the next record to read.
@@ -90,7 +112,7 @@
     #: The highest version that is known to be or to have been in force.
     highest: Snapshot = Snapshot()
     #: Publications since ``complete_from``, while ``current`` is unknown.
-    pending: tuple[tuple[int, Publication], ...] = ()
+    pending: tuple['PublicationRecord', ...] = ()
     #: Number of valid checkpoints that were read.
     checkpoints: int = 0
     #: The latest outcomes, newest last.
@@ -138,8 +160,38 @@
 
 
 def is_higher(state: ConfigState, snapshot: Snapshot) -> bool:
-    """Return whether a snapshot has a higher version than any known one."""
-    return snapshot.version > state.highest.version
+    """Return whether a snapshot has a higher version than any known one.
+
+    The order of times of publication is that of the versions of an era, and
+    holds between eras as well.
+    """
+    known = state.highest
+    if snapshot.published_at and known.published_at:
+        found = (snapshot.published_at, snapshot.version)
+        return found > (known.published_at, known.version)
+    return snapshot.version > known.version
+
+
+def begin_era(state: ConfigState, era: int) -> ConfigState:
+    """Return the state of a reader that begins anew after records were lost.
+
+    The highest version stays.
+    """
+    return ConfigState(
+        service=state.service,
+        era=era,
+        highest=state.highest,
+        checkpoints=state.checkpoints,
+    )
+
+
+def apply_page(state: ConfigState, page: LogPage) -> ConfigState:
+    """Return the state after a page of the era that the state has."""
+    if state.era == UNKNOWN_ERA:
+        state = dataclasses.replace(state, era=page.era)
+    for record in page.records:
+        state = apply_record(state, record)
+    return state
 
 
 def skip_trimmed_records(state: ConfigState, first_offset: int) -> ConfigState:
@@ -174,10 +226,13 @@
         return _advance(state)
     if isinstance(found, Checkpoint):
         return _apply_checkpoint(_advance(state), found, record.offset)
+    published = PublicationRecord(
+        offset=record.offset, time=record.time, publication=found
+    )
     if state.current is None:
-        pending = (*state.pending, (record.offset, found))
+        pending = (*state.pending, published)
         return dataclasses.replace(_advance(state), pending=pending)
-    return _apply_publication(state, record.offset, found)
+    return _apply_publication(state, published)
 
 
 def merge_snapshot(state: ConfigState, snapshot: Snapshot) -> ConfigState:
@@ -185,10 +240,14 @@
 
     The snapshot sets the current state if it is ahead of the reader, or if
     the reader has no current state but every record after ``as_of``. In other
-    cases it can only raise the highest known version.
+    cases it can only raise the highest known version; so does one of another
+    era, whose offsets say nothing here.
     """
     if snapshot.version == NO_VERSION or not _is_valid(state, snapshot):
         return state
+    eras = {state.era, snapshot.era} - {UNKNOWN_ERA}
+    if len(eras) > 1:
+        return _raise_highest(state, snapshot)
     if state.current is None and has_records_since(state, snapshot):
         return _set_current(state, snapshot)
     if is_ahead(state, snapshot):
@@ -251,16 +310,22 @@
 
 
 def _apply_publication(
-    state: ConfigState,
-    offset: int,
-    publication: Publication,
+    state: ConfigState, record: PublicationRecord
 ) -> ConfigState:
+    offset = record.offset
+    publication = record.publication
     sections, outcome = evaluate_publication(
         state.service, state.current, publication
     )
     advanced = _advance(state)
     if outcome is None:
-        snapshot = Snapshot(version=offset, as_of=offset, sections=sections)
+        snapshot = Snapshot(
+            version=offset,
+            as_of=offset,
+            sections=sections,
+            published_at=record.time,
+            era=state.era,
+        )
         advanced = dataclasses.replace(advanced, current=snapshot)
         advanced = _raise_highest(advanced, snapshot)
         outcome = Accepted(version=offset)
@@ -286,6 +351,8 @@
         version=checkpoint.version,
         as_of=checkpoint.as_of,
         sections=checkpoint.sections,
+        published_at=checkpoint.published_at,
+        era=state.era,
     )
     # If records after the checkpoint were trimmed, one of them may have
     # replaced its version, so a reader that starts must not use it.
@@ -297,7 +364,7 @@
 
 
 def _set_current(state: ConfigState, snapshot: Snapshot) -> ConfigState:
-    later = [entry for entry in state.pending if entry[0] > snapshot.as_of]
+    later = [each for each in state.pending if each.offset > snapshot.as_of]
     end = state.position
     state = dataclasses.replace(
         state,
@@ -306,9 +373,9 @@
         position=snapshot.as_of + 1,
     )
     state = _raise_highest(state, snapshot)
-    for offset, publication in later:
-        at_offset = dataclasses.replace(state, position=offset)
-        state = _apply_publication(at_offset, offset, publication)
+    for record in later:
+        at_offset = dataclasses.replace(state, position=record.offset)
+        state = _apply_publication(at_offset, record)
     while state.position < end:
         state = _advance(state)
     return state
--- a/yuccagauge/adoption/store.py
+++ b/yuccagauge/adoption/store.py
@@ -19,7 +19,8 @@
 from yuccagauge.adoption.replay import (
     ConfigState,
     Snapshot,
-    apply_record,
+    apply_page,
+    begin_era,
     check_document,
     merge_snapshot,
     skip_trimmed_records,
@@ -146,7 +147,11 @@
         return self._streams[service].follower.caught_up
 
     def is_behind(self, service: str, version: int) -> bool:
-        """Return whether a peer's version is higher than this router's."""
+        """Return whether a peer's version is higher than this router's.
+
+        Versions of different eras of the log are not compared: a router learns
+        those of the later one from the log.
+        """
         stream = self._streams.get(service)
         return stream is not None and version > stream.state.highest.version
 
@@ -164,9 +169,9 @@
         if stream is None:
             return False
         self._counts['offers'] += 1
-        before = stream.state.highest.version
+        before = stream.state.highest
         stream.update_state(merge_snapshot(stream.state, snapshot))
-        return stream.state.highest.version > before
+        return stream.state.highest is not before
 
     def start(self) -> None:
         """Start to follow the streams."""
@@ -264,20 +269,25 @@
         self.counts['gaps'] += 1
         self.update_state(skip_trimmed_records(self.state, first_offset))
 
+    def read_restored(self, era: int) -> None:
+        """Begin anew, because the log lost records."""
+        self.counts['restorations'] += 1
+        # The checkpoints since may be among the lost records.
+        self._last_checkpoint_at = None
+        self.update_state(begin_era(self.state, era))
+
     def read_page(self, page: LogPage) -> None:
         """Apply the next records to the state."""
-        state = self.state
-        for record in page.records:
-            state = apply_record(state, record)
+        state = apply_page(self.state, page)
         if state.checkpoints > self.state.checkpoints:
             self._last_checkpoint_at = self._reactor.seconds()
         self.update_state(state)
 
     def update_state(self, state: ConfigState) -> None:
-        """Set the state, and report its version if it is a higher one."""
-        before = self.state.highest.version
+        """Set the state, and report its version if it is a newer one."""
+        before = self.state.highest
         self.state = state
-        if state.highest.version > before:
+        if state.highest is not before:
             self._on_new_version(state.service, state.highest)
 
     def write_checkpoint(self, interval: Millis) -> None:
@@ -299,6 +309,7 @@
             version=current.version,
             as_of=current.as_of,
             sections=current.sections,
+            published_at=current.published_at,
         )
         stream = config_stream(self.state.service)
         append: Deferred = self._log.append(stream, encode_record(record))
--- a/yuccagauge/claims/ledger.py
+++ b/yuccagauge/claims/ledger.py
@@ -137,6 +137,13 @@
         self._marks.clear()
         self._floor_unknown = True
 
+    def read_restored(self) -> None:
+        """Keep what is known although the log has lost records.
+
+        The calls of lost claims may have run. Offsets begin anew.
+        """
+        self._marks.clear()
+
     def raise_floor(self, floor: Millis) -> None:
         """Drop what belongs to keys that expire by a floor."""
         if self._floor is not None and floor <= self._floor:
--- a/yuccagauge/claims/shard.py
+++ b/yuccagauge/claims/shard.py
@@ -165,6 +165,12 @@
         self._ledger.read_gap()
         self._batcher.read_gap()
 
+    def read_restored(self, era: int) -> None:
+        """Read what is left in the log; what was read before still holds."""
+        self._counts['restorations'] += 1
+        self._ledger.read_restored()
+        self._batcher.read_gap()
+
     def read_page(self, page: LogPage) -> None:
         """Fold the next records and answer whoever waits for them."""
         if page.records:
--- a/yuccagauge/logstream/base.py
+++ b/yuccagauge/logstream/base.py
@@ -6,6 +6,7 @@
 from twisted.internet.defer import Deferred
 
 from yuccagauge.clock import Millis
+from yuccagauge.directory.position import UNKNOWN_ERA
 from yuccagauge.errors import UnavailableError, YuccagaugeError
 
 #: The value of ``after`` that reads a stream from its first record.
@@ -51,6 +52,9 @@
     #: The offset after the last record of the stream.
     next_offset: int
     records: tuple[LogRecord, ...]
+    #: Rises each time the log comes back from a copy that lacks its last
+    #: records. Offsets of lost records are given out again.
+    era: int = UNKNOWN_ERA
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/yuccagauge/logstream/client.py
+++ b/yuccagauge/logstream/client.py
@@ -18,6 +18,7 @@
 from twisted.web.client import Agent, HTTPConnectionPool
 
 from yuccagauge.clock import Millis
+from yuccagauge.directory.position import UNKNOWN_ERA
 from yuccagauge.logstream.base import (
     AppendReceipt,
     AppendUnknownError,
@@ -161,7 +162,7 @@
         if status != _OK:
             self._counts['read_unavailable'] += 1
             raise LogUnavailableError(f'read {stream}: status {status}')
-        page = _parse_page(stream, answer)
+        page = parse_page(stream, answer)
         self._counts['read_records'] += len(page.records)
         return page
 
@@ -220,17 +221,31 @@
     raise TimeoutError(f'no answer within {seconds} s')
 
 
-def _parse_page(stream: str, answer: Any) -> LogPage:
+def parse_page(stream: str, answer: Any) -> LogPage:
+    """Return the page of an answer.
+
+    Raises
+    ------
+    LogAnswerError
+        If the answer has another form.
+    """
     try:
         return LogPage(
             first_offset=int(answer['first_offset']),
             next_offset=int(answer['next_offset']),
             records=tuple(map(_parse_record, answer['records'])),
+            era=_parse_era(answer.get('era')),
         )
     except (KeyError, TypeError, ValueError) as error:
         raise LogAnswerError(f'page of {stream}: {error!r}') from error
 
 
+def _parse_era(value: Any) -> int:
+    """Return the era; older builds of the log name none."""
+    is_number = isinstance(value, int) and not isinstance(value, bool)
+    return value if is_number and value >= 0 else UNKNOWN_ERA
+
+
 def _parse_record(fields: Mapping[str, Any]) -> LogRecord:
     return LogRecord(
         offset=int(fields['offset']),
--- a/yuccagauge/logstream/follower.py
+++ b/yuccagauge/logstream/follower.py
@@ -1,4 +1,9 @@
-"""Follow one stream of the log by long polling."""
+"""Follow one stream of the log by long polling.
+
+A log that comes back from a copy may have lost its last records and gives their
+offsets out again, so that what was read up to there says nothing on what it has
+now. The stream is read again from its first record then.
+"""
 
 from collections import Counter
 from collections.abc import Mapping
@@ -10,8 +15,10 @@
 from twisted.python.failure import Failure
 
 from yuccagauge.clock import Millis
+from yuccagauge.directory.position import UNKNOWN_ERA
 from yuccagauge.logstream.backoff import Backoff
 from yuccagauge.logstream.base import BEFORE_FIRST, Log, LogError, LogPage
+from yuccagauge.telemetry.journal import log_state_change
 
 _MILLISECONDS_PER_SECOND = 1000
 _PAGE_LIMIT = 500
@@ -19,11 +26,17 @@
 
 
 class StreamReader(Protocol):
-    """What a follower feeds; the calls come in offset order."""
+    """What a follower feeds; the calls come in offset order.
+
+    After ``read_restored``, offsets begin anew.
+    """
 
     def read_gap(self, expected: int, first_offset: int) -> None:
         """Take note that records from ``expected`` on were trimmed unread."""
 
+    def read_restored(self, era: int) -> None:
+        """Take note that the log lost records, and is read from its start."""
+
     def read_page(self, page: LogPage) -> None:
         """Take the next records; ``page.records`` may be empty."""
 
@@ -38,7 +51,8 @@
     stream
         Name of the stream.
     reader
-        Gets every record once and in order.
+        Gets every record once and in order, and all that are left once more
+        after the log has lost some.
     reactor
         Schedules the next attempt after a failure.
     backoff
@@ -68,6 +82,7 @@
         self._backoff = backoff
         self._after = after
         self._wait = wait
+        self._era = UNKNOWN_ERA
         self._caught_up = False
         self._failing = False
         self._running = False
@@ -92,7 +107,7 @@
 
     @property
     def counters(self) -> Mapping[str, int]:
-        """Pages, records, failures, gaps and regressions."""
+        """Pages, records, failures, gaps, restorations and regressions."""
         return dict(self._counts)
 
     def start(self) -> None:
@@ -112,7 +127,9 @@
         self._timer = None
         if not self._running:
             return
-        wait = self._wait if self._caught_up else Millis(0)
+        # A log that was away may have lost records, which its answer shows.
+        may_wait = self._caught_up and not self._failing
+        wait = self._wait if may_wait else Millis(0)
         call = self._log.read(self._stream, self._after, _PAGE_LIMIT, wait)
         self._call = call
         call.addCallbacks(self._take, self._fail)
@@ -123,11 +140,17 @@
         if not self._running:
             return
         expected = self._after + 1
-        if page.next_offset < expected:
-            # An append-only log never shrinks; what was read stays valid.
+        if self._is_of_new_era(page) or (
+            page.era == UNKNOWN_ERA and page.next_offset < expected
+        ):
+            self._restart(page)
+            return
+        if UNKNOWN_ERA < page.era < self._era or page.next_offset < expected:
+            # Within an era, a log never shrinks: the answer is outdated.
             self._counts['regressions'] += 1
             self._later()
             return
+        self._era = max(self._era, page.era)
         self._failing = False
         self._backoff.reset()
         if page.first_offset > expected:
@@ -137,6 +160,26 @@
         self._deliver(page)
         self._timer = self._reactor.callLater(0, self._read)
 
+    def _is_of_new_era(self, page: LogPage) -> bool:
+        return UNKNOWN_ERA < self._era < page.era
+
+    def _restart(self, page: LogPage) -> None:
+        """Read the stream again from its first record."""
+        self._counts['restorations'] += 1
+        log_state_change(
+            'log_restored',
+            stream=self._stream,
+            era=page.era,
+            known_era=self._era,
+            read_to=self._after,
+            next_offset=page.next_offset,
+        )
+        self._era = max(self._era, page.era)
+        self._after = BEFORE_FIRST
+        self._caught_up = False
+        self._reader.read_restored(self._era)
+        self._timer = self._reactor.callLater(0, self._read)
+
     def _deliver(self, page: LogPage) -> None:
         self._counts['pages'] += 1
         self._counts['records'] += len(page.records)
--- a/yuccagauge/peering/documents.py
+++ b/yuccagauge/peering/documents.py
@@ -112,6 +112,8 @@
             version=snapshot.version,
             as_of=snapshot.as_of,
             text=render(snapshot.sections),
+            era=snapshot.era,
+            published_at_ms=snapshot.published_at,
         )
 
     def _heard(self, item: HeldItem) -> None:
@@ -162,6 +164,8 @@
             version=reply.version,
             as_of=reply.as_of,
             sections=sections,
+            era=reply.era,
+            published_at=Millis(reply.published_at_ms),
         )
         is_taken = self._store.merge_snapshot(reply.service, snapshot)
         if is_taken:
--- a/yuccagauge/standins/faults.py
+++ b/yuccagauge/standins/faults.py
@@ -83,6 +83,11 @@
         'OFFSET or STREAM:OFFSET; older records are trimmed at once.',
         default='',
     )
+    restore_to: str = text_option(
+        'OFFSET or STREAM:OFFSET; records from there on are lost at once, and '
+        'the era rises.',
+        default='',
+    )
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/yuccagauge/standins/log.py
+++ b/yuccagauge/standins/log.py
@@ -79,6 +79,13 @@
         ):
             records.popleft()
 
+    def lose(self, next_offset: int) -> None:
+        """Drop the records from an offset on, which is given out again."""
+        records = self._records
+        while records and records[-1].offset >= next_offset:
+            records.pop()
+        self._next = min(self._next, next_offset)
+
 
 class RateLimit:
     """A token bucket that holds one second's worth of tokens."""
@@ -114,20 +121,26 @@
         """Add reading and appending."""
         path = '/streams/<stream>/records'
         self._streams: dict[str, Stream] = {}
+        self._era = 1
         self._limit = RateLimit(self._clock)
         self._route(path, self._append, 'POST')
         self._route(path, self._read, 'GET')
 
     def faults_changed(self) -> None:
-        """Trim at once if that was asked for."""
+        """Trim or lose records at once if that was asked for."""
         super().faults_changed()
         if self._faults.outage:
             for stream in self._streams.values():
                 stream.signal.notify()
         if self._faults.trim_to:
-            self._trim_to(self._faults.trim_to)
+            for stream, offset in self._targets(self._faults.trim_to):
+                stream.trim(Millis(0), offset)
             self._board.pop('trim_to')
             self._faults = self._board.build()
+        if self._faults.restore_to:
+            self._restore(self._faults.restore_to)
+            self._board.pop('restore_to')
+            self._faults = self._board.build()
 
     @defer.inlineCallbacks
     def _append(
@@ -163,13 +176,18 @@
         wait_ms = integer_argument(request, 'wait_ms', 0)
         yield pause(self._faults.delay_ms)
         end = self._clock.now() + min(wait_ms, _MAXIMUM_WAIT_MS)
+        era = self._era
         found = self._stream(stream)
-        while found.next_offset <= after + 1 and not self._faults.outage:
+        while (
+            found.next_offset <= after + 1
+            and not self._faults.outage
+            and era == self._era
+        ):
             remaining = Millis(end - self._clock.now())
             if remaining <= 0:
                 break
             yield found.signal.wait(remaining)
-        if self._faults.outage:
+        if self._faults.outage or era != self._era:
             return json_answer(request, {'error': 'outage'}, 503)
         return self._page(request, stream, after, limit)
 
@@ -188,6 +206,7 @@
             'first_offset': found.first_offset,
             'next_offset': following,
             'records': [_render(stored) for stored in records],
+            'era': self._era,
         }
         return json_answer(request, page)
 
@@ -197,15 +216,23 @@
         stream.trim(Millis(oldest), 0)
         return stream
 
-    def _trim_to(self, target: str) -> None:
-        name, _, offset = target.rpartition(':')
+    def _restore(self, target: str) -> None:
+        """Come back from a copy that ends before an offset."""
+        self._era += 1
+        for stream, offset in self._targets(target):
+            stream.lose(offset)
+        for stream in self._streams.values():
+            stream.signal.notify()
+
+    def _targets(self, target: str) -> list[tuple[Stream, int]]:
+        """Return the streams that a fault names, with the offset."""
+        name, _, text = target.rpartition(':')
         try:
-            first = int(offset)
+            offset = int(text)
         except ValueError:
-            raise BadRequestError('trim_to is not an offset') from None
+            raise BadRequestError(f'{target} is not an offset') from None
         names = (name,) if name else tuple(self._streams)
-        for stream in names:
-            self._stream(stream).trim(Millis(0), first)
+        return [(self._stream(each), offset) for each in names]
 
 
 def _render(stored: StoredRecord) -> dict[str, object]:
--- a/yuccagauge/wire/messages.capnp
+++ b/yuccagauge/wire/messages.capnp
@@ -104,6 +104,10 @@
   # The document holds after the record with this offset.
   asOf @3 :UInt64;
   text @4 :Text;
+  # Era of the log in which the offsets hold; -1 if it is not known.
+  era @5 :Int64 = -1;
+  # Log time of the version's publication; 0 if it is not known.
+  publishedAtMs @6 :UInt64;
 }
 
 struct HotPrefixRequest {
--- a/yuccagauge/wire/messages.py
+++ b/yuccagauge/wire/messages.py
@@ -140,6 +140,10 @@
     #: Offset of the last record that the document takes into account.
     as_of: int = 0
     text: str = ''
+    #: Era of the log in which the offsets hold; -1 if it is not known.
+    era: int = -1
+    #: When the log took the version; 0 if it is not known.
+    published_at_ms: int = 0
 
 
 @register(23)
