Grant no key that a lost claim may hold

What callers saw: at the own interface, a call that may run once ran again. Its claim was among the records that the log lost when it came back from a copy, and the routers that had read it had restarted, so that the key was free.

Cause: that a key has no claim in the log was taken for proof that no claim was granted.

Fix: batches name the newest era that their writer knew. After the first record of a later era, keys that have no claim and that a lost one may have held are answered as expired, by all routers alike, since this follows from the log. A claim of a batch of an older era than its page is not granted, but released. The era of the own log counts its losses from 0, so that a stream that lost all its records shows it as well.

Price: for 60 s after a loss, new keys are refused as well, since the times of keys may be ahead of the log's by as much (docs/design.md, 6.1).

--- a/features/logstream/logstream.feature
+++ b/features/logstream/logstream.feature
@@ -52,7 +52,7 @@
     Then the log follower has "one, two, three"
     Given the log stand-in has "restore_to" set to "s:<left>"
     When the log client appends "<appended>" to "s"
-    Then the log follower has "one, two, three, era 2, <found>"
+    Then the log follower has "one, two, three, era 1, <found>"
 
     Examples:
       | left | appended        | found                |
--- a/features/memory_log.py
+++ b/features/memory_log.py
@@ -22,7 +22,7 @@
         self.reactor = reactor
         self.streams: dict[str, list[LogRecord]] = {}
         self.first: dict[str, int] = {}
-        self.era = 1
+        self.era = 0
         self.outage = False
         self.rate_limited = 0
         #: Appends that take effect but whose answers are lost.
@@ -30,6 +30,8 @@
         #: Appends that take effect only by ``deliver_delayed``.
         self.delay_appends = 0
         self.delayed: list[tuple[str, bytes]] = []
+        #: Records that are lost just before the next append takes effect.
+        self.lose_at_append = 0
         self.appends = 0
         self._waiting: list[tuple[str, int, int, Deferred]] = []
 
@@ -45,6 +47,9 @@
             self.delay_appends -= 1
             self.delayed.append((stream, payload))
             return fail(AppendUnknownError('delayed'))
+        if self.lose_at_append:
+            self.restore(self.lose_at_append)
+            self.lose_at_append = 0
         record = self.put(stream, payload)
         if self.lose_answers:
             self.lose_answers -= 1
@@ -71,10 +76,10 @@
         """Drop the records below an offset."""
         self.first[stream] = first
 
-    def restore(self, stream: str, lost: int) -> None:
-        """Come back from a copy that lacks the last records of a stream."""
-        records = self.streams.get(stream, [])
-        del records[max(0, len(records) - lost) :]
+    def restore(self, lost: int) -> None:
+        """Come back from a copy that lacks the last records of each stream."""
+        for records in self.streams.values():
+            del records[max(0, len(records) - lost) :]
         self.era += 1
         waiting, self._waiting = self._waiting, []
         for entry in waiting:
--- a/features/steps/restored_log_steps.py
+++ b/features/steps/restored_log_steps.py
@@ -71,7 +71,7 @@
     fleet = context.configuration
     fleet.log.outage = True
     pass_time(fleet.reactor, 0.5)
-    fleet.log.restore(_STREAM, lost)
+    fleet.log.restore(lost)
     for number in range(written):
         _write(fleet, _LATER_DEADLINE + number)
     fleet.log.outage = False
@@ -96,7 +96,7 @@
     fleet.log.rate_limited = 1
     publication = fleet.publish(replaces, deadline)
     # The publisher has read the versions that the log loses now.
-    fleet.log.restore(_STREAM, lost)
+    fleet.log.restore(lost)
     outcome = settle(fleet.reactor, publication)
     assert isinstance(outcome, Conflict), outcome
     context.published = f'conflict with {outcome.version}'
@@ -138,7 +138,7 @@
 
     @rule(lost=st.integers(0, 5))
     def lose(self, lost: int) -> None:
-        self.fleet.log.restore(_STREAM, lost)
+        self.fleet.log.restore(lost)
 
     @rule(is_away=st.booleans())
     def away(self, is_away: bool) -> None:
--- a/yuccagauge/claims/batcher.py
+++ b/yuccagauge/claims/batcher.py
@@ -12,6 +12,7 @@
 from yuccagauge.claims.base import Claim, Outcome, Record
 from yuccagauge.claims.codec import encode_batch
 from yuccagauge.clock import Millis
+from yuccagauge.directory.position import UNKNOWN_ERA
 from yuccagauge.logstream.backoff import Backoff
 from yuccagauge.logstream.base import (
     Log,
@@ -117,6 +118,7 @@
         self._is_scheduled = False
         self._tick_asked = False
         self._is_closed = False
+        self._era = UNKNOWN_ERA
         self._allowance = float(options.burst)
         self._allowed_at = reactor.seconds()
         self._counts: Counter[str] = Counter()
@@ -143,6 +145,10 @@
             self._items[identity] = _Item(record)
             self._wait(identity)
 
+    def observe_era(self, era: int) -> None:
+        """Name the era of the log that was read last in what is appended."""
+        self._era = max(self._era, era)
+
     def tick(self) -> None:
         """Append a batch even if it is empty, to learn the log's time."""
         self._tick_asked = True
@@ -210,7 +216,7 @@
         self._allowance -= 1
         self._counts['appends'] += 1
         self._counts['records'] += len(batch)
-        payload = encode_batch(item.record for item in batch)
+        payload = encode_batch((item.record for item in batch), self._era)
         call = self._log.append(self._stream, payload)
         call.addCallbacks(
             self._done,
--- a/yuccagauge/claims/codec.py
+++ b/yuccagauge/claims/codec.py
@@ -1,6 +1,7 @@
 """Cap'n Proto encoding of records and of messages between routers."""
 
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
@@ -23,6 +24,7 @@
     Unavailable,
 )
 from yuccagauge.clock import Millis
+from yuccagauge.directory.position import UNKNOWN_ERA
 
 capnp.remove_import_hook()
 _SCHEMA = capnp.load(str(Path(__file__).with_name('records.capnp')))
@@ -31,10 +33,19 @@
 MAXIMUM_MESSAGE_BYTES = 4_000_000
 
 
-def encode_batch(records: Iterable[Record]) -> bytes:
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Batch:
+    """The content of one log record."""
+
+    records: tuple[Record, ...]
+    #: The newest era of the log that the writer knew.
+    era: int = UNKNOWN_ERA
+
+
+def encode_batch(records: Iterable[Record], era: int = UNKNOWN_ERA) -> bytes:
     """Return the payload of one log record."""
     entries = tuple(records)
-    message = _SCHEMA.Batch.new_message()
+    message = _SCHEMA.Batch.new_message(era=era)
     builders = message.init('records', len(entries))
     for builder, record in zip(builders, entries, strict=True):
         _write_record(builder, record)
@@ -44,6 +55,17 @@
 def decode_batch(payload: bytes) -> tuple[Record, ...]:
     """Return the records of one log record.
 
+    Raises
+    ------
+    ClaimRecordError
+        If the bytes are no batch.
+    """
+    return decode_whole_batch(payload).records
+
+
+def decode_whole_batch(payload: bytes) -> Batch:
+    """Return the content of one log record.
+
     Raises
     ------
     ClaimRecordError
@@ -128,8 +150,11 @@
         builder.body = body
 
 
-def _read_batch(message: Any) -> tuple[Record, ...]:
-    return tuple(_read_record(entry) for entry in message.records)
+def _read_batch(message: Any) -> Batch:
+    return Batch(
+        records=tuple(_read_record(entry) for entry in message.records),
+        era=message.era,
+    )
 
 
 def _read_forwarded(message: Any) -> tuple[Record, Millis]:
--- a/yuccagauge/claims/ledger.py
+++ b/yuccagauge/claims/ledger.py
@@ -8,6 +8,8 @@
 - only the winner releases or answers its key (``is_owner``);
 - a claim id that was released never wins (``was_released``);
 - a key that a trimmed claim may hold is never granted (``is_expired``);
+- a key that a claim may hold which the log has lost is never granted
+  (``is_lost``);
 - a claim is not written, and does not count, while its key time lies more
   than ``SKEW`` after a log time that was seen (``is_early``). A release of
   it can then not be trimmed before its key has expired.
@@ -20,6 +22,7 @@
 
 from yuccagauge.claims.base import SKEW, Claim, Outcome, Record, Release
 from yuccagauge.clock import Millis
+from yuccagauge.logstream.base import FIRST_ERA
 
 #: Keys are dropped together, by the minute of their time.
 _BUCKET_MS = 60_000
@@ -50,7 +53,7 @@
     MISMATCH = 'mismatch'
     #: The claim id was given up before.
     RELEASED = 'released'
-    #: A claim for the key may have been trimmed.
+    #: A claim for the key may have been trimmed or lost.
     EXPIRED = 'expired'
     #: The key time lies too far after the log's time.
     EARLY = 'early'
@@ -81,6 +84,15 @@
     return floor is not None and key_time <= floor + SKEW
 
 
+def is_lost(key_time: Millis, lost_until: Millis | None) -> bool:
+    """Return whether the log may have lost a claim for the key.
+
+    ``lost_until`` is the log time of the first record after the last loss, or
+    ``None`` if none was seen.
+    """
+    return lost_until is not None and key_time <= lost_until + SKEW
+
+
 def is_early(key_time: Millis, log_time: Millis | None) -> bool:
     """Return whether a key time lies too far after a log time."""
     return log_time is None or key_time > log_time + SKEW
@@ -106,6 +118,9 @@
         self._floor_unknown = False
         self._log_time: Millis | None = None
         self._marks: deque[tuple[int, Millis]] = deque()
+        #: The newest era that a record names.
+        self._era = FIRST_ERA
+        self._lost_until: Millis | None = None
 
     def __len__(self) -> int:
         """Return the number of keys that are held or answered."""
@@ -173,6 +188,16 @@
             self._floor_unknown = False
             self.raise_floor(time)
 
+    def observe_era(self, era: int, time: Millis) -> None:
+        """Take the era that the next record names, before its contents.
+
+        Between the last record of an older era and the first one of a newer
+        era, claims may have been lost. Records of older builds name none.
+        """
+        if era > self._era:
+            self._lost_until = time
+        self._era = max(self._era, era)
+
     def is_early(self, claim: Claim) -> bool:
         """Return whether the claim must not be written yet."""
         return is_early(claim.key_time, self._log_time)
@@ -186,7 +211,8 @@
             return ClaimResult.RELEASED
         entry = self._entry(claim)
         if is_free(entry):
-            return ClaimResult.FREE
+            may_be_lost = is_lost(claim.key_time, self._lost_until)
+            return ClaimResult.EXPIRED if may_be_lost else ClaimResult.FREE
         kind, holder, fingerprint, _ = _ENTRY.unpack(entry)
         if fingerprint != claim.fingerprint:
             return ClaimResult.MISMATCH
--- a/yuccagauge/claims/records.capnp
+++ b/yuccagauge/claims/records.capnp
@@ -5,6 +5,8 @@
 struct Batch {
   # One log record: the group commit of one router. It may be empty.
   records @0 :List(Record);
+  era @1 :Int64 = -1;
+  # The newest era of the log that the router knew; -1 if it knew none.
 }
 
 struct Record {
--- a/yuccagauge/claims/shard.py
+++ b/yuccagauge/claims/shard.py
@@ -24,11 +24,17 @@
     shard_stream,
 )
 from yuccagauge.claims.batcher import Batcher, BatcherOptions, record_id
-from yuccagauge.claims.codec import decode_batch
+from yuccagauge.claims.codec import decode_batch, decode_whole_batch
 from yuccagauge.claims.ledger import ClaimResult, Ledger, may_send
 from yuccagauge.clock import Millis
+from yuccagauge.directory.position import UNKNOWN_ERA
 from yuccagauge.logstream.backoff import Backoff
-from yuccagauge.logstream.base import Log, LogError, LogPage
+from yuccagauge.logstream.base import (
+    Log,
+    LogError,
+    LogPage,
+    LogUnavailableError,
+)
 from yuccagauge.logstream.follower import Follower
 
 _MILLISECONDS_PER_SECOND = 1000
@@ -175,32 +181,41 @@
         """Fold the next records and answer whoever waits for them."""
         if page.records:
             self._read_at = self._reactor.seconds()
+        self._batcher.observe_era(page.era)
         for entry in page.records:
             self._ledger.observe(entry.offset, entry.time)
             try:
-                records = decode_batch(entry.payload)
+                batch = decode_whole_batch(entry.payload)
             except ClaimRecordError:
                 self._counts['bad_records'] += 1
                 continue
-            for record in records:
-                self._read(entry.offset, record)
+            self._ledger.observe_era(batch.era, entry.time)
+            # Its writer may not have known yet that the log lost records.
+            is_outdated = UNKNOWN_ERA < batch.era < page.era
+            for record in batch.records:
+                self._read(entry.offset, record, is_outdated=is_outdated)
         self._ledger.trim(page.first_offset)
         changes, self._changes = self._changes, []
         for change in changes:
             change.callback(None)
 
-    def _read(self, offset: int, record: Record) -> None:
+    def _read(self, offset: int, record: Record, *, is_outdated: bool) -> None:
         result = self._ledger.apply(offset, record)
         has_copies = self._batcher.confirm(record)
         for done in self._recorded.pop(record_id(record), ()):
             done.callback(None)
         if result is None:
             return
-        if has_copies and result is not ClaimResult.WON:
+        waiter = self._results.pop(record.claim_id, None)
+        is_doubtful = is_outdated and waiter is not None
+        if is_doubtful or (has_copies and result is not ClaimResult.WON):
             # A late copy must not take the key after its holder gave it up.
             self.submit(release_of(record))
-        waiter = self._results.pop(record.claim_id, None)
-        if waiter is not None:
+        if is_doubtful:
+            waiter.errback(
+                LogUnavailableError('the log may have lost other claims')
+            )
+        elif waiter is not None:
             waiter.callback(result)
 
     def _give_up(self, claim: Claim) -> bool:
--- a/yuccagauge/logstream/base.py
+++ b/yuccagauge/logstream/base.py
@@ -9,6 +9,9 @@
 from yuccagauge.directory.position import UNKNOWN_ERA
 from yuccagauge.errors import UnavailableError, YuccagaugeError
 
+#: The era of a log that has never come back from a copy.
+FIRST_ERA = 0
+
 #: The value of ``after`` that reads a stream from its first record.
 BEFORE_FIRST = -1
 
@@ -52,8 +55,8 @@
     #: The offset after the last record of the stream.
     next_offset: int
     records: tuple[LogRecord, ...]
-    #: Rises each time the log comes back from a copy that lacks its last
-    #: records. Offsets of lost records are given out again.
+    #: How often the log has come back from a copy that lacked its last records.
+    #: Offsets of lost records are given out again.
     era: int = UNKNOWN_ERA
 
 
