Let peers probe servers that were removed

What callers saw: with a router that is cut off from the engines beside an engine whose entry is removed while it serves on, whole answers that end with their connections were taken for broken: streams were reset after the last event, a call that may run once got 504 after it had run.

Cause: whether such an answer is whole is decided by a connection to the engine. The router asks for it through a peer, which refused the address of a server that it does not list.

Fix: the directory remembers removed servers for 60 s. The router names them in probes, and peers open connections to them that carry no call. Its scenario of a peer that was told to wait is now a row of an outline with the same check.

--- a/features/directory/directory.feature
+++ b/features/directory/directory.feature
@@ -168,3 +168,13 @@
     When the store drops its history and gets the key "c"
     Then the follower has the keys "a b c"
     And the store was listed 2 times
+
+  # Guards against servers that nobody can ask whether they live, because their
+  # entries were removed while they serve on, and against a list that only grows.
+  Scenario: Servers that were removed are remembered for a while
+    Given an empty memory of removed servers
+    When the servers "s1 s2" are removed at 0 s, and "s3" at 30 s
+    Then the servers removed lately are "s3 s2 s1" at 59 s
+    And the servers removed lately are "s3" at 60 s
+    When the server "s3" is listed again
+    Then the servers removed lately are "" at 60 s
--- a/features/leaving_fleet.py
+++ b/features/leaving_fleet.py
@@ -33,6 +33,8 @@
         """Create a server that is listed once it runs."""
         super().__init__(fleet, number)
         self._is_listed = True
+        #: Time between the two halves of a plain answer, in seconds.
+        self.half_interval_s = _HALF_INTERVAL_S
         self._connections: list[Protocol] = []
         self._begun: set[str] = set()
         #: Ids of the requests that were answered whole.
@@ -46,7 +48,7 @@
     @property
     def part_interval_s(self) -> float:
         """Time between two parts of an answer, in seconds."""
-        return _EVENT_INTERVAL_S if self.is_model else _HALF_INTERVAL_S
+        return _EVENT_INTERVAL_S if self.is_model else self.half_interval_s
 
     @property
     def parts(self) -> tuple[bytes, ...]:
--- a/features/path_network.py
+++ b/features/path_network.py
@@ -72,7 +72,8 @@
                 server_id=f's{number}', endpoint=endpoint
             )
             for number, endpoint in enumerate(endpoints, 1)
-        }
+        },
+        removed_servers=lambda now: (),
     )
 
 
--- a/features/peerpath/carrying.feature
+++ b/features/peerpath/carrying.feature
@@ -78,13 +78,19 @@
       | carries as many as it may  | the server                   |
       | has lost its direct way    | the server                   |
       | was told by it to wait     | the server                   |
+      | knows that it was removed  | the server                   |
 
-  Scenario: A peer that was told to wait still shows that the server lives
+  Scenario Outline: A peer that carries no calls to a server still shows that it lives
     Given a server that a peer reaches
-    And the peer was told by it to wait
+    And the peer <state>
     When the router probes the server on a path
     Then the path is opened
 
+    Examples:
+      | state                     |
+      | was told by it to wait    |
+      | knows that it was removed |
+
   Scenario Outline: A peer hears what a server states in an answer that it carries
     Given a server that a peer reaches
     When the router sends a request on a path
--- a/features/steps/peerpath_carrying_steps.py
+++ b/features/steps/peerpath_carrying_steps.py
@@ -127,21 +127,6 @@
     context.add_cleanup(wait_for_call, context.peer.close)
 
 
-@given('the peer {state}')
-def given_state(context: Context, state: str) -> None:
-    """Make the peer refuse."""
-    if state == 'is stopping':
-        context.carrier.stop_accepting()
-    elif state == 'carries as many as it may':
-        limit = carrier_module.MAXIMUM_CARRIED
-        context.carrier._paths.update(range(limit))
-    elif state == 'has lost its direct way':
-        now = SystemClock().now()
-        context.reach.record_loss(context.server, Loss.REFUSED, now)
-    elif state == 'was told by it to wait':
-        context.carrier.refuses_calls = lambda server: True
-
-
 def _ask(
     context: Context, server: str, target: Endpoint, *, is_probe: bool = False
 ) -> list[Any]:
--- a/features/steps/relay_leaving_steps.py
+++ b/features/steps/relay_leaving_steps.py
@@ -1,11 +1,14 @@
 """Steps for answers that end with their connections, of servers that leave."""
 
 from collections.abc import Callable
+from typing import Any
 
 from behave import given, then, when
 from behave.runner import Context
 
+from features.crash_fleet import router_host
 from features.leaving_fleet import LeavingFleet, UnframedServer
+from features.partition_fleet import Face
 
 _SERVERS = 6
 
@@ -16,10 +19,20 @@
 #: Time from the last request to the leave of a server, and from there to its
 #: end amid its answers, in seconds.
 _BEGIN_S = 0.06
+_CARRIED_BEGIN_S = 0.1
 _END_S = 0.12
 
 _REQUESTS = 24
 
+#: For how long a router is partitioned, and the time after which its calls go
+#: through its peers, in seconds.
+_PARTITION_S = 60.0
+_PATH_CHANGE_S = 4.0
+
+#: Time between the halves of a plain answer, so that it ends before its caller's
+#: deadline though its way is longer, in seconds.
+_CARRIED_HALF_INTERVAL_S = 0.12
+
 _SUCCESS = 200
 
 
@@ -52,6 +65,48 @@
     context.fleet.run(_WARM_UP_S)
 
 
+@given('one of the routers reaches the servers through its peers alone')
+def partition_router(context: Context) -> None:
+    """Cut a router off from the servers until the end."""
+    fleet = context.fleet
+    context.carried_router = fleet.router_names[0]
+    for server in fleet.servers:
+        server.half_interval_s = _CARRIED_HALF_INTERVAL_S
+    fleet.partition(
+        frozenset((context.carried_router,)), Face.SILENT, _PARTITION_S
+    )
+    for _ in range(_REQUESTS):
+        fleet.send_first_attempt()
+        fleet.run(_PATH_CHANGE_S / _REQUESTS)
+
+
+@when('a server {ends} while it answers requests of "{route}" that peers carry')
+def disturb_carried(context: Context, ends: str, route: str) -> None:
+    """Send requests, and disturb the server with the most that are carried."""
+    fleet = context.fleet
+    for _ in range(_REQUESTS):
+        fleet.send_first_attempt(route)
+    fleet.run(_CARRIED_BEGIN_S)
+
+    def carried_at(server: UnframedServer) -> list[Any]:
+        return [
+            attempt
+            for attempt in fleet.attempts
+            if attempt.router == context.carried_router
+            and server.is_running(attempt.request_id)
+        ]
+
+    server = max(fleet.servers, key=lambda each: len(carried_at(each)))
+    context.server = server
+    context.attempts = carried_at(server)
+    assert context.attempts
+    own_host = router_host(context.carried_router)
+    for attempt in context.attempts:
+        assert fleet.runs[attempt.request_id][0].source != own_host
+    _ENDINGS[ends](server)
+    fleet.run(_RUN_OUT_S)
+
+
 @when('a server {ends} while it answers requests of "{route}"')
 def disturb_server(context: Context, ends: str, route: str) -> None:
     """Send requests, and disturb the server with the most of them."""
--- a/yuccagauge/directory/state.py
+++ b/yuccagauge/directory/state.py
@@ -15,6 +15,7 @@
 from yuccagauge.directory.heartbeats import Heartbeat
 from yuccagauge.directory.position import UNKNOWN_ERA
 from yuccagauge.directory.records import KeyedRecord, KeyedRecords
+from yuccagauge.directory.removed import RemovedServers
 from yuccagauge.directory.targets import TargetHistory
 from yuccagauge.telemetry.journal import log_state_change
 from yuccagauge.telemetry.meter import counter
@@ -85,6 +86,7 @@
         self._topics = {topic: KeyedRecords() for topic in Topic}
         self._configuration: Configuration | None = None
         self._servers: dict[str, BackendServer] = {}
+        self._removed = RemovedServers()
         self._heartbeats: dict[str, Heartbeat] = {}
         self._targets = TargetHistory()
         #: Servers whose entry lapsed in an outage, and when they are removed.
@@ -106,6 +108,10 @@
         """All backend servers by id, including draining ones."""
         return self._servers
 
+    def removed_servers(self, now: Millis) -> tuple[BackendServer, ...]:
+        """Return the servers whose entries were removed lately."""
+        return self._removed.recent(now)
+
     @property
     def heartbeats(self) -> Mapping[str, Heartbeat]:
         """The newest count of the heartbeats of each server."""
@@ -224,7 +230,7 @@
         )
         for server_id in removed:
             self._lapsed_until.pop(server_id)
-            self._servers.pop(server_id, None)
+            self._remove_server(server_id, now)
         if removed:
             self._notify_listeners()
         return removed
@@ -285,6 +291,7 @@
             self._servers.pop(record.key, None)
         else:
             self._servers[record.key] = server
+            self._removed.discard(record.key)
         return server != known
 
     def _record_heartbeat(
@@ -325,7 +332,14 @@
                 server_id, Millis(start + LAPSED_ENTRY_GRACE)
             )
             return False
-        return self._servers.pop(server_id, None) is not None
+        return self._remove_server(server_id, now)
+
+    def _remove_server(self, server_id: str, now: Millis) -> bool:
+        """Remove a server; return whether it was listed."""
+        server = self._servers.pop(server_id, None)
+        if server is not None:
+            self._removed.add(server, now)
+        return server is not None
 
     def _apply_operator_record(
         self, record: KeyedRecord, unchanged_until: Millis | None
--- a/yuccagauge/peerpath/carrier.py
+++ b/yuccagauge/peerpath/carrier.py
@@ -51,7 +51,8 @@
     server
         Accepts the connections of the peers.
     directory
-        Knows the servers; no other address is connected to.
+        Knows the servers; no other address is connected to. Servers that were
+        removed lately get connections that carry no call.
     reach
         Remembers which servers this router reaches directly.
     reactor, clock
@@ -103,12 +104,12 @@
 
     def _handle_open(self, frames: FrameProtocol, received: Received) -> None:
         request = received.message
-        refusal = self._refusal(request)
-        if refusal:
+        server = self._find_server(request)
+        refusal = self._refusal(request, server)
+        if refusal or server is None:
             CARRIED.add(1, {'outcome': refusal})
             frames.send_message(Failed(reason=refusal))
             return
-        server = self._directory.servers[request.server]
         answer = CarriedAnswer(lambda head: self.on_answer(server, head))
         path = _CarriedPath(frames, answer, self._paths.discard)
         self._paths.add(path)
@@ -124,12 +125,30 @@
             )
         )
 
-    def _refusal(self, request: PathOpen) -> str:
+    def _find_server(self, request: PathOpen) -> BackendServer | None:
+        """Return the server at the end of a path."""
+        known = self._directory.servers.get(request.server)
+        removed = (
+            self._directory.removed_servers(self._clock.now())
+            if request.is_probe and known is None
+            else ()
+        )
+        return next(
+            (
+                server
+                for server in (known, *removed)
+                if server is not None
+                and server.server_id == request.server
+                and server.endpoint == request.target
+            ),
+            None,
+        )
+
+    def _refusal(self, request: PathOpen, server: BackendServer | None) -> str:
         """Return why a path is refused; empty if it is not."""
         if self._is_stopping:
             return 'stopping'
-        server = self._directory.servers.get(request.server)
-        if server is None or server.endpoint != request.target:
+        if server is None:
             return 'unknown_server'
         if not request.is_probe and self.refuses_calls(server):
             return 'server_refuses'
--- a/yuccagauge/peerpath/dialer.py
+++ b/yuccagauge/peerpath/dialer.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterable
 from functools import partial
+from itertools import chain
 from typing import Any
 
 from twisted.internet.defer import Deferred
@@ -129,10 +130,17 @@
         return self._choice.choose(self._peers(), server, self._clock.now())
 
     def _path_request(self, target: Endpoint, *, is_probe: bool) -> PathOpen:
+        # A server that was removed may serve on, and its answers end with
+        # their connections: only a probe shows whether they are whole.
+        removed = (
+            self._directory.removed_servers(self._clock.now())
+            if is_probe
+            else ()
+        )
         server_id = next(
             (
                 server.server_id
-                for server in self._directory.servers.values()
+                for server in chain(self._directory.servers.values(), removed)
                 if server.endpoint == target
             ),
             '',
