--- a/features/steps/peerpath_carrying_steps.py
+++ b/features/steps/peerpath_carrying_steps.py
@@ -17,10 +17,9 @@
 from yuccagauge.dispatch.base import BackendMessage, ResponseHead
 from yuccagauge.dispatch.connection import Connection
 from yuccagauge.exchange.members import Member
-from yuccagauge.peerpath import carrier as carrier_module
 from yuccagauge.peerpath.attempt import PathAttempt
 from yuccagauge.peerpath.carrier import PathCarrier
-from yuccagauge.peerpath.reach import DirectReach, Loss
+from yuccagauge.peerpath.reach import DirectReach
 from yuccagauge.settings.options import Endpoint
 from yuccagauge.wire.fleetmessages import PathOpen
 from yuccagauge.wire.server import PeerServer
