Write again what the store has lost

What callers could see: after the store came back from a copy and routers were restarted, requests that crash engines ran again as if unknown, streams were refused or taken up by a service of one version, and weights counted as named for an unknown time.

Cause: an archive that has written a crash, the versions of a service or the time of a naming takes it for stored for ever.

Fix: archives watch the era of the store, as their router received it, and write again what they wrote or read once it rises; versions are listed again first, because the copy may have old ones.

--- a/yuccagauge/directory/targetarchive.py
+++ b/yuccagauge/directory/targetarchive.py
@@ -14,6 +14,7 @@
 
 from yuccagauge.clock import Clock, Millis, in_seconds
 from yuccagauge.directory.base import TargetEvidence
+from yuccagauge.directory.erawatch import EraWatch
 from yuccagauge.directory.heartbeats import (
     SampledHeartbeat,
     event_times,
@@ -128,6 +129,7 @@
         self._stored: set[_Key] = set()
         self._sampled: set[_Key] = set()
         self._is_reachable: bool | None = None
+        self._era_watch = EraWatch(lambda: directory.era(Topic.SERVERS))
 
     def start(self) -> None:
         """Read the times, and write those of new versions from now on."""
@@ -150,6 +152,9 @@
         if self._is_updating or not is_ready:
             return
         self._is_updating = True
+        if self._era_watch.take_rise():
+            self._stored.clear()
+            self._sampled.clear()
         try:
             if not self._has_read:
                 stored = yield self._store.list_targets()
--- a/yuccagauge/origins/archive.py
+++ b/yuccagauge/origins/archive.py
@@ -11,6 +11,8 @@
 from twisted.internet.defer import Deferred, inlineCallbacks
 
 from yuccagauge.clock import Clock, Millis, in_seconds
+from yuccagauge.directory.erawatch import EraWatch
+from yuccagauge.directory.position import UNKNOWN_ERA
 from yuccagauge.directory.store import StoreUnavailableError
 from yuccagauge.origins.base import ORIGIN_LIFETIME
 from yuccagauge.origins.versions import VersionHistory, VersionSighting
@@ -62,6 +64,9 @@
     is_writer
         Returns whether this router writes. A few do, so that hundreds do not
         write the same.
+    era
+        Returns the era of the store. When it rises, the versions are read and
+        written again.
     """
 
     def __init__(
@@ -71,6 +76,7 @@
         reactor: Any,
         clock: Clock,
         is_writer: Callable[[], bool],
+        era: Callable[[], int] = lambda: UNKNOWN_ERA,
     ) -> None:
         """Create an archive that makes no call before ``start``."""
         self._history = history
@@ -80,6 +86,7 @@
         self._task = PeriodicTask('version_archive', self._update, reactor)
         self._stored: dict[str, tuple[str, ...]] | None = None
         self._is_reachable: bool | None = None
+        self._era_watch = EraWatch(era)
 
     def start(self) -> None:
         """Read the versions, and write changes from now on."""
@@ -91,6 +98,8 @@
 
     @inlineCallbacks
     def _update(self) -> Any:
+        if self._era_watch.take_rise():
+            self._stored = None
         try:
             if self._stored is None:
                 listed = yield self._store.list_versions()
--- a/yuccagauge/quarantine/archive.py
+++ b/yuccagauge/quarantine/archive.py
@@ -16,6 +16,8 @@
 from twisted.internet.defer import Deferred, inlineCallbacks
 
 from yuccagauge.clock import Clock, Millis, in_seconds
+from yuccagauge.directory.erawatch import EraWatch
+from yuccagauge.directory.position import UNKNOWN_ERA
 from yuccagauge.directory.store import StoreUnavailableError
 from yuccagauge.quarantine.base import (
     QUARANTINE_DURATION,
@@ -101,6 +103,9 @@
         Schedule the calls and tell the time.
     is_isolated
         Returns whether this router hears no other one.
+    era
+        Returns the era of the store. When it rises, the crashes are written
+        again.
     """
 
     def __init__(
@@ -110,6 +115,7 @@
         reactor: Any,
         clock: Clock,
         is_isolated: Callable[[], bool],
+        era: Callable[[], int] = lambda: UNKNOWN_ERA,
     ) -> None:
         """Create an archive that makes no call before ``start``."""
         self._crashes = crashes
@@ -122,10 +128,13 @@
             OrderedDict()
         )
         #: Crashes that this router has written or read, the oldest first.
-        self._stored: OrderedDict[tuple[bytes, str], None] = OrderedDict()
+        self._stored: OrderedDict[tuple[bytes, str], StoredCrash] = (
+            OrderedDict()
+        )
         self._started_at = Millis(0)
         self._read_at: Millis | None = None
         self._is_reachable: bool | None = None
+        self._era_watch = EraWatch(era)
 
     @property
     def is_ready(self) -> bool:
@@ -168,6 +177,10 @@
 
     @inlineCallbacks
     def _update(self) -> Any:
+        if self._era_watch.take_rise():
+            # A change that waits is newer than what was stored.
+            self._changes = OrderedDict(self._stored | self._changes)
+            _drop_oldest(self._changes)
         try:
             if self._must_read():
                 stored = yield self._store.list_crashes()
@@ -219,7 +232,7 @@
             if change.crashed_at is None:
                 self._stored.pop(key, None)
                 continue
-            self._stored[key] = None
+            self._stored[key] = change
             if not is_current:
                 # The crash was cleared while it was written.
                 self.crashes_cleared(change.fingerprint, (change.crash,))
@@ -230,7 +243,7 @@
         self._read_at = self._clock.now()
         ages: dict[bytes, dict[str, Millis]] = defaultdict(dict)
         for found in stored:
-            self._stored[found.fingerprint, found.crash] = None
+            self._stored[found.fingerprint, found.crash] = found
             # The clocks of routers differ, so an age may be negative.
             age = max(0, self._clock.wall_time() - found.crashed_at)
             if age < QUARANTINE_DURATION:
--- a/yuccagauge/relay/archives.py
+++ b/yuccagauge/relay/archives.py
@@ -50,6 +50,9 @@
         data_centres[section.name] = section.data_centre
         return is_recorder(section.name, data_centres, TARGET_WRITERS)
 
+    def store_era() -> int:
+        return context.directory.era(Topic.SERVERS)
+
     crashes = CrashLedger(context.quarantine, context.part_quarantine)
     crash_archive = CrashArchive(
         crashes,
@@ -57,6 +60,7 @@
         reactor,
         clock,
         lambda: exchange.is_isolated,
+        store_era,
     )
     version_archive = VersionArchive(
         context.selector.versions,
@@ -64,6 +68,7 @@
         reactor,
         clock,
         lambda: rank('versions') < VERSION_WRITERS,
+        store_era,
     )
     target_archive = TargetArchive(
         context.directory,
