Check what answers of older eras deliver, and what a copy still has

The rows on eras of the log now say what each answer delivers; two rows and a scenario are new. No product code changes.

--- a/features/directory/restored_archives.feature
+++ b/features/directory/restored_archives.feature
@@ -25,7 +25,20 @@
       | the software versions of a service   |
       | when weights were named              |
 
-  Scenario: A crash that was cleared meanwhile is not written again
+  # Guards against requests that are refused though they are sound.
+  Scenario Outline: A crash that was cleared meanwhile does not come back
     Given a router that has stored crashes of a request
-    When the request completes, and the store comes back from a copy without it
+    When the request completes, and the store comes back from a copy <with> it
     Then the store has no crashes after 5 s
+
+    Examples:
+      | with    |
+      | without |
+      | with    |
+
+  # Guards against streams that are joined from two versions, because the copy
+  # names one that this router has forgotten.
+  Scenario: Versions that the copy has are kept
+    Given a router that has stored the software versions of a service
+    When the store comes back from a copy with the versions "v1 v3"
+    Then the store has the versions "v1 v2 v3" within 2 s
--- a/features/logstream/logstream.feature
+++ b/features/logstream/logstream.feature
@@ -61,20 +61,21 @@
       | 1    | other, new, far | one, other, new, far |
       | 0    | other           | other                |
 
-  # Guards against a follower that takes an answer of before the loss for a new one.
-  Scenario Outline: Eras that cannot be used change nothing
-    Given a log follower whose pages name the eras "<eras>"
-    Then the follower of eras has read each record once, and <restarts> times again
+  # Guards against a follower that takes an answer of before the loss for a new one,
+  # and against one that reads again though nothing was lost.
+  Scenario Outline: Answers of older eras are dropped, and later ones begin anew
+    Given a log follower of pages with one record each, in the eras "<eras>"
+    Then the follower of eras has read "<found>"
 
     Examples:
-      | eras         | restarts |
-      | 1 1 1        | 0        |
-      | none none    | 0        |
-      | none 3 3     | 0        |
-      | 3 none 3     | 0        |
-      | 3 2 3        | 0        |
-      | 3 4 4        | 1        |
-      | 3 4 3 4 5 5  | 2        |
+      | eras        | found            |
+      | 1 1 1       | 1 1 1            |
+      | none none   | none none        |
+      | none 3 3    | none 3 3         |
+      | 3 none 3    | 3 none 3         |
+      | 3 2 3       | 3 3              |
+      | 3 4 4       | 3 anew-4 4       |
+      | 3 4 3 4 5 5 | 3 anew-4 4 anew-5 5 |
 
   Scenario Outline: Malformed eras of the log count as missing
     Then a page that names the era <value> has the era <era>
--- a/features/steps/logstream_steps.py
+++ b/features/steps/logstream_steps.py
@@ -112,12 +112,10 @@
 
 
 class EraLog:
-    """A log with one record, whose pages name eras in turn."""
+    """A log that has one record more at each read, in eras that it is given."""
 
     def __init__(self, eras: str) -> None:
-        self._eras = [
-            UNKNOWN_ERA if era == 'none' else int(era) for era in eras.split()
-        ]
+        self._eras = eras.split()
 
     def read(
         self, stream: str, after: int, limit: int, wait: Millis
@@ -125,17 +123,20 @@
         """Answer, or wait for ever once all eras were named."""
         if not self._eras:
             return Deferred()
-        record = LogRecord(offset=0, time=Millis(0), payload=b'record')
+        era = self._eras.pop(0)
+        record = LogRecord(
+            offset=after + 1, time=Millis(0), payload=era.encode()
+        )
         page = LogPage(
             first_offset=0,
-            next_offset=1,
-            records=() if after >= 0 else (record,),
-            era=self._eras.pop(0),
+            next_offset=after + 2,
+            records=(record,),
+            era=UNKNOWN_ERA if era == 'none' else int(era),
         )
         return succeed(page)
 
 
-@given('a log follower whose pages name the eras "{eras}"')
+@given('a log follower of pages with one record each, in the eras "{eras}"')
 def given_eras(context: Context, eras: str) -> None:
     clock = new_reactor()
     context.log_reader = Reader()
@@ -190,13 +191,10 @@
     assert not context.log_follower.caught_up
 
 
-@then(
-    'the follower of eras has read each record once, and {count:d} times again'
-)
-def then_read_again(context: Context, count: int) -> None:
-    assert context.log_reader.seen.count('record') == 1 + count, (
-        context.log_reader.seen
-    )
+@then('the follower of eras has read "{found}"')
+def then_read_eras(context: Context, found: str) -> None:
+    expected = [each.replace('anew-', 'era ') for each in found.split()]
+    assert context.log_reader.seen == expected, context.log_reader.seen
 
 
 @then('a page that names the era {value} has the era {era:d}')
--- a/features/steps/restored_archive_steps.py
+++ b/features/steps/restored_archive_steps.py
@@ -177,11 +177,29 @@
     context.router.raise_era(_FIRST_ERA + 1)
 
 
-@when('the request completes, and the store comes back from a copy without it')
-def when_cleared(context: Context) -> None:
+@when('the request completes, and the store comes back from a copy {kept} it')
+def when_cleared(context: Context, kept: str) -> None:
     """Clear the crashes just before the loss is seen."""
     context.router.quarantine.record_completion(_REQUEST)
-    when_lost(context)
+    if kept == 'without':
+        context.router.store.kept.clear()
+    context.router.raise_era(_FIRST_ERA + 1)
+
+
+@when('the store comes back from a copy with the versions "{versions}"')
+def when_older_versions(context: Context, versions: str) -> None:
+    """Replace what is kept by something older."""
+    kept = context.router.store.kept
+    kept.update(dict.fromkeys(kept, tuple(versions.split())))
+    context.router.raise_era(_FIRST_ERA + 1)
+
+
+@then('the store has the versions "{versions}" within {seconds:d} s')
+def then_versions(context: Context, versions: str, seconds: int) -> None:
+    """Compare what is stored of all services."""
+    context.router.pass_time(seconds)
+    found = set(context.router.store.kept.values())
+    assert found == {tuple(versions.split())}, found
 
 
 @when('{seconds:d} s pass at the archive')
