Show broken answers that look complete as their server is back unlisted

A server whose entry was removed ends amid an answer without a length, and accepts connections again before its next entry is read.

--- a/features/leaving_fleet.py
+++ b/features/leaving_fleet.py
@@ -95,12 +95,12 @@
         self.is_up = False
         self._fleet.network.end_host(self.host)
 
-    def restart(self) -> None:
+    def restart(self, *, is_listed: bool = True) -> None:
         """End, and start anew before the routers notice the end."""
         network = self._fleet.network
         network.is_cut = lambda *hosts: self.host in hosts
         self.kill()
-        self._is_listed = True
+        self._is_listed = is_listed
 
         def heal() -> None:
             network.is_cut = lambda *hosts: False
--- a/features/relay/leaving_servers.feature
+++ b/features/relay/leaving_servers.feature
@@ -31,6 +31,18 @@
       | leaves and starts anew | book  |
       | leaves and starts anew | talk  |
 
+  # Guards against a broken answer that looks complete, because its server accepts
+  # connections again before its next entry is read.
+  Scenario Outline: A broken answer does not look complete though its server is back without an entry
+    Given 3 routers before servers whose answers have no length
+    When a server leaves and starts anew unlisted while it answers requests of "<route>"
+    Then none of their callers has an answer that looks complete
+
+    Examples:
+      | route |
+      | book  |
+      | talk  |
+
   # Guards against whole answers that are taken for broken ones because another
   # router carries them, which may not list the server either.
   Scenario Outline: A whole answer that a peer carries reaches its caller though its server is no longer listed
--- a/features/steps/relay_leaving_steps.py
+++ b/features/steps/relay_leaving_steps.py
@@ -1,6 +1,7 @@
 """Steps for answers that end with their connections, of servers that leave."""
 
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 from behave import given, then, when
@@ -55,6 +56,9 @@
     'leaves and is killed': _end_by(UnframedServer.kill, leaves=True),
     'starts anew': _end_by(UnframedServer.restart, leaves=False),
     'leaves and starts anew': _end_by(UnframedServer.restart, leaves=True),
+    'leaves and starts anew unlisted': _end_by(
+        partial(UnframedServer.restart, is_listed=False), leaves=True
+    ),
 }
 
 
