--- a/features/path_network.py
+++ b/features/path_network.py
@@ -9,7 +9,8 @@
 from features.memory_network import MemoryNetwork, NodeReactor
 from features.rollout_engines import VirtualClock
 from yuccagauge.clock import Millis
-from yuccagauge.dispatch.connection import Connection, ConnectionPool
+from yuccagauge.dispatch.connection import Connection
+from yuccagauge.dispatch.pool import ConnectionPool
 from yuccagauge.exchange.members import Member
 from yuccagauge.peerpath.carrier import PathCarrier
 from yuccagauge.peerpath.choice import PeerChoice
--- a/features/plain_service.py
+++ b/features/plain_service.py
@@ -12,8 +12,8 @@
 from yuccagauge.claims.base import Granted
 from yuccagauge.clock import Millis
 from yuccagauge.dispatch.base import Call, Header
-from yuccagauge.dispatch.connection import ConnectionPool
 from yuccagauge.dispatch.plain import PlainRequest
+from yuccagauge.dispatch.pool import ConnectionPool
 from yuccagauge.dispatch.service import ServiceState, Surroundings
 from yuccagauge.explain.base import DecisionLog
 from yuccagauge.settings.document import ServiceDocument, build_document
--- a/features/relay_fixture.py
+++ b/features/relay_fixture.py
@@ -12,7 +12,7 @@
 from yuccagauge.clock import Millis, SystemClock
 from yuccagauge.directory.records import KeyedRecord
 from yuccagauge.directory.state import Directory, Topic
-from yuccagauge.dispatch.connection import ConnectionPool
+from yuccagauge.dispatch.pool import ConnectionPool
 from yuccagauge.origins.base import ORIGIN_LIFETIME
 from yuccagauge.platform.records import PlatformRecordDecoder
 from yuccagauge.platform.requests import (
--- a/features/steps/platform_store_steps.py
+++ b/features/steps/platform_store_steps.py
@@ -14,8 +14,8 @@
     StoreGapError,
     StoreUnavailableError,
 )
-from yuccagauge.dispatch.connection import ConnectionPool
 from yuccagauge.dispatch.fetch import fetch
+from yuccagauge.dispatch.pool import ConnectionPool
 from yuccagauge.platform.store import (
     PlatformStore,
     decode_page,
--- a/features/steps/relay_endless_steps.py
+++ b/features/steps/relay_endless_steps.py
@@ -15,8 +15,8 @@
     start_relay_with_engine,
     start_relay_with_plain_server,
 )
-from yuccagauge.dispatch.connection import ConnectionPool
 from yuccagauge.dispatch.fetch import FetchError
+from yuccagauge.dispatch.pool import ConnectionPool
 from yuccagauge.platform.engines import PlatformEngineClient
 
 _MEBIBYTE = 1024 * 1024
--- a/features/steps/relay_unproven_end_steps.py
+++ b/features/steps/relay_unproven_end_steps.py
@@ -20,7 +20,7 @@
     start_relay_with_plain_server,
 )
 from features.unresponsive_port import UnresponsivePort
-from yuccagauge.dispatch.connection import tcp_endpoint
+from yuccagauge.dispatch.endpoints import tcp_endpoint
 from yuccagauge.settings.options import Endpoint
 
 #: Time between the last event and the end of the connection.
--- a/yuccagauge/daemon/enginewatch.py
+++ b/yuccagauge/daemon/enginewatch.py
@@ -11,9 +11,9 @@
 
 from yuccagauge.clock import Clock
 from yuccagauge.dispatch.base import BackendMessage, ResponseHead
-from yuccagauge.dispatch.connection import ConnectionPool
 from yuccagauge.dispatch.dispatcher import Dispatcher
 from yuccagauge.dispatch.exchange import Exchange
+from yuccagauge.dispatch.pool import ConnectionPool
 from yuccagauge.dispatch.service import ServiceState
 from yuccagauge.peering.polling import parse_report
 from yuccagauge.settings.options import Endpoint
--- a/yuccagauge/daemon/router.py
+++ b/yuccagauge/daemon/router.py
@@ -19,8 +19,8 @@
 from yuccagauge.daemon.admin import AdminInterface
 from yuccagauge.daemon.enginewatch import EngineWatch
 from yuccagauge.daemon.hooks import RouterHooks
-from yuccagauge.dispatch.connection import ConnectionPool
 from yuccagauge.dispatch.dispatcher import Dispatcher
+from yuccagauge.dispatch.pool import ConnectionPool
 from yuccagauge.dispatch.service import Surroundings
 from yuccagauge.explain.base import DecisionLog
 from yuccagauge.gateway.app import Gateway
--- a/yuccagauge/dispatch/attempt.py
+++ b/yuccagauge/dispatch/attempt.py
@@ -4,12 +4,12 @@
 from typing import Any, Protocol
 
 from yuccagauge.dispatch.base import BackendMessage, Header, ResponseHead
-from yuccagauge.dispatch.connection import ConnectionPool
 from yuccagauge.dispatch.errors import (
     BackendProtocolError,
     ReplayMismatchError,
 )
 from yuccagauge.dispatch.exchange import Exchange
+from yuccagauge.dispatch.pool import ConnectionPool
 from yuccagauge.dispatch.recovery import Ending
 from yuccagauge.dispatch.sse import EventSplitter
 from yuccagauge.settings.options import Endpoint
--- a/yuccagauge/dispatch/connection.py
+++ b/yuccagauge/dispatch/connection.py
@@ -1,20 +1,17 @@
-"""HTTP/1.1 connections to backend servers, and their pool.
+"""HTTP/1.1 connections to backend servers.
 
 The router writes requests through these connections itself, because the
 verdict of a failed request depends on whether any of its bytes were handed
 to the transport.
 """
 
-from collections import defaultdict, deque
 from collections.abc import Callable
 from typing import Any, Protocol
 
 import h11
-from twisted.internet.defer import Deferred, succeed
 from twisted.internet.error import ConnectionDone
-from twisted.internet.interfaces import IStreamClientEndpoint
-from twisted.internet.protocol import Factory, connectionDone
 from twisted.internet.protocol import Protocol as TwistedProtocol
+from twisted.internet.protocol import connectionDone
 from twisted.python.failure import Failure
 from twisted.web.http import (
     _ChunkedTransferDecoder,
@@ -22,20 +19,12 @@
 )
 
 from yuccagauge.dispatch.base import BackendMessage, ResponseHead
-from yuccagauge.dispatch.endpoints import tcp_endpoint
 from yuccagauge.dispatch.errors import BackendProtocolError
 from yuccagauge.settings.options import Endpoint
 
 #: Methods whose requests have no body unless one is given.
 _BODILESS_METHODS = frozenset(('GET', 'HEAD', 'DELETE', 'OPTIONS'))
 
-#: Idle connections kept for one backend server.
-_IDLE_CONNECTIONS = 64
-
-#: Seconds before an idle connection is closed; shorter than the idle limit
-#: of common HTTP servers, so that few requests meet a closing connection.
-_IDLE_S = 10
-
 #: Interim answers before an answer, and late answers to other requests in
 #: front of it, after which a connection is broken off.
 _MAXIMUM_INTERIM_ANSWERS = 16
@@ -314,90 +303,3 @@
     if message.body:
         body = parser.send(h11.Data(data=message.body))
     return head + body + parser.send(h11.EndOfMessage())
-
-
-class ConnectionPool:
-    """Open connections by backend server.
-
-    Parameters
-    ----------
-    reactor
-        Gives connections and timers.
-    endpoint
-        Makes the way to a backend server.
-    may_hang
-        Returns whether open connections to a backend server may hang.
-    """
-
-    def __init__(
-        self,
-        reactor: Any,
-        endpoint: Callable[[Any, Endpoint], IStreamClientEndpoint] = (
-            tcp_endpoint
-        ),
-        may_hang: Callable[[Endpoint], bool] = lambda server: False,
-    ) -> None:
-        """Start without connections."""
-        self._reactor = reactor
-        self._may_hang = may_hang
-        self._endpoint = endpoint
-        self._idle: dict[Endpoint, deque[Connection]] = defaultdict(deque)
-        #: Called when no idle connection to a backend server is left open.
-        self.on_idle_end: Callable[[Endpoint], None] = lambda server: None
-
-    def open(self, server: Endpoint, *, fresh: bool) -> Deferred[Connection]:
-        """Return an idle connection, or connect.
-
-        Parameters
-        ----------
-        fresh
-            Never reuse a connection: the backend server might be closing it
-            while the request is written, which ends in ``may have run``.
-        """
-        idle = self._idle[server]
-        if idle and self._may_hang(server):
-            _abort_all(idle)
-        while idle and not fresh:
-            connection = idle.pop()
-            connection.idle_timer.cancel()
-            if connection.reusable:
-                return succeed(connection)
-        endpoint = self._endpoint(self._reactor, server)
-        return endpoint.connect(Factory.forProtocol(Connection))
-
-    def probe(self, server: Endpoint) -> Deferred[Connection]:
-        """Connect to see whether a server lives."""
-        return self.open(server, fresh=True)
-
-    def give_back(self, server: Endpoint, connection: Connection) -> None:
-        """Keep a connection whose response was complete, or close it."""
-        idle = self._idle[server]
-        if not connection.reusable or len(idle) >= _IDLE_CONNECTIONS:
-            connection.abort()
-            return
-        connection.on_close = lambda closed: self._forget(server, closed)
-        connection.idle_timer = self._reactor.callLater(
-            _IDLE_S, connection.abort
-        )
-        idle.append(connection)
-
-    def close(self) -> None:
-        """Close all idle connections."""
-        for idle in self._idle.values():
-            _abort_all(idle)
-
-    def _forget(self, server: Endpoint, connection: Connection) -> None:
-        idle = self._idle[server]
-        if connection in idle:
-            idle.remove(connection)
-            if not idle:
-                self.on_idle_end(server)
-        if connection.idle_timer.active():
-            connection.idle_timer.cancel()
-
-
-def _abort_all(idle: deque[Connection]) -> None:
-    while idle:
-        connection = idle.pop()
-        connection.idle_timer.cancel()
-        connection.abort()
--- a/yuccagauge/dispatch/endcheck.py
+++ b/yuccagauge/dispatch/endcheck.py
@@ -6,7 +6,8 @@
 from twisted.python.failure import Failure
 
 from yuccagauge.clock import Millis
-from yuccagauge.dispatch.connection import Connection, ConnectionPool
+from yuccagauge.dispatch.connection import Connection
+from yuccagauge.dispatch.pool import ConnectionPool
 from yuccagauge.dispatch.timers import Timers
 from yuccagauge.settings.options import Endpoint
 
--- a/yuccagauge/dispatch/exchange.py
+++ b/yuccagauge/dispatch/exchange.py
@@ -13,11 +13,8 @@
 from twisted.python.failure import Failure
 
 from yuccagauge.dispatch.base import BackendMessage, ResponseHead
-from yuccagauge.dispatch.connection import (
-    Connection,
-    ConnectionPool,
-    ResponseUser,
-)
+from yuccagauge.dispatch.connection import Connection, ResponseUser
+from yuccagauge.dispatch.pool import ConnectionPool
 from yuccagauge.settings.options import Endpoint
 from yuccagauge.telemetry.guard import record_call_fault
 from yuccagauge.verdict import Verdict
--- a/yuccagauge/dispatch/fetch.py
+++ b/yuccagauge/dispatch/fetch.py
@@ -8,8 +8,8 @@
 
 from yuccagauge.clock import Millis, in_seconds
 from yuccagauge.dispatch.base import BackendMessage, ResponseHead
-from yuccagauge.dispatch.connection import ConnectionPool
 from yuccagauge.dispatch.exchange import Exchange
+from yuccagauge.dispatch.pool import ConnectionPool
 from yuccagauge.errors import UnavailableError
 from yuccagauge.settings.options import Endpoint
 from yuccagauge.verdict import Verdict
--- a/yuccagauge/dispatch/plainattempt.py
+++ b/yuccagauge/dispatch/plainattempt.py
@@ -11,9 +11,9 @@
     Header,
     ResponseHead,
 )
-from yuccagauge.dispatch.connection import ConnectionPool
 from yuccagauge.dispatch.endcheck import EndCheck
 from yuccagauge.dispatch.exchange import Exchange
+from yuccagauge.dispatch.pool import ConnectionPool
 from yuccagauge.dispatch.recovery import Ending
 from yuccagauge.dispatch.timers import Timers
 from yuccagauge.settings.options import Endpoint
--- /dev/null
+++ b/yuccagauge/dispatch/pool.py
@@ -0,0 +1,107 @@
+"""Open connections to backend servers, kept for the next request."""
+
+from collections import defaultdict, deque
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet.defer import Deferred, succeed
+from twisted.internet.interfaces import IStreamClientEndpoint
+from twisted.internet.protocol import Factory
+
+from yuccagauge.dispatch.connection import Connection
+from yuccagauge.dispatch.endpoints import tcp_endpoint
+from yuccagauge.settings.options import Endpoint
+
+#: Idle connections kept for one backend server.
+_IDLE_CONNECTIONS = 64
+
+#: Seconds before an idle connection is closed; shorter than the idle limit
+#: of common HTTP servers, so that few requests meet a closing connection.
+_IDLE_S = 10
+
+
+class ConnectionPool:
+    """Open connections by backend server.
+
+    Parameters
+    ----------
+    reactor
+        Gives connections and timers.
+    endpoint
+        Makes the way to a backend server.
+    may_hang
+        Returns whether open connections to a backend server may hang.
+    """
+
+    def __init__(
+        self,
+        reactor: Any,
+        endpoint: Callable[[Any, Endpoint], IStreamClientEndpoint] = (
+            tcp_endpoint
+        ),
+        may_hang: Callable[[Endpoint], bool] = lambda server: False,
+    ) -> None:
+        """Start without connections."""
+        self._reactor = reactor
+        self._may_hang = may_hang
+        self._endpoint = endpoint
+        self._idle: dict[Endpoint, deque[Connection]] = defaultdict(deque)
+        #: Called when no idle connection to a backend server is left open.
+        self.on_idle_end: Callable[[Endpoint], None] = lambda server: None
+
+    def open(self, server: Endpoint, *, fresh: bool) -> Deferred[Connection]:
+        """Return an idle connection, or connect.
+
+        Parameters
+        ----------
+        fresh
+            Never reuse a connection: the backend server might be closing it
+            while the request is written, which ends in ``may have run``.
+        """
+        idle = self._idle[server]
+        if idle and self._may_hang(server):
+            _abort_all(idle)
+        while idle and not fresh:
+            connection = idle.pop()
+            connection.idle_timer.cancel()
+            if connection.reusable:
+                return succeed(connection)
+        endpoint = self._endpoint(self._reactor, server)
+        return endpoint.connect(Factory.forProtocol(Connection))
+
+    def probe(self, server: Endpoint) -> Deferred[Connection]:
+        """Connect to see whether a server lives."""
+        return self.open(server, fresh=True)
+
+    def give_back(self, server: Endpoint, connection: Connection) -> None:
+        """Keep a connection whose response was complete, or close it."""
+        idle = self._idle[server]
+        if not connection.reusable or len(idle) >= _IDLE_CONNECTIONS:
+            connection.abort()
+            return
+        connection.on_close = lambda closed: self._forget(server, closed)
+        connection.idle_timer = self._reactor.callLater(
+            _IDLE_S, connection.abort
+        )
+        idle.append(connection)
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for idle in self._idle.values():
+            _abort_all(idle)
+
+    def _forget(self, server: Endpoint, connection: Connection) -> None:
+        idle = self._idle[server]
+        if connection in idle:
+            idle.remove(connection)
+            if not idle:
+                self.on_idle_end(server)
+        if connection.idle_timer.active():
+            connection.idle_timer.cancel()
+
+
+def _abort_all(idle: deque[Connection]) -> None:
+    while idle:
+        connection = idle.pop()
+        connection.idle_timer.cancel()
+        connection.abort()
--- a/yuccagauge/dispatch/service.py
+++ b/yuccagauge/dispatch/service.py
@@ -14,8 +14,8 @@
 from yuccagauge.clock import Clock, Millis, in_seconds
 from yuccagauge.dispatch import metrics
 from yuccagauge.dispatch.base import Call, CallLater
-from yuccagauge.dispatch.connection import ConnectionPool
 from yuccagauge.dispatch.hedging import LatencyWindow
+from yuccagauge.dispatch.pool import ConnectionPool
 from yuccagauge.dispatch.servers import PlainServers
 from yuccagauge.errors import NotFoundError
 from yuccagauge.explain.base import DecisionLog
--- a/yuccagauge/dispatch/sidecalls.py
+++ b/yuccagauge/dispatch/sidecalls.py
@@ -1,9 +1,9 @@
 """Calls to engines whose answers nobody waits for."""
 
 from yuccagauge.dispatch.base import ResponseHead
-from yuccagauge.dispatch.connection import ConnectionPool
 from yuccagauge.dispatch.exchange import Exchange
 from yuccagauge.dispatch.messages import cancel_message
+from yuccagauge.dispatch.pool import ConnectionPool
 from yuccagauge.settings.options import Endpoint
 
 
--- a/yuccagauge/peerpath/pool.py
+++ b/yuccagauge/peerpath/pool.py
@@ -5,7 +5,8 @@
 
 from twisted.internet.defer import Deferred
 
-from yuccagauge.dispatch.connection import Connection, ConnectionPool
+from yuccagauge.dispatch.connection import Connection
+from yuccagauge.dispatch.pool import ConnectionPool
 from yuccagauge.peerpath.dialer import PathDialer
 from yuccagauge.settings.options import Endpoint
 
--- a/yuccagauge/platform/adapter.py
+++ b/yuccagauge/platform/adapter.py
@@ -7,8 +7,8 @@
 
 from yuccagauge.clock import Millis
 from yuccagauge.dispatch.base import BackendMessage
-from yuccagauge.dispatch.connection import ConnectionPool
 from yuccagauge.dispatch.fetch import Fetched, fetch
+from yuccagauge.dispatch.pool import ConnectionPool
 from yuccagauge.platform import names
 from yuccagauge.platform.engines import PlatformEngineClient
 from yuccagauge.platform.records import PlatformRecordDecoder
--- a/yuccagauge/platform/engines.py
+++ b/yuccagauge/platform/engines.py
@@ -15,8 +15,8 @@
 from yuccagauge.clock import Millis
 from yuccagauge.directory.base import BackendServer
 from yuccagauge.dispatch.base import BackendMessage
-from yuccagauge.dispatch.connection import ConnectionPool
 from yuccagauge.dispatch.fetch import Fetched, FetchError, fetch
+from yuccagauge.dispatch.pool import ConnectionPool
 from yuccagauge.platform import names
 from yuccagauge.platform.requests import PlatformBackendProtocol
 from yuccagauge.relay.adapter import AnswerListener
--- a/yuccagauge/relay/adapter.py
+++ b/yuccagauge/relay/adapter.py
@@ -8,7 +8,7 @@
 from yuccagauge.directory.state import RecordDecoder
 from yuccagauge.directory.store import KeyedStore
 from yuccagauge.directory.targetarchive import TargetStore
-from yuccagauge.dispatch.connection import ConnectionPool
+from yuccagauge.dispatch.pool import ConnectionPool
 from yuccagauge.origins.archive import VersionStore
 from yuccagauge.origins.log import OriginLogStore
 from yuccagauge.quarantine.archive import CrashStore
--- a/yuccagauge/relay/context.py
+++ b/yuccagauge/relay/context.py
@@ -7,7 +7,7 @@
 from yuccagauge.clock import Clock, Millis, in_millis
 from yuccagauge.directory.state import Directory
 from yuccagauge.dispatch.base import CallLater
-from yuccagauge.dispatch.connection import ConnectionPool
+from yuccagauge.dispatch.pool import ConnectionPool
 from yuccagauge.quarantine.base import Quarantine, QuarantineStatus
 from yuccagauge.quarantine.parts import PartQuarantine
 from yuccagauge.relay.base import BackendProtocol, CallDecoder, RelayCall
--- a/yuccagauge/relay/paths.py
+++ b/yuccagauge/relay/paths.py
@@ -5,7 +5,7 @@
 
 from yuccagauge.clock import Clock
 from yuccagauge.directory.state import Directory
-from yuccagauge.dispatch.connection import ConnectionPool
+from yuccagauge.dispatch.pool import ConnectionPool
 from yuccagauge.exchange.members import Member
 from yuccagauge.peerpath.carrier import PathCarrier
 from yuccagauge.peerpath.choice import PeerChoice
--- a/yuccagauge/relay/router.py
+++ b/yuccagauge/relay/router.py
@@ -12,7 +12,7 @@
 from yuccagauge.clock import Clock, Millis, in_seconds
 from yuccagauge.directory.follower import TopicFollower
 from yuccagauge.directory.state import Directory, Topic
-from yuccagauge.dispatch.connection import ConnectionPool
+from yuccagauge.dispatch.pool import ConnectionPool
 from yuccagauge.ratelimit.limits import ServerLimits
 from yuccagauge.relay import changes
 from yuccagauge.relay.adapter import AdapterFactory
