Show broken answers that look complete as their server restarts

What callers see: an answer that ends with its connection is broken off as its server ends, and arrives with status 200 and a regular end. Its router was paused, or the server was back at once, or another process kept its port open, so that a connection opened when the router looked. end_checked logs what proved the end, the incarnation that got the call and the one that is listed, so that this is told apart from streams that go on elsewhere.

--- a/features/leaving_fleet.py
+++ b/features/leaving_fleet.py
@@ -4,10 +4,12 @@
 """
 
 import json
+from collections.abc import Callable
 from typing import Any
 
-from twisted.internet.protocol import Protocol
+from twisted.internet.protocol import Factory, Protocol
 
+from features.crash_server import SERVER_PORT
 from features.partition_fleet import PartitionFleet
 from features.partition_servers import EVENTS, PartitionServer, StreamProtocol
 from yuccagauge.clock import Millis
@@ -33,6 +35,10 @@
         """Create a server that is listed once it runs."""
         super().__init__(fleet, number)
         self._is_listed = True
+        #: Time from a start to the entry that names it, in seconds.
+        self.entry_lag_s: float = 0
+        #: Called with the server when it has sent the end of an answer.
+        self.on_answered: Callable[[UnframedServer], None] = lambda server: None
         #: Time between the two halves of a plain answer, in seconds.
         self.half_interval_s = _HALF_INTERVAL_S
         self._connections: list[Protocol] = []
@@ -63,7 +69,7 @@
     def start(self) -> None:
         """Start the server, and list it at once."""
         super().start()
-        self._write_entry(self._entry())
+        self.later(self.entry_lag_s, lambda: self._write_entry(self._entry()))
 
     def build_protocol(self) -> Protocol:
         """Return the server's side of a new connection."""
@@ -95,6 +101,26 @@
         self.is_up = False
         self._fleet.network.end_host(self.host)
 
+    def go_down(self, seconds: float) -> None:
+        """End the process, and start it anew after a time."""
+        self.kill()
+        self._fleet.network.reactor.callLater(seconds, self.start)
+
+    def leave_port_open(self) -> None:
+        """End the process, but let another one keep its port open."""
+        self.kill()
+        factory = Factory.forProtocol(Protocol)
+        factory.noisy = False
+        self._fleet.network.listen(self.host, SERVER_PORT, factory)
+
+    def fall_silent(self, seconds: float) -> None:
+        """Let the process do nothing for a time."""
+        network = self._fleet.network
+        network.frozen_hosts.add(self.host)
+        network.reactor.callLater(
+            seconds, network.frozen_hosts.discard, self.host
+        )
+
     def restart(self, *, is_listed: bool = True) -> None:
         """End, and start anew before the routers notice the end."""
         network = self._fleet.network
@@ -110,7 +136,9 @@
 
     def _write_entry(self, entry: tuple[str, bytes]) -> None:
         is_current = json.loads(entry[1])['born'] == self._born
-        if self._is_listed and is_current:
+        known_from = self._born + round(self.entry_lag_s * 1000)
+        is_known = self._fleet.clock.now() >= known_from
+        if self._is_listed and is_current and is_known:
             super()._write_entry(entry)
 
 
@@ -127,6 +155,7 @@
         if number == len(self._server.parts):
             self._server.answered.add(request_id)
             self.transport.loseConnection()
+            self._server.on_answered(self._server)
             return
         self.transport.write(self._server.parts[number])
         self._server.later(
--- a/features/partition_callers.py
+++ b/features/partition_callers.py
@@ -54,6 +54,8 @@
     is_whole: bool = False
     #: Whether the router ended the connection before the answer.
     is_lost: bool = False
+    #: The body of the answer, as it arrived.
+    answer: bytes = b''
 
     @property
     def deadline_at(self) -> Millis:
@@ -108,6 +110,7 @@
     def _finish(self, body: bytes) -> None:
         attempt = self._attempt
         attempt.answered_at = self._clock.now()
+        attempt.answer = body
         attempt.is_whole = attempt.status == _SUCCESS and (
             attempt.route not in STREAM_ROUTES
             or [int(number) for number in _EVENT.findall(body)]
--- a/yuccagauge/relay/attempt.py
+++ b/yuccagauge/relay/attempt.py
@@ -88,6 +88,13 @@
         is_listed = server_id in self._context.directory.servers
         return is_listed and not self.is_same_incarnation
 
+    @property
+    def listed_incarnation(self) -> str | None:
+        """The incarnation of the server that is listed; ``None`` for none."""
+        server_id = self._placement.server.server_id
+        listed = self._context.directory.servers.get(server_id)
+        return None if listed is None else listed.incarnation
+
     @property
     def has_begun(self) -> bool:
         """Whether the server has sent a part of the answer."""
--- a/yuccagauge/relay/call.py
+++ b/yuccagauge/relay/call.py
@@ -185,6 +185,14 @@
 
     def _handle_end_check(self, is_alive: bool) -> None:
         """Handle the end of a response that only its connection showed."""
+        attempt = self._attempt
+        self._reporter.record_end_check(
+            'accepts_connections' if is_alive else '',
+            checked_ms=attempt.time_without_response,
+            sent_to=attempt.placement.server.incarnation,
+            listed=attempt.listed_incarnation,
+            response=self._response,
+        )
         if is_alive and not self._attempt.has_restarted:
             self._complete_attempt(failed=False)
             return
--- a/yuccagauge/relay/metrics.py
+++ b/yuccagauge/relay/metrics.py
@@ -22,6 +22,11 @@
     'Time from the request to the end of its answer.',
     's',
 )
+END_CHECKS = counter(
+    'yuccagauge.relay.end_checks',
+    'Answers that ended with their connection, by what proved them whole.',
+    '{answer}',
+)
 SUPERSEDED_AGE = histogram(
     'yuccagauge.relay.superseded_weights.age',
     'Time since newer weights were named, of answers that began on older ones.',
--- a/yuccagauge/relay/report.py
+++ b/yuccagauge/relay/report.py
@@ -123,6 +123,39 @@
         self._server = server
         self._log('call_returned', send=self._sends, server=server)
 
+    def record_end_check(
+        self,
+        proof: str,
+        *,
+        checked_ms: Millis,
+        sent_to: str,
+        listed: str | None,
+        response: ResponseForwarder,
+    ) -> None:
+        """Log what proved that an answer is whole, whose framing does not tell.
+
+        Parameters
+        ----------
+        proof
+            What showed that the server had not ended; empty for nothing.
+        checked_ms
+            Time from the end of the connection to the result.
+        sent_to, listed
+            The incarnation that the call was sent to, and the one that is
+            listed now; ``None`` if there is none.
+        """
+        metrics.END_CHECKS.add(1, {'proof': proof or 'none'})
+        self._log(
+            'end_checked',
+            send=self._sends,
+            server=self._server,
+            proof=proof,
+            checked_ms=checked_ms,
+            sent_to=sent_to,
+            listed=listed,
+            **_response_fields(response.summary),
+        )
+
     def record_first_output(self) -> None:
         """Record the time to the first output, once per call."""
         if self._first_output_at is None:
