Prove that the server lived on when its answer ended with its connection

What callers saw: answers with neither a length nor chunks that were broken off as their server ended arrived with status 200 and a regular end (ORDER for streams, MIXED for others).

Cause: the end counted if somebody accepted a connection at the address of the server some time afterwards, and its entry was the same. After a pause of the router, a late end on a slow link or a restart at once that is another process, whose entry is up to 2 s late; a port may outlive its process, and the backlog accepts for one that answers nothing. The class: whether something is there now, asked for whether it was there throughout.

Change: a connection belongs to one process, and so does a start time. The end counts if the server answers a check on a connection that was open before the request was sent, or if its report states a start that was known when the request was sent. Where entries state no start, ids are not used again, and the id of the process that answers decides. A plain server gets one connection for this beside the first call, which carries calls as soon as an answer had a length or chunks. A call that can move waits 250 ms for the proof, others until their deadline, so that a silent server loses no whole answer.

The proof is independent of clocks, of entries and of how late the router looks.

Stand-ins: servers answer health checks and reports, as the users' pages say; a server that is killed answers nothing on its other connections any more, and states its start from 1 on, since 0 stands for none.

--- a/features/crash_fleet.py
+++ b/features/crash_fleet.py
@@ -274,6 +274,7 @@
         name = settings.relay.name
         store = self.build_store_client(name)
         order_client = self.build_order_client(reactor, pool, name)
+        engines = PlatformEngineClient(reactor, pool, name)
         return PlatformAdapter(
             call_decoder=PlatformCallDecoder(),
             backend_protocol=PlatformBackendProtocol(),
@@ -288,9 +289,6 @@
             cache_event_source=self.cache_event_source,
             ready_path='/ready',
             answer_listeners=getattr(order_client, 'answer_listeners', []),
-            start_time_source=(
-                PlatformEngineClient(reactor, pool, name)
-                if self.asks_start_times
-                else None
-            ),
+            start_time_source=engines if self.asks_start_times else None,
+            identity_source=engines,
         )
--- a/features/crash_server.py
+++ b/features/crash_server.py
@@ -26,6 +26,10 @@
 #: Body of a request that no server answers.
 UNANSWERED = b'unanswered'
 
+#: How requests begin that the router sends for itself.
+_REPORT = b'GET /api/report '
+_CHECKS = (_REPORT, b'GET /h ')
+
 #: Status of a server that fails a request without running it to its end.
 _FAILED = 500
 _ANSWERED = 200
@@ -95,6 +99,13 @@
         fleet.network.reactor.callLater(_RUN_S, self.end)
         return None
 
+    def report(self) -> bytes:
+        """Return what a model engine states about itself."""
+        entry = self.entry_document()
+        return json.dumps(
+            {'born': entry['born']} if 'born' in entry else {}
+        ).encode()
+
     def record_arrival(self, request_id: str) -> None:
         """Count a request that has arrived whole."""
         self.arrivals.append(self._fleet.clock.now())
@@ -184,12 +195,24 @@
         if not found or len(rest) < length:
             return
         self._buffer = rest[length:]
+        if head.startswith(_CHECKS):
+            self._answer_check(head.startswith(_REPORT))
+            return
         self._server.record_arrival(headers['x-yuccagauge-request-id'])
         if headers['x-yuccagauge-expect-instance'] != self._server.server_id:
             self._answer(_MISDIRECTED, headers)
             return
         self.run_request(headers, rest[:length])
 
+    def _answer_check(self, is_report: bool) -> None:
+        """Answer a health check, or a request for the report of an engine."""
+        body = self._server.report() if is_report else b''
+        self.transport.write(
+            f'HTTP/1.1 200 X\r\nContent-Length: {len(body)}\r\n'
+            f'X-Yuccagauge-Instance-Id: {self._server.server_id}\r\n\r\n'.encode()
+            + body
+        )
+
     def run_request(self, headers: dict[str, str], body: bytes) -> None:
         """Run a request that has arrived whole."""
         status = self._server.run_request(body)
--- a/features/leaving_fleet.py
+++ b/features/leaving_fleet.py
@@ -27,6 +27,9 @@
 
 _BODY = (b'o', b'k')
 
+#: Wall time at the start of the fleet, in ms. A start at 0 is not stated.
+_EPOCH = 1
+
 
 class UnframedServer(PartitionServer):
     """A server whose answers have neither a length nor chunks."""
@@ -77,6 +80,10 @@
         self._connections.append(connection)
         return connection
 
+    def entry_document(self) -> dict[str, Any]:
+        """Return what the server writes to the store."""
+        return {**super().entry_document(), 'born': _EPOCH + self._born}
+
     def is_running(self, request_id: str) -> bool:
         """Return whether a request runs here."""
         return request_id in self._begun - self.answered
@@ -135,7 +142,7 @@
         network.reactor.callLater(_LATE_END_S, heal)
 
     def _write_entry(self, entry: tuple[str, bytes]) -> None:
-        is_current = json.loads(entry[1])['born'] == self._born
+        is_current = json.loads(entry[1])['born'] == _EPOCH + self._born
         known_from = self._born + round(self.entry_lag_s * 1000)
         is_known = self._fleet.clock.now() >= known_from
         if self._is_listed and is_current and is_known:
--- a/features/relay/restarted_servers.feature
+++ b/features/relay/restarted_servers.feature
@@ -67,7 +67,7 @@
   # Guards against whole answers that are lost because their server is silent.
   Scenario Outline: A whole answer reaches its caller though its server is silent after it
     Given 3 routers before servers whose answers have no length
-    When a server falls silent for 1.2 s at the end of its answers to "<route>"
+    When a server falls silent for 0.4 s at the end of its answers to "<route>"
     Then their callers have whole answers of one run
 
     Examples:
--- a/features/relay_fixture.py
+++ b/features/relay_fixture.py
@@ -14,6 +14,7 @@
 from yuccagauge.directory.state import Directory, Topic
 from yuccagauge.dispatch.pool import ConnectionPool
 from yuccagauge.origins.base import ORIGIN_LIFETIME
+from yuccagauge.platform.engines import PlatformEngineClient
 from yuccagauge.platform.records import PlatformRecordDecoder
 from yuccagauge.platform.requests import (
     PlatformBackendProtocol,
@@ -119,6 +120,9 @@
             ),
             random_fraction=random.Random(1).random,
         )
+        self.relay_context.use_identities(
+            PlatformEngineClient(reactor, self.pool, 'a')
+        )
         self.selector.versions.merge((), ORIGIN_LIFETIME, clock.now())
         self.relay = Relay(self.relay_context)
         self.callers = CallerFactory(
@@ -143,6 +147,7 @@
         **overrides: Any,
     ) -> None:
         """Add a server's entry to the directory."""
+        server.instance_id = name
         entry = {
             'service': service,
             'address': str(server.endpoint),
@@ -166,6 +171,7 @@
     def close(self) -> None:
         """Close the port and all connections."""
         self.callers.close()
+        self.relay_context.witnesses.close()
         self.pool.close()
         wait_for_call(self._port.stopListening)
 
--- a/features/scripted_server.py
+++ b/features/scripted_server.py
@@ -13,6 +13,7 @@
 
 _MILLISECONDS_PER_SECOND = 1000
 _HEAD_END = b'\r\n\r\n'
+_CHECK_PATHS = frozenset(('/h', '/api/report'))
 
 
 class Exchange(Protocol):
@@ -115,8 +116,12 @@
         self.weights_version = 'w1'
         #: Method and path of each request but ``GET /load``.
         self.requests: list[tuple[str, str]] = []
+        #: Its id, if it answers health checks and requests for its report.
+        self.instance_id = ''
         #: Connections that were accepted.
         self.connections = 0
+        self._exchanges: list[Exchange] = []
+        self._is_killed = False
         self._port: Any = None
         #: Where it listens, also while it is closed.
         self.endpoint = Endpoint('127.0.0.1', 0)
@@ -138,17 +143,36 @@
         """Close the port."""
         return self._port.stopListening()
 
+    def kill(self) -> None:
+        """Close all connections, and answer nothing on new ones.
+
+        The port stays open until ``close``, as that of a killed process does
+        for a moment.
+        """
+        self._is_killed = True
+        for exchange in self._exchanges:
+            exchange.transport.loseConnection()
+
     def serve(self, exchange: Exchange) -> None:
         """Answer or follow the script."""
+        if self._is_killed:
+            return
         if exchange.path == '/load':
             exchange.answer(200, self._load())
             return
+        if self.instance_id and exchange.path in _CHECK_PATHS:
+            exchange.answer(
+                200, b'{}', f'X-Yuccagauge-Instance-Id: {self.instance_id}'
+            )
+            return
         self.requests.append((exchange.method, exchange.path))
         self.script(exchange)
 
     def _accept(self, _: Any) -> Exchange:
         self.connections += 1
-        return Exchange(self)
+        exchange = Exchange(self)
+        self._exchanges.append(exchange)
+        return exchange
 
     def _load(self) -> bytes:
         zeros = dict.fromkeys(
--- a/features/steps/relay_unproven_end_steps.py
+++ b/features/steps/relay_unproven_end_steps.py
@@ -37,10 +37,10 @@
     exchange.transport.write(event(0) + event(1))
 
 
-def _kill(server: ScriptedServer, exchange: Exchange) -> None:
-    """Close the port and the connection, as the end of a process does."""
+def _kill(server: ScriptedServer) -> None:
+    """Close the port and all connections, as the end of a process does."""
     closed = server.close()
-    closed.addCallback(lambda _: exchange.transport.loseConnection())
+    closed.addCallback(lambda _: server.kill())
 
 
 @given('a relay with an engine that ends between two events as it is killed')
@@ -49,7 +49,7 @@
 
     def stream(exchange: Exchange) -> None:
         _send_two_events(exchange)
-        reactor.callLater(_PAUSE_S, _kill, context.servers[0], exchange)
+        reactor.callLater(_PAUSE_S, _kill, context.servers[0])
 
     start_relay_with_engine(context, stream)
 
@@ -62,7 +62,7 @@
     """Start a relay with an engine whose port outlives its connections."""
 
     def kill(exchange: Exchange) -> None:
-        exchange.transport.loseConnection()
+        context.servers[0].kill()
         reactor.callLater(_PORT_DELAY_S, context.servers[0].close)
 
     def stream(exchange: Exchange) -> None:
@@ -80,7 +80,7 @@
         exchange.transport.write(
             b'HTTP/1.1 200 X\r\nX-Yuccagauge-Request-Id: r1\r\n\r\nhalf'
         )
-        reactor.callLater(_PAUSE_S, _kill, context.servers[0], exchange)
+        reactor.callLater(_PAUSE_S, _kill, context.servers[0])
 
     start_relay_with_plain_server(context, answer)
 
--- a/features/unframed_engine.py
+++ b/features/unframed_engine.py
@@ -28,6 +28,10 @@
     except asyncio.IncompleteReadError:
         writer.close()
         return
+    if head.startswith(b'GET /api/report '):
+        writer.write(b'HTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\n{}')
+        writer.close()
+        return
     fields = dict(
         line.lower().split(b': ', 1) for line in head.strip().split(b'\r\n')[1:]
     )
--- a/yuccagauge/dispatch/connection.py
+++ b/yuccagauge/dispatch/connection.py
@@ -5,6 +5,7 @@
 to the transport.
 """
 
+import itertools
 from collections.abc import Callable
 from typing import Any, Protocol
 
@@ -33,6 +34,10 @@
 #: Bytes of late answers to other requests that are read.
 _MAXIMUM_FOREIGN_BYTES = 1_048_576
 
+#: Orders the openings of connections and other moments of a process. Times in
+#: ms are too coarse for it.
+_moments = itertools.count(1)
+
 _PROTOCOL_ERRORS = (
     h11.RemoteProtocolError,
     BackendProtocolError,
@@ -40,6 +45,11 @@
 )
 
 
+def next_moment() -> int:
+    """Return a number that is larger than that of each earlier moment."""
+    return next(_moments)
+
+
 class ResponseUser(Protocol):
     """Hears the response to the one request that a connection carries."""
 
@@ -78,15 +88,27 @@
         #: Tells the pool about the end of the connection.
         self.on_close: Callable[[Connection], None] | None = None
         self.idle_timer: Any = None
+        #: The moment at which it was open.
+        self.opened_at = 0
+
+    @property
+    def is_open(self) -> bool:
+        """Whether neither side has closed it, as far as is known."""
+        return self._open
 
     @property
     def reusable(self) -> bool:
         """Whether another request can be sent."""
-        is_idle = self._parser.our_state is h11.IDLE
-        return self._open and self._may_reuse and is_idle
+        return self.can_send and self._may_reuse
+
+    @property
+    def can_send(self) -> bool:
+        """Whether it is open, and its last answer is complete."""
+        return self._open and self._parser.our_state is h11.IDLE
 
     def connectionMade(self) -> None:
         """Send small messages without delay."""
+        self.opened_at = next_moment()
         self.transport.setTcpNoDelay(True)
         self._may_reuse = getattr(self.transport, 'allows_reuse', True)
 
--- a/yuccagauge/dispatch/pool.py
+++ b/yuccagauge/dispatch/pool.py
@@ -73,6 +73,18 @@
         """Connect to see whether a server lives."""
         return self.open(server, fresh=True)
 
+    def take_older(self, server: Endpoint, moment: int) -> Connection | None:
+        """Return an idle connection that was open before a moment."""
+        if self._may_hang(server):
+            return None
+        idle = self._idle.get(server, ())
+        for connection in tuple(idle):
+            if connection.reusable and connection.opened_at < moment:
+                idle.remove(connection)
+                connection.idle_timer.cancel()
+                return connection
+        return None
+
     def give_back(self, server: Endpoint, connection: Connection) -> None:
         """Keep a connection whose response was complete, or close it."""
         idle = self._idle[server]
@@ -105,3 +117,25 @@
         connection = idle.pop()
         connection.idle_timer.cancel()
         connection.abort()
+
+
+class ProbePool:
+    """Opens connections of a pool that carry no call.
+
+    Parameters
+    ----------
+    pool
+        Opens them, and keeps them afterwards.
+    """
+
+    def __init__(self, pool: ConnectionPool) -> None:
+        """Use a pool."""
+        self._pool = pool
+
+    def open(self, server: Endpoint, *, fresh: bool) -> Deferred[Connection]:
+        """Connect anew, whatever is idle."""
+        return self._pool.probe(server)
+
+    def give_back(self, server: Endpoint, connection: Connection) -> None:
+        """Keep a connection for a call."""
+        self._pool.give_back(server, connection)
--- a/yuccagauge/platform/adapter.py
+++ b/yuccagauge/platform/adapter.py
@@ -47,6 +47,7 @@
         ready_path=names.READY_PATH,
         answer_listeners=engines.answer_listeners,
         start_time_source=engines,
+        identity_source=engines,
     )
 
 
--- a/yuccagauge/platform/engines.py
+++ b/yuccagauge/platform/engines.py
@@ -13,13 +13,14 @@
     HolderBusyError,
 )
 from yuccagauge.clock import Millis
-from yuccagauge.directory.base import BackendServer
+from yuccagauge.directory.base import BackendServer, ServiceSpec
 from yuccagauge.dispatch.base import BackendMessage
 from yuccagauge.dispatch.fetch import Fetched, FetchError, fetch
 from yuccagauge.dispatch.pool import ConnectionPool
 from yuccagauge.platform import names
 from yuccagauge.platform.requests import PlatformBackendProtocol
 from yuccagauge.relay.adapter import AnswerListener
+from yuccagauge.relay.identity import ServerIdentity
 from yuccagauge.rollout.base import (
     EngineStatus,
     OrderAnswer,
@@ -30,6 +31,7 @@
 from yuccagauge.verdict import Verdict
 
 _OK = 200
+_MISDIRECTED = 421
 _TOO_MANY_REQUESTS = 429
 
 #: Timeout of a reply, beyond the time for which the engine may hold a poll.
@@ -109,12 +111,37 @@
         """Return the start time that a server reports; 0 if it has none."""
         message = BackendMessage(method='GET', path=names.REPORT_PATH)
         response = yield self._fetch(server.endpoint, message, timeout)
-        try:
-            born = _json_object(response).get('born')
-        except FetchError:
-            return 0
-        is_time = isinstance(born, int) and not isinstance(born, bool)
-        return born if is_time else 0
+        return _start_time(response)
+
+    def encode_check(
+        self, server: BackendServer, service: ServiceSpec
+    ) -> BackendMessage | None:
+        """Return a request that a server answers whatever its load is.
+
+        Plain servers have no report, and their services may have no path for
+        health checks.
+        """
+        path = names.REPORT_PATH if service.is_model else service.health_path
+        if not path:
+            return None
+        expected = (names.EXPECT_INSTANCE, server.server_id.encode())
+        return BackendMessage(method='GET', path=path, headers=(expected,))
+
+    @inlineCallbacks
+    def read_identity(
+        self, server: BackendServer, message: BackendMessage, timeout: Millis
+    ) -> Any:
+        """Return the ``ServerIdentity`` of the process that answers.
+
+        A process with another id than the expected one answers 421.
+        """
+        response = yield self._fetch(server.endpoint, message, timeout)
+        stated = response.head.get(names.INSTANCE_ID.lower())
+        if not stated and response.head.status != _MISDIRECTED:
+            stated = server.server_id
+        return ServerIdentity(
+            server_id=stated, started_at=_start_time(response)
+        )
 
     @inlineCallbacks
     def send_order(
@@ -206,6 +233,16 @@
         return response
 
 
+def _start_time(response: Fetched) -> int:
+    """Return the start time that a response states; 0 if it states none."""
+    try:
+        born = _json_object(response).get('born')
+    except FetchError:
+        return 0
+    is_time = isinstance(born, int) and not isinstance(born, bool)
+    return born if is_time else 0
+
+
 def _json_object(response: Fetched) -> dict[str, Any]:
     try:
         document = json.loads(response.body)
--- a/yuccagauge/relay/attempt.py
+++ b/yuccagauge/relay/attempt.py
@@ -1,6 +1,8 @@
 """One attempt of a call on a backend server, and its effects on the router."""
 
 from yuccagauge.clock import Millis
+from yuccagauge.dispatch.base import Framing, ResponseHead
+from yuccagauge.dispatch.connection import next_moment
 from yuccagauge.dispatch.errors import ContinuationError
 from yuccagauge.quarantine.entry import Evidence, crash_id
 from yuccagauge.quarantine.events import short_fingerprint
@@ -46,6 +48,10 @@
         self._context = context
         self._sent_at = context.clock.now()
         self._last_activity_at = self._sent_at
+        #: The moment before which a connection is older than the request.
+        self._sending_moment = 0
+        #: The starts of the server that were known then.
+        self._known_starts: frozenset[int] = frozenset()
         self._is_paused = False
         self._holds_slot = True
         context.selector.record_send(
@@ -71,6 +77,16 @@
         """The server and the parameters of the attempt."""
         return self._placement
 
+    @property
+    def sending_moment(self) -> int:
+        """The moment at which the request was sent; 0 before."""
+        return self._sending_moment
+
+    @property
+    def known_starts(self) -> frozenset[int]:
+        """The starts that were known of the server as the request was sent."""
+        return self._known_starts
+
     @property
     def is_same_incarnation(self) -> bool:
         """Whether the server is listed as it was at the send."""
@@ -155,6 +171,35 @@
         quiet_at = self._first_output_at + SOUND_OUTPUT_TIME
         return last_activity_at < quiet_at <= self._now()
 
+    def prepare_end_proof(self) -> None:
+        """Have a connection that is older than the request, if one is needed.
+
+        Model engines state when they started, so that they need none.
+        """
+        is_model = self._selection_request.service.is_model
+        if not is_model and self._context.identities is not None:
+            endpoint = self._placement.server.endpoint
+            self._context.witnesses.prepare(endpoint)
+
+    def record_framing(self, head: ResponseHead) -> None:
+        """Record whether a plain server tells where its answers end."""
+        if not self._selection_request.service.is_model:
+            self._context.witnesses.record_framing(
+                self._placement.server.endpoint,
+                is_framed=head.framing is not Framing.CONNECTION,
+            )
+
+    def record_sending(self) -> bool:
+        """Note what is known of the server as the request goes out.
+
+        Returns whether it may go out, which it always may.
+        """
+        self._sending_moment = next_moment()
+        self._known_starts = self._context.incarnations.known_starts(
+            self._placement.server
+        )
+        return True
+
     def pause(self) -> None:
         """Record that the router does not read, for its caller's sake."""
         self._is_paused = True
--- a/yuccagauge/relay/call.py
+++ b/yuccagauge/relay/call.py
@@ -4,8 +4,8 @@
 The verdict over all attempts determines which statuses a refusal may have.
 """
 
+from yuccagauge.clock import Millis
 from yuccagauge.dispatch.base import AnswerSink, ResponseHead
-from yuccagauge.dispatch.endcheck import EndCheck
 from yuccagauge.dispatch.errors import ContinuationError
 from yuccagauge.dispatch.exchange import Exchange
 from yuccagauge.dispatch.timers import Timers
@@ -14,6 +14,7 @@
 from yuccagauge.relay.base import RelayCall, ResponseInfo
 from yuccagauge.relay.beginning import BeginningMonitor
 from yuccagauge.relay.context import RelayContext
+from yuccagauge.relay.ending import EndProof
 from yuccagauge.relay.exchanges import open_exchange
 from yuccagauge.relay.faults import CallGuard
 from yuccagauge.relay.repeats import CallRepeats
@@ -62,7 +63,12 @@
         self._has_ended = False
         self._guard = CallGuard(call.fields.request_id, self.abort_call)
         self._timers = Timers(self._guard.guard_timers(context.call_later))
-        self._end_check = EndCheck(context.pool, self._timers)
+        self._end_proof = EndProof(
+            context.witnesses,
+            context.identities,
+            self._timers,
+            self._guard.guard(self._handle_end_proof),
+        )
         self._stall_monitor = StallMonitor(
             self._repeats,
             self._timers,
@@ -142,6 +148,7 @@
             if self._takeover.withholds_head(head):
                 return
             self._response.accept_head(head, headers)
+            self._attempt.record_framing(head)
         except ContinuationError as error:
             self._handle_failed_continuation(str(error))
 
@@ -170,8 +177,11 @@
             self._handle_broken_attempt('the stream ended inside an event')
         elif self._response.ends_with_connection and not failed:
             self._stall_monitor.stop()
-            self._end_check.start(
-                self._attempt.placement.server.endpoint, self._handle_end_check
+            self._end_proof.start(
+                self._attempt,
+                self._selection_request.service,
+                limit=Millis(self._call.deadline - self._context.clock.now()),
+                can_move=self._repeats.may_move(self._response),
             )
         else:
             self._complete_attempt(failed=failed)
@@ -183,20 +193,20 @@
             return
         self._handle_broken_attempt(reason)
 
-    def _handle_end_check(self, is_alive: bool) -> None:
+    def _handle_end_proof(self, proof: str) -> None:
         """Handle the end of a response that only its connection showed."""
         attempt = self._attempt
         self._reporter.record_end_check(
-            'accepts_connections' if is_alive else '',
+            proof,
             checked_ms=attempt.time_without_response,
             sent_to=attempt.placement.server.incarnation,
             listed=attempt.listed_incarnation,
             response=self._response,
         )
-        if is_alive and not self._attempt.has_restarted:
+        if proof:
             self._complete_attempt(failed=False)
             return
-        self._handle_broken_attempt('the server ended with its connection')
+        self._handle_broken_attempt('nothing proves that the server lived on')
 
     def _complete_attempt(self, *, failed: bool) -> None:
         """Handle a complete response."""
@@ -329,8 +339,10 @@
             self._response.last_event_id,
             self._context,
             self,
+            self._attempt.record_sending,
         )
         self._beginning_monitor.watch(self._attempt)
+        self._attempt.prepare_end_proof()
         self._exchange.start(fresh=not self._repeats.is_retryable)
         if not self._has_ended:
             self._stall_monitor.start(self._exchange, self._attempt)
@@ -410,7 +422,7 @@
         self, outcome: str, status: int = 0, refusal: Refusal | None = None
     ) -> None:
         self._has_ended = True
-        self._end_check.close()
+        self._end_proof.close()
         self._takeover.close()
         self._repeats.close()
         self._timers.close()
--- a/yuccagauge/relay/context.py
+++ b/yuccagauge/relay/context.py
@@ -7,10 +7,12 @@
 from yuccagauge.clock import Clock, Millis, in_millis
 from yuccagauge.directory.state import Directory
 from yuccagauge.dispatch.base import CallLater
-from yuccagauge.dispatch.pool import ConnectionPool
+from yuccagauge.dispatch.pool import ConnectionPool, ProbePool
+from yuccagauge.dispatch.witness import Witnesses
 from yuccagauge.quarantine.base import Quarantine, QuarantineStatus
 from yuccagauge.quarantine.parts import PartQuarantine
 from yuccagauge.relay.base import BackendProtocol, CallDecoder, RelayCall
+from yuccagauge.relay.identity import IdentitySource
 from yuccagauge.relay.incarnations import Incarnations, StartTimeSource
 from yuccagauge.relay.origins import NoOrigins, OriginStore, StreamOrigins
 from yuccagauge.selection.base import SelectionDecision, SelectionRequest
@@ -77,11 +79,16 @@
     origins: StreamOrigins = field(init=False)
     #: Tells which servers are the ones that their entries describe.
     incarnations: Incarnations = field(init=False)
+    #: Connections that are older than the calls whose ends they prove.
+    witnesses: Witnesses = field(init=False)
+    #: Asks servers who they are; ``None`` if they cannot be asked.
+    identities: IdentitySource | None = None
     _budgets: dict[str, FleetRetryBudget] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         """Begin without a store for the origins of streams."""
         self.incarnations = Incarnations(self.directory, self.clock)
+        self.witnesses = Witnesses(self.pool)
         self.use_origin_store(NoOrigins())
 
     def use_origin_store(self, store: OriginStore) -> None:
@@ -94,6 +101,10 @@
         self.incarnations = Incarnations(self.directory, self.clock, through)
         self.pool.on_idle_end = self.incarnations.record_idle_end
 
+    def use_identities(self, source: IdentitySource | None) -> None:
+        """Ask servers who they are, on connections that carry no call."""
+        self.identities = source and source.through(ProbePool(self.pool))
+
     def is_quarantined(self, call: RelayCall, now: Millis) -> bool:
         """Return whether a call may crash servers and is not to be sent."""
         status = self.quarantine.status(call.fingerprint, now)
--- a/yuccagauge/relay/exchanges.py
+++ b/yuccagauge/relay/exchanges.py
@@ -1,5 +1,7 @@
 """Prepares the exchange of one attempt with its backend server."""
 
+from collections.abc import Callable
+
 from yuccagauge.clock import Millis
 from yuccagauge.dispatch.connection import ResponseUser
 from yuccagauge.dispatch.exchange import Exchange
@@ -13,6 +15,7 @@
     last_event_id: str,
     context: RelayContext,
     user: ResponseUser,
+    may_send: Callable[[], bool],
 ) -> Exchange:
     """Return the exchange of an attempt, which is not started.
 
@@ -22,6 +25,8 @@
         The last event that the caller has; empty for the whole answer.
     user
         Receives the response.
+    may_send
+        Called before the request is sent; returns whether it may be.
     """
     attempt = AttemptRequest(
         call=call,
@@ -35,4 +40,5 @@
         placement.server.endpoint,
         context.backend_protocol.encode_attempt(attempt),
         user,
+        may_send,
     )
--- a/yuccagauge/relay/incarnations.py
+++ b/yuccagauge/relay/incarnations.py
@@ -179,6 +179,12 @@
             return None
         return server.software_version
 
+    def known_starts(self, server: BackendServer) -> frozenset[int]:
+        """Return the starts that the entry and the last report state."""
+        known = self._servers.get(server.server_id)
+        starts = {server.started_at, (known and known.reported) or 0}
+        return frozenset(starts - {0})
+
     def _choose_for_rest(
         self, request: SelectionRequest, choose: Choice
     ) -> SelectionDecision:
--- a/yuccagauge/relay/repeats.py
+++ b/yuccagauge/relay/repeats.py
@@ -66,12 +66,19 @@
         response
             What the caller has of the answer.
         """
-        route = self._call.route
-        if not self.is_retryable or self._runs >= route.attempts:
-            return False
-        if response.has_started and route.kind is not RouteKind.STREAMING:
-            return False
-        return response.can_be_continued and self._may_send_again()
+        return self._runs < self._call.route.attempts and self._may_repeat(
+            response
+        )
+
+    def may_move(self, response: ResponseForwarder) -> bool:
+        """Return whether the call may be sent again if the present run fails.
+
+        Parameters
+        ----------
+        response
+            What the caller has of the answer.
+        """
+        return self.allows_another_run and self._may_repeat(response)
 
     def try_run_again(self, response: ResponseForwarder) -> bool:
         """Return ``may_run_again``; if so, spend a retry of the budget."""
@@ -90,6 +97,12 @@
             self._has_spent = False
             self._context.return_retry(self._call.service)
 
+    def _may_repeat(self, response: ResponseForwarder) -> bool:
+        is_stream = self._call.route.kind is RouteKind.STREAMING
+        if not self.is_retryable or (response.has_started and not is_stream):
+            return False
+        return response.can_be_continued and self._may_send_again()
+
     def _may_send_again(self) -> bool:
         if self._sends >= MAXIMUM_SENDS_PER_CALL or self._call.is_probe:
             return False
--- a/yuccagauge/relay/router.py
+++ b/yuccagauge/relay/router.py
@@ -128,6 +128,7 @@
         )
         self._context.use_origin_store(self._origin_broker)
         self._context.use_start_times(self._adapter.start_time_source)
+        self._context.use_identities(self._adapter.identity_source)
         self._archives = build_archives(
             self._adapter,
             self._context,
@@ -303,6 +304,7 @@
             archive.close()
         for part in (self._upkeep, self._cache_feed, self._callers):
             part.close()
+        self._context.witnesses.close()
         for pool in (self._paths, self._pool):
             pool.close()
         closing = [maybeDeferred(port.stopListening) for port in self._ports]
