Check the ends of answers one after the other on an older connection

What callers saw: a whole answer counted as broken if it ended while the older connection still read the body of an earlier check: the connection could not send, and was taken for lost. It now waits for that body. The first scenario of features/dispatch/witness.feature fails on the code before ([True, False]); the other three hold on both.

--- a/yuccagauge/dispatch/witness.py
+++ b/yuccagauge/dispatch/witness.py
@@ -1,5 +1,6 @@
 """Connections that show whether one process of a server has lived on."""
 
+from collections.abc import Callable
 from typing import Any
 
 from twisted.internet.defer import Deferred, succeed
@@ -21,14 +22,13 @@
         self.connection = connection
         #: Checks that begin with the next request.
         self._waiting: list[Deferred[bool]] = []
-        #: Checks that the request under way decides.
+        #: Checks that the head of the next answer decides.
         self._asking: list[Deferred[bool]] = []
         self._message: BackendMessage | None = None
-
-    @property
-    def is_idle(self) -> bool:
-        """Whether no check is under way."""
-        return not (self._asking or self._waiting)
+        #: Whether a request is sent, and its answer is not complete.
+        self._is_asking = False
+        #: Called once no check is under way; see ``release``.
+        self._on_idle: Callable[[], None] | None = None
 
     def check(self, message: BackendMessage) -> Deferred[bool]:
         """Return whether the server answers from now on.
@@ -41,6 +41,11 @@
         self._ask()
         return result
 
+    def release(self, on_idle: Callable[[], None]) -> None:
+        """Call a function once no check is under way."""
+        self._on_idle = on_idle
+        self._ask()
+
     def head(self, head: ResponseHead) -> None:
         """Note that the process of the connection lives."""
         self._settle(is_alive=True)
@@ -50,21 +55,28 @@
 
     def complete(self) -> None:
         """Begin the checks that came meanwhile."""
+        self._is_asking = False
         self._ask()
 
     def lost(self, reason: str) -> None:
         """Report that the connection shows nothing any more."""
+        self._is_asking = False
         self._waiting, self._asking = [], [*self._asking, *self._waiting]
         self._settle(is_alive=False)
 
     def _ask(self) -> None:
-        if not self._waiting or self._asking:
+        if self._is_asking:
             return
-        if not self.connection.can_send:
+        if not self._waiting:
+            on_idle, self._on_idle = self._on_idle, None
+            if on_idle is not None:
+                on_idle()
+        elif self.connection.can_send:
+            self._is_asking = True
+            self._asking, self._waiting = self._waiting, []
+            self.connection.send(self._message, self)
+        else:
             self.lost('closed')
-            return
-        self._asking, self._waiting = self._waiting, []
-        self.connection.send(self._message, self)
 
     def _settle(self, *, is_alive: bool) -> None:
         asking, self._asking = self._asking, []
@@ -124,9 +136,7 @@
         self._framed[server] = None
         if len(self._framed) > _MAXIMUM_FRAMED:
             self._framed.pop(next(iter(self._framed)))
-        held = self._held.get(server)
-        if held is not None and held.is_idle:
-            self._pool.give_back(server, self._held.pop(server).connection)
+        self._release(server)
 
     def prove(
         self, server: Endpoint, moment: int, message: BackendMessage
@@ -157,13 +167,17 @@
         self._held.clear()
 
     def _hold(self, server: Endpoint, connection: Connection) -> _Witness:
-        former = self._held.get(server)
-        if former is not None and former.is_idle:
-            self._pool.give_back(server, former.connection)
+        self._release(server)
         held = _Witness(connection)
         self._held[server] = held
         return held
 
+    def _release(self, server: Endpoint) -> None:
+        """Let calls use the connection to a server, after its checks."""
+        held = self._held.pop(server, None)
+        if held is not None:
+            held.release(lambda: self._pool.give_back(server, held.connection))
+
     def _handle_connection(
         self, connection: Connection, server: Endpoint
     ) -> None:
