Read the ids and line ends of events as callers do

Callers of a stream whose lines end with CR got nothing: no event ever ended, and the answer counted as broken. An event with several id fields was compared by its first one, though callers keep the last, so that a continuation repeated it (1, then 1 again). The same happened behind a byte order mark. An id of more than 4,300 digits raised ValueError in the middle of a read.

Cause: the splitter and the id expression knew LF and CRLF only, the id had to stand directly at a line's start, and its digits had no bound.

Lines now end with CR, LF or both, wherever the network cuts; a CR at the end of what has arrived waits for the next byte unless another CR is in front of it. The last id counts, and ids of more than 64 digits are no numbers.

--- a/yuccagauge/dispatch/sse.py
+++ b/yuccagauge/dispatch/sse.py
@@ -11,7 +11,21 @@
 
 _BLANK_LINE = b'\n\n'
 _DONE = re.compile(rb'^data: ?\[DONE\]\s*$', re.MULTILINE)
-_EVENT_ID = re.compile(rb'^id: ?(\d+)\r?$', re.MULTILINE)
+
+#: The byte order mark that a stream may begin with.
+BYTE_ORDER_MARK = b'\xef\xbb\xbf'
+
+#: Lines end with CR, LF or both. A CR at the end of what has arrived may be
+#: the first half of a line end, unless it follows another CR.
+_EVENT_END = re.compile(
+    rb'(?:\r\n|\n|\r(?!\n))(?:\r\n|\n|\r(?=[^\n])|(?<=\r)\r\Z)'
+)
+_LINE_START = rb'(?:\A(?:\xef\xbb\xbf)?|(?<=[\r\n]))'
+_EVENT_ID = re.compile(_LINE_START + rb'id(?:: ?([^\r\n]*))?[\r\n]')
+_DATA = re.compile(_LINE_START + rb'data[:\r\n]')
+
+#: Ids that are longer are no numbers.
+_NUMBER = re.compile(rb'[0-9]{1,64}')
 _PAYLOAD = re.compile(rb'^data: ?(.*?)\r?$', re.MULTILINE)
 _USAGE = b'"usage"'
 
@@ -53,7 +67,7 @@
     def _feed_lines(self, buffered: bytes) -> list[bytes]:
         events: list[bytes] = []
         start = 0
-        for match in re.finditer(rb'\r?\n\r?\n', buffered):
+        for match in _EVENT_END.finditer(buffered):
             events.append(buffered[start : match.end()])
             start = match.end()
         self._rest = buffered[start:]
@@ -65,10 +79,26 @@
             raise BackendProtocolError('an event does not end')
 
 
+def event_id(event: bytes) -> bytes | None:
+    """Return the last ``id`` field, which counts, or ``None``."""
+    found = _EVENT_ID.findall(event)
+    return found[-1] if found else None
+
+
+def id_number(text: bytes) -> int | None:
+    """Return the number that an id is, or ``None``."""
+    return int(text) if _NUMBER.fullmatch(text) else None
+
+
 def event_number(event: bytes) -> int | None:
     """Return the number in the ``id`` field, or ``None``."""
-    match = _EVENT_ID.search(event)
-    return int(match.group(1)) if match else None
+    text = event_id(event)
+    return None if text is None else id_number(text)
+
+
+def has_data(event: bytes) -> bool:
+    """Return whether there is a ``data`` field, unlike in a comment."""
+    return _DATA.search(event) is not None
 
 
 def is_done(event: bytes) -> bool:
