Hold events until a number shows that they are the rest of a stream

Callers that took up a stream whose ids have gaps (4, 8, 12) got 502, and a stream of that kind that broke off behind its first event went on nowhere: the event after the last one had to be the next number while nothing was known of the gaps. Events without a number passed unchecked in front of a continuation: a caller with 1 and 2 got an event of another run as third, and one whose last event had no number got that event twice.

An event behind a gap is held until the next one of its response shows whether the ids have gaps; an end shows nothing against it. Events without a number are held until one with a number follows in order. If none follows, the response is a failed continuation, except for the mark of the end. A stream whose latest event has no number is not continued.

What remains: with ids that have gaps, an event that an engine leaves out behind the caller's last one cannot be noticed, and an engine that ends a continuation regularly without any event is believed.

--- a/features/relay/continuation.feature
+++ b/features/relay/continuation.feature
@@ -93,3 +93,4 @@
       | 1 2 3  | 502    |
       | 3 4    | 502    |
       | 6 7    | 502    |
+      | 7 11   | 200    |
--- a/features/stream_caller.py
+++ b/features/stream_caller.py
@@ -79,7 +79,8 @@
         response.accept_head(_HEAD, _HEAD.headers)
         for piece in pieces:
             response.forward_data(piece)
-        if ends and not response.is_inside_event:
+        is_whole = ends and not response.is_inside_event
+        if is_whole and not response.lacks_number:
             response.finish_response()
         else:
             response.discard_unsent()
--- a/yuccagauge/relay/call.py
+++ b/yuccagauge/relay/call.py
@@ -175,6 +175,8 @@
         failed = self._response.is_server_error
         if self._response.is_inside_event and not failed:
             self._handle_broken_attempt('the stream ended inside an event')
+        elif self._response.lacks_number and not failed:
+            self._handle_failed_continuation('its events have no numbers')
         elif self._response.ends_with_connection and not failed:
             self._stall_monitor.stop()
             self._end_proof.start(
--- a/yuccagauge/relay/response.py
+++ b/yuccagauge/relay/response.py
@@ -1,6 +1,7 @@
 """Forwards the response of a backend server to the caller."""
 
 import copy
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from yuccagauge.dispatch.base import AnswerSink, Framing, Header, ResponseHead
@@ -8,7 +9,11 @@
     BackendProtocolError,
     ContinuationError,
 )
-from yuccagauge.dispatch.sse import EventSplitter
+from yuccagauge.dispatch.sse import (
+    BYTE_ORDER_MARK,
+    EventSplitter,
+    has_data,
+)
 from yuccagauge.relay.eventorder import EventOrder
 
 _EVENT_STREAM_TYPE = 'text/event-stream'
@@ -115,6 +120,11 @@
         """Whether the last event of a stream is not complete."""
         return self._splitter is not None and bool(self._splitter.rest.strip())
 
+    @property
+    def lacks_number(self) -> bool:
+        """Whether no number shows that the events are the rest of a stream."""
+        return self._splitter is not None and self._order.lacks_number
+
     @property
     def ends_with_connection(self) -> bool:
         """Whether only the end of its connection ends the latest response."""
@@ -173,19 +183,22 @@
         events = self._splitter.feed(data)
         if not events:
             return False
+        if self._is_continuation and not self._events:
+            # Only the first byte of a stream is a mark.
+            events[0] = events[0].removeprefix(BYTE_ORDER_MARK)
         self._events += len(events)
         accepted: list[bytes] = []
         try:
             for event in events:
-                self._order.accept(event)
-                accepted.append(event)
+                accepted.extend(self._order.accept(event))
         finally:
             self._send_events(accepted)
-        return True
+        return bool(accepted)
 
     def finish_response(self) -> None:
         """End the response, with any bytes after the last event unchanged."""
         rest = b'' if self._splitter is None else self._splitter.rest
+        self._send_events(self._order.release())
         buffered = b''.join(self._buffered)
         if not self._has_started:
             self._send_head(without_length=bool(rest))
@@ -228,17 +241,18 @@
         Raises
         ------
         ContinuationError
-            If the first event does not follow the last one of the caller.
+            If an event does not follow the last one of the caller.
         """
         if not _is_event_stream(head):
             return len(data) > _BUFFER_LIMIT_BYTES
         events = EventSplitter(_MAXIMUM_EVENT_BYTES).feed(data)
-        if not events:
-            return False
         order = copy.copy(self._order)
         order.start_response()
-        order.accept(events[0])
-        return True
+        return any(
+            has_data(accepted)
+            for event in events
+            for accepted in order.accept(event)
+        )
 
     def _check_needs_no_events(self, head: ResponseHead) -> None:
         """Raise an error if only events may follow what the caller has."""
@@ -248,7 +262,7 @@
                 f'status {head.status} does not continue the stream'
             )
 
-    def _send_events(self, events: list[bytes]) -> None:
+    def _send_events(self, events: Sequence[bytes]) -> None:
         if events:
             self._send_head(without_length=True)
             self._sink.write(b''.join(events))
