Record the origin of a stream when its first event has come

What callers saw: a stream whose first server rejected it late, so that one of another software version began it, went on with events of the first version at the next router (ORDER).

Cause: the origin was recorded at each send, so it changed until the first event, and its copies have no order. A peer that missed the second report, a record of the log that came late, or a peer that had been a keeper answered with the version of a server that had sent nothing; the first answer counts.

Fix: it is recorded when the first event is forwarded. From then on the stream can go on at that version only, so that all copies say the same and need no order. A number that rises with each send would have to be in messages and in records of the log, which older builds read. Cost: a router that is killed within 20 ms of the first event has told nobody, which counts as unknown.

The simulated network can lose what a cut link held back for a connection that is reset, as TCP does.

--- a/features/memory_network.py
+++ b/features/memory_network.py
@@ -72,6 +72,9 @@
 
     def abortConnection(self) -> None:
         """Reset the connection."""
+        network = self._network
+        if network.loses_unsent and network.is_cut(self.host, self.other.host):
+            self._outbox.clear()
         self._close(ConnectionLost())
 
     def receive(self, data: bytes) -> None:
@@ -258,6 +261,8 @@
         self.connect_delay_s: Callable[[str, str], float] = (
             lambda source, host: 0
         )
+        #: Whether a reset connection loses what a cut link has held back.
+        self.loses_unsent = False
         #: Hosts without power: nothing answers there, not even a reset.
         self.silent_hosts: set[str] = set()
         #: Hosts whose processes do nothing; connections to them open still.
--- a/yuccagauge/exchange/origins.py
+++ b/yuccagauge/exchange/origins.py
@@ -37,8 +37,7 @@
 #: itself out of the ranking, and others come and go.
 _ASKED = 4
 
-#: How long streams wait for others that are reported in the same message. The
-#: first event of a stream takes longer.
+#: How long streams wait for others that are reported in the same message.
 _REPORT_DELAY = Millis(20)
 
 #: Longest wait for the answers of peers. The caller has its stream back after
--- a/yuccagauge/origins/log.py
+++ b/yuccagauge/origins/log.py
@@ -19,8 +19,7 @@
 #: Routers whose streams one router appends.
 ROUTERS_PER_WRITER = 64
 
-#: How long streams wait for others that are appended in the same call. The
-#: first event of a stream takes about as long.
+#: How long streams wait for others that are appended in the same call.
 _APPEND_DELAY = Millis(100)
 
 #: Time after which streams are appended again if the store did not answer.
--- a/yuccagauge/relay/call.py
+++ b/yuccagauge/relay/call.py
@@ -158,7 +158,7 @@
         try:
             if self._takeover.withholds_data(data):
                 return
-            is_forwarded = self._response.forward_data(data)
+            is_forwarded = self._forward(data)
         except ContinuationError as error:
             self._handle_failed_continuation(str(error))
             return
@@ -193,6 +193,17 @@
             return
         self._handle_broken_attempt(reason)
 
+    def _forward(self, data: bytes) -> bool:
+        """Forward data; record the origin of a stream that begins with it."""
+        had_started = self._response.has_started
+        try:
+            return self._response.forward_data(data)
+        finally:
+            if self._response.has_started and not had_started:
+                self._context.origins.record_beginning(
+                    self._call, self._attempt.placement.server
+                )
+
     def _handle_end_proof(self, proof: str) -> None:
         """Handle the end of a response that only its connection showed."""
         attempt = self._attempt
@@ -380,7 +391,6 @@
         self._selection_request = self._request_for_another_server()
         self._exchange = exchange
         self._attempt = attempt
-        self._context.origins.record_send(self._call, attempt.placement.server)
         self._reporter.record_return(attempt.placement.server.server_id)
         self._stall_monitor.start(exchange, attempt)
 
--- a/yuccagauge/relay/origins.py
+++ b/yuccagauge/relay/origins.py
@@ -69,19 +69,19 @@
         self._history = history
         self._clock = clock
 
-    def record_send(self, call: RelayCall, server: BackendServer) -> None:
-        """Record that a server is to send the next events of a stream.
+    def record_beginning(self, call: RelayCall, server: BackendServer) -> None:
+        """Record that a server has sent the first event of a stream.
 
-        The last server that got the call before its first event began it. A
-        stream that is taken up goes on at its version, which is kept for
-        longer by this.
+        Copies of an origin are not ordered, so it is recorded once it cannot
+        change: until its first event a stream may move to any version.
         """
-        if call.route.is_resumable:
-            origin = StreamOrigin(
-                service=server.service,
-                software_version=server.software_version,
-            )
-            self._store.record(stream_key(call.fields, call.customer), origin)
+        if call.route.is_resumable and not call.takes_stream_up:
+            self._record(call, server)
+
+    def record_send(self, call: RelayCall, server: BackendServer) -> None:
+        """Keep the version of a stream that is taken up for longer."""
+        if call.route.is_resumable and call.takes_stream_up:
+            self._record(call, server)
 
     def resolve(self, call: RelayCall, on_result: OriginCallback) -> None:
         """Find the version at which a call has to go on, or a refusal."""
@@ -126,6 +126,12 @@
         self._report(call, 'only_version', version)
         on_result(version, None)
 
+    def _record(self, call: RelayCall, server: BackendServer) -> None:
+        origin = StreamOrigin(
+            service=server.service, software_version=server.software_version
+        )
+        self._store.record(stream_key(call.fields, call.customer), origin)
+
     def _report(
         self, call: RelayCall, source: str, version: str | None
     ) -> None:
