Count late output as a proof only if no end follows it

Cause: a run counted as answered for 500 ms if output was read 500 ms after the first. After a pause of the router, on a link that was cut, or while the caller takes nothing, this is what the engine wrote before its end. Each crash proved its own part sound: that settled all earlier crashes, and all peers were told. The class: the age of a read, asked for whether the engine lived throughout.

Change: the end of a process is read right behind its last bytes, on the same connection. Late output is a proof once nothing but output has been read for 20 ms after it, without a pause of reading. The end of an answer by its connection ends the watch before its proof is looked for.

Evidence: rows 1.17 and 1.18 of features/quarantine/parts_fleet.feature fail on (20 passed, 2 failed) and pass now (22 passed). The proof doesn't depend on when the router looks. It is not certain if the last bytes and the end come over 20 ms apart, as over a link with a longer round trip that was cut.

Stand-ins: engines of the two new rows write half an event between the first output and the crash; the others are as before. No check is changed.

--- a/features/engine_fleet.py
+++ b/features/engine_fleet.py
@@ -21,12 +21,16 @@
 _OUTPUT_S = 0.4
 _CRASH_S = 0.01
 
+#: Time from the first output of an engine that crashes to its last bytes.
+_LAST_BYTES_S = 0.005
+
 #: Last part of a request that crashes engines, though its parts do not.
 DEADLY_PART = 'deadly'
 
 _PART_TOKENS = 200
 _FIRST_EVENT = b'id: 1\ndata: token\n\n'
 _LAST_EVENT = b'id: 2\ndata: end\n\n'
+_HALF = len(_LAST_EVENT) // 2
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -81,6 +85,15 @@
         fleet.network.reactor.callLater(_CRASH_S, self.end)
         return False
 
+    def announce_crash(self, transport: Any) -> None:
+        """Tell the fleet who reads the answer; write a part of an event."""
+        on_crash = self._fleet.on_crash
+        if on_crash is not None:
+            self.later(
+                _LAST_BYTES_S, lambda: transport.write(_LAST_EVENT[:_HALF])
+            )
+            on_crash(self, transport.other.host)
+
     def later(self, delay_s: float, action: Callable[..., None]) -> None:
         """Call an action unless the engine has ended since."""
         start = self._starts
@@ -117,6 +130,8 @@
         )
         if self._server.begin(request_id, parts):
             self._server.later(_OUTPUT_S, self._finish)
+        else:
+            self._server.announce_crash(self.transport)
 
     def _finish(self) -> None:
         self.transport.write(_LAST_EVENT)
@@ -136,6 +151,9 @@
         self.arrivals: list[tuple[Millis, str]] = []
         #: When engines began to answer each request.
         self.begun: dict[str, Millis] = {}
+        #: Called with an engine that begins an answer and is about to crash, and
+        #: the host that reads the answer.
+        self.on_crash: Callable[[SimulatedEngine, str], None] | None = None
         #: The requests of the traffic, by id.
         self.prompts: dict[str, SentPrompt] = {}
         super().__init__(routers, servers, seed)
--- a/features/quarantine/parts_fleet.feature
+++ b/features/quarantine/parts_fleet.feature
@@ -28,6 +28,8 @@
       | 5       | routers that restart all at once           |
       | 5       | engines that reset all connections in turn |
       | 5       | engines that reset all connections at once |
+      | 5       | routers that pause as engines crash        |
+      | 5       | links that hold the last bytes of engines  |
 
   Scenario: A request that crashes engines is kept away, and does not accuse the parts that others share
     Given 5 routers before 5 engines, disturbed by nothing
--- a/features/steps/engine_fleet_steps.py
+++ b/features/steps/engine_fleet_steps.py
@@ -5,7 +5,8 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from features.engine_fleet import DEADLY_PART, EngineFleet
+from features.crash_fleet import router_host
+from features.engine_fleet import DEADLY_PART, EngineFleet, SimulatedEngine
 from features.steps.crash_fleet_steps import Disturbance, disturbances
 from yuccagauge.clock import Millis
 
@@ -26,6 +27,11 @@
 #: Prompts from which on a share is judged, by the users.
 _MINIMUM_PROMPTS = 20
 
+#: Time from the first output of an engine to the pause of its reader, and the
+#: time for which it reads nothing, in seconds.
+_READ_S = 0.003
+_PAUSE_S = 0.7
+
 _GUILTY_PART = 'bad'
 _FIRST_PARTS = 4
 _SECOND_PARTS = 60
@@ -94,6 +100,45 @@
         reactor.callLater(_WARM_UP_S, crash)
 
 
+@disturbances.register
+class PauseReaders(Disturbance):
+    """Routers that are paused while an engine crashes under their call."""
+
+    name = 'routers that pause as engines crash'
+
+    def disturb(self, fleet: EngineFleet) -> None:
+        """Pause the reader of the answer between its first and last bytes."""
+        names = {router_host(name): name for name in fleet.router_names}
+
+        def pause(engine: SimulatedEngine, reader: str) -> None:
+            engine.later(
+                _READ_S, lambda: fleet.freeze_router(names[reader], _PAUSE_S)
+            )
+
+        fleet.on_crash = pause
+
+
+@disturbances.register
+class DelayLastBytes(Disturbance):
+    """Links on which the last bytes of an engine that crashes come late."""
+
+    name = 'links that hold the last bytes of engines'
+
+    def disturb(self, fleet: EngineFleet) -> None:
+        """Cut the link between the first and the last bytes of the answer."""
+        cut: set[tuple[str, str]] = set()
+        fleet.network.is_cut = lambda host, other: bool(
+            cut.intersection({(host, other), (other, host)})
+        )
+
+        def hold(engine: SimulatedEngine, reader: str) -> None:
+            link = engine.host, reader
+            engine.later(_READ_S, lambda: cut.add(link))
+            fleet.network.reactor.callLater(_PAUSE_S, cut.discard, link)
+
+        fleet.on_crash = hold
+
+
 @given(
     '{routers:d} routers before {engines:d} engines, disturbed by {disturbance}'
 )
--- a/yuccagauge/relay/attempt.py
+++ b/yuccagauge/relay/attempt.py
@@ -10,6 +10,7 @@
 from yuccagauge.quarantine.parts import SOUND_OUTPUT_TIME
 from yuccagauge.relay.base import Placement, RelayCall, ResponseInfo
 from yuccagauge.relay.context import RelayContext
+from yuccagauge.relay.outliving import AnswerBeginning
 from yuccagauge.relay.report import CallReporter
 from yuccagauge.selection import model
 from yuccagauge.selection.base import SelectionRequest
@@ -61,8 +62,8 @@
             is_movable=is_movable
             and context.selector.versions.has_several_servers(placement.server),
         )
-        self._first_output_at: Millis | None = None
-        #: Whether the server outlived the beginning of the answer.
+        self._beginning = AnswerBeginning()
+        #: Whether it is recorded that the server outlived the beginning.
         self._is_sound = False
         self._known_crashes = context.quarantine.record_start(
             call.fingerprint,
@@ -114,7 +115,7 @@
     @property
     def has_begun(self) -> bool:
         """Whether the server has sent a part of the answer."""
-        return self._first_output_at is not None
+        return self._beginning.began_at is not None
 
     @property
     def has_ended(self) -> bool:
@@ -166,9 +167,10 @@
         last_activity_at = self._load().last_activity_at
         if last_activity_at <= self._sent_at:
             return True
-        if self._first_output_at is None or self._is_sound:
+        began_at = self._beginning.began_at
+        if began_at is None or self._is_sound:
             return False
-        quiet_at = self._first_output_at + SOUND_OUTPUT_TIME
+        quiet_at = began_at + SOUND_OUTPUT_TIME
         return last_activity_at < quiet_at <= self._now()
 
     def prepare_end_proof(self) -> None:
@@ -203,10 +205,12 @@
     def pause(self) -> None:
         """Record that the router does not read, for its caller's sake."""
         self._is_paused = True
+        self._beginning.pause()
 
     def resume(self) -> None:
         """Record that the router reads again."""
         self._is_paused = False
+        self._beginning.resume()
         self._last_activity_at = self._now()
 
     def check_version(self) -> None:
@@ -245,25 +249,35 @@
     def record_output(self, reporter: CallReporter) -> None:
         """Record that the server sent a part of the answer."""
         now = self._now()
-        if self._first_output_at is None:
-            self._first_output_at = now
+        is_first = not self.has_begun
+        self._beginning.record_output(now)
+        if is_first:
             self._record_first_output()
             age = self.superseded_ms
             if age is not None:
                 reporter.record_beginning(
                     self._placement, age, Millis(now - self._sent_at)
                 )
-        if now - self._first_output_at >= SOUND_OUTPUT_TIME:
-            self.record_sound()
+        self._record_if_sound()
 
     def record_sound(self) -> None:
         """Record that the server outlived the beginning of the answer."""
+        self._beginning.record_outlived()
+        self._record_if_sound()
+
+    def record_response_end(self) -> None:
+        """Record that the end of the response was read."""
+        self._beginning.record_end(self._now())
+        self._record_if_sound()
+
+    def _record_if_sound(self) -> None:
+        if self._is_sound or not self._beginning.is_outlived:
+            return
+        self._is_sound = True
         now = self._now()
-        if not self._is_sound:
-            self._is_sound = True
-            self._context.part_quarantine.record_sound(
-                self._call.shared_part_ids, self._first_output_at or now, now
-            )
+        self._context.part_quarantine.record_sound(
+            self._call.shared_part_ids, self._beginning.began_at or now, now
+        )
 
     def _record_first_output(self) -> None:
         """Update the load estimate with the time to the first output."""
@@ -297,6 +311,7 @@
     def end_broken_attempt(self) -> None:
         """End an attempt that may have run and has no complete response."""
         is_loading_weights = self._is_loading_weights()
+        self.record_response_end()
         self._record_possible_crash()
         self._context.incarnations.record_end(self._placement.server)
         self._context.on_broken(self._placement.server.endpoint)
--- a/yuccagauge/relay/call.py
+++ b/yuccagauge/relay/call.py
@@ -177,6 +177,7 @@
             self._handle_broken_attempt('the stream ended inside an event')
         elif self._response.ends_with_connection and not failed:
             self._stall_monitor.stop()
+            self._attempt.record_response_end()
             self._end_proof.start(
                 self._attempt,
                 self._selection_request.service,
