--- a/yuccagauge/relay/call.py
+++ b/yuccagauge/relay/call.py
@@ -179,6 +179,7 @@
             self._handle_failed_continuation('its events have no numbers')
         elif self._response.ends_with_connection and not failed:
             self._stall_monitor.stop()
+            self._attempt.record_response_end()
             self._end_proof.start(
                 self._attempt,
                 self._selection_request.service,
