--- a/yuccagauge/dispatch/pool.py
+++ b/yuccagauge/dispatch/pool.py
@@ -73,6 +73,10 @@
         """Connect to see whether a server lives."""
         return self.open(server, fresh=True)
 
+    def may_hang(self, server: Endpoint) -> bool:
+        """Return whether open connections to a server may hang."""
+        return self._may_hang(server)
+
     def take_older(self, server: Endpoint, moment: int) -> Connection | None:
         """Return an idle connection that was open before a moment."""
         if self._may_hang(server):
--- a/yuccagauge/dispatch/witness.py
+++ b/yuccagauge/dispatch/witness.py
@@ -1,195 +1,241 @@
 """Connections that show whether one process of a server has lived on."""
 
+from collections import defaultdict
 from collections.abc import Callable
 from typing import Any
 
-from twisted.internet.defer import Deferred, succeed
-
-from yuccagauge.dispatch.base import BackendMessage, ResponseHead
+from yuccagauge.clock import Millis
+from yuccagauge.dispatch.base import BackendMessage, CallLater, ResponseHead
 from yuccagauge.dispatch.connection import Connection
 from yuccagauge.dispatch.pool import ConnectionPool
+from yuccagauge.dispatch.timers import Timers
 from yuccagauge.settings.options import Endpoint
 
-#: Servers of which it is remembered that their answers are framed.
-_MAXIMUM_FRAMED = 10_000
+#: Time for which a connection stays open behind a check if its process lives.
+#: A lost packet is sent again after 200 ms. The check itself may take longer,
+#: as it waits for a slot of the server.
+OPEN_LIMIT = Millis(250)
 
+#: Connections that are kept for the next calls to one server.
+_MAXIMUM_SPARE = 8
 
-class _Witness:
-    """One connection, for one check after the other."""
+_LIMIT = 'witness'
 
-    def __init__(self, connection: Connection) -> None:
-        """Take over a connection without a request."""
-        self.connection = connection
-        #: Checks that begin with the next request.
-        self._waiting: list[Deferred[bool]] = []
-        #: Checks that the head of the next answer decides.
-        self._asking: list[Deferred[bool]] = []
-        self._message: BackendMessage | None = None
-        #: Whether a request is sent, and its answer is not complete.
-        self._is_asking = False
-        #: Called once no check is under way; see ``release``.
-        self._on_idle: Callable[[], None] | None = None
 
-    def check(self, message: BackendMessage) -> Deferred[bool]:
-        """Return whether the server answers from now on.
+class Witness:
+    """A connection beside that of a call.
 
-        An answer to a request that was sent before proves nothing for later.
-        """
-        self._message = message
-        result: Deferred[bool] = Deferred()
-        self._waiting.append(result)
-        self._ask()
-        return result
-
-    def release(self, on_idle: Callable[[], None]) -> None:
-        """Call a function once no check is under way."""
+    Parameters
+    ----------
+    server
+        The server.
+    """
+
+    def __init__(self, server: Endpoint) -> None:
+        """Have no connection yet."""
+        self.server = server
+        #: ``None`` before it opens, and if it fails to.
+        self.connection: Connection | None = None
+        self.is_released = False
+
+    def testifies(self, moment: int) -> bool:
+        """Return whether it is open, and was so before a moment."""
+        connection = self.connection
+        return (
+            connection is not None
+            and connection.can_send
+            and connection.opened_at < moment
+        )
+
+
+class WitnessCheck:
+    """Asks on an older connection whether its process lives.
+
+    The operating system closes the connections of a process that ends, and
+    resets them when something is sent there. So the process lives if it
+    answers, and also if the connection is still open some time after the
+    check was sent: the server may be busy, or silent.
+
+    Parameters
+    ----------
+    connection
+        The older connection.
+    call_later
+        The reactor's function.
+    on_result
+        Called once with what showed that the process lives; empty if the
+        connection has ended.
+    on_idle
+        Called with the connection once the answer to the check is complete.
+    """
+
+    def __init__(
+        self,
+        connection: Connection,
+        call_later: CallLater,
+        on_result: Callable[[str], None],
+        on_idle: Callable[[Connection], None],
+    ) -> None:
+        """Ask nothing yet."""
+        self._connection = connection
+        self._timers = Timers(call_later)
+        self._on_result: Callable[[str], None] | None = on_result
         self._on_idle = on_idle
-        self._ask()
+        self._is_answered = False
+
+    def start(self, message: BackendMessage) -> None:
+        """Send a check that any process of the server answers."""
+        self._timers.start(_LIMIT, OPEN_LIMIT, self._report, 'open_connection')
+        self._connection.send(message, self)
+
+    def close(self) -> None:
+        """Report nothing any more, and wait for no answer."""
+        self._on_result = None
+        self._timers.close()
+        if not self._is_answered and self._connection.is_open:
+            self._connection.abort()
 
     def head(self, head: ResponseHead) -> None:
-        """Note that the process of the connection lives."""
-        self._settle(is_alive=True)
+        """Report that the process answers, whatever it says."""
+        self._is_answered = True
+        self._report('older_connection')
 
     def data(self, data: bytes) -> None:
         """Ignore what it says."""
 
     def complete(self) -> None:
-        """Begin the checks that came meanwhile."""
-        self._is_asking = False
-        self._ask()
+        """Let later calls have the connection."""
+        self._on_idle(self._connection)
 
     def lost(self, reason: str) -> None:
         """Report that the connection shows nothing any more."""
-        self._is_asking = False
-        self._waiting, self._asking = [], [*self._asking, *self._waiting]
-        self._settle(is_alive=False)
+        self._report('')
 
-    def _ask(self) -> None:
-        if self._is_asking:
-            return
-        if not self._waiting:
-            on_idle, self._on_idle = self._on_idle, None
-            if on_idle is not None:
-                on_idle()
-        elif self.connection.can_send:
-            self._is_asking = True
-            self._asking, self._waiting = self._waiting, []
-            self.connection.send(self._message, self)
-        else:
-            self.lost('closed')
-
-    def _settle(self, *, is_alive: bool) -> None:
-        asking, self._asking = self._asking, []
-        for result in asking:
-            if not result.called:
-                result.callback(is_alive)
+    def _report(self, proof: str) -> None:
+        on_result = self._on_result
+        self.close()
+        if on_result is not None:
+            on_result(proof)
 
 
 class Witnesses:
-    """Holds connections to servers whose answers may end with theirs.
+    """Has connections that are older than the calls whose ends they prove.
 
-    A connection belongs to one process. One that was open before a request was
-    sent, and on which the server answers after the end of the response, shows
-    that no other process has taken the place of the one that wrote it. That
-    a server accepts connections afterwards does not: it may have restarted, or
-    another process may keep its port.
+    A connection belongs to one process. If one that was open before a request
+    was sent outlives the response, no other process has taken the place of the
+    one that wrote it. That a server accepts connections afterwards proves
+    nothing: it may have restarted, or another process may keep its port.
+
+    A server that frames its answers has one such connection, as it may stop to.
+    Calls to others have one each, because a check may end its connection.
 
     Parameters
     ----------
     pool
-        Opens connections, and has idle ones.
+        Opens connections.
     """
 
     def __init__(self, pool: ConnectionPool) -> None:
-        """Hold no connection."""
+        """Have no connection."""
         self._pool = pool
-        self._held: dict[Endpoint, _Witness] = {}
-        self._opening: set[Endpoint] = set()
-        #: Servers whose last answer had a length or chunks, the latest last.
-        self._framed: dict[Endpoint, None] = {}
+        self._spare: dict[Endpoint, list[Witness]] = defaultdict(list)
+        #: Servers whose last answer had a length or chunks.
+        self._framed: set[Endpoint] = set()
 
-    def prepare(self, server: Endpoint) -> None:
-        """Open a connection before a request is sent, unless one is held.
+    def prepare(self, server: Endpoint) -> Witness:
+        """Return a connection for a call that is about to be sent.
 
-        Servers that frame their answers need none: those connections that are
-        idle by chance have to do if one of them stops to.
+        It may still be opening.
         """
-        held = self._held.get(server)
-        is_held = held is not None and held.connection.is_open
-        if is_held or server in self._framed or server in self._opening:
-            return
-        self._opening.add(server)
+        spare = self._open_spare(server)
+        if spare and server in self._framed:
+            return spare[0]
+        if spare:
+            return spare.pop()
+        witness = Witness(server)
+        if server in self._framed:
+            spare.append(witness)
         self._pool.probe(server).addCallbacks(
             self._handle_connection,
             self._handle_failure,
-            callbackArgs=(server,),
-            errbackArgs=(server,),
+            callbackArgs=(witness,),
+            errbackArgs=(witness,),
         )
+        return witness
 
     def record_framing(self, server: Endpoint, *, is_framed: bool) -> None:
         """Record whether an answer of a server told where it ends."""
-        if not is_framed:
-            self._framed.pop(server, None)
-            return
-        if server in self._framed:
-            return
-        self._framed[server] = None
-        if len(self._framed) > _MAXIMUM_FRAMED:
-            self._framed.pop(next(iter(self._framed)))
-        self._release(server)
-
-    def prove(
-        self, server: Endpoint, moment: int, message: BackendMessage
-    ) -> Deferred[bool]:
-        """Return whether the process lives that had the server at a moment.
-
-        ``False`` proves nothing: no connection may be old enough.
-
-        Parameters
-        ----------
-        moment
-            When the request was sent.
-        message
-            A request that the server answers in any state.
-        """
-        held = self._held.get(server)
-        if held is None or not _testifies(held.connection, moment):
-            older = self._pool.take_older(server, moment)
-            if older is None:
-                return succeed(False)
-            held = self._hold(server, older)
-        return held.check(message)
+        if is_framed:
+            self._framed.add(server)
+        else:
+            self._framed.discard(server)
+
+    def take(self, witness: Witness, moment: int) -> Connection | None:
+        """Return a connection that was open before a moment, for a check."""
+        server = witness.server
+        spare = self._open_spare(server)
+        for candidate in (witness, *spare):
+            if candidate.testifies(moment):
+                if candidate in spare:
+                    spare.remove(candidate)
+                connection, candidate.connection = candidate.connection, None
+                return connection
+        return self._pool.take_older(server, moment)
+
+    def release(self, witness: Witness) -> None:
+        """Keep the connection of a call that has ended for later ones."""
+        witness.is_released = True
+        if witness.connection is not None:
+            self._keep(witness)
+
+    def give_back(self, server: Endpoint, connection: Connection) -> None:
+        """Keep the connection of a check that was answered."""
+        witness = Witness(server)
+        witness.connection = connection
+        self._keep(witness)
 
     def close(self) -> None:
-        """Close all connections that are held."""
-        for held in self._held.values():
-            held.connection.abort()
-        self._held.clear()
-
-    def _hold(self, server: Endpoint, connection: Connection) -> _Witness:
-        self._release(server)
-        held = _Witness(connection)
-        self._held[server] = held
-        return held
-
-    def _release(self, server: Endpoint) -> None:
-        """Let calls use the connection to a server, after its checks."""
-        held = self._held.pop(server, None)
-        if held is not None:
-            held.release(lambda: self._pool.give_back(server, held.connection))
+        """Close all connections that are kept."""
+        for server in tuple(self._spare):
+            self._drop_spare(server)
+
+    def _open_spare(self, server: Endpoint) -> list[Witness]:
+        """Return the connections that are kept, without those that ended."""
+        if self._pool.may_hang(server):
+            self._drop_spare(server)
+        spare = [
+            witness
+            for witness in self._spare[server]
+            if witness.connection is None or witness.connection.can_send
+        ]
+        self._spare[server] = spare
+        return spare
+
+    def _drop_spare(self, server: Endpoint) -> None:
+        for witness in self._spare.pop(server, ()):
+            if witness.connection is not None:
+                witness.connection.abort()
+
+    def _keep(self, witness: Witness) -> None:
+        spare = self._open_spare(witness.server)
+        if witness in spare:
+            return
+        is_framed = witness.server in self._framed
+        if not witness.connection.can_send:
+            witness.connection.abort()
+        elif not spare or (not is_framed and len(spare) < _MAXIMUM_SPARE):
+            spare.append(witness)
+        else:
+            self._pool.give_back(witness.server, witness.connection)
 
     def _handle_connection(
-        self, connection: Connection, server: Endpoint
+        self, connection: Connection, witness: Witness
     ) -> None:
-        self._opening.discard(server)
-        if server in self._framed:
-            self._pool.give_back(server, connection)
-        else:
-            self._hold(server, connection)
-
-    def _handle_failure(self, _: Any, server: Endpoint) -> None:
-        self._opening.discard(server)
-
-
-def _testifies(connection: Connection, moment: int) -> bool:
-    return connection.is_open and connection.opened_at < moment
+        witness.connection = connection
+        if witness.is_released:
+            self._keep(witness)
+
+    def _handle_failure(self, _: Any, witness: Witness) -> None:
+        spare = self._spare[witness.server]
+        if witness in spare:
+            spare.remove(witness)
--- a/yuccagauge/relay/attempt.py
+++ b/yuccagauge/relay/attempt.py
@@ -2,8 +2,9 @@
 
 from yuccagauge.clock import Millis
 from yuccagauge.dispatch.base import Framing, ResponseHead
-from yuccagauge.dispatch.connection import next_moment
+from yuccagauge.dispatch.connection import Connection, next_moment
 from yuccagauge.dispatch.errors import ContinuationError
+from yuccagauge.dispatch.witness import Witness
 from yuccagauge.quarantine.entry import Evidence, crash_id
 from yuccagauge.quarantine.events import short_fingerprint
 from yuccagauge.quarantine.evidence import PartCrash
@@ -51,6 +52,8 @@
         self._last_activity_at = self._sent_at
         #: The moment before which a connection is older than the request.
         self._sending_moment = 0
+        #: A connection that is older than the request, or is to be.
+        self._witness: Witness | None = None
         #: The starts of the server that were known then.
         self._known_starts: frozenset[int] = frozenset()
         self._is_paused = False
@@ -78,11 +81,6 @@
         """The server and the parameters of the attempt."""
         return self._placement
 
-    @property
-    def sending_moment(self) -> int:
-        """The moment at which the request was sent; 0 before."""
-        return self._sending_moment
-
     @property
     def known_starts(self) -> frozenset[int]:
         """The starts that were known of the server as the request was sent."""
@@ -174,14 +172,25 @@
         return last_activity_at < quiet_at <= self._now()
 
     def prepare_end_proof(self) -> None:
-        """Have a connection that is older than the request, if one is needed.
+        """Have a connection that is older than the request.
 
         Model engines state when they started, so that they need none.
         """
         is_model = self._selection_request.service.is_model
         if not is_model and self._context.identities is not None:
             endpoint = self._placement.server.endpoint
-            self._context.witnesses.prepare(endpoint)
+            self._witness = self._context.witnesses.prepare(endpoint)
+
+    def take_witness(self) -> Connection | None:
+        """Return a connection that is older than the request, if any is."""
+        if self._witness is None:
+            return None
+        return self._context.witnesses.take(self._witness, self._sending_moment)
+
+    def give_witness_back(self, connection: Connection) -> None:
+        """Keep such a connection for the ends of other calls."""
+        endpoint = self._placement.server.endpoint
+        self._context.witnesses.give_back(endpoint, connection)
 
     def record_framing(self, head: ResponseHead) -> None:
         """Record whether a plain server tells where its answers end."""
@@ -344,6 +353,8 @@
         if not self._holds_slot:
             return
         self._holds_slot = False
+        if self._witness is not None:
+            self._context.witnesses.release(self._witness)
         self._load().own_calls.pop(self._selection_request.call_id, None)
         self._context.quarantine.record_end(
             self._call.fingerprint,
--- a/yuccagauge/relay/call.py
+++ b/yuccagauge/relay/call.py
@@ -64,9 +64,8 @@
         self._guard = CallGuard(call.fields.request_id, self.abort_call)
         self._timers = Timers(self._guard.guard_timers(context.call_later))
         self._end_proof = EndProof(
-            context.witnesses,
             context.identities,
-            self._timers,
+            self._guard.guard_timers(context.call_later),
             self._guard.guard(self._handle_end_proof),
         )
         self._stall_monitor = StallMonitor(
--- a/yuccagauge/relay/ending.py
+++ b/yuccagauge/relay/ending.py
@@ -7,9 +7,9 @@
 
 from yuccagauge.clock import Millis
 from yuccagauge.directory.base import ServiceSpec
-from yuccagauge.dispatch.base import BackendMessage
+from yuccagauge.dispatch.base import BackendMessage, CallLater
 from yuccagauge.dispatch.timers import Timers
-from yuccagauge.dispatch.witness import Witnesses
+from yuccagauge.dispatch.witness import OPEN_LIMIT, WitnessCheck
 from yuccagauge.relay.attempt import AttemptTracker
 from yuccagauge.relay.identity import (
     IdentitySource,
@@ -18,7 +18,7 @@
 )
 
 #: Longest wait for a proof if the call can go on at another server instead.
-PROOF_LIMIT = Millis(250)
+PROOF_LIMIT = Millis(OPEN_LIMIT + 50)
 
 #: An older connection that has not answered after this time may hang, so a new
 #: one is opened beside it.
@@ -38,30 +38,28 @@
 
     Parameters
     ----------
-    witnesses
-        Older connections.
     source
         Asks servers who they are; ``None`` if they cannot be asked.
-    timers
-        Timers of the call.
+    call_later
+        The reactor's function.
     on_proof
         Called once with the kind of the proof, empty if there is none.
     """
 
     def __init__(
         self,
-        witnesses: Witnesses,
         source: IdentitySource | None,
-        timers: Timers,
+        call_later: CallLater,
         on_proof: Callable[[str], None],
     ) -> None:
         """Ask for nothing yet."""
-        self._witnesses = witnesses
         self._source = source
-        self._timers = timers
+        self._call_later = call_later
+        self._timers = Timers(call_later)
         self._on_proof = on_proof
         self._attempt: AttemptTracker | None = None
         self._identity: Deferred[ServerIdentity] | None = None
+        self._check: WitnessCheck | None = None
         #: Proofs that may still come.
         self._open: set[str] = set()
 
@@ -107,31 +105,40 @@
                 message,
                 limit,
             )
-        self._witnesses.prove(
-            server.endpoint, attempt.sending_moment, message
-        ).addCallback(self._handle_witness, attempt, message, limit)
+        connection = attempt.take_witness()
+        if connection is None:
+            self._handle_witness('', attempt, message, limit)
+            return
+        self._check = WitnessCheck(
+            connection,
+            self._call_later,
+            lambda proof: self._handle_witness(proof, attempt, message, limit),
+            attempt.give_witness_back,
+        )
+        self._check.start(message)
 
     def close(self) -> None:
         """Ask for nothing any more."""
         self._attempt = None
         self._open.clear()
-        self._timers.stop(_LIMIT)
-        self._timers.stop(_SECOND_CHECK)
+        self._timers.close()
+        if self._check is not None:
+            self._check.close()
         identity, self._identity = self._identity, None
         if identity is not None:
             identity.cancel()
 
     def _handle_witness(
         self,
-        is_alive: bool,
+        proof: str,
         attempt: AttemptTracker,
         message: BackendMessage,
         limit: Millis,
     ) -> None:
         if self._attempt is not attempt:
             return
-        if is_alive:
-            self._report('older_connection')
+        if proof:
+            self._report(proof)
             return
         if self._timers.is_running(_SECOND_CHECK):
             self._timers.stop(_SECOND_CHECK)
