Show broken answers of plain servers that look complete, in the own interface

What callers see: an answer that ends with its connection is broken off as its server ends, and arrives with status 200, the verdict "answered" and a part of its body; a booking's key keeps that part. Its router was paused, or the server was back at once, or another process kept its port open, so that a connection opened when the router looked. A booking whose deadline passes while the router looks is refused as "answered".

--- a/features/plain_service.py
+++ b/features/plain_service.py
@@ -20,9 +20,9 @@
 from yuccagauge.verdict import Refusal, Verdict
 
 _SERVICE = 'roster-api'
-_HOST = '10.0.0.1'
+ROUTER_HOST = '10.0.0.1'
 _SERVER_HOST = '10.1.0.1'
-_PORT = 8080
+SERVER_PORT = 8080
 _ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
 _STEP_S = 0.01
 
@@ -66,12 +66,14 @@
         return succeed(None)
 
 
-class _Sink:
+class Sink:
     """The way to a caller."""
 
     def __init__(self) -> None:
         self.watcher: Any = None
         self.refusal: Refusal | None = None
+        #: What the caller has of the body.
+        self.body = b''
 
     def watch(self, watcher: Any) -> None:
         """Keep what hears of the caller."""
@@ -81,7 +83,8 @@
         """Ignore the head."""
 
     def write(self, event: bytes) -> None:
-        """Ignore the body."""
+        """Keep a part of the body."""
+        self.body += event
 
     def finish(self) -> None:
         """Ignore the end."""
@@ -98,7 +101,11 @@
     version: int = 0
 
 
-def _document() -> ServiceDocument:
+def _document(server_hosts: tuple[str, ...]) -> ServiceDocument:
+    backends = {
+        f'backend {host}:{SERVER_PORT}': {'data_centre': 'khomas-a'}
+        for host in server_hosts
+    }
     return build_document(
         {
             'service': {
@@ -111,24 +118,27 @@
             },
             'routing': {'deadline_ms': '5000', 'admission': 'open'},
             'route POST /bookings': {'idempotent': 'no'},
-            f'backend {_SERVER_HOST}:{_PORT}': {'data_centre': 'khomas-a'},
+            'route GET /bookings': {'idempotent': 'yes'},
+            **backends,
         },
         _SERVICE,
     )
 
 
 class PlainService:
-    """One service with one server, and bookings there."""
+    """One service, and calls of it."""
+
+    server_hosts: tuple[str, ...] = (_SERVER_HOST,)
 
     def __init__(self) -> None:
-        """Start the server."""
+        """Start the servers and the router."""
         self.network = MemoryNetwork()
         self.clock = VirtualClock(self.network.reactor)
-        #: What the server has received.
+        #: What the servers have received.
         self.received: list[bytes] = []
-        factory = Factory.forProtocol(lambda: _Server(self.received))
-        self.network.listen(_SERVER_HOST, _PORT, factory)
-        reactor = NodeReactor(self.network, _HOST)
+        self.start_servers()
+        reactor = NodeReactor(self.network, ROUTER_HOST)
+        self.router_reactor = reactor
         self.claims = _Claims(reactor)
         self.state = ServiceState(
             _SERVICE,
@@ -142,30 +152,49 @@
                 claims=self.claims,
             ),
         )
-        self.state.configure(_InForce(document=_document()))
-        self.sink = _Sink()
+        in_force = _InForce(document=_document(self.server_hosts))
+        self.state.configure(in_force)
+        #: The way to the caller of each call.
+        self.sinks: list[Sink] = []
         self.verdicts: list[Verdict] = []
 
+    @property
+    def sink(self) -> 'Sink':
+        """The way to the caller of the last call."""
+        return self.sinks[-1]
+
+    def start_servers(self) -> None:
+        """Let the servers accept connections."""
+        factory = Factory.forProtocol(lambda: _Server(self.received))
+        for host in self.server_hosts:
+            self.network.listen(host, SERVER_PORT, factory)
+
     def book(self, timeout: Millis) -> Call:
         """Make a booking."""
+        return self.send('POST', timeout)
+
+    def send(self, method: str, timeout: Millis) -> Call:
+        """Make a booking, or another call, which may be repeated."""
         now = self.clock.now()
+        sink = Sink()
+        self.sinks.append(sink)
         call = Call(
-            request_id='ygr-1',
+            request_id=f'ygr-{len(self.sinks)}',
             customer='namport',
             service=_SERVICE,
             document_version=0,
-            method='POST',
+            method=method,
             path='/bookings',
-            headers=(),
-            body=b'{}',
-            idempotent=False,
+            headers=((b'Request-Id', b'%d' % len(self.sinks)),),
+            body=b'{}' if method == 'POST' else b'',
+            idempotent=method != 'POST',
             received_at=now,
             deadline=Millis(now + timeout),
             priority=0,
             idempotency_key='k',
             fingerprint=b'f',
         )
-        request = PlainRequest(self.state, call, self.sink)
+        request = PlainRequest(self.state, call, sink)
         request.start().addCallback(self.verdicts.append)
         return call
 
