Refuse no booking as answered while the end of its answer is in doubt

What callers saw: 504 with the verdict "answered" and no answer. A server had lost power at the end of an answer that ends with its connection, and the deadline passed while the router still looked whether the server lived.

Cause: the verdict of the attempt was that of its exchange, which is over by then.

Change: an attempt that still runs is never more than "may have run"; only its outcome says that it is answered.

--- a/yuccagauge/dispatch/plainattempt.py
+++ b/yuccagauge/dispatch/plainattempt.py
@@ -91,8 +91,14 @@
 
     @property
     def verdict(self) -> Verdict:
-        """Whether the server may have run the call."""
-        return self._exchange.verdict
+        """Whether the server may have run the call.
+
+        An answer that has ended may still turn out to be a broken one.
+        """
+        verdict = self._exchange.verdict
+        if verdict is Verdict.ANSWERED:
+            return Verdict.MAY_HAVE_RUN
+        return verdict
 
     def start(self) -> None:
         """Connect and send."""
