Prove that a plain server lived on at the end of its answer, in the own interface

What callers saw: answers of plain services with neither a length nor chunks that were broken off as their server ended arrived with status 200 and the verdict "answered".

The end counted if somebody accepted a connection at the address some time afterwards (EndCheck).

Change: each call has a second connection, open before its request is sent. The end counts if the server answers OPTIONS * on it afterwards: it asks for nothing but an answer, of any status, and executes nothing. A path for health checks in the service document would prove the same and need a value for each service. Without the proof an idempotent call is repeated after 250 ms; one that may run once waits until its deadline, and may have run.

Why not the connection that the relay holds for each server: here nothing but connections proves anything. Servers that end answers with connections end checks so too, and the other calls under way would lose their proof. The connection is opened after that of the call, or a server with one connection at a time would wait for a request on it; and where answers had a length so far it is an idle one if there is any, and both are kept afterwards: a burst of calls takes up to twice the connections.

ACCEPT_LIMIT is in endpoints.py now.

Rows added: bookings given up while the second connection opens are not sent, and the stand-in executes nothing at OPTIONS *.

Tests changed: a server that "is killed in the answer" closes its other connections too, as a killed process does (before, only its port); scripted servers answer OPTIONS *.

--- a/features/dispatch/unsent.feature
+++ b/features/dispatch/unsent.feature
@@ -12,6 +12,8 @@
       | timeout | what                |
       | 300     | waits               |
       | 2000    | leaves after 200 ms |
+      | 800     | waits               |
+      | 2000    | leaves after 800 ms |
 
   Scenario: A booking whose connection opens in time is answered
     Given a plain service to whose server a connection opens after 700 ms
--- a/features/scripted_server.py
+++ b/features/scripted_server.py
@@ -160,6 +160,10 @@
         if exchange.path == '/load':
             exchange.answer(200, self._load())
             return
+        if exchange.path == '*':
+            # A question to the server itself, not to its service.
+            exchange.answer(200, b'')
+            return
         if self.instance_id and exchange.path in _CHECK_PATHS:
             exchange.answer(
                 200, b'{}', f'X-Yuccagauge-Instance-Id: {self.instance_id}'
--- a/features/standins/plain.feature
+++ b/features/standins/plain.feature
@@ -17,3 +17,9 @@
       | not_run           | yes   | 503     | 0        |
       | cut_before_answer | 1     | nothing | 1        |
       | crash_on          | kasse | nothing | 1        |
+
+  # Guards against checks after the end of an answer that run something.
+  Scenario: A question to the server itself executes nothing
+    When the plain stand-in is asked for the options of the whole server
+    Then the plain stand-in answers "200"
+    And the stand-in has 0 records of kind "executed"
--- a/features/steps/dispatch_verdicts_steps.py
+++ b/features/steps/dispatch_verdicts_steps.py
@@ -67,8 +67,9 @@
     if behaviour == 'is killed in the answer':
 
         def be_killed(exchange: Exchange) -> None:
-            closed = server.close()
-            closed.addCallback(lambda _: _answer_without_length(exchange))
+            _answer_without_length(exchange)
+            server.kill()
+            server.close()
 
         server.script = be_killed
     wait_for_call(server.start)
--- a/features/steps/standins_steps.py
+++ b/features/steps/standins_steps.py
@@ -188,6 +188,13 @@
     context.booked = str(answer.status_code)
 
 
+@when('the plain stand-in is asked for the options of the whole server')
+def when_asked_for_options(context: Context) -> None:
+    """Ask as a router does that looks whether the process lives."""
+    answer = call(context, 'OPTIONS', '/', extensions={'target': b'*'})
+    context.booked = str(answer.status_code)
+
+
 @then('the plain stand-in answers "{answer}"')
 def then_booked(context: Context, answer: str) -> None:
     """Check the status."""
--- a/yuccagauge/admission/retries.py
+++ b/yuccagauge/admission/retries.py
@@ -29,6 +29,11 @@
         self._expire(now)
         self._available += self._share
 
+    def has_retry(self, now: Millis) -> bool:
+        """Return whether a retry is available."""
+        self._expire(now)
+        return self._available >= 1
+
     def try_spend(self, now: Millis) -> bool:
         """Spend a retry if one is available; return whether it was."""
         self._expire(now)
--- a/yuccagauge/dispatch/plain.py
+++ b/yuccagauge/dispatch/plain.py
@@ -12,7 +12,13 @@
 from yuccagauge.dispatch.claiming import claim_of, judge
 from yuccagauge.dispatch.plainattempt import PlainAttempt, PlainPlan
 from yuccagauge.dispatch.plainrecording import PlainRecorder
-from yuccagauge.dispatch.recovery import Ending, Progress, Step, next_step
+from yuccagauge.dispatch.recovery import (
+    MAXIMUM_RUNS,
+    Ending,
+    Progress,
+    Step,
+    next_step,
+)
 from yuccagauge.dispatch.refusals import (
     claims_unavailable,
     deadline_passed,
@@ -26,6 +32,10 @@
 from yuccagauge.settings.options import Endpoint
 from yuccagauge.verdict import VERDICT_HEADER, Refusal, Verdict
 
+#: Longest wait for a proof that an answer is whole if the call can be repeated
+#: instead, and shortest one otherwise.
+_PROOF_LIMIT = Millis(250)
+
 
 class PlainRequest:
     """Runs one call until its answer is complete or given up.
@@ -171,6 +181,8 @@
             message=self._message,
             truthful=self._service.is_truthful(server),
             once=not self._call.idempotent,
+            may_end_unframed=self._service.servers.may_end_unframed(server),
+            proof_limit=self._proof_limit,
         )
         attempt = PlainAttempt(
             self._service.around.pool,
@@ -182,6 +194,14 @@
         self._recorder.started(attempt, kind)
         attempt.start()
 
+    def _proof_limit(self) -> Millis:
+        """Return how long to wait for a proof that an answer is whole."""
+        now = self._now()
+        can_repeat = self._call.idempotent and self._runs < MAXIMUM_RUNS
+        if can_repeat and self._service.budget.has_retry(now):
+            return _PROOF_LIMIT
+        return max(_PROOF_LIMIT, Millis(self._call.deadline - now))
+
     def _blocked(self, now: Millis) -> frozenset[Endpoint]:
         quarantine = self._service.quarantine
         if (
--- a/yuccagauge/dispatch/plainattempt.py
+++ b/yuccagauge/dispatch/plainattempt.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from yuccagauge.clock import Millis
 from yuccagauge.dispatch.attempt import NOT_RUN_HEADER, Outcome
 from yuccagauge.dispatch.base import (
     BackendMessage,
@@ -11,11 +12,10 @@
     Header,
     ResponseHead,
 )
-from yuccagauge.dispatch.endcheck import EndCheck
+from yuccagauge.dispatch.callwitness import CallWitness
 from yuccagauge.dispatch.exchange import Exchange
 from yuccagauge.dispatch.pool import ConnectionPool
 from yuccagauge.dispatch.recovery import Ending
-from yuccagauge.dispatch.timers import Timers
 from yuccagauge.settings.options import Endpoint
 from yuccagauge.verdict import Verdict
 
@@ -51,6 +51,10 @@
     truthful: bool
     #: Whether the call must not be repeated.
     once: bool
+    #: Whether the server is not known to tell where its answers end.
+    may_end_unframed: bool
+    #: Returns the time for a proof of an end that only the connection shows.
+    proof_limit: Callable[[], Millis]
 
 
 class PlainAttempt:
@@ -81,8 +85,12 @@
         self._head: ResponseHead | None = None
         self._body = bytearray()
         self._ended = False
-        self._exchange = Exchange(pool, plan.server, plan.message, self)
-        self._end_check = EndCheck(pool, Timers(call_later))
+        self._witness = CallWitness(
+            pool, call_later, is_fresh=plan.may_end_unframed
+        )
+        self._exchange = Exchange(
+            self._witness, plan.server, plan.message, self
+        )
 
     @property
     def server(self) -> Endpoint:
@@ -100,6 +108,17 @@
             return Verdict.MAY_HAVE_RUN
         return verdict
 
+    @property
+    def is_framed(self) -> bool | None:
+        """Whether the answer tells where it ends; ``None`` without one."""
+        if self._head is None:
+            return None
+        # Answers to HEAD have no body.
+        return (
+            self._head.framing is not Framing.CONNECTION
+            or self._plan.message.method == 'HEAD'
+        )
+
     def start(self) -> None:
         """Connect and send."""
         self._exchange.start(fresh=self._plan.once)
@@ -107,8 +126,8 @@
     def abandon(self) -> None:
         """Drop whatever would still arrive, without a report."""
         self._ended = True
-        self._end_check.close()
         self._exchange.abandon()
+        self._witness.close()
 
     def head(self, head: ResponseHead) -> None:
         """Keep status and headers."""
@@ -125,13 +144,14 @@
         """Judge a complete answer."""
         says_not_run = self._head.get(NOT_RUN_HEADER).lower() == 'true'
         is_refusal = self._head.status == _UNAVAILABLE and says_not_run
-        has_no_frame = self._head.framing is Framing.CONNECTION
         if is_refusal and self._plan.truthful:
             self._end(Ending.NOT_RUN, Verdict.NOT_RUN, 'refused as not run')
-        elif has_no_frame and not self._head.is_server_error:
-            self._end_check.start(self.server, self._judge_end)
-        else:
+        elif self.is_framed or self._head.is_server_error:
             self._end(Ending.DONE, Verdict.ANSWERED, '')
+        else:
+            self._witness.check(
+                self.server, self._plan.proof_limit(), self._judge_end
+            )
 
     def lost(self, reason: str) -> None:
         """Judge an answer that broke."""
@@ -145,13 +165,14 @@
         if is_alive:
             self._end(Ending.DONE, Verdict.ANSWERED, '')
         else:
-            reason = 'the server ended with its connection'
+            reason = 'nothing proves that the server lived on'
             self._end(Ending.BROKEN, Verdict.MAY_HAVE_RUN, reason)
 
     def _end(self, ending: Ending, verdict: Verdict, reason: str) -> None:
         if self._ended:
             return
         self._ended = True
+        self._witness.close()
         outcome = Outcome(
             ending=ending,
             verdict=verdict,
--- a/yuccagauge/dispatch/plainrecording.py
+++ b/yuccagauge/dispatch/plainrecording.py
@@ -39,6 +39,10 @@
         """Record the end of an attempt."""
         self._release(attempt)
         now = self._now()
+        if attempt.is_framed is not None:
+            self._service.servers.record_framing(
+                attempt.server, is_framed=attempt.is_framed
+            )
         if outcome.ending in {Ending.BROKEN, Ending.NOT_RUN}:
             self._service.servers.failed(attempt.server, now)
         if outcome.ending is Ending.BROKEN:
--- a/yuccagauge/dispatch/servers.py
+++ b/yuccagauge/dispatch/servers.py
@@ -19,6 +19,8 @@
     chosen: int = 0
     leaving: bool = False
     suspended_until: Millis = Millis(0)
+    has_framed: bool = False
+    has_left_unframed: bool = False
 
 
 class PlainServers:
@@ -86,6 +88,20 @@
             until = Millis(now + SUSPENSION)
             self._servers[server].suspended_until = until
 
+    def record_framing(self, server: Endpoint, *, is_framed: bool) -> None:
+        """Record whether an answer of a server told where it ends."""
+        state = self._servers.get(server)
+        if state is not None:
+            state.has_framed = state.has_framed or is_framed
+            state.has_left_unframed = state.has_left_unframed or not is_framed
+
+    def may_end_unframed(self, server: Endpoint) -> bool:
+        """Return whether its connection may be all that ends an answer."""
+        state = self._servers.get(server)
+        if state is None:
+            return True
+        return state.has_left_unframed or not state.has_framed
+
     def explain(self, server: Endpoint, now: Millis) -> str:
         """Say in one sentence whether the server gets work, and why."""
         state = self._servers.get(server)
--- a/yuccagauge/peerpath/carrier.py
+++ b/yuccagauge/peerpath/carrier.py
@@ -11,8 +11,7 @@
 from yuccagauge.directory.base import BackendServer
 from yuccagauge.directory.state import Directory
 from yuccagauge.dispatch.base import ResponseHead
-from yuccagauge.dispatch.endcheck import ACCEPT_LIMIT
-from yuccagauge.dispatch.endpoints import tcp_endpoint
+from yuccagauge.dispatch.endpoints import ACCEPT_LIMIT, tcp_endpoint
 from yuccagauge.peerpath.answers import CarriedAnswer
 from yuccagauge.peerpath.dialer import probe_server
 from yuccagauge.peerpath.direct import DirectAttempt
--- a/yuccagauge/peerpath/dialer.py
+++ b/yuccagauge/peerpath/dialer.py
@@ -13,8 +13,7 @@
 
 from yuccagauge.clock import Clock
 from yuccagauge.directory.state import Directory
-from yuccagauge.dispatch.endcheck import ACCEPT_LIMIT
-from yuccagauge.dispatch.endpoints import tcp_endpoint
+from yuccagauge.dispatch.endpoints import ACCEPT_LIMIT, tcp_endpoint
 from yuccagauge.exchange.members import Member
 from yuccagauge.peerpath.choice import PeerChoice
 from yuccagauge.peerpath.direct import DirectAttempt
--- a/yuccagauge/relay/stall.py
+++ b/yuccagauge/relay/stall.py
@@ -4,7 +4,7 @@
 
 from yuccagauge.clock import Millis
 from yuccagauge.directory.base import Route, RouteKind
-from yuccagauge.dispatch.endcheck import ACCEPT_LIMIT
+from yuccagauge.dispatch.endpoints import ACCEPT_LIMIT
 from yuccagauge.dispatch.exchange import Exchange
 from yuccagauge.dispatch.timers import Timers
 from yuccagauge.relay.attempt import AttemptTracker
