--- a/features/leaving_fleet.py
+++ b/features/leaving_fleet.py
@@ -76,7 +76,7 @@
 
     def build_protocol(self) -> Protocol:
         """Return the server's side of a new connection."""
-        connection = _UnframedProtocol(self)
+        connection = UnframedProtocol(self)
         self._connections.append(connection)
         return connection
 
@@ -149,7 +149,7 @@
             super()._write_entry(entry)
 
 
-class _UnframedProtocol(StreamProtocol):
+class UnframedProtocol(StreamProtocol):
     """A connection that ends with its answer."""
 
     def begin(self, request_id: str, last_event: int) -> None:
