--- a/features/leaving_fleet.py
+++ b/features/leaving_fleet.py
@@ -44,6 +44,14 @@
         self.on_answered: Callable[[UnframedServer], None] = lambda server: None
         #: Time between the two halves of a plain answer, in seconds.
         self.half_interval_s = _HALF_INTERVAL_S
+        #: Whether a plain answer has a length.
+        self.states_length = False
+        #: Time for which a health check waits for a slot, in seconds.
+        self.check_delay_s: float = 0
+        #: Whether the connection of a health check ends with its answer.
+        self.closes_after_check = False
+        #: Time after which an idle connection is closed, in seconds.
+        self.idle_limit_s: float = 0
         self._connections: list[Protocol] = []
         self._begun: set[str] = set()
         #: Ids of the requests that were answered whole.
@@ -152,12 +160,48 @@
 class _UnframedProtocol(StreamProtocol):
     """A connection that ends with its answer."""
 
+    _has_request = False
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Close a connection that stays idle."""
+        super().connectionMade()
+        if self._server.idle_limit_s:
+            self._server.later(self._server.idle_limit_s, self._close_idle)
+
+    def dataReceived(self, data: bytes) -> None:
+        """Note that the connection is used."""
+        self._has_request = True
+        super().dataReceived(data)
+
     def begin(self, request_id: str, last_event: int) -> None:
         """Write the head and what follows it."""
         kind = 'event-stream' if self._server.is_model else 'plain'
-        self.write_head(request_id, f'Content-Type: text/{kind}')
+        fields = [f'Content-Type: text/{kind}']
+        if self._server.states_length and not self._server.is_model:
+            fields.append(f'Content-Length: {sum(map(len, _BODY))}')
+        self.write_head(request_id, *fields)
         self._send_next(request_id, last_event)
 
+    def _close_idle(self) -> None:
+        if not self._has_request:
+            self.transport.loseConnection()
+
+    def _answer_check(self, is_report: bool) -> None:
+        if is_report:
+            super()._answer_check(is_report)
+            return
+        self._server.later(self._server.check_delay_s, self._pass_check)
+
+    def _pass_check(self) -> None:
+        closes = self._server.closes_after_check
+        field = 'Connection: close\r\n' if closes else ''
+        self.transport.write(
+            f'HTTP/1.1 200 X\r\nContent-Length: 0\r\n{field}'
+            f'X-Yuccagauge-Instance-Id: {self._server.server_id}\r\n\r\n'.encode()
+        )
+        if closes:
+            self.transport.loseConnection()
+
     def _send_next(self, request_id: str, number: int) -> None:
         if number == len(self._server.parts):
             self._server.answered.add(request_id)
