Let the servers that close after checks answer them first

closing_fleet.py and leaving_fleet.py both changed how a check is answered, so that a server closed before its answer.

--- a/features/closing_fleet.py
+++ b/features/closing_fleet.py
@@ -1,28 +1,17 @@
 """Routers before servers that end each connection with an answer."""
 
-from twisted.internet.protocol import Protocol
+from typing import Any
 
-from features.leaving_fleet import (
-    LeavingFleet,
-    UnframedProtocol,
-    UnframedServer,
-)
+from features.leaving_fleet import LeavingFleet, UnframedServer
 
 
 class ClosingServer(UnframedServer):
     """A server whose answers to checks end with their connections too."""
 
-    def build_protocol(self) -> Protocol:
-        """Return the server's side of a new connection."""
-        return _ClosingProtocol(self)
-
-
-class _ClosingProtocol(UnframedProtocol):
-    """A connection that ends with its first answer, whatever it answers."""
-
-    def _answer_check(self, is_report: bool) -> None:
-        super()._answer_check(is_report)
-        self.transport.loseConnection()
+    def __init__(self, fleet: Any, number: int) -> None:
+        """Create a server that is listed once it runs."""
+        super().__init__(fleet, number)
+        self.closes_after_check = True
 
 
 class ClosingFleet(LeavingFleet):
--- a/features/dispatch/witness.feature
+++ b/features/dispatch/witness.feature
@@ -35,7 +35,7 @@
   Scenario: A connection that is reset behind a check proves nothing
     Given a server that answers checks 400 ms late
     And 1 calls that are sent to it
-    When the answers to both end within 10 ms, and the server ends 200 ms later
+    When the answers to both end within 10 ms, and the server ends 50 ms later
     Then the answer to it is not proved
 
   # Guards against two connections for each call to servers that frame answers.
--- a/features/leaving_fleet.py
+++ b/features/leaving_fleet.py
@@ -84,7 +84,7 @@
 
     def build_protocol(self) -> Protocol:
         """Return the server's side of a new connection."""
-        connection = UnframedProtocol(self)
+        connection = _UnframedProtocol(self)
         self._connections.append(connection)
         return connection
 
@@ -157,7 +157,7 @@
             super()._write_entry(entry)
 
 
-class UnframedProtocol(StreamProtocol):
+class _UnframedProtocol(StreamProtocol):
     """A connection that ends with its answer."""
 
     _has_request = False
--- a/yuccagauge/dispatch/witness.py
+++ b/yuccagauge/dispatch/witness.py
@@ -11,10 +11,10 @@
 from yuccagauge.dispatch.timers import Timers
 from yuccagauge.settings.options import Endpoint
 
-#: Time for which a connection stays open behind a check if its process lives.
-#: A lost packet is sent again after 200 ms. The check itself may take longer,
-#: as it waits for a slot of the server.
-OPEN_LIMIT = Millis(250)
+#: A connection that is still open this long after a check was sent belongs to
+#: a process that lives: others reset it within a round trip. The answer to the
+#: check may take longer, as it waits for a slot of the server.
+OPEN_LIMIT = Millis(100)
 
 #: Connections that are kept for the next calls to one server.
 _MAXIMUM_SPARE = 8
--- a/yuccagauge/relay/ending.py
+++ b/yuccagauge/relay/ending.py
@@ -9,7 +9,7 @@
 from yuccagauge.directory.base import ServiceSpec
 from yuccagauge.dispatch.base import BackendMessage, CallLater
 from yuccagauge.dispatch.timers import Timers
-from yuccagauge.dispatch.witness import OPEN_LIMIT, WitnessCheck
+from yuccagauge.dispatch.witness import WitnessCheck
 from yuccagauge.relay.attempt import AttemptTracker
 from yuccagauge.relay.identity import (
     IdentitySource,
@@ -18,7 +18,7 @@
 )
 
 #: Longest wait for a proof if the call can go on at another server instead.
-PROOF_LIMIT = Millis(OPEN_LIMIT + 50)
+PROOF_LIMIT = Millis(250)
 
 #: An older connection that has not answered after this time may hang, so a new
 #: one is opened beside it.
