Check that the own interface waits for the connection that proves an answer

A first answer is delivered though the connection of the call, or the second one, opens 0.1 s later than the other.

--- a/features/dispatch/restarted_servers.feature
+++ b/features/dispatch/restarted_servers.feature
@@ -75,6 +75,21 @@
     When 8 bookings are made, 0.02 s apart
     Then all bookings have whole answers of one run
 
+  # Guards against whole answers that are lost because the connection that would
+  # have proved them was open a little later than that of the call.
+  Scenario Outline: A first answer is delivered though its connections open at different times
+    Given a plain service whose answers have no length
+    And the <number> connection to each server opens 0.1 s later
+    When a <call> is answered
+    Then the <call> has a whole answer of one run
+
+    Examples:
+      | call    | number |
+      | booking | first  |
+      | booking | second |
+      | reading | first  |
+      | reading | second |
+
   # Guards against calls that wait behind a connection which carries none.
   Scenario Outline: A plain server that serves one connection after the other answers calls
     Given a plain service whose answers have <framing>
--- a/features/steps/dispatch_restarted_steps.py
+++ b/features/steps/dispatch_restarted_steps.py
@@ -1,5 +1,6 @@
 """Steps for plain servers whose answers end with their connections."""
 
+from collections import Counter
 from collections.abc import Callable
 
 from behave import given, then, when
@@ -28,6 +29,7 @@
 
 _TIMEOUT = Millis(5000)
 _WHOLE_BODY = b'ok'
+_NUMBERS = {'first': 1, 'second': 2}
 _METHODS = {'booking': 'POST', 'reading': 'GET'}
 
 
@@ -46,6 +48,18 @@
         server.closes_connections = True
 
 
+@given('the {number} connection to each server opens {delay:g} s later')
+def delay_connection(context: Context, number: str, delay: float) -> None:
+    """Lose the first packet of a connection."""
+    opened: Counter[str] = Counter()
+
+    def delay_s(source: str, host: str) -> float:
+        opened[host] += 1
+        return delay if opened[host] == _NUMBERS[number] else 0
+
+    context.service.network.connect_delay_s = delay_s
+
+
 @given('its servers serve one connection after the other')
 def serve_in_sequence(context: Context) -> None:
     """Let the servers read nothing before the last connection has ended."""
