Read the log of stream origins again after an answer that ends before its records

What callers may see: a stream that goes on at another software version than it began with. A router that starts takes an answer of the store that names more records than it has, and has none, for the end of the log: origins are missing, and the log is not read again. An answer with neither a length nor chunks that is broken off behind its head looks like that.

Cause: the loop ended at an answer without records, whatever end it named. It is the same class as the ends of calls: a connection's end taken for the end of what it carries.

Change: such an answer is an outage, and the log is read again, as after one that ends in a record. One that ends between two records was read on before.

Evidence: the new row of features/platform/origin_log.feature failed before and passes now.

--- a/features/platform/origin_log.feature
+++ b/features/platform/origin_log.feature
@@ -29,6 +29,7 @@
       | fault                       |
       | is empty                    |
       | ends in a record            |
+      | ends before its records     |
       | tells of a gap without JSON |
 
   Scenario: A log that cannot be read is tried a limited number of times
--- a/features/steps/platform_origins_steps.py
+++ b/features/steps/platform_origins_steps.py
@@ -99,6 +99,7 @@
     answer = {
         'is empty': _fetched(_OK, b''),
         'ends in a record': _fetched(_OK, _page(_record('v1', 1), 1)[:-1]),
+        'ends before its records': _fetched(_OK, _page(b'', 1)),
         'tells of a gap without JSON': _fetched(_GONE, b'gone'),
     }[fault]
     context.reads = _Store({0: answer})
--- a/yuccagauge/platform/store.py
+++ b/yuccagauge/platform/store.py
@@ -244,9 +244,11 @@
                 offset = max(offset + 1, originlog.first_offset(response.body))
                 continue
             end, records = split_page(response.body)
+            if not records and offset < end:
+                raise StoreUnavailableError('the page ends before its records')
             contents += records
             offset += len(records)
-            has_more = bool(records) and offset < end
+            has_more = offset < end
         return dict(originlog.decode_records(contents))
 
     @inlineCallbacks
