Start no timer for a second connection that is open already

Plain calls to servers whose answers have a length take an idle connection beside their own, which needs no limit. No behaviour changes: restarted_servers.feature (31 rows) and unsent.feature (6) pass.

--- a/yuccagauge/dispatch/callwitness.py
+++ b/yuccagauge/dispatch/callwitness.py
@@ -128,8 +128,9 @@
     ) -> Deferred[Connection]:
         ready: Deferred[Connection] = Deferred(lambda _: connection.abort())
         opening = self._pool.open(server, fresh=self._is_fresh)
-        self._opening = opening
-        self._timers.start(_OPENING, ACCEPT_LIMIT, opening.cancel)
+        if not opening.called:
+            self._opening = opening
+            self._timers.start(_OPENING, ACCEPT_LIMIT, opening.cancel)
         opening.addCallbacks(self._keep_connection, self._ignore_failure)
         opening.addCallback(self._end_opening, connection, ready)
         return ready
