Take no proof of an end from a process that states no id

What callers saw: 200 and half a body, or a stream that ends after two of its events, as a whole answer, where another process answered 503 or 404 without an id at the port of a server that was killed (a parent that keeps the port, a proxy).

Cause: an answer without an id counted as one of the expected server, whatever its status. Now only 200, or a refusal that states that it is one of a server, does. 3 of the 4 new rows of features/relay/unproven_ends.feature failed before; the row with 421 held, and fails if 421 is taken for the same id, which no feature showed. Stand-in: a killed server may be followed by another process at its port; without a status it answers nothing, as before.

--- a/features/relay/unproven_ends.feature
+++ b/features/relay/unproven_ends.feature
@@ -52,3 +52,22 @@
     When 20 callers call "talk" and the engine of the first one is killed
     Then no caller of the killed engine has a complete answer
     And all callers of the other engine have 60 events and a complete answer
+
+  # Guards against a broken answer that looks complete because another process,
+  # which states no id, answers at the port of its server.
+  Scenario Outline: A body of a killed server is not passed on though another process answers at its port
+    Given a relay whose plain server is killed in an answer, and another process answers <status> at its port
+    When a caller calls "book"
+    Then the caller gets status 502
+
+    Examples:
+      | status |
+      | 503    |
+      | 404    |
+      | 421    |
+
+  # Guards against the same at a model engine.
+  Scenario: A stream of a killed engine is not complete though another process answers at its port
+    Given a relay whose engine is killed in an answer, and another process answers 503 at its port
+    When a caller calls "talk"
+    Then the caller has the events "0 1" and an incomplete answer
--- a/features/scripted_server.py
+++ b/features/scripted_server.py
@@ -122,6 +122,8 @@
         self.connections = 0
         self._exchanges: list[Exchange] = []
         self._is_killed = False
+        #: Status that another process answers at its port once it is killed.
+        self.successor_status = 0
         self._port: Any = None
         #: Where it listens, also while it is closed.
         self.endpoint = Endpoint('127.0.0.1', 0)
@@ -156,6 +158,8 @@
     def serve(self, exchange: Exchange) -> None:
         """Answer or follow the script."""
         if self._is_killed:
+            if self.successor_status:
+                exchange.answer(self.successor_status, b'starting')
             return
         if exchange.path == '/load':
             exchange.answer(200, self._load())
--- a/features/steps/relay_unproven_end_steps.py
+++ b/features/steps/relay_unproven_end_steps.py
@@ -226,3 +226,35 @@
         assert received.endswith(_LAST_CHUNK), received
         assert received.count(b'id: ') == count, received
     wait_until(lambda: not context.fixture.relay_context.running_calls)
+
+
+@given(
+    'a relay whose plain server is killed in an answer, and another process '
+    'answers {status:d} at its port'
+)
+def relay_with_successor(context: Context, status: int) -> None:
+    """Start a relay with a server whose port another process takes."""
+
+    def answer(exchange: Exchange) -> None:
+        context.servers[0].successor_status = status
+        exchange.transport.write(
+            b'HTTP/1.1 200 X\r\nX-Yuccagauge-Request-Id: r1\r\n\r\nhalf'
+        )
+        reactor.callLater(_PAUSE_S, context.servers[0].kill)
+
+    start_relay_with_plain_server(context, answer)
+
+
+@given(
+    'a relay whose engine is killed in an answer, and another process answers '
+    '{status:d} at its port'
+)
+def relay_with_engine_successor(context: Context, status: int) -> None:
+    """Start a relay with an engine whose port another process takes."""
+
+    def stream(exchange: Exchange) -> None:
+        context.servers[0].successor_status = status
+        _send_two_events(exchange)
+        reactor.callLater(_PAUSE_S, context.servers[0].kill)
+
+    start_relay_with_engine(context, stream)
--- a/yuccagauge/platform/engines.py
+++ b/yuccagauge/platform/engines.py
@@ -31,7 +31,6 @@
 from yuccagauge.verdict import Verdict
 
 _OK = 200
-_MISDIRECTED = 421
 _TOO_MANY_REQUESTS = 429
 
 #: Timeout of a reply, beyond the time for which the engine may hold a poll.
@@ -137,7 +136,10 @@
         """
         response = yield self._fetch(server.endpoint, message, timeout)
         stated = response.head.get(names.INSTANCE_ID.lower())
-        if not stated and response.head.status != _MISDIRECTED:
+        # A process that is no server may answer at its port.
+        info = self._protocol.parse_head(response.head)
+        is_answer = response.head.status == _OK or info.is_not_run
+        if not stated and is_answer and not info.is_misdirected:
             stated = server.server_id
         return ServerIdentity(
             server_id=stated, started_at=_start_time(response)
