Show whole answers of engines that are lost until their start is listed

What callers see: a stream that was whole is broken off without its end, for up to 2 s after its engine has started again under its id, since only starts that were known at the send prove an end.

--- a/features/relay/checked_ends.feature
+++ b/features/relay/checked_ends.feature
@@ -69,3 +69,26 @@
       | route |
       | read  |
       | book  |
+
+  # Guards against whole answers that are lost each time that one with a length
+  # came before.
+  Scenario Outline: A whole answer reaches its caller though only some answers have a length
+    Given 3 routers before servers whose answers have no length
+    And the routers have connections for checks
+    And an earlier answer of each server had a length
+    When the servers answer requests of "<route>"
+    Then their callers have whole answers of one run
+
+    Examples:
+      | route |
+      | read  |
+      | book  |
+
+  # Guards against whole answers that are lost because the entry of an engine
+  # that has started again is not listed yet.
+  Scenario: A whole answer of an engine that is not listed with its start reaches its caller
+    Given 3 routers before servers whose answers have no length
+    And an entry is listed 1.9 s after the start of its server
+    And each server has started again 0.1 s ago
+    When the servers answer requests of "talk"
+    Then their callers have whole answers of one run
--- a/features/steps/relay_checked_ends_steps.py
+++ b/features/steps/relay_checked_ends_steps.py
@@ -8,6 +8,9 @@
 _PAUSE_S = 12.0
 
 _RUN_OUT_S = 3.0
+
+#: Time between the end of a server and its next start, in seconds.
+_DOWN_S = 0.05
 _REQUESTS = 24
 
 #: Rounds of requests after which each router has called each server.
@@ -57,6 +60,14 @@
         server.states_length = False
 
 
+@given('each server has started again {ago:g} s ago')
+def restart_all(context: Context, ago: float) -> None:
+    """Start the servers anew while none has a request."""
+    for server in context.fleet.servers:
+        server.go_down(_DOWN_S)
+    context.fleet.run(_DOWN_S + ago)
+
+
 @when('the servers answer requests of "{route}"')
 def answer(context: Context, route: str) -> None:
     """Send requests; the plain server with most of them is judged."""
