Have a connection of its own beside each call to servers that do not frame answers

Cause: all calls shared one older connection, which the check of one of them ended; the call was sent before it was open; and only an answer to the check counted.

Change: calls to servers whose framing is not known, or not always there, have one older connection each, which is open before the call is sent (100 ms at most); servers that frame all answers have one for all their calls, which no call uses. A server that says it is another one proves nothing.

--- a/yuccagauge/dispatch/witness.py
+++ b/yuccagauge/dispatch/witness.py
@@ -4,6 +4,10 @@
 from collections.abc import Callable
 from typing import Any
 
+from twisted.internet.defer import Deferred
+from twisted.internet.error import ConnectionLost
+from twisted.python.failure import Failure
+
 from yuccagauge.clock import Millis
 from yuccagauge.dispatch.base import BackendMessage, CallLater, ResponseHead
 from yuccagauge.dispatch.connection import Connection
@@ -19,6 +23,12 @@
 #: Connections that are kept for the next calls to one server.
 _MAXIMUM_SPARE = 8
 
+#: The status of a process that is not the server which a request names.
+_MISDIRECTED = 421
+
+#: Longest time for which a call waits until the connection beside it is open.
+_OPENING_LIMIT = Millis(100)
+
 _LIMIT = 'witness'
 
 
@@ -37,6 +47,20 @@
         #: ``None`` before it opens, and if it fails to.
         self.connection: Connection | None = None
         self.is_released = False
+        self._is_opening = False
+        self._on_opened: Callable[[], None] | None = None
+
+    def open(self, opening: Deferred[Connection]) -> None:
+        """Use a connection that is being opened."""
+        self._is_opening = True
+        opening.addCallbacks(self._handle_connection, self._handle_failure)
+
+    def when_opened(self, on_opened: Callable[[], None]) -> None:
+        """Call a function once the connection is open, or failed to."""
+        if self._is_opening:
+            self._on_opened = on_opened
+        else:
+            on_opened()
 
     def testifies(self, moment: int) -> bool:
         """Return whether it is open, and was so before a moment."""
@@ -47,6 +71,19 @@
             and connection.opened_at < moment
         )
 
+    def _handle_connection(self, connection: Connection) -> None:
+        self.connection = connection
+        self._end_opening()
+
+    def _handle_failure(self, _: Any) -> None:
+        self._end_opening()
+
+    def _end_opening(self) -> None:
+        self._is_opening = False
+        on_opened, self._on_opened = self._on_opened, None
+        if on_opened is not None:
+            on_opened()
+
 
 class WitnessCheck:
     """Asks on an older connection whether its process lives.
@@ -96,9 +133,10 @@
             self._connection.abort()
 
     def head(self, head: ResponseHead) -> None:
-        """Report that the process answers, whatever it says."""
+        """Report that the process answers, unless it is another server."""
         self._is_answered = True
-        self._report('older_connection')
+        is_other = head.status == _MISDIRECTED
+        self._report('' if is_other else 'older_connection')
 
     def data(self, data: bytes) -> None:
         """Ignore what it says."""
@@ -139,8 +177,9 @@
         """Have no connection."""
         self._pool = pool
         self._spare: dict[Endpoint, list[Witness]] = defaultdict(list)
-        #: Servers whose last answer had a length or chunks.
+        #: Servers of which all answers, or not all, had a length or chunks.
         self._framed: set[Endpoint] = set()
+        self._unframed: set[Endpoint] = set()
 
     def prepare(self, server: Endpoint) -> Witness:
         """Return a connection for a call that is about to be sent.
@@ -155,20 +194,24 @@
         witness = Witness(server)
         if server in self._framed:
             spare.append(witness)
-        self._pool.probe(server).addCallbacks(
-            self._handle_connection,
-            self._handle_failure,
-            callbackArgs=(witness,),
-            errbackArgs=(witness,),
+        opening = self._pool.probe(server)
+        witness.open(
+            opening.addCallbacks(
+                self._handle_connection,
+                self._handle_failure,
+                callbackArgs=(witness,),
+                errbackArgs=(witness,),
+            )
         )
         return witness
 
     def record_framing(self, server: Endpoint, *, is_framed: bool) -> None:
         """Record whether an answer of a server told where it ends."""
-        if is_framed:
-            self._framed.add(server)
-        else:
+        if not is_framed:
+            self._unframed.add(server)
             self._framed.discard(server)
+        elif server not in self._unframed:
+            self._framed.add(server)
 
     def take(self, witness: Witness, moment: int) -> Connection | None:
         """Return a connection that was open before a moment, for a check."""
@@ -230,12 +273,61 @@
 
     def _handle_connection(
         self, connection: Connection, witness: Witness
-    ) -> None:
-        witness.connection = connection
+    ) -> Connection:
         if witness.is_released:
+            witness.connection = connection
             self._keep(witness)
+        return connection
 
-    def _handle_failure(self, _: Any, witness: Witness) -> None:
+    def _handle_failure(self, failure: Failure, witness: Witness) -> Failure:
         spare = self._spare[witness.server]
         if witness in spare:
             spare.remove(witness)
+        return failure
+
+
+class WitnessedPool:
+    """Opens the connection of a call, and waits for the one beside it.
+
+    Parameters
+    ----------
+    pool
+        Opens the connection of the call.
+    witness
+        The connection beside it.
+    call_later
+        The reactor's function.
+    """
+
+    def __init__(
+        self, pool: ConnectionPool, witness: Witness, call_later: CallLater
+    ) -> None:
+        """Open nothing yet."""
+        self._pool = pool
+        self._witness = witness
+        self._timers = Timers(call_later)
+
+    def open(self, server: Endpoint, *, fresh: bool) -> Deferred[Connection]:
+        """Return a connection once both are open, or the other one is late."""
+        opening = self._pool.open(server, fresh=fresh)
+        return opening.addCallback(self._wait)
+
+    def give_back(self, server: Endpoint, connection: Connection) -> None:
+        """Keep the connection of the call for the next one."""
+        self._pool.give_back(server, connection)
+
+    def _wait(self, connection: Connection) -> Deferred[Connection]:
+        ready: Deferred[Connection] = Deferred(lambda _: connection.abort())
+
+        def go_on() -> None:
+            self._timers.close()
+            if ready.called:
+                return
+            if connection.can_send:
+                ready.callback(connection)
+            else:
+                ready.errback(ConnectionLost('closed before the request'))
+
+        self._timers.start(_LIMIT, _OPENING_LIMIT, go_on)
+        self._witness.when_opened(go_on)
+        return ready
--- a/yuccagauge/relay/attempt.py
+++ b/yuccagauge/relay/attempt.py
@@ -4,7 +4,8 @@
 from yuccagauge.dispatch.base import Framing, ResponseHead
 from yuccagauge.dispatch.connection import Connection, next_moment
 from yuccagauge.dispatch.errors import ContinuationError
-from yuccagauge.dispatch.witness import Witness
+from yuccagauge.dispatch.pool import ConnectionPool
+from yuccagauge.dispatch.witness import Witness, WitnessedPool
 from yuccagauge.quarantine.entry import Evidence, crash_id
 from yuccagauge.quarantine.events import short_fingerprint
 from yuccagauge.quarantine.evidence import PartCrash
@@ -171,15 +172,23 @@
         quiet_at = began_at + SOUND_OUTPUT_TIME
         return last_activity_at < quiet_at <= self._now()
 
-    def prepare_end_proof(self) -> None:
+    def prepare_end_proof(self) -> ConnectionPool | WitnessedPool:
         """Have a connection that is older than the request.
 
         Model engines state when they started, so that they need none.
+
+        Returns
+        -------
+        ConnectionPool or WitnessedPool
+            Opens the connection of the request, the younger one.
         """
+        context = self._context
         is_model = self._selection_request.service.is_model
-        if not is_model and self._context.identities is not None:
-            endpoint = self._placement.server.endpoint
-            self._witness = self._context.witnesses.prepare(endpoint)
+        if is_model or context.identities is None:
+            return context.pool
+        endpoint = self._placement.server.endpoint
+        self._witness = context.witnesses.prepare(endpoint)
+        return WitnessedPool(context.pool, self._witness, context.call_later)
 
     def take_witness(self) -> Connection | None:
         """Return a connection that is older than the request, if any is."""
--- a/yuccagauge/relay/call.py
+++ b/yuccagauge/relay/call.py
@@ -352,10 +352,10 @@
             self._response.last_event_id,
             self._context,
             self,
+            self._attempt.prepare_end_proof(),
             self._attempt.record_sending,
         )
         self._beginning_monitor.watch(self._attempt)
-        self._attempt.prepare_end_proof()
         self._exchange.start(fresh=not self._repeats.is_retryable)
         if not self._has_ended:
             self._stall_monitor.start(self._exchange, self._attempt)
--- a/yuccagauge/relay/exchanges.py
+++ b/yuccagauge/relay/exchanges.py
@@ -5,6 +5,8 @@
 from yuccagauge.clock import Millis
 from yuccagauge.dispatch.connection import ResponseUser
 from yuccagauge.dispatch.exchange import Exchange
+from yuccagauge.dispatch.pool import ConnectionPool
+from yuccagauge.dispatch.witness import WitnessedPool
 from yuccagauge.relay.base import AttemptRequest, Placement, RelayCall
 from yuccagauge.relay.context import RelayContext
 
@@ -15,6 +17,7 @@
     last_event_id: str,
     context: RelayContext,
     user: ResponseUser,
+    pool: ConnectionPool | WitnessedPool,
     may_send: Callable[[], bool],
 ) -> Exchange:
     """Return the exchange of an attempt, which is not started.
@@ -25,6 +28,8 @@
         The last event that the caller has; empty for the whole answer.
     user
         Receives the response.
+    pool
+        Opens the connection.
     may_send
         Called before the request is sent; returns whether it may be.
     """
@@ -36,7 +41,7 @@
         last_event_id=last_event_id,
     )
     return Exchange(
-        context.pool,
+        pool,
         placement.server.endpoint,
         context.backend_protocol.encode_attempt(attempt),
         user,
