Take what a server states for the process that was listed at the request

What callers saw: nothing but refusals from a service whose only engine had started again under its id, at all routers, until the engine's next start; with more engines, one of them gets no calls.

Cause: the statement Server-Leaving in an answer to a call of the router itself (a poll for cache events, a report) was taken for the process that was listed as the answer was read. After a pause of the router, or on a slow link, this is the process after the one that left. Nothing but a new start ends such a statement, and peers are told. The same held for an engine of another service that got the address. The class: who is listed now, asked for who was asked.

Change: the servers at the endpoint are noted as the request goes out. An answer on a connection comes from the process that is listed then or from an earlier state of the list, so that a statement never reaches a later start.

No existing test is changed.

--- a/yuccagauge/platform/engines.py
+++ b/yuccagauge/platform/engines.py
@@ -1,7 +1,7 @@
 """Status reports, weights orders and cache events of model engines."""
 
 import json
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 from urllib.parse import urlencode
 
@@ -20,6 +20,7 @@
 from yuccagauge.platform import names
 from yuccagauge.platform.requests import PlatformBackendProtocol
 from yuccagauge.relay.adapter import AnswerListener
+from yuccagauge.relay.base import ResponseInfo
 from yuccagauge.relay.identity import ServerIdentity
 from yuccagauge.rollout.base import (
     EngineStatus,
@@ -77,7 +78,7 @@
         self._pool = pool
         self._router_name = router_name
         self._protocol = PlatformBackendProtocol()
-        #: Called with the endpoint of an engine that has answered.
+        #: Called when a request goes out; see ``AnswerListener``.
         self.answer_listeners: list[AnswerListener] = []
 
     def through(self, pool: ConnectionPool) -> 'PlatformEngineClient':
@@ -214,6 +215,13 @@
         timeout: Millis,
         may_send: Callable[[], bool] = lambda: True,
     ) -> Deferred[Fetched]:
+        takers: list[Callable[[ResponseInfo], None]] = []
+
+        def begin() -> bool:
+            takers.clear()
+            takers.extend(listen(endpoint) for listen in self.answer_listeners)
+            return may_send()
+
         fetching = fetch(
             self._reactor,
             self._pool,
@@ -221,15 +229,19 @@
             message,
             timeout,
             maximum=_MAXIMUM_ANSWER,
-            may_send=may_send,
+            may_send=begin,
         )
-        return fetching.addCallback(self._report_answer, endpoint)
+        return fetching.addCallback(self._report_answer, takers)
 
-    def _report_answer(self, response: Fetched, endpoint: Endpoint) -> Fetched:
+    def _report_answer(
+        self,
+        response: Fetched,
+        takers: Iterable[Callable[[ResponseInfo], None]],
+    ) -> Fetched:
         """Report what the engine states about itself."""
         info = self._protocol.parse_head(response.head)
-        for listener in self.answer_listeners:
-            listener(endpoint, info)
+        for take in takers:
+            take(info)
         return response
 
 
--- a/yuccagauge/relay/adapter.py
+++ b/yuccagauge/relay/adapter.py
@@ -19,7 +19,9 @@
 from yuccagauge.settings.options import Endpoint
 from yuccagauge.settings.relay import RelaySettings
 
-AnswerListener = Callable[[Endpoint, ResponseInfo], None]
+#: Called with the endpoint of an engine as a request goes out; returns what takes
+#: the statements of its answer. Another engine may be there by the answer.
+AnswerListener = Callable[[Endpoint], Callable[[ResponseInfo], None]]
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -39,7 +41,7 @@
     cache_event_source: CacheEventSource
     #: Path of the load balancer's readiness check.
     ready_path: str
-    #: Called when an engine has answered a call of the router itself.
+    #: Called when a call of the router itself goes out to an engine.
     answer_listeners: list[AnswerListener] = field(default_factory=list)
     #: ``None`` if servers cannot be asked.
     start_time_source: StartTimeSource | None = None
--- a/yuccagauge/relay/router.py
+++ b/yuccagauge/relay/router.py
@@ -258,7 +258,7 @@
             self._leader_lease.observe_peer_order(self._clock.now())
         )
         self._exchange.merger.on_peer_left = self._election.check_now
-        self._adapter.answer_listeners.append(self._record_engine_answer)
+        self._adapter.answer_listeners.append(self._note_engine_request)
         self._context.part_quarantine.probe_rank = self._rank
         self._context.on_unresponsive = self._exchange.broadcast_unresponsive
         self._selector.limits.on_change = self._exchange.broadcast_limit
@@ -383,13 +383,27 @@
             self._configuration_version = configuration.version
             changes.log_configuration(configuration)
 
-    def _record_engine_answer(
-        self, endpoint: Endpoint, info: ResponseInfo
-    ) -> None:
-        self._selector.statements.record_answer(
-            self._directory.servers.values(), endpoint, info, self._clock.now()
+    def _note_engine_request(
+        self, endpoint: Endpoint
+    ) -> Callable[[ResponseInfo], None]:
+        """Return what takes the statements of the answer to a request.
+
+        They hold for the process that is listed now, or for an earlier one. By
+        the time of the answer, another one may be listed at the endpoint.
+        """
+        servers = tuple(
+            server
+            for server in self._directory.servers.values()
+            if server.endpoint == endpoint
         )
 
+        def record(info: ResponseInfo) -> None:
+            self._selector.statements.record_answer(
+                servers, endpoint, info, self._clock.now()
+            )
+
+        return record
+
     def _record_server_entry(self, server_id: str, after: Millis) -> None:
         """Record that a server's incarnation ran when its entry was written."""
         server = self._directory.servers.get(server_id)
