Log why a broken stream was not sent again

Users saw that about a third of the streams that an engine broke off got no second engine. call_ended said server_broke with sends=1, whatever the reason: budget, route, ids or time.

CallRepeats now keeps the reason of the latest refusal, and call_ended has it as not_resent.

features/relay/broken_streams.feature: 7 of 7 fail on the code before, whose log has no such field. Streams of VersionFleet may have bodies of their own now; with one body for all they are one request to the quarantine.

--- a/features/version_fleet.py
+++ b/features/version_fleet.py
@@ -195,6 +195,12 @@
         stream.first_attempt = stream.first_attempt or self._request_id
         self.has_event = True
 
+    @property
+    def _body(self) -> str:
+        if self._fleet.has_own_bodies:
+            return self._stream.first_attempt or self._request_id
+        return 'x'
+
     def _request(self) -> bytes:
         stream = self._stream
         lines = [
@@ -206,12 +212,12 @@
             'X-Yuccagauge-Model: m',
             f'X-Yuccagauge-Prefix-Hash: aa:200,{self._request_id}:100',
             'X-Yuccagauge-Token-Usage: 300,8',
-            'Content-Length: 1',
+            f'Content-Length: {len(self._body)}',
         ]
         if self.is_resumption:
             lines.append(f'Resumes: {stream.first_attempt}')
             lines.append(f'Last-Event-Id: {stream.last_event}')
-        return '\r\n'.join([*lines, '', 'x']).encode()
+        return '\r\n'.join([*lines, '', self._body]).encode()
 
 
 class VersionFleet(CrashFleet):
@@ -235,6 +241,9 @@
         self.pause_s: float = 0.3
         #: Names of the routers that callers do not reach.
         self.unreachable: set[str] = set()
+        #: Whether each stream is a request of its own to the routers, which
+        #: count the crashes of requests.
+        self.has_own_bodies = False
         super().__init__(routers, servers, seed)
         self.return_kind = 'with a new id'
         self.down_s = 2.0
--- a/yuccagauge/relay/call.py
+++ b/yuccagauge/relay/call.py
@@ -431,7 +431,9 @@
         if self._attempt is not None:
             self._attempt.release_slot()
         self._context.running_calls.pop(self._selection_request.call_id, None)
-        self._reporter.record_end(outcome, status, refusal, self._response)
+        self._reporter.record_end(
+            outcome, status, refusal, self._response, self._repeats.obstacle
+        )
 
     def _abandon_exchange(self) -> None:
         if self._exchange is not None:
--- a/yuccagauge/relay/repeats.py
+++ b/yuccagauge/relay/repeats.py
@@ -33,6 +33,7 @@
         self._runs = 0
         #: Whether a retry of the budget is spent for the next send.
         self._has_spent = False
+        self._obstacle = ''
 
     @property
     def route(self) -> Route:
@@ -49,9 +50,15 @@
         """Whether the call may run once more after the present attempt."""
         return self._runs + 1 < self._call.route.attempts
 
+    @property
+    def obstacle(self) -> str:
+        """Why the call was not sent again when that was last wanted, if so."""
+        return self._obstacle
+
     def record_send(self) -> None:
         """Count a send."""
         self._sends += 1
+        self._obstacle = ''
         self._has_spent = False
 
     def record_run(self) -> None:
@@ -66,9 +73,8 @@
         response
             What the caller has of the answer.
         """
-        return self._runs < self._call.route.attempts and self._may_repeat(
-            response
-        )
+        self._obstacle = self._obstacle_to_run(response, self._runs)
+        return not self._obstacle
 
     def may_move(self, response: ResponseForwarder) -> bool:
         """Return whether the call may be sent again if the present run fails.
@@ -78,7 +84,7 @@
         response
             What the caller has of the answer.
         """
-        return self.allows_another_run and self._may_repeat(response)
+        return not self._obstacle_to_run(response, self._runs + 1)
 
     def try_run_again(self, response: ResponseForwarder) -> bool:
         """Return ``may_run_again``; if so, spend a retry of the budget."""
@@ -86,9 +92,12 @@
 
     def try_send_again(self) -> bool:
         """Return whether the call may be sent again; if so, spend a retry."""
-        if not self._may_send_again():
+        self._obstacle = self._obstacle_to_send()
+        if self._obstacle:
             return False
         self._has_spent = self._context.try_spend_retry(self._call.service)
+        if not self._has_spent:
+            self._obstacle = 'budget'
         return self._has_spent
 
     def close(self) -> None:
@@ -97,14 +106,20 @@
             self._has_spent = False
             self._context.return_retry(self._call.service)
 
-    def _may_repeat(self, response: ResponseForwarder) -> bool:
+    def _obstacle_to_run(self, response: ResponseForwarder, runs: int) -> str:
         is_stream = self._call.route.kind is RouteKind.STREAMING
+        if runs >= self._call.route.attempts:
+            return 'attempts'
         if not self.is_retryable or (response.has_started and not is_stream):
-            return False
-        return response.can_be_continued and self._may_send_again()
-
-    def _may_send_again(self) -> bool:
-        if self._sends >= MAXIMUM_SENDS_PER_CALL or self._call.is_probe:
-            return False
+            return 'runs_once'
+        if not response.can_be_continued:
+            return 'unnumbered'
+        return self._obstacle_to_send()
+
+    def _obstacle_to_send(self) -> str:
+        if self._sends >= MAXIMUM_SENDS_PER_CALL:
+            return 'sends'
+        if self._call.is_probe:
+            return 'probe'
         remaining = self._call.deadline - self._context.clock.now()
-        return remaining >= MINIMUM_RETRY_TIME
+        return '' if remaining >= MINIMUM_RETRY_TIME else 'time'
--- a/yuccagauge/relay/report.py
+++ b/yuccagauge/relay/report.py
@@ -169,11 +169,17 @@
         status: int,
         refusal: Refusal | None,
         response: ResponseForwarder,
+        obstacle: str,
     ) -> None:
         """Log the outcome of the call, and record its duration.
 
         A refusal resets the connection of a caller that has a part of an
         answer.
+
+        Parameters
+        ----------
+        obstacle
+            Why the call was not sent again when that was last wanted.
         """
         received = self._call.request.received_at
         elapsed = self._clock.now() - received
@@ -194,6 +200,7 @@
             retry_after_ms=refusal.retry_after if refusal else None,
             server=self._server,
             sends=self._sends,
+            not_resent=obstacle,
             waits=self._waits,
             first_ms=first_output_ms,
             total_ms=elapsed,
