Return to a silent server if the next one ends without an event

Callers whose engine was silent for 1.3 s between two events got a stream that looked complete with 2 of 4 events, when the engine that was asked to go on answered 200 and ended without an event. If it ended inside its first event, they got a broken stream, though the silent engine went on later.

Cause: the end of the next response ended the attempt of the silent server as its first event does, before anybody looked at what it held.

A stream that ends without an event replaces nothing now: it is a failed continuation, and the call returns to the silent server. An engine that is silent between its last event and the end costs the caller time by this. Without a silent server an empty continuation is believed as before.

The end of end_stream without events ended the chunks at once, so that its rest was never sent.

--- a/features/relay/silent_servers.feature
+++ b/features/relay/silent_servers.feature
@@ -47,6 +47,13 @@
       | 1.3     | between two events    | starts at another event | free |
       | 1.3     | between two events    | breaks after its head | free |
       | 1.3     | inside an event       | breaks after its head | free |
+      | 1.3     | before a stream       | ends inside its first event | free |
+      | 1.3     | between two events    | ends inside its first event | free |
+      | 1.3     | inside an event       | ends inside its first event | free |
+      | 1.3     | between two events    | ends without an event | free   |
+      | 1.3     | inside an event       | ends without an event | free   |
+      | 1.3     | between two events    | ends its channel without an event | free |
+      | 1.3     | between two events    | begins with an event without a number | free |
       | 1.3     | inside an event       | is missing          | free   |
       | 1.3     | inside an event       | is sound            | free   |
       | 1.3     | inside an event       | is full             | free   |
--- a/features/relay_servers.py
+++ b/features/relay_servers.py
@@ -175,7 +175,8 @@
         open_event_stream(exchange, *headers[framing])
         is_chunked = framing == 'chunks'
         send = exchange.chunk if is_chunked else exchange.transport.write
-        send(events)
+        if events:
+            send(events)
 
         def end() -> None:
             if rest:
--- a/features/silent_servers.py
+++ b/features/silent_servers.py
@@ -8,9 +8,12 @@
     BEHAVIOURS,
     CHUNKED,
     FAILED_CONTINUATIONS,
+    HALF_EVENT,
+    end_stream,
     event,
     open_event_stream,
     restart_events,
+    send_events,
     stream_events,
 )
 from features.scripted_server import Exchange
@@ -134,6 +137,12 @@
         'refuses connections': BEHAVIOURS['never answers'],
         'answers JSON': FAILED_CONTINUATIONS['200 and JSON'],
         'starts at another event': restart_events(0, EVENTS),
+        'ends inside its first event': end_stream(0, HALF_EVENT, 'chunks'),
+        'begins with an event without a number': send_events(
+            b'data: x\n\n' + event(0)
+        ),
+        'ends without an event': end_stream(0, b'', 'chunks'),
+        'ends its channel without an event': end_stream(0, b'', 'channel'),
         'breaks after its head': (
             _break_stream if is_model else BEHAVIOURS['resets in the answer']
         ),
--- a/yuccagauge/relay/call.py
+++ b/yuccagauge/relay/call.py
@@ -171,7 +171,11 @@
     def complete(self) -> None:
         """Handle the end of a response by its framing."""
         self._attempt.record_activity()
-        self._takeover.finish()
+        try:
+            self._takeover.finish()
+        except ContinuationError as error:
+            self._handle_failed_continuation(str(error))
+            return
         failed = self._response.is_server_error
         if self._response.is_inside_event and not failed:
             self._handle_broken_attempt('the stream ended inside an event')
--- a/yuccagauge/relay/response.py
+++ b/yuccagauge/relay/response.py
@@ -233,10 +233,13 @@
         """Return whether the latest response is that of a head."""
         return self._latest_head is head
 
-    def may_begin(self, head: ResponseHead, data: bytes) -> bool:
+    def may_begin(
+        self, head: ResponseHead, data: bytes, *, is_whole: bool = False
+    ) -> bool:
         """Return whether a response that was received so far is to begin.
 
-        A stream begins with its first event, another answer once it is long.
+        A stream begins with its first event, another answer once it is long
+        or whole.
 
         Raises
         ------
@@ -244,15 +247,18 @@
             If an event does not follow the last one of the caller.
         """
         if not _is_event_stream(head):
-            return len(data) > _BUFFER_LIMIT_BYTES
+            return is_whole or len(data) > _BUFFER_LIMIT_BYTES
         events = EventSplitter(_MAXIMUM_EVENT_BYTES).feed(data)
         order = copy.copy(self._order)
         order.start_response()
-        return any(
+        has_event = any(
             has_data(accepted)
             for event in events
             for accepted in order.accept(event)
         )
+        if has_event or not is_whole or order.lacks_number:
+            return has_event
+        return any(map(has_data, order.release()))
 
     def _check_needs_no_events(self, head: ResponseHead) -> None:
         """Raise an error if only events may follow what the caller has."""
--- a/yuccagauge/relay/takeover.py
+++ b/yuccagauge/relay/takeover.py
@@ -4,6 +4,7 @@
 
 from yuccagauge.dispatch.base import ResponseHead
 from yuccagauge.dispatch.connection import ResponseUser
+from yuccagauge.dispatch.errors import ContinuationError
 from yuccagauge.dispatch.exchange import Exchange
 from yuccagauge.relay.attempt import AttemptTracker
 from yuccagauge.relay.base import RelayCall, ResponseInfo
@@ -131,13 +132,26 @@
             return False
         self._withheld_data += data
         if self._response.may_begin(self._withheld_head, self._withheld_data):
-            self.finish()
+            self.end('another server has begun its answer')
         return True
 
     def finish(self) -> None:
-        """Let the next server go on with the call, if it has answered."""
-        if self._withheld_head is not None:
-            self.end('another server has begun its answer')
+        """Let the next server go on with the call, if it has answered.
+
+        Raises
+        ------
+        ContinuationError
+            If it has ended a stream without an event, so that nothing shows
+            that the stream is whole.
+        """
+        head = self._withheld_head
+        if head is None:
+            return
+        if not self._response.may_begin(
+            head, self._withheld_data, is_whole=True
+        ):
+            raise ContinuationError('the stream ended without an event')
+        self.end('another server has answered')
 
     def try_return(self) -> bool:
         """Return the call to the kept attempt; return whether there was one."""
