--- a/features/relay/continuation.feature
+++ b/features/relay/continuation.feature
@@ -18,6 +18,7 @@
       | 404 and JSON       |
       | 200 and JSON       |
       | 204                |
+      | events without ids |
 
   Scenario Outline: A stream whose continuation fails goes on at a third engine
     Given a relay with a model engine that streams 2 events and half of one, then resets
--- a/features/relay_servers.py
+++ b/features/relay_servers.py
@@ -223,19 +223,6 @@
     )
 
 
-#: Scripts of engines that do not continue the stream that they are asked for.
-FAILED_CONTINUATIONS = {
-    '500 and JSON': lambda exchange: _answer_json(exchange, 500),
-    '500 without a body': lambda exchange: exchange.answer(
-        500, b'', _id_header(exchange), _STAMP
-    ),
-    '500 and an event': _answer_failed_event,
-    '404 and JSON': lambda exchange: _answer_json(exchange, 404),
-    '200 and JSON': lambda exchange: _answer_json(exchange, 200),
-    '204': _answer_204,
-}
-
-
 def send_events(events: bytes, *, resets: bool = False) -> object:
     """Return a script that sends certain events in one chunk."""
 
@@ -250,6 +237,20 @@
     return script
 
 
+#: Scripts of engines that do not continue the stream that they are asked for.
+FAILED_CONTINUATIONS = {
+    '500 and JSON': lambda exchange: _answer_json(exchange, 500),
+    '500 without a body': lambda exchange: exchange.answer(
+        500, b'', _id_header(exchange), _STAMP
+    ),
+    '500 and an event': _answer_failed_event,
+    '404 and JSON': lambda exchange: _answer_json(exchange, 404),
+    '200 and JSON': lambda exchange: _answer_json(exchange, 200),
+    '204': _answer_204,
+    'events without ids': send_events(b'data: x\n\n'),
+}
+
+
 def restart_events(first: int, count: int) -> object:
     """Return a script that streams events from a number on, whatever is asked.
 
