Place the calls of the silence tests at the silent engine with certainty

"Placement never chose the silent engine" (KNOWN-RED, @1.6 and @2.4 of features/dispatch/silent_servers.feature): the step sent up to 40 prompts until placement happened to begin with that engine. It now waits until the router knows all engines, and each decision of placement names the silent engine first if it is among the candidates. One call is sent, and the step fails if its first attempt was elsewhere, so that it is as strict as before.

--- a/features/steps/dispatch_silence_steps.py
+++ b/features/steps/dispatch_silence_steps.py
@@ -3,6 +3,8 @@
 import json
 import time
 from collections.abc import Callable
+from dataclasses import replace
+from unittest import mock
 
 from behave import given, then, when
 from behave.runner import Context
@@ -22,6 +24,11 @@
 from features.scripted_server import Exchange, ScriptedServer, frames
 from features.steps.dispatch_streams_steps import answer, start_scripted
 from yuccagauge.claims.base import issue_key
+from yuccagauge.clock import Millis
+from yuccagauge.dispatch.base import Call
+from yuccagauge.dispatch.service import ServiceState
+from yuccagauge.placement.base import Decision
+from yuccagauge.settings.options import Endpoint
 
 _WORDS = ('one ', 'two ', 'three ')
 _SILENT_AFTER = 2
@@ -82,10 +89,6 @@
         self._has_paused: set[int] = set()
         self._events: list[bytes] = []
 
-    def begin_again(self) -> None:
-        """Fall silent in the next run, and once before each event."""
-        self._has_paused.clear()
-
     def _follow(self, exchange: Exchange) -> None:
         if exchange.method == 'POST':
             request_id = json.loads(exchange.body)['request_id']
@@ -211,7 +214,7 @@
 
 @when('a routed {kind} is asked of the silent engine')
 def when_asked(context: Context, kind: str) -> None:
-    """Vary the prompt until placement begins with the silent engine."""
+    """Ask the silent engine first."""
     _ask_silent(context, stream=kind == 'stream')
 
 
@@ -221,22 +224,42 @@
     _ask_silent(context, Yuccagauge_Timeout_Ms=str(limit))
 
 
+def _prefer(context: Context, engine: Endpoint) -> None:
+    """Place each call at an engine first, wherever it can take the call."""
+    place = ServiceState.place
+
+    def place_first(
+        service: ServiceState,
+        call: Call,
+        blocked: frozenset[Endpoint],
+        now: Millis,
+    ) -> Decision:
+        decision = place(service, call, blocked, now)
+        ordered = sorted(
+            decision.candidates, key=lambda each: each.engine != engine
+        )
+        return replace(decision, candidates=tuple(ordered))
+
+    patch = mock.patch.object(ServiceState, 'place', place_first)
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
 def _ask_silent(
     context: Context,
     *,
     stream: bool = True,
     **headers: str,
 ) -> None:
-    silent = str(context.silent.server.endpoint)
-    for number in range(_TRIES):
-        context.silent.begin_again()
-        body = chat_body(f'shift {number}', stream=stream)
-        started_at = time.monotonic()
-        context.answer = chat(context.router, body, **headers)
-        context.duration = time.monotonic() - started_at
-        if _record(context)['attempts'][0]['backend_server'] == silent:
-            return
-    raise AssertionError('placement never chose the silent engine')
+    silent = context.silent.server.endpoint
+    _prefer(context, silent)
+    context.fleet.wait_for_engines(len(context.servers))
+    body = chat_body('shift', stream=stream)
+    started_at = time.monotonic()
+    context.answer = chat(context.router, body, **headers)
+    context.duration = time.monotonic() - started_at
+    attempts = _record(context)['attempts']
+    assert attempts[0]['backend_server'] == str(silent), attempts
 
 
 def _record(context: Context) -> dict[str, object]:
