--- a/yuccagauge/relay/attempt.py
+++ b/yuccagauge/relay/attempt.py
@@ -1,17 +1,14 @@
 """One attempt of a call on a backend server, and its effects on the router."""
 
 from yuccagauge.clock import Millis
-from yuccagauge.dispatch.base import Framing, ResponseHead
-from yuccagauge.dispatch.connection import Connection, next_moment
 from yuccagauge.dispatch.errors import ContinuationError
-from yuccagauge.dispatch.pool import ConnectionPool
-from yuccagauge.dispatch.witness import Witness, WitnessedPool
 from yuccagauge.quarantine.entry import Evidence, crash_id
 from yuccagauge.quarantine.events import short_fingerprint
 from yuccagauge.quarantine.evidence import PartCrash
 from yuccagauge.quarantine.parts import SOUND_OUTPUT_TIME
 from yuccagauge.relay.base import Placement, RelayCall, ResponseInfo
 from yuccagauge.relay.context import RelayContext
+from yuccagauge.relay.evidence import SendEvidence
 from yuccagauge.relay.outliving import AnswerBeginning
 from yuccagauge.relay.report import CallReporter
 from yuccagauge.selection import model
@@ -51,12 +48,11 @@
         self._context = context
         self._sent_at = context.clock.now()
         self._last_activity_at = self._sent_at
-        #: The moment before which a connection is older than the request.
-        self._sending_moment = 0
-        #: A connection that is older than the request, or is to be.
-        self._witness: Witness | None = None
-        #: The starts of the server that were known then.
-        self._known_starts: frozenset[int] = frozenset()
+        self._evidence = SendEvidence(
+            placement.server,
+            context,
+            is_model=selection_request.service.is_model,
+        )
         self._is_paused = False
         self._holds_slot = True
         context.selector.record_send(
@@ -83,9 +79,9 @@
         return self._placement
 
     @property
-    def known_starts(self) -> frozenset[int]:
-        """The starts that were known of the server as the request was sent."""
-        return self._known_starts
+    def evidence(self) -> SendEvidence:
+        """What was known of the server as the request was sent."""
+        return self._evidence
 
     @property
     def is_same_incarnation(self) -> bool:
@@ -172,54 +168,6 @@
         quiet_at = began_at + SOUND_OUTPUT_TIME
         return last_activity_at < quiet_at <= self._now()
 
-    def prepare_end_proof(self) -> ConnectionPool | WitnessedPool:
-        """Have a connection that is older than the request.
-
-        Model engines state when they started, so that they need none.
-
-        Returns
-        -------
-        ConnectionPool or WitnessedPool
-            Opens the connection of the request, the younger one.
-        """
-        context = self._context
-        is_model = self._selection_request.service.is_model
-        if is_model or context.identities is None:
-            return context.pool
-        endpoint = self._placement.server.endpoint
-        self._witness = context.witnesses.prepare(endpoint)
-        return WitnessedPool(context.pool, self._witness, context.call_later)
-
-    def take_witness(self) -> Connection | None:
-        """Return a connection that is older than the request, if any is."""
-        if self._witness is None:
-            return None
-        return self._context.witnesses.take(self._witness, self._sending_moment)
-
-    def give_witness_back(self, connection: Connection) -> None:
-        """Keep such a connection for the ends of other calls."""
-        endpoint = self._placement.server.endpoint
-        self._context.witnesses.give_back(endpoint, connection)
-
-    def record_framing(self, head: ResponseHead) -> None:
-        """Record whether a plain server tells where its answers end."""
-        if not self._selection_request.service.is_model:
-            self._context.witnesses.record_framing(
-                self._placement.server.endpoint,
-                is_framed=head.framing is not Framing.CONNECTION,
-            )
-
-    def record_sending(self) -> bool:
-        """Note what is known of the server as the request goes out.
-
-        Returns whether it may go out, which it always may.
-        """
-        self._sending_moment = next_moment()
-        self._known_starts = self._context.incarnations.known_starts(
-            self._placement.server
-        )
-        return True
-
     def pause(self) -> None:
         """Record that the router does not read, for its caller's sake."""
         self._is_paused = True
@@ -367,8 +315,7 @@
         if not self._holds_slot:
             return
         self._holds_slot = False
-        if self._witness is not None:
-            self._context.witnesses.release(self._witness)
+        self._evidence.release()
         self._load().own_calls.pop(self._selection_request.call_id, None)
         self._context.quarantine.record_end(
             self._call.fingerprint,
--- a/yuccagauge/relay/call.py
+++ b/yuccagauge/relay/call.py
@@ -148,7 +148,7 @@
             if self._takeover.withholds_head(head):
                 return
             self._response.accept_head(head, headers)
-            self._attempt.record_framing(head)
+            self._attempt.evidence.record_framing(head)
         except ContinuationError as error:
             self._handle_failed_continuation(str(error))
 
@@ -357,8 +357,8 @@
             self._response.last_event_id,
             self._context,
             self,
-            self._attempt.prepare_end_proof(),
-            self._attempt.record_sending,
+            self._attempt.evidence.prepare(),
+            self._attempt.evidence.record_sending,
         )
         self._beginning_monitor.watch(self._attempt)
         self._exchange.start(fresh=not self._repeats.is_retryable)
--- a/yuccagauge/relay/ending.py
+++ b/yuccagauge/relay/ending.py
@@ -96,7 +96,7 @@
             self._ask_identity(message, limit)
             return
         self._open.add('older_connection')
-        if not attempt.known_starts:
+        if not attempt.evidence.known_starts:
             self._open.add('identity')
             self._timers.start(
                 _SECOND_CHECK,
@@ -105,7 +105,7 @@
                 message,
                 limit,
             )
-        connection = attempt.take_witness()
+        connection = attempt.evidence.take_connection()
         if connection is None:
             self._handle_witness('', attempt, message, limit)
             return
@@ -113,7 +113,7 @@
             connection,
             self._call_later,
             lambda proof: self._handle_witness(proof, attempt, message, limit),
-            attempt.give_witness_back,
+            attempt.evidence.give_back,
         )
         self._check.start(message)
 
@@ -163,7 +163,7 @@
         if self._attempt is not attempt:
             return
         server = attempt.placement.server
-        if not is_same_process(identity, server, attempt.known_starts):
+        if not is_same_process(identity, server, attempt.evidence.known_starts):
             self._give_up('identity')
         elif identity.started_at:
             self._report('start')
--- /dev/null
+++ b/yuccagauge/relay/evidence.py
@@ -0,0 +1,88 @@
+"""What is known of a server before a request is sent to it."""
+
+from yuccagauge.directory.base import BackendServer
+from yuccagauge.dispatch.base import Framing, ResponseHead
+from yuccagauge.dispatch.connection import Connection, next_moment
+from yuccagauge.dispatch.pool import ConnectionPool
+from yuccagauge.dispatch.witness import Witness, WitnessedPool
+from yuccagauge.relay.context import RelayContext
+
+
+class SendEvidence:
+    """Keeps what later shows that the process which got a request lives on.
+
+    Parameters
+    ----------
+    server
+        The server of an attempt.
+    context
+        What all calls share.
+    is_model
+        Whether the server is a model engine. Those state when they started.
+    """
+
+    def __init__(
+        self, server: BackendServer, context: RelayContext, *, is_model: bool
+    ) -> None:
+        """Know nothing yet."""
+        self._server = server
+        self._context = context
+        self._is_model = is_model
+        #: The moment before which a connection is older than the request.
+        self._moment = 0
+        self._known_starts: frozenset[int] = frozenset()
+        #: A connection that is older than the request, or is to be.
+        self._witness: Witness | None = None
+
+    @property
+    def known_starts(self) -> frozenset[int]:
+        """The starts that were known of the server as the request was sent."""
+        return self._known_starts
+
+    def prepare(self) -> ConnectionPool | WitnessedPool:
+        """Have a connection that is older than the request, if one is needed.
+
+        Returns
+        -------
+        ConnectionPool or WitnessedPool
+            Opens the connection of the request, the younger one.
+        """
+        context = self._context
+        if self._is_model or context.identities is None:
+            return context.pool
+        self._witness = context.witnesses.prepare(self._server.endpoint)
+        return WitnessedPool(context.pool, self._witness, context.call_later)
+
+    def record_sending(self) -> bool:
+        """Note what is known of the server as the request goes out.
+
+        Returns whether it may go out, which it always may.
+        """
+        self._moment = next_moment()
+        self._known_starts = self._context.incarnations.known_starts(
+            self._server
+        )
+        return True
+
+    def record_framing(self, head: ResponseHead) -> None:
+        """Record whether a plain server tells where its answers end."""
+        if not self._is_model:
+            self._context.witnesses.record_framing(
+                self._server.endpoint,
+                is_framed=head.framing is not Framing.CONNECTION,
+            )
+
+    def take_connection(self) -> Connection | None:
+        """Return a connection that is older than the request, if any is."""
+        if self._witness is None:
+            return None
+        return self._context.witnesses.take(self._witness, self._moment)
+
+    def give_back(self, connection: Connection) -> None:
+        """Keep such a connection for the ends of other calls."""
+        self._context.witnesses.give_back(self._server.endpoint, connection)
+
+    def release(self) -> None:
+        """Keep the older connection for other calls, as this one has ended."""
+        if self._witness is not None:
+            self._context.witnesses.release(self._witness)
