Ask each connection which process it leads to before it carries a stream

What callers saw: streams that began at an engine which had restarted with other software went on at the old version, and rests of streams were sent to an engine that had just restarted (ORDER).

Cause: whether an engine still was the one of its entry was judged by a report on another connection. For a new stream it counted at any age while no end of a connection was noticed; connections that the router aborts itself (callers that leave, takeovers) notice none. For the rest of a stream it counted for 250 ms, within which a router may be paused and an engine may restart.

Fix: a connection belongs to one process. Each is asked for the start of its process before it carries a stream that may be resumed, and keeps the answer. The rest of a stream goes only where the stated start is that of the entry; the origin of a new stream is the process that got it. No time window and no end of a connection is part of the proof. A send that is not confirmed is taken back and costs no retry. Origins at an unlisted incarnation are reported while one version is known, as it may be the first engine of the next one.

Cost: one status request and one round trip for each new connection that carries a stream that may be resumed.

--- a/features/origins/upgrade.feature
+++ b/features/origins/upgrade.feature
@@ -41,6 +41,33 @@
       | 0.4  | 1.6 | 2.0   | 4    |
       | 1.0  | 0.6 | 0.8   | 2    |
 
+  Scenario Outline: Engines that restart while no router has a connection are noticed
+    Given <routers> routers before 4 engines that are listed 2.0 s after a start, seed <seed>
+    And half of the engines are down for <down> s as all callers have left, and reset connections later
+    When 30 streams a second begin for 6 s
+    Then at most 0 streams have events of two versions
+    And all streams whose callers stayed are complete
+
+    Examples:
+      | routers | down | seed |
+      | 1       | 0.02 | 1    |
+      | 3       | 0.02 | 1    |
+      | 3       | 0.02 | 2    |
+      | 3       | 0.02 | 3    |
+
+  Scenario Outline: Routers that pause do not go on by what a server said before
+    Given 3 routers before 4 engines that are listed 1.0 s after a start, seed <seed>
+    And routers pause again and again, later than the first streams
+    And each engine in turn is down for 0.02 s, <gap> s before the next
+    When 10 streams a second begin for 6 s
+    Then no stream has events of two versions
+
+    Examples:
+      | gap  | seed |
+      | 0.03 | 1    |
+      | 0.03 | 2    |
+      | 0.20 | 2    |
+
   Scenario Outline: Late entries of an engine that has ended mislead nobody
     Given 3 routers before 4 engines that are listed <entry> s after a start
     And entries of engines that have ended reach the store late
--- a/features/steps/version_upgrade_steps.py
+++ b/features/steps/version_upgrade_steps.py
@@ -13,6 +13,9 @@
 _WARM_UP_S = 6.0
 _FIRST_END_S = 3.0
 
+#: Time from the first stream to the first pause of a router, in seconds.
+_FIRST_PAUSE_S = 2.9
+
 #: Time between two entries that contradict each other, in seconds.
 _ALTERNATION_S = 0.2
 
@@ -45,6 +48,25 @@
     fleet.network.reactor.callLater(_FIRST_END_S, fleet.upgrade, down_s, gap_s)
 
 
+@given(
+    'half of the engines are down for {down_s:f} s as all callers have left,'
+    ' and reset connections later'
+)
+def upgrade_unnoticed(context: Context, down_s: float) -> None:
+    """Upgrade engines to which no router has a connection."""
+    fleet = context.fleet
+    fleet.network.reactor.callLater(
+        _FIRST_END_S, fleet.upgrade_unnoticed, down_s
+    )
+
+
+@given('routers pause again and again, later than the first streams')
+def pause_routers(context: Context) -> None:
+    """Pause routers while engines restart."""
+    fleet = context.fleet
+    fleet.network.reactor.callLater(_FIRST_PAUSE_S, fleet.pause_routers)
+
+
 @given('entries of engines that have ended reach the store late')
 def allow_late_entries(context: Context) -> None:
     """Let the store take what an engine wrote before its end."""
@@ -73,6 +95,21 @@
     assert least <= events.count(event) <= most, events.count(event)
 
 
+@then('no stream has events of two versions')
+def check_none_mixed(context: Context) -> None:
+    """Guard against streams that go on by an earlier report of a server."""
+    fleet = context.fleet
+    assert fleet.continuations, 'no stream was to go on'
+    assert not fleet.mixed(), (len(fleet.mixed()), fleet.continuations)
+
+
+@then('all streams whose callers stayed are complete')
+def check_stayed(context: Context) -> None:
+    """Guard against streams that are lost as their server restarts."""
+    broken = [each for each in context.fleet.stayed() if not each.is_complete]
+    assert not broken, (len(broken), len(context.fleet.streams))
+
+
 @then('all streams are complete')
 def check_complete(context: Context) -> None:
     """Guard against streams that are lost by entries alone."""
--- a/features/upgrade_fleet.py
+++ b/features/upgrade_fleet.py
@@ -14,6 +14,15 @@
 
 _NEW_VERSION = 'v2'
 
+#: Time from the leave of all callers to the end of an engine that nobody
+#: notices, and to the reset of its connections, in seconds.
+_UNNOTICED_S = 0.005
+_RESET_S = 1.5
+
+#: Length of the pause of a router, and time from one to the next, in seconds.
+_PAUSE_S = 0.15
+_PAUSE_PERIOD_S = 0.08
+
 
 class _WallClock(VirtualClock):
     """A clock whose wall time is that of the engines."""
@@ -150,5 +159,24 @@
                 number * (down_s + gap_s), engine.end
             )
 
+    def pause_routers(self) -> None:
+        """Pause a random router for a moment, again and again."""
+        self.has_own_bodies = True
+        self.freeze_router(self.random.choice(self.router_names), _PAUSE_S)
+        self.network.reactor.callLater(_PAUSE_PERIOD_S, self.pause_routers)
+
+    def upgrade_unnoticed(self, down_s: float) -> None:
+        """Restart half of the engines with the new version, uncalled.
+
+        Some time later their connections are reset.
+        """
+        self.down_s = down_s
+        self.has_own_bodies = True
+        self.leave()
+        reactor = self.network.reactor
+        for engine in self.servers[: len(self.servers) // 2]:
+            reactor.callLater(_UNNOTICED_S, engine.end)
+            reactor.callLater(_RESET_S, engine.reset_connections)
+
     def _install(self, engine: UpgradedEngine) -> None:
         self.versions[self.servers.index(engine)] = _NEW_VERSION
--- a/features/version_fleet.py
+++ b/features/version_fleet.py
@@ -135,6 +135,8 @@
     versions: list[str] = field(default_factory=list)
     last_event: int = 0
     is_complete: bool = False
+    #: Whether its caller has left.
+    is_given_up: bool = False
     #: The attempt that brought the first event.
     first_attempt: str = ''
 
@@ -156,6 +158,7 @@
         self._request_id = fleet.next_request_id()
         self.status = 0
         self.has_event = False
+        self._has_left = False
         self.is_resumption = bool(stream.last_event)
         #: Whether two engines of the stream's version serve.
         self.is_counted = not self.is_resumption or (
@@ -182,9 +185,17 @@
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
         """Come back if the stream broke off."""
-        if self.has_event and not self._stream.is_complete:
+        broke_off = self.has_event and not self._stream.is_complete
+        if broke_off and not self._has_left:
             self._fleet.come_back(self._stream)
 
+    def leave(self) -> None:
+        """Close the connection, and do not come back."""
+        self._has_left = True
+        self._stream.is_given_up = True
+        if self.transport is not None:
+            self.transport.loseConnection()
+
     def _is_over(self) -> bool:
         return self._stream.is_complete or self.status not in {0, 200}
 
@@ -197,6 +208,9 @@
 
     def _request(self) -> bytes:
         stream = self._stream
+        body = 'x'
+        if self._fleet.has_own_bodies:
+            body = stream.first_attempt or self._request_id
         lines = [
             f'POST /{self._fleet.route}/x HTTP/1.1',
             f'Host: {HOST}',
@@ -206,12 +220,12 @@
             'X-Yuccagauge-Model: m',
             f'X-Yuccagauge-Prefix-Hash: aa:200,{self._request_id}:100',
             'X-Yuccagauge-Token-Usage: 300,8',
-            'Content-Length: 1',
+            f'Content-Length: {len(body)}',
         ]
         if self.is_resumption:
             lines.append(f'Resumes: {stream.first_attempt}')
             lines.append(f'Last-Event-Id: {stream.last_event}')
-        return '\r\n'.join([*lines, '', 'x']).encode()
+        return '\r\n'.join([*lines, '', body]).encode()
 
 
 class VersionFleet(CrashFleet):
@@ -231,6 +245,9 @@
         #: Requests for the rest of a stream that reached an engine.
         self.continuations = 0
         self.route = 'stream'
+        #: Whether each stream has a body of its own, so that none is suspected
+        #: of what happens to others.
+        self.has_own_bodies = False
         #: How long a caller waits before it comes back, in seconds.
         self.pause_s: float = 0.3
         #: Names of the routers that callers do not reach.
@@ -309,6 +326,15 @@
         with_events = sum(attempt.has_event for attempt in attempts)
         return len(attempts), with_events / max(1, len(attempts))
 
+    def leave(self) -> None:
+        """Let all callers give their streams up."""
+        for attempt in self.attempts:
+            attempt.leave()
+
+    def stayed(self) -> list[Stream]:
+        """Return the streams whose callers have not given them up."""
+        return [each for each in self.streams if not each.is_given_up]
+
     def mixed(self) -> list[Stream]:
         """Return the streams with events of two versions."""
         return [stream for stream in self.streams if stream.is_mixed]
--- a/yuccagauge/dispatch/exchange.py
+++ b/yuccagauge/dispatch/exchange.py
@@ -9,7 +9,7 @@
 from typing import Any, Protocol
 
 from automat import TypeMachineBuilder
-from twisted.internet.defer import CancelledError, Deferred
+from twisted.internet.defer import CancelledError, Deferred, succeed
 from twisted.python.failure import Failure
 
 from yuccagauge.dispatch.base import BackendMessage, ResponseHead
@@ -19,6 +19,9 @@
 from yuccagauge.telemetry.guard import record_call_fault
 from yuccagauge.verdict import Verdict
 
+#: Returns a connection that may carry the request, or fails.
+Confirmation = Callable[[Connection], Deferred[Connection]]
+
 
 class ExchangeInputs(Protocol):
     """What can happen to an exchange."""
@@ -178,6 +181,8 @@
     may_send
         Returns whether the request may still be sent, once there is a
         connection for it.
+    confirm
+        Asks which process a connection leads to, before it is used.
     """
 
     def __init__(
@@ -187,8 +192,10 @@
         message: BackendMessage,
         user: ResponseUser,
         may_send: Callable[[], bool] = lambda: True,
+        confirm: Confirmation = succeed,
     ) -> None:
         """Prepare without connecting."""
+        self._confirm = confirm
         self._may_send = may_send
         self._pool = pool
         self._server = server
@@ -207,6 +214,7 @@
     def start(self, *, fresh: bool) -> None:
         """Connect and send; ``fresh`` forbids a pooled connection."""
         opening = self._pool.open(self._server, fresh=fresh)
+        opening.addCallback(self._confirm)
         self._core.opening = opening
         opening.addCallbacks(self._connected, self._refused)
         opening.addErrback(self._handle_failed_send)
--- a/yuccagauge/dispatch/pool.py
+++ b/yuccagauge/dispatch/pool.py
@@ -46,8 +46,6 @@
         self._may_hang = may_hang
         self._endpoint = endpoint
         self._idle: dict[Endpoint, deque[Connection]] = defaultdict(deque)
-        #: Called when no idle connection to a backend server is left open.
-        self.on_idle_end: Callable[[Endpoint], None] = lambda server: None
 
     def open(self, server: Endpoint, *, fresh: bool) -> Deferred[Connection]:
         """Return an idle connection, or connect.
@@ -106,8 +104,6 @@
         idle = self._idle[server]
         if connection in idle:
             idle.remove(connection)
-            if not idle:
-                self.on_idle_end(server)
         if connection.idle_timer.active():
             connection.idle_timer.cancel()
 
--- a/yuccagauge/exchange/origins.py
+++ b/yuccagauge/exchange/origins.py
@@ -109,9 +109,14 @@
         self._server.add_handler(StreamOriginPull, self._handle_pull)
 
     def record(self, key: bytes, origin: StreamOrigin) -> None:
-        """Keep the origin of a stream that this router sends to a server."""
+        """Keep the origin of a stream that this router has begun.
+
+        An incarnation that is not listed may be the first one of another
+        version, so that nobody knows yet that there are several.
+        """
         self._table.add(key, origin, self._clock.now(), is_own=True)
-        if self._history.is_mixed(origin.service):
+        is_mixed = self._history.is_mixed(origin.service)
+        if is_mixed or origin.is_unlisted:
             self._report(key, origin)
 
     def update(self) -> None:
--- a/yuccagauge/origins/base.py
+++ b/yuccagauge/origins/base.py
@@ -10,6 +10,10 @@
 #: is not known any more could have been begun by any version of this time.
 ORIGIN_LIFETIME = Millis(120_000)
 
+#: Starts the software version of a stream whose server is not listed yet. The
+#: incarnation of the server follows.
+UNLISTED = '?'
+
 #: Size of a key, in bytes.
 KEY_BYTES = 16
 
@@ -21,6 +25,11 @@
     service: str
     software_version: str
 
+    @property
+    def is_unlisted(self) -> bool:
+        """Whether an incarnation stands for the software version."""
+        return self.software_version.startswith(UNLISTED)
+
 
 def origin_key(customer: str, request_id: str) -> bytes:
     """Return the key of a stream, by the request that brought its first event.
--- a/yuccagauge/relay/attempt.py
+++ b/yuccagauge/relay/attempt.py
@@ -1,15 +1,24 @@
 """One attempt of a call on a backend server, and its effects on the router."""
 
+from dataclasses import replace
+from typing import Any
+
+from twisted.internet.defer import Deferred, succeed
+from twisted.python.failure import Failure
+
 from yuccagauge.clock import Millis
+from yuccagauge.directory.base import BackendServer
 from yuccagauge.dispatch.base import Framing, ResponseHead
-from yuccagauge.dispatch.connection import next_moment
+from yuccagauge.dispatch.connection import Connection, next_moment
 from yuccagauge.dispatch.errors import ContinuationError
+from yuccagauge.dispatch.fetch import FetchError
 from yuccagauge.quarantine.entry import Evidence, crash_id
 from yuccagauge.quarantine.events import short_fingerprint
 from yuccagauge.quarantine.evidence import PartCrash
 from yuccagauge.quarantine.parts import SOUND_OUTPUT_TIME
 from yuccagauge.relay.base import Placement, RelayCall, ResponseInfo
 from yuccagauge.relay.context import RelayContext
+from yuccagauge.relay.incarnations import NotConfirmedError, unlisted
 from yuccagauge.relay.report import CallReporter
 from yuccagauge.selection import model
 from yuccagauge.selection.base import SelectionRequest
@@ -53,6 +62,9 @@
         #: The starts of the server that were known then.
         self._known_starts: frozenset[int] = frozenset()
         self._is_paused = False
+        self._is_refuted = False
+        #: Whether a connection was lost before it was known, and replaced.
+        self._has_reopened = False
         self._holds_slot = True
         context.selector.record_send(
             selection_request,
@@ -77,6 +89,11 @@
         """The server and the parameters of the attempt."""
         return self._placement
 
+    @property
+    def is_refuted(self) -> bool:
+        """Whether the stream cannot go on at the process that was reached."""
+        return self._is_refuted
+
     @property
     def sending_moment(self) -> int:
         """The moment at which the request was sent; 0 before."""
@@ -189,6 +206,29 @@
                 is_framed=head.framing is not Framing.CONNECTION,
             )
 
+    def confirm(self, connection: Connection) -> Deferred[Connection]:
+        """Ask which process a connection leads to, if the stream needs it.
+
+        The rest of a stream goes to a process of its software version only. A
+        stream begins anywhere, and its origin is the process that got it.
+        """
+        server = self._placement.server
+        incarnations = self._context.incarnations
+        if not (
+            self._call.route.is_resumable and incarnations.must_confirm(server)
+        ):
+            return succeed(connection)
+        self._last_activity_at = self._now()
+        is_new = connection.started_at is None
+        return incarnations.confirm(
+            self._selection_request, server, connection
+        ).addCallbacks(
+            self._handle_confirmed,
+            self._handle_not_confirmed,
+            callbackArgs=(connection,),
+            errbackArgs=(connection, is_new),
+        )
+
     def record_sending(self) -> bool:
         """Note what is known of the server as the request goes out.
 
@@ -200,6 +240,36 @@
         )
         return True
 
+    def _handle_confirmed(
+        self, server: BackendServer, connection: Connection
+    ) -> Connection:
+        self._placement = replace(self._placement, server=server)
+        self._last_activity_at = self._now()
+        return connection
+
+    def _handle_not_confirmed(
+        self, failure: Failure, connection: Connection, is_new: bool
+    ) -> Any:
+        """Send a stream that begins; the rest of one goes elsewhere."""
+        pool = self._context.pool
+        endpoint = self._placement.server.endpoint
+        if connection.can_send and is_new:
+            pool.give_back(endpoint, connection)
+        else:
+            # It is lost, or may belong to a process that ended unnoticed.
+            connection.abort()
+        if failure.check(FetchError) and not self._has_reopened:
+            self._has_reopened = True
+            return pool.open(endpoint, fresh=True).addCallback(self.confirm)
+        failure.trap(NotConfirmedError)
+        if self._selection_request.software_version is None:
+            server = unlisted(self._placement.server)
+            return pool.open(endpoint, fresh=True).addCallback(
+                lambda opened: self._handle_confirmed(server, opened)
+            )
+        self._is_refuted = True
+        return failure
+
     def pause(self) -> None:
         """Record that the router does not read, for its caller's sake."""
         self._is_paused = True
@@ -287,7 +357,6 @@
 
     def record_unreachable(self) -> None:
         """Record that no connection to the server could be opened."""
-        self._context.incarnations.record_end(self._placement.server)
         self._load().record_unreachable(self._now())
 
     def record_failure(self) -> None:
@@ -298,7 +367,6 @@
         """End an attempt that may have run and has no complete response."""
         is_loading_weights = self._is_loading_weights()
         self._record_possible_crash()
-        self._context.incarnations.record_end(self._placement.server)
         self._context.on_broken(self._placement.server.endpoint)
         self.end_attempt(failed=not is_loading_weights)
 
--- a/yuccagauge/relay/call.py
+++ b/yuccagauge/relay/call.py
@@ -188,6 +188,9 @@
 
     def lost(self, reason: str) -> None:
         """Handle a connection that failed before the response was complete."""
+        if self._attempt.is_refuted:
+            self._handle_other_process(reason)
+            return
         if self._exchange.verdict is Verdict.NOT_RUN:
             self._handle_connect_failure('unreachable')
             return
@@ -351,6 +354,7 @@
             self._context,
             self,
             self._attempt.record_sending,
+            self._attempt.confirm,
         )
         self._beginning_monitor.watch(self._attempt)
         self._attempt.prepare_end_proof()
@@ -402,6 +406,15 @@
         self._reporter.record_failed_attempt(ending)
         self._retry_or_refuse('server_unreachable')
 
+    def _handle_other_process(self, reason: str) -> None:
+        """Send the rest of a stream elsewhere; this server was not asked."""
+        self._end_exchange()
+        self._attempt.release_slot()
+        self._repeats.return_send()
+        self._reporter.record_failed_attempt('not_confirmed', reason)
+        if not self._takeover.try_return():
+            self._select_server()
+
     def _handle_deadline(self) -> None:
         """Refuse the call at its deadline."""
         if self._has_ended:
--- a/yuccagauge/relay/context.py
+++ b/yuccagauge/relay/context.py
@@ -97,9 +97,7 @@
 
     def use_start_times(self, source: StartTimeSource | None) -> None:
         """Ask servers when they started, if they can be asked."""
-        through = None if source is None else source.through(self.pool)
-        self.incarnations = Incarnations(self.directory, self.clock, through)
-        self.pool.on_idle_end = self.incarnations.record_idle_end
+        self.incarnations = Incarnations(self.directory, self.clock, source)
 
     def use_identities(self, source: IdentitySource | None) -> None:
         """Ask servers who they are, on connections that carry no call."""
@@ -128,7 +126,6 @@
         request = request.for_customer(call.customer, configuration)
         stores = configuration.kv_cache_stores
         return self.incarnations.choose(
-            call,
             request,
             lambda bound: self.selector.choose(bound, stores, now),
         )
--- a/yuccagauge/relay/exchanges.py
+++ b/yuccagauge/relay/exchanges.py
@@ -4,7 +4,7 @@
 
 from yuccagauge.clock import Millis
 from yuccagauge.dispatch.connection import ResponseUser
-from yuccagauge.dispatch.exchange import Exchange
+from yuccagauge.dispatch.exchange import Confirmation, Exchange
 from yuccagauge.relay.base import AttemptRequest, Placement, RelayCall
 from yuccagauge.relay.context import RelayContext
 
@@ -16,6 +16,7 @@
     context: RelayContext,
     user: ResponseUser,
     may_send: Callable[[], bool],
+    confirm: Confirmation,
 ) -> Exchange:
     """Return the exchange of an attempt, which is not started.
 
@@ -27,6 +28,8 @@
         Receives the response.
     may_send
         Called before the request is sent; returns whether it may be.
+    confirm
+        Asks which process a connection leads to.
     """
     attempt = AttemptRequest(
         call=call,
@@ -41,4 +44,5 @@
         context.backend_protocol.encode_attempt(attempt),
         user,
         may_send,
+        confirm,
     )
--- a/yuccagauge/relay/incarnations.py
+++ b/yuccagauge/relay/incarnations.py
@@ -4,12 +4,19 @@
 from dataclasses import dataclass, replace
 from typing import Any, Protocol
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import (
+    CancelledError,
+    Deferred,
+    maybeDeferred,
+    succeed,
+)
+from twisted.python.failure import Failure
 
 from yuccagauge.clock import Clock, Millis
 from yuccagauge.directory.base import BackendServer
 from yuccagauge.directory.state import Directory
-from yuccagauge.relay.base import RelayCall
+from yuccagauge.dispatch.connection import Connection
+from yuccagauge.origins.base import UNLISTED
 from yuccagauge.selection.base import SelectionDecision, SelectionRequest
 from yuccagauge.settings.options import Endpoint
 from yuccagauge.telemetry.journal import log_state_change
@@ -18,25 +25,18 @@
 #: used for the rest of a stream.
 REPORT_TIMEOUT = Millis(250)
 
-#: How long the report of a server counts, unless one of its connections ends.
-#: No server restarts within it.
-_CONFIRMED_TIME = Millis(250)
-
-#: How long a server is not asked again that reported another start or nothing.
+#: How long the rest of a stream does not go to a server that reported another
+#: start or nothing.
 _REFUTED_TIME = Millis(500)
 
-#: Time between two looks for a report that is on its way.
-_CHECK_INTERVAL = Millis(5)
-
 #: Largest difference between the clocks of two machines.
 _CLOCK_SKEW = Millis(5000)
 
 #: Shortest time between two log lines of one kind about one server.
 _LOG_INTERVAL = Millis(10_000)
 
-#: Starts the software version of a stream whose server is not listed yet. The
-#: incarnation of the server follows.
-_UNLISTED = '?'
+#: The start of a process that did not state it in time.
+_UNKNOWN_START = 'unknown'
 
 Choice = Callable[[SelectionRequest], SelectionDecision]
 
@@ -59,52 +59,46 @@
         """
 
 
-@dataclass(slots=True, kw_only=True)
-class _Server:
-    """What is known of the server with an id, besides its entry."""
-
-    #: The incarnation that was listed when this began.
-    listed: str
-    #: When a connection last ended or was refused; ``None`` if none has.
-    ended_at: Millis | None = None
-    #: When the report was requested that is on its way.
-    asked_at: Millis | None = None
-    #: When the last report was requested that was answered or given up.
-    reported_at: Millis | None = None
-    #: The start time that it stated; ``None`` if it did not come.
-    reported: int | None = None
-
-    @property
-    def is_reported(self) -> bool:
-        """Whether a report is newer than the last end of a connection."""
-        return self.reported_at is not None and (
-            self.ended_at is None or self.reported_at > self.ended_at
-        )
+class NotConfirmedError(Exception):
+    """A process that is not known to be the one that a stream needs."""
 
-    def is_confirmed(self, started_at: int, now: Millis) -> bool:
-        """Return whether the server has just reported a start."""
-        return (
-            self.is_reported
-            and self.reported == started_at
-            and now - self.reported_at < _CONFIRMED_TIME
-        )
 
-    def is_refuted(self, started_at: int, now: Millis) -> bool:
-        """Return whether it has just reported another start, or nothing."""
-        return (
-            self.reported_at is not None
-            and self.reported != started_at
-            and now - self.reported_at < _REFUTED_TIME
-        )
+class _OneConnection:
+    """A pool that has one connection, whose user keeps it."""
+
+    def __init__(self, connection: Connection) -> None:
+        self._connection = connection
+
+    def open(self, server: Endpoint, *, fresh: bool) -> Deferred[Connection]:
+        """Return the connection."""
+        return succeed(self._connection)
+
+    def give_back(self, server: Endpoint, connection: Connection) -> None:
+        """Leave the connection open."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Report:
+    """What a server last stated about its start."""
+
+    at: Millis
+    #: ``None`` if it stated nothing in time.
+    started_at: int | None
+
+    def refutes(self, started_at: int, now: Millis) -> bool:
+        """Return whether it has just stated another start, or nothing."""
+        return self.started_at != started_at and now - self.at < _REFUTED_TIME
 
 
 class Incarnations:
-    """Keeps streams away from servers that may have other software by now.
+    """Tells which process of a server a connection leads to.
 
     Load pattern: engines restart under their ids with other software, one after
     the other. Their entries name the earlier incarnation for up to 2 s more,
-    while they answer already. The rest of a stream goes only where the server
-    has just reported the start that its entry states.
+    while they answer already. A router may be paused, or have no connection
+    that would show the end, so that no earlier report says what runs now. A
+    connection belongs to one process: each is asked once, before it carries a
+    stream.
 
     Parameters
     ----------
@@ -127,42 +121,75 @@
         self._directory = directory
         self._clock = clock
         self._source = source
-        self._servers: dict[str, _Server] = {}
+        #: The last report of each server.
+        self._reports: dict[str, _Report] = {}
         #: The start time that each server was last listed with.
         self._started_at: dict[str, int] = {}
         self._logged_at: dict[tuple[str, str], Millis] = {}
         if source is not None:
             directory.listeners.append(self._observe_entries)
 
-    def record_end(self, server: BackendServer) -> None:
-        """Record that a connection to a server ended, or was refused."""
-        if self._source is not None:
-            self._server(server).ended_at = self._clock.now()
-
-    def record_idle_end(self, endpoint: Endpoint) -> None:
-        """Record that no connection is left that would show an end."""
-        for server in self._directory.servers.values():
-            if server.endpoint == endpoint:
-                self.record_end(server)
-
     def choose(
-        self, call: RelayCall, request: SelectionRequest, choose: Choice
+        self, request: SelectionRequest, choose: Choice
     ) -> SelectionDecision:
-        """Return a decision that regards what servers report.
+        """Return a decision that regards what servers have just reported.
 
         Parameters
         ----------
         choose
             Decides by the entries alone.
         """
-        if self._source is None:
+        if self._source is None or request.software_version is None:
             return choose(request)
-        if request.software_version is not None:
-            return self._choose_for_rest(request, choose)
-        decision = choose(request)
-        if decision.placement is None or not call.route.is_resumable:
-            return decision
-        return self._label(decision)
+        now = self._clock.now()
+        servers = self._directory.servers
+        version = self.listed_version(request.software_version)
+        if version is None:
+            return self._choose_same(request, choose)
+        refuted = {
+            server_id
+            for server_id, report in self._reports.items()
+            if server_id in servers
+            and report.refutes(servers[server_id].started_at, now)
+        }
+        return choose(_bound(request, version, refuted))
+
+    def must_confirm(self, server: BackendServer) -> bool:
+        """Return whether connections to a server have to be asked."""
+        return self._source is not None and bool(server.started_at)
+
+    def confirm(
+        self,
+        request: SelectionRequest,
+        server: BackendServer,
+        connection: Connection,
+    ) -> Deferred[BackendServer]:
+        """Ask the process of a connection when it started, unless known.
+
+        Returns the server as its process is to be known. A stream that begins
+        may be sent to any process: if its software version is not listed yet,
+        the incarnation stands for it.
+
+        Raises
+        ------
+        FetchError
+            If the connection is lost.
+        NotConfirmedError
+            If it is not the one that can go on with the stream, or is silent.
+        """
+        if connection.started_at is not None:
+            return maybeDeferred(self._judge, request, server, connection)
+        source = self._source.through(_OneConnection(connection))
+        reading = source.read_start_time(server, REPORT_TIMEOUT)
+        reading.addCallbacks(
+            self._handle_report,
+            self._handle_failure,
+            callbackArgs=(server, connection),
+            errbackArgs=(server, self._clock.now()),
+        )
+        return reading.addCallback(
+            lambda _: self._judge(request, server, connection)
+        )
 
     def listed_version(self, software_version: str) -> str | None:
         """Return the version that an origin names, if it is listed.
@@ -170,9 +197,9 @@
         The origin names the incarnation of a server that was not listed yet
         when a stream began there.
         """
-        if not software_version.startswith(_UNLISTED):
+        if not software_version.startswith(UNLISTED):
             return software_version
-        incarnation = software_version.removeprefix(_UNLISTED)
+        incarnation = software_version.removeprefix(UNLISTED)
         server_id = incarnation.rpartition('/')[0]
         server = self._directory.servers.get(server_id)
         if server is None or server.incarnation != incarnation:
@@ -181,98 +208,62 @@
 
     def known_starts(self, server: BackendServer) -> frozenset[int]:
         """Return the starts that the entry and the last report state."""
-        known = self._servers.get(server.server_id)
-        starts = {server.started_at, (known and known.reported) or 0}
+        report = self._reports.get(server.server_id)
+        starts = {server.started_at, (report and report.started_at) or 0}
         return frozenset(starts - {0})
 
-    def _choose_for_rest(
-        self, request: SelectionRequest, choose: Choice
-    ) -> SelectionDecision:
-        """Choose a server whose software version is known."""
-        now = self._clock.now()
-        servers = self._directory.servers
-        version = self.listed_version(request.software_version)
-        if version is None:
-            return self._choose_same(request, choose)
-        refuted = {
-            server_id
-            for server_id, known in self._servers.items()
-            if server_id in servers
-            and known.is_refuted(servers[server_id].started_at, now)
-        }
-        decision = choose(_bound(request, version, refuted))
-        if decision.placement is None:
-            return decision
-        server = decision.placement.server
-        if not server.started_at or self._server(server).is_confirmed(
-            server.started_at, now
-        ):
-            return decision
-        return self._ask_and_wait(server, now)
-
     def _choose_same(
         self, request: SelectionRequest, choose: Choice
     ) -> SelectionDecision:
         """Choose the server that began the stream before it was listed."""
-        now = self._clock.now()
-        incarnation = request.software_version.removeprefix(_UNLISTED)
+        incarnation = request.software_version.removeprefix(UNLISTED)
         server_id, _, started_at = incarnation.rpartition('/')
         server = self._directory.servers.get(server_id)
         if server is None or not started_at.isdecimal():
             return choose(request)
-        known = self._server(server)
-        if known.is_refuted(int(started_at), now):
+        report = self._reports.get(server_id)
+        now = self._clock.now()
+        if report is not None and report.refutes(int(started_at), now):
             return choose(request)
         others = self._directory.servers.keys() - {server_id}
-        decision = choose(_bound(request, server.software_version, others))
-        if decision.placement is None:
-            return decision
-        if known.is_confirmed(int(started_at), now):
-            return self._label(decision)
-        return self._ask_and_wait(server, now)
-
-    def _label(self, decision: SelectionDecision) -> SelectionDecision:
-        """Name the incarnation where the software version is not known."""
-        server = decision.placement.server
-        now = self._clock.now()
-        if not server.started_at:
-            return decision
-        known = self._server(server)
-        if not known.is_reported:
-            return self._ask_and_wait(server, now)
-        if known.reported == server.started_at:
-            return decision
-        if not known.is_refuted(server.started_at, now):
-            self._ask_and_wait(server, now)
-        incarnation = f'{server.server_id}/{known.reported}'
-        unlisted = replace(server, software_version=_UNLISTED + incarnation)
-        return replace(
-            decision, placement=replace(decision.placement, server=unlisted)
-        )
+        return choose(_bound(request, server.software_version, others))
 
-    def _ask_and_wait(
-        self, server: BackendServer, now: Millis
-    ) -> SelectionDecision:
-        known = self._server(server)
-        if known.asked_at is None:
-            known.asked_at = now
-            self._source.read_start_time(server, REPORT_TIMEOUT).addCallbacks(
-                self._handle_report,
-                self._handle_failure,
-                callbackArgs=(server, known),
-                errbackArgs=(known,),
-            )
-        return SelectionDecision(
-            wait_until=Millis(now + _CHECK_INTERVAL),
-            reason='incarnation_unknown',
-        )
+    def _judge(
+        self,
+        request: SelectionRequest,
+        server: BackendServer,
+        connection: Connection,
+    ) -> BackendServer:
+        """Return the server as the process of a connection is known.
+
+        Raises
+        ------
+        NotConfirmedError
+            If the rest of a stream does not fit to what it writes, or cannot
+            be sent to it.
+        """
+        if not connection.can_send:
+            self._record(server, None)
+            raise NotConfirmedError('the server has closed the connection')
+        stated = connection.started_at or server.started_at
+        known = server
+        if stated != server.started_at:
+            known = unlisted(server, str(stated))
+        wanted = request.software_version
+        if wanted is not None and known.software_version not in {
+            wanted,
+            self.listed_version(wanted),
+        }:
+            raise NotConfirmedError('the server has restarted')
+        return known
 
     def _handle_report(
-        self, started_at: int, server: BackendServer, known: _Server
+        self, started_at: int, server: BackendServer, connection: Connection
     ) -> None:
-        known.reported_at, known.asked_at = known.asked_at, None
-        known.reported = started_at or server.started_at
-        if known.reported != server.started_at:
+        connection.started_at = started_at
+        stated = started_at or server.started_at
+        self._record(server, stated)
+        if stated != server.started_at:
             self._log(
                 'server_restarted_unlisted',
                 server.server_id,
@@ -280,20 +271,23 @@
                 listed=server.started_at,
             )
 
-    def _handle_failure(self, _: Any, known: _Server) -> None:
-        known.reported_at, known.asked_at = known.asked_at, None
-        known.reported = None
-
-    def _server(self, server: BackendServer) -> _Server:
-        """Return what is known; an entry of a new start ends the rest."""
-        known = self._servers.get(server.server_id)
-        if known is None or known.listed != server.incarnation:
-            known = _Server(listed=server.incarnation)
-            self._servers[server.server_id] = known
-        return known
+    def _handle_failure(
+        self, failure: Failure, server: BackendServer, asked_at: Millis
+    ) -> Any:
+        """Note that a server is silent; a lost connection states nothing."""
+        is_silent = self._clock.now() - asked_at >= REPORT_TIMEOUT
+        if failure.check(CancelledError) or not is_silent:
+            return failure
+        self._record(server, None)
+        raise NotConfirmedError('the server has not said when it started')
+
+    def _record(self, server: BackendServer, started_at: int | None) -> None:
+        self._reports[server.server_id] = _Report(
+            at=self._clock.now(), started_at=started_at
+        )
 
     def _observe_entries(self) -> None:
-        """Forget servers that are gone, and doubt start times that fall."""
+        """Forget servers that are gone, and log start times that are odd."""
         servers = self._directory.servers
         for server_id, server in servers.items():
             before = self._started_at.get(server_id)
@@ -302,7 +296,6 @@
             self._started_at[server_id] = server.started_at
             if before is not None and before > server.started_at:
                 # Either an entry came late, or the clock of the server is off.
-                self.record_end(server)
                 self._log(
                     'server_start_falls',
                     server_id,
@@ -316,7 +309,7 @@
                     started_at=server.started_at,
                     wall_time=self._clock.wall_time(),
                 )
-        for known in (self._servers, self._started_at):
+        for known in (self._reports, self._started_at):
             for server_id in known.keys() - servers.keys():
                 known.pop(server_id)
         self._logged_at = {
@@ -334,6 +327,14 @@
             log_state_change(event, server=server_id, **fields)
 
 
+def unlisted(
+    server: BackendServer, started_at: str = _UNKNOWN_START
+) -> BackendServer:
+    """Return a server of which another process runs than the listed one."""
+    incarnation = f'{server.server_id}/{started_at}'
+    return replace(server, software_version=UNLISTED + incarnation)
+
+
 def _bound(
     request: SelectionRequest, software_version: str, excluded: Set[str]
 ) -> SelectionRequest:
--- a/yuccagauge/relay/repeats.py
+++ b/yuccagauge/relay/repeats.py
@@ -33,6 +33,8 @@
         self._runs = 0
         #: Whether a retry of the budget is spent for the next send.
         self._has_spent = False
+        #: Whether a retry was spent for the latest send.
+        self._has_spent_for_send = False
 
     @property
     def route(self) -> Route:
@@ -52,8 +54,14 @@
     def record_send(self) -> None:
         """Count a send."""
         self._sends += 1
+        self._has_spent_for_send = self._has_spent
         self._has_spent = False
 
+    def return_send(self) -> None:
+        """Take the latest send back, whose request has not left."""
+        self._sends -= 1
+        self._has_spent = self._has_spent_for_send
+
     def record_run(self) -> None:
         """Count an attempt that ran, or may have run."""
         self._runs += 1
