--- a/yuccagauge/relay/attempt.py
+++ b/yuccagauge/relay/attempt.py
@@ -1,12 +1,16 @@
 """One attempt of a call on a backend server, and its effects on the router."""
 
+from dataclasses import replace
+
 from yuccagauge.clock import Millis
+from yuccagauge.directory.base import BackendServer
 from yuccagauge.dispatch.errors import ContinuationError
 from yuccagauge.quarantine.entry import Evidence, crash_id
 from yuccagauge.quarantine.events import short_fingerprint
 from yuccagauge.quarantine.evidence import PartCrash
 from yuccagauge.quarantine.parts import SOUND_OUTPUT_TIME
 from yuccagauge.relay.base import Placement, RelayCall, ResponseInfo
+from yuccagauge.relay.confirmation import StreamConfirmation
 from yuccagauge.relay.context import RelayContext
 from yuccagauge.relay.evidence import SendEvidence
 from yuccagauge.relay.outliving import AnswerBeginning
@@ -54,6 +58,13 @@
             is_model=selection_request.service.is_model,
         )
         self._is_paused = False
+        self._confirmation = StreamConfirmation(
+            call,
+            selection_request,
+            placement.server,
+            context,
+            self._use_server,
+        )
         self._holds_slot = True
         context.selector.record_send(
             selection_request,
@@ -83,6 +94,11 @@
         """What was known of the server as the request was sent."""
         return self._evidence
 
+    @property
+    def confirmation(self) -> StreamConfirmation:
+        """Finds out which process a connection leads to."""
+        return self._confirmation
+
     @property
     def is_same_incarnation(self) -> bool:
         """Whether the server is listed as it was at the send."""
@@ -272,7 +288,6 @@
 
     def record_unreachable(self) -> None:
         """Record that no connection to the server could be opened."""
-        self._context.incarnations.record_end(self._placement.server)
         self._load().record_unreachable(self._now())
 
     def record_failure(self) -> None:
@@ -284,7 +299,6 @@
         is_loading_weights = self._is_loading_weights()
         self.record_response_end()
         self._record_possible_crash()
-        self._context.incarnations.record_end(self._placement.server)
         self._context.on_broken(self._placement.server.endpoint)
         self.end_attempt(failed=not is_loading_weights)
 
@@ -384,6 +398,11 @@
             now,
         )
 
+    def _use_server(self, server: BackendServer) -> None:
+        """Take the server as it is known; it is not silent meanwhile."""
+        self._placement = replace(self._placement, server=server)
+        self._last_activity_at = self._now()
+
     def _load(self) -> ServerLoad:
         server_id = self._placement.server.server_id
         return self._context.selector.load_of(server_id)
--- a/yuccagauge/relay/call.py
+++ b/yuccagauge/relay/call.py
@@ -195,6 +195,9 @@
 
     def lost(self, reason: str) -> None:
         """Handle a connection that failed before the response was complete."""
+        if self._attempt.confirmation.is_refuted:
+            self._handle_other_process(reason)
+            return
         if self._exchange.verdict is Verdict.NOT_RUN:
             self._handle_connect_failure('unreachable')
             return
@@ -359,6 +362,7 @@
             self,
             self._attempt.evidence.prepare(),
             self._attempt.evidence.record_sending,
+            self._attempt.confirmation.confirm,
         )
         self._beginning_monitor.watch(self._attempt)
         self._exchange.start(fresh=not self._repeats.is_retryable)
@@ -409,6 +413,15 @@
         self._reporter.record_failed_attempt(ending)
         self._retry_or_refuse('server_unreachable')
 
+    def _handle_other_process(self, reason: str) -> None:
+        """Send the rest of a stream elsewhere; this server was not asked."""
+        self._end_exchange()
+        self._attempt.release_slot()
+        self._repeats.return_send()
+        self._reporter.record_failed_attempt('not_confirmed', reason)
+        if not self._takeover.try_return():
+            self._select_server()
+
     def _handle_deadline(self) -> None:
         """Refuse the call at its deadline."""
         if self._has_ended:
--- a/yuccagauge/relay/exchanges.py
+++ b/yuccagauge/relay/exchanges.py
@@ -4,7 +4,7 @@
 
 from yuccagauge.clock import Millis
 from yuccagauge.dispatch.connection import ResponseUser
-from yuccagauge.dispatch.exchange import Exchange
+from yuccagauge.dispatch.exchange import Confirmation, Exchange
 from yuccagauge.dispatch.pool import ConnectionPool
 from yuccagauge.dispatch.witness import WitnessedPool
 from yuccagauge.relay.base import AttemptRequest, Placement, RelayCall
@@ -19,6 +19,7 @@
     user: ResponseUser,
     pool: ConnectionPool | WitnessedPool,
     may_send: Callable[[], bool],
+    confirm: Confirmation,
 ) -> Exchange:
     """Return the exchange of an attempt, which is not started.
 
@@ -32,6 +33,8 @@
         Opens the connection.
     may_send
         Called before the request is sent; returns whether it may be.
+    confirm
+        Asks which process a connection leads to.
     """
     attempt = AttemptRequest(
         call=call,
@@ -46,4 +49,5 @@
         context.backend_protocol.encode_attempt(attempt),
         user,
         may_send,
+        confirm,
     )
--- a/yuccagauge/relay/repeats.py
+++ b/yuccagauge/relay/repeats.py
@@ -34,6 +34,8 @@
         #: Whether a retry of the budget is spent for the next send.
         self._has_spent = False
         self._obstacle = ''
+        #: Whether a retry was spent for the latest send.
+        self._has_spent_for_send = False
 
     @property
     def route(self) -> Route:
@@ -59,8 +61,14 @@
         """Count a send."""
         self._sends += 1
         self._obstacle = ''
+        self._has_spent_for_send = self._has_spent
         self._has_spent = False
 
+    def return_send(self) -> None:
+        """Take the latest send back, whose request has not left."""
+        self._sends -= 1
+        self._has_spent = self._has_spent_for_send
+
     def record_run(self) -> None:
         """Count an attempt that ran, or may have run."""
         self._runs += 1
