Add a soak of answers that end with their connection

`make soak` runs the own interface only: no relay, no answer without a length, no server that is back within 250 ms, and no judgement of software versions or processes.

Change: features/restartsoak starts three relays, four engines and three plain servers as processes, with the store of review/yard.py. 60 % of the answers have neither a length nor chunks. Servers get SIGKILL amid answers and are back after 0, 0.1, 0.5 or 1.2 s under the same id, with their entry up to 0.8 s late, some with other software; relays get SIGSTOP and SIGCONT at the same moments. Clients keep connections, and take streams up at other relays. Each piece names its request, number, process and software. The check allows nothing: missing, repeated or foreign pieces, two software versions, two processes where nothing may be resumed, an end before the last piece, a cut body. The seed decides requests and disturbances.

--- /dev/null
+++ b/features/restartsoak/run.py
@@ -0,0 +1,237 @@
+"""Run seeds one after the other; print the counts of each as JSON."""
+
+import argparse
+import asyncio
+import json
+import os
+import pathlib
+import shutil
+import signal
+import sys
+from collections import Counter
+
+from features.restartsoak import plan as plans
+from features.restartsoak.client import DEADLINE_MS, HOST, Client
+from features.restartsoak.judge import VIOLATIONS, Judge
+from features.restartsoak.serverprocess import ServerProcess
+from features.restartsoak.servers import MODEL, build_server
+from review import yard
+
+_ZONES = 'abc'
+_SETTLE_SECONDS = 3
+_EXIT_BROKEN = 1
+_MOST_DETAILS = 10
+
+
+def _route(name):
+    is_stream = name in plans.STREAMS
+    may_repeat = name == 'read'
+    kinds = ('non_idempotent', 'idempotent')
+    return {
+        'name': name,
+        'host': HOST,
+        'pathPrefix': f'/{name}/',
+        'kind': 'streaming' if is_stream else kinds[may_repeat],
+        'timeoutMs': DEADLINE_MS,
+        'sloMs': 500,
+        'priority': 0,
+        'service': 'lm' if is_stream else 'plain',
+        'attempts': 2 if name in {'talk', 'read'} else 1,
+        'public': False,
+        'sticky': is_stream,
+        'canResume': name == 'talk',
+        'gapAimMs': 300,
+    }
+
+
+def _configuration():
+    return {
+        'version': 3,
+        'routes': [_route(name) for name, _ in plans.ROUTES],
+        'services': [
+            yard.model_service('lm', MODEL),
+            yard.plain_service('plain'),
+        ],
+        'limits': yard.LIMITS,
+        'tenants': [{'name': 'sese880', 'apiKeys': ['k1'], 'priority': 1}],
+    }
+
+
+class Soak:
+    """One run of one seed.
+
+    Parameters
+    ----------
+    seed
+        Decides requests and disturbances.
+    seconds
+        How long requests are sent.
+    is_calm
+        Whether nothing is disturbed.
+    """
+
+    def __init__(self, seed, seconds, *, is_calm):
+        """Start nothing."""
+        self._seed = seed
+        self._plan = plans.plan_run(seed, seconds)
+        self._is_calm = is_calm
+        self._servers = []
+        self._yard = None
+        self._record = None
+
+    async def run(self, keep):
+        """Run, and return the counts; keep the logs if a rule was broken."""
+        self._yard = yard.Yard(None, yard.default_settings())
+        folder = self._yard.folder
+        self._record = yard.Record(folder / 'record.txt')
+        self._yard.record = self._yard.store.record = self._record
+        logs = folder.with_name(f'{folder.name}-logs')
+        try:
+            finished = await self._play()
+        finally:
+            for server in self._servers:
+                server.close()
+            shutil.copytree(folder, logs)
+            self._yard.close()
+        counts = self._judge(finished)
+        if counts['details']:
+            target = pathlib.Path(keep) / f'seed-{self._seed}'
+            shutil.rmtree(target, ignore_errors=True)
+            shutil.copytree(logs, target)
+        shutil.rmtree(logs)
+        return counts
+
+    async def _play(self):
+        deployment = self._yard
+        await deployment.store.listen()
+        deployment.configure(_configuration())
+        deployment.name_weights(MODEL, 1)
+        for number in range(plans.ENGINES + plans.SERVERS):
+            self._add_server(number)
+        deployment.add_routers(_ZONES)
+        await deployment.start_routers()
+        for server in self._servers:
+            server.start(0)
+        await asyncio.sleep(_SETTLE_SECONDS)
+        self._record.write('requests begin')
+        finished = []
+        running = [
+            Client(client, deployment.routers).run(requests, finished)
+            for client, requests in enumerate(self._plan.requests)
+        ]
+        await asyncio.gather(*running, *self._disturbances())
+        return finished
+
+    def _add_server(self, number):
+        kind = 'engine' if number < plans.ENGINES else 'server'
+        host = self._yard.host(100 + number)
+        zone = _ZONES[number % len(_ZONES)]
+        server = build_server(
+            kind, host, zone, self._yard.store, self._plan.id_step
+        )
+        server.port = yard.free_port(host)
+        process = ServerProcess(kind, server, self._record)
+        self._servers.append(process)
+        process.prepare()
+
+    def _disturbances(self):
+        if self._is_calm:
+            return
+        for kill in self._plan.kills:
+            yield self._kill(kill)
+        for pause in self._plan.pauses:
+            yield self._pause(pause)
+
+    async def _kill(self, kill):
+        await asyncio.sleep(kill.at)
+        await self._servers[kill.server].restart(kill)
+
+    async def _pause(self, pause):
+        router = self._yard.routers[pause.router]
+        await asyncio.sleep(pause.at)
+        router.signal(signal.SIGSTOP)
+        await asyncio.sleep(pause.duration)
+        router.signal(signal.SIGCONT)
+
+    def _judge(self, finished):
+        counts = Counter()
+        ends = Counter()
+        violations = []
+        for request, answers in finished:
+            judge = Judge(request, self._plan.id_step)
+            found = judge.judge(answers)
+            violations += found
+            last = answers[-1]
+            if last.status == 200 and last.is_complete:
+                counts['answered'] += 1
+            else:
+                ends[_end(request, last)] += 1
+            counts['unframed'] += request.is_unframed
+            counts['moved'] += judge.processes > 1
+            counts['broken'] += any(
+                answer.status == 200 and not answer.is_complete
+                for answer in answers
+            )
+            counts['taken up'] += len(answers) > 1
+            self._write(request, answers, found)
+        kinds = Counter(kind for kind, _ in violations)
+        return {
+            'seed': self._seed,
+            'requests': len(finished),
+            **counts,
+            'not answered': dict(sorted(ends.items())),
+            'kills': 0 if self._is_calm else len(self._plan.kills),
+            'pauses': 0 if self._is_calm else len(self._plan.pauses),
+            'routers ended': sum(
+                router.process.returncode not in {None, -signal.SIGKILL}
+                for router in self._yard.routers
+            ),
+            'violations': {kind: kinds[kind] for kind in VIOLATIONS},
+            'details': violations[:_MOST_DETAILS],
+        }
+
+    def _write(self, request, answers, violations):
+        self._record.write(f'{request}')
+        for answer in answers:
+            self._record.write(
+                f'  {answer.request_id} at {answer.router}: {answer.status}, '
+                f'{len(answer.body)} bytes, complete {answer.is_complete} '
+                f'{answer.error}'
+            )
+        for violation in violations:
+            self._record.write(f'  VIOLATION {violation}')
+
+
+def _end(request, answer):
+    """Return how a request ended that was not answered."""
+    if answer.is_complete:
+        return f'{request.route} {answer.status}'
+    if answer.status:
+        return f'{request.route} broken off'
+    return f'{request.route} no answer'
+
+
+def main():
+    """Run the seeds that the arguments name; exit with 1 if a rule broke."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument('--seeds', type=int, default=1)
+    parser.add_argument('--seconds', type=float, default=12)
+    parser.add_argument('--calm', action='store_true')
+    parser.add_argument('--keep', default='target/restartsoak')
+    options = parser.parse_args()
+    # The deploy file starts python3; this is the one with the libraries.
+    paths = (os.path.dirname(sys.executable), os.environ['PATH'])
+    os.environ['PATH'] = os.pathsep.join(paths)
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(_EXIT_BROKEN))
+    is_broken = False
+    for seed in range(options.seed, options.seed + options.seeds):
+        soak = Soak(seed, options.seconds, is_calm=options.calm)
+        counts = asyncio.run(soak.run(options.keep))
+        is_broken = is_broken or bool(counts['details'])
+        print(json.dumps(counts), flush=True)
+    sys.exit(_EXIT_BROKEN if is_broken else 0)
+
+
+if __name__ == '__main__':
+    main()
--- a/features/soak/soak.feature
+++ b/features/soak/soak.feature
@@ -19,3 +19,54 @@
   Scenario: Overlapping faults of one target are not injected together
     When soak faults of one router overlap
     Then the soak injector ran one fault at a time
+
+  # Guards against runs that cannot be repeated, or in which no router is
+  # paused while a server restarts.
+  Scenario: The seed decides requests, kills and pauses of the restart soak
+    When the restart soak is planned with seeds 1 to 12
+    Then each restart soak is repeated exactly by its seed and no two are equal
+    And servers are down for "0 0.1 0.5 1.2" s, with the same and other software
+    And in each plan a pause of a router covers the time a server is down
+    And some pauses of two routers overlap
+
+  # Guards against a check that passes broken answers. A piece may be of another
+  # process (p), of other software (s), of another request (r) or cut inside (-).
+  Scenario Outline: The restart soak judges the pieces of answers
+    When the restart soak judges "<answers>" on route "<route>"
+    Then the restart soak finds "<kinds>"
+
+    Examples:
+      | route | answers                | kinds                                       |
+      | talk  | 1 2 3.                 | nothing                                     |
+      | talk  | 1 2!                   | nothing                                     |
+      | talk  | 1 2 3p.                | nothing                                     |
+      | talk  | 1 2 3-! then 3p.       | nothing                                     |
+      | talk  | 1 3.                   | piece missing                               |
+      | talk  | 1! then 3p.            | piece missing                               |
+      | talk  | 1 2 2 3.               | piece twice or out of order                 |
+      | talk  | 1 2! then 2p 3p.       | piece twice or out of order                 |
+      | talk  | 1 2 3s.                | pieces of two software versions             |
+      | talk  | 1 2! then 3s.          | pieces of two software versions             |
+      | talk  | 1 2.                   | end before the last piece                   |
+      | talk  | 1! then 2p.            | end before the last piece                   |
+      | talk  | 1 2 3-.                | event cut inside, end before the last piece |
+      | talk  | 1 2r 3.                | piece of another request                    |
+      | talk  | 1 2- 3p.               | bytes that are no piece, end before the last piece |
+      | once  | 1 2 3p.                | pieces of two processes                     |
+      | book  | 1 2 3.                 | nothing                                     |
+      | book  | 1 2!                   | nothing                                     |
+      | book  | 1 2.                   | plain body cut                              |
+      | book  | 1 2 3-.                | plain body cut                              |
+      | read  | 1 2! then 1p 2p 3p.    | nothing                                     |
+      | read  | 1 2 3p.                | pieces of two processes                     |
+
+  # Guards against broken answers that look complete, and streams that are joined
+  # wrongly, as servers of a real fleet restart while routers are paused.
+  Scenario Outline: Answers hold while servers restart and routers are paused
+    When the restart soak runs for 12 s with seed <seed>
+    Then no answer of the restart soak is cut, joined or out of order
+    And some answers of the restart soak were broken off
+
+    Examples:
+      | seed |
+      | 1    |
