Let the soak find cut answers of the own interface, and refusals in calm

The relay refuses whole answers, and streams that callers take up.

Change: the plain stand-in answers without a length (knob `unframed`), and a crash may end connections as the system does for a killed process (`crash_resets`). The fault `servers-restart` pauses all routers while all plain services restart. The audit gains the violation `answer cut`; before, a body that is no JSON ended the soak with an error.

No check is relaxed.

--- a/features/restartsoak/run.py
+++ b/features/restartsoak/run.py
@@ -79,7 +79,7 @@
         self._yard = None
         self._record = None
 
-    async def run(self, keep):
+    async def run(self, keep, *, keeps_all):
         """Run, and return the counts; keep the logs if a rule was broken."""
         self._yard = yard.Yard(None, yard.default_settings())
         folder = self._yard.folder
@@ -87,14 +87,13 @@
         self._yard.record = self._yard.store.record = self._record
         logs = folder.with_name(f'{folder.name}-logs')
         try:
-            finished = await self._play()
+            counts = self._judge(await self._play())
         finally:
             for server in self._servers:
                 server.close()
             shutil.copytree(folder, logs)
             self._yard.close()
-        counts = self._judge(finished)
-        if counts['details']:
+        if keeps_all or counts['details']:
             target = pathlib.Path(keep) / f'seed-{self._seed}'
             shutil.rmtree(target, ignore_errors=True)
             shutil.copytree(logs, target)
@@ -183,7 +182,7 @@
             'kills': 0 if self._is_calm else len(self._plan.kills),
             'pauses': 0 if self._is_calm else len(self._plan.pauses),
             'routers ended': sum(
-                router.process.returncode not in {None, -signal.SIGKILL}
+                router.process.poll() is not None
                 for router in self._yard.routers
             ),
             'violations': {kind: kinds[kind] for kind in VIOLATIONS},
@@ -219,6 +218,7 @@
     parser.add_argument('--seconds', type=float, default=12)
     parser.add_argument('--calm', action='store_true')
     parser.add_argument('--keep', default='target/restartsoak')
+    parser.add_argument('--keeps-all', action='store_true')
     options = parser.parse_args()
     # The deploy file starts python3; this is the one with the libraries.
     paths = (os.path.dirname(sys.executable), os.environ['PATH'])
@@ -227,7 +227,9 @@
     is_broken = False
     for seed in range(options.seed, options.seed + options.seeds):
         soak = Soak(seed, options.seconds, is_calm=options.calm)
-        counts = asyncio.run(soak.run(options.keep))
+        counts = asyncio.run(
+            soak.run(options.keep, keeps_all=options.keeps_all)
+        )
         is_broken = is_broken or bool(counts['details'])
         print(json.dumps(counts), flush=True)
     sys.exit(_EXIT_BROKEN if is_broken else 0)
--- a/features/soak/soak.feature
+++ b/features/soak/soak.feature
@@ -63,10 +63,23 @@
   # Guards against broken answers that look complete, and streams that are joined
   # wrongly, as servers of a real fleet restart while routers are paused.
   Scenario Outline: Answers hold while servers restart and routers are paused
-    When the restart soak runs for 12 s with seed <seed>
+    When the restart soak runs for 8 s with seed <seed>
     Then no answer of the restart soak is cut, joined or out of order
     And some answers of the restart soak were broken off
 
     Examples:
       | seed |
       | 1    |
+
+  # Guards against whole answers that are refused, and streams that callers cannot
+  # take up at another router. The ids of the events rise by 3.
+  Scenario: Each request is answered by a fleet without disturbance
+    When the restart soak runs calm for 4 s with seed 2
+    Then no answer of the restart soak is cut, joined or out of order
+    And each request of the restart soak is answered
+
+  # Guards against broken answers of plain services that look complete, on the
+  # own interface.
+  Scenario: Calls hold while plain services restart and routers are paused
+    When the soak of the own interface runs for 8 s with seed 1 and faults "servers-restart"
+    Then no promise of the own interface is broken
--- a/features/steps/restart_soak_steps.py
+++ b/features/steps/restart_soak_steps.py
@@ -4,6 +4,7 @@
 import subprocess
 import sys
 from itertools import permutations
+from typing import Any
 
 from behave import then, when
 from behave.runner import Context
@@ -12,7 +13,7 @@
 from features.restartsoak.judge import Judge
 from features.restartsoak.plan import STREAMS, PlannedRequest, plan_run
 
-_RUN = (sys.executable, '-m', 'features.restartsoak.run')
+_MODULE = 'features.restartsoak.run'
 _LIMIT_SECONDS = 150
 _SECONDS = 12
 _LONGEST_LAG_SECONDS = 0.8
@@ -142,17 +143,38 @@
     assert found == expected, context.violations
 
 
-@when('the restart soak runs for {seconds:d} s with seed {seed:d}')
-def when_run(context: Context, seconds: int, seed: int) -> None:
-    """Run it in a process, as by hand, since its loop is of another kind."""
+def _run(*arguments: str) -> Any:
+    """Return the counts of a soak that runs in a process, as by hand."""
     run = subprocess.run(
-        (*_RUN, f'--seconds={seconds}', f'--seed={seed}'),
+        (sys.executable, '-m', *arguments),
         capture_output=True,
         text=True,
         timeout=_LIMIT_SECONDS,
     )
     assert run.stdout, run.stderr
-    context.counts = json.loads(run.stdout)
+    return json.loads(run.stdout)
+
+
+@when('the restart soak runs for {seconds:d} s with seed {seed:d}')
+def when_run(context: Context, seconds: int, seed: int) -> None:
+    """Run it with all that the seed plans."""
+    arguments = (f'--seconds={seconds}', f'--seed={seed}')
+    context.counts = _run(_MODULE, *arguments)
+
+
+@when('the restart soak runs calm for {seconds:d} s with seed {seed:d}')
+def when_run_calm(context: Context, seconds: int, seed: int) -> None:
+    """Run it without kills and pauses."""
+    arguments = (f'--seconds={seconds}', f'--seed={seed}')
+    context.counts = _run(_MODULE, *arguments, '--calm')
+
+
+@then('each request of the restart soak is answered')
+def then_answered(context: Context) -> None:
+    """Check that streams were taken up, and that nothing was refused."""
+    counts = context.counts
+    assert counts['taken up'] > 0, counts
+    assert not counts['not answered'], counts
 
 
 @then('no answer of the restart soak is cut, joined or out of order')
@@ -170,3 +192,28 @@
     assert counts['broken'] > 0, counts
     assert counts['moved'] > 0, counts
     assert counts['answered'] > counts['requests'] / 2, counts
+
+
+@when(
+    'the soak of the own interface runs for {seconds:d} s with seed {seed:d} '
+    'and faults "{faults}"'
+)
+def when_own_run(
+    context: Context, seconds: int, seed: int, faults: str
+) -> None:
+    """Run it with faults of these kinds."""
+    arguments = (
+        f'--seconds={seconds}',
+        f'--seed={seed}',
+        f'--faults={faults}',
+    )
+    context.counts = _run('yuccagauge', 'soak', *arguments)
+
+
+@then('no promise of the own interface is broken')
+def then_promises_held(context: Context) -> None:
+    """Check the counts of all violations, and that faults were injected."""
+    counts = context.counts
+    assert counts['faults']['servers-restart'] > 0, counts
+    assert counts['calls_answered'] > 0, counts
+    assert not counts['details'], (counts['violations'], counts['details'][:3])
--- a/yuccagauge/loadgen/client.py
+++ b/yuccagauge/loadgen/client.py
@@ -122,7 +122,11 @@
         if outcome.status != 200:
             _read_refusal(outcome, body)
             return
-        record = json.loads(body)
+        try:
+            record = json.loads(body)
+        except ValueError:
+            outcome.is_cut = True
+            return
         outcome.answered_key = record['idempotency_key'].strip('"')
         outcome.answered_body = record['body_sha256']
 
--- a/yuccagauge/loadgen/outcomes.py
+++ b/yuccagauge/loadgen/outcomes.py
@@ -51,6 +51,8 @@
     #: The key and the digest that the answer of the service names.
     answered_key: str = ''
     answered_body: str = ''
+    #: Whether an answer ended properly amid its body.
+    is_cut: bool = False
     failure: str = ''
 
     @property
@@ -99,6 +101,8 @@
     """Return what is wrong with the answer to a plain call."""
     if not outcome.is_answered:
         return []
+    if outcome.is_cut:
+        return [Violation(kind='answer cut', detail=f'key {outcome.key}')]
     is_own = (
         outcome.answered_key == outcome.key
         and outcome.answered_body == outcome.plan.body_sha256
--- a/yuccagauge/soak/run.py
+++ b/yuccagauge/soak/run.py
@@ -42,6 +42,7 @@
     'false not-run',
     'wrong answer',
     'crossed answer',
+    'answer cut',
     'stream out of order',
     'stream silently cut',
     'error in a whole stream',
--- a/yuccagauge/standins/faults.py
+++ b/yuccagauge/standins/faults.py
@@ -96,6 +96,11 @@
 
     crash: bool = boolean_option('Crash now, once.', default=False)
     restart_ms: Millis = _delay('Time from a crash to the restart.', 300)
+    crash_resets: bool = boolean_option(
+        'Reset connections at a crash; else they end as those of a killed '
+        'process.',
+        default=True,
+    )
     crash_on: str = text_option(
         'Text that crashes the server when a request contains it.',
         default='',
@@ -115,6 +120,9 @@
     cut_before_answer: float = _share(
         'Share of executed calls whose connection is cut unanswered.',
     )
+    unframed: float = _share(
+        'Share of answers that have neither a length nor chunks.',
+    )
     status: int = integer_option(
         'Status of the answers to executed calls.',
         default=200,
--- a/yuccagauge/standins/listener.py
+++ b/yuccagauge/standins/listener.py
@@ -74,10 +74,13 @@
         self.cut()
         return self._stop_listening()
 
-    def cut(self) -> None:
-        """Abort all open connections."""
+    def cut(self, *, is_reset: bool = True) -> None:
+        """End all open connections, by a reset or as a killed process."""
         for connection in tuple(self._factory.protocols):
-            connection.transport.abortConnection()
+            if is_reset:
+                connection.transport.abortConnection()
+            else:
+                connection.transport.loseConnection()
 
     def interrupt(
         self,
--- a/yuccagauge/standins/plain.py
+++ b/yuccagauge/standins/plain.py
@@ -1,7 +1,9 @@
 """A plain service: it executes any call and records each execution."""
 
 import hashlib
+import json
 from dataclasses import dataclass
+from typing import Any
 
 from twisted.internet import defer
 from twisted.web.http import Request
@@ -18,6 +20,9 @@
 from yuccagauge.standins.server import ServerStandin
 
 _HOUR_MS = 3_600_000
+#: An answer without a length is written in parts of this size.
+_PART_BYTES = 20
+_PART_PAUSE = Millis(50)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -60,8 +65,28 @@
         yield pause(self._section.service_ms)
         if self._random.random() < self._faults.cut_before_answer:
             yield cut_connection(request)
+        if self._random.random() < self._faults.unframed:
+            yield self._answer_unframed(request, entry)
         return json_answer(request, entry, self._faults.status)
 
+    @defer.inlineCallbacks
+    def _answer_unframed(
+        self, request: Request, entry: dict[str, Any]
+    ) -> defer.Deferred[None]:
+        """Write an answer that ends with its connection; never fire."""
+        # The HTTP server would choose chunks.
+        transport = request.channel.transport
+        transport.write(
+            f'HTTP/1.1 {self._faults.status} X\r\n'
+            'Content-Type: application/json\r\n\r\n'.encode()
+        )
+        answer = json.dumps(entry).encode()
+        for start in range(0, len(answer), _PART_BYTES):
+            transport.write(answer[start : start + _PART_BYTES])
+            yield pause(_PART_PAUSE)
+        transport.loseConnection()
+        yield defer.Deferred()
+
     def _execute(self, request: Request, body: bytes) -> dict[str, object]:
         return self.record(
             'executed',
--- a/yuccagauge/standins/server.py
+++ b/yuccagauge/standins/server.py
@@ -30,7 +30,7 @@
         """Cut all connections, forget all state, come back later."""
         self.record('crashed')
         self._listener.interrupt(self._faults.restart_ms, self._restarted)
-        self._listener.cut()
+        self._listener.cut(is_reset=self._faults.crash_resets)
         self.forget()
 
     def forget(self) -> None:
