--- a/features/restartsoak/client.py
+++ b/features/restartsoak/client.py
@@ -64,6 +64,8 @@
         self._router = number
         self._routers = routers
         self._connection = None
+        #: How many connections it has opened.
+        self.opened = 0
 
     async def run(self, requests, finished):
         """Send the requests; add each with its answers to a list."""
@@ -110,6 +112,7 @@
             self._connection = await asyncio.wait_for(
                 asyncio.open_connection(*router.front), _CONNECT_SECONDS
             )
+            self.opened += 1
         reader, writer = self._connection
         writer.write(raw)
         first, answer.headers = await yard.read_head(reader)
--- a/features/restartsoak/run.py
+++ b/features/restartsoak/run.py
@@ -76,6 +76,7 @@
         self._plan = plans.plan_run(seed, seconds)
         self._is_calm = is_calm
         self._servers = []
+        self._clients = []
         self._yard = None
         self._record = None
 
@@ -114,9 +115,15 @@
         await asyncio.sleep(_SETTLE_SECONDS)
         self._record.write('requests begin')
         finished = []
+        self._clients = [
+            Client(first, deployment.routers)
+            for first in range(len(self._plan.requests))
+        ]
         running = [
-            Client(client, deployment.routers).run(requests, finished)
-            for client, requests in enumerate(self._plan.requests)
+            client.run(requests, finished)
+            for client, requests in zip(
+                self._clients, self._plan.requests, strict=True
+            )
         ]
         await asyncio.gather(*running, *self._disturbances())
         return finished
@@ -177,6 +184,7 @@
         return {
             'seed': self._seed,
             'requests': len(finished),
+            'connections': sum(client.opened for client in self._clients),
             **counts,
             'not answered': dict(sorted(ends.items())),
             'kills': 0 if self._is_calm else len(self._plan.kills),
