--- a/features/steps/dispatch_witness_steps.py
+++ b/features/steps/dispatch_witness_steps.py
@@ -155,7 +155,8 @@
 @then('both are proved by an answer')
 def check_proved(context: Context) -> None:
     """Guard against answers without a proof beside others."""
-    assert context.proofs == ['older_connection'] * 2, context.proofs
+    expected = ['older_connection', 'older_connection']
+    assert context.proofs == expected, context.proofs
 
 
 @then('it is proved by the open connection')
