List the changes, and say in the feature of unproven ends what counts now

The scenario on the connection that proves the ends counts the same four connections: one that proves, and three of calls. Its name said that it carries the next call, which held for the check that was removed.

--- a/features/relay/unproven_ends.feature
+++ b/features/relay/unproven_ends.feature
@@ -2,7 +2,8 @@
   An answer with neither a length nor chunks ends with its connection. The
   operating system closes the connections of a process that was killed in the
   same way, and a stream that is cut between two events lacks nothing that
-  its bytes show. The end counts only if the server still accepts connections.
+  its bytes show. The end counts only if the process that wrote the answer is
+  shown to have lived on.
 
   Scenario: A stream of a killed engine that ends between two events is not passed on as complete
     Given a relay with an engine that ends between two events as it is killed
@@ -42,7 +43,7 @@
     When a caller calls "talk"
     Then the caller has the events "0 1" and an incomplete answer
 
-  Scenario: The connection that proves the end of an answer carries the next call
+  Scenario: One connection proves the ends of answers that come one after the other
     Given a relay with a plain server that ends an unframed answer
     When a caller calls "read" 3 times, one after the other
     Then all get the body "done", and the server had 4 connections
