Let a router reach an engine before it takes a released lease

What callers saw: engines kept old weights for 8 s and longer, as the lead went from one router to the next that the same partition cut off from the engines.

Cause: a router with few calls does not know that it reaches no engine. It took the lease from the one that handed over, found out for 1.2 s, and handed over in turn. The leader also counted its wait from the first trial, not from the status read that began it.

Change: a router that could take a released lease asks three engines and stands back until one answers; without an answer for 300 ms it lets others stand, and after 1.6 s it stands all the same, since all routers may be cut off. The unanswered status read counts as the first failure of the trial. A message that says that its sender cannot lead and has released the lease is applied as a release first.

--- a/features/rollout/handover.feature
+++ b/features/rollout/handover.feature
@@ -51,3 +51,33 @@
 
   Scenario: A partition from all of 300 engines is found out with a few
     Then of 300 engines that do not answer, at most 8 are asked within 2 s, each 5 times or less
+
+  # Guards against a lease that goes from one router to the next while each
+  # finds out that the same partition cuts it off from the engines.
+  Scenario Outline: A router that could take the lease first sees whether it reaches an engine
+    Given a router that begins to ask engines whether it reaches them
+    And 4 peers are alive, of which 4 miss no engine
+    When "<answer>" ms pass until an engine answers, and <passed> ms in all
+    Then it <stands>, and tells peers that it <can> lead
+
+    Examples:
+      | answer | passed | stands         | can    |
+      |        | 0      | does not stand | can    |
+      |        | 290    | does not stand | can    |
+      |        | 310    | does not stand | cannot |
+      |        | 1590   | does not stand | cannot |
+      |        | 1610   | stands         | can    |
+      | 2      | 3      | stands         | can    |
+      | 500    | 501    | stands         | can    |
+
+  Scenario Outline: Engines are not asked again while an answer shows that they are reached
+    Given a router that begins to ask engines whether it reaches them
+    When "<answer>" ms pass until an engine answers, and <passed> ms in all
+    Then it asks engines again: <again>
+
+    Examples:
+      | answer | passed | again |
+      |        | 100    | no    |
+      | 2      | 900    | no    |
+      | 2      | 1100   | yes   |
+      |        | 1700   | yes   |
--- a/features/steps/handover_steps.py
+++ b/features/steps/handover_steps.py
@@ -41,6 +41,30 @@
     context.handover.record_handover(Millis(_NOW - ago))
 
 
+@given('a router that begins to ask engines whether it reaches them')
+def begin_check(context: Context) -> None:
+    """Create the decision of a router, and begin its check."""
+    start_router(context, led=0, missed=0, due=0)
+    context.now = _NOW
+    assert context.handover.begin_reach_check(_NOW)
+
+
+@when('"{answer:d}" ms pass until an engine answers, and {passed:d} ms in all')
+@when('"" ms pass until an engine answers, and {passed:d} ms in all')
+def pass_time(context: Context, passed: int, answer: int | None = None) -> None:
+    """Let an engine answer, if one does."""
+    if answer is not None:
+        context.handover.end_reach_check(Millis(_NOW + answer))
+    context.now = Millis(_NOW + passed)
+
+
+@then('it asks engines again: {again}')
+def check_again(context: Context, again: str) -> None:
+    """Guard against engines that are asked at each message of a peer."""
+    found = context.handover.begin_reach_check(context.now)
+    assert found is (again == 'yes')
+
+
 @then('it leads on')
 def check_leads_on(context: Context) -> None:
     """Guard against a lease that moves though nobody would do better."""
@@ -56,9 +80,10 @@
 @then('it {stands}, and tells peers that it {can} lead')
 def check_stands(context: Context, stands: str, can: str) -> None:
     """Guard against candidates that reach no engine, and against none."""
-    found = context.handover.stands(context.reach, _NOW)
+    now = getattr(context, 'now', _NOW)
+    found = context.handover.stands(context.reach, now)
     assert found is (stands == 'stands')
-    cannot_lead = context.handover.cannot_lead(context.reach, _NOW)
+    cannot_lead = context.handover.cannot_lead(context.reach, now)
     assert cannot_lead is (can == 'cannot')
 
 
--- a/yuccagauge/exchange/standings.py
+++ b/yuccagauge/exchange/standings.py
@@ -28,10 +28,12 @@
         name = frozenset((message.name,))
         before = self._unfit
         self._unfit = before | name if message.cannot_lead else before - name
-        if self._unfit != before:
-            self.on_change()
+        # A router that becomes a candidate by this message would else take the
+        # lease before it knows whether it reaches an engine.
         if message.released_lease:
             self.on_lease_released()
+        if self._unfit != before:
+            self.on_change()
 
     def keep_only(self, names: Collection[str]) -> None:
         """Forget the routers that are not alive."""
--- a/yuccagauge/relay/leading.py
+++ b/yuccagauge/relay/leading.py
@@ -125,9 +125,18 @@
             self._rank(among_fit=not reach.missed_since) < ELECTION_CANDIDATES
         )
 
-    def try_engine(self, server: BackendServer) -> None:
-        """Find out who reaches an engine that has not answered."""
-        self._trials.begin((server.server_id,), self._clock.now())
+    def try_engine(self, server: BackendServer, asked_at: Millis) -> None:
+        """Find out who reaches an engine that has not answered.
+
+        Parameters
+        ----------
+        asked_at
+            When this router asked the engine.
+        """
+        now = self._clock.now()
+        if not self._trials.tries(server.server_id):
+            self._trials.begin((server.server_id,), now)
+            self._trials.record_failure(server.server_id, asked_at, now)
         self._run_trials()
 
     def _check(self) -> None:
@@ -173,9 +182,17 @@
         One after the other would take the lease and find that out.
         """
         if self._rank(among_fit=True) < TRYING_ROUTERS:
+            self._check_reach()
+        self._election.check_now()
+
+    def _check_reach(self) -> None:
+        """Ask some engines before this router stands for election."""
+        has_engines = any(
+            server.weights for server in self._directory.servers.values()
+        )
+        if has_engines and self._handover.begin_reach_check(self._clock.now()):
             self._try_engines(lambda server: True, TRIED_ON_RELEASE)
             self._run_trials()
-        self._election.check_now()
 
     def _try_engines(
         self,
@@ -228,6 +245,15 @@
             self._trials.record_failure(name, asked_at, self._clock.now())
         else:
             self._trials.record_answer(name)
+            self._end_reach_check()
+
+    def _end_reach_check(self) -> None:
+        """Stand for election now that an engine has answered."""
+        now = self._clock.now()
+        was_checked = self._handover.checks_reach(now)
+        self._handover.end_reach_check(now)
+        if was_checked:
+            self._election.check_now()
 
     @inlineCallbacks
     def _try_through_peer(self, server: BackendServer) -> Any:
@@ -262,6 +288,9 @@
         was_candidate = self._was_candidate
         self._was_candidate = self.is_candidate()
         if self._was_candidate and not was_candidate:
+            # Those before this router may be cut off from the engines, and
+            # this one by the same partition.
+            self._check_reach()
             self._election.check_now()
 
     def _reach(self) -> Reach:
--- a/yuccagauge/rollout/driver.py
+++ b/yuccagauge/rollout/driver.py
@@ -112,10 +112,9 @@
         self.on_weights_loaded: Callable[[str, str, int], None] = (
             lambda server_id, model, version: None
         )
-
-        #: Called with an engine that has not answered.
-        self.on_engine_unanswered: Callable[[BackendServer], None] = (
-            lambda server: None
+        #: Called with an engine that has not answered, and when it was asked.
+        self.on_engine_unanswered: Callable[[BackendServer, Millis], None] = (
+            lambda server, asked_at: None
         )
 
     def start(self) -> None:
@@ -253,8 +252,10 @@
         if progress.has_pending_request:
             return
         progress.has_pending_request = True
+        asked_at = self._clock.now()
         try:
             status = yield self._order_client.read_status(engine.server)
+            asked_at = self._clock.now()
             yield self._send_load_order(engine, version, swap_mode, status)
         except FetchError as error:
             progress.ordered_at = self._clock.now()
@@ -264,7 +265,7 @@
                 reason=str(error),
                 verdict=error.verdict.value,
             )
-            self.on_engine_unanswered(engine.server)
+            self.on_engine_unanswered(engine.server, asked_at)
         finally:
             progress.has_pending_request = False
             progress.draining_since = None
--- a/yuccagauge/rollout/handover.py
+++ b/yuccagauge/rollout/handover.py
@@ -25,6 +25,18 @@
 #: Shortest time between two hand-overs while each router misses engines.
 ROTATION_PERIOD = Millis(6000)
 
+#: Time for which a router that could take the lease from one that misses
+#: engines stands back until an engine answers it. By its end it knows whether
+#: it misses some, and if no router reaches any, one has to lead all the same.
+REACH_CHECK_TIME = Millis(MISSED_AFTER + 2 * TRIAL_PERIOD)
+
+#: Time without an answer after which it lets others stand meanwhile. Engines
+#: that are reached answer within some ms.
+REACH_ANSWER_TIME = Millis(300)
+
+#: Time for which an answer shows that a router reaches engines.
+REACH_LIFETIME = Millis(1000)
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Reach:
@@ -138,12 +150,18 @@
     all engines. Orders come from the holder's own VM only, so the lease has
     to go to another router. Engines that no peer reaches say nothing about
     this router. If each router misses some, they take turns at a bounded rate.
+    The routers that the same partition cuts off do not know that while they
+    have few calls: each would take the released lease and hand it over again.
     """
 
     def __init__(self) -> None:
         """Start as a router that misses no engine."""
         self._abstains_until: Millis | None = None
         self._led_since: Millis | None = None
+        #: When a check began whether this router reaches an engine, and when
+        #: the last one ended with an answer.
+        self._checks_reach_since: Millis | None = None
+        self._reached_at: Millis | None = None
 
     def observe_lead(self, now: Millis, *, is_leader: bool) -> None:
         """Record whether this router leads."""
@@ -154,11 +172,13 @@
 
     def cannot_lead(self, reach: Reach, now: Millis) -> bool:
         """Return whether peers should not count on this router to lead."""
+        if self.checks_reach(now):
+            return now - self._checks_reach_since >= REACH_ANSWER_TIME
         return bool(reach.missed_since) or self._abstains(now)
 
     def stands(self, reach: Reach, now: Millis) -> bool:
         """Return whether this router takes part in the election."""
-        if self._abstains(now):
+        if self._abstains(now) or self.checks_reach(now):
             return False
         return not reach.missed_since or not reach.fit_peers
 
@@ -175,5 +195,33 @@
         """Abstain for a while, so that the lease does not come back at once."""
         self._abstains_until = Millis(now + ABSTENTION)
 
+    def begin_reach_check(self, now: Millis) -> bool:
+        """Stand back until an engine answers, but not for long.
+
+        Returns
+        -------
+        bool
+            Whether engines have to be asked: none has answered lately, and
+            none is being asked.
+        """
+        reached_at = self._reached_at
+        has_reached = (
+            reached_at is not None and now - reached_at < REACH_LIFETIME
+        )
+        if has_reached or self.checks_reach(now):
+            return False
+        self._checks_reach_since = now
+        return True
+
+    def end_reach_check(self, now: Millis) -> None:
+        """Record that an engine has answered this router directly."""
+        self._checks_reach_since = None
+        self._reached_at = now
+
+    def checks_reach(self, now: Millis) -> bool:
+        """Return whether this router does not know yet if it reaches one."""
+        since = self._checks_reach_since
+        return since is not None and now - since < REACH_CHECK_TIME
+
     def _abstains(self, now: Millis) -> bool:
         return self._abstains_until is not None and now < self._abstains_until
