Let two routers of the fleet read the store, and pass changes on at once

Change: two routers of the fleet, the first recorders, read both topics. The readers of each data centre read when what they have is older than 0.6 of the age at which each router reads for itself, so that the bounds hold as before. Fleets of nine routers and more share the reads of the operator's records. A read that the store answered without a record confirms the time for which it waited. MemberList keeps the names of live routers and rankings are kept, since the plan needs them at each decision. yuccagauge.store.calls counts calls by purpose.

The simulation of exchange.feature keeps its bounds with two readers of the fleet in place of one or two of each data centre.

--- a/features/directory/directory.feature
+++ b/features/directory/directory.feature
@@ -150,6 +150,31 @@
       | 39      | 4000  | 3     |
       | 450     | 4000  | 3     |
 
+  # Guards against calls to the store by each data centre, and by each router
+  # of a small one.
+  Scenario Outline: A fleet calls the store no more often when it has more data centres
+    Given <centres> data centres of <routers> routers, and changes that must be in force after <bound> ms
+    Then all routers together read at most <calls> times a second while their records are recent
+
+    Examples:
+      | centres | routers | bound | calls |
+      | 3       | 3       | 2000  | 9     |
+      | 5       | 4       | 4000  | 4.5   |
+      | 5       | 39      | 4000  | 4.5   |
+      | 9       | 50      | 4000  | 4.5   |
+
+  # Guards against records that become too old as the readers of the fleet are
+  # cut off from the store, and against reads by hundreds of routers at once.
+  Scenario Outline: Routers of each data centre replace the readers of the fleet
+    Given <centres> data centres of <routers> routers, and changes that must be in force after <bound> ms
+    Then as records of <topic> become old, <readers> of its routers read them after <early> ms, and all after <late> ms
+
+    Examples:
+      | centres | routers | bound | topic      | readers | early | late |
+      | 3       | 3       | 2000  | SERVERS    | 6       | 900   | 1500 |
+      | 5       | 39      | 4000  | SERVERS    | 5       | 1800  | 3000 |
+      | 5       | 39      | 4000  | OPERATIONS | 5       | 1800  | 3000 |
+
   Scenario: A router that awaits evidence of a server reads its heartbeats, though peers move its offset
     Given a follower of a store with the keys "a b", whose entries are noted
     And it awaits evidence that servers live
--- a/features/exchange/exchange.feature
+++ b/features/exchange/exchange.feature
@@ -42,21 +42,22 @@
       | 6100  | is not alive |
 
   Scenario Outline: Records that a few routers read soon reach all of a large fleet
-    Given a fleet of <routers> routers in 3 data centres, of which <readers> in each read every <period> ms
+    Given a fleet of <routers> routers in 3 data centres, of which <readers> read every <period> ms for a bound of <bound> ms
     When they exchange for 20 s
     Then the state of a router was confirmed less than <age> ms ago in 99 of 100 samples
     And no data centre gets more than half of its answers from others
+    And the other readers of data centres read less than half as often
 
     Examples:
-      | routers | readers | period | age  |
-      | 9       | 2       | 400    | 2000 |
-      | 24      | 2       | 400    | 2000 |
-      | 27      | 1       | 400    | 2000 |
-      | 90      | 1       | 400    | 2000 |
-      | 450     | 1       | 400    | 2000 |
-      | 90      | 1       | 800    | 3000 |
-      | 195     | 1       | 800    | 3000 |
-      | 450     | 1       | 800    | 3000 |
+      | routers | readers | period | bound | age  |
+      | 9       | 2       | 400    | 2000  | 2000 |
+      | 24      | 2       | 400    | 2000  | 2000 |
+      | 27      | 2       | 400    | 2000  | 2000 |
+      | 90      | 2       | 400    | 2000  | 2000 |
+      | 450     | 2       | 400    | 2000  | 2000 |
+      | 90      | 2       | 800    | 4000  | 3000 |
+      | 195     | 2       | 800    | 4000  | 3000 |
+      | 450     | 2       | 800    | 4000  | 3000 |
 
   Scenario Outline: Exchanges that each list a few routers keep all routers known
     Given a fleet of <routers> routers in 3 data centres, of which each knows the first
--- a/features/platform/store_era.feature
+++ b/features/platform/store_era.feature
@@ -65,3 +65,9 @@
       | 4    | yes    |
       | 5    | no     |
       | none | yes    |
+
+  # Guards against calls to the store whose purpose no metric shows.
+  Scenario: Calls to the store are counted by purpose
+    Given a client of the store
+    When it reads the servers 3 times, and the operator's records once
+    Then the metric of calls has grown by 3 for "servers" and by 1 for "operations"
--- a/features/steps/store_era_steps.py
+++ b/features/steps/store_era_steps.py
@@ -20,6 +20,7 @@
 from yuccagauge.platform import leaserecords
 from yuccagauge.platform.store import PlatformStore
 from yuccagauge.rollout.base import LeaseEras
+from yuccagauge.telemetry.meter import render_prometheus
 
 _EMPTY_PAGE = struct.pack('>QQ', 0, 0)
 
@@ -190,3 +191,33 @@
 def check_counts(context: Context, counts: str) -> None:
     """Guard against a record whose place another one may have had before."""
     assert context.results == [counts == 'yes'], context.results
+
+
+def _counted(purpose: str) -> float:
+    """Return how many calls for a purpose the metric shows."""
+    label = f'yuccagauge_store_calls_total{{purpose="{purpose}"}}'
+    lines = render_prometheus().decode().splitlines()
+    found = [line for line in lines if line.startswith(label)]
+    return sum(float(line.rpartition(' ')[-1]) for line in found)
+
+
+@when("it reads the servers {count:d} times, and the operator's records once")
+def read_topics(context: Context, count: int) -> None:
+    """Read both topics."""
+    context.counted = {
+        purpose: _counted(purpose) for purpose in ('servers', 'operations')
+    }
+    for _ in range(count):
+        context.client.read_from(Topic.SERVERS, 0, Millis(0))
+    context.client.read_from(Topic.OPERATIONS, 0, Millis(0))
+
+
+@then(
+    'the metric of calls has grown by {servers:d} for "servers" and by '
+    '{operations:d} for "operations"'
+)
+def check_counted(context: Context, servers: int, operations: int) -> None:
+    """Guard against calls that count for another purpose, or none."""
+    assert _counted('servers') - context.counted['servers'] == servers
+    found = _counted('operations') - context.counted['operations']
+    assert found == operations, found
--- a/yuccagauge/directory/follower.py
+++ b/yuccagauge/directory/follower.py
@@ -93,9 +93,11 @@
 
     @property
     def confirmed_at(self) -> Millis:
-        """When the last read that the store has answered was sent.
+        """Time up to which this router has read all records.
 
-        An answer may be delayed in the network, or while this router is
+        That is when the last read that the store has answered was sent, and
+        later by the time for which the store waited if it had no record. An
+        answer may be delayed in the network, or while this router is
         suspended, so the time of its arrival may be later than its data.
         """
         return self._confirmed_at
@@ -200,6 +202,7 @@
         if page.is_last:
             waited = Millis(0 if page.records else min(wait, now - sent_at))
             self._unchanged_until = Millis(sent_at + waited)
+            self._confirmed_at = self._unchanged_until
         for record in page.records:
             if record.value is not None:
                 self.on_entry(record.key, previous_read_at)
--- a/yuccagauge/directory/readpolicy.py
+++ b/yuccagauge/directory/readpolicy.py
@@ -1,30 +1,41 @@
 """Decides which routers read the store, and how often. Pure functions.
 
 Load pattern: hundreds of routers would each read the entries of all servers
-and the operator's records every second. Instead, a few routers of each data
-centre read the store and send the records to the others.
+and the operator's records every second. Instead, two routers of the fleet read
+the store and send the records to the others. One or two of each data centre
+replace them as the records become old, and all others do so later.
 """
 
-from collections.abc import Mapping, Sequence, Set
+from collections.abc import Mapping, Set
 from dataclasses import dataclass
+from functools import lru_cache
 
 from yuccagauge.clock import Millis
 from yuccagauge.directory.state import Topic
-from yuccagauge.rendezvous import rendezvous_rank
+from yuccagauge.rendezvous import kept_rank
 
-#: Routers of each data centre that always read the store. With two, the others
-#: still receive changes soon if one of them fails.
+#: Routers of the fleet that always read the store. With two, the others still
+#: receive changes soon if one of them fails.
+READERS_PER_FLEET = 2
+
+#: Routers of each data centre that read the store for it, if the records of
+#: the fleet's readers come late.
 READERS_PER_DATA_CENTRE = 2
 
-#: The same for a data centre that shares reads. When its reader fails, each of
-#: the others reads once its records are too old, and passes on what it read.
-READERS_PER_SHARING_DATA_CENTRE = 1
+#: The same for a large data centre. When its reader fails, each of the others
+#: reads once its records are too old, and passes on what it read.
+READERS_PER_LARGE_DATA_CENTRE = 1
 
-#: A data centre with fewer routers than this does not share the reads of the
-#: operator's records: one long poll by each router costs less than the short
-#: polls of the readers.
+#: Number of routers from which on a data centre is large, and from which on a
+#: fleet shares the reads of the operator's records. In a smaller fleet one
+#: long poll by each router costs less than the short polls of the readers.
 MINIMUM_ROUTERS_TO_SHARE_READS = 9
 
+#: Share of the age at which a router reads the store itself from which the
+#: readers of its data centre do: so much earlier that what they have read
+#: reaches it before.
+DATA_CENTRE_READER_SHARE = 0.6
+
 #: Share of the time in which a change must be in force for which a router
 #: relies on records that its peers have confirmed. Its own read and the
 #: decision that it changes take the rest.
@@ -95,15 +106,26 @@
         return Millis(int(self.servers / SERVER_READS_PER_AGE))
 
 
-def is_reader(name: str, others: Sequence[str]) -> bool:
+def shares_reads(routers: int) -> bool:
+    """Return whether a fleet shares the reads of the operator's records."""
+    return routers >= MINIMUM_ROUTERS_TO_SHARE_READS
+
+
+def is_reader(name: str, data_centres: Mapping[str, str]) -> bool:
     """Return whether a router reads for its data centre.
 
     Parameters
     ----------
-    others
-        The other live routers of its data centre.
+    data_centres
+        The data centre of each live router, this one included.
     """
-    return name in _readers({name, *others})
+    return name in _plan(frozenset(data_centres.items())).readers
+
+
+def is_fleet_reader(name: str, data_centres: Mapping[str, str]) -> bool:
+    """Return whether a router always reads, for the whole fleet."""
+    plan = _plan(frozenset(data_centres.items()))
+    return name in plan.recorders[:READERS_PER_FLEET] and name in plan.readers
 
 
 def is_recorder(name: str, data_centres: Mapping[str, str], count: int) -> bool:
@@ -118,20 +140,38 @@
     count
         How many of them there are.
     """
+    return name in _plan(frozenset(data_centres.items())).recorders[:count]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _ReadPlan:
+    """Which routers read and record."""
+
+    #: The readers of all data centres.
+    readers: frozenset[str]
+    #: All routers, in the order in which they record.
+    recorders: tuple[str, ...]
+
+
+@lru_cache(maxsize=4)
+def _plan(data_centres: frozenset[tuple[str, str]]) -> _ReadPlan:
+    """Return the plan for live routers, kept until others are alive."""
     names_by_centre: dict[str, set[str]] = {}
-    for router, data_centre in data_centres.items():
+    for router, data_centre in data_centres:
         names_by_centre.setdefault(data_centre, set()).add(router)
-    readers = {
+    readers = frozenset(
         reader
         for names in names_by_centre.values()
         for reader in _readers(names)
-    }
-    others = data_centres.keys() - readers
-    recorders = (
-        *rendezvous_rank(readers, 'recorder'),
-        *rendezvous_rank(others, 'recorder'),
     )
-    return name in recorders[:count]
+    others = frozenset(dict(data_centres)) - readers
+    return _ReadPlan(
+        readers=readers,
+        recorders=(
+            *kept_rank(readers, 'recorder'),
+            *kept_rank(others, 'recorder'),
+        ),
+    )
 
 
 def _readers(names: Set[str]) -> tuple[str, ...]:
@@ -139,15 +179,15 @@
     count = (
         READERS_PER_DATA_CENTRE
         if len(names) < MINIMUM_ROUTERS_TO_SHARE_READS
-        else READERS_PER_SHARING_DATA_CENTRE
+        else READERS_PER_LARGE_DATA_CENTRE
     )
-    return rendezvous_rank(names, 'reader')[:count]
+    return kept_rank(frozenset(names), 'reader')[:count]
 
 
 def read_delay(
     topic: Topic,
     name: str,
-    others: Sequence[str],
+    data_centres: Mapping[str, str],
     age: Millis,
     limits: ReadLimits,
 ) -> Millis:
@@ -157,21 +197,24 @@
     ----------
     topic
         The topic to read.
-    name, others
-        The router, and the other live routers of its data centre.
+    name
+        The router.
+    data_centres
+        The data centre of each live router, this one included.
     age
         Time since the store last confirmed the records of this router,
         directly or to a peer.
     limits
         How old the records may be.
     """
-    remaining = max(0, limits.maximum_age(topic) - age)
-    if (
-        topic is Topic.OPERATIONS
-        and len(others) + 1 < MINIMUM_ROUTERS_TO_SHARE_READS
-    ):
+    if topic is Topic.OPERATIONS and not shares_reads(len(data_centres)):
         return Millis(0)
-    return Millis(0 if remaining and is_reader(name, others) else remaining)
+    maximum_age = limits.maximum_age(topic)
+    if is_reader(name, data_centres):
+        if is_fleet_reader(name, data_centres):
+            return Millis(0)
+        maximum_age = Millis(int(DATA_CENTRE_READER_SHARE * maximum_age))
+    return Millis(max(0, maximum_age - age))
 
 
 def evidence_read_delay(own_age: Millis) -> Millis:
@@ -188,12 +231,16 @@
     return Millis(max(0, EVIDENCE_READ_INTERVAL - own_age))
 
 
-def read_wait(
-    topic: Topic, others: Sequence[str], limits: ReadLimits
-) -> Millis:
-    """Return how long a read waits at the store for records."""
+def read_wait(topic: Topic, routers: int, limits: ReadLimits) -> Millis:
+    """Return how long a read waits at the store for records.
+
+    Parameters
+    ----------
+    routers
+        Number of live routers, this one included.
+    """
     if topic is not Topic.OPERATIONS:
         return READ_WAIT
-    if len(others) + 1 < MINIMUM_ROUTERS_TO_SHARE_READS:
+    if not shares_reads(routers):
         return OPERATIONS_READ_WAIT
     return Millis(int(limits.operations / SHARED_WAITS_PER_AGE))
--- a/yuccagauge/directory/state.py
+++ b/yuccagauge/directory/state.py
@@ -13,7 +13,7 @@
     WeightsTarget,
 )
 from yuccagauge.directory.heartbeats import Heartbeat
-from yuccagauge.directory.position import UNKNOWN_ERA
+from yuccagauge.directory.position import UNKNOWN_ERA, StorePosition
 from yuccagauge.directory.records import KeyedRecord, KeyedRecords
 from yuccagauge.directory.removed import RemovedServers
 from yuccagauge.directory.targets import TargetHistory
@@ -147,6 +147,12 @@
         """Return the era of the store in which the topic was received."""
         return self._topics[topic].era
 
+    def position(self, topic: Topic) -> StorePosition:
+        """Return up to where all records have been applied."""
+        return StorePosition(
+            era=self.era(topic), offset=self.next_offset(topic)
+        )
+
     def changes_since(
         self, topic: Topic, next_offset: int
     ) -> tuple[KeyedRecord, ...]:
--- a/yuccagauge/exchange/merger.py
+++ b/yuccagauge/exchange/merger.py
@@ -6,7 +6,7 @@
 from yuccagauge.directory.position import UNKNOWN_ERA
 from yuccagauge.directory.records import KeyedRecord
 from yuccagauge.directory.state import Directory, Topic
-from yuccagauge.exchange.members import Member, MemberList
+from yuccagauge.exchange.members import LiveNames, Member, MemberList
 from yuccagauge.exchange.parts import (
     limit_report,
     parse_part_evidence,
@@ -60,7 +60,7 @@
         self._clock = clock
         self._members = MemberList(name)
         self._standings = LeadStandings()
-        self._known_names: frozenset[str] = frozenset()
+        self._known_names: LiveNames | None = None
         self._received_at = Millis(0)
         self._has_peer_state = False
         #: When the store last confirmed to a peer, for each topic, a next
@@ -83,6 +83,11 @@
         """The other live routers."""
         return self._members.live(self._clock.now())
 
+    @property
+    def peer_names(self) -> LiveNames:
+        """The names of the other live routers."""
+        return self._members.live_names(self._clock.now())
+
     @property
     def members(self) -> MemberList:
         """The list of other routers."""
@@ -238,10 +243,10 @@
         )
         self._members.observe_members((sender, *others), now)
         self._standings.observe_message(message)
-        names = frozenset(member.name for member in self.peers)
-        if names != self._known_names:
+        names = self._members.live_names(now)
+        if names is not self._known_names:
             self._known_names = names
-            log_state_change('routers_known', count=len(names) + 1)
+            log_state_change('routers_known', count=len(names.ordered) + 1)
 
     def _apply_records(
         self, message: FleetExchange, asked_at: Millis | None, now: Millis
@@ -322,7 +327,7 @@
         }
         peer_coverage = self._selector.peer_coverage
         peer_coverage.update(
-            live_peers=len(self.peers),
+            live_peers=len(self.peer_names.ordered),
             reporting_peers=len(self._loads_received_at),
         )
 
--- a/yuccagauge/exchange/parts.py
+++ b/yuccagauge/exchange/parts.py
@@ -5,7 +5,7 @@
 
 from yuccagauge.clock import Millis
 from yuccagauge.directory.base import TargetEvidence
-from yuccagauge.directory.position import UNKNOWN_ERA
+from yuccagauge.directory.position import UNKNOWN_ERA, StorePosition
 from yuccagauge.directory.state import Directory, Topic
 from yuccagauge.exchange.members import Member
 from yuccagauge.origins.versions import VersionHistory, VersionSighting
@@ -85,6 +85,14 @@
     )
 
 
+def position(parts: Iterable[FleetMark], topic: Topic) -> StorePosition | None:
+    """Return up to where the sender of a message has read a topic."""
+    for part in parts:
+        if part.topic == topic.value:
+            return StorePosition(era=part.era, offset=part.mark)
+    return None
+
+
 def _topics_to_list(
     directory: Directory, peer_marks: Iterable[FleetMark]
 ) -> frozenset[Topic]:
--- a/yuccagauge/exchange/service.py
+++ b/yuccagauge/exchange/service.py
@@ -9,9 +9,10 @@
 from yuccagauge.clock import Clock, Millis, in_seconds
 from yuccagauge.directory.state import Directory, Topic
 from yuccagauge.exchange import parts as message_parts
-from yuccagauge.exchange.members import Member
+from yuccagauge.exchange.builder import MessageBuilder
+from yuccagauge.exchange.members import LiveNames, Member
 from yuccagauge.exchange.merger import MessageMerger
-from yuccagauge.exchange.notifications import Notifications, RecentWeights
+from yuccagauge.exchange.notifications import Notifications
 from yuccagauge.exchange.partners import (
     NOTIFICATION_DELAY,
     choose_partners,
@@ -19,6 +20,7 @@
     weights_notification_delay,
 )
 from yuccagauge.exchange.permits import PermitBroker
+from yuccagauge.exchange.spread import ChangeSpread, successor
 from yuccagauge.quarantine.base import Quarantine
 from yuccagauge.quarantine.parts import PartQuarantine
 from yuccagauge.selection.selector import Selector
@@ -41,11 +43,6 @@
 #: large fleet, each router receives several messages within it.
 ISOLATION_TIME = Millis(1500)
 
-#: Other routers that one message lists. Each router asks a few others each
-#: period, so the time when a live router was last seen reaches a hundred
-#: others well before they would count it as dead.
-MAXIMUM_MEMBERS = 24
-
 #: How long a router that starts waits for the state of a peer.
 PEER_STATE_TIMEOUT = Millis(1000)
 
@@ -98,8 +95,6 @@
         self._client = client
         self._directory = directory
         self._selector = selector
-        self._quarantine = quarantine
-        self._part_quarantine = part_quarantine
         self._clock = clock
         self._random_fraction = random_fraction
         self._merger = MessageMerger(
@@ -116,9 +111,21 @@
             expected_peers=len(self._seeds),
             random_fraction=random_fraction,
         )
-        self._is_leaving = False
+        self._builder = MessageBuilder(
+            name,
+            endpoint,
+            data_centre,
+            directory=directory,
+            selector=selector,
+            quarantine=quarantine,
+            part_quarantine=part_quarantine,
+            merger=self._merger,
+            clock=clock,
+            random_fraction=random_fraction,
+            confirmation_age=self.confirmation_age,
+        )
+        self._spread = ChangeSpread()
         self._started_at = clock.now()
-        self._recent_weights = RecentWeights()
         self._reactor = reactor
         self._period = 0
         #: When each unresponsive server was last announced.
@@ -137,6 +144,11 @@
         """The other live routers."""
         return self._merger.peers
 
+    @property
+    def peer_names(self) -> LiveNames:
+        """The names of the other live routers."""
+        return self._merger.peer_names
+
     @property
     def merger(self) -> MessageMerger:
         """Applies the messages of other routers."""
@@ -145,7 +157,7 @@
     @property
     def router_count(self) -> int:
         """Number of live routers, including this one."""
-        return len(self.peers) + 1
+        return len(self.peer_names.ordered) + 1
 
     @property
     def is_isolated(self) -> bool:
@@ -181,6 +193,7 @@
         self._server.add_handler(FleetExchange, self._handle_message)
         self._started_at = self._clock.now()
         self._permit_broker.start()
+        self._directory.listeners.append(self._spread_change)
         self._server.start()
         self._exchange_task.start(in_seconds(EXCHANGE_PERIOD))
 
@@ -195,12 +208,12 @@
 
     def announce_leave(self) -> None:
         """Notify all peers that this router stops."""
-        self._is_leaving = True
-        self._broadcast(self._build_message(leaves=True))
+        self._builder.is_leaving = True
+        self._broadcast(self._builder.build(leaves=True))
 
     def broadcast_standing(self, *, released_lease: bool = False) -> None:
         """Notify all peers that this router cannot lead."""
-        self._broadcast(self._build_message(released_lease=released_lease))
+        self._broadcast(self._builder.build(released_lease=released_lease))
 
     def broadcast_pause(
         self,
@@ -229,7 +242,7 @@
     ) -> None:
         """Notify all routers that a server has loaded weights."""
         loaded = FleetWeights(server=server_id, model=model, version=version)
-        self._recent_weights.add(loaded, self._clock.now())
+        self._builder.recent_weights.add(loaded, self._clock.now())
         self._merger.apply_weights(loaded)
         self._notifications.weights.append(loaded)
         self._schedule_send(weights_notification_delay(self.router_count))
@@ -279,18 +292,34 @@
         parts = notifications.message_parts(
             self._selector.limits, self._clock.now()
         )
-        self._broadcast(self._build_message(**parts))
+        self._broadcast(self._builder.build(**parts))
 
     def _exchange(self) -> None:
         self._period += 1
         self._permit_broker.drop_obsolete()
-        if not exchanges_in_period(self._period, self.router_count):
-            return
+        if exchanges_in_period(self._period, self.router_count):
+            self._ask_partners()
+
+    def _ask_partners(self) -> None:
         # Sorted, because the order of a set differs between processes.
         for endpoint in sorted(self._choose_endpoints(), key=str):
-            self._send_message(
-                endpoint, self._build_message(asks=True, full_state=True)
-            )
+            self._ask(endpoint)
+
+    def _ask(self, endpoint: Endpoint) -> None:
+        self._send_message(
+            endpoint, self._builder.build(asks=True, full_state=True)
+        )
+
+    def _spread_change(self) -> None:
+        """Pass a change of the operator's records on at once."""
+        position = self._directory.position(Topic.OPERATIONS)
+        if not self._spread.passes_on(position, self.router_count):
+            return
+        self._ask_partners()
+        next_name = successor(self._name, self.peer_names.names)
+        for peer in self.peers:
+            if peer.name == next_name:
+                self._ask(peer.endpoint)
 
     def _choose_endpoints(self) -> set[Endpoint]:
         """Return a few random routers, or the seeds while none is known."""
@@ -329,12 +358,15 @@
     def _handle_message(self, received: Received) -> FleetExchange:
         message = received.message
         self._merger.merge_message(message)
+        self._fetch_change(message)
         if message.pauses:
-            return self._build_message(**self._load_parts(self._clock.now()))
+            return self._builder.build(
+                **self._builder.load_parts(self._clock.now())
+            )
         if not message.asks:
-            return self._build_message()
+            return self._builder.build()
         now = self._clock.now()
-        return self._build_message(
+        return self._builder.build(
             full_state=True,
             answers=True,
             peer_marks=message.marks,
@@ -344,56 +376,12 @@
             ),
         )
 
-    def _build_message(
-        self, *, full_state: bool = False, peer_marks: Any = (), **parts: Any
-    ) -> FleetExchange:
-        now = self._clock.now()
-        if full_state:
-            members = self._merger.members.sample(
-                MAXIMUM_MEMBERS, now, self._random_fraction
-            )
-            parts.update(
-                members=message_parts.members(members, now),
-                **self._load_parts(now, peer_marks),
-                suspicions=message_parts.suspicions(
-                    self._quarantine.recent_suspicions(
-                        message_parts.MAXIMUM_SUSPICIONS, now
-                    ),
-                ),
-                parts=message_parts.part_evidence(
-                    self._part_quarantine.evidence(
-                        message_parts.MAXIMUM_PARTS, now
-                    )
-                ),
-                leaving=message_parts.leaving(
-                    self._selector.statements.leaving(
-                        message_parts.MAXIMUM_LEAVING
-                    )
-                ),
-                weights=self._recent_weights.messages(now),
-                **message_parts.versions(self._selector.versions, now),
-                limits=message_parts.limits(
-                    self._selector.limits.reports(
-                        message_parts.MAXIMUM_LIMITS, now
-                    )
-                ),
-            )
-        parts.setdefault('leaves', self._is_leaving)
-        parts['cannot_lead'] = self._merger.standings.cannot_lead
-        return FleetExchange(
-            name=self._name,
-            endpoint=self._endpoint,
-            data_centre=self._data_centre,
-            **parts,
-        )
-
-    def _load_parts(self, now: Millis, peer_marks: Any = ()) -> dict[str, Any]:
-        """Return this router's calls, and the offsets that they need."""
-        return {
-            'marks': message_parts.marks(
-                self._directory,
-                {topic: self.confirmation_age(topic, now) for topic in Topic},
-                peer_marks,
-            ),
-            'loads': message_parts.loads(self._selector.loads),
-        }
+    def _fetch_change(self, message: FleetExchange) -> None:
+        """Ask a peer that has records of the operator that are not known."""
+        position = self._directory.position(Topic.OPERATIONS)
+        if self._spread.fetches(
+            position,
+            message_parts.position(message.marks, Topic.OPERATIONS),
+            self._clock.now(),
+        ):
+            self._ask(message.endpoint)
--- a/yuccagauge/platform/store.py
+++ b/yuccagauge/platform/store.py
@@ -34,6 +34,7 @@
 from yuccagauge.quarantine.archive import StoredCrash
 from yuccagauge.rollout.base import LeaseEras, LeaseState
 from yuccagauge.telemetry.journal import log_state_change
+from yuccagauge.telemetry.meter import counter
 
 _OK = 200
 _GONE = 410
@@ -62,6 +63,23 @@
 #: versions. It is not keyed, so its records expire.
 _ORIGINS_TOPIC = 'origins'
 
+#: What the calls on each topic are for, as the metric of calls names it.
+_PURPOSES = {
+    'keyed.op': 'operations',
+    'keyed.servers': 'servers',
+    _LEASE_TOPIC: 'lease',
+    _CRASHES_TOPIC: 'crashes',
+    _VERSIONS_TOPIC: 'versions',
+    _TARGETS_TOPIC: 'targets',
+    _ORIGINS_TOPIC: 'origins',
+}
+
+_CALLS = counter(
+    'yuccagauge.store.calls',
+    'Calls to the store, with what they are for.',
+    '{call}',
+)
+
 #: Timeout of a reply, beyond the time for which the store may hold a read.
 _REPLY_TIMEOUT = Millis(1200)
 
@@ -255,6 +273,7 @@
     def _append(
         self, query: dict[str, Any], body: bytes, also_accepted: int = _OK
     ) -> Any:
+        _CALLS.add(1, {'purpose': _PURPOSES[query['topic']]})
         message = BackendMessage(
             method='POST',
             path=f'{names.LOG_APPEND_PATH}?{urlencode(query)}',
@@ -271,6 +290,7 @@
         timeout: Millis,
         also_accepted: int = _OK,
     ) -> Any:
+        _CALLS.add(1, {'purpose': _PURPOSES[query['topic']]})
         message = BackendMessage(
             method='GET',
             path=f'{path}?{urlencode(query)}',
--- a/yuccagauge/relay/archives.py
+++ b/yuccagauge/relay/archives.py
@@ -45,9 +45,9 @@
 
     def is_target_writer() -> bool:
         data_centres = {
-            member.name: member.data_centre for member in exchange.peers
+            **exchange.peer_names.data_centres,
+            section.name: section.data_centre,
         }
-        data_centres[section.name] = section.data_centre
         return is_recorder(section.name, data_centres, TARGET_WRITERS)
 
     def store_era() -> int:
--- a/yuccagauge/relay/leading.py
+++ b/yuccagauge/relay/leading.py
@@ -11,7 +11,7 @@
 from yuccagauge.dispatch.fetch import FetchError
 from yuccagauge.exchange.service import ExchangeService
 from yuccagauge.relay.paths import RelayPaths
-from yuccagauge.rendezvous import rendezvous_rank
+from yuccagauge.rendezvous import kept_rank, rendezvous_rank
 from yuccagauge.rollout.base import WeightsOrderClient
 from yuccagauge.rollout.election import LeaderElection
 from yuccagauge.rollout.handover import (
@@ -296,7 +296,7 @@
     def _reach(self) -> Reach:
         missed = self._trials.missed_since(self._clock.now())
         servers = self._directory.servers
-        peers = set(self._peer_names())
+        peers = self._peer_names()
         return Reach(
             missed_since=missed,
             due=tuple(
@@ -323,10 +323,11 @@
         among_fit
             Whether peers that cannot lead are left out.
         """
-        names = {self._name, *self._peer_names()}
+        peers = self._peer_names()
         if among_fit:
-            names -= self._standings.unfit
-        return rendezvous_rank(names, _RANK_KEY).index(self._name)
+            peers -= self._standings.unfit
+        names = peers | {self._name}
+        return kept_rank(names, _RANK_KEY).index(self._name)
 
-    def _peer_names(self) -> tuple[str, ...]:
-        return tuple(peer.name for peer in self._exchange.peers)
+    def _peer_names(self) -> frozenset[str]:
+        return self._exchange.peer_names.names
--- a/yuccagauge/relay/reading.py
+++ b/yuccagauge/relay/reading.py
@@ -57,7 +57,7 @@
         delay = readpolicy.read_delay(
             topic,
             self._section.name,
-            self._peers_in_data_centre(),
+            self._data_centres(),
             self._exchange.confirmation_age(topic, now),
             self._limits,
         )
@@ -78,13 +78,12 @@
     def wait(self, topic: Topic) -> Millis:
         """Return how long one read waits at the store for records."""
         return readpolicy.read_wait(
-            topic, self._peers_in_data_centre(), self._limits
+            topic, self._exchange.router_count, self._limits
         )
 
-    def _peers_in_data_centre(self) -> tuple[str, ...]:
-        """Return the other routers of this data centre."""
-        return tuple(
-            member.name
-            for member in self._exchange.peers
-            if member.data_centre == self._section.data_centre
-        )
+    def _data_centres(self) -> dict[str, str]:
+        """Return the data centre of each live router."""
+        return {
+            **self._exchange.peer_names.data_centres,
+            self._section.name: self._section.data_centre,
+        }
--- a/yuccagauge/relay/router.py
+++ b/yuccagauge/relay/router.py
@@ -1,7 +1,7 @@
 """The relay router: creates its components and connects them."""
 
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from functools import partial
 from typing import Any
 
@@ -26,7 +26,7 @@
 from yuccagauge.relay.peers import build_peer_services
 from yuccagauge.relay.reading import LATE_HEARTBEAT_TIME, ReadSchedule
 from yuccagauge.relay.relay import Relay
-from yuccagauge.rendezvous import rendezvous_rank
+from yuccagauge.rendezvous import kept_rank
 from yuccagauge.rollout.driver import RolloutDriver
 from yuccagauge.rollout.election import LeaderElection
 from yuccagauge.rollout.leaderlease import LeaderLease
@@ -336,11 +336,11 @@
     def _rank(self, key: str) -> int:
         """Return how many live routers come before this one for a key."""
         own_name = self._settings.relay.name
-        names = {own_name, *self._router_names()}
-        return rendezvous_rank(names, key).index(own_name)
+        names = self._router_names() | {own_name}
+        return kept_rank(names, key).index(own_name)
 
-    def _router_names(self) -> Iterable[str]:
-        return (peer.name for peer in self._exchange.peers)
+    def _router_names(self) -> frozenset[str]:
+        return self._exchange.peer_names.names
 
     def _listen(self, endpoint: Endpoint, factory: Any) -> None:
         port = self._reactor.listenTCP(
--- a/yuccagauge/rendezvous.py
+++ b/yuccagauge/rendezvous.py
@@ -2,9 +2,14 @@
 
 import hashlib
 from collections.abc import Iterable
+from functools import lru_cache
 
 _DIGEST_BYTES = 8
 
+#: Rankings of routers that are kept at a time: each router uses some, and one
+#: for each server with a rate limit or a long poll.
+_KEPT_RANKINGS = 256
+
 
 def rendezvous_rank(names: Iterable[str], key: str) -> tuple[str, ...]:
     """Return the names in their order of preference for a key.
@@ -14,6 +19,16 @@
     return tuple(sorted(names, key=lambda name: (_weight(name, key), name)))
 
 
+@lru_cache(maxsize=_KEPT_RANKINGS)
+def kept_rank(names: frozenset[str], key: str) -> tuple[str, ...]:
+    """Return the same as ``rendezvous_rank``, kept for the next time.
+
+    Load pattern: hundreds of routers seldom change, and are ranked for the
+    same keys several times a second.
+    """
+    return rendezvous_rank(names, key)
+
+
 def _weight(name: str, key: str) -> bytes:
     text = f'{len(name)}:{name}/{key}'.encode()
     return hashlib.blake2b(text, digest_size=_DIGEST_BYTES).digest()
