Keep the readers of each data centre in small fleets

Cause: with two readers of the fleet, five of seven routers of an old site would learn of a server that ends or leaves an exchange later than by their own reads, to save calls that are priced little there.

Change: only fleets of twelve routers and more, or with a data centre of nine and more, share all reads. Smaller ones read as on.

Evidence: rows for 6, 9 and 12 routers in directory.feature; features/directory and features/exchange pass.

--- a/features/directory/directory.feature
+++ b/features/directory/directory.feature
@@ -158,7 +158,7 @@
 
     Examples:
       | centres | routers | bound | calls |
-      | 3       | 3       | 2000  | 9     |
+      | 3       | 4       | 2000  | 9     |
       | 5       | 4       | 4000  | 4.5   |
       | 5       | 39      | 4000  | 4.5   |
       | 9       | 50      | 4000  | 4.5   |
@@ -171,10 +171,23 @@
 
     Examples:
       | centres | routers | bound | topic      | readers | early | late |
-      | 3       | 3       | 2000  | SERVERS    | 6       | 900   | 1500 |
+      | 3       | 4       | 2000  | SERVERS    | 6       | 900   | 1500 |
       | 5       | 39      | 4000  | SERVERS    | 5       | 1800  | 3000 |
       | 5       | 39      | 4000  | OPERATIONS | 5       | 1800  | 3000 |
 
+  # Guards against entries that the routers of a small fleet know later because
+  # others read them.
+  Scenario Outline: In a small fleet the readers of each data centre always read
+    Given <centres> data centres of <routers> routers, and changes that must be in force after 2000 ms
+    Then <servers> routers always read SERVERS, and <operations> always read OPERATIONS
+
+    Examples:
+      | centres | routers | servers | operations |
+      | 3       | 2       | 6       | 6          |
+      | 3       | 3       | 6       | 9          |
+      | 3       | 4       | 2       | 2          |
+      | 1       | 9       | 1       | 1          |
+
   Scenario: A router that awaits evidence of a server reads its heartbeats, though peers move its offset
     Given a follower of a store with the keys "a b", whose entries are noted
     And it awaits evidence that servers live
--- a/features/directory/shared_reads.feature
+++ b/features/directory/shared_reads.feature
@@ -30,19 +30,19 @@
     Then all routers know them within 2000 ms
 
   Scenario Outline: When a change is passed on
-    Given a router of a fleet of <routers> that has passed on the offset 5 of era 1
+    Given a router of a fleet that <shares> reads has passed on the offset 5 of era 1
     When it has the records up to the offset <offset> of era <era>
     Then it tells its partners: <tells>
 
     Examples:
-      | routers | offset | era | tells |
-      | 9       | 6      | 1   | yes   |
-      | 9       | 5      | 1   | no    |
-      | 9       | 2      | 2   | yes   |
-      | 8       | 6      | 1   | no    |
+      | shares         | offset | era | tells |
+      | shares         | 6      | 1   | yes   |
+      | shares         | 5      | 1   | no    |
+      | shares         | 2      | 2   | yes   |
+      | does not share | 6      | 1   | no    |
 
   Scenario Outline: When a router asks for a change
-    Given a router of a fleet of 9 that has passed on the offset 5 of era 1
+    Given a router of a fleet that shares reads has passed on the offset 5 of era 1
     When a peer has the offset <first> of era 1, and <later> ms later one has the offset <second> of era 1
     Then it asks the peers: <asks>
 
--- a/features/exchange/exchange.feature
+++ b/features/exchange/exchange.feature
@@ -50,7 +50,8 @@
 
     Examples:
       | routers | readers | period | bound | age  |
-      | 9       | 2       | 400    | 2000  | 2000 |
+      | 9       | 6       | 400    | 2000  | 2000 |
+      | 12      | 2       | 400    | 2000  | 2000 |
       | 24      | 2       | 400    | 2000  | 2000 |
       | 27      | 2       | 400    | 2000  | 2000 |
       | 90      | 2       | 400    | 2000  | 2000 |
--- a/features/steps/exchange_fleet_steps.py
+++ b/features/steps/exchange_fleet_steps.py
@@ -11,7 +11,6 @@
 from yuccagauge.clock import Millis
 from yuccagauge.directory.readpolicy import (
     ReadLimits,
-    is_fleet_reader,
     is_reader,
     read_delay,
 )
@@ -52,7 +51,7 @@
     context.readers = {
         member.name
         for member in context.fleet
-        if is_fleet_reader(member.name, _data_centres(context))
+        if not _delay(context, member, age=1)
     }
     assert len(context.readers) == readers, len(context.readers)
 
--- a/features/steps/shared_reads_steps.py
+++ b/features/steps/shared_reads_steps.py
@@ -133,24 +133,22 @@
 
 
 @given(
-    'a router of a fleet of {routers:d} that has passed on the offset '
+    'a router of a fleet that {shares} reads has passed on the offset '
     '{offset:d} of era {era:d}'
 )
-def create_spread(
-    context: Context, routers: int, offset: int, era: int
-) -> None:
+def create_spread(context: Context, shares: str, offset: int, era: int) -> None:
     """Create the decision of a router that knows some records."""
-    context.routers = routers
+    context.is_shared = shares == 'shares'
     context.position = StorePosition(era=era, offset=offset)
     context.spread = ChangeSpread()
-    context.spread.passes_on(context.position, routers)
+    context.spread.passes_on(context.position, is_shared=context.is_shared)
 
 
 @when('it has the records up to the offset {offset:d} of era {era:d}')
 def advance(context: Context, offset: int, era: int) -> None:
     """Apply records."""
     context.tells = context.spread.passes_on(
-        StorePosition(era=era, offset=offset), context.routers
+        StorePosition(era=era, offset=offset), is_shared=context.is_shared
     )
 
 
--- a/yuccagauge/directory/readpolicy.py
+++ b/yuccagauge/directory/readpolicy.py
@@ -3,7 +3,8 @@
 Load pattern: hundreds of routers would each read the entries of all servers
 and the operator's records every second. Instead, two routers of the fleet read
 the store and send the records to the others. One or two of each data centre
-replace them as the records become old, and all others do so later.
+replace them as the records become old, and all others do so later. In a small
+fleet, the readers of each data centre always read.
 """
 
 from collections.abc import Mapping, Set
@@ -26,10 +27,13 @@
 #: reads once its records are too old, and passes on what it read.
 READERS_PER_LARGE_DATA_CENTRE = 1
 
-#: Number of routers from which on a data centre is large, and from which on a
-#: fleet shares the reads of the operator's records. In a smaller fleet one
-#: long poll by each router costs less than the short polls of the readers.
-MINIMUM_ROUTERS_TO_SHARE_READS = 9
+#: Number of routers from which on a data centre is large.
+LARGE_DATA_CENTRE_ROUTERS = 9
+
+#: Number of routers from which on a fleet shares all reads. In a smaller one
+#: without a large data centre, most routers are readers of their data centre,
+#: and what they read comes sooner than by an exchange.
+MINIMUM_ROUTERS_TO_SHARE_READS = 12
 
 #: Share of the age at which a router reads the store itself from which the
 #: readers of its data centre do: so much earlier that what they have read
@@ -106,9 +110,15 @@
         return Millis(int(self.servers / SERVER_READS_PER_AGE))
 
 
-def shares_reads(routers: int) -> bool:
-    """Return whether a fleet shares the reads of the operator's records."""
-    return routers >= MINIMUM_ROUTERS_TO_SHARE_READS
+def shares_reads(data_centres: Mapping[str, str]) -> bool:
+    """Return whether a fleet shares all reads of the store.
+
+    Parameters
+    ----------
+    data_centres
+        The data centre of each live router, this one included.
+    """
+    return _plan(frozenset(data_centres.items())).is_shared
 
 
 def is_reader(name: str, data_centres: Mapping[str, str]) -> bool:
@@ -151,6 +161,8 @@
     readers: frozenset[str]
     #: All routers, in the order in which they record.
     recorders: tuple[str, ...]
+    #: Whether the fleet shares all reads.
+    is_shared: bool
 
 
 @lru_cache(maxsize=4)
@@ -165,12 +177,17 @@
         for reader in _readers(names)
     )
     others = frozenset(dict(data_centres)) - readers
+    largest = max(map(len, names_by_centre.values()), default=0)
     return _ReadPlan(
         readers=readers,
         recorders=(
             *kept_rank(readers, 'recorder'),
             *kept_rank(others, 'recorder'),
         ),
+        is_shared=(
+            len(data_centres) >= MINIMUM_ROUTERS_TO_SHARE_READS
+            or largest >= LARGE_DATA_CENTRE_ROUTERS
+        ),
     )
 
 
@@ -178,7 +195,7 @@
     """Return the readers among the routers of a data centre."""
     count = (
         READERS_PER_DATA_CENTRE
-        if len(names) < MINIMUM_ROUTERS_TO_SHARE_READS
+        if len(names) < LARGE_DATA_CENTRE_ROUTERS
         else READERS_PER_LARGE_DATA_CENTRE
     )
     return kept_rank(frozenset(names), 'reader')[:count]
@@ -207,11 +224,12 @@
     limits
         How old the records may be.
     """
-    if topic is Topic.OPERATIONS and not shares_reads(len(data_centres)):
+    is_shared = shares_reads(data_centres)
+    if topic is Topic.OPERATIONS and not is_shared:
         return Millis(0)
     maximum_age = limits.maximum_age(topic)
     if is_reader(name, data_centres):
-        if is_fleet_reader(name, data_centres):
+        if not is_shared or is_fleet_reader(name, data_centres):
             return Millis(0)
         maximum_age = Millis(int(DATA_CENTRE_READER_SHARE * maximum_age))
     return Millis(max(0, maximum_age - age))
@@ -231,16 +249,18 @@
     return Millis(max(0, EVIDENCE_READ_INTERVAL - own_age))
 
 
-def read_wait(topic: Topic, routers: int, limits: ReadLimits) -> Millis:
+def read_wait(
+    topic: Topic, data_centres: Mapping[str, str], limits: ReadLimits
+) -> Millis:
     """Return how long a read waits at the store for records.
 
     Parameters
     ----------
-    routers
-        Number of live routers, this one included.
+    data_centres
+        The data centre of each live router, this one included.
     """
     if topic is not Topic.OPERATIONS:
         return READ_WAIT
-    if not shares_reads(routers):
+    if not shares_reads(data_centres):
         return OPERATIONS_READ_WAIT
     return Millis(int(limits.operations / SHARED_WAITS_PER_AGE))
--- a/yuccagauge/exchange/service.py
+++ b/yuccagauge/exchange/service.py
@@ -7,6 +7,7 @@
 from twisted.python.failure import Failure
 
 from yuccagauge.clock import Clock, Millis, in_seconds
+from yuccagauge.directory.readpolicy import shares_reads
 from yuccagauge.directory.state import Directory, Topic
 from yuccagauge.exchange import parts as message_parts
 from yuccagauge.exchange.builder import MessageBuilder
@@ -149,6 +150,11 @@
         """The names of the other live routers."""
         return self._merger.peer_names
 
+    @property
+    def data_centres(self) -> dict[str, str]:
+        """The data centre of each live router, including this one."""
+        return {**self.peer_names.data_centres, self._name: self._data_centre}
+
     @property
     def merger(self) -> MessageMerger:
         """Applies the messages of other routers."""
@@ -313,7 +319,8 @@
     def _spread_change(self) -> None:
         """Pass a change of the operator's records on at once."""
         position = self._directory.position(Topic.OPERATIONS)
-        if not self._spread.passes_on(position, self.router_count):
+        is_shared = shares_reads(self.data_centres)
+        if not self._spread.passes_on(position, is_shared=is_shared):
             return
         self._ask_partners()
         next_name = successor(self._name, self.peer_names.names)
--- a/yuccagauge/exchange/spread.py
+++ b/yuccagauge/exchange/spread.py
@@ -4,7 +4,6 @@
 
 from yuccagauge.clock import Millis
 from yuccagauge.directory.position import StorePosition
-from yuccagauge.directory.readpolicy import shares_reads
 
 #: Time after which a peer is asked for the same records again: its answer, or
 #: that of another peer, is there by then.
@@ -39,20 +38,20 @@
         self._fetched: StorePosition | None = None
         self._fetched_at = Millis(0)
 
-    def passes_on(self, position: StorePosition, routers: int) -> bool:
+    def passes_on(self, position: StorePosition, *, is_shared: bool) -> bool:
         """Return whether to tell partners now.
 
         Parameters
         ----------
         position
             Up to where this router has the records.
-        routers
-            Number of live routers.
+        is_shared
+            Whether the fleet shares the reads of the operator's records.
         """
         if self._passed_on is not None and position <= self._passed_on:
             return False
         self._passed_on = position
-        return shares_reads(routers)
+        return is_shared
 
     def fetches(
         self,
--- a/yuccagauge/relay/archives.py
+++ b/yuccagauge/relay/archives.py
@@ -44,11 +44,7 @@
     section = settings.relay
 
     def is_target_writer() -> bool:
-        data_centres = {
-            **exchange.peer_names.data_centres,
-            section.name: section.data_centre,
-        }
-        return is_recorder(section.name, data_centres, TARGET_WRITERS)
+        return is_recorder(section.name, exchange.data_centres, TARGET_WRITERS)
 
     def store_era() -> int:
         return context.directory.era(Topic.SERVERS)
--- a/yuccagauge/relay/reading.py
+++ b/yuccagauge/relay/reading.py
@@ -57,7 +57,7 @@
         delay = readpolicy.read_delay(
             topic,
             self._section.name,
-            self._data_centres(),
+            self._exchange.data_centres,
             self._exchange.confirmation_age(topic, now),
             self._limits,
         )
@@ -78,12 +78,5 @@
     def wait(self, topic: Topic) -> Millis:
         """Return how long one read waits at the store for records."""
         return readpolicy.read_wait(
-            topic, self._exchange.router_count, self._limits
+            topic, self._exchange.data_centres, self._limits
         )
-
-    def _data_centres(self) -> dict[str, str]:
-        """Return the data centre of each live router."""
-        return {
-            **self._exchange.peer_names.data_centres,
-            self._section.name: self._section.data_centre,
-        }
