Let a router stand for election though no engine has answered it

No caller saw it; without an engine there is no order to give.

Change: a check without an answer is not repeated within 6 s.

--- a/features/rollout/handover.feature
+++ b/features/rollout/handover.feature
@@ -80,4 +80,6 @@
       |        | 100    | no    |
       | 2      | 900    | no    |
       | 2      | 1100   | yes   |
-      |        | 1700   | yes   |
+      |        | 1700   | no    |
+      |        | 5900   | no    |
+      |        | 6100   | yes   |
--- a/yuccagauge/rollout/handover.py
+++ b/yuccagauge/rollout/handover.py
@@ -37,6 +37,10 @@
 #: Time for which an answer shows that a router reaches engines.
 REACH_LIFETIME = Millis(1000)
 
+#: Time from the begin of a check without an answer to the next one, so that a
+#: router stands for election though no router reaches an engine.
+REACH_CHECK_PERIOD = Millis(6000)
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Reach:
@@ -202,13 +206,15 @@
         -------
         bool
             Whether engines have to be asked: none has answered lately, and
-            none is being asked.
+            they were not asked lately without an answer.
         """
         reached_at = self._reached_at
         has_reached = (
             reached_at is not None and now - reached_at < REACH_LIFETIME
         )
-        if has_reached or self.checks_reach(now):
+        since = self._checks_reach_since
+        has_asked = since is not None and now - since < REACH_CHECK_PERIOD
+        if has_reached or has_asked:
             return False
         self._checks_reach_since = now
         return True
