Let all routers that may lead soon see at once whether they reach engines

What callers saw: nothing new; as the leader ended while 20 of 40 routers were cut off from the engines, a leader that reaches them came up to 1.2 s later than before.

Each router asked engines only when it became a candidate, as those before it said that they cannot lead: two routers each 0.5 s found out, one after the other.

--- a/features/rollout/handover_fleet.feature
+++ b/features/rollout/handover_fleet.feature
@@ -22,6 +22,15 @@
       | 8       | the leader and the 4 next in rank   | all     | reset   | 20    | 2     | 3       |
       | 40      | the leader and the 20 next in rank  | all     | silent  | 40    | 0     | 3       |
 
+  # Guards against a lease that expires while the routers that may take it do
+  # not know yet that a partition cuts them off from the engines.
+  Scenario: The lease of a leader that ended goes to a router that reaches the engines
+    Given 40 routers that elect a leader, before 6 engines, with 40 calls a second
+    When the leader ends, the 20 next in rank are partitioned from all engines for 12 s, and weights are named
+    Then all engines have the newest weights within 12 s of the naming
+    And orders come from the holders of the lease, and the fence never goes back
+    And the lease gets at most 2 new holders
+
   Scenario Outline: An order that waits for its connection is not sent after the lead has ended
     Given 5 routers that elect a leader, before 6 engines, with 0 calls a second
     When weights are named, and the leader <ending> while an order waits for its connection
--- a/features/steps/handover_fleet_steps.py
+++ b/features/steps/handover_fleet_steps.py
@@ -100,6 +100,22 @@
     fleet.name_weights(_NEWEST)
 
 
+@when(
+    'the leader ends, the {count:d} next in rank are partitioned from all '
+    'engines for {seconds:d} s, and weights are named'
+)
+def end_leader(context: Context, count: int, seconds: int) -> None:
+    """Leave the lease to routers that are cut off, and to others."""
+    fleet = context.fleet
+    leader = fleet.leader
+    ranked = rendezvous_rank(fleet.router_names, 'lead')
+    names = [each for each in ranked if each != leader][:count]
+    _begin(context)
+    fleet.kill_router(leader)
+    fleet.partition(frozenset(names), Face.SILENT, seconds)
+    fleet.name_weights(_NEWEST)
+
+
 def _hosts(engines: list[OrderServer]) -> frozenset[str]:
     return frozenset(engine.host for engine in engines)
 
--- a/yuccagauge/relay/leading.py
+++ b/yuccagauge/relay/leading.py
@@ -181,12 +181,17 @@
         Load pattern: half of the routers are partitioned, and have few calls.
         One after the other would take the lease and find that out.
         """
-        if self._rank(among_fit=True) < TRYING_ROUTERS:
-            self._check_reach()
+        self._check_reach_in_turn()
         self._election.check_now()
 
-    def _check_reach(self) -> None:
-        """Ask some engines before this router stands for election."""
+    def _check_reach_in_turn(self) -> None:
+        """Ask some engines if this router may have to lead soon.
+
+        The partition that cuts off one router may cut off those that come
+        next. They find out at the same time, and not one after the other.
+        """
+        if self._rank(among_fit=True) >= TRYING_ROUTERS:
+            return
         has_engines = any(
             server.weights for server in self._directory.servers.values()
         )
@@ -279,6 +284,8 @@
         """
         if not self._standings.cannot_lead:
             self._is_announced = False
+            if self._standings.unfit:
+                self._check_reach_in_turn()
         elif (
             not self._is_announced
             and self._rank(among_fit=True) < ELECTION_CANDIDATES
@@ -288,9 +295,6 @@
         was_candidate = self._was_candidate
         self._was_candidate = self.is_candidate()
         if self._was_candidate and not was_candidate:
-            # Those before this router may be cut off from the engines, and
-            # this one by the same partition.
-            self._check_reach()
             self._election.check_now()
 
     def _reach(self) -> Reach:
