Name the early check of reach, and say which rankings are kept

Read as a newcomer: the comment spoke of rate limits and long polls, which rank for themselves, and 'in turn' said the opposite of at once. No behaviour changes.

--- a/features/rollout/handover.feature
+++ b/features/rollout/handover.feature
@@ -70,7 +70,7 @@
       | 2      | 3      | stands         | can    |
       | 500    | 501    | stands         | can    |
 
-  Scenario Outline: Engines are not asked again while an answer shows that they are reached
+  Scenario Outline: Engines are asked again only some time after an answer, or without one
     Given a router that begins to ask engines whether it reaches them
     When "<answer>" ms pass until an engine answers, and <passed> ms in all
     Then it asks engines again: <again>
--- a/yuccagauge/relay/leading.py
+++ b/yuccagauge/relay/leading.py
@@ -181,10 +181,10 @@
         Load pattern: half of the routers are partitioned, and have few calls.
         One after the other would take the lease and find that out.
         """
-        self._check_reach_in_turn()
+        self._check_reach_early()
         self._election.check_now()
 
-    def _check_reach_in_turn(self) -> None:
+    def _check_reach_early(self) -> None:
         """Ask some engines if this router may have to lead soon.
 
         The partition that cuts off one router may cut off those that come
@@ -285,7 +285,7 @@
         if not self._standings.cannot_lead:
             self._is_announced = False
             if self._standings.unfit:
-                self._check_reach_in_turn()
+                self._check_reach_early()
         elif (
             not self._is_announced
             and self._rank(among_fit=True) < ELECTION_CANDIDATES
--- a/yuccagauge/rendezvous.py
+++ b/yuccagauge/rendezvous.py
@@ -6,8 +6,8 @@
 
 _DIGEST_BYTES = 8
 
-#: Rankings of routers that are kept at a time: each router uses some, and one
-#: for each server with a rate limit or a long poll.
+#: Rankings that are kept at a time: some keys for the live routers, for those
+#: of each data centre, and for those that can lead.
 _KEPT_RANKINGS = 256
 
 
