Log which start a process stated before it carries a stream, and after an end

The lines could not tell whether a stream went on at a process that stated the listed start, at one that stated none, or at one that nobody asked: call_sent named the software version of the entry alone. process_confirmed has the listed and the stated start and what followed, call_sent the listed start, end_identity the starts that were known as a call was sent.

--- a/yuccagauge/relay/confirmation.py
+++ b/yuccagauge/relay/confirmation.py
@@ -13,6 +13,7 @@
 from yuccagauge.relay.context import RelayContext
 from yuccagauge.relay.incarnations import NotConfirmedError, unlisted
 from yuccagauge.selection.base import SelectionRequest
+from yuccagauge.telemetry.journal import log_decision
 
 
 class StreamConfirmation:
@@ -62,9 +63,10 @@
         """
         server = self._server
         incarnations = self._context.incarnations
-        if not (
-            self._call.route.is_resumable and incarnations.must_confirm(server)
-        ):
+        if not self._call.route.is_resumable:
+            return succeed(connection)
+        if not incarnations.must_confirm(server):
+            self._log('unasked', server, connection)
             return succeed(connection)
         self._on_server(server)
         is_new = connection.started_at is None
@@ -81,6 +83,7 @@
         self, server: BackendServer, connection: Connection
     ) -> Connection:
         self._on_server(server)
+        self._log('fits', server, connection)
         return connection
 
     def _handle_not_confirmed(
@@ -104,4 +107,20 @@
                 lambda opened: self._handle_confirmed(server, opened)
             )
         self._is_refuted = True
+        self._log('refuted', self._server, connection)
         return failure
+
+    def _log(
+        self, result: str, server: BackendServer, connection: Connection
+    ) -> None:
+        """Log what is known of the process that a stream may be sent to."""
+        log_decision(
+            'process_confirmed',
+            self._call.fields.request_id,
+            result=result,
+            server=server.server_id,
+            listed=self._server.started_at,
+            stated=connection.started_at,
+            software=server.software_version,
+            needs=self._selection_request.software_version,
+        )
--- a/yuccagauge/relay/ending.py
+++ b/yuccagauge/relay/ending.py
@@ -16,6 +16,7 @@
     ServerIdentity,
     is_same_process,
 )
+from yuccagauge.telemetry.journal import log_state_change
 
 #: Longest wait for a proof if the call can go on at another server instead.
 PROOF_LIMIT = Millis(250)
@@ -163,6 +164,13 @@
         if self._attempt is not attempt:
             return
         server = attempt.placement.server
+        log_state_change(
+            'end_identity',
+            server=server.server_id,
+            stated_id=identity.server_id,
+            stated_start=identity.started_at,
+            known_starts=sorted(attempt.evidence.known_starts),
+        )
         if not is_same_process(identity, server, attempt.evidence.known_starts):
             self._give_up('identity')
         elif identity.started_at:
--- a/yuccagauge/relay/report.py
+++ b/yuccagauge/relay/report.py
@@ -56,6 +56,7 @@
             weights=placement.weights_version,
             superseded_ms=placement.superseded_ms,
             software=placement.server.software_version,
+            started_at=placement.server.started_at,
             resumes=fields.resumed_request_id,
             rate_limit=placement.rate_limit,
             fetches=placement.kv_fetch_endpoint is not None,
