Show that streams are joined at engines that do not state their start

The entries of the fleet are told apart by the number of the start, as they need not have one.

Cause: Incarnations.must_confirm asks no connection if the entry lacks a start, and a report without one counts as the listed start.

--- a/features/upgrade_fleet.py
+++ b/features/upgrade_fleet.py
@@ -1,7 +1,7 @@
 """Engines that restart under their ids with other software, in virtual time."""
 
 import json
-from typing import Any
+from typing import Any, NamedTuple
 
 from twisted.internet.protocol import Protocol
 
@@ -24,6 +24,15 @@
 _PAUSE_PERIOD_S = 0.08
 
 
+class _Entry(NamedTuple):
+    """What one start of an engine writes to the store."""
+
+    server_id: str
+    content: bytes
+    #: The number of the start.
+    start: int
+
+
 class _WallClock(VirtualClock):
     """A clock whose wall time is that of the engines."""
 
@@ -63,7 +72,7 @@
         return {
             'stage': 'colocated',
             'models': entry['models'],
-            'born': entry['born'],
+            'born': self._stated_start,
             'busy': False,
             'seq': 0,
             'queued': 0,
@@ -74,18 +83,23 @@
         }
 
     def _write_first_entry(self) -> None:
-        self._fleet.store.append_entry(*self._entry())
+        self._append(self._entry())
 
-    def _write_entry(self, entry: tuple[str, bytes]) -> None:
+    def _entry(self) -> _Entry:
+        return _Entry(*super()._entry(), start=self._starts)
+
+    def _write_entry(self, entry: _Entry) -> None:
         """Write what a heartbeat states, if it is not too early or too late."""
         known_from = self._born + round(self._fleet.entry_s * 1000)
-        is_own = json.loads(entry[1])['born'] == self._stated_start
-        if is_own and self.is_up:
+        if entry.start == self._starts and self.is_up:
             is_written = self._fleet.clock.now() >= known_from
         else:
             is_written = self._fleet.has_late_entries
         if is_written:
-            super()._write_entry(entry)
+            self._append(entry)
+
+    def _append(self, entry: _Entry) -> None:
+        self._fleet.store.append_entry(entry.server_id, entry.content)
 
 
 class _ReportingProtocol(EngineProtocol):
