Send the rest of a stream only to a process that is shown to have its version

Cause: an engine that states no start was taken for the one that is listed. Incarnations.must_confirm asked no connection if the entry had no start, and a report without one counted as the listed start, so that an entry of up to 2 s ago decided. The class: a proof that rests on a statement which the other side need not make, and that counts as given when it is missing.

Change: a process has a name, which is its start, or else the epoch of its cache events, or else a connection to it that stays open (relay/standing.py). Each connection is asked for it before it carries a stream that may be resumed. Routers that do not read the store conclude the same from that no change has come for four heartbeats. Polls for cache events show the epoch, so that it is known before a connection is opened. Versions of processes are remembered, so that the origin of a stream that began before its engine was listed is resolved also after the engine has ended.

Why it works: nothing is concluded from a statement that is missing. What is unknown has no version, and the rest of a stream goes nowhere.

--- a/features/crash_fleet.py
+++ b/features/crash_fleet.py
@@ -97,7 +97,7 @@
     cache_event_source: Any = None
 
     #: Whether routers ask servers when they started.
-    asks_start_times = False
+    asks_process_names = False
 
     def __init__(self, routers: int, servers: int, seed: int = 1) -> None:
         """Start the fleet."""
@@ -289,6 +289,6 @@
             cache_event_source=self.cache_event_source,
             ready_path='/ready',
             answer_listeners=getattr(order_client, 'answer_listeners', []),
-            start_time_source=engines if self.asks_start_times else None,
+            process_name_source=engines if self.asks_process_names else None,
             identity_source=engines,
         )
--- a/features/steps/cachefeed_steps.py
+++ b/features/steps/cachefeed_steps.py
@@ -16,7 +16,7 @@
     HolderBusyError,
 )
 from yuccagauge.cachefeed.feed import CacheFeed
-from yuccagauge.clock import Millis
+from yuccagauge.clock import ManualClock, Millis
 from yuccagauge.directory.base import KvCacheStore
 from yuccagauge.dispatch.fetch import FetchError
 from yuccagauge.selection.kvcachestores import store_holder_name
@@ -82,6 +82,7 @@
         name,
         'a',
         lambda: others,
+        ManualClock(),
     )
     context.add_cleanup(feed.close)
     feed.update_pollers()
--- a/features/upgrade_fleet.py
+++ b/features/upgrade_fleet.py
@@ -130,7 +130,7 @@
     """
 
     server_type = UpgradedEngine
-    asks_start_times = True
+    asks_process_names = True
 
     def __init__(
         self, routers: int, servers: int, entry_s: float, seed: int = 1
--- a/yuccagauge/cachefeed/feed.py
+++ b/yuccagauge/cachefeed/feed.py
@@ -13,7 +13,7 @@
     CacheEventSource,
     HolderBusyError,
 )
-from yuccagauge.clock import Millis, in_seconds
+from yuccagauge.clock import Clock, Millis, in_seconds
 from yuccagauge.directory.state import Directory
 from yuccagauge.dispatch.fetch import FetchError
 from yuccagauge.rendezvous import rendezvous_rank
@@ -113,6 +113,7 @@
                 yield self._feed.pause(RETRY_PAUSE)
                 continue
             _POLLS.add(1, {'kind': kind})
+            asked_at = self._feed.now()
             try:
                 batch = yield self._feed.cache_event_source.poll_events(
                     self._holder.endpoint,
@@ -128,7 +129,7 @@
                 yield self._feed.pause(RETRY_PAUSE)
                 continue
             try:
-                self._apply_batch(batch)
+                self._apply_batch(batch, asked_at)
             except Exception as error:
                 # A malformed answer must not stop the poller.
                 log_state_change(
@@ -139,7 +140,7 @@
                 )
             yield self._feed.pause(self._holder.pause)
 
-    def _apply_batch(self, batch: CacheEventBatch) -> None:
+    def _apply_batch(self, batch: CacheEventBatch, asked_at: Millis) -> None:
         cache_map = self._feed.selector.cache_map
         name = self._holder.name
         has_restarted = self._epoch is not None and batch.epoch != self._epoch
@@ -147,6 +148,8 @@
             # The router has missed evictions, so it drops all known parts.
             cache_map.remove_holder(name)
         self._epoch = batch.epoch
+        if not self._holder.is_store:
+            self._feed.on_epoch(name, batch.epoch, asked_at)
         self._next_sequence = batch.next_sequence
         for event in batch.events:
             change = cache_map.add if event.is_stored else cache_map.remove
@@ -190,6 +193,8 @@
         Name and data centre of this router.
     routers
         Returns the names of the live routers.
+    clock
+        The source of time.
     """
 
     def __init__(
@@ -201,6 +206,7 @@
         name: str,
         data_centre: str,
         routers: Callable[[], Iterable[str]],
+        clock: Clock,
     ) -> None:
         """Create a feed that does not poll yet."""
         self.cache_event_source = cache_event_source
@@ -210,6 +216,12 @@
         self._name = name
         self._data_centre = data_centre
         self._routers = routers
+        self._clock = clock
+        #: Called with the id of an engine that answers a poll, the epoch of its
+        #: events, and when it was asked.
+        self.on_epoch: Callable[[str, int, Millis], None] = (
+            lambda server_id, epoch, asked_at: None
+        )
         self._pollers: dict[Holder, _Poller] = {}
 
     def update_pollers(self) -> None:
@@ -229,6 +241,10 @@
             poller.close()
         self._pollers.clear()
 
+    def now(self) -> Millis:
+        """Return the time of the router."""
+        return self._clock.now()
+
     def pause(self, duration: Millis) -> Deferred[None]:
         """Return a Deferred that fires after a duration."""
         return deferLater(self._reactor, in_seconds(duration))
--- a/yuccagauge/directory/state.py
+++ b/yuccagauge/directory/state.py
@@ -16,6 +16,7 @@
 from yuccagauge.directory.position import UNKNOWN_ERA, StorePosition
 from yuccagauge.directory.records import KeyedRecord, KeyedRecords
 from yuccagauge.directory.removed import RemovedServers
+from yuccagauge.directory.settled import SettledEntries
 from yuccagauge.directory.targets import TargetHistory
 from yuccagauge.telemetry.journal import log_state_change
 from yuccagauge.telemetry.meter import counter
@@ -88,6 +89,7 @@
         self._servers: dict[str, BackendServer] = {}
         self._removed = RemovedServers()
         self._heartbeats: dict[str, Heartbeat] = {}
+        self._settled = SettledEntries()
         self._targets = TargetHistory()
         #: Servers whose entry lapsed in an outage, and when they are removed.
         self._lapsed_until: dict[str, Millis] = {}
@@ -117,6 +119,11 @@
         """The newest count of the heartbeats of each server."""
         return self._heartbeats
 
+    @property
+    def settled_entries(self) -> SettledEntries:
+        """The entries that show which process of a server runs."""
+        return self._settled
+
     @property
     def targets(self) -> Mapping[str, int]:
         """The newest target weights version of each model."""
@@ -287,9 +294,13 @@
         """Apply a server's entry; return whether the server changed."""
         if record.value is None:
             self._heartbeats.pop(record.key, None)
+            self._settled.remove(record.key)
             return self._apply_removal(record.key, now)
         server = self._decoder.decode_server(record.key, record.value)
-        if server is not None:
+        if server is None:
+            self._settled.remove(record.key)
+        else:
+            self._settled.record(server, unchanged_until, now)
             self._record_heartbeat(server, now, unchanged_until)
         self._lapsed_until.pop(record.key, None)
         known = self._servers.get(record.key)
--- a/yuccagauge/dispatch/connection.py
+++ b/yuccagauge/dispatch/connection.py
@@ -88,9 +88,9 @@
         #: Tells the pool about the end of the connection.
         self.on_close: Callable[[Connection], None] | None = None
         self.idle_timer: Any = None
-        #: The start that its process has stated, 0 if it states none; ``None``
-        #: before it was asked.
-        self.started_at: int | None = None
+        #: What its user knows of the process that it leads to; ``None`` before
+        #: that was asked.
+        self.process: Any = None
         #: The moment at which it was open.
         self.opened_at = 0
 
--- a/yuccagauge/dispatch/pool.py
+++ b/yuccagauge/dispatch/pool.py
@@ -139,3 +139,24 @@
     def give_back(self, server: Endpoint, connection: Connection) -> None:
         """Keep a connection for a call."""
         self._pool.give_back(server, connection)
+
+
+class SingleConnectionPool:
+    """A pool that has one connection, whose user keeps it.
+
+    Parameters
+    ----------
+    connection
+        The connection.
+    """
+
+    def __init__(self, connection: Connection) -> None:
+        """Use a connection."""
+        self._connection = connection
+
+    def open(self, server: Endpoint, *, fresh: bool) -> Deferred[Connection]:
+        """Return the connection."""
+        return succeed(self._connection)
+
+    def give_back(self, server: Endpoint, connection: Connection) -> None:
+        """Leave the connection open."""
--- a/yuccagauge/platform/adapter.py
+++ b/yuccagauge/platform/adapter.py
@@ -46,7 +46,7 @@
         cache_event_source=engines,
         ready_path=names.READY_PATH,
         answer_listeners=engines.answer_listeners,
-        start_time_source=engines,
+        process_name_source=engines,
         identity_source=engines,
     )
 
--- a/yuccagauge/platform/engines.py
+++ b/yuccagauge/platform/engines.py
@@ -21,7 +21,7 @@
 from yuccagauge.platform.requests import PlatformBackendProtocol
 from yuccagauge.relay.adapter import AnswerListener
 from yuccagauge.relay.base import ResponseInfo
-from yuccagauge.relay.identity import ServerIdentity
+from yuccagauge.relay.identity import ServerIdentity, process_name
 from yuccagauge.rollout.base import (
     EngineStatus,
     OrderAnswer,
@@ -41,6 +41,9 @@
 #: several engines at a time.
 _MAXIMUM_ANSWER = 2_097_152
 
+#: A sequence number that no cache event has, so that an answer has no events.
+_NO_EVENTS = 1_000_000_000
+
 _SWAP_MODES = {
     SwapMode.FINISH_RUNS: 'queue',
     SwapMode.RESET_RUNS: 'preempt',
@@ -107,12 +110,49 @@
             ) from None
 
     @inlineCallbacks
-    def read_start_time(self, server: BackendServer, timeout: Millis) -> Any:
+    def read_process_name(self, server: BackendServer, timeout: Millis) -> Any:
+        """Return what names the process of a server; empty if nothing does.
+
+        That is its start, if its entry states one to compare with, or else the
+        epoch of its cache events, which the router knows from its polls.
+        """
+        started_at = 0
+        if server.started_at:
+            started_at = yield self._read_start_time(server, timeout)
+        if started_at:
+            return process_name(started_at)
+        epoch = yield self._read_cache_epoch(server, timeout)
+        if epoch is None and not server.started_at:
+            started_at = yield self._read_start_time(server, timeout)
+        return process_name(started_at, epoch)
+
+    @inlineCallbacks
+    def _read_start_time(self, server: BackendServer, timeout: Millis) -> Any:
         """Return the start time that a server reports; 0 if it has none."""
         message = BackendMessage(method='GET', path=names.REPORT_PATH)
         response = yield self._fetch(server.endpoint, message, timeout)
         return _start_time(response)
 
+    @inlineCallbacks
+    def _read_cache_epoch(self, server: BackendServer, timeout: Millis) -> Any:
+        """Return the epoch of the cache events; ``None`` if there is none.
+
+        Raises
+        ------
+        FetchError
+            If there is no answer.
+        """
+        message = BackendMessage(
+            method='GET', path=f'{names.CACHE_EVENTS_PATH}?since={_NO_EVENTS}'
+        )
+        response = yield self._fetch(server.endpoint, message, timeout)
+        if response.head.status != _OK:
+            return None
+        try:
+            return _json_object(response).get('bootEpoch')
+        except FetchError:
+            return None
+
     def encode_check(
         self, server: BackendServer, service: ServiceSpec
     ) -> BackendMessage | None:
--- a/yuccagauge/relay/adapter.py
+++ b/yuccagauge/relay/adapter.py
@@ -13,8 +13,7 @@
 from yuccagauge.origins.log import OriginLogStore
 from yuccagauge.quarantine.archive import CrashStore
 from yuccagauge.relay.base import BackendProtocol, CallDecoder, ResponseInfo
-from yuccagauge.relay.identity import IdentitySource
-from yuccagauge.relay.incarnations import StartTimeSource
+from yuccagauge.relay.identity import IdentitySource, ProcessNameSource
 from yuccagauge.rollout.base import LeaseStore, WeightsOrderClient
 from yuccagauge.settings.options import Endpoint
 from yuccagauge.settings.relay import RelaySettings
@@ -44,7 +43,7 @@
     #: Called when a call of the router itself goes out to an engine.
     answer_listeners: list[AnswerListener] = field(default_factory=list)
     #: ``None`` if servers cannot be asked.
-    start_time_source: StartTimeSource | None = None
+    process_name_source: ProcessNameSource | None = None
     #: ``None`` if servers cannot be asked who they are.
     identity_source: IdentitySource | None = None
 
--- a/yuccagauge/relay/confirmation.py
+++ b/yuccagauge/relay/confirmation.py
@@ -65,11 +65,11 @@
         incarnations = self._context.incarnations
         if not self._call.route.is_resumable:
             return succeed(connection)
-        if not incarnations.must_confirm(server):
+        if not incarnations.can_confirm:
             self._log('unasked', server, connection)
             return succeed(connection)
         self._on_server(server)
-        is_new = connection.started_at is None
+        is_new = connection.process is None
         return incarnations.confirm(
             self._selection_request, server, connection
         ).addCallbacks(
@@ -120,7 +120,7 @@
             result=result,
             server=server.server_id,
             listed=self._server.started_at,
-            stated=connection.started_at,
+            stated=connection.process and connection.process.name,
             software=server.software_version,
             needs=self._selection_request.software_version,
         )
--- a/yuccagauge/relay/context.py
+++ b/yuccagauge/relay/context.py
@@ -12,8 +12,8 @@
 from yuccagauge.quarantine.base import Quarantine, QuarantineStatus
 from yuccagauge.quarantine.parts import PartQuarantine
 from yuccagauge.relay.base import BackendProtocol, CallDecoder, RelayCall
-from yuccagauge.relay.identity import IdentitySource
-from yuccagauge.relay.incarnations import Incarnations, StartTimeSource
+from yuccagauge.relay.identity import IdentitySource, ProcessNameSource
+from yuccagauge.relay.incarnations import Incarnations
 from yuccagauge.relay.origins import NoOrigins, OriginStore, StreamOrigins
 from yuccagauge.selection.base import SelectionDecision, SelectionRequest
 from yuccagauge.selection.budget import FleetRetryBudget
@@ -95,9 +95,11 @@
         """Keep the origins of streams in a store."""
         self.origins = StreamOrigins(store, self.selector.versions, self.clock)
 
-    def use_start_times(self, source: StartTimeSource | None) -> None:
-        """Ask servers when they started, if they can be asked."""
-        self.incarnations = Incarnations(self.directory, self.clock, source)
+    def use_process_names(self, source: ProcessNameSource | None) -> None:
+        """Ask servers which process they run, if they can be asked."""
+        self.incarnations = Incarnations(
+            self.directory, self.clock, source, self.pool
+        )
 
     def use_identities(self, source: IdentitySource | None) -> None:
         """Ask servers who they are, on connections that carry no call."""
--- a/yuccagauge/relay/ending.py
+++ b/yuccagauge/relay/ending.py
@@ -97,7 +97,7 @@
             self._ask_identity(message, limit)
             return
         self._open.add('older_connection')
-        if not attempt.evidence.known_starts:
+        if not attempt.evidence.known_names:
             self._open.add('identity')
             self._timers.start(
                 _SECOND_CHECK,
@@ -169,9 +169,9 @@
             server=server.server_id,
             stated_id=identity.server_id,
             stated_start=identity.started_at,
-            known_starts=sorted(attempt.evidence.known_starts),
+            known_names=sorted(attempt.evidence.known_names),
         )
-        if not is_same_process(identity, server, attempt.evidence.known_starts):
+        if not is_same_process(identity, server, attempt.evidence.known_names):
             self._give_up('identity')
         elif identity.started_at:
             self._report('start')
--- a/yuccagauge/relay/evidence.py
+++ b/yuccagauge/relay/evidence.py
@@ -30,14 +30,14 @@
         self._is_model = is_model
         #: The moment before which a connection is older than the request.
         self._moment = 0
-        self._known_starts: frozenset[int] = frozenset()
+        self._known_names: frozenset[str] = frozenset()
         #: A connection that is older than the request, or is to be.
         self._witness: Witness | None = None
 
     @property
-    def known_starts(self) -> frozenset[int]:
-        """The starts that were known of the server as the request was sent."""
-        return self._known_starts
+    def known_names(self) -> frozenset[str]:
+        """The names of its processes that were known as the request was sent."""
+        return self._known_names
 
     def prepare(self) -> ConnectionPool | WitnessedPool:
         """Have a connection that is older than the request, if one is needed.
@@ -59,9 +59,7 @@
         Returns whether it may go out, which it always may.
         """
         self._moment = next_moment()
-        self._known_starts = self._context.incarnations.known_starts(
-            self._server
-        )
+        self._known_names = self._context.incarnations.known_names(self._server)
         return True
 
     def record_framing(self, head: ResponseHead) -> None:
--- a/yuccagauge/relay/identity.py
+++ b/yuccagauge/relay/identity.py
@@ -19,6 +19,44 @@
     started_at: int = 0
 
 
+def process_name(started_at: int, cache_epoch: Any = None) -> str:
+    """Return the name of a process, which no other one of its server has.
+
+    Parameters
+    ----------
+    started_at
+        Unix time of its start, in ms; 0 if it does not state it.
+    cache_epoch
+        Epoch of its cache events; ``None`` if it does not state it.
+
+    Returns
+    -------
+    str
+        Empty if the process states neither.
+    """
+    if started_at:
+        return str(started_at)
+    return '' if cache_epoch is None else f'e{cache_epoch}'
+
+
+class ProcessNameSource(Protocol):
+    """Asks servers for the names of their processes."""
+
+    def through(self, pool: Any) -> 'ProcessNameSource':
+        """Return a source that uses the connections of another pool."""
+
+    def read_process_name(
+        self, server: BackendServer, timeout: Millis
+    ) -> Deferred[str]:
+        """Return the name of the process that answers, empty if it has none.
+
+        Raises
+        ------
+        FetchError
+            If the server does not answer in time.
+        """
+
+
 class IdentitySource(Protocol):
     """Asks servers who they are."""
 
@@ -45,7 +83,7 @@
 def is_same_process(
     identity: ServerIdentity,
     server: BackendServer,
-    known_starts: frozenset[int],
+    known_names: frozenset[str],
 ) -> bool:
     """Return whether a process is the one that got the call.
 
@@ -55,9 +93,9 @@
 
     Parameters
     ----------
-    known_starts
-        The starts that were known of the server as the call was sent.
+    known_names
+        The names of its processes that were known of the server as the call was sent.
     """
-    if identity.started_at or known_starts:
-        return identity.started_at in known_starts
+    if identity.started_at or known_names:
+        return process_name(identity.started_at) in known_names
     return identity.server_id == server.server_id
--- a/yuccagauge/relay/incarnations.py
+++ b/yuccagauge/relay/incarnations.py
@@ -1,32 +1,36 @@
 """Decides whether a server still is the one that its entry describes."""
 
+from collections import OrderedDict
 from collections.abc import Callable, Set
 from dataclasses import dataclass, replace
-from typing import Any, Protocol
+from typing import Any
 
 from twisted.internet.defer import (
     CancelledError,
     Deferred,
     maybeDeferred,
-    succeed,
 )
 from twisted.python.failure import Failure
 
 from yuccagauge.clock import Clock, Millis
 from yuccagauge.directory.base import BackendServer
+from yuccagauge.directory.settled import Sighting
 from yuccagauge.directory.state import Directory
 from yuccagauge.dispatch.connection import Connection
+from yuccagauge.dispatch.pool import ConnectionPool, SingleConnectionPool
 from yuccagauge.origins.base import UNLISTED
+from yuccagauge.relay.identity import ProcessNameSource, process_name
+from yuccagauge.relay.sightings import ProcessSightings
+from yuccagauge.relay.standing import StandingConnections
 from yuccagauge.selection.base import SelectionDecision, SelectionRequest
-from yuccagauge.settings.options import Endpoint
 from yuccagauge.telemetry.journal import log_state_change
 
-#: Longest wait for what a server reports. A server that takes longer is not
+#: Longest wait for what a server states. A server that takes longer is not
 #: used for the rest of a stream.
-REPORT_TIMEOUT = Millis(250)
+NAME_TIMEOUT = Millis(250)
 
-#: How long the rest of a stream does not go to a server that reported another
-#: start or nothing.
+#: How long the rest of a stream does not go to a server whose process was not
+#: the one that it needs, or stated nothing.
 _REFUTED_TIME = Millis(500)
 
 #: Largest difference between the clocks of two machines.
@@ -35,59 +39,43 @@
 #: Shortest time between two log lines of one kind about one server.
 _LOG_INTERVAL = Millis(10_000)
 
-#: The start of a process that did not state it in time.
-_UNKNOWN_START = 'unknown'
+#: The name of a process that is not known.
+_UNKNOWN_PROCESS = 'unknown'
 
-Choice = Callable[[SelectionRequest], SelectionDecision]
-
-
-class StartTimeSource(Protocol):
-    """Asks servers when they started."""
+#: Processes whose software versions are remembered; the oldest is dropped first.
+_MAXIMUM_VERSIONS = 10_000
 
-    def through(self, pool: Any) -> 'StartTimeSource':
-        """Return a source that uses the connections of another pool."""
+#: Gets the id of a server, and when one of its processes is known to have run.
+WrittenVersion = Callable[[str, Sighting], str | None]
 
-    def read_start_time(
-        self, server: BackendServer, timeout: Millis
-    ) -> Deferred[int]:
-        """Return the Unix time of the start, in ms; 0 if none is stated.
-
-        Raises
-        ------
-        FetchError
-            If the server does not answer in time.
-        """
+Choice = Callable[[SelectionRequest], SelectionDecision]
 
 
 class NotConfirmedError(Exception):
     """A process that is not known to be the one that a stream needs."""
 
 
-class _OneConnection:
-    """A pool that has one connection, whose user keeps it."""
-
-    def __init__(self, connection: Connection) -> None:
-        self._connection = connection
-
-    def open(self, server: Endpoint, *, fresh: bool) -> Deferred[Connection]:
-        """Return the connection."""
-        return succeed(self._connection)
+@dataclass(frozen=True, slots=True, kw_only=True)
+class NamedProcess:
+    """The process that a connection leads to."""
 
-    def give_back(self, server: Endpoint, connection: Connection) -> None:
-        """Leave the connection open."""
+    #: Empty if it states nothing that names it.
+    name: str
+    #: When the connection was first used.
+    known_since: Millis
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class _Report:
-    """What a server last stated about its start."""
+class _Answer:
+    """Which process of a server last answered the router."""
 
     at: Millis
-    #: ``None`` if it stated nothing in time.
-    started_at: int | None
+    #: Its incarnation if it was not the listed one, ``None`` if it was.
+    unlisted: str | None
 
-    def refutes(self, started_at: int, now: Millis) -> bool:
-        """Return whether it has just stated another start, or nothing."""
-        return self.started_at != started_at and now - self.at < _REFUTED_TIME
+    def refutes(self, incarnation: str | None, now: Millis) -> bool:
+        """Return whether another process than this one has just answered."""
+        return self.unlisted != incarnation and now - self.at < _REFUTED_TIME
 
 
 class Incarnations:
@@ -96,43 +84,60 @@
     Load pattern: engines restart under their ids with other software, one after
     the other. Their entries name the earlier incarnation for up to 2 s more,
     while they answer already. A router may be paused, or have no connection
-    that would show the end, so that no earlier report says what runs now. A
+    that would show the end, so that no earlier answer says what runs now. A
     connection belongs to one process: each is asked once, before it carries a
     stream.
 
+    The entry describes the process if both state the same start. Where one of
+    them does not, the process has to be seen before two entries in a row were
+    written: only one process of a server runs at a time, so it wrote them.
+
     Parameters
     ----------
     directory
         Has the entries.
     clock
         The source of time.
-    source
-        Asks the servers; ``None`` if they cannot be asked, so that their
-        entries have to do.
+    source, pool
+        Ask the servers; ``None`` if they cannot be asked, so that their entries
+        have to do.
     """
 
     def __init__(
         self,
         directory: Directory,
         clock: Clock,
-        source: StartTimeSource | None = None,
+        source: ProcessNameSource | None = None,
+        pool: ConnectionPool | None = None,
     ) -> None:
         """Know nothing but the entries."""
         self._directory = directory
         self._clock = clock
         self._source = source
-        #: The last report of each server.
-        self._reports: dict[str, _Report] = {}
+        #: Returns the software version in the entries of a server that one of
+        #: its processes has written.
+        self.written_version: WrittenVersion = lambda server_id, sighting: (
+            directory.settled_entries.written_version(
+                server_id, sighting, clock.now()
+            )
+        )
+        self._sightings = ProcessSightings()
+        #: The last answer of each server.
+        self._answers: dict[str, _Answer] = {}
+        #: The software version of each incarnation that is known to have been
+        #: listed.
+        self._versions: OrderedDict[str, str] = OrderedDict()
         #: The start time that each server was last listed with.
         self._started_at: dict[str, int] = {}
         self._logged_at: dict[tuple[str, str], Millis] = {}
         if source is not None:
+            self._standing = StandingConnections(source, pool, clock)
             directory.listeners.append(self._observe_entries)
 
     def choose(
         self, request: SelectionRequest, choose: Choice
     ) -> SelectionDecision:
-        """Return a decision that regards what servers have just reported.
+        """Return a decision that regards what servers have just answered.
 
         Parameters
         ----------
@@ -142,21 +147,20 @@
         if self._source is None or request.software_version is None:
             return choose(request)
         now = self._clock.now()
-        servers = self._directory.servers
         version = self.listed_version(request.software_version)
         if version is None:
             return self._choose_same(request, choose)
         refuted = {
             server_id
-            for server_id, report in self._reports.items()
-            if server_id in servers
-            and report.refutes(servers[server_id].started_at, now)
+            for server_id, answer in self._answers.items()
+            if answer.refutes(None, now)
         }
         return choose(_bound(request, version, refuted))
 
-    def must_confirm(self, server: BackendServer) -> bool:
-        """Return whether connections to a server have to be asked."""
-        return self._source is not None and bool(server.started_at)
+    @property
+    def can_confirm(self) -> bool:
+        """Whether servers can be asked which process they run."""
+        return self._source is not None
 
     def confirm(
         self,
@@ -164,7 +168,7 @@
         server: BackendServer,
         connection: Connection,
     ) -> Deferred[BackendServer]:
-        """Ask the process of a connection when it started, unless known.
+        """Ask the process of a connection for its name, unless known.
 
         Returns the server as its process is to be known. A stream that begins
         may be sent to any process: if its software version is not listed yet,
@@ -177,53 +181,86 @@
         NotConfirmedError
             If it is not the one that can go on with the stream, or is silent.
         """
-        if connection.started_at is not None:
+        if connection.process is not None:
             return maybeDeferred(self._judge, request, server, connection)
-        source = self._source.through(_OneConnection(connection))
-        reading = source.read_start_time(server, REPORT_TIMEOUT)
+        asked_at = self._clock.now()
+        source = self._source.through(SingleConnectionPool(connection))
+        reading = source.read_process_name(server, NAME_TIMEOUT)
+        reading.addCallback(self._name_by_standing, server)
         reading.addCallbacks(
-            self._handle_report,
+            self._handle_name,
             self._handle_failure,
-            callbackArgs=(server, connection),
-            errbackArgs=(server, self._clock.now()),
+            callbackArgs=(server, connection, asked_at),
+            errbackArgs=(server, asked_at),
         )
         return reading.addCallback(
             lambda _: self._judge(request, server, connection)
         )
 
+    def record_epoch(
+        self, server_id: str, epoch: int, asked_at: Millis
+    ) -> None:
+        """Record the epoch of the cache events that a server has stated."""
+        self._record_name(server_id, process_name(0, epoch), asked_at)
+
+    def _record_name(
+        self,
+        server_id: str,
+        name: str,
+        asked_at: Millis,
+        seen_at: Millis | None = None,
+    ) -> None:
+        """Record that a process of a server has answered.
+
+        Parameters
+        ----------
+        seen_at
+            When it ran already; ``None`` if that is not known before now.
+        """
+        sighting = self._sightings.record(
+            server_id,
+            name,
+            asked_at,
+            self._clock.now() if seen_at is None else seen_at,
+        )
+        version = self.written_version(server_id, sighting)
+        if version is not None:
+            self._record_version(f'{server_id}/{name}', version)
+
     def listed_version(self, software_version: str) -> str | None:
-        """Return the version that an origin names, if it is listed.
+        """Return the version that an origin names, if it is known.
 
         The origin names the incarnation of a server that was not listed yet
         when a stream began there.
         """
         if not software_version.startswith(UNLISTED):
             return software_version
-        incarnation = software_version.removeprefix(UNLISTED)
-        server_id = incarnation.rpartition('/')[0]
-        server = self._directory.servers.get(server_id)
-        if server is None or server.incarnation != incarnation:
-            return None
-        return server.software_version
+        return self._versions.get(software_version.removeprefix(UNLISTED))
+
+    def close(self) -> None:
+        """Close the connections that carry no call."""
+        if self._source is not None:
+            self._standing.close()
 
-    def known_starts(self, server: BackendServer) -> frozenset[int]:
-        """Return the starts that the entry and the last report state."""
-        report = self._reports.get(server.server_id)
-        starts = {server.started_at, (report and report.started_at) or 0}
-        return frozenset(starts - {0})
+    def known_names(self, server: BackendServer) -> frozenset[str]:
+        """Return the names of the processes of a server that are known."""
+        names = self._sightings.names(server.server_id)
+        listed = process_name(server.started_at)
+        return names | {listed} if listed else names
 
     def _choose_same(
         self, request: SelectionRequest, choose: Choice
     ) -> SelectionDecision:
         """Choose the server that began the stream before it was listed."""
         incarnation = request.software_version.removeprefix(UNLISTED)
-        server_id, _, started_at = incarnation.rpartition('/')
+        server_id, _, name = incarnation.rpartition('/')
         server = self._directory.servers.get(server_id)
-        if server is None or not started_at.isdecimal():
+        if server is None or name == _UNKNOWN_PROCESS:
             return choose(request)
-        report = self._reports.get(server_id)
-        now = self._clock.now()
-        if report is not None and report.refutes(int(started_at), now):
+        answer = self._answers.get(server_id)
+        if answer is not None and answer.refutes(
+            incarnation, self._clock.now()
+        ):
             return choose(request)
         others = self._directory.servers.keys() - {server_id}
         return choose(_bound(request, server.software_version, others))
@@ -243,48 +280,108 @@
             be sent to it.
         """
         if not connection.can_send:
-            self._record(server, None)
+            self._record_answer(unlisted(server))
             raise NotConfirmedError('the server has closed the connection')
-        stated = connection.started_at or server.started_at
-        known = server
-        if stated != server.started_at:
-            known = unlisted(server, str(stated))
+        known = self._identify(server, connection.process)
         wanted = request.software_version
-        if wanted is not None and known.software_version not in {
+        fits = wanted is None or known.software_version in {
             wanted,
             self.listed_version(wanted),
-        }:
+        }
+        if connection.process.name or not fits:
+            self._record_answer(known)
+        if not fits:
             raise NotConfirmedError('the server has restarted')
         return known
 
-    def _handle_report(
-        self, started_at: int, server: BackendServer, connection: Connection
+    def _identify(
+        self, server: BackendServer, process: NamedProcess
+    ) -> BackendServer:
+        """Return the server as one of its processes is known."""
+        name = process.name
+        incarnation = f'{server.server_id}/{name}'
+        version = self._versions.get(incarnation)
+        if version is None and not (server.started_at and name.isdecimal()):
+            version = self._version_of(server.server_id, process)
+            if version is not None and name:
+                self._record_version(incarnation, version)
+        if version is None:
+            return unlisted(server, name or _UNKNOWN_PROCESS)
+        return replace(server, software_version=version)
+
+    def _version_of(self, server_id: str, process: NamedProcess) -> str | None:
+        """Return the version of a process that gets what is sent now."""
+        seen = self._sightings.find(server_id, process.name)
+        first = process.known_since
+        if seen is not None:
+            first = min(first, seen.first)
+        sighting = Sighting(first=first, last=self._clock.now())
+        return self.written_version(server_id, sighting)
+
+    def _name_by_standing(
+        self, name: str, server: BackendServer
+    ) -> str | Deferred[str]:
+        """Name a process that states nothing by a connection that stays."""
+        if name:
+            return name
+        opened_at = self._standing.opened_at(server.server_id)
+        asked_at = self._clock.now()
+
+        def record(local_name: str) -> str:
+            if local_name:
+                self._record_name(
+                    server.server_id, local_name, asked_at, opened_at
+                )
+            return local_name
+
+        return self._standing.ask(server, NAME_TIMEOUT).addCallback(record)
+
+    def _handle_name(
+        self,
+        name: str,
+        server: BackendServer,
+        connection: Connection,
+        asked_at: Millis,
     ) -> None:
-        connection.started_at = started_at
-        stated = started_at or server.started_at
-        self._record(server, stated)
-        if stated != server.started_at:
-            self._log(
-                'server_restarted_unlisted',
-                server.server_id,
-                started_at=started_at,
-                listed=server.started_at,
-            )
+        connection.process = NamedProcess(
+            name=name, known_since=self._clock.now()
+        )
+        if name:
+            self._record_name(server.server_id, name, asked_at)
 
     def _handle_failure(
         self, failure: Failure, server: BackendServer, asked_at: Millis
     ) -> Any:
         """Note that a server is silent; a lost connection states nothing."""
-        is_silent = self._clock.now() - asked_at >= REPORT_TIMEOUT
+        is_silent = self._clock.now() - asked_at >= NAME_TIMEOUT
         if failure.check(CancelledError) or not is_silent:
             return failure
-        self._record(server, None)
-        raise NotConfirmedError('the server has not said when it started')
-
-    def _record(self, server: BackendServer, started_at: int | None) -> None:
-        self._reports[server.server_id] = _Report(
-            at=self._clock.now(), started_at=started_at
+        self._record_answer(unlisted(server))
+        raise NotConfirmedError('the server has not said which process it is')
+
+    def _record_answer(self, known: BackendServer) -> None:
+        """Record which process of a server answered, and log if it is new."""
+        server_id = known.server_id
+        origin = known.software_version
+        incarnation = None
+        if origin.startswith(UNLISTED):
+            incarnation = origin.removeprefix(UNLISTED)
+        self._answers[server_id] = _Answer(
+            at=self._clock.now(), unlisted=incarnation
         )
+        if incarnation is not None:
+            self._log(
+                'server_process_unlisted',
+                server_id,
+                process=incarnation,
+                listed=known.started_at,
+            )
+
+    def _record_version(self, incarnation: str, software_version: str) -> None:
+        self._versions[incarnation] = software_version
+        self._versions.move_to_end(incarnation)
+        if len(self._versions) > _MAXIMUM_VERSIONS:
+            self._versions.popitem(last=False)
 
     def _observe_entries(self) -> None:
         """Forget servers that are gone, and log start times that are odd."""
@@ -294,6 +391,10 @@
             if before == server.started_at:
                 continue
             self._started_at[server_id] = server.started_at
+            if server.started_at:
+                self._record_version(
+                    server.incarnation, server.software_version
+                )
             if before is not None and before > server.started_at:
                 # Either an entry came late, or the clock of the server is off.
                 self._log(
@@ -309,7 +410,7 @@
                     started_at=server.started_at,
                     wall_time=self._clock.wall_time(),
                 )
-        for known in (self._reports, self._started_at):
+        for known in (self._answers, self._started_at):
             for server_id in known.keys() - servers.keys():
                 known.pop(server_id)
         self._logged_at = {
@@ -328,10 +429,10 @@
 
 
 def unlisted(
-    server: BackendServer, started_at: str = _UNKNOWN_START
+    server: BackendServer, name: str = _UNKNOWN_PROCESS
 ) -> BackendServer:
     """Return a server of which another process runs than the listed one."""
-    incarnation = f'{server.server_id}/{started_at}'
+    incarnation = f'{server.server_id}/{name}'
     return replace(server, software_version=UNLISTED + incarnation)
 
 
--- a/yuccagauge/relay/router.py
+++ b/yuccagauge/relay/router.py
@@ -11,6 +11,7 @@
 from yuccagauge.cachefeed.feed import CacheFeed
 from yuccagauge.clock import Clock, Millis, in_seconds
 from yuccagauge.directory.follower import TopicFollower
+from yuccagauge.directory.settled import Sighting
 from yuccagauge.directory.state import Directory, Topic
 from yuccagauge.dispatch.pool import ConnectionPool
 from yuccagauge.ratelimit.limits import ServerLimits
@@ -127,7 +128,7 @@
             random_fraction,
         )
         self._context.use_origin_store(self._origin_broker)
-        self._context.use_start_times(self._adapter.start_time_source)
+        self._context.use_process_names(self._adapter.process_name_source)
         self._context.use_identities(self._adapter.identity_source)
         self._archives = build_archives(
             self._adapter,
@@ -147,6 +148,7 @@
             section.name,
             section.data_centre,
             self._router_names,
+            clock,
         )
         self._lead_duty = LeadDuty(
             section.name,
@@ -260,6 +262,9 @@
         self._exchange.merger.on_peer_left = self._election.check_now
         self._adapter.answer_listeners.append(self._note_engine_request)
         self._context.part_quarantine.probe_rank = self._rank
+        incarnations = self._context.incarnations
+        incarnations.written_version = self._written_version
+        self._cache_feed.on_epoch = incarnations.record_epoch
         self._context.on_unresponsive = self._exchange.broadcast_unresponsive
         self._selector.limits.on_change = self._exchange.broadcast_limit
         self._rollout.on_engines_paused = self._exchange.broadcast_pause
@@ -305,6 +310,7 @@
         for part in (self._upkeep, self._cache_feed, self._callers):
             part.close()
         self._context.witnesses.close()
+        self._context.incarnations.close()
         for pool in (self._paths, self._pool):
             pool.close()
         closing = [maybeDeferred(port.stopListening) for port in self._ports]
@@ -333,6 +339,19 @@
     def _store_unchanged_until(self, topic: Topic) -> Millis | None:
         return self._followers[topic].unchanged_until
 
+    def _written_version(
+        self, server_id: str, sighting: Sighting
+    ) -> str | None:
+        """Return the version in the entries that a process has written."""
+        now = self._clock.now()
+        age = self._exchange.confirmation_age(Topic.SERVERS, now)
+        return self._directory.settled_entries.written_version(
+            server_id,
+            sighting,
+            Millis(now - age),
+            self._settings.weights.heartbeat_ms,
+        )
+
     def _rank(self, key: str) -> int:
         """Return how many live routers come before this one for a key."""
         own_name = self._settings.relay.name
--- /dev/null
+++ b/yuccagauge/relay/standing.py
@@ -0,0 +1,155 @@
+"""Connections that name processes which state nothing of themselves."""
+
+import secrets
+from typing import Any
+
+from twisted.internet.defer import Deferred
+from twisted.python.failure import Failure
+
+from yuccagauge.clock import Clock, Millis
+from yuccagauge.directory.base import BackendServer
+from yuccagauge.dispatch.connection import Connection
+from yuccagauge.dispatch.pool import ConnectionPool, SingleConnectionPool
+from yuccagauge.relay.identity import ProcessNameSource
+
+
+class _StandingConnection:
+    """One connection to a server, which carries no call."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        #: ``None`` while it opens.
+        self.connection: Connection | None = None
+        #: When it was open.
+        self.opened_at = Millis(0)
+        self.is_asked = False
+        #: Those who wait for an answer to a request that is sent from now on.
+        self.waiting: list[Deferred[str]] = []
+
+
+class StandingConnections:
+    """Names the process of a server by a connection that stays open.
+
+    Load pattern: engines restart under their ids, and state neither their start
+    nor an epoch. A connection belongs to one process. If one that was open
+    before answers later, no other process of the server has run meanwhile, so
+    that all connections which were opened in between lead to the same one.
+
+    Parameters
+    ----------
+    source
+        Asks the servers.
+    pool
+        Opens the connections.
+    clock
+        The source of time.
+    """
+
+    def __init__(
+        self, source: ProcessNameSource, pool: ConnectionPool, clock: Clock
+    ) -> None:
+        """Have no connection."""
+        self._source = source
+        self._pool = pool
+        self._clock = clock
+        self._open: dict[str, _StandingConnection] = {}
+        #: Peers hear the names, so each router has names of its own.
+        self._prefix = f'c{secrets.token_hex(4)}'
+        self._count = 0
+
+    def ask(self, server: BackendServer, timeout: Millis) -> Deferred[str]:
+        """Return the name of the process that runs now; empty without one.
+
+        Without a connection that was open before, one is opened for later.
+        """
+        standing = self._open.get(server.server_id)
+        answer: Deferred[str] = Deferred()
+        if standing is None:
+            self._begin(server)
+        if standing is None or standing.connection is None:
+            answer.callback('')
+            return answer
+        standing.waiting.append(answer)
+        if not standing.is_asked:
+            self._send(standing, server, timeout)
+        return answer
+
+    def opened_at(self, server_id: str) -> Millis | None:
+        """Return since when the connection to a server is open, if it is."""
+        standing = self._open.get(server_id)
+        if standing is None or standing.connection is None:
+            return None
+        return standing.opened_at
+
+    def close(self) -> None:
+        """Close all connections."""
+        for server_id in tuple(self._open):
+            self._drop(server_id)
+
+    def _begin(self, server: BackendServer) -> None:
+        self._count += 1
+        standing = _StandingConnection(f'{self._prefix}.{self._count}')
+        self._open[server.server_id] = standing
+        self._pool.probe(server.endpoint).addCallbacks(
+            self._handle_open,
+            self._handle_lost,
+            callbackArgs=(standing,),
+            errbackArgs=(server, standing),
+        )
+
+    def _handle_open(
+        self, connection: Connection, standing: _StandingConnection
+    ) -> None:
+        if standing not in self._open.values():
+            connection.abort()
+            return
+        standing.connection = connection
+        standing.opened_at = self._clock.now()
+
+    def _send(
+        self,
+        standing: _StandingConnection,
+        server: BackendServer,
+        timeout: Millis,
+    ) -> None:
+        waiting, standing.waiting = standing.waiting, []
+        standing.is_asked = True
+        source = self._source.through(SingleConnectionPool(standing.connection))
+        source.read_process_name(server, timeout).addCallbacks(
+            self._handle_answer,
+            self._handle_lost,
+            callbackArgs=(server, standing, waiting, timeout),
+            errbackArgs=(server, standing, waiting),
+        )
+
+    def _handle_answer(
+        self,
+        _: Any,
+        server: BackendServer,
+        standing: _StandingConnection,
+        waiting: list[Deferred[str]],
+        timeout: Millis,
+    ) -> None:
+        standing.is_asked = False
+        for answer in waiting:
+            answer.callback(standing.name)
+        if standing.waiting:
+            self._send(standing, server, timeout)
+
+    def _handle_lost(
+        self,
+        _: Failure,
+        server: BackendServer,
+        standing: _StandingConnection,
+        waiting: tuple[Deferred[str], ...] | list[Deferred[str]] = (),
+    ) -> None:
+        """Forget a connection, so that the next question opens another."""
+        if self._open.get(server.server_id) is standing:
+            self._drop(server.server_id)
+        for answer in (*waiting, *standing.waiting):
+            answer.callback('')
+
+    def _drop(self, server_id: str) -> None:
+        connection = self._open.pop(server_id).connection
+        if connection is not None:
+            connection.abort()
