Prove the end of an answer whether or not its server states its start

Cause: without a start, a process counted as the same if it answered with the same id, which a restart keeps. With a start in one place, it was compared with nothing in the other.

Change: a model engine is asked for the name of its process, and the end counts if that name was known when the call was sent. The epoch of the cache events is such a name. If the engine has stated no name so far, and at plain servers in any case, a connection that is older than the call has to answer. An older connection that is only open still does for plain servers, whose health checks wait for a slot, but not for engines, whose reports do not. Ids prove nothing.

Two stand-ins of unproven_ends.feature were no processes: one restarted, or its host failed, while its other connections went on answering. They close or stay silent now, as the system does it; the checks are the same. The port of a scripted server closes once only, as the verdict may come before.

--- a/features/leaving_fleet.py
+++ b/features/leaving_fleet.py
@@ -3,7 +3,6 @@
 Servers leave without a word: their entries are removed, and they serve on.
 """
 
-import json
 from collections.abc import Callable
 from typing import Any
 
@@ -12,6 +11,7 @@
 from features.crash_server import SERVER_PORT
 from features.partition_fleet import PartitionFleet
 from features.partition_servers import EVENTS, PartitionServer, StreamProtocol
+from features.stating import StartedEntry
 from yuccagauge.clock import Millis
 
 #: Time between two halves of a body, and between two events. Routers read a
@@ -62,6 +62,11 @@
         """Whether it answers with streams."""
         return self._number % 2 == 0
 
+    @property
+    def started_at(self) -> int:
+        """Wall time of its start, in ms."""
+        return _EPOCH + self._born
+
     @property
     def part_interval_s(self) -> float:
         """Time between two parts of an answer, in seconds."""
@@ -90,7 +95,7 @@
 
     def entry_document(self) -> dict[str, Any]:
         """Return what the server writes to the store."""
-        return {**super().entry_document(), 'born': _EPOCH + self._born}
+        return {**super().entry_document(), 'born': self.started_at}
 
     def is_running(self, request_id: str) -> bool:
         """Return whether a request runs here."""
@@ -149,12 +154,14 @@
         network.reactor.callLater(_RESTART_S, self.start)
         network.reactor.callLater(_LATE_END_S, heal)
 
-    def _write_entry(self, entry: tuple[str, bytes]) -> None:
-        is_current = json.loads(entry[1])['born'] == _EPOCH + self._born
+    def _entry(self) -> StartedEntry:
+        return StartedEntry(*super()._entry(), start=self._starts)
+
+    def _write_entry(self, entry: StartedEntry) -> None:
         known_from = self._born + round(self.entry_lag_s * 1000)
         is_known = self._fleet.clock.now() >= known_from
-        if self._is_listed and is_current and is_known:
-            super()._write_entry(entry)
+        if self._is_listed and entry.start == self._starts and is_known:
+            super()._write_entry(entry[:2])
 
 
 class _UnframedProtocol(StreamProtocol):
--- a/features/scripted_server.py
+++ b/features/scripted_server.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from twisted.internet import reactor
+from twisted.internet.defer import maybeDeferred
 from twisted.internet.protocol import Factory, Protocol, connectionDone
 from twisted.python.failure import Failure
 
@@ -125,11 +126,14 @@
         #: Status that another process answers at its port once it is killed.
         self.successor_status = 0
         self._port: Any = None
+        #: The end of the port, once it closes.
+        self._closing: Any = None
         #: Where it listens, also while it is closed.
         self.endpoint = Endpoint('127.0.0.1', 0)
 
     def start(self) -> None:
         """Open the port."""
+        self._closing = None
         factory = Factory()
         factory.noisy = False
         factory.buildProtocol = self._accept
@@ -142,8 +146,10 @@
         self.endpoint = Endpoint(host, self._port.getHost().port)
 
     def close(self) -> Any:
-        """Close the port."""
-        return self._port.stopListening()
+        """Close the port, unless it closes already."""
+        if self._closing is None:
+            self._closing = maybeDeferred(self._port.stopListening)
+        return self._closing
 
     def kill(self) -> None:
         """Close all connections, and answer nothing on new ones.
@@ -152,9 +158,17 @@
         for a moment.
         """
         self._is_killed = True
+        self.end_connections()
+
+    def end_connections(self) -> None:
+        """Close all connections, as the end of a process does."""
         for exchange in self._exchanges:
             exchange.transport.loseConnection()
 
+    def stop_answering(self) -> None:
+        """Answer nothing, and close nothing, as a host that has failed."""
+        self._is_killed = True
+
     def serve(self, exchange: Exchange) -> None:
         """Answer or follow the script."""
         if self._is_killed:
--- a/features/steps/relay_unproven_end_steps.py
+++ b/features/steps/relay_unproven_end_steps.py
@@ -91,7 +91,7 @@
 
     def restart(exchange: Exchange) -> None:
         context.fixture.add_server('i0', 'model', context.servers[0], born=9)
-        exchange.transport.loseConnection()
+        context.servers[0].end_connections()
 
     def stream(exchange: Exchange) -> None:
         _send_two_events(exchange)
@@ -114,6 +114,7 @@
         )
         patch.start()
         context.add_cleanup(patch.stop)
+        context.servers[0].stop_answering()
         exchange.transport.loseConnection()
 
     def stream(exchange: Exchange) -> None:
--- a/features/upgrade_fleet.py
+++ b/features/upgrade_fleet.py
@@ -1,11 +1,12 @@
 """Engines that restart under their ids with other software, in virtual time."""
 
 import json
-from typing import Any, NamedTuple
+from typing import Any
 
 from twisted.internet.protocol import Protocol
 
 from features.rollout_engines import VirtualClock
+from features.stating import StartedEntry
 from features.version_fleet import EngineProtocol, VersionedEngine, VersionFleet
 from yuccagauge.clock import Clock, Millis
 
@@ -24,15 +25,6 @@
 _PAUSE_PERIOD_S = 0.08
 
 
-class _Entry(NamedTuple):
-    """What one start of an engine writes to the store."""
-
-    server_id: str
-    content: bytes
-    #: The number of the start.
-    start: int
-
-
 class _WallClock(VirtualClock):
     """A clock whose wall time is that of the engines."""
 
@@ -85,10 +77,10 @@
     def _write_first_entry(self) -> None:
         self._append(self._entry())
 
-    def _entry(self) -> _Entry:
-        return _Entry(*super()._entry(), start=self._starts)
+    def _entry(self) -> StartedEntry:
+        return StartedEntry(*super()._entry(), start=self._starts)
 
-    def _write_entry(self, entry: _Entry) -> None:
+    def _write_entry(self, entry: StartedEntry) -> None:
         """Write what a heartbeat states, if it is not too early or too late."""
         known_from = self._born + round(self._fleet.entry_s * 1000)
         if entry.start == self._starts and self.is_up:
@@ -98,7 +90,7 @@
         if is_written:
             self._append(entry)
 
-    def _append(self, entry: _Entry) -> None:
+    def _append(self, entry: StartedEntry) -> None:
         self._fleet.store.append_entry(entry.server_id, entry.content)
 
 
--- a/yuccagauge/dispatch/witness.py
+++ b/yuccagauge/dispatch/witness.py
@@ -104,6 +104,9 @@
         connection has ended.
     on_idle
         Called with the connection once the answer to the check is complete.
+    needs_answer
+        Whether an open connection alone does not show that the process lives,
+        since the server answers checks at once whatever its load is.
     """
 
     def __init__(
@@ -112,17 +115,23 @@
         call_later: CallLater,
         on_result: Callable[[str], None],
         on_idle: Callable[[Connection], None],
+        *,
+        needs_answer: bool = False,
     ) -> None:
         """Ask nothing yet."""
         self._connection = connection
         self._timers = Timers(call_later)
         self._on_result: Callable[[str], None] | None = on_result
         self._on_idle = on_idle
+        self._needs_answer = needs_answer
         self._is_answered = False
 
     def start(self, message: BackendMessage) -> None:
         """Send a check that any process of the server answers."""
-        self._timers.start(_LIMIT, OPEN_LIMIT, self._report, 'open_connection')
+        if not self._needs_answer:
+            self._timers.start(
+                _LIMIT, OPEN_LIMIT, self._report, 'open_connection'
+            )
         self._connection.send(message, self)
 
     def close(self) -> None:
--- a/yuccagauge/platform/engines.py
+++ b/yuccagauge/platform/engines.py
@@ -21,7 +21,7 @@
 from yuccagauge.platform.requests import PlatformBackendProtocol
 from yuccagauge.relay.adapter import AnswerListener
 from yuccagauge.relay.base import ResponseInfo
-from yuccagauge.relay.identity import ServerIdentity, process_name
+from yuccagauge.relay.identity import process_name
 from yuccagauge.rollout.base import (
     EngineStatus,
     OrderAnswer,
@@ -167,25 +167,6 @@
         expected = (names.EXPECT_INSTANCE, server.server_id.encode())
         return BackendMessage(method='GET', path=path, headers=(expected,))
 
-    @inlineCallbacks
-    def read_identity(
-        self, server: BackendServer, message: BackendMessage, timeout: Millis
-    ) -> Any:
-        """Return the ``ServerIdentity`` of the process that answers.
-
-        A process with another id than the expected one answers 421.
-        """
-        response = yield self._fetch(server.endpoint, message, timeout)
-        stated = response.head.get(names.INSTANCE_ID.lower())
-        # A process that is no server may answer at its port.
-        info = self._protocol.parse_head(response.head)
-        is_answer = response.head.status == _OK or info.is_not_run
-        if not stated and is_answer and not info.is_misdirected:
-            stated = server.server_id
-        return ServerIdentity(
-            server_id=stated, started_at=_start_time(response)
-        )
-
     @inlineCallbacks
     def send_order(
         self, order: WeightsOrder, may_send: Callable[[], bool]
--- a/yuccagauge/relay/adapter.py
+++ b/yuccagauge/relay/adapter.py
@@ -13,7 +13,7 @@
 from yuccagauge.origins.log import OriginLogStore
 from yuccagauge.quarantine.archive import CrashStore
 from yuccagauge.relay.base import BackendProtocol, CallDecoder, ResponseInfo
-from yuccagauge.relay.identity import IdentitySource, ProcessNameSource
+from yuccagauge.relay.identity import ProcessNameSource
 from yuccagauge.rollout.base import LeaseStore, WeightsOrderClient
 from yuccagauge.settings.options import Endpoint
 from yuccagauge.settings.relay import RelaySettings
@@ -45,7 +45,7 @@
     #: ``None`` if servers cannot be asked.
     process_name_source: ProcessNameSource | None = None
     #: ``None`` if servers cannot be asked who they are.
-    identity_source: IdentitySource | None = None
+    identity_source: ProcessNameSource | None = None
 
 
 class AdapterFactory(Protocol):
--- a/yuccagauge/relay/context.py
+++ b/yuccagauge/relay/context.py
@@ -12,7 +12,7 @@
 from yuccagauge.quarantine.base import Quarantine, QuarantineStatus
 from yuccagauge.quarantine.parts import PartQuarantine
 from yuccagauge.relay.base import BackendProtocol, CallDecoder, RelayCall
-from yuccagauge.relay.identity import IdentitySource, ProcessNameSource
+from yuccagauge.relay.identity import ProcessNameSource
 from yuccagauge.relay.incarnations import Incarnations
 from yuccagauge.relay.origins import NoOrigins, OriginStore, StreamOrigins
 from yuccagauge.selection.base import SelectionDecision, SelectionRequest
@@ -82,7 +82,7 @@
     #: Connections that are older than the calls whose ends they prove.
     witnesses: Witnesses = field(init=False)
     #: Asks servers who they are; ``None`` if they cannot be asked.
-    identities: IdentitySource | None = None
+    identities: ProcessNameSource | None = None
     _budgets: dict[str, FleetRetryBudget] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
@@ -101,7 +101,7 @@
             self.directory, self.clock, source, self.pool
         )
 
-    def use_identities(self, source: IdentitySource | None) -> None:
+    def use_identities(self, source: ProcessNameSource | None) -> None:
         """Ask servers who they are, on connections that carry no call."""
         self.identities = source and source.through(ProbePool(self.pool))
 
--- a/yuccagauge/relay/ending.py
+++ b/yuccagauge/relay/ending.py
@@ -11,22 +11,13 @@
 from yuccagauge.dispatch.timers import Timers
 from yuccagauge.dispatch.witness import WitnessCheck
 from yuccagauge.relay.attempt import AttemptTracker
-from yuccagauge.relay.identity import (
-    IdentitySource,
-    ServerIdentity,
-    is_same_process,
-)
+from yuccagauge.relay.identity import ProcessNameSource
 from yuccagauge.telemetry.journal import log_state_change
 
 #: Longest wait for a proof if the call can go on at another server instead.
 PROOF_LIMIT = Millis(250)
 
-#: An older connection that has not answered after this time may hang, so a new
-#: one is opened beside it.
-_SECOND_CHECK_DELAY = Millis(100)
-
 _LIMIT = 'end proof limit'
-_SECOND_CHECK = 'end proof identity'
 
 
 class EndProof:
@@ -35,7 +26,7 @@
     The operating system closes the connections of a process that ends as the
     process itself does at the end of an answer. The end counts if the process
     that got the call answers afterwards: on a connection that is older than
-    the call, or as the same start.
+    the call, or with a name that it had before.
 
     Parameters
     ----------
@@ -49,7 +40,7 @@
 
     def __init__(
         self,
-        source: IdentitySource | None,
+        source: ProcessNameSource | None,
         call_later: CallLater,
         on_proof: Callable[[str], None],
     ) -> None:
@@ -59,7 +50,7 @@
         self._timers = Timers(call_later)
         self._on_proof = on_proof
         self._attempt: AttemptTracker | None = None
-        self._identity: Deferred[ServerIdentity] | None = None
+        self._asking: Deferred[str] | None = None
         self._check: WitnessCheck | None = None
         #: Proofs that may still come.
         self._open: set[str] = set()
@@ -92,31 +83,18 @@
         if can_move:
             limit = min(limit, PROOF_LIMIT)
         self._timers.start(_LIMIT, limit, self._report, '')
-        if service.is_model:
-            self._open.add('identity')
-            self._ask_identity(message, limit)
-            return
-        self._open.add('older_connection')
-        if not attempt.evidence.known_names:
-            self._open.add('identity')
-            self._timers.start(
-                _SECOND_CHECK,
-                _SECOND_CHECK_DELAY,
-                self._ask_identity,
-                message,
-                limit,
-            )
-        connection = attempt.evidence.take_connection()
-        if connection is None:
-            self._handle_witness('', attempt, message, limit)
+        # Plain servers state nothing that names their process.
+        if service.is_model and attempt.evidence.known_names:
+            self._open.add('name')
+        if attempt.evidence.has_witness:
+            self._open.add('older_connection')
+        if not self._open:
+            self._report('')
             return
-        self._check = WitnessCheck(
-            connection,
-            self._call_later,
-            lambda proof: self._handle_witness(proof, attempt, message, limit),
-            attempt.evidence.give_back,
-        )
-        self._check.start(message)
+        if 'older_connection' in self._open:
+            self._check_witness(attempt, message, service)
+        if 'name' in self._open:
+            self._ask_name(attempt, limit)
 
     def close(self) -> None:
         """Ask for nothing any more."""
@@ -125,65 +103,64 @@
         self._timers.close()
         if self._check is not None:
             self._check.close()
-        identity, self._identity = self._identity, None
-        if identity is not None:
-            identity.cancel()
+        asking, self._asking = self._asking, None
+        if asking is not None:
+            asking.cancel()
 
-    def _handle_witness(
+    def _check_witness(
         self,
-        proof: str,
         attempt: AttemptTracker,
         message: BackendMessage,
-        limit: Millis,
+        service: ServiceSpec,
     ) -> None:
+        connection = attempt.evidence.take_connection()
+        if connection is None:
+            self._give_up('older_connection')
+            return
+        self._check = WitnessCheck(
+            connection,
+            self._call_later,
+            lambda proof: self._handle_witness(proof, attempt),
+            attempt.evidence.give_back,
+            needs_answer=service.is_model,
+        )
+        self._check.start(message)
+
+    def _handle_witness(self, proof: str, attempt: AttemptTracker) -> None:
         if self._attempt is not attempt:
             return
         if proof:
             self._report(proof)
-            return
-        if self._timers.is_running(_SECOND_CHECK):
-            self._timers.stop(_SECOND_CHECK)
-            self._ask_identity(message, limit)
-        self._give_up('older_connection')
-
-    def _ask_identity(self, message: BackendMessage, limit: Millis) -> None:
-        attempt = self._attempt
-        self._identity = self._source.read_identity(
-            attempt.placement.server, message, limit
-        )
-        self._identity.addCallbacks(
-            self._handle_identity,
-            self._handle_no_identity,
+        else:
+            self._give_up('older_connection')
+
+    def _ask_name(self, attempt: AttemptTracker, limit: Millis) -> None:
+        self._asking = attempt.evidence.ask_name(limit)
+        self._asking.addCallbacks(
+            self._handle_name,
+            self._handle_no_name,
             callbackArgs=(attempt,),
             errbackArgs=(attempt,),
         )
 
-    def _handle_identity(
-        self, identity: ServerIdentity, attempt: AttemptTracker
-    ) -> None:
+    def _handle_name(self, name: str, attempt: AttemptTracker) -> None:
         if self._attempt is not attempt:
             return
-        server = attempt.placement.server
+        known_names = attempt.evidence.known_names
         log_state_change(
             'end_identity',
-            server=server.server_id,
-            stated_id=identity.server_id,
-            stated_start=identity.started_at,
-            known_names=sorted(attempt.evidence.known_names),
+            server=attempt.placement.server.server_id,
+            stated=name,
+            known=sorted(known_names),
         )
-        if not is_same_process(identity, server, attempt.evidence.known_names):
-            self._give_up('identity')
-        elif identity.started_at:
-            self._report('start')
-        elif attempt.has_restarted:
-            # The entry states a start now, so that the id proves nothing.
-            self._give_up('identity')
+        if name in known_names:
+            self._report('name')
         else:
-            self._report('server_id')
+            self._give_up('name')
 
-    def _handle_no_identity(self, _: Any, attempt: AttemptTracker) -> None:
+    def _handle_no_name(self, _: Any, attempt: AttemptTracker) -> None:
         if self._attempt is attempt:
-            self._give_up('identity')
+            self._give_up('name')
 
     def _give_up(self, proof: str) -> None:
         """Report that there is no proof once none may come any more."""
@@ -192,6 +169,6 @@
             self._report('')
 
     def _report(self, proof: str) -> None:
-        self._identity = None
+        self._asking = None
         self.close()
         self._on_proof(proof)
--- a/yuccagauge/relay/evidence.py
+++ b/yuccagauge/relay/evidence.py
@@ -1,5 +1,8 @@
 """What is known of a server before a request is sent to it."""
 
+from twisted.internet.defer import Deferred
+
+from yuccagauge.clock import Millis
 from yuccagauge.directory.base import BackendServer
 from yuccagauge.dispatch.base import Framing, ResponseHead
 from yuccagauge.dispatch.connection import Connection, next_moment
@@ -18,7 +21,7 @@
     context
         What all calls share.
     is_model
-        Whether the server is a model engine. Those state when they started.
+        Whether the server is a model engine. Those state more of themselves.
     """
 
     def __init__(
@@ -39,6 +42,25 @@
         """The names of its processes that were known as the request was sent."""
         return self._known_names
 
+    @property
+    def has_witness(self) -> bool:
+        """Whether there may be a connection that is older than the request."""
+        return self._witness is not None
+
+    def ask_name(self, timeout: Millis) -> Deferred[str]:
+        """Return the name of the process that answers now."""
+        context = self._context
+        asked_at = context.clock.now()
+
+        def record(name: str) -> str:
+            context.incarnations.record_name(
+                self._server.server_id, name, asked_at
+            )
+            return name
+
+        asking = context.identities.read_process_name(self._server, timeout)
+        return asking.addCallback(record)
+
     def prepare(self) -> ConnectionPool | WitnessedPool:
         """Have a connection that is older than the request, if one is needed.
 
@@ -48,7 +70,8 @@
             Opens the connection of the request, the younger one.
         """
         context = self._context
-        if self._is_model or context.identities is None:
+        has_names = context.incarnations.has_names(self._server)
+        if context.identities is None or (self._is_model and has_names):
             return context.pool
         self._witness = context.witnesses.prepare(self._server.endpoint)
         return WitnessedPool(context.pool, self._witness, context.call_later)
--- a/yuccagauge/relay/incarnations.py
+++ b/yuccagauge/relay/incarnations.py
@@ -21,7 +21,7 @@
 from yuccagauge.origins.base import UNLISTED
 from yuccagauge.relay.identity import ProcessNameSource, process_name
 from yuccagauge.relay.sightings import ProcessSightings
-from yuccagauge.relay.standing import StandingConnections
+from yuccagauge.relay.standing import StandingConnections, is_local_name
 from yuccagauge.selection.base import SelectionDecision, SelectionRequest
 from yuccagauge.telemetry.journal import log_state_change
 
@@ -201,9 +201,9 @@
         self, server_id: str, epoch: int, asked_at: Millis
     ) -> None:
         """Record the epoch of the cache events that a server has stated."""
-        self._record_name(server_id, process_name(0, epoch), asked_at)
+        self.record_name(server_id, process_name(0, epoch), asked_at)
 
-    def _record_name(
+    def record_name(
         self,
         server_id: str,
         name: str,
@@ -214,9 +214,15 @@
 
         Parameters
         ----------
+        name
+            What names it; empty if it states nothing.
+        asked_at
+            When the request was sent.
         seen_at
             When it ran already; ``None`` if that is not known before now.
         """
+        if not name:
+            return
         sighting = self._sightings.record(
             server_id,
             name,
@@ -242,12 +248,23 @@
         if self._source is not None:
             self._standing.close()
 
+    def has_names(self, server: BackendServer) -> bool:
+        """Return whether a server states names, so that it can be asked."""
+        return bool(self._stated_names(server.server_id))
+
     def known_names(self, server: BackendServer) -> frozenset[str]:
-        """Return the names of the processes of a server that are known."""
-        names = self._sightings.names(server.server_id)
+        """Return the names that processes of a server have stated so far."""
+        names = self._stated_names(server.server_id)
         listed = process_name(server.started_at)
         return names | {listed} if listed else names
 
+    def _stated_names(self, server_id: str) -> frozenset[str]:
+        return frozenset(
+            name
+            for name in self._sightings.names(server_id)
+            if not is_local_name(name)
+        )
+
     def _choose_same(
         self, request: SelectionRequest, choose: Choice
     ) -> SelectionDecision:
@@ -329,7 +346,7 @@
 
         def record(local_name: str) -> str:
             if local_name:
-                self._record_name(
+                self.record_name(
                     server.server_id, local_name, asked_at, opened_at
                 )
             return local_name
@@ -346,8 +363,8 @@
         connection.process = NamedProcess(
             name=name, known_since=self._clock.now()
         )
-        if name:
-            self._record_name(server.server_id, name, asked_at)
+        if not is_local_name(name):
+            self.record_name(server.server_id, name, asked_at)
 
     def _handle_failure(
         self, failure: Failure, server: BackendServer, asked_at: Millis
--- a/yuccagauge/relay/standing.py
+++ b/yuccagauge/relay/standing.py
@@ -12,6 +12,14 @@
 from yuccagauge.dispatch.pool import ConnectionPool, SingleConnectionPool
 from yuccagauge.relay.identity import ProcessNameSource
 
+#: Starts the names of processes that state nothing of themselves.
+_LOCAL = 'c'
+
+
+def is_local_name(name: str) -> bool:
+    """Return whether this router has given a name to a process, not itself."""
+    return name.startswith(_LOCAL)
+
 
 class _StandingConnection:
     """One connection to a server, which carries no call."""
@@ -54,7 +62,7 @@
         self._clock = clock
         self._open: dict[str, _StandingConnection] = {}
         #: Peers hear the names, so each router has names of its own.
-        self._prefix = f'c{secrets.token_hex(4)}'
+        self._prefix = f'{_LOCAL}{secrets.token_hex(4)}'
         self._count = 0
 
     def ask(self, server: BackendServer, timeout: Millis) -> Deferred[str]:
