Keep what is known of processes apart from the judgement on connections

Standing connections are closed with the entries of their servers, and one that has ended is opened anew at once instead of being asked in vain for 250 ms; found by reading.

--- a/yuccagauge/exchange/service.py
+++ b/yuccagauge/exchange/service.py
@@ -189,9 +189,12 @@
         The store may have confirmed the topic to this router, or to a peer
         whose message this router received.
         """
-        peer_confirmed_at = self._merger.peer_confirmed_at(topic)
-        return Millis(
-            max(0, now - max(peer_confirmed_at, self.own_confirmed_at(topic)))
+        return Millis(max(0, now - self.confirmed_at(topic)))
+
+    def confirmed_at(self, topic: Topic) -> Millis:
+        """Return when the store last confirmed this router's state."""
+        return max(
+            self._merger.peer_confirmed_at(topic), self.own_confirmed_at(topic)
         )
 
     def start(self) -> None:
--- a/yuccagauge/relay/evidence.py
+++ b/yuccagauge/relay/evidence.py
@@ -53,7 +53,7 @@
         asked_at = context.clock.now()
 
         def record(name: str) -> str:
-            context.incarnations.record_name(
+            context.incarnations.processes.record_name(
                 self._server.server_id, name, asked_at
             )
             return name
@@ -70,7 +70,7 @@
             Opens the connection of the request, the younger one.
         """
         context = self._context
-        has_names = context.incarnations.has_names(self._server)
+        has_names = context.incarnations.processes.has_names(self._server)
         if context.identities is None or (self._is_model and has_names):
             return context.pool
         self._witness = context.witnesses.prepare(self._server.endpoint)
@@ -82,7 +82,9 @@
         Returns whether it may go out, which it always may.
         """
         self._moment = next_moment()
-        self._known_names = self._context.incarnations.known_names(self._server)
+        self._known_names = self._context.incarnations.processes.known_names(
+            self._server
+        )
         return True
 
     def record_framing(self, head: ResponseHead) -> None:
--- a/yuccagauge/relay/identity.py
+++ b/yuccagauge/relay/identity.py
@@ -8,6 +8,14 @@
 from yuccagauge.directory.base import BackendServer, ServiceSpec
 from yuccagauge.dispatch.base import BackendMessage
 
+#: Starts the names that routers give to processes which state nothing.
+LOCAL_NAME = 'c'
+
+
+def is_local_name(name: str) -> bool:
+    """Return whether this router has given a name to a process, not itself."""
+    return name.startswith(LOCAL_NAME)
+
 
 def process_name(started_at: int, cache_epoch: Any = None) -> str:
     """Return the name of a process, which no other one of its server has.
--- a/yuccagauge/relay/incarnations.py
+++ b/yuccagauge/relay/incarnations.py
@@ -1,6 +1,5 @@
 """Decides whether a server still is the one that its entry describes."""
 
-from collections import OrderedDict
 from collections.abc import Callable, Set
 from dataclasses import dataclass, replace
 from typing import Any
@@ -14,14 +13,13 @@
 
 from yuccagauge.clock import Clock, Millis
 from yuccagauge.directory.base import BackendServer
-from yuccagauge.directory.settled import Sighting
 from yuccagauge.directory.state import Directory
 from yuccagauge.dispatch.connection import Connection
 from yuccagauge.dispatch.pool import ConnectionPool, SingleConnectionPool
 from yuccagauge.origins.base import UNLISTED
-from yuccagauge.relay.identity import ProcessNameSource, process_name
-from yuccagauge.relay.sightings import ProcessSightings
-from yuccagauge.relay.standing import StandingConnections, is_local_name
+from yuccagauge.relay.identity import ProcessNameSource, is_local_name
+from yuccagauge.relay.processes import NamedProcess, Processes
+from yuccagauge.relay.standing import StandingConnections
 from yuccagauge.selection.base import SelectionDecision, SelectionRequest
 from yuccagauge.telemetry.journal import log_state_change
 
@@ -42,12 +40,6 @@
 #: The name of a process that is not known.
 _UNKNOWN_PROCESS = 'unknown'
 
-#: Processes whose software versions are remembered; the oldest is dropped first.
-_MAXIMUM_VERSIONS = 10_000
-
-#: Gets the id of a server, and when one of its processes is known to have run.
-WrittenVersion = Callable[[str, Sighting], str | None]
-
 Choice = Callable[[SelectionRequest], SelectionDecision]
 
 
@@ -55,16 +47,6 @@
     """A process that is not known to be the one that a stream needs."""
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class NamedProcess:
-    """The process that a connection leads to."""
-
-    #: Empty if it states nothing that names it.
-    name: str
-    #: When the connection was first used.
-    known_since: Millis
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class _Answer:
     """Which process of a server last answered the router."""
@@ -88,10 +70,6 @@
     connection belongs to one process: each is asked once, before it carries a
     stream.
 
-    The entry describes the process if both state the same start. Where one of
-    them does not, the process has to be seen before two entries in a row were
-    written: only one process of a server runs at a time, so it wrote them.
-
     Parameters
     ----------
     directory
@@ -114,19 +92,9 @@
         self._directory = directory
         self._clock = clock
         self._source = source
-        #: Returns the software version in the entries of a server that one of
-        #: its processes has written.
-        self.written_version: WrittenVersion = lambda server_id, sighting: (
-            directory.settled_entries.written_version(
-                server_id, sighting, clock.now()
-            )
-        )
-        self._sightings = ProcessSightings()
+        self._processes = Processes(directory.settled_entries, clock)
         #: The last answer of each server.
         self._answers: dict[str, _Answer] = {}
-        #: The software version of each incarnation that is known to have been
-        #: listed.
-        self._versions: OrderedDict[str, str] = OrderedDict()
         #: The start time that each server was last listed with.
         self._started_at: dict[str, int] = {}
         self._logged_at: dict[tuple[str, str], Millis] = {}
@@ -157,6 +125,11 @@
         }
         return choose(_bound(request, version, refuted))
 
+    @property
+    def processes(self) -> Processes:
+        """The processes that are known by name."""
+        return self._processes
+
     @property
     def can_confirm(self) -> bool:
         """Whether servers can be asked which process they run."""
@@ -197,42 +170,6 @@
             lambda _: self._judge(request, server, connection)
         )
 
-    def record_epoch(
-        self, server_id: str, epoch: int, asked_at: Millis
-    ) -> None:
-        """Record the epoch of the cache events that a server has stated."""
-        self.record_name(server_id, process_name(0, epoch), asked_at)
-
-    def record_name(
-        self,
-        server_id: str,
-        name: str,
-        asked_at: Millis,
-        seen_at: Millis | None = None,
-    ) -> None:
-        """Record that a process of a server has answered.
-
-        Parameters
-        ----------
-        name
-            What names it; empty if it states nothing.
-        asked_at
-            When the request was sent.
-        seen_at
-            When it ran already; ``None`` if that is not known before now.
-        """
-        if not name:
-            return
-        sighting = self._sightings.record(
-            server_id,
-            name,
-            asked_at,
-            self._clock.now() if seen_at is None else seen_at,
-        )
-        version = self.written_version(server_id, sighting)
-        if version is not None:
-            self._record_version(f'{server_id}/{name}', version)
-
     def listed_version(self, software_version: str) -> str | None:
         """Return the version that an origin names, if it is known.
 
@@ -241,30 +178,15 @@
         """
         if not software_version.startswith(UNLISTED):
             return software_version
-        return self._versions.get(software_version.removeprefix(UNLISTED))
+        return self._processes.find_version(
+            software_version.removeprefix(UNLISTED)
+        )
 
     def close(self) -> None:
         """Close the connections that carry no call."""
         if self._source is not None:
             self._standing.close()
 
-    def has_names(self, server: BackendServer) -> bool:
-        """Return whether a server states names, so that it can be asked."""
-        return bool(self._stated_names(server.server_id))
-
-    def known_names(self, server: BackendServer) -> frozenset[str]:
-        """Return the names that processes of a server have stated so far."""
-        names = self._stated_names(server.server_id)
-        listed = process_name(server.started_at)
-        return names | {listed} if listed else names
-
-    def _stated_names(self, server_id: str) -> frozenset[str]:
-        return frozenset(
-            name
-            for name in self._sightings.names(server_id)
-            if not is_local_name(name)
-        )
-
     def _choose_same(
         self, request: SelectionRequest, choose: Choice
     ) -> SelectionDecision:
@@ -315,26 +237,11 @@
         self, server: BackendServer, process: NamedProcess
     ) -> BackendServer:
         """Return the server as one of its processes is known."""
-        name = process.name
-        incarnation = f'{server.server_id}/{name}'
-        version = self._versions.get(incarnation)
-        if version is None and not (server.started_at and name.isdecimal()):
-            version = self._version_of(server.server_id, process)
-            if version is not None and name:
-                self._record_version(incarnation, version)
+        version = self._processes.identify(server, process)
         if version is None:
-            return unlisted(server, name or _UNKNOWN_PROCESS)
+            return unlisted(server, process.name or _UNKNOWN_PROCESS)
         return replace(server, software_version=version)
 
-    def _version_of(self, server_id: str, process: NamedProcess) -> str | None:
-        """Return the version of a process that gets what is sent now."""
-        seen = self._sightings.find(server_id, process.name)
-        first = process.known_since
-        if seen is not None:
-            first = min(first, seen.first)
-        sighting = Sighting(first=first, last=self._clock.now())
-        return self.written_version(server_id, sighting)
-
     def _name_by_standing(
         self, name: str, server: BackendServer
     ) -> str | Deferred[str]:
@@ -346,7 +253,7 @@
 
         def record(local_name: str) -> str:
             if local_name:
-                self.record_name(
+                self._processes.record_name(
                     server.server_id, local_name, asked_at, opened_at
                 )
             return local_name
@@ -364,7 +271,7 @@
             name=name, known_since=self._clock.now()
         )
         if not is_local_name(name):
-            self.record_name(server.server_id, name, asked_at)
+            self._processes.record_name(server.server_id, name, asked_at)
 
     def _handle_failure(
         self, failure: Failure, server: BackendServer, asked_at: Millis
@@ -394,12 +301,6 @@
                 listed=known.started_at,
             )
 
-    def _record_version(self, incarnation: str, software_version: str) -> None:
-        self._versions[incarnation] = software_version
-        self._versions.move_to_end(incarnation)
-        if len(self._versions) > _MAXIMUM_VERSIONS:
-            self._versions.popitem(last=False)
-
     def _observe_entries(self) -> None:
         """Forget servers that are gone, and log start times that are odd."""
         servers = self._directory.servers
@@ -408,10 +309,7 @@
             if before == server.started_at:
                 continue
             self._started_at[server_id] = server.started_at
-            if server.started_at:
-                self._record_version(
-                    server.incarnation, server.software_version
-                )
+            self._processes.record_listed(server)
             if before is not None and before > server.started_at:
                 # Either an entry came late, or the clock of the server is off.
                 self._log(
@@ -427,6 +325,7 @@
                     started_at=server.started_at,
                     wall_time=self._clock.wall_time(),
                 )
+        self._standing.keep_only(servers)
         for known in (self._answers, self._started_at):
             for server_id in known.keys() - servers.keys():
                 known.pop(server_id)
--- a/yuccagauge/relay/router.py
+++ b/yuccagauge/relay/router.py
@@ -11,7 +11,6 @@
 from yuccagauge.cachefeed.feed import CacheFeed
 from yuccagauge.clock import Clock, Millis, in_seconds
 from yuccagauge.directory.follower import TopicFollower
-from yuccagauge.directory.settled import Sighting
 from yuccagauge.directory.state import Directory, Topic
 from yuccagauge.dispatch.pool import ConnectionPool
 from yuccagauge.ratelimit.limits import ServerLimits
@@ -25,6 +24,7 @@
 from yuccagauge.relay.pages import MetricsPage, ReadyPage, page_site
 from yuccagauge.relay.paths import RelayPaths
 from yuccagauge.relay.peers import build_peer_services
+from yuccagauge.relay.processes import written_version
 from yuccagauge.relay.reading import LATE_HEARTBEAT_TIME, ReadSchedule
 from yuccagauge.relay.relay import Relay
 from yuccagauge.rendezvous import kept_rank
@@ -262,9 +262,14 @@
         self._exchange.merger.on_peer_left = self._election.check_now
         self._adapter.answer_listeners.append(self._note_engine_request)
         self._context.part_quarantine.probe_rank = self._rank
-        incarnations = self._context.incarnations
-        incarnations.written_version = self._written_version
-        self._cache_feed.on_epoch = incarnations.record_epoch
+        processes = self._context.incarnations.processes
+        processes.written_version = partial(
+            written_version,
+            self._directory.settled_entries,
+            partial(self._exchange.confirmed_at, Topic.SERVERS),
+            self._settings.weights.heartbeat_ms,
+        )
+        self._cache_feed.on_epoch = processes.record_epoch
         self._context.on_unresponsive = self._exchange.broadcast_unresponsive
         self._selector.limits.on_change = self._exchange.broadcast_limit
         self._rollout.on_engines_paused = self._exchange.broadcast_pause
@@ -339,19 +344,6 @@
     def _store_unchanged_until(self, topic: Topic) -> Millis | None:
         return self._followers[topic].unchanged_until
 
-    def _written_version(
-        self, server_id: str, sighting: Sighting
-    ) -> str | None:
-        """Return the version in the entries that a process has written."""
-        now = self._clock.now()
-        age = self._exchange.confirmation_age(Topic.SERVERS, now)
-        return self._directory.settled_entries.written_version(
-            server_id,
-            sighting,
-            Millis(now - age),
-            self._settings.weights.heartbeat_ms,
-        )
-
     def _rank(self, key: str) -> int:
         """Return how many live routers come before this one for a key."""
         own_name = self._settings.relay.name
--- a/yuccagauge/relay/standing.py
+++ b/yuccagauge/relay/standing.py
@@ -1,6 +1,7 @@
 """Connections that name processes which state nothing of themselves."""
 
 import secrets
+from collections.abc import Collection
 from typing import Any
 
 from twisted.internet.defer import Deferred
@@ -10,15 +11,7 @@
 from yuccagauge.directory.base import BackendServer
 from yuccagauge.dispatch.connection import Connection
 from yuccagauge.dispatch.pool import ConnectionPool, SingleConnectionPool
-from yuccagauge.relay.identity import ProcessNameSource
-
-#: Starts the names of processes that state nothing of themselves.
-_LOCAL = 'c'
-
-
-def is_local_name(name: str) -> bool:
-    """Return whether this router has given a name to a process, not itself."""
-    return name.startswith(_LOCAL)
+from yuccagauge.relay.identity import LOCAL_NAME, ProcessNameSource
 
 
 class _StandingConnection:
@@ -34,6 +27,11 @@
         #: Those who wait for an answer to a request that is sent from now on.
         self.waiting: list[Deferred[str]] = []
 
+    @property
+    def has_ended(self) -> bool:
+        """Whether it was open, and is not any more."""
+        return self.connection is not None and not self.connection.is_open
+
 
 class StandingConnections:
     """Names the process of a server by a connection that stays open.
@@ -62,7 +60,7 @@
         self._clock = clock
         self._open: dict[str, _StandingConnection] = {}
         #: Peers hear the names, so each router has names of its own.
-        self._prefix = f'{_LOCAL}{secrets.token_hex(4)}'
+        self._prefix = f'{LOCAL_NAME}{secrets.token_hex(4)}'
         self._count = 0
 
     def ask(self, server: BackendServer, timeout: Millis) -> Deferred[str]:
@@ -71,6 +69,9 @@
         Without a connection that was open before, one is opened for later.
         """
         standing = self._open.get(server.server_id)
+        if standing is not None and standing.has_ended:
+            self._drop(server.server_id)
+            standing = None
         answer: Deferred[str] = Deferred()
         if standing is None:
             self._begin(server)
@@ -89,10 +90,14 @@
             return None
         return standing.opened_at
 
+    def keep_only(self, server_ids: Collection[str]) -> None:
+        """Close the connections to all other servers."""
+        for server_id in self._open.keys() - set(server_ids):
+            self._drop(server_id)
+
     def close(self) -> None:
         """Close all connections."""
-        for server_id in tuple(self._open):
-            self._drop(server_id)
+        self.keep_only(())
 
     def _begin(self, server: BackendServer) -> None:
         self._count += 1
