Let no server that may have restarted decide alone how old weights are

What callers could see: calls begin on weights that were replaced more than 12 s before (VERSION), after a restart of all routers with wrong clocks, where servers start again under their ids and do not state it.

Cause: the age of a stored naming is taken from the counts of heartbeats of servers "with the same start". Without a start in the entry, 0 equals 0, so that a server which has counted anew is taken for one that lives on; an entry that lost its count shows 0 heartbeats since. One such server kept the number of entries, which shows more, out of the estimate.

Change: that number is left out only if a server is known to live on, as it states the same start and no lower count. What other servers have counted remains a lower bound: a count that began anew is too low, never too high. No record changes, so that old and new builds read the same.

The first servers of evidence_fleet.py stated the start 0, the time at which the virtual clock begins, which counts as none; they state a Unix time now.

--- a/features/directory/targets.feature
+++ b/features/directory/targets.feature
@@ -77,6 +77,34 @@
       | 500  | 2000  | 0,0,0,0,0,0,0,0,0,0 | none has restarted | 7500  |
       | 500  | -5000 | 3,3,3,3,3,3,3,3,3,3 | all have restarted | 5200  |
 
+  # Guards against ages that are too low, because servers have started again
+  # under their ids and their entries do not say so.
+  Scenario Outline: Counts of servers that may have restarted do not decide alone on the age
+    Given servers whose entries state the start <before> until the naming and <after> after it
+    And weights that were named 500 ms before they were stored, by a router that had read heartbeats for 300 ms
+    When all routers start 4000 ms later, and clocks have stepped by -5000 ms
+    And servers have written 30 entries since, and each has counted <count> heartbeats in all
+    Then these weights count as named <ms> ms ago
+
+    Examples:
+      | before | after | count | ms   |
+      | 0      | 0     | 1     | 5200 |
+      | 0      | 0     | 7     | 5200 |
+      | 0      | 0     | 8     | 5200 |
+      | 0      | 0     | 10    | 6300 |
+      | 0      | 2     | 8     | 5200 |
+      | 1      | 0     | 8     | 5200 |
+      | 1      | 1     | 0     | 5200 |
+      | 1      | 1     | 6     | 5200 |
+      | 1      | 1     | 10    | 6300 |
+
+  Scenario: Servers that state no count do not decide on the age
+    Given servers whose entries state the start 1 and no count
+    And weights that were named 500 ms before they were stored, by a router that had read heartbeats for 300 ms
+    When all routers start 4000 ms later, and clocks have stepped by -5000 ms
+    And servers have written 30 entries since, and each has counted 0 heartbeats in all
+    Then these weights count as named 5200 ms ago
+
   Scenario: Entries that are read after the start make the age more precise
     Given weights that were named 500 ms before they were stored, by a router that had read heartbeats for 300 ms
     When all routers start 4000 ms later, and clocks have stepped by -5000 ms
--- a/features/evidence_fleet.py
+++ b/features/evidence_fleet.py
@@ -14,6 +14,9 @@
 #: Number of the first server of another service, which names its host.
 _FIRST_OTHER = 100
 
+#: Unix time of the start of the first servers, in ms: 0 states none.
+_FIRST_START = Millis(1_700_000_000_000)
+
 #: Time in which a router reads what is named, or stores that it was named.
 _SEEN_TIME = Millis(1000)
 
@@ -51,6 +54,13 @@
         frozen_hosts = self._fleet.network.frozen_hosts
         (frozen_hosts.add if is_frozen else frozen_hosts.discard)(self.host)
 
+    def entry_document(self) -> dict[str, Any]:
+        """Return what the server writes to the store."""
+        document = super().entry_document()
+        if 'born' in document:
+            document['born'] += _FIRST_START
+        return document
+
     def _entry(self) -> tuple[str, bytes]:
         if self.is_frozen:
             # The process does nothing, so it has counted no heartbeat.
--- a/features/steps/target_age_steps.py
+++ b/features/steps/target_age_steps.py
@@ -3,7 +3,7 @@
 import json
 import re
 from collections.abc import Sequence
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from typing import Any
 
 from behave import given, then, when
@@ -36,6 +36,16 @@
 _COUNT = 7
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Stated:
+    """What the entries of servers state."""
+
+    #: The start until the naming, and after it; 0 for none.
+    before: int = 1
+    after: int = 1
+    has_count: bool = True
+
+
 class _Decoder(TargetDecoder):
     """Decodes an entry with the start and the count of a server."""
 
@@ -197,12 +207,18 @@
 def store_naming_with_heartbeats(context: Context, ago: int, ms: int) -> None:
     """Let a router store a naming with the counts of servers."""
     _prepare_naming(context)
-    records = _entries((_COUNT - 1,) * _SERVERS, _FIRST_ENTRIES - _SERVERS)
+    stated = context.stated if 'stated' in context else _Stated()
+    count = _COUNT if stated.has_count else 0
+    records = _entries(
+        (max(0, count - 1),) * _SERVERS,
+        _FIRST_ENTRIES - _SERVERS,
+        stated.before,
+    )
     directory = _start_archive(context, records, _FIRST_ENTRIES - _SERVERS)
     now = context.clock.now()
     directory.apply_records(
         Topic.SERVERS,
-        _entries((_COUNT,) * _SERVERS, _FIRST_ENTRIES),
+        _entries((count,) * _SERVERS, _FIRST_ENTRIES, stated.before),
         _FIRST_ENTRIES,
         now,
         Millis(now - ms),
@@ -242,6 +258,33 @@
     _read(context.directory, 2, None, context.clock.now())
 
 
+@given(
+    'servers whose entries state the start {before:d} until the naming and '
+    '{after:d} after it'
+)
+def choose_starts(context: Context, before: int, after: int) -> None:
+    """Note which start entries state; 0 for none."""
+    context.stated = _Stated(before=before, after=after)
+
+
+@given('servers whose entries state the start {start:d} and no count')
+def choose_no_count(context: Context, start: int) -> None:
+    """Note that entries have no count."""
+    context.stated = _Stated(before=start, after=start, has_count=False)
+
+
+@when(
+    'servers have written {entries:d} entries since, and each has counted '
+    '{count:d} heartbeats in all'
+)
+def count_anew(context: Context, entries: int, count: int) -> None:
+    """Start a router that knows the naming from the store alone."""
+    next_offset = _FIRST_ENTRIES + entries
+    records = _entries((count,) * _SERVERS, next_offset, context.stated.after)
+    context.directory = _start_archive(context, records, next_offset)
+    _read(context.directory, 2, None, context.clock.now())
+
+
 @when('after {ms:d} ms without an entry the first server has counted {beats:d}')
 def count_next(context: Context, ms: int, beats: int) -> None:
     """Let the router read an entry."""
--- a/features/steps/weights_evidence_steps.py
+++ b/features/steps/weights_evidence_steps.py
@@ -231,6 +231,28 @@
         fleet.silence_store(_SILENCE_S)
 
 
+@troubles.register
+class RestartedServers(Trouble):
+    """Servers that start again under their ids while clocks are wrong."""
+
+    name = 'clocks step and servers start again after 1 s'
+    down_s = 1.0
+
+    def after_naming(self, fleet: EvidenceFleet) -> None:
+        """End all servers, which return by themselves."""
+        fleet.down_s = self.down_s
+        for server in fleet.all_servers:
+            server.end()
+
+
+@troubles.register
+class SlowlyRestartedServers(RestartedServers):
+    """Servers that write no heartbeat for longer."""
+
+    name = 'clocks step and servers start again after 3 s'
+    down_s = 3.0
+
+
 @given(
     '{routers:d} routers before {engines:d} engines and {others:d} servers of '
     'another service, which nobody orders to load'
@@ -243,6 +265,13 @@
     context.fleet.run(_WARM_UP_S)
 
 
+@given('servers that {state} when they started')
+def choose_statement(context: Context, state: str) -> None:
+    """Let entries state the start or not, and let routers read them."""
+    context.fleet.states_start_time = state == 'state'
+    context.fleet.run(_WARM_UP_S)
+
+
 @when(
     'weights are named 0.3 s before a restart of all routers, and until the '
     'start {trouble}, while {rate:d} calls a second come'
--- a/features/weights/evidence.feature
+++ b/features/weights/evidence.feature
@@ -29,6 +29,36 @@
       | 8       | 6       | 0      | clocks step and servers freeze                                  |
       | 24      | 6       | 0      | clocks step and servers freeze                                  |
 
+  # Guards against counts of heartbeats that begin anew under the same id, where
+  # entries do not show it.
+  Scenario Outline: Ages are not too low after servers have started again too
+    Given <routers> routers before 6 engines and <others> servers of another service, which nobody orders to load
+    And servers that <state> when they started
+    When weights are named 0.3 s before a restart of all routers, and until the start clocks step and servers start again after <down> s, while 15 calls a second come
+    Then no router has counted less than the time since the naming
+    And no call has begun later than 12 s after the naming at any router
+
+    Examples:
+      | routers | others | state        | down |
+      | 5       | 0      | state        | 1    |
+      | 5       | 0      | do not state | 1    |
+      | 5       | 20     | do not state | 1    |
+      | 8       | 0      | do not state | 1    |
+      | 5       | 0      | state        | 3    |
+      | 5       | 20     | do not state | 3    |
+
+  Scenario Outline: Ages are little higher than the truth where servers do not state their start
+    Given <routers> routers before 6 engines and 0 servers of another service, which nobody orders to load
+    And servers that do not state when they started
+    When weights are named 0.3 s before a restart of all routers, and until the start nothing happens, while 15 calls a second come
+    Then from 3 s after the start on no router counts more than a heartbeat and the margin more than before
+
+    Examples:
+      | routers |
+      | 5       |
+      | 8       |
+      | 24      |
+
   Scenario Outline: Ages are little higher than the truth after a restart of all routers
     Given <routers> routers before 6 engines and 0 servers of another service, which nobody orders to load
     When weights are named 0.3 s before a restart of all routers, and until the start nothing happens, while 15 calls a second come
--- a/yuccagauge/directory/heartbeats.py
+++ b/yuccagauge/directory/heartbeats.py
@@ -26,7 +26,8 @@
 class Heartbeat:
     """The newest count of a server, and when its entry was written."""
 
-    #: Unix time of the start of the server, in ms, since ids are reused.
+    #: Unix time of the start of the server, in ms, since ids are reused; 0 if
+    #: the entry does not state it.
     started_at: int
     count: int
     #: ``None`` if the entry may be of any age.
@@ -78,7 +79,10 @@
     listed_at: Millis,
     interval: Millis,
 ) -> list[Millis]:
-    """Return when an event was, by the count of each server that lives on.
+    """Return a time before which an event was, by the count of each server.
+
+    The counts of a server that has started again since, and does not state it,
+    differ by too little. The event was before the time that they give too.
 
     Parameters
     ----------
@@ -99,6 +103,23 @@
     return found
 
 
+def has_survivor(
+    sampled: Iterable[SampledHeartbeat], heartbeats: Mapping[str, Heartbeat]
+) -> bool:
+    """Return whether a server is known to have counted since some event.
+
+    A server that does not state its start may have started again under its id,
+    and counted only since then.
+    """
+    return any(
+        then.started_at
+        and newest.started_at == then.started_at
+        and newest.count >= then.count
+        for then in sampled
+        if (newest := heartbeats.get(then.server_id)) is not None
+    )
+
+
 def _is_fresh(heartbeat: Heartbeat, now: Millis, interval: Millis) -> bool:
     written_after = heartbeat.written_after
     return (
--- a/yuccagauge/directory/targetarchive.py
+++ b/yuccagauge/directory/targetarchive.py
@@ -18,6 +18,7 @@
 from yuccagauge.directory.heartbeats import (
     SampledHeartbeat,
     event_times,
+    has_survivor,
     sample,
 )
 from yuccagauge.directory.state import Directory, Topic
@@ -80,8 +81,8 @@
 
     The time since a record is estimated by the time of day, and by the count of
     each of some servers. Clocks may step, and servers may be silent, so the
-    largest estimate counts. If none of these servers is left, the number of
-    entries that all servers have written since takes their place.
+    largest estimate counts. If none of these servers is known to live on, the
+    number of entries that all servers have written since is a further one.
 
     Parameters
     ----------
@@ -229,7 +230,7 @@
     def _age_of(self, target: StoredTarget) -> Millis:
         """Return the longest time since a naming, without single servers."""
         ages = [0, self._clock.wall_time() - target.named_after]
-        if not self._times_of(target):
+        if not has_survivor(target.heartbeats, self._directory.heartbeats):
             offset = self._directory.next_offset(Topic.SERVERS)
             listed = len(self._directory.servers)
             servers = max(1, min(target.servers, listed))
