Drop the cached parts of a process whose events count from the start again

What callers could see: prompts placed at an engine or fetched from a store for parts that only its earlier process had, so that they are read again (wasted tokens), for as long as the map keeps them.

Cause: only another bootEpoch told the router that a holder had restarted. An epoch that comes again counted as proof that it had not, though its sequence had begun anew.

Change: a next sequence number below the one that was asked for shows a restart as well. A poller has one poll open at a time, so no earlier answer can follow. A process with the same epoch that has passed the number is not told apart.

--- a/features/cachefeed/cachefeed.feature
+++ b/features/cachefeed/cachefeed.feature
@@ -31,6 +31,18 @@
     Then the store is live and holds "r"
     And the store is not known to hold "q"
 
+  # Guards against parts that only an earlier process had, where the next one
+  # states the same epoch.
+  Scenario: A sequence that begins anew drops the known cache contents of a holder
+    Given a router that polls a KV cache store at intervals
+    When the store answers the poll with the part "p", its event 9
+    And the store answers the poll with the part "r", its event 2
+    Then the store is live and holds "r"
+    And the store is not known to hold "p"
+    When the store answers the poll with the part "q", its event 3
+    Then the store is live and holds "q"
+    And the store is live and holds "r"
+
   Scenario: An engine that limits its requests is not polled until the limit ends
     Given 4 routers, 1 engine and 1 KV cache store that accept 8 long polls each
     When the engine names a limit and answers the open polls
--- a/features/steps/cachefeed_steps.py
+++ b/features/steps/cachefeed_steps.py
@@ -167,11 +167,13 @@
     context.epoch = 1
 
 
-def _answer(context: Context, part: str, *, has_gap: bool = False) -> None:
+def _answer(
+    context: Context, part: str, *, has_gap: bool = False, number: int = 1
+) -> None:
     event = CacheEvent(is_stored=True, cache_scope=_SCOPE, part_id=part)
     batch = CacheEventBatch(
         epoch=context.epoch,
-        next_sequence=1,
+        next_sequence=number,
         has_gap=has_gap,
         events=(event,),
     )
@@ -185,6 +187,12 @@
     _answer(context, part)
 
 
+@when('the store answers the poll with the part "{part}", its event {number:d}')
+def answer_poll_with_event(context: Context, part: str, number: int) -> None:
+    """Answer with one event that has a number."""
+    _answer(context, part, number=number)
+
+
 @when('the store answers the poll with a gap and the part "{part}"')
 def answer_gap(context: Context, part: str) -> None:
     """Answer with one event, before which others were lost."""
--- a/yuccagauge/cachefeed/feed.py
+++ b/yuccagauge/cachefeed/feed.py
@@ -144,6 +144,8 @@
         cache_map = self._feed.selector.cache_map
         name = self._holder.name
         has_restarted = self._epoch is not None and batch.epoch != self._epoch
+        # A process may state the epoch of the one before, but counts anew.
+        has_restarted |= batch.next_sequence < self._next_sequence
         if has_restarted or batch.has_gap:
             # The router has missed evictions, so it drops all known parts.
             cache_map.remove_holder(name)
