Forget a server's process also if its entry shows the next one without a start

What callers could see: calls placed by what an earlier process of an engine had cached, loaded or paused for, until calls or events correct it: prompts read again, and 421 answers for weights that the next process does not have.

Cause: only another start in the entry counted as a restart. Where none is stated, an entry with another address, other software or another service still counted as the same process.

An entry of the same process differs in state, weights and counts alone. A restart that changes none of the four, and states no start, still goes unseen here; events of the cache show it (bootEpoch).

The fleets of weights and origins were not run with this change.

--- a/yuccagauge/directory/base.py
+++ b/yuccagauge/directory/base.py
@@ -214,6 +214,19 @@
         """An id of this run of the server, since server ids are reused."""
         return f'{self.server_id}/{self.started_at}'
 
+    def may_be_same_process(self, other: 'BackendServer') -> bool:
+        """Return whether two entries of one id may be of one process.
+
+        A process keeps its start, whether it states it, its address, its
+        service and its software.
+        """
+        return (
+            self.started_at == other.started_at
+            and self.endpoint == other.endpoint
+            and self.service == other.service
+            and self.software_version == other.software_version
+        )
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class WeightsTarget:
--- a/yuccagauge/selection/selector.py
+++ b/yuccagauge/selection/selector.py
@@ -115,7 +115,7 @@
             server_id
             for server_id, server in view.servers.items()
             if server_id in previous_servers
-            and previous_servers[server_id].started_at != server.started_at
+            and not server.may_be_same_process(previous_servers[server_id])
         )
         removed = tuple(
             server_id
