Show that engines which restart under an order get another one

Where entries state no start, the progress of an order goes on for the next process (rollout/driver.py). It says loading or ordered, never loaded, and the next report ends it.

--- a/features/rollout/rollout.feature
+++ b/features/rollout/rollout.feature
@@ -113,6 +113,22 @@
     When the versions 2, 3 and 4 become the target 4 s apart
     Then engine e0 is asked for its status at most 3 times in any s
 
+  # Guards against progress of an earlier process that counts for the next one,
+  # where entries do not state the start.
+  Scenario Outline: Engines that lose their order by a restart get another one
+    Given 4 engines that load weights in 1300 ms and a router that leads
+    And each engine starts again <ms> ms after its first order, unstated
+    When the versions 2, 3 and 4 become the target 0 s apart
+    Then within 16 s all engines have version 4
+    And at most 2 engines loaded at the same time
+
+    Examples:
+      | ms   |
+      | 50   |
+      | 700  |
+      | 1250 |
+      | 1900 |
+
   Scenario Outline: An engine whose load ended unseen gets its order once it can be read
     Given 4 engines that load weights in 500 ms and a router that leads
     And engine e0 <state> and answers no status for 8 s after that
--- a/features/rollout_engines.py
+++ b/features/rollout_engines.py
@@ -107,6 +107,9 @@
         self.openings = 0
         #: Time until which an engine answers no request for its status, in s.
         self.unread_until: dict[str, float] = {}
+        #: Time from its first order to the restart of each engine, in s.
+        self.restart_s: float | None = None
+        self.restarts: Counter[str] = Counter()
         self._load_s = load_s
         self._reactor = reactor
 
@@ -175,10 +178,22 @@
             self._finish_load,
             name,
             order.version,
+            self.restarts[name],
         )
+        if self.restart_s is not None and not self.restarts[name]:
+            self._reactor.callLater(self.restart_s, self._restart, name)
         return OrderAnswer.ACCEPTED
 
-    def _finish_load(self, name: str, version: int) -> None:
+    def _restart(self, name: str) -> None:
+        """Start again under the same id, with the weights that it had."""
+        if not self.restarts[name]:
+            self.restarts[name] += 1
+            self.order_numbers[name] = 0
+            self.busy[name] = False
+
+    def _finish_load(self, name: str, version: int, restarts: int) -> None:
+        if restarts != self.restarts[name]:
+            return
         self.busy[name] = False
         self.versions[name] = version
         self.history[name].append(version)
--- a/features/steps/rollout_driver_steps.py
+++ b/features/steps/rollout_driver_steps.py
@@ -121,6 +121,12 @@
     context.selector.limits.record_answer(name, limit, now, now)
 
 
+@given('each engine starts again {ms:d} ms after its first order, unstated')
+def restart_engines(context: Context, ms: int) -> None:
+    """Let engines lose their orders; their entries stay as they are."""
+    context.engines.restart_s = ms / 1000
+
+
 @then('engine {name} is asked for its status at most {count:d} times in any s')
 def check_status_requests(context: Context, name: str, count: int) -> None:
     """Guard against status requests that exceed the limit of an engine."""
