Let engines that left serve again though they do not state their start

What callers could see: an engine said Server-Leaving, ended and started again under its id. If its entry states no start, no router sent it a call again, for ever: its callers got 503 once all engines of a service had been through it.

Cause: a notice ended only with a later start in the entry (0 <= 0 without one), and peers told it to each other again. The class: a belief that ends only with a statement which the engine need not make. A clock that is set back has the same effect.

Change: a server that has said that it leaves, and is listed as ready 3 s later, is asked by a health check every 3 s. By the users' pages it answers 200 only if it does not leave. An answer that names its id, to a check that was sent after the last notice, ends the notice. Notices that routers exchange have an age, so that one of before the check does not count again. Older builds tell no age (the default in the schema): such a notice counts until the server has said once that it serves.

Why it works: the end of the notice rests on a positive statement of the process itself. A missing one ends nothing, so an engine that leaves stays out while its entry says ready, also when an answer lacks the header.

Not played: plain services, which are asked in the same way; a service without a health path keeps the old behaviour.

--- a/features/crash_fleet.py
+++ b/features/crash_fleet.py
@@ -291,4 +291,5 @@
             answer_listeners=getattr(order_client, 'answer_listeners', []),
             process_name_source=engines if self.asks_process_names else None,
             identity_source=engines,
+            health_source=engines,
         )
--- a/features/steps/relay_late_statement_steps.py
+++ b/features/steps/relay_late_statement_steps.py
@@ -3,13 +3,21 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from features.telling_fleet import TellingFleet
+from features.directory_fixtures import backend_server
+from features.telling_fleet import ENGINES, TellingFleet
+from yuccagauge.clock import Millis
+from yuccagauge.selection.statements import ServerStatements
 
 #: Time for which a fleet runs before a disturbance, and after it: a pause of a
 #: server that was not reached has ended then, in seconds.
 _WARM_UP_S = 4.0
 _SETTLING_S = 8.0
 
+#: When a server says that it leaves, and a time before and after it.
+_BEFORE = Millis(900)
+_LEAVES_AT = Millis(1000)
+_AFTER = Millis(5000)
+
 _PROMPTS = 20
 _PROMPT_PERIOD_S = 0.05
 
@@ -21,6 +29,32 @@
     context.fleet.run(_WARM_UP_S)
 
 
+@given(
+    '{routers:d} routers that poll one engine whose start is stated in {place}'
+)
+def start_fleet_of_kind(context: Context, routers: int, place: str) -> None:
+    """Start a fleet whose engine states its start in some places."""
+    context.fleet = TellingFleet(routers, 1, ENGINES[place])
+    context.fleet.run(_WARM_UP_S)
+
+
+@when(
+    'the engine says that it leaves and starts again, while nothing else '
+    'happens'
+)
+def restart_undisturbed(context: Context) -> None:
+    """Let the engine start again."""
+    context.fleet.restart_engine()
+    context.fleet.run(_SETTLING_S)
+
+
+@when('the engine says for {seconds:g} s that it leaves')
+def leave(context: Context, seconds: float) -> None:
+    """Let the engine leave and live on."""
+    context.fleet.servers[0].leaves = True
+    context.fleet.run(seconds)
+
+
 @when(
     'the engine says that it leaves and starts again, while its link to a '
     'router holds data for {seconds:g} s'
@@ -79,3 +113,40 @@
     """Guard against calls to a server that leaves."""
     begun = _count_begun(context.fleet)
     assert not begun, begun
+
+
+@given('a server that states no start, and has said that it leaves')
+def record_leaving(context: Context) -> None:
+    """Record a notice."""
+    context.statements = ServerStatements()
+    context.statements.record_leaving('s0', 0, _LEAVES_AT)
+
+
+@when('it says that it is healthy')
+def record_health(context: Context) -> None:
+    """Record a health check that was sent after the notice."""
+    context.statements.record_serving('s0', _AFTER)
+
+
+@when('it has answered a health check from before that')
+def record_old_health(context: Context) -> None:
+    """Record a health check that was sent before the notice."""
+    context.statements.record_serving('s0', _BEFORE)
+
+
+@when('a peer tells, undated, that it leaves')
+def record_undated(context: Context) -> None:
+    """Record the notice of a build that does not state ages."""
+    context.statements.record_undated('s0', 0, _AFTER)
+
+
+@then('it is taken to serve')
+def check_serves(context: Context) -> None:
+    """Guard against a server that is lost while old builds run."""
+    assert not context.statements.is_leaving(backend_server('s0'))
+
+
+@then('it is taken to leave')
+def check_leaves(context: Context) -> None:
+    """Guard against calls to a server that leaves."""
+    assert context.statements.is_leaving(backend_server('s0'))
--- a/features/telling_fleet.py
+++ b/features/telling_fleet.py
@@ -18,6 +18,9 @@
 _POLL = b'GET /api/kv-events'
 _POLL_S = 0.3
 
+#: How a health check begins.
+_CHECK = b'GET /h '
+
 #: Time for which an engine says that it leaves before a disturbance begins, from
 #: there to its end, and until it starts again, in seconds.
 _LEAVING_S = 0.5
@@ -30,11 +33,27 @@
 
     leaves = False
 
+    #: Whether its entry, and its report, state its start.
+    states_in_entry = True
+    states_in_report = True
+
     def start(self) -> None:
         """Start, and say no longer that it leaves."""
         self.leaves = False
         super().start()
 
+    def entry_document(self) -> dict[str, Any]:
+        """Return what the engine writes to the store."""
+        document = super().entry_document()
+        if not self.states_in_entry:
+            document.pop('born')
+        return document
+
+    def report(self) -> bytes:
+        """Return what the engine states about itself when it is asked."""
+        stated = {'born': self._born} if self.states_in_report else {}
+        return json.dumps(stated).encode()
+
     def build_protocol(self) -> Protocol:
         """Return the engine's side of a new connection."""
         inner = super().build_protocol()
@@ -69,6 +88,12 @@
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Answer a poll, or hand the data on."""
+        if data.startswith(_CHECK) and self._engine.leaves:
+            self.transport.write(
+                b'HTTP/1.1 503 X\r\nContent-Length: 0\r\n'
+                b'Server-Leaving: 1\r\n\r\n'
+            )
+            return
         if not data.startswith(_POLL):
             self._inner.dataReceived(data)
             return
@@ -81,10 +106,53 @@
         self._inner.connectionLost(*reason)
 
 
-class TellingFleet(EngineFleet):
-    """Routers that poll such engines."""
+class EntryEngine(TellingEngine):
+    """An engine whose entry alone states its start."""
+
+    states_in_report = False
+
+
+class ReportEngine(TellingEngine):
+    """An engine whose report alone states its start."""
 
-    server_type = TellingEngine
+    states_in_entry = False
+
+
+class UnstatedEngine(ReportEngine):
+    """An engine that does not state its start."""
+
+    states_in_report = False
+
+
+#: Kinds of engines, by where they state their start.
+ENGINES: dict[str, type[TellingEngine]] = {
+    'its entry and its report': TellingEngine,
+    'its entry alone': EntryEngine,
+    'its report alone': ReportEngine,
+    'nothing': UnstatedEngine,
+}
+
+
+class TellingFleet(EngineFleet):
+    """Routers that poll such engines.
+
+    Parameters
+    ----------
+    routers, servers
+        Their numbers.
+    server_type
+        Kind of the engines.
+    """
+
+    def __init__(
+        self,
+        routers: int,
+        servers: int,
+        server_type: type[TellingEngine] = TellingEngine,
+    ) -> None:
+        """Start the fleet."""
+        self.server_type = server_type
+        super().__init__(routers, servers)
 
     def restart_engine(self) -> None:
         """Let the first engine say that it leaves, and start again."""
--- a/yuccagauge/exchange/builder.py
+++ b/yuccagauge/exchange/builder.py
@@ -104,7 +104,8 @@
                 leaving=message_parts.leaving(
                     self._selector.statements.leaving(
                         message_parts.MAXIMUM_LEAVING
-                    )
+                    ),
+                    now,
                 ),
                 weights=self.recent_weights.messages(now),
                 **message_parts.versions(self._selector.versions, now),
--- a/yuccagauge/exchange/merger.py
+++ b/yuccagauge/exchange/merger.py
@@ -21,6 +21,7 @@
 from yuccagauge.selection.selector import Selector
 from yuccagauge.telemetry.journal import log_state_change
 from yuccagauge.wire.fleetmessages import (
+    UNKNOWN_AGE,
     FleetExchange,
     FleetMark,
     FleetRecord,
@@ -173,7 +174,7 @@
             self._observe_members(message, seen_at, told_at, now)
         self._apply_records(message, asked_at, now)
         self._apply_loads(message, now)
-        self._apply_statements(message, now)
+        self._apply_statements(message, told_at, now)
         if message.pauses:
             self.on_pause_received()
         for pause in message.pauses:
@@ -198,11 +199,18 @@
         )
         self._part_quarantine.merge(parse_part_evidence(message.parts), now)
 
-    def _apply_statements(self, message: FleetExchange, now: Millis) -> None:
+    def _apply_statements(
+        self, message: FleetExchange, told_at: Millis, now: Millis
+    ) -> None:
         """Apply who leaves, and which versions services had."""
         statements = self._selector.statements
         for leaving in message.leaving:
-            statements.record_leaving(leaving.server, leaving.started_at)
+            server_id, started_at = leaving.server, leaving.started_at
+            if leaving.age_ms == UNKNOWN_AGE:
+                statements.record_undated(server_id, started_at, now)
+            else:
+                known_at = Millis(told_at - leaving.age_ms)
+                statements.record_leaving(server_id, started_at, known_at)
         if message.asks or message.answers:
             self._selector.versions.merge(
                 version_sightings(message.versions),
--- a/yuccagauge/exchange/parts.py
+++ b/yuccagauge/exchange/parts.py
@@ -13,7 +13,9 @@
 from yuccagauge.quarantine.evidence import PartCrash, PartEvidence
 from yuccagauge.ratelimit.limits import LimitReport
 from yuccagauge.selection.load import ServerLoad
+from yuccagauge.selection.statements import LeavingNotice
 from yuccagauge.wire.fleetmessages import (
+    UNKNOWN_AGE,
     FleetLeaving,
     FleetLimit,
     FleetLoad,
@@ -170,11 +172,17 @@
     )
 
 
-def leaving(known: Iterable[tuple[str, int]]) -> tuple[FleetLeaving, ...]:
+def leaving(
+    known: Iterable[LeavingNotice], now: Millis
+) -> tuple[FleetLeaving, ...]:
     """Return the servers that leave, with their start times."""
     return tuple(
-        FleetLeaving(server=server_id, started_at=started_at)
-        for server_id, started_at in known
+        FleetLeaving(
+            server=notice.server_id,
+            started_at=notice.started_at,
+            age_ms=min(now - notice.known_at, UNKNOWN_AGE - 1),
+        )
+        for notice in known
     )
 
 
--- a/yuccagauge/platform/adapter.py
+++ b/yuccagauge/platform/adapter.py
@@ -48,6 +48,7 @@
         answer_listeners=engines.answer_listeners,
         process_name_source=engines,
         identity_source=engines,
+        health_source=engines,
     )
 
 
--- a/yuccagauge/platform/engines.py
+++ b/yuccagauge/platform/engines.py
@@ -186,6 +186,19 @@
             server_id=stated, started_at=_start_time(response)
         )
 
+    @inlineCallbacks
+    def read_health(self, server: BackendServer, path: str) -> Any:
+        """Return whether a server says that it is healthy and does not leave.
+
+        Another process may answer at its address, so the answer has to name it.
+        """
+        expected = (names.EXPECT_INSTANCE, server.server_id.encode())
+        message = BackendMessage(method='GET', path=path, headers=(expected,))
+        response = yield self._fetch(server.endpoint, message, _REPLY_TIMEOUT)
+        info = self._protocol.parse_head(response.head)
+        is_healthy = response.head.status == _OK and not info.is_leaving
+        return is_healthy and info.server_id == server.server_id
+
     @inlineCallbacks
     def send_order(
         self, order: WeightsOrder, may_send: Callable[[], bool]
--- a/yuccagauge/relay/adapter.py
+++ b/yuccagauge/relay/adapter.py
@@ -14,6 +14,7 @@
 from yuccagauge.quarantine.archive import CrashStore
 from yuccagauge.relay.base import BackendProtocol, CallDecoder, ResponseInfo
 from yuccagauge.relay.identity import IdentitySource, ProcessNameSource
+from yuccagauge.relay.leavingchecks import HealthSource
 from yuccagauge.rollout.base import LeaseStore, WeightsOrderClient
 from yuccagauge.settings.options import Endpoint
 from yuccagauge.settings.relay import RelaySettings
@@ -46,6 +47,8 @@
     process_name_source: ProcessNameSource | None = None
     #: ``None`` if servers cannot be asked who they are.
     identity_source: IdentitySource | None = None
+    #: ``None`` if servers cannot be asked whether they are healthy.
+    health_source: HealthSource | None = None
 
 
 class AdapterFactory(Protocol):
--- a/yuccagauge/relay/router.py
+++ b/yuccagauge/relay/router.py
@@ -22,6 +22,7 @@
 from yuccagauge.relay.channel import CallerFactory
 from yuccagauge.relay.context import RelayContext, retry_budget_settings
 from yuccagauge.relay.leading import LeadDuty
+from yuccagauge.relay.leavingchecks import LeavingChecks
 from yuccagauge.relay.pages import MetricsPage, ReadyPage, page_site
 from yuccagauge.relay.paths import RelayPaths
 from yuccagauge.relay.peers import build_peer_services
@@ -150,6 +151,12 @@
             self._router_names,
             clock,
         )
+        self._leaving_checks = LeavingChecks(
+            self._adapter.health_source,
+            self._directory,
+            self._selector.statements,
+            clock,
+        )
         self._lead_duty = LeadDuty(
             section.name,
             self._exchange,
@@ -376,6 +383,7 @@
         self._observe_versions(now)
         self._paths.update()
         self._cache_feed.update_pollers()
+        self._leaving_checks.update()
 
     def _observe_versions(self, now: Millis) -> None:
         self._selector.versions.observe(self._directory.servers.values(), now)
--- a/yuccagauge/selection/statements.py
+++ b/yuccagauge/selection/statements.py
@@ -1,10 +1,13 @@
 """What servers state about themselves in their answers."""
 
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from itertools import islice
+from typing import Any
 
 from yuccagauge.clock import Millis
-from yuccagauge.directory.base import BackendServer
+from yuccagauge.directory.base import BackendServer, ServerState
 from yuccagauge.relay.base import ResponseInfo
 from yuccagauge.settings.options import Endpoint
 from yuccagauge.telemetry.journal import log_state_change
@@ -12,6 +15,21 @@
 #: Servers whose statements are stored; the oldest is dropped first.
 MAXIMUM_SERVERS = 10_000
 
+#: Time after a server has said that it leaves within which its entry says so too,
+#: or is removed.
+_ENTRY_TIME = Millis(3000)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LeavingNotice:
+    """What a server has said that leaves."""
+
+    server_id: str
+    #: Unix time of its start, in ms; 0 if it is not known.
+    started_at: int
+    #: When it last said so.
+    known_at: Millis
+
 
 class ServerStatements:
     """Tells which servers leave, and which want no call for some time.
@@ -23,8 +41,10 @@
 
     def __init__(self) -> None:
         """Start without statements."""
-        #: Start time of each server that leaves; 0 if it is not known.
-        self._leaving: OrderedDict[str, int] = OrderedDict()
+        #: The notice of each server that leaves.
+        self._leaving: OrderedDict[str, LeavingNotice] = OrderedDict()
+        #: When each server was asked that said later that it does not leave.
+        self._serving_at: OrderedDict[str, Millis] = OrderedDict()
         #: Time before which each server wants no call, by its incarnation.
         self._refused_until: OrderedDict[str, Millis] = OrderedDict()
 
@@ -33,7 +53,7 @@
     ) -> None:
         """Record the statements of an answer of a server."""
         if info.is_leaving:
-            self.record_leaving(server.server_id, server.started_at)
+            self.record_leaving(server.server_id, server.started_at, now)
         if info.retry_after is not None:
             until = Millis(now + info.retry_after)
             latest = max(until, self.refused_until(server))
@@ -62,36 +82,92 @@
             if server.endpoint == endpoint:
                 self.record(server, info, now)
 
-    def record_leaving(self, server_id: str, started_at: int) -> None:
+    def record_leaving(
+        self, server_id: str, started_at: int, known_at: Millis
+    ) -> None:
         """Record that a server leaves, by its own answer or that of a peer."""
-        if self._leaving.get(server_id, -1) < started_at:
-            _store(self._leaving, server_id, started_at)
+        serving_at = self._serving_at.get(server_id)
+        if serving_at is not None and known_at <= serving_at:
+            return
+        notice = LeavingNotice(
+            server_id=server_id, started_at=started_at, known_at=known_at
+        )
+        known = self._leaving.get(server_id)
+        if known is None or known.started_at < started_at:
+            _store(self._leaving, server_id, notice)
             log_state_change(
                 'server_leaves', server=server_id, started_at=started_at
             )
+        elif known.started_at == started_at and known.known_at < known_at:
+            self._leaving[server_id] = notice
+
+    def record_undated(
+        self, server_id: str, started_at: int, now: Millis
+    ) -> None:
+        """Record that a server leaves, as a peer tells that dates nothing."""
+        known = self._leaving.get(server_id)
+        is_newer = known is None or known.started_at < started_at
+        if is_newer and server_id not in self._serving_at:
+            self.record_leaving(server_id, started_at, now)
+
+    def record_serving(self, server_id: str, asked_at: Millis) -> None:
+        """Record that a server has said that it does not leave.
+
+        Parameters
+        ----------
+        asked_at
+            When it was asked. What it said before, the process before has said.
+        """
+        known = self._leaving.get(server_id)
+        if known is None or known.known_at >= asked_at:
+            return
+        self._leaving.pop(server_id)
+        _store(self._serving_at, server_id, asked_at)
+        log_state_change(
+            'server_leaves_no_more',
+            server=server_id,
+            started_at=known.started_at,
+            notice_age_ms=asked_at - known.known_at,
+        )
 
     def is_leaving(self, server: BackendServer) -> bool:
         """Return whether a server leaves.
 
-        Nothing but a new start ends that. An entry of the store that still
-        calls the server ready may have been written before.
+        Nothing ends that but a new start, or that the server says otherwise. An
+        entry of the store that still calls the server ready may have been
+        written before.
+        """
+        notice = self._leaving.get(server.server_id)
+        return notice is not None and server.started_at <= notice.started_at
+
+    def doubtful(
+        self, servers: Mapping[str, BackendServer], now: Millis
+    ) -> tuple[BackendServer, ...]:
+        """Return the servers that may have started again since they left.
+
+        Load pattern: engines that state no start leave and start again under
+        their ids. Their entries stay those of ready servers, or become so again,
+        while a server that still leaves has another entry, or none.
         """
-        started_at = self._leaving.get(server.server_id)
-        return started_at is not None and server.started_at <= started_at
+        return tuple(
+            server
+            for notice in self._leaving.values()
+            if now - notice.known_at >= _ENTRY_TIME
+            and (server := servers.get(notice.server_id)) is not None
+            and server.state is ServerState.READY
+            and self.is_leaving(server)
+        )
 
     def refused_until(self, server: BackendServer) -> Millis:
         """Return the time before which a server wants no call."""
         return self._refused_until.get(server.incarnation, Millis(0))
 
-    def leaving(self, limit: int) -> tuple[tuple[str, int], ...]:
-        """Return the latest servers that leave, with their start times."""
-        latest = reversed(self._leaving.items())
-        return tuple(
-            item for item, _ in zip(latest, range(limit), strict=False)
-        )
+    def leaving(self, limit: int) -> tuple[LeavingNotice, ...]:
+        """Return the notices of the latest servers that leave."""
+        return tuple(islice(reversed(self._leaving.values()), limit))
 
 
-def _store(stored: OrderedDict[str, int], name: str, value: int) -> None:
+def _store(stored: OrderedDict[str, Any], name: str, value: Any) -> None:
     stored[name] = value
     stored.move_to_end(name)
     if len(stored) > MAXIMUM_SERVERS:
--- a/yuccagauge/wire/fleetmessages.py
+++ b/yuccagauge/wire/fleetmessages.py
@@ -5,6 +5,9 @@
 from yuccagauge.settings.options import Endpoint
 from yuccagauge.wire.base import Message, register
 
+#: What stands for an age that the sender does not know.
+UNKNOWN_AGE = 2**32 - 1
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class FleetMember(Message):
@@ -100,6 +103,8 @@
     server: str
     #: Unix time of its start in ms; 0 if it is not known.
     started_at: int
+    #: Time since it last said so, in ms; ``UNKNOWN_AGE`` from older builds.
+    age_ms: int = UNKNOWN_AGE
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/yuccagauge/wire/messages.capnp
+++ b/yuccagauge/wire/messages.capnp
@@ -236,6 +236,8 @@
   server @0 :Text;
   # Unix time of its start in ms; 0 if it is not known.
   startedAt @1 :UInt64;
+  # Time since it last said so, in ms; the default if that is not known.
+  ageMs @2 :UInt32 = 4294967295;
 }
 
 struct FleetPartCrash {
