Keep what servers have said when their entries lack their start for once

What callers and engines could see: an entry from another writer lacks born, or an engine states it again. Its limit was forgotten (LIMIT), its Retry-After no longer held (BUDGET), and a notice that it leaves, taken meanwhile, ended with the next entry (DRAIN). After a gap in the entries, the limit of the process before held for the next one.

Cause: a missing start counted as the start 0, and thus as another process: by the comparison with the listed entry alone, and by the incarnation "id/0".

Change: the selector remembers the start that each server has stated last, also while its entry is missing (selection/starts.py). Only another stated start is another process.

Why it works: a statement that is missing changes nothing that is known. What an engine has said that never states a start ends as before: a limit with the next answer without one, Retry-After with its time, a notice by a health check. A peer that has only seen the partial entry still tells a notice without a start.

--- a/yuccagauge/selection/selector.py
+++ b/yuccagauge/selection/selector.py
@@ -111,12 +111,7 @@
         in flight there.
         """
         previous_servers = self._view.servers
-        restarted = tuple(
-            server_id
-            for server_id, server in view.servers.items()
-            if server_id in previous_servers
-            and previous_servers[server_id].started_at != server.started_at
-        )
+        restarted = self.statements.starts.update(view.servers)
         removed = tuple(
             server_id
             for server_id in previous_servers
--- a/yuccagauge/selection/statements.py
+++ b/yuccagauge/selection/statements.py
@@ -9,6 +9,7 @@
 from yuccagauge.clock import Millis
 from yuccagauge.directory.base import BackendServer, ServerState
 from yuccagauge.relay.base import ResponseInfo
+from yuccagauge.selection.starts import StatedStarts
 from yuccagauge.settings.options import Endpoint
 from yuccagauge.telemetry.journal import log_state_change
 
@@ -31,6 +32,15 @@
     known_at: Millis
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Refusal:
+    """What a server has said that wants no call for some time."""
+
+    #: Unix time of its start, in ms; 0 if it is not known.
+    started_at: int
+    until: Millis
+
+
 class ServerStatements:
     """Tells which servers leave, and which want no call for some time.
 
@@ -45,19 +55,23 @@
         self._leaving: OrderedDict[str, LeavingNotice] = OrderedDict()
         #: When each server was asked that said later that it does not leave.
         self._serving_at: OrderedDict[str, Millis] = OrderedDict()
-        #: Time before which each server wants no call, by its incarnation.
-        self._refused_until: OrderedDict[str, Millis] = OrderedDict()
+        #: Which servers want no call for some time.
+        self._refusals: OrderedDict[str, _Refusal] = OrderedDict()
+        #: The starts that servers have stated.
+        self.starts = StatedStarts()
 
     def record(
         self, server: BackendServer, info: ResponseInfo, now: Millis
     ) -> None:
         """Record the statements of an answer of a server."""
         if info.is_leaving:
-            self.record_leaving(server.server_id, server.started_at, now)
+            started_at = self.starts.of(server)
+            self.record_leaving(server.server_id, started_at, now)
         if info.retry_after is not None:
             until = Millis(now + info.retry_after)
             latest = max(until, self.refused_until(server))
-            _store(self._refused_until, server.incarnation, latest)
+            refusal = _Refusal(started_at=self.starts.of(server), until=latest)
+            _store(self._refusals, server.server_id, refusal)
             log_state_change(
                 'server_refuses_calls',
                 server=server.server_id,
@@ -159,8 +173,14 @@
         )
 
     def refused_until(self, server: BackendServer) -> Millis:
-        """Return the time before which a server wants no call."""
-        return self._refused_until.get(server.incarnation, Millis(0))
+        """Return the time before which a server wants no call.
+
+        That it has said so holds until its entry states another start.
+        """
+        refusal = self._refusals.get(server.server_id)
+        if refusal is None or refusal.started_at != self.starts.of(server):
+            return Millis(0)
+        return refusal.until
 
     def leaving(self, limit: int) -> tuple[LeavingNotice, ...]:
         """Return the notices of the latest servers that leave."""
