--- a/yuccagauge/directory/settled.py
+++ b/yuccagauge/directory/settled.py
@@ -69,7 +69,9 @@
         server_id = server.server_id
         previous = self._newest.get(server_id)
         since = now
-        if previous is None or not _is_same_process(previous.server, server):
+        if previous is None or not (
+            server.may_be_same_process(previous.server)
+        ):
             self._pairs.pop(server_id, None)
         else:
             since = previous.since
@@ -124,13 +126,3 @@
         if pair is not None and not is_writer:
             is_writer = sighting.covers(pair.written_after, pair.written_before)
         return newest.server.software_version if is_writer else None
-
-
-def _is_same_process(previous: BackendServer, server: BackendServer) -> bool:
-    """Return whether two entries may be of one process."""
-    return (
-        previous.software_version == server.software_version
-        and previous.started_at == server.started_at
-        and previous.endpoint == server.endpoint
-        and previous.service == server.service
-    )
--- a/yuccagauge/selection/selector.py
+++ b/yuccagauge/selection/selector.py
@@ -111,6 +111,7 @@
         in flight there.
         """
         previous_servers = self._view.servers
+        stated = self.statements.starts.update(view.servers)
         restarted = tuple(
             server_id
             for server_id, server in view.servers.items()
@@ -122,13 +123,14 @@
             for server_id in previous_servers
             if server_id not in view.servers
         )
-        for server_id in (*restarted, *removed):
+        for server_id in {*stated, *restarted, *removed}:
             self.cache_map.remove_holder(server_id)
             previous_load = self._loads.pop(server_id, None)
             if previous_load is not None and previous_load.own_calls:
                 # The relay removes these calls when their attempts end.
                 self.load_of(server_id).own_calls = previous_load.own_calls
-        self.limits.forget(restarted)
+        # A limit holds while an entry lacks the start for some time.
+        self.limits.forget(stated)
         self._view = view
         self.weights.update_fleet_view(view)
         self._servers_by_service = defaultdict(list)
