Reject streams of callers that speak HTTP/1.0, and give their answers a length

Cause: a caller that knows no chunks takes the end of its connection for the end of the answer, and the router relied on its framing to show breaks.

Change: a stream for such a caller is refused with 505 (code http_version, not run, log line call_refused) before an engine gets it. A plain answer without a length is held until it is complete, up to 1 MB, and sent with its length; a longer one is refused with 505 and may have run. One that breaks off has not begun, so that its caller gets the refusal in place of a part.

Why it works: every answer to such a caller has a length, which a connection that ends early falls short of.

Killed routers were not played.

--- a/yuccagauge/dispatch/base.py
+++ b/yuccagauge/dispatch/base.py
@@ -91,7 +91,7 @@
 _FIRST_SERVER_ERROR = 500
 
 #: Statuses whose responses have no body.
-_BODILESS_STATUSES = frozenset((204, 304))
+BODILESS_STATUSES = frozenset((204, 304))
 
 
 @enum.unique
@@ -122,7 +122,7 @@
         if self.get(b'transfer-encoding'):
             return Framing.CHUNKS
         has_length = bool(self.get(b'content-length'))
-        if has_length or self.status in _BODILESS_STATUSES:
+        if has_length or self.status in BODILESS_STATUSES:
             return Framing.LENGTH
         return Framing.CONNECTION
 
--- a/yuccagauge/relay/base.py
+++ b/yuccagauge/relay/base.py
@@ -17,6 +17,8 @@
 from yuccagauge.errors import YuccagaugeError
 from yuccagauge.settings.options import Endpoint
 
+_FIRST_VERSION_WITH_CHUNKS = '1.1'
+
 _SHORT_PART_ID = re.compile('[A-Za-z0-9_-]{1,32}')
 
 
@@ -34,12 +36,21 @@
     headers: tuple[Header, ...] = field(repr=False)
     body: bytes = field(repr=False)
     received_at: Millis
+    http_version: str = _FIRST_VERSION_WITH_CHUNKS
 
     @property
     def path(self) -> str:
         """The target without the query string."""
         return self.target.partition('?')[0]
 
+    @property
+    def knows_chunks(self) -> bool:
+        """Whether the caller can tell the end of an answer without a length.
+
+        In earlier versions such an answer ends with its connection.
+        """
+        return self.http_version >= _FIRST_VERSION_WITH_CHUNKS
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PromptPart:
--- a/yuccagauge/relay/channel.py
+++ b/yuccagauge/relay/channel.py
@@ -1,4 +1,4 @@
-"""Connections from callers: strict HTTP/1.1, one request at a time.
+"""Connections from callers: strict HTTP, one request at a time.
 
 A request is read completely before it is handled. Pipelined bytes after it
 wait until it is answered. A request that two parsers could interpret
@@ -18,6 +18,7 @@
 from yuccagauge.clock import Clock, Millis, in_seconds
 from yuccagauge.directory.base import CallerLimits
 from yuccagauge.dispatch.base import AnswerSink, Header, SinkWatcher
+from yuccagauge.dispatch.withheld import WithheldAnswer
 from yuccagauge.relay import refusals
 from yuccagauge.relay.base import IncomingRequest
 from yuccagauge.verdict import VERDICT_HEADER, Refusal
@@ -272,12 +273,15 @@
             headers=tuple(head.headers.raw_items()),
             body=b''.join(self._body),
             received_at=self._factory.clock.now(),
+            http_version=head.http_version.decode('ascii'),
         )
         self._head = None
         self._body.clear()
         self._body_bytes = 0
         self._is_answering = True
-        self._factory.handle_request(request, self)
+        holds = not request.knows_chunks
+        sink = WithheldAnswer(self, request.method) if holds else self
+        self._factory.handle_request(request, sink)
 
     def _reject_request(self, refusal: Refusal) -> None:
         """Refuse a request that is not read completely, and close."""
--- a/yuccagauge/relay/refusals.py
+++ b/yuccagauge/relay/refusals.py
@@ -1,6 +1,11 @@
 """The refusals of the relay, with their HTTP statuses and verdicts."""
 
 from yuccagauge.clock import Millis
+from yuccagauge.dispatch.withheld import (
+    VERSION_CODE,
+    VERSION_MESSAGE,
+    VERSION_NOT_SUPPORTED,
+)
 from yuccagauge.verdict import Refusal, Verdict, not_run_refusal
 
 #: Delay, before jitter is added, after which a caller may retry a call that was
@@ -37,6 +42,11 @@
     return not_run_refusal(REQUEST_TIMEOUT, 'request_timeout', message)
 
 
+def needs_chunks() -> Refusal:
+    """Return the refusal of a stream for a caller that knows no chunks."""
+    return not_run_refusal(VERSION_NOT_SUPPORTED, VERSION_CODE, VERSION_MESSAGE)
+
+
 def no_route() -> Refusal:
     """Return the refusal of a request that no route matches."""
     return not_run_refusal(
--- a/yuccagauge/relay/relay.py
+++ b/yuccagauge/relay/relay.py
@@ -128,8 +128,9 @@
         Raises
         ------
         RefusedError
-            If there is no configuration, no route or no valid key, or if the
-            request is quarantined because servers crashed while it ran.
+            If there is no configuration, no route or no valid key, if the
+            caller could not tell the end of the answer, or if the request is
+            quarantined because servers crashed while it ran.
         """
         configuration = self._context.directory.configuration
         if configuration is None:
@@ -138,6 +139,8 @@
         if route is None:
             raise RefusedError(refusals.no_route())
         customer = _authenticate(configuration, route, fields)
+        if route.kind is RouteKind.STREAMING and not request.knows_chunks:
+            raise RefusedError(refusals.needs_chunks())
         fingerprint = fingerprint_of(request, customer)
         is_probe = self._check_quarantine(fields, fingerprint)
         route_deadline = Millis(request.received_at + route.timeout)
