Reject streams of callers that speak HTTP/1.0 on the own interface too

What callers could see: a part of a stream, without its [DONE], that ends as regularly as a whole one for a caller of HTTP/1.0 if its router is killed, and issued keys and health checks without a length.

Cause: twisted.web sends what has no length to such callers up to the end of the connection.

Change: a streamed chat is refused with 505 (code http_version, not run) before an engine gets it; issued keys and health checks have a length. Collected chats and plain answers had one, as they are collected whole.

Killed routers were not played.

--- a/features/gateway/bad_input.feature
+++ b/features/gateway/bad_input.feature
@@ -35,6 +35,7 @@
       | a chunked body over the limit      | 413    | body_too_large          |
       | a header over the limit            | 431    | headers_too_large       |
       | a flood of headers                 | 431    | headers_too_large       |
+      | a stream by HTTP/1.0               | 505    | http_version            |
       | no HTTP at all                     | 400    | malformed_request       |
       | a head that stalls                 | 408    | header_timeout          |
       | a body that stalls                 | 408    | body_timeout            |
@@ -52,3 +53,17 @@
   Scenario: A collected answer has the whole text
     When a chat that is not streamed reaches the gateway
     Then the gateway answers with one chat completion object
+
+  # Guards against parts of answers that look complete, as a caller that speaks
+  # HTTP/1.0 takes the end of the connection for that of the answer.
+  Scenario Outline: An answer to a caller that speaks HTTP/1.0 has a length
+    When the gateway gets <input>
+    Then the answer has status <status> and a length
+
+    Examples:
+      | input                             | status |
+      | a collected chat by HTTP/1.0      | 200    |
+      | a call of bookings by HTTP/1.0    | 200    |
+      | a request for a key by HTTP/1.0   | 201    |
+      | a health check by HTTP/1.0        | 200    |
+      | an unknown route by HTTP/1.0      | 404    |
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -34,6 +34,16 @@
 _LONG = 'x' * 5000
 _UUID_4 = '0b7d8a4e-2a0c-4c58-9d4b-6a9b8f5c3d21'
 
+
+def _old_request(method: str, path: str, body: bytes = b'') -> str:
+    """Return a request of HTTP/1.0."""
+    return (
+        f'{method} {path} HTTP/1.0\r\nHost: router\r\n'
+        f'Authorization: Bearer {CREDENTIAL}\r\n'
+        f'Content-Length: {len(body)}\r\n\r\n{body.decode()}'
+    )
+
+
 #: Bytes on a raw connection.
 _RAW_INPUTS = {
     'a body over the limit': f'{_HEAD}Content-Length: 5000\r\n\r\n',
@@ -42,6 +52,16 @@
     ),
     'a header over the limit': f'{_HEAD}X-Long: {_LONG}\r\n\r\n',
     'a flood of headers': _HEAD + 'X: y\r\n' * 300 + '\r\n',
+    'a stream by HTTP/1.0': _old_request('POST', _CHAT, chat_body()),
+    'a collected chat by HTTP/1.0': _old_request(
+        'POST', _CHAT, chat_body(stream=False)
+    ),
+    'a call of bookings by HTTP/1.0': _old_request('GET', _BOOKINGS),
+    'a request for a key by HTTP/1.0': _old_request(
+        'POST', '/v1/idempotency-keys'
+    ),
+    'a health check by HTTP/1.0': _old_request('GET', '/healthz'),
+    'an unknown route by HTTP/1.0': _old_request('GET', '/v2/none'),
     'no HTTP at all': 'hello router\r\n\r\n',
     'a head that stalls': _HEAD,
     'a body that stalls': f'{_HEAD}Content-Length: 10\r\n\r\n{{',
@@ -203,6 +223,14 @@
     assert found.verdict == found.error['verdict'] == verdict, found
 
 
+@then('the answer has status {status:d} and a length')
+def then_length(context: Context, status: int) -> None:
+    """Guard against answers that end with their connection."""
+    found = context.answer
+    assert found.status == status, found
+    assert found.headers['content-length'] == str(len(found.body)), found
+
+
 @then('the gateway counted the refusal "{code}"')
 def then_counted(context: Context, code: str) -> None:
     """Check that exactly this counter moved."""
--- a/yuccagauge/gateway/app.py
+++ b/yuccagauge/gateway/app.py
@@ -1,7 +1,6 @@
 """Routes of the interface for callers."""
 
 import hashlib
-import json
 import urllib.parse
 from collections.abc import Callable, Mapping
 from typing import Any
@@ -31,12 +30,13 @@
     parse_timeout,
 )
 from yuccagauge.gateway.refusals import (
+    needs_chunks,
     no_document,
     reject,
     unexpected,
     unknown_customer,
 )
-from yuccagauge.gateway.sink import HttpSink, refuse_request
+from yuccagauge.gateway.sink import HttpSink, json_answer, refuse_request
 from yuccagauge.prefixes.base import CacheScope
 from yuccagauge.settings.document import CustomerSection, ServiceDocument
 from yuccagauge.telemetry.journal import log_state_change
@@ -44,6 +44,8 @@
 
 _DIGEST_BYTES = 16
 _MILLISECONDS_PER_SECOND = 1000
+#: In these, an answer without a length ends with its connection.
+_VERSIONS_WITHOUT_CHUNKS = (b'HTTP/0.9', b'HTTP/1.0')
 _PLAIN_METHODS = ('GET', 'POST', 'PUT', 'PATCH', 'DELETE')
 
 #: Request headers that plain services get from the caller.
@@ -105,22 +107,20 @@
         self._app.handle_errors(Exception)(self._fail)
 
     def _health(self, request: Request) -> bytes:
-        request.setHeader('Content-Type', 'application/json')
         if self._leaving:
-            request.setResponseCode(503)
-            return b'{"status": "leaving"}'
-        return b'{"status": "ok"}'
+            return json_answer(request, 503, {'status': 'leaving'})
+        return json_answer(request, 200, {'status': 'ok'})
 
     def _new_key(self, request: Request) -> bytes:
         self._customers(request)
-        request.setResponseCode(201)
-        request.setHeader('Content-Type', 'application/json')
         request.setHeader('Cache-Control', 'no-store')
-        return json.dumps({'idempotency_key': self._issue_key()}).encode()
+        return json_answer(request, 201, {'idempotency_key': self._issue_key()})
 
     def _chat(self, request: Request) -> Deferred[None]:
         customers = self._customers(request)
         body = parse_chat(request.content.read())
+        if body.stream and request.clientproto in _VERSIONS_WITHOUT_CHUNKS:
+            raise needs_chunks()
         service = self._service_of_model(body, customers)
         in_force = self._dispatcher.services[service].in_force
         customer = customers[service]
--- a/yuccagauge/gateway/refusals.py
+++ b/yuccagauge/gateway/refusals.py
@@ -1,6 +1,11 @@
 """Refusals of calls that never reach a backend server."""
 
 from yuccagauge.clock import Millis
+from yuccagauge.dispatch.withheld import (
+    VERSION_CODE,
+    VERSION_MESSAGE,
+    VERSION_NOT_SUPPORTED,
+)
 from yuccagauge.verdict import Refusal, RefusedError, Verdict, not_run_refusal
 
 #: When to come back to a router that has no document yet, in ms.
@@ -12,6 +17,11 @@
     return RefusedError(not_run_refusal(status, code, message))
 
 
+def needs_chunks() -> RefusedError:
+    """Return the error for a stream whose end the caller cannot tell."""
+    return reject(VERSION_NOT_SUPPORTED, VERSION_CODE, VERSION_MESSAGE)
+
+
 def no_document(service: str) -> RefusedError:
     """Return the error while no document of a service is known."""
     return RefusedError(
--- a/yuccagauge/gateway/sink.py
+++ b/yuccagauge/gateway/sink.py
@@ -1,5 +1,8 @@
 """The answer to one call, on a request of ``twisted.web``."""
 
+import json
+from typing import Any
+
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IPushProducer
 from twisted.python.failure import Failure
@@ -127,6 +130,18 @@
             self.done.callback(None)
 
 
+def json_answer(request: Request, status: int, answer: Any) -> bytes:
+    """Set status and headers of an answer of the router's own, and encode it.
+
+    It has a length, so that callers without chunks can tell its end.
+    """
+    body = json.dumps(answer).encode()
+    request.setResponseCode(status)
+    request.setHeader('Content-Type', 'application/json')
+    request.setHeader('Content-Length', str(len(body)))
+    return body
+
+
 def refuse_request(
     request: Request,
     refusal: Refusal,
