Read what arrived before a check of an older connection counts as unanswered

What callers could see: a part of an answer of a plain server as the whole, if the server ends and the router is paused in the 100 ms after it has sent a check; and whole answers of the own interface that are repeated or lost, if the router is paused while the answer to the check arrives.

Cause: after a pause of the process, the reactor runs timers that are due before it reads sockets. WitnessCheck took a connection whose reset had arrived for open, and CallWitness took an answer that had arrived for missing.

Change: Timers.start_limit lets the reactor read once between the timer and its function, as CallerChannel does; what was read stops it.

Why it works: Twisted runs a call that is scheduled by a timer in the next iteration, and reads all sockets that are ready in between.

Not covered: a pause between the call of write and the system's send, with no end read before.

--- a/features/dispatch/witness.feature
+++ b/features/dispatch/witness.feature
@@ -45,3 +45,21 @@
     When an answer of the server has a length, and both calls end
     Then one of both connections carries the next call
     And 5 more calls open no other one
+
+  # Guards against parts of answers that look complete: a pause makes the timer
+  # of a check due before what arrived meanwhile is read.
+  Scenario Outline: What arrived behind a check while the router was paused is read before the verdict
+    Given an older connection to a process, by the operating system
+    When a <kind> is sent on it, the process <event>, and the router is paused beyond the limit of the check
+    Then the check has the result "<result>"
+
+    Examples:
+      | kind                 | event              | result           |
+      | check                | ends               |                  |
+      | check                | answers            | older_connection |
+      | check                | answers and closes | older_connection |
+      | check                | does nothing       | open_connection  |
+      | check of a call      | ends               | not alive        |
+      | check of a call      | answers            | alive            |
+      | check of a call      | answers and closes | alive            |
+      | check of a call      | does nothing       | not alive        |
--- /dev/null
+++ b/features/steps/dispatch_paused_check_steps.py
@@ -0,0 +1,124 @@
+"""Steps for checks of routers that are paused, on sockets of the system."""
+
+import socket
+import struct
+import time
+from typing import Any
+
+from behave import given, then, when
+from behave.runner import Context
+from twisted.internet import reactor
+
+from features.loop import wait_until
+from yuccagauge.clock import Millis, in_seconds
+from yuccagauge.dispatch.base import BackendMessage
+from yuccagauge.dispatch.callwitness import CallWitness
+from yuccagauge.dispatch.pool import ConnectionPool
+from yuccagauge.dispatch.witness import OPEN_LIMIT, WitnessCheck
+from yuccagauge.settings.options import Endpoint
+
+_CHECK = BackendMessage(method='GET', path='/h')
+_CALL_CHECK_LIMIT = Millis(100)
+_HOST = '127.0.0.1'
+_REQUEST_BYTES = 65_536
+_PATIENCE_S = 5
+_ANSWER = b'HTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\nok'
+_RESET = struct.pack('ii', 1, 0)
+
+#: Pause of the router, beyond the longer of both limits.
+_PAUSE_S = 2 * in_seconds(max(OPEN_LIMIT, _CALL_CHECK_LIMIT))
+
+
+@given('an older connection to a process, by the operating system')
+def start_process(context: Context) -> None:
+    """Listen on a port; connections are accepted by the system."""
+    context.listener = socket.create_server((_HOST, 0))
+    context.listener.settimeout(_PATIENCE_S)
+    context.add_cleanup(context.listener.close)
+    context.pool = ConnectionPool(reactor)
+    context.add_cleanup(context.pool.close)
+    context.endpoint = Endpoint(_HOST, context.listener.getsockname()[1])
+    context.results = []
+
+
+@when(
+    'a {kind} is sent on it, the process {event}, and the router is paused '
+    'beyond the limit of the check'
+)
+def check_while_paused(context: Context, kind: str, event: str) -> None:
+    """Do not run the event loop while the timer becomes due."""
+    send = {'check': _send_check, 'check of a call': _send_call_check}[kind]
+    accepted = send(context)
+    context.add_cleanup(accepted.close)
+    wait_until(lambda: _has_arrived(accepted))
+    assert not context.results, context.results
+    if event == 'ends':
+        accepted.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+        accepted.close()
+    elif event != 'does nothing':
+        accepted.sendall(_ANSWER)
+        if event == 'answers and closes':
+            accepted.recv(_REQUEST_BYTES)
+            accepted.close()
+    time.sleep(_PAUSE_S)
+    wait_until(lambda: bool(context.results))
+
+
+@then('the check has the result "{result}"')
+def check_result(context: Context, result: str) -> None:
+    """Guard against a verdict before what has arrived is read."""
+    assert context.results == [result], context.results
+
+
+@then('the check has the result ""')
+def check_no_proof(context: Context) -> None:
+    """Guard against a proof by a connection that was reset."""
+    check_result(context, '')
+
+
+def _open(context: Context) -> Any:
+    """Return a connection, once it is open."""
+    opened: list[Any] = []
+    context.pool.open(context.endpoint, fresh=True).addCallback(opened.append)
+    wait_until(lambda: bool(opened))
+    return opened[0]
+
+
+def _send_check(context: Context) -> socket.socket:
+    connection = _open(context)
+    WitnessCheck(
+        connection,
+        reactor.callLater,
+        context.results.append,
+        lambda each: each.abort(),
+    ).start(_CHECK)
+    return context.listener.accept()[0]
+
+
+def _send_call_check(context: Context) -> socket.socket:
+    witness = CallWitness(context.pool, reactor.callLater, is_fresh=True)
+    context.add_cleanup(witness.close)
+    opened: list[Any] = []
+    witness.open(context.endpoint, fresh=True).addCallback(opened.append)
+    wait_until(lambda: bool(opened))
+    context.add_cleanup(opened[0].abort)
+    context.add_cleanup(context.listener.accept()[0].close)
+    witness.check(
+        context.endpoint,
+        _CALL_CHECK_LIMIT,
+        lambda is_alive: context.results.append(
+            'alive' if is_alive else 'not alive'
+        ),
+    )
+    return context.listener.accept()[0]
+
+
+def _has_arrived(accepted: socket.socket) -> bool:
+    """Return whether a request waits to be read."""
+    accepted.setblocking(False)
+    try:
+        return bool(accepted.recv(_REQUEST_BYTES, socket.MSG_PEEK))
+    except BlockingIOError:
+        return False
+    finally:
+        accepted.setblocking(True)
--- a/yuccagauge/dispatch/callwitness.py
+++ b/yuccagauge/dispatch/callwitness.py
@@ -97,7 +97,7 @@
         if connection is None:
             self._report(is_alive=False)
             return
-        self._timers.start(_CHECKING, limit, self._report, False)
+        self._timers.start_limit(_CHECKING, limit, self._report, False)
         connection.send(_CHECK, self)
 
     def close(self) -> None:
--- a/yuccagauge/dispatch/timers.py
+++ b/yuccagauge/dispatch/timers.py
@@ -33,6 +33,20 @@
         seconds = in_seconds(max(0, delay))
         self._timers[name] = self._call_later(seconds, function, *arguments)
 
+    def start_limit(
+        self,
+        name: str,
+        delay: float,
+        function: Callable[..., None],
+        *arguments: Any,
+    ) -> None:
+        """Call a function after some ms unless what arrives stops it.
+
+        After a pause of the process, timers are due before the bytes that
+        arrived meanwhile are read, so those are read first.
+        """
+        self.start(name, delay, self.start, name, 0, function, *arguments)
+
     def is_running(self, name: str) -> bool:
         """Return whether a timer has still to fire."""
         timer = self._timers.get(name)
--- a/yuccagauge/dispatch/witness.py
+++ b/yuccagauge/dispatch/witness.py
@@ -122,7 +122,9 @@
 
     def start(self, message: BackendMessage) -> None:
         """Send a check that any process of the server answers."""
-        self._timers.start(_LIMIT, OPEN_LIMIT, self._report, 'open_connection')
+        self._timers.start_limit(
+            _LIMIT, OPEN_LIMIT, self._report, 'open_connection'
+        )
         self._connection.send(message, self)
 
     def close(self) -> None:
