Go on with a stream only at a process that states its incarnation, own interface

What callers could see: a stream with events of two processes of an engine, whole by its [DONE], on the own interface, if the engine states no incarnation in the head of its answer (or an empty one) and the process that took its place knows a stream of that request.

Cause: a resume compares the incarnation with that of the first head, and a missing one matched any. The other way round (stated at first, missing later) was refused already.

Change: a run whose head states no incarnation is not resumed. It is run anew, and what was passed on is compared with the repetition, as at other engines.

Why it works: nothing of a later process is passed on unless it has repeated all events before.

Evidence: 4 new rows of streams.feature, of which the 2 without a first incarnation failed before the change (the stream was joined); 16 of 16 pass. silent_servers (35, with its listed row red) and verdicts (24) pass.

--- a/features/dispatch/streams.feature
+++ b/features/dispatch/streams.feature
@@ -36,6 +36,20 @@
       | has other weights               |
       | sends no event stream           |
 
+  # Guards against streams that are joined from two processes, because an engine
+  # that states no incarnation is taken for the one that began the stream.
+  Scenario Outline: A stream goes on only at the process that began it
+    Given a scripted engine of incarnation <first> that restarts amid its streams as <second>, and a second that answers
+    When a routed stream is asked for until the first scripted engine was used
+    Then the routed stream equals the scripted events
+
+    Examples:
+      | first | second |
+      | i1    | i2     |
+      | i1    | none   |
+      | none  | i2     |
+      | none  | none   |
+
   Scenario: Late events of a slow attempt are dropped after a hedge
     Given a scripted engine that answers late and a second that answers
     And the usual time to the first token of the routed service is known
--- a/yuccagauge/dispatch/attempt.py
+++ b/yuccagauge/dispatch/attempt.py
@@ -122,9 +122,13 @@
         """Whether the engine may still hold the stream.
 
         A connection may break before the head arrives although the engine
-        runs the request; a resume that does not open is not tried again.
+        runs the request; a resume that does not open is not tried again. A
+        process that states no incarnation cannot be told from a later one,
+        which may give the request another answer.
         """
-        return self.opened or not self._plan.resumes
+        if self.opened:
+            return bool(self.incarnation)
+        return not self._plan.resumes
 
     @property
     def was_sent(self) -> bool:
