--- a/yuccagauge/dispatch/witness.py
+++ b/yuccagauge/dispatch/witness.py
@@ -129,7 +129,7 @@
     def start(self, message: BackendMessage) -> None:
         """Send a check that any process of the server answers."""
         if not self._needs_answer:
-            self._timers.start(
+            self._timers.start_limit(
                 _LIMIT, OPEN_LIMIT, self._report, 'open_connection'
             )
         self._connection.send(message, self)
