Let servers of the restart soak leave out what they state of their process

Change: the start in the entry, the start in the report and the epoch of cache events can each be left out. The seed chooses, for all processes, for every second server, or since or until the second software version; the choice is printed with the counts. The epoch is another one at each start. Whole answers are counted by framing. Requests, kills and pauses of a seed are as before, and the judge's rules too. Clients took streams up at other routers already.

New are seeds 96, 33 and 34 with their own choices, and three calm runs: 27 s of requests in all.

--- a/features/restartsoak/judge.py
+++ b/features/restartsoak/judge.py
@@ -55,6 +55,12 @@
         """How many processes wrote the pieces."""
         return len({piece.born for piece in self._pieces})
 
+    @property
+    def is_whole(self):
+        """Whether the answers have all pieces, and nothing else."""
+        total = self._request.pieces
+        return len(self._pieces) == total and not self.violations
+
     def judge(self, answers):
         """Judge all answers of the request, in their order."""
         for answer in answers:
--- a/features/restartsoak/plan.py
+++ b/features/restartsoak/plan.py
@@ -1,8 +1,11 @@
 """What one run does, decided by its seed: requests and disturbances."""
 
+from collections.abc import Iterator
 from dataclasses import dataclass
 from random import Random
 
+from features.restartsoak.statements import Choice, choose
+
 ENGINES = 4
 SERVERS = 3
 ROUTERS = 3
@@ -22,6 +25,9 @@
 #: How often routers are paused as servers are killed.
 _PAUSED_SHARE = 0.8
 _SOFTWARE_SHARE = 0.3
+#: From one removal of an entry to the next, and until it is back.
+_REMOVAL_GAP_SECONDS = (0.7, 2)
+_REMOVED_SECONDS = (0.2, 2)
 
 #: Routes with their share of the requests.
 ROUTES = (('talk', 11), ('once', 3), ('read', 3), ('book', 3))
@@ -68,6 +74,15 @@
     duration: float
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Removal:
+    """A time without the entry of a server that lives."""
+
+    at: float
+    server: int
+    duration: float
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Plan:
     """All that the seed decides."""
@@ -76,6 +91,8 @@
     requests: tuple[tuple[PlannedRequest, ...], ...]
     kills: tuple[Kill, ...]
     pauses: tuple[Pause, ...]
+    removals: tuple[Removal, ...]
+    choice: Choice
 
 
 class _Planner:
@@ -133,8 +150,8 @@
         return self._random.sample(free, min(count, len(free)))
 
 
-def plan_run(seed: int, seconds: float) -> Plan:
-    """Return what a run of this length does."""
+def plan_run(seed: int, seconds: float, choice: Choice | None = None) -> Plan:
+    """Return what a run of this length does; the seed chooses if nobody does."""
     random = Random(f'restarts/{seed}')
     planner = _Planner(random)
     planner.plan(seconds)
@@ -145,9 +162,23 @@
         ),
         kills=tuple(planner.kills),
         pauses=tuple(planner.pauses),
+        removals=tuple(_plan_removals(seed, seconds)),
+        choice=choose(seed) if choice is None else choice,
     )
 
 
+def _plan_removals(seed: int, seconds: float) -> Iterator[Removal]:
+    random = Random(f'removals/{seed}')
+    at = _LEAD_SECONDS
+    while at < seconds:
+        yield Removal(
+            at=at,
+            server=random.randrange(ENGINES + SERVERS),
+            duration=random.uniform(*_REMOVED_SECONDS),
+        )
+        at += random.uniform(*_REMOVAL_GAP_SECONDS)
+
+
 def _plan_client(
     random: Random, client: int, seconds: float
 ) -> tuple[PlannedRequest, ...]:
--- a/features/restartsoak/run.py
+++ b/features/restartsoak/run.py
@@ -9,18 +9,21 @@
 import signal
 import sys
 from collections import Counter
+from functools import partial
 
 from features.restartsoak import plan as plans
 from features.restartsoak.client import DEADLINE_MS, HOST, Client
 from features.restartsoak.judge import VIOLATIONS, Judge
 from features.restartsoak.serverprocess import ServerProcess
 from features.restartsoak.servers import MODEL, build_server
+from features.restartsoak.statements import parse_statements, uniform_choice
 from review import yard
 
 _ZONES = 'abc'
 _SETTLE_SECONDS = 3
 _EXIT_BROKEN = 1
 _MOST_DETAILS = 10
+_OK = 200
 
 
 def _route(name):
@@ -66,14 +69,16 @@
         Decides requests and disturbances.
     seconds
         How long requests are sent.
+    choice
+        What the servers state; ``None`` if the seed decides.
     is_calm
         Whether nothing is disturbed.
     """
 
-    def __init__(self, seed, seconds, *, is_calm):
+    def __init__(self, seed, seconds, choice, *, is_calm):
         """Start nothing."""
         self._seed = seed
-        self._plan = plans.plan_run(seed, seconds)
+        self._plan = plans.plan_run(seed, seconds, choice)
         self._is_calm = is_calm
         self._servers = []
         self._clients = []
@@ -136,7 +141,8 @@
             kind, host, zone, self._yard.store, self._plan.id_step
         )
         server.port = yard.free_port(host)
-        process = ServerProcess(kind, server, self._record)
+        statements = partial(self._plan.choice.of, number)
+        process = ServerProcess(kind, server, self._record, statements)
         self._servers.append(process)
         process.prepare()
 
@@ -147,6 +153,9 @@
             yield self._kill(kill)
         for pause in self._plan.pauses:
             yield self._pause(pause)
+        if self._plan.choice.removes_entries:
+            for removal in self._plan.removals:
+                yield self._remove(removal)
 
     async def _kill(self, kill):
         await asyncio.sleep(kill.at)
@@ -159,6 +168,10 @@
         await asyncio.sleep(pause.duration)
         router.signal(signal.SIGCONT)
 
+    async def _remove(self, removal):
+        await asyncio.sleep(removal.at)
+        self._servers[removal.server].remove_entry(removal)
+
     def _judge(self, finished):
         counts = Counter()
         ends = Counter()
@@ -168,14 +181,17 @@
             found = judge.judge(answers)
             violations += found
             last = answers[-1]
-            if last.status == 200 and last.is_complete:
+            kind = _kind(request)
+            counts[kind] += 1
+            is_answered = last.status == _OK and last.is_complete
+            counts[f'whole {kind}'] += is_answered and judge.is_whole
+            if is_answered:
                 counts['answered'] += 1
             else:
                 ends[_end(request, last)] += 1
-            counts['unframed'] += request.is_unframed
             counts['moved'] += judge.processes > 1
             counts['broken'] += any(
-                answer.status == 200 and not answer.is_complete
+                answer.status == _OK and not answer.is_complete
                 for answer in answers
             )
             counts['taken up'] += len(answers) > 1
@@ -183,12 +199,14 @@
         kinds = Counter(kind for kind, _ in violations)
         return {
             'seed': self._seed,
+            **self._plan.choice.describe(),
             'requests': len(finished),
             'connections': sum(client.opened for client in self._clients),
-            **counts,
+            **dict(sorted(counts.items())),
             'not answered': dict(sorted(ends.items())),
             'kills': 0 if self._is_calm else len(self._plan.kills),
             'pauses': 0 if self._is_calm else len(self._plan.pauses),
+            'removals': sum(server.removals for server in self._servers),
             'routers ended': sum(
                 router.process.poll() is not None
                 for router in self._yard.routers
@@ -209,6 +227,13 @@
             self._record.write(f'  VIOLATION {violation}')
 
 
+def _kind(request):
+    """Return the kind of answer by which whole ones are counted."""
+    kind = 'streams' if request.route in plans.STREAMS else 'calls'
+    framing = 'unframed' if request.is_unframed else 'framed'
+    return f'{framing} {kind}'
+
+
 def _end(request, answer):
     """Return how a request ended that was not answered."""
     if answer.is_complete:
@@ -218,8 +243,7 @@
     return f'{request.route} no answer'
 
 
-def main():
-    """Run the seeds that the arguments name; exit with 1 if a rule broke."""
+def _options():
     parser = argparse.ArgumentParser()
     parser.add_argument('--seed', type=int, default=1)
     parser.add_argument('--seeds', type=int, default=1)
@@ -227,14 +251,38 @@
     parser.add_argument('--calm', action='store_true')
     parser.add_argument('--keep', default='target/restartsoak')
     parser.add_argument('--keeps-all', action='store_true')
+    parser.add_argument(
+        '--states',
+        type=parse_statements,
+        help='entry, report and epoch, or -; the seed decides without it',
+    )
+    parser.add_argument('--removes-entries', action='store_true')
     options = parser.parse_args()
+    if options.removes_entries and options.states is None:
+        parser.error('--removes-entries needs --states')
+    return options
+
+
+def _chosen(options):
+    """Return what the arguments choose; ``None`` if the seed decides."""
+    if options.states is None:
+        return None
+    return uniform_choice(
+        options.states, removes_entries=options.removes_entries
+    )
+
+
+def main():
+    """Run the seeds that the arguments name; exit with 1 if a rule broke."""
+    options = _options()
+    choice = _chosen(options)
     # The deploy file starts python3; this is the one with the libraries.
     paths = (os.path.dirname(sys.executable), os.environ['PATH'])
     os.environ['PATH'] = os.pathsep.join(paths)
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(_EXIT_BROKEN))
     is_broken = False
     for seed in range(options.seed, options.seed + options.seeds):
-        soak = Soak(seed, options.seconds, is_calm=options.calm)
+        soak = Soak(seed, options.seconds, choice, is_calm=options.calm)
         counts = asyncio.run(
             soak.run(options.keep, keeps_all=options.keeps_all)
         )
--- a/features/restartsoak/serverprocess.py
+++ b/features/restartsoak/serverprocess.py
@@ -11,7 +11,7 @@
 from features.restartsoak.servers import build_server
 from review import yard
 
-_FIELDS = ('server_id', 'port', 'born', 'software')
+_FIELDS = ('server_id', 'port', 'born', 'software', 'epoch')
 
 
 class ServerProcess:
@@ -28,16 +28,21 @@
         Describes the server, and writes its entries.
     record
         What happens is written there.
+    statements
+        Returns what a process of a software version states of itself.
     """
 
-    def __init__(self, kind, server, record):
+    def __init__(self, kind, server, record, statements):
         """Start nothing."""
+        self._statements = statements
         self._kind = kind
         self._server = server
         self._record = record
         self._serving = None
         self._waiting = None
         self._beating = None
+        #: How often the entry of a live process was removed.
+        self.removals = 0
 
     def prepare(self):
         """Start the process that waits."""
@@ -53,7 +58,10 @@
         server = self._server
         server.born = max(int(time.time() * 1000), server.born + 1)
         server.beat = 0
+        server.epoch += 1
+        server.states = self._statements(server.software)
         fields = {name: getattr(server, name) for name in _FIELDS}
+        fields['states'] = sorted(server.states)
         fields['kind'] = self._kind
         fields['host'] = server.host
         fields['id_step'] = getattr(server, 'id_step', 1)
@@ -80,6 +88,17 @@
             self._server.software = 'v2' if is_first else 'v1'
         self.start(kill.lag)
 
+    def remove_entry(self, removal):
+        """Remove the entry of the process that lives, and write it again."""
+        if self._serving.poll() is not None:
+            return
+        server = self._server
+        self._record.write(f'{server.server_id}: entry removed')
+        self.removals += 1
+        self._beating.cancel()
+        server.store.put('keyed.servers', server.server_id, b'')
+        self._beating = asyncio.create_task(self._beat(removal.duration))
+
     def close(self):
         """End both processes."""
         if self._beating is not None:
--- a/features/restartsoak/servers.py
+++ b/features/restartsoak/servers.py
@@ -4,12 +4,20 @@
 import json
 from collections import deque
 
+from features.restartsoak.statements import (
+    ENTRY,
+    EPOCH,
+    REPORT,
+    STATEMENTS,
+)
 from review import yard
 
 MODEL = 'daka510000'
 #: Every so many pieces one is written in two parts, so that some answers
 #: break off inside a piece.
 _SPLIT_EVERY = 5
+_START = 'born'
+_OK = 200
 
 
 class _PieceWriter:
@@ -49,14 +57,52 @@
         await asyncio.sleep(gap)
 
 
-class RestartedEngine(yard.ModelEngine):
-    """A model engine whose events name its process and its software."""
+class _StatingServer(yard.Engine):
+    """States of its process no more than it is told to."""
 
     software = 'v1'
+    states = STATEMENTS
+    #: Another one at each start.
+    epoch = 0
 
     def entry(self):
         """Return the entry, with the version of the software."""
-        return super().entry() | {'version': self.software}
+        entry = super().entry() | {'version': self.software}
+        if ENTRY not in self.states:
+            entry.pop(_START)
+        return entry
+
+
+class _StatementWriter:
+    """Leaves out of one answer of an engine what it does not state."""
+
+    def __init__(self, writer, changes):
+        self._writer = writer
+        self._changes = changes
+
+    def write(self, raw):
+        """Write the answer with its changes; without a value, none."""
+        document = json.loads(raw.split(b'\r\n\r\n', 1)[1]) | self._changes
+        stated = {
+            name: value for name, value in document.items() if value is not None
+        }
+        self._writer.write(yard.json_response(_OK, stated))
+
+
+class RestartedEngine(_StatingServer, yard.ModelEngine):
+    """A model engine whose events name its process and its software."""
+
+    async def answer(self, request, reader, writer):
+        """Answer, and leave out what is not stated."""
+        changes = {}
+        if request.path == '/api/report' and REPORT not in self.states:
+            changes[_START] = None
+        elif request.path == '/api/kv-events':
+            is_stated = EPOCH in self.states
+            changes['bootEpoch'] = self.epoch if is_stated else None
+        if changes:
+            writer = _StatementWriter(writer, changes)
+        await super().answer(request, reader, writer)
 
     async def _stream(self, request, writer):
         order = json.loads(request.body)
@@ -76,15 +122,9 @@
         return f'id: {number * self.id_step}\ndata: {data}\n\n'.encode()
 
 
-class RestartedServer(yard.PlainEngine):
+class RestartedServer(_StatingServer, yard.PlainEngine):
     """A plain server whose lines name its process and its software."""
 
-    software = 'v1'
-
-    def entry(self):
-        """Return the entry, with the version of the software."""
-        return super().entry() | {'version': self.software}
-
     async def answer(self, request, reader, writer):
         """Answer health checks as all do, and calls line by line."""
         wrong = self.misdirected(request)
--- a/features/soak/soak.feature
+++ b/features/soak/soak.feature
@@ -60,23 +60,82 @@
       | read  | 1 2! then 1p 2p 3p.    | nothing                                     |
       | read  | 1 2 3p.                | pieces of two processes                     |
 
+  # Guards against stand-ins that state their process in each run, so that a
+  # router may rely on a statement that the users' machines do not make.
+  Scenario: The seed decides what servers state of their process
+    When the statements of the restart soak are chosen with seeds 1 to 50
+    Then all processes of some runs state "entry,report" of their start
+    And all processes of some runs state "entry" of their start
+    And all processes of some runs state "report" of their start
+    And all processes of some runs state "-" of their start
+    And in some runs each statement is made by some servers only
+    And in some runs each statement is made since an upgrade or until it
+    And some runs remove entries of servers that live, and some do not
+
+  # Guards against a statement that is switched off and made nevertheless.
+  Scenario Outline: Stand-ins of the restart soak state what they are told to
+    Given a stand-in of the restart soak of kind "engine" that states "<states>"
+    Then its entry has a start: <entry>
+    And its answers have "<answers>" of the start and the epoch
+
+    Examples:
+      | states             | entry | answers      |
+      | entry,report,epoch | yes   | report,epoch |
+      | entry              | yes   | -            |
+      | report             | no    | report       |
+      | epoch              | no    | epoch        |
+      | -                  | no    | -            |
+
+  # Guards against a plain server that states its start though it is not to.
+  Scenario: Plain servers of the restart soak need not state their start
+    Given a stand-in of the restart soak of kind "server" that states "-"
+    Then its entry has a start: no
+
+  # Guards against an epoch that stays the same over a restart.
+  Scenario: The epoch of cache events is another one after a restart
+    Given a stand-in of the restart soak of kind "engine" that states "epoch"
+    Then no two starts of the stand-in have the same epoch
+
   # Guards against broken answers that look complete, and streams that are joined
   # wrongly, as servers of a real fleet restart while routers are paused.
   Scenario Outline: Answers hold while servers restart and routers are paused
-    When the restart soak runs for 8 s with seed <seed>
+    When the restart soak runs for <seconds> s with seed <seed> and statements "<states>"
     Then no answer of the restart soak is cut, joined or out of order
     And some answers of the restart soak were broken off
 
     Examples:
-      | seed |
-      | 1    |
+      | seconds | seed | states             |
+      | 8       | 1    | entry,report,epoch |
+
+  # Guards against the same where servers state their start in one place alone, or
+  # state nothing of their process, or some of them do, and where the entries of
+  # servers that live are removed and come again.
+  Scenario Outline: Answers hold whatever servers state of their process
+    When the restart soak runs for 3 s with seed <seed>
+    Then servers of the restart soak state "<states>", otherwise "<otherwise>"
+    And no answer of the restart soak is cut, joined or out of order
+    And some answers of the restart soak were broken off
+
+    Examples:
+      | seed | states       | otherwise                 |
+      | 96   | entry        | entry,epoch, by software  |
+      | 33   | report,epoch | entry,epoch, by servers   |
+      | 34   | -            | no                        |
 
   # Guards against whole answers that are refused, and streams that callers cannot
   # take up at another router. The ids of the events rise by 3.
-  Scenario: Each request is answered by a fleet without disturbance
-    When the restart soak runs calm for 4 s with seed 2
+  Scenario Outline: Each request is answered by a fleet without disturbance
+    When the restart soak runs calm for <seconds> s with seed 2 and statements "<states>"
     Then no answer of the restart soak is cut, joined or out of order
     And each request of the restart soak is answered
+    And each answer of the restart soak is whole
+
+    Examples:
+      | seconds | states             |
+      | 4       | entry,report,epoch |
+      | 2       | entry,epoch        |
+      | 2       | report             |
+      | 2       | -                  |
 
   # Guards against broken answers of plain services that look complete, on the
   # own interface.
--- a/features/steps/restart_soak_steps.py
+++ b/features/steps/restart_soak_steps.py
@@ -162,11 +162,28 @@
     context.counts = _run(_MODULE, *arguments)
 
 
-@when('the restart soak runs calm for {seconds:d} s with seed {seed:d}')
-def when_run_calm(context: Context, seconds: int, seed: int) -> None:
-    """Run it without kills and pauses."""
+@when(
+    'the restart soak runs for {seconds:d} s with seed {seed:d} and '
+    'statements "{names}"'
+)
+def when_run_stating(
+    context: Context, seconds: int, seed: int, names: str
+) -> None:
+    """Run it with servers that make these statements."""
     arguments = (f'--seconds={seconds}', f'--seed={seed}')
-    context.counts = _run(_MODULE, *arguments, '--calm')
+    context.counts = _run(_MODULE, *arguments, f'--states={names}')
+
+
+@when(
+    'the restart soak runs calm for {seconds:d} s with seed {seed:d} and '
+    'statements "{names}"'
+)
+def when_run_calm_stating(
+    context: Context, seconds: int, seed: int, names: str
+) -> None:
+    """Run it without disturbances."""
+    arguments = (f'--seconds={seconds}', f'--seed={seed}', '--calm')
+    context.counts = _run(_MODULE, *arguments, f'--states={names}')
 
 
 @then('each request of the restart soak is answered')
@@ -175,6 +192,18 @@
     counts = context.counts
     assert counts['taken up'] > 0, counts
     assert not counts['not answered'], counts
+    assert counts['answered'] == counts['requests'], counts
+
+
+@then('each answer of the restart soak is whole')
+def then_whole(context: Context) -> None:
+    """Compare the counts of each kind of answer."""
+    counts = context.counts
+    for kind in ('streams', 'calls'):
+        for framing in ('framed', 'unframed'):
+            name = f'{framing} {kind}'
+            assert counts[name] > 0, counts
+            assert counts[f'whole {name}'] == counts[name], counts
 
 
 @then('no answer of the restart soak is cut, joined or out of order')
@@ -185,6 +214,14 @@
     assert counts['routers ended'] == 0, counts
 
 
+@then('servers of the restart soak state "{names}", otherwise "{otherwise}"')
+def then_stated(context: Context, names: str, otherwise: str) -> None:
+    """Compare the choice that the run prints."""
+    counts = context.counts
+    assert counts['states'] == names, counts
+    assert counts.get('states otherwise', 'no') == otherwise, counts
+
+
 @then('some answers of the restart soak were broken off')
 def then_disturbed(context: Context) -> None:
     """Check that servers ended amid answers, and that streams went on."""
