State the first start of engines that are said to state it

Cause: engines that start with the fleet had born 0, which counts as not stated, so that the rows of late_statements.feature with a stated start played another case until the engine started again. The virtual time now begins at 1 for them.

--- a/features/telling_fleet.py
+++ b/features/telling_fleet.py
@@ -18,6 +18,9 @@
 _POLL = b'GET /api/kv-events'
 _POLL_S = 0.3
 
+#: Wall time at the start of the fleet, in ms. A start at 0 is not stated.
+_EPOCH = 1
+
 #: How a health check begins.
 _CHECK = b'GET /h '
 
@@ -45,13 +48,15 @@
     def entry_document(self) -> dict[str, Any]:
         """Return what the engine writes to the store."""
         document = super().entry_document()
+        document['born'] = _EPOCH + self._born
         if not self.states_in_entry:
             document.pop('born')
         return document
 
     def report(self) -> bytes:
         """Return what the engine states about itself when it is asked."""
-        stated = {'born': self._born} if self.states_in_report else {}
+        born = _EPOCH + self._born
+        stated = {'born': born} if self.states_in_report else {}
         return json.dumps(stated).encode()
 
     def build_protocol(self) -> Protocol:
