Take events without numbers for no rest of a stream, on the own interface

What callers could see: events twice, in a stream that ends with its [DONE], on the own interface, if an engine numbers no events and sends a stream from its beginning where the router asks for the rest.

Cause: an event without an id counted as the expected one. The class: a proof by a statement that counts as given when it is missing.

Change: after a resume, the first event with data has to have its number. If it has none, the run counts as gone, not as broken, so that it is no evidence of a crash; the call runs anew, and what was passed on is compared.

Why it works: nothing is passed on from a resumed run before a number shows where it begins.

--- a/features/dispatch/streams.feature
+++ b/features/dispatch/streams.feature
@@ -50,6 +50,13 @@
       | none  | i2     |
       | none  | none   |
 
+  # Guards against events that come twice, because an engine sends a stream from
+  # its beginning where the rest is asked for, and numbers nothing.
+  Scenario: Events without numbers are not taken for the rest of a stream
+    Given a scripted engine that repeats a stream without numbers, and a second that does
+    When a routed stream is asked for until the first scripted engine was used
+    Then the routed stream equals the scripted events without numbers
+
   Scenario: Late events of a slow attempt are dropped after a hedge
     Given a scripted engine that answers late and a second that answers
     And the usual time to the first token of the routed service is known
--- a/yuccagauge/dispatch/attempt.py
+++ b/yuccagauge/dispatch/attempt.py
@@ -6,6 +6,7 @@
 from yuccagauge.dispatch.base import BackendMessage, Header, ResponseHead
 from yuccagauge.dispatch.errors import (
     BackendProtocolError,
+    ContinuationError,
     ReplayMismatchError,
 )
 from yuccagauge.dispatch.exchange import Exchange
@@ -219,6 +220,9 @@
         except ReplayMismatchError as error:
             self._exchange.abandon()
             self._end(Ending.MISMATCH, str(error))
+        except ContinuationError as error:
+            self._exchange.abandon()
+            self._end(Ending.GONE, str(error))
         except BackendProtocolError as error:
             self._exchange.abandon()
             self._end(Ending.BROKEN, str(error))
--- a/yuccagauge/dispatch/delivery.py
+++ b/yuccagauge/dispatch/delivery.py
@@ -15,9 +15,15 @@
 from yuccagauge.dispatch.base import Header
 from yuccagauge.dispatch.errors import (
     BackendProtocolError,
+    ContinuationError,
     ReplayMismatchError,
 )
-from yuccagauge.dispatch.sse import comparable, event_number, is_done
+from yuccagauge.dispatch.sse import (
+    comparable,
+    event_number,
+    has_data,
+    is_done,
+)
 
 
 class EventSource(Protocol):
@@ -73,6 +79,9 @@
     #: Whether events are still compared.
     replaying: bool = False
     replayed: int = 0
+    #: Whether no number has shown yet that a resumed source goes on behind the
+    #: last event.
+    lacks_number: bool = False
     replay_digest: 'hashlib._Hash' = field(default_factory=hashlib.blake2b)
 
 
@@ -116,6 +125,7 @@
 ) -> None:
     core.current = source
     core.streaming = True
+    core.lacks_number = True
 
 
 @_interrupted.upon(DeliveryInputs.replay).to(_replaying)
@@ -126,6 +136,7 @@
 ) -> None:
     core.current = source
     core.replaying = True
+    core.lacks_number = False
     core.replayed = 0
     core.replay_digest = hashlib.blake2b()
 
@@ -189,10 +200,10 @@
     for event in events:
         # Almost every event has the expected number in its first line.
         if not event.startswith(b'id: %d\n' % core.delivered):
-            number = event_number(event)
-            if number is not None and number < core.delivered:
+            if _is_repeated(core, event):
                 continue
             _check_number(event, core.delivered)
+        core.lacks_number = False
         core.delivered += 1
         core.digest.update(comparable(event))
         core.done = core.done or is_done(event)
@@ -201,6 +212,22 @@
         core.output.events(fresh)
 
 
+def _is_repeated(core: _Core, event: bytes) -> bool:
+    """Return whether an event adds nothing to what was passed on.
+
+    Raises
+    ------
+    ContinuationError
+        If a source that was asked for the rest does not show that this is it.
+    """
+    number = event_number(event)
+    if number is not None:
+        return number < core.delivered
+    if core.lacks_number and has_data(event):
+        raise ContinuationError('no number shows the rest of the stream')
+    return core.lacks_number
+
+
 def _check_number(event: bytes, expected: int) -> None:
     number = event_number(event)
     if number is not None and number != expected:
