Keep the origin of a stream until a process is shown to have its version

Cause: a router that took a stream up recorded the version of the listed server as its origin when it chose the server, before the process was asked. The process was refuted and the caller told to come back, and the next router went on at the version that had been recorded. A belief was stored before its proof.

Change: the origin is renewed with the version that the stream needs, as far as it is known, and not with that of the server.

--- a/features/origins/origins.feature
+++ b/features/origins/origins.feature
@@ -44,6 +44,16 @@
       | v1      |
       | v2      |
 
+  # Guards against streams that are joined at the next router, because this one
+  # has kept the version of a process that could not go on with the stream.
+  Scenario: The origin of a stream is kept though the process that is asked cannot go on
+    Given a relay with engines of the versions "v2" that know how to go on
+    And the stream "r0" of the customer "anna" was begun by "?i0/5"
+    And the process of the engines is "7"
+    When a caller takes up the stream of "r0" after event 1
+    Then the caller gets status 503 and the code "version_gone"
+    And the stream "r0" of the customer "anna" is still known to be begun by "?i0/5"
+
   Scenario: A stream of another customer is not known
     Given a relay with engines of the versions "v1 v2" that know how to go on
     And the stream "r0" of the customer "ben" was begun by "v1"
--- a/features/steps/origins_steps.py
+++ b/features/steps/origins_steps.py
@@ -51,6 +51,23 @@
         return succeed(self.origins.get(key))
 
 
+class _StatedName:
+    """Engines that all state the same name of their process."""
+
+    def __init__(self, name: str) -> None:
+        self._name = name
+
+    def through(self, pool: Any) -> '_StatedName':
+        """Return this source."""
+        return self
+
+    def read_process_name(
+        self, server: BackendServer, timeout: Millis
+    ) -> Deferred[str]:
+        """Return the name at once."""
+        return succeed(self._name)
+
+
 def _start(context: Context, versions: str, script: object) -> None:
     context.versions = versions.split()
     start_relay_with_engine(context, script)
@@ -94,6 +111,24 @@
     _start(context, versions, send_events(event(1), resets=True))
 
 
+@given('the process of the engines is "{name}"')
+def name_process(context: Context, name: str) -> None:
+    """Let the relay ask the engines which process they run."""
+    context.fixture.relay_context.use_process_names(_StatedName(name))
+
+
+@then(
+    'the stream "{request_id}" of the customer "{customer}" is still known to'
+    ' be begun by "{version}"'
+)
+def check_origin(
+    context: Context, request_id: str, customer: str, version: str
+) -> None:
+    """Guard against origins that change as a stream is taken up."""
+    origin = context.origins.origins[origin_key(customer, request_id)]
+    assert origin.software_version == version, origin
+
+
 @given('the route is split, and all its calls get these engines')
 def split_without_weight(context: Context) -> None:
     """Add a service that gets no call."""
--- a/yuccagauge/relay/call.py
+++ b/yuccagauge/relay/call.py
@@ -344,7 +344,10 @@
 
     def _send_attempt(self, decision: SelectionDecision) -> None:
         self._repeats.record_send()
-        self._context.origins.record_send(self._call, decision.placement.server)
+        version = self._selection_request.software_version
+        if version is not None:
+            known = self._context.incarnations.listed_version(version)
+            self._context.origins.renew(self._call, known or version)
         self._attempt = AttemptTracker(
             self._call,
             self._selection_request,
--- a/yuccagauge/relay/origins.py
+++ b/yuccagauge/relay/origins.py
@@ -76,12 +76,16 @@
         change: until its first event a stream may move to any version.
         """
         if call.route.is_resumable and not call.takes_stream_up:
-            self._record(call, server)
+            self._record(call, server.service, server.software_version)
 
-    def record_send(self, call: RelayCall, server: BackendServer) -> None:
-        """Keep the version of a stream that is taken up for longer."""
-        if call.route.is_resumable and call.takes_stream_up:
-            self._record(call, server)
+    def renew(self, call: RelayCall, version: str) -> None:
+        """Keep the origin of a stream that is taken up for longer.
+
+        That is the version which the call needs. The server that gets it may
+        turn out to run another one.
+        """
+        if call.takes_stream_up:
+            self._record(call, call.service, version)
 
     def resolve(self, call: RelayCall, on_result: OriginCallback) -> None:
         """Find the version at which a call has to go on, or a refusal."""
@@ -126,10 +130,8 @@
         self._report(call, 'only_version', version)
         on_result(version, None)
 
-    def _record(self, call: RelayCall, server: BackendServer) -> None:
-        origin = StreamOrigin(
-            service=server.service, software_version=server.software_version
-        )
+    def _record(self, call: RelayCall, service: str, version: str) -> None:
+        origin = StreamOrigin(service=service, software_version=version)
         self._store.record(stream_key(call.fields, call.customer), origin)
 
     def _report(
