--- a/features/soak/soak.feature
+++ b/features/soak/soak.feature
@@ -111,7 +111,7 @@
   # state nothing of their process, or some of them do, and where the entries of
   # servers that live are removed and come again.
   Scenario Outline: Answers hold whatever servers state of their process
-    When the restart soak runs for 3 s with seed <seed>
+    When the restart soak runs for 12 s with seed <seed>
     Then servers of the restart soak state "<states>", otherwise "<otherwise>"
     And no answer of the restart soak is cut, joined or out of order
     And some answers of the restart soak were broken off
