--- a/features/origins/process_review.feature
+++ b/features/origins/process_review.feature
@@ -29,3 +29,18 @@
     Given an engine that states nothing of its process, and is asked for it
     When it is listed no more
     Then no connection to it is kept
+
+  # Guards against streams that are joined after the store was away, as the
+  # times after which it removes entries pause meanwhile.
+  Scenario Outline: Streams are not joined once a store is back that has removed no entry meanwhile
+    Given 3 routers before 4 engines that state their start in "no place", and cache events with an epoch yes
+    And callers come back <pause> s after their stream breaks off
+    And all engines restart with other software, and the store is away for 6.0 s, in which entries do not age
+    When 10 streams a second begin for 4 s
+    Then no stream has events of two versions, whether any goes on or not
+
+    Examples:
+      | pause |
+      | 6.0   |
+      | 6.4   |
+      | 6.8   |
--- a/features/steps/process_review_steps.py
+++ b/features/steps/process_review_steps.py
@@ -1,5 +1,6 @@
 """Steps for what shows which process of a server wrote its entries."""
 
+from dataclasses import replace
 from types import SimpleNamespace
 from typing import Any
 from unittest import mock
@@ -11,6 +12,7 @@
 from yuccagauge.clock import Millis
 from yuccagauge.directory.base import BackendServer, ServerState
 from yuccagauge.directory.settled import SettledEntries, Sighting
+from yuccagauge.directory.state import Topic
 from yuccagauge.relay import incarnations
 from yuccagauge.relay.incarnations import Incarnations, NamedProcess
 from yuccagauge.selection.base import SelectionRequest
@@ -184,3 +186,38 @@
 def check_dropped(context: Context) -> None:
     """Check that the connection was closed."""
     assert context.opened.abort.called
+
+
+@given('callers come back {pause:f} s after their stream breaks off')
+def set_pause(context: Context, pause: float) -> None:
+    """Let callers wait."""
+    context.fleet.pause_s = pause
+
+
+@given(
+    'all engines restart with other software, and the store is away for'
+    ' {away:f} s, in which entries do not age'
+)
+def restart_beside_store(context: Context, away: float) -> None:
+    """Restart the engines 2 s from now, at the beginning of an outage."""
+    fleet = context.fleet
+    fleet.entry_s = 0.0
+    store, reactor = fleet.store, fleet.network.reactor
+
+    def come_back() -> None:
+        store.is_down = False
+        log = store._log[Topic.SERVERS]  # noqa: SLF001
+        log[:] = [
+            replace(each, appended_at=each.appended_at + away) for each in log
+        ]
+
+    reactor.callLater(2, fleet.upgrade, 0.005, 0.0)
+    reactor.callLater(2.02, setattr, store, 'is_down', True)
+    reactor.callLater(2.02 + away, come_back)
+
+
+@then('no stream has events of two versions, whether any goes on or not')
+def check_none_joined(context: Context) -> None:
+    """Guard against streams whose events do not fit together."""
+    fleet = context.fleet
+    assert not fleet.mixed(), (len(fleet.mixed()), fleet.continuations)
