--- a/features/origins/process_review.feature
+++ b/features/origins/process_review.feature
@@ -44,3 +44,17 @@
       | 6.0   |
       | 6.4   |
       | 6.8   |
+
+  # Guards against streams that are joined because one late entry alone is taken
+  # for two in a row.
+  Scenario: One late entry does not describe the next process
+    Given an engine that is listed with "v1" until it ends
+    When its next process answers from then on, and one heartbeat of "v1" reaches the store late
+    Then the next process has no version
+
+  # Guards against streams that are joined because a process that has run for
+  # long is given a version that its server is listed with only now.
+  Scenario: An entry that is new does not describe a process that has run for long
+    Given an engine that is listed with "v1" until it ends
+    When a late entry with "v2" comes for a process that has run for 4 heartbeats
+    Then the next process has no version
--- a/features/steps/process_review_steps.py
+++ b/features/steps/process_review_steps.py
@@ -221,3 +221,27 @@
     """Guard against streams whose events do not fit together."""
     fleet = context.fleet
     assert not fleet.mixed(), (len(fleet.mixed()), fleet.continuations)
+
+
+@when(
+    'its next process answers from then on, and one heartbeat of "{version}"'
+    ' reaches the store late'
+)
+def write_late_once(context: Context, version: str) -> None:
+    """Write the last entry of the first process once, after its end."""
+    _list(context, version, 3, 3500)
+    context.found = context.settled.written_version(
+        'i1', Sighting(first=Millis(3050), last=Millis(3700)), Millis(3600)
+    )
+
+
+@when(
+    'a late entry with "{version}" comes for a process that has run for 4'
+    ' heartbeats'
+)
+def write_other(context: Context, version: str) -> None:
+    """Write one entry of another version, and ask about the process."""
+    _list(context, version, 1, 7500)
+    context.found = context.settled.written_version(
+        'i1', Sighting(first=Millis(1000), last=Millis(7600)), Millis(7600)
+    )
