Take no entry for one of the process that runs while the store was away

Cause: entries do not age while the store is away, so that an entry which has not changed for four heartbeats may still be that of the process before. The other way, two entries in a row, took a copy of one entry, which a write without an answer leaves, for the second one.

Change: unchanged entries show something only while the store has confirmed them all the time (no gap of more than two heartbeats), over five heartbeats: three until an entry is removed, two for an outage that is too short to be noticed. The second of two entries needs a higher count.

--- a/yuccagauge/directory/settled.py
+++ b/yuccagauge/directory/settled.py
@@ -9,8 +9,13 @@
 HEARTBEAT_INTERVAL = Millis(1200)
 
 #: Heartbeats within which a server that is listed throughout has written its
-#: entry at least once: it is removed after three without one.
-_LISTED_BEATS = 4
+#: entry at least once: it is removed after three without one, and an outage of
+#: the store that is too short to be noticed adds two.
+_LISTED_BEATS = 5
+
+#: Heartbeats without a confirmation by the store after which entries that have
+#: not changed show nothing: they do not age while the store is away.
+_OUTAGE_BEATS = 2
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -61,6 +66,17 @@
         #: The newest two entries of each server, if they agree.
         self._pairs: dict[str, _EntryPair] = {}
         self._newest: dict[str, _NewestEntry] = {}
+        #: The latest confirmation, and since when there was one all the time.
+        self._confirmed_at = Millis(0)
+        self._confirmed_since = Millis(0)
+
+    def record_confirmation(
+        self, confirmed_at: Millis, interval: Millis = HEARTBEAT_INTERVAL
+    ) -> None:
+        """Record up to when this router knows of all changes of entries."""
+        if confirmed_at - self._confirmed_at > _OUTAGE_BEATS * interval:
+            self._confirmed_since = confirmed_at
+        self._confirmed_at = max(self._confirmed_at, confirmed_at)
 
     def record(
         self, server: BackendServer, written_after: Millis | None, now: Millis
@@ -75,7 +91,9 @@
             self._pairs.pop(server_id, None)
         else:
             since = previous.since
-            if previous.written_after is not None:
+            # A copy of an entry, or that of an earlier process, is no heartbeat.
+            is_next = server.heartbeat_count > previous.server.heartbeat_count
+            if is_next and previous.written_after is not None:
                 self._pairs[server_id] = _EntryPair(
                     written_after=previous.written_after, written_before=now
                 )
@@ -119,10 +137,12 @@
         newest = self._newest.get(server_id)
         if newest is None:
             return None
+        self.record_confirmation(confirmed_at, interval)
         pair = self._pairs.get(server_id)
         end = min(confirmed_at, sighting.last)
         start = Millis(end - _LISTED_BEATS * interval)
-        is_writer = newest.since <= start and sighting.covers(start, end)
+        listed_since = max(newest.since, self._confirmed_since)
+        is_writer = listed_since <= start and sighting.covers(start, end)
         if pair is not None and not is_writer:
             is_writer = sighting.covers(pair.written_after, pair.written_before)
         return newest.server.software_version if is_writer else None
--- a/yuccagauge/relay/router.py
+++ b/yuccagauge/relay/router.py
@@ -372,6 +372,10 @@
         if lapsed:
             log_state_change('servers_lapsed', servers=lapsed)
         self._selector.limits.remove_gone(self._directory.servers, now)
+        self._directory.settled_entries.record_confirmation(
+            self._exchange.confirmed_at(Topic.SERVERS),
+            self._settings.weights.heartbeat_ms,
+        )
         self._observe_versions(now)
         self._paths.update()
         self._cache_feed.update_pollers()
--- a/yuccagauge/selection/selector.py
+++ b/yuccagauge/selection/selector.py
@@ -123,7 +123,7 @@
             for server_id in previous_servers
             if server_id not in view.servers
         )
-        for server_id in {*stated, *restarted, *removed}:
+        for server_id in dict.fromkeys((*stated, *restarted, *removed)):
             self.cache_map.remove_holder(server_id)
             previous_load = self._loads.pop(server_id, None)
             if previous_load is not None and previous_load.own_calls:
