Keep no version of a process that only an open connection shows to run

The version that a call goes by is no longer kept; only answers of the process bind it. A name that comes again with another version names no process any more. A server that did not state a known name when it was last asked is proved by an older connection. - By reading, no test: a question for the name carries the id of the server, so that another engine at its address does not answer it; a start that the entry lacks is another name (r...), which older builds do not take for a listed one.

--- a/features/steps/process_review_steps.py
+++ b/features/steps/process_review_steps.py
@@ -14,7 +14,8 @@
 from yuccagauge.directory.settled import SettledEntries, Sighting
 from yuccagauge.directory.state import Topic
 from yuccagauge.relay import incarnations
-from yuccagauge.relay.incarnations import Incarnations, NamedProcess
+from yuccagauge.relay.incarnations import Incarnations
+from yuccagauge.relay.processes import NamedProcess
 from yuccagauge.selection.base import SelectionRequest
 from yuccagauge.settings.options import Endpoint
 
@@ -88,7 +89,7 @@
     """Let a process state its name."""
     _prepare(context)
     context.clock.at = Millis(1000)
-    context.incarnations.record_name('i1', name, Millis(990))
+    context.incarnations.processes.record_name('i1', name, Millis(990))
     context.open_connection = SimpleNamespace(
         can_send=True,
         process=NamedProcess(name=name, known_since=Millis(1000)),
--- a/features/steps/relay_full_polls_steps.py
+++ b/features/steps/relay_full_polls_steps.py
@@ -17,9 +17,7 @@
         """Answer 429 to such a poll."""
         is_poll = data.startswith(b'GET /api/kv-events')
         if is_poll and b'wait-ms' not in data.lower():
-            self.transport.write(
-                b'HTTP/1.1 429 X\r\nContent-Length: 0\r\n\r\n'
-            )
+            self.transport.write(b'HTTP/1.1 429 X\r\nContent-Length: 0\r\n\r\n')
         else:
             super().dataReceived(data)
 
--- a/yuccagauge/platform/engines.py
+++ b/yuccagauge/platform/engines.py
@@ -124,12 +124,14 @@
         epoch = yield self._read_cache_epoch(server, timeout)
         if epoch is None and not server.started_at:
             started_at = yield self._read_start_time(server, timeout)
-        return process_name(started_at, epoch)
+        return process_name(
+            started_at, epoch, is_listed=bool(server.started_at)
+        )
 
     @inlineCallbacks
     def _read_start_time(self, server: BackendServer, timeout: Millis) -> Any:
         """Return the start time that a server reports; 0 if it has none."""
-        message = BackendMessage(method='GET', path=names.REPORT_PATH)
+        message = _question(server, names.REPORT_PATH)
         response = yield self._fetch(server.endpoint, message, timeout)
         return _start_time(response)
 
@@ -142,9 +144,8 @@
         FetchError
             If there is no answer.
         """
-        message = BackendMessage(
-            method='GET', path=f'{names.CACHE_EVENTS_PATH}?since={_NO_EVENTS}'
-        )
+        path = f'{names.CACHE_EVENTS_PATH}?since={_NO_EVENTS}'
+        message = _question(server, path)
         response = yield self._fetch(server.endpoint, message, timeout)
         if response.head.status != _OK:
             return None
@@ -164,8 +165,7 @@
         path = names.REPORT_PATH if service.is_model else service.health_path
         if not path:
             return None
-        expected = (names.EXPECT_INSTANCE, server.server_id.encode())
-        return BackendMessage(method='GET', path=path, headers=(expected,))
+        return _question(server, path)
 
     @inlineCallbacks
     def read_health(self, server: BackendServer, path: str) -> Any:
@@ -173,8 +173,7 @@
 
         Another process may answer at its address, so the answer has to name it.
         """
-        expected = (names.EXPECT_INSTANCE, server.server_id.encode())
-        message = BackendMessage(method='GET', path=path, headers=(expected,))
+        message = _question(server, path)
         response = yield self._fetch(server.endpoint, message, _REPLY_TIMEOUT)
         info = self._protocol.parse_head(response.head)
         is_healthy = response.head.status == _OK and not info.is_leaving
@@ -281,6 +280,12 @@
         return response
 
 
+def _question(server: BackendServer, path: str) -> BackendMessage:
+    """Return a request that no other server answers at the same address."""
+    expected = (names.EXPECT_INSTANCE, server.server_id.encode())
+    return BackendMessage(method='GET', path=path, headers=(expected,))
+
+
 def _start_time(response: Fetched) -> int:
     """Return the start time that a response states; 0 if it states none."""
     try:
--- a/yuccagauge/relay/evidence.py
+++ b/yuccagauge/relay/evidence.py
@@ -53,9 +53,12 @@
         asked_at = context.clock.now()
 
         def record(name: str) -> str:
-            context.incarnations.processes.record_name(
-                self._server.server_id, name, asked_at
+            processes = context.incarnations.processes
+            server_id = self._server.server_id
+            processes.record_question(
+                server_id, is_known=name in self._known_names
             )
+            processes.record_name(server_id, name, asked_at)
             return name
 
         asking = context.identities.read_process_name(self._server, timeout)
@@ -70,8 +73,9 @@
             Opens the connection of the request, the younger one.
         """
         context = self._context
-        has_names = context.incarnations.processes.has_names(self._server)
-        if context.identities is None or (self._is_model and has_names):
+        processes = context.incarnations.processes
+        is_askable = self._is_model and processes.is_askable(self._server)
+        if context.identities is None or is_askable:
             return context.pool
         self._witness = context.witnesses.prepare(self._server.endpoint)
         return WitnessedPool(context.pool, self._witness, context.call_later)
--- a/yuccagauge/relay/identity.py
+++ b/yuccagauge/relay/identity.py
@@ -17,7 +17,9 @@
     return name.startswith(LOCAL_NAME)
 
 
-def process_name(started_at: int, cache_epoch: Any = None) -> str:
+def process_name(
+    started_at: int, cache_epoch: Any = None, *, is_listed: bool = True
+) -> str:
     """Return the name of a process, which no other one of its server has.
 
     Parameters
@@ -26,6 +28,9 @@
         Unix time of its start, in ms; 0 if it does not state it.
     cache_epoch
         Epoch of its cache events; ``None`` if it does not state it.
+    is_listed
+        Whether the entry states a start too. Routers of older builds ask no
+        process for its start otherwise, and must not know it by that name.
 
     Returns
     -------
@@ -33,7 +38,7 @@
         Empty if the process states neither.
     """
     if started_at:
-        return str(started_at)
+        return str(started_at) if is_listed else f'r{started_at}'
     return '' if cache_epoch is None else f'e{cache_epoch}'
 
 
--- a/yuccagauge/relay/incarnations.py
+++ b/yuccagauge/relay/incarnations.py
@@ -305,11 +305,11 @@
         """Forget servers that are gone, and log start times that are odd."""
         servers = self._directory.servers
         for server_id, server in servers.items():
+            self._processes.record_listed(server)
             before = self._started_at.get(server_id)
             if before == server.started_at:
                 continue
             self._started_at[server_id] = server.started_at
-            self._processes.record_listed(server)
             if before is not None and before > server.started_at:
                 # Either an entry came late, or the clock of the server is off.
                 self._log(
@@ -326,6 +326,7 @@
                     wall_time=self._clock.wall_time(),
                 )
         self._standing.keep_only(servers)
+        self._processes.keep_only(servers)
         for known in (self._answers, self._started_at):
             for server_id in known.keys() - servers.keys():
                 known.pop(server_id)
--- a/yuccagauge/relay/processes.py
+++ b/yuccagauge/relay/processes.py
@@ -1,7 +1,7 @@
 """The processes of servers that are known by name, and their versions. No I/O."""
 
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 
 from yuccagauge.clock import Clock, Millis
@@ -68,8 +68,11 @@
         """Know no process."""
         self._clock = clock
         self._sightings = ProcessSightings()
-        #: By incarnation.
-        self._versions: OrderedDict[str, str] = OrderedDict()
+        #: Servers that have answered the last question for their name with one
+        #: that was known.
+        self._askable: set[str] = set()
+        #: By incarnation; ``None`` for one that is not unique.
+        self._versions: OrderedDict[str, str | None] = OrderedDict()
         #: Returns the software version in the entries of a server that one of
         #: its processes has written.
         self.written_version: WrittenVersion = lambda server_id, sighting: (
@@ -117,9 +120,23 @@
         if server.started_at:
             self._record_version(server.incarnation, server.software_version)
 
-    def has_names(self, server: BackendServer) -> bool:
-        """Return whether a server states names, so that it can be asked."""
-        return bool(self._stated_names(server.server_id))
+    def record_question(self, server_id: str, *, is_known: bool) -> None:
+        """Record whether a server, asked for its name, stated a known one."""
+        if is_known:
+            self._askable.add(server_id)
+        else:
+            self._askable.discard(server_id)
+
+    def keep_only(self, server_ids: Collection[str]) -> None:
+        """Forget which other servers can be asked."""
+        self._askable.intersection_update(server_ids)
+
+    def is_askable(self, server: BackendServer) -> bool:
+        """Return whether a server states a known name when it is asked.
+
+        It may not: polls for cache events are limited, and most are in use.
+        """
+        return server.server_id in self._askable
 
     def known_names(self, server: BackendServer) -> frozenset[str]:
         """Return the names that processes of a server have stated so far."""
@@ -140,18 +157,18 @@
         """
         name = process.name
         incarnation = f'{server.server_id}/{name}'
-        version = self._versions.get(incarnation)
-        if version is not None or (server.started_at and name.isdecimal()):
-            return version
+        if incarnation in self._versions:
+            return self._versions[incarnation]
+        if server.started_at and name.isdecimal():
+            return None
         seen = self._sightings.find(server.server_id, name)
         first = process.known_since
         if seen is not None:
             first = min(first, seen.first)
+        # It may have ended unnoticed. The call does not reach it then, but
+        # nothing that outlives the call may rest on it.
         sighting = Sighting(first=first, last=self._clock.now())
-        version = self.written_version(server.server_id, sighting)
-        if version is not None and name:
-            self._record_version(incarnation, version)
-        return version
+        return self.written_version(server.server_id, sighting)
 
     def _stated_names(self, server_id: str) -> frozenset[str]:
         return frozenset(
@@ -161,7 +178,10 @@
         )
 
     def _record_version(self, incarnation: str, software_version: str) -> None:
-        self._versions[incarnation] = software_version
+        known = self._versions.get(incarnation, software_version)
+        # A name that comes again with another version names no process.
+        is_unique = known == software_version
+        self._versions[incarnation] = software_version if is_unique else None
         self._versions.move_to_end(incarnation)
         if len(self._versions) > _MAXIMUM_VERSIONS:
             self._versions.popitem(last=False)
