--- a/features/steps/process_review_steps.py
+++ b/features/steps/process_review_steps.py
@@ -202,17 +202,18 @@
 def restart_beside_store(context: Context, away: float) -> None:
     """Restart the engines 2 s from now, at the beginning of an outage."""
     fleet = context.fleet
-    fleet.entry_s = 0.0
+    fleet.entry_s = 0
     store, reactor = fleet.store, fleet.network.reactor
 
     def come_back() -> None:
         store.is_down = False
-        log = store._log[Topic.SERVERS]  # noqa: SLF001
-        log[:] = [
-            replace(each, appended_at=each.appended_at + away) for each in log
+        topics = store._log  # noqa: SLF001
+        topics[Topic.SERVERS] = [
+            replace(each, appended_at=each.appended_at + away)
+            for each in topics[Topic.SERVERS]
         ]
 
-    reactor.callLater(2, fleet.upgrade, 0.005, 0.0)
+    reactor.callLater(2, fleet.upgrade, 0.005, 0)
     reactor.callLater(2.02, setattr, store, 'is_down', True)
     reactor.callLater(2.02 + away, come_back)
 
