Log who carries the older connection that proves the end of an answer

The hypotheses on the cut bodies of the restart soak need it: end_checked names the proof open_connection alone. older_connection_checked tells the result, and whether the connection leads to the server directly.

--- a/yuccagauge/dispatch/connection.py
+++ b/yuccagauge/dispatch/connection.py
@@ -109,6 +109,11 @@
         """Whether it is open, and its last answer is complete."""
         return self._open and self._parser.our_state is h11.IDLE
 
+    @property
+    def is_direct(self) -> bool:
+        """Whether it leads to the server without a peer in between."""
+        return getattr(self.transport, 'is_direct', True)
+
     def connectionMade(self) -> None:
         """Send small messages without delay."""
         self.opened_at = next_moment()
--- a/yuccagauge/peerpath/transport.py
+++ b/yuccagauge/peerpath/transport.py
@@ -46,6 +46,7 @@
     #: Each path carries one call, so that the calls return to the direct way
     #: as soon as it is there again.
     allows_reuse = False
+    is_direct = False
     disconnecting = False
 
     def __init__(
--- a/yuccagauge/relay/ending.py
+++ b/yuccagauge/relay/ending.py
@@ -120,15 +120,25 @@
         self._check = WitnessCheck(
             connection,
             self._call_later,
-            lambda proof: self._handle_witness(proof, attempt),
+            lambda proof: self._handle_witness(
+                proof, attempt, is_direct=connection.is_direct
+            ),
             attempt.evidence.give_back,
             needs_answer=service.is_model,
         )
         self._check.start(message)
 
-    def _handle_witness(self, proof: str, attempt: AttemptTracker) -> None:
+    def _handle_witness(
+        self, proof: str, attempt: AttemptTracker, *, is_direct: bool
+    ) -> None:
         if self._attempt is not attempt:
             return
+        log_state_change(
+            'older_connection_checked',
+            server=attempt.placement.server.server_id,
+            result=proof,
+            is_direct=is_direct,
+        )
         if proof:
             self._report(proof)
         else:
