Show that a part of a plain answer passes as whole while nothing is heard

The stand-in network tells as Linux does (TCP_INFO) which bytes the other host has acknowledged. Nothing uses it yet.

--- a/features/dispatch/witness.feature
+++ b/features/dispatch/witness.feature
@@ -38,6 +38,28 @@
     When the answers to both end within 10 ms, and the server ends 50 ms later
     Then the answer to it is not proved
 
+  # Guards against a part of an answer that looks complete as a link loses the end
+  # of the connection behind a check, so that nothing is heard of it.
+  Scenario: A connection of which nothing is heard behind a check proves nothing
+    Given a server that answers checks 400 ms late
+    And 1 calls that are sent to it
+    When the answers to both end within 10 ms, and the server had ended unheard
+    Then the answer to it is not proved
+
+  # Guards against the same as a peer carries the connection, and is paused.
+  Scenario Outline: A connection that a paused peer carries proves nothing
+    Given an older connection that a peer carries to a server
+    When the server <event>, a check is sent on the connection, and the peer is paused for <pause> ms
+    Then the check of the carried connection has the result "<result>"
+
+    Examples:
+      | event        | pause | result           |
+      | ends         | 200   | nothing          |
+      | does nothing | 200   | nothing          |
+      | does nothing | 0     | nothing          |
+      | answers      | 200   | older_connection |
+      | answers      | 0     | older_connection |
+
   # Guards against two connections for each call to servers that frame answers.
   Scenario: Calls to a server that frames its answers share one older connection
     Given a server that answers checks 0 ms late
--- a/features/leaving_fleet.py
+++ b/features/leaving_fleet.py
@@ -121,6 +121,12 @@
         self.is_up = False
         self._fleet.network.end_host(self.host)
 
+    def lose_idle_connections(self) -> None:
+        """Let the links lose all that follows on connections without a request."""
+        for connection in self._connections:
+            if not connection.has_request:
+                connection.transport.end(silently=True)
+
     def go_down(self, seconds: float) -> None:
         """End the process, and start it anew after a time."""
         self.kill()
@@ -167,7 +173,8 @@
 class _UnframedProtocol(StreamProtocol):
     """A connection that ends with its answer."""
 
-    _has_request = False
+    #: Whether it has carried a request.
+    has_request = False
 
     def connectionMade(self) -> None:  # noqa: N802
         """Close a connection that stays idle."""
@@ -177,7 +184,7 @@
 
     def dataReceived(self, data: bytes) -> None:
         """Note that the connection is used."""
-        self._has_request = True
+        self.has_request = True
         super().dataReceived(data)
 
     def begin(self, request_id: str, last_event: int) -> None:
@@ -190,7 +197,7 @@
         self._send_next(request_id, last_event)
 
     def _close_idle(self) -> None:
-        if not self._has_request:
+        if not self.has_request:
             self.transport.loseConnection()
 
     def _answer_check(self, is_report: bool) -> None:
--- a/features/memory_network.py
+++ b/features/memory_network.py
@@ -1,6 +1,8 @@
 """A TCP network in memory, in virtual time, for routers in one process."""
 
 import enum
+import socket
+import struct
 from collections.abc import Callable
 from functools import partial
 from typing import Any
@@ -28,6 +30,12 @@
 #: First port of the connecting side of a connection.
 _FIRST_CLIENT_PORT = 40_000
 
+#: States of a connection, and where ``struct tcp_info`` of Linux has the state
+#: and the number of bytes that the other side has acknowledged.
+_ESTABLISHED = 1
+_CLOSED = 7
+_ACKNOWLEDGED_OFFSET = 120
+
 
 class ConnectFate(enum.Enum):
     """What becomes of a connection that a host opens to another one."""
@@ -38,6 +46,23 @@
     RESET = enum.auto()
 
 
+class _MemorySocket:
+    """Tells of one side of a connection what the operating system knows."""
+
+    def __init__(self, transport: 'MemoryTransport') -> None:
+        self._transport = transport
+
+    def getsockopt(self, level: int, option: int, size: int) -> bytes:
+        """Return ``struct tcp_info``."""
+        assert (level, option) == (socket.IPPROTO_TCP, socket.TCP_INFO)
+        info = bytearray(size)
+        info[0] = _ESTABLISHED if self._transport.is_open else _CLOSED
+        struct.pack_into(
+            '=Q', info, _ACKNOWLEDGED_OFFSET, self._transport.acknowledged
+        )
+        return bytes(info)
+
+
 class MemoryTransport:
     """One side of a connection."""
 
@@ -52,6 +77,8 @@
         self.protocol = protocol
         self.other: MemoryTransport | None = None
         self.is_open = True
+        #: Bytes that the other host has acknowledged.
+        self.acknowledged = 0
         self._network = network
         self._outbox: list[tuple[Callable[..., None], Any]] = []
         self._inbox: list[bytes] = []
@@ -60,7 +87,7 @@
     def write(self, data: bytes) -> None:
         """Send data to the other side."""
         if self.is_open and data:
-            self._send(self.other.receive, data)
+            self._send(self._arrive, data)
 
     def writeSequence(self, parts: list[bytes]) -> None:
         """Send several parts of data."""
@@ -77,6 +104,10 @@
             self._outbox.clear()
         self._close(ConnectionLost())
 
+    def getHandle(self) -> _MemorySocket:
+        """Return what stands for the socket."""
+        return _MemorySocket(self)
+
     def receive(self, data: bytes) -> None:
         """Deliver data from the other side."""
         if not self.is_open:
@@ -128,6 +159,12 @@
         """Return the address of this side."""
         return IPv4Address('TCP', self.host, self.port)
 
+    def _arrive(self, data: bytes) -> None:
+        """Deliver data, which the host of an open connection acknowledges."""
+        if self.other.is_open:
+            self.acknowledged += len(data)
+        self.other.receive(data)
+
     def _close(self, reason: Exception) -> None:
         if self.is_open:
             self._send(self.other.lose, reason)
--- a/features/path_network.py
+++ b/features/path_network.py
@@ -101,6 +101,7 @@
         self.asked: list[tuple[str, str]] = []
         self.carriers = [self._add_peer(host) for host in self.peer_hosts]
         reactor = NodeReactor(self.network, NEAR_HOST)
+        self.reactor = reactor
         self.reach = DirectReach(self._middle)
         self.dialer = PathDialer(
             'near',
--- /dev/null
+++ b/features/steps/dispatch_carried_check_steps.py
@@ -0,0 +1,62 @@
+"""Steps for checks on connections that a peer carries."""
+
+from typing import Any
+
+from behave import given, then, when
+from behave.runner import Context
+
+from features.path_network import NEAR_HOST, SERVER, PathNetwork, is_carried
+from yuccagauge.clock import Millis
+from yuccagauge.dispatch.base import BackendMessage
+from yuccagauge.dispatch.connection import Connection
+from yuccagauge.dispatch.witness import OPEN_LIMIT, WitnessCheck
+
+_CHECK = BackendMessage(method='GET', path='/h')
+_ANSWER = b'HTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\nok'
+_OPENING = Millis(100)
+_ARRIVAL = Millis(5)
+
+
+@given('an older connection that a peer carries to a server')
+def open_carried(context: Context) -> None:
+    """Open a connection at a router that the server refuses."""
+    context.paths = PathNetwork(1)
+    context.paths.separate(NEAR_HOST, 'refuse')
+    outcomes = context.paths.open()
+    context.paths.run(_OPENING)
+    context.carried: Connection = outcomes[0][0]
+    assert is_carried(context.carried), outcomes
+
+
+@when(
+    'the server {event}, a check is sent on the connection, and the peer is '
+    'paused for {pause:d} ms'
+)
+def check_carried(context: Context, event: str, pause: int) -> None:
+    """Let the event follow the check, except for the end of the server."""
+    paths = context.paths
+    frozen = paths.network.frozen_hosts
+    frozen.update(paths.peer_hosts[: bool(pause)])
+    if event == 'ends':
+        paths.network.end_host(SERVER.host)
+    context.carried_results: list[Any] = []
+    WitnessCheck(
+        context.carried,
+        paths.reactor.callLater,
+        context.carried_results.append,
+        lambda connection: connection.abort(),
+    ).start(_CHECK)
+    paths.run(Millis(pause))
+    frozen.clear()
+    if event == 'answers':
+        paths.run(_ARRIVAL)
+        paths.server_connections[-1].transport.write(_ANSWER)
+    paths.run(Millis(2 * OPEN_LIMIT))
+
+
+@then('the check of the carried connection has the result "{result}"')
+def check_carried_result(context: Context, result: str) -> None:
+    """Guard against a proof by a peer that says nothing."""
+    found = context.carried_results
+    expected = [] if result == 'nothing' else [result]
+    assert [proof for proof in found if proof] == expected, found
--- a/features/steps/dispatch_witness_steps.py
+++ b/features/steps/dispatch_witness_steps.py
@@ -134,6 +134,15 @@
     _run(context, _RUN_OUT_S)
 
 
+@when('the answers to both end within 10 ms, and the server had ended unheard')
+def end_server_unheard(context: Context) -> None:
+    """End the server, whose links deliver nothing from then on."""
+    context.network.end_host(_SERVER.host, silently=True)
+    for call in context.calls:
+        _end_answer(context, call)
+    _run(context, _RUN_OUT_S)
+
+
 @when('a request is sent, and a connection is opened after it')
 def open_younger(context: Context) -> None:
     """Open the connection too late."""
