Take the silence of a peer for no proof that a server has lived on

Cause: an answer without framing counted as whole if an older connection was still open 100 ms after a check was sent on it. A connection that a peer carries is open for as long as the peer says nothing, and a paused peer says nothing of the end of the server. Such connections are kept from a time in which the router did not reach the server itself. The class: no news within a bound is taken for a proof.

Change: on a connection that a peer carries only the answer to the check counts.

--- a/yuccagauge/dispatch/witness.py
+++ b/yuccagauge/dispatch/witness.py
@@ -91,7 +91,8 @@
     The operating system closes the connections of a process that ends, and
     resets them when something is sent there. So the process lives if it
     answers, and also if the connection is still open some time after the
-    check was sent: the server may be busy, or silent.
+    check was sent: the server may be busy, or silent. On a connection that a
+    peer carries, only the answer tells: the peer may have been paused.
 
     Parameters
     ----------
@@ -128,7 +129,7 @@
 
     def start(self, message: BackendMessage) -> None:
         """Send a check that any process of the server answers."""
-        if not self._needs_answer:
+        if self._connection.is_direct and not self._needs_answer:
             self._timers.start_limit(
                 _LIMIT, OPEN_LIMIT, self._report, 'open_connection'
             )
