Take a connection for open only if its host has acknowledged the check

What callers could see: a part of a plain answer as the whole, as a link loses the end of the older connection, or delays it by more than 100 ms.

The limit of 100 ms was said to be a round trip; a link that is cut, squeezed or loses packets takes longer.

Change: the connection counts as open if the other host has acknowledged the check since it was sent, which TCP_INFO tells; it is looked at again every 100 ms. A host resets the connections of processes that have ended, and acknowledges nothing there.

Evidence: 2 rows of unheard_ends.feature and a scenario of witness.feature failed before and pass.

--- a/features/dispatch/witness.feature
+++ b/features/dispatch/witness.feature
@@ -44,7 +44,7 @@
     Given a server that answers checks 400 ms late
     And 1 calls that are sent to it
     When the answers to both end within 10 ms, and the server had ended unheard
-    Then the answer to it is not proved
+    Then nothing proves the answer to it
 
   # Guards against the same as a peer carries the connection, and is paused.
   Scenario Outline: A connection that a paused peer carries proves nothing
--- a/features/steps/dispatch_witness_steps.py
+++ b/features/steps/dispatch_witness_steps.py
@@ -180,6 +180,12 @@
     assert context.proofs == [''], context.proofs
 
 
+@then('nothing proves the answer to it')
+def check_nothing_proved(context: Context) -> None:
+    """Guard against a proof by a time in which nothing is heard."""
+    assert not any(context.proofs), context.proofs
+
+
 @then('the first is proved, and the second is not')
 def check_first_proved(context: Context) -> None:
     """Guard against an answer to an earlier question."""
--- a/yuccagauge/dispatch/connection.py
+++ b/yuccagauge/dispatch/connection.py
@@ -21,6 +21,7 @@
 
 from yuccagauge.dispatch.base import BackendMessage, ResponseHead
 from yuccagauge.dispatch.errors import BackendProtocolError
+from yuccagauge.dispatch.tcpinfo import acknowledged_bytes
 from yuccagauge.settings.options import Endpoint
 
 #: Methods whose requests have no body unless one is given.
@@ -114,6 +115,15 @@
         """Whether it leads to the server without a peer in between."""
         return getattr(self.transport, 'is_direct', True)
 
+    @property
+    def acknowledged_bytes(self) -> int | None:
+        """Number of bytes that the host of the server has acknowledged.
+
+        ``None`` if the server has closed the connection, or if that is not
+        known, as on a connection that a peer carries.
+        """
+        return acknowledged_bytes(self.transport) if self.is_direct else None
+
     def connectionMade(self) -> None:
         """Send small messages without delay."""
         self.opened_at = next_moment()
--- a/yuccagauge/dispatch/witness.py
+++ b/yuccagauge/dispatch/witness.py
@@ -15,9 +15,9 @@
 from yuccagauge.dispatch.timers import Timers
 from yuccagauge.settings.options import Endpoint
 
-#: A connection that is still open this long after a check was sent belongs to
-#: a process that lives: others reset it within a round trip. The answer to the
-#: check may take longer, as it waits for a slot of the server.
+#: A connection that is still open this long after a check was sent, and whose
+#: host has the check, belongs to a process that lives: others reset it. The
+#: answer to the check may take longer, as it waits for a slot of the server.
 OPEN_LIMIT = Millis(100)
 
 #: Connections that are kept for the next calls to one server.
@@ -90,9 +90,10 @@
 
     The operating system closes the connections of a process that ends, and
     resets them when something is sent there. So the process lives if it
-    answers, and also if the connection is still open some time after the
-    check was sent: the server may be busy, or silent. On a connection that a
-    peer carries, only the answer tells: the peer may have been paused.
+    answers, and also if its host has acknowledged the check and the connection
+    is still open some time later: the server may be busy, or silent. On a
+    connection that a peer carries, only the answer tells: the peer may have
+    been paused.
 
     Parameters
     ----------
@@ -126,13 +127,15 @@
         self._on_idle = on_idle
         self._needs_answer = needs_answer
         self._is_answered = False
+        #: What the host had acknowledged before the check was sent.
+        self._acknowledged = 0
 
     def start(self, message: BackendMessage) -> None:
         """Send a check that any process of the server answers."""
-        if self._connection.is_direct and not self._needs_answer:
-            self._timers.start_limit(
-                _LIMIT, OPEN_LIMIT, self._report, 'open_connection'
-            )
+        acknowledged = self._connection.acknowledged_bytes
+        if acknowledged is not None and not self._needs_answer:
+            self._acknowledged = acknowledged
+            self._start_limit()
         self._connection.send(message, self)
 
     def close(self) -> None:
@@ -159,6 +162,20 @@
         """Report that the connection shows nothing any more."""
         self._report('')
 
+    def _start_limit(self) -> None:
+        self._timers.start_limit(_LIMIT, OPEN_LIMIT, self._check_open)
+
+    def _check_open(self) -> None:
+        """Report that the connection is open if the host has the check."""
+        acknowledged = self._connection.acknowledged_bytes
+        if acknowledged is None:
+            # Its end is about to be read.
+            return
+        if acknowledged > self._acknowledged:
+            self._report('open_connection')
+        else:
+            self._start_limit()
+
     def _report(self, proof: str) -> None:
         on_result = self._on_result
         self.close()
