Name the process of the first stream at an engine that states nothing

Cause: a connection that stays open names such a process, and was opened only once the first stream asked for it. That stream had no origin, so that no router could go on with it, not even the one that began it at the engine that ran it.

A process that ran before the opening and answers after it is the one that accepted it.

--- a/features/steps/process_review_steps.py
+++ b/features/steps/process_review_steps.py
@@ -70,7 +70,7 @@
         servers={}, listeners=[], settled_entries=context.settled
     )
     context.incarnations = Incarnations(
-        context.directory, context.clock, _Source(), pool
+        context.directory, context.clock, _Source(), pool, mock.Mock()
     )
     patcher = mock.patch.object(incarnations, 'log_state_change')
     patcher.start()
--- a/yuccagauge/relay/context.py
+++ b/yuccagauge/relay/context.py
@@ -98,7 +98,7 @@
     def use_process_names(self, source: ProcessNameSource | None) -> None:
         """Ask servers which process they run, if they can be asked."""
         self.incarnations = Incarnations(
-            self.directory, self.clock, source, self.pool
+            self.directory, self.clock, source, self.pool, self.call_later
         )
 
     def use_identities(self, source: ProcessNameSource | None) -> None:
--- a/yuccagauge/relay/incarnations.py
+++ b/yuccagauge/relay/incarnations.py
@@ -14,6 +14,7 @@
 from yuccagauge.clock import Clock, Millis
 from yuccagauge.directory.base import BackendServer
 from yuccagauge.directory.state import Directory
+from yuccagauge.dispatch.base import CallLater
 from yuccagauge.dispatch.connection import Connection
 from yuccagauge.dispatch.pool import ConnectionPool, SingleConnectionPool
 from yuccagauge.origins.base import UNLISTED
@@ -76,7 +77,7 @@
         Has the entries.
     clock
         The source of time.
-    source, pool
+    source, pool, call_later
         Ask the servers; ``None`` if they cannot be asked, so that their entries
         have to do.
     """
@@ -87,6 +88,7 @@
         clock: Clock,
         source: ProcessNameSource | None = None,
         pool: ConnectionPool | None = None,
+        call_later: CallLater | None = None,
     ) -> None:
         """Know nothing but the entries."""
         self._directory = directory
@@ -99,7 +101,9 @@
         self._started_at: dict[str, int] = {}
         self._logged_at: dict[tuple[str, str], Millis] = {}
         if source is not None:
-            self._standing = StandingConnections(source, pool, clock)
+            self._standing = StandingConnections(
+                source, pool, clock, call_later
+            )
             directory.listeners.append(self._observe_entries)
 
     def choose(
@@ -159,7 +163,7 @@
         asked_at = self._clock.now()
         source = self._source.through(SingleConnectionPool(connection))
         reading = source.read_process_name(server, NAME_TIMEOUT)
-        reading.addCallback(self._name_by_standing, server)
+        reading.addCallback(self._name_by_standing, server, source)
         reading.addCallbacks(
             self._handle_name,
             self._handle_failure,
@@ -243,11 +247,20 @@
         return replace(server, software_version=version)
 
     def _name_by_standing(
-        self, name: str, server: BackendServer
+        self, name: str, server: BackendServer, source: ProcessNameSource
     ) -> str | Deferred[str]:
-        """Name a process that states nothing by a connection that stays."""
+        """Name a process that states nothing by a connection that stays.
+
+        Parameters
+        ----------
+        source
+            Asks on the connection that was asked before.
+        """
         if name:
             return name
+        if not self._standing.is_open(server.server_id):
+            opening = self._standing.open(server, NAME_TIMEOUT)
+            return opening.addCallback(self._ask_again, server, source)
         opened_at = self._standing.opened_at(server.server_id)
         asked_at = self._clock.now()
 
@@ -260,6 +273,25 @@
 
         return self._standing.ask(server, NAME_TIMEOUT).addCallback(record)
 
+    def _ask_again(
+        self, local_name: str, server: BackendServer, source: ProcessNameSource
+    ) -> str | Deferred[str]:
+        """Return the name of a process that a standing connection was opened to.
+
+        A process that ran before that connection opened, and answers since, is
+        the one that accepted it: one process of a server runs at a time.
+        """
+        if not local_name:
+            return ''
+
+        def take(stated: str) -> str:
+            if stated or not self._standing.is_open(server.server_id):
+                return stated
+            return local_name
+
+        reading = source.read_process_name(server, NAME_TIMEOUT)
+        return reading.addCallback(take)
+
     def _handle_name(
         self,
         name: str,
--- a/yuccagauge/relay/standing.py
+++ b/yuccagauge/relay/standing.py
@@ -1,14 +1,15 @@
 """Connections that name processes which state nothing of themselves."""
 
 import secrets
-from collections.abc import Collection
+from collections.abc import Collection, Iterable
 from typing import Any
 
 from twisted.internet.defer import Deferred
 from twisted.python.failure import Failure
 
-from yuccagauge.clock import Clock, Millis
+from yuccagauge.clock import Clock, Millis, in_seconds
 from yuccagauge.directory.base import BackendServer
+from yuccagauge.dispatch.base import CallLater
 from yuccagauge.dispatch.connection import Connection
 from yuccagauge.dispatch.pool import ConnectionPool, SingleConnectionPool
 from yuccagauge.relay.identity import LOCAL_NAME, ProcessNameSource
@@ -24,6 +25,8 @@
         #: When it was open.
         self.opened_at = Millis(0)
         self.is_asked = False
+        #: Those who wait until it is open, or has failed to open.
+        self.opening: list[Deferred[str]] = []
         #: Those who wait for an answer to a request that is sent from now on.
         self.waiting: list[Deferred[str]] = []
 
@@ -49,35 +52,62 @@
         Opens the connections.
     clock
         The source of time.
+    call_later
+        The reactor's function.
     """
 
     def __init__(
-        self, source: ProcessNameSource, pool: ConnectionPool, clock: Clock
+        self,
+        source: ProcessNameSource,
+        pool: ConnectionPool,
+        clock: Clock,
+        call_later: CallLater,
     ) -> None:
         """Have no connection."""
         self._source = source
         self._pool = pool
         self._clock = clock
+        self._call_later = call_later
         self._open: dict[str, _StandingConnection] = {}
         #: Peers hear the names, so each router has names of its own.
         self._prefix = f'{LOCAL_NAME}{secrets.token_hex(4)}'
         self._count = 0
 
-    def ask(self, server: BackendServer, timeout: Millis) -> Deferred[str]:
-        """Return the name of the process that runs now; empty without one.
+    def is_open(self, server_id: str) -> bool:
+        """Return whether the connection to a server is open."""
+        standing = self._open.get(server_id)
+        return (
+            standing is not None
+            and standing.connection is not None
+            and not standing.has_ended
+        )
 
-        Without a connection that was open before, one is opened for later.
+    def open(self, server: BackendServer, timeout: Millis) -> Deferred[str]:
+        """Open the connection to a server that has none.
+
+        Returns the name of the process that accepts it; empty if none does in
+        time.
         """
-        standing = self._open.get(server.server_id)
+        server_id = server.server_id
+        standing = self._open.get(server_id)
         if standing is not None and standing.has_ended:
-            self._drop(server.server_id)
+            self._drop(server_id)
             standing = None
-        answer: Deferred[str] = Deferred()
+        opening: Deferred[str] = Deferred()
         if standing is None:
-            self._begin(server)
-        if standing is None or standing.connection is None:
+            standing = self._begin(server, opening)
+        else:
+            standing.opening.append(opening)
+        self._call_later(in_seconds(timeout), _answer, [opening], '')
+        return opening
+
+    def ask(self, server: BackendServer, timeout: Millis) -> Deferred[str]:
+        """Return the name of the process that runs now; empty without one."""
+        answer: Deferred[str] = Deferred()
+        if not self.is_open(server.server_id):
             answer.callback('')
             return answer
+        standing = self._open[server.server_id]
         standing.waiting.append(answer)
         if not standing.is_asked:
             self._send(standing, server, timeout)
@@ -99,9 +129,12 @@
         """Close all connections."""
         self.keep_only(())
 
-    def _begin(self, server: BackendServer) -> None:
+    def _begin(
+        self, server: BackendServer, opening: Deferred[str]
+    ) -> _StandingConnection:
         self._count += 1
         standing = _StandingConnection(f'{self._prefix}.{self._count}')
+        standing.opening.append(opening)
         self._open[server.server_id] = standing
         self._pool.probe(server.endpoint).addCallbacks(
             self._handle_open,
@@ -109,15 +142,18 @@
             callbackArgs=(standing,),
             errbackArgs=(server, standing),
         )
+        return standing
 
     def _handle_open(
         self, connection: Connection, standing: _StandingConnection
     ) -> None:
         if standing not in self._open.values():
             connection.abort()
+            _answer(standing.opening, '')
             return
         standing.connection = connection
         standing.opened_at = self._clock.now()
+        _answer(standing.opening, standing.name)
 
     def _send(
         self,
@@ -144,8 +180,7 @@
         timeout: Millis,
     ) -> None:
         standing.is_asked = False
-        for answer in waiting:
-            answer.callback(standing.name)
+        _answer(waiting, standing.name)
         if standing.waiting:
             self._send(standing, server, timeout)
 
@@ -159,10 +194,16 @@
         """Forget a connection, so that the next question opens another."""
         if self._open.get(server.server_id) is standing:
             self._drop(server.server_id)
-        for answer in (*waiting, *standing.waiting):
-            answer.callback('')
+        _answer([*standing.opening, *waiting, *standing.waiting], '')
 
     def _drop(self, server_id: str) -> None:
         connection = self._open.pop(server_id).connection
         if connection is not None:
             connection.abort()
+
+
+def _answer(waiting: Iterable[Deferred[str]], name: str) -> None:
+    """Answer all who have not been answered yet."""
+    for answer in tuple(waiting):
+        if not answer.called:
+            answer.callback(name)
