Watch no attempt that has ended while it was begun

The monitor of silent servers was started for it all the same, without an exchange, and raised an AttributeError 100 ms later if the call waited by then.

Change: the monitor watches an attempt only if it is still the present one.

--- a/yuccagauge/relay/call.py
+++ b/yuccagauge/relay/call.py
@@ -357,7 +357,7 @@
             and self._repeats.allows_another_run,
         )
         self._reporter.record_send(decision)
-        self._exchange = open_exchange(
+        exchange = open_exchange(
             self._call,
             decision.placement,
             self._response.last_event_id,
@@ -367,10 +367,12 @@
             self._attempt.evidence.record_sending,
             self._attempt.confirmation.confirm,
         )
+        self._exchange = exchange
         self._beginning_monitor.watch(self._attempt)
-        self._exchange.start(fresh=not self._repeats.is_retryable)
-        if not self._has_ended:
-            self._stall_monitor.start(self._exchange, self._attempt)
+        exchange.start(fresh=not self._repeats.is_retryable)
+        # A connection whose process is known may end the attempt at once.
+        if self._exchange is exchange and not self._has_ended:
+            self._stall_monitor.start(exchange, self._attempt)
 
     def _handle_connect_stall(self) -> None:
         """Move to another server; this one accepts no connection."""
