Wait for the version of a process that is about to be shown

Cause: routers that have just started do not know which software version a process has, unless entry and report state its start, before it has written two entries. All engines were left out for that, and the stream was refused as if its version were gone.

Change: while a process that is named, and listed with the version, may still be shown to have it, the call waits and asks again. What a stream goes on with is unchanged.

--- a/yuccagauge/relay/confirmation.py
+++ b/yuccagauge/relay/confirmation.py
@@ -11,7 +11,8 @@
 from yuccagauge.dispatch.fetch import FetchError
 from yuccagauge.relay.base import RelayCall
 from yuccagauge.relay.context import RelayContext
-from yuccagauge.relay.incarnations import NotConfirmedError, unlisted
+from yuccagauge.relay.incarnations import NotConfirmedError
+from yuccagauge.relay.refutation import unlisted
 from yuccagauge.selection.base import SelectionRequest
 from yuccagauge.telemetry.journal import log_decision
 
--- a/yuccagauge/relay/incarnations.py
+++ b/yuccagauge/relay/incarnations.py
@@ -1,7 +1,7 @@
 """Decides whether a server still is the one that its entry describes."""
 
 from collections.abc import Callable, Set
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from typing import Any
 
 from twisted.internet.defer import (
@@ -20,6 +20,12 @@
 from yuccagauge.origins.base import UNLISTED
 from yuccagauge.relay.identity import ProcessNameSource, is_local_name
 from yuccagauge.relay.processes import NamedProcess, Processes
+from yuccagauge.relay.refutation import (
+    UNKNOWN_PROCESS,
+    ProcessAnswer,
+    bind,
+    unlisted,
+)
 from yuccagauge.relay.standing import StandingConnections
 from yuccagauge.selection.base import SelectionDecision, SelectionRequest
 from yuccagauge.telemetry.journal import log_state_change
@@ -28,19 +34,12 @@
 #: used for the rest of a stream.
 NAME_TIMEOUT = Millis(250)
 
-#: How long the rest of a stream does not go to a server whose process was not
-#: the one that it needs, or stated nothing.
-_REFUTED_TIME = Millis(500)
-
 #: Largest difference between the clocks of two machines.
 _CLOCK_SKEW = Millis(5000)
 
 #: Shortest time between two log lines of one kind about one server.
 _LOG_INTERVAL = Millis(10_000)
 
-#: The name of a process that is not known.
-_UNKNOWN_PROCESS = 'unknown'
-
 Choice = Callable[[SelectionRequest], SelectionDecision]
 
 
@@ -48,19 +47,6 @@
     """A process that is not known to be the one that a stream needs."""
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class _Answer:
-    """Which process of a server last answered the router."""
-
-    at: Millis
-    #: Its incarnation if it was not the listed one, ``None`` if it was.
-    unlisted: str | None
-
-    def refutes(self, incarnation: str | None, now: Millis) -> bool:
-        """Return whether another process than this one has just answered."""
-        return self.unlisted != incarnation and now - self.at < _REFUTED_TIME
-
-
 class Incarnations:
     """Tells which process of a server a connection leads to.
 
@@ -96,7 +82,7 @@
         self._source = source
         self._processes = Processes(directory.settled_entries, clock)
         #: The last answer of each server.
-        self._answers: dict[str, _Answer] = {}
+        self._answers: dict[str, ProcessAnswer] = {}
         #: The start time that each server was last listed with.
         self._started_at: dict[str, int] = {}
         self._logged_at: dict[tuple[str, str], Millis] = {}
@@ -127,7 +113,10 @@
             for server_id, answer in self._answers.items()
             if answer.refutes(None, now)
         }
-        return choose(_bound(request, version, refuted))
+        decision = choose(bind(request, version, refuted))
+        if decision.placement is None and decision.wait_until is None:
+            return self._wait_for_proof(refuted, version, now) or decision
+        return decision
 
     @property
     def processes(self) -> Processes:
@@ -191,6 +180,28 @@
         if self._source is not None:
             self._standing.close()
 
+    def _wait_for_proof(
+        self, refuted: Set[str], version: str, now: Millis
+    ) -> SelectionDecision | None:
+        """Return a wait if the version of a process may be shown soon.
+
+        Load pattern: all routers restart, and callers take their streams up.
+        No router has seen yet which process wrote the entries.
+        """
+        servers = self._directory.servers
+        for server_id in refuted & servers.keys():
+            answer = self._answers[server_id]
+            if servers[
+                server_id
+            ].software_version == version and self._processes.may_be_shown(
+                answer.unlisted
+            ):
+                return SelectionDecision(
+                    wait_until=answer.refuted_until,
+                    reason='version_not_shown',
+                )
+        return None
+
     def _choose_same(
         self, request: SelectionRequest, choose: Choice
     ) -> SelectionDecision:
@@ -198,7 +209,7 @@
         incarnation = request.software_version.removeprefix(UNLISTED)
         server_id, _, name = incarnation.rpartition('/')
         server = self._directory.servers.get(server_id)
-        if server is None or name == _UNKNOWN_PROCESS:
+        if server is None or name == UNKNOWN_PROCESS:
             return choose(request)
         answer = self._answers.get(server_id)
         if answer is not None and answer.refutes(
@@ -206,7 +217,7 @@
         ):
             return choose(request)
         others = self._directory.servers.keys() - {server_id}
-        return choose(_bound(request, server.software_version, others))
+        return choose(bind(request, server.software_version, others))
 
     def _judge(
         self,
@@ -243,7 +254,7 @@
         """Return the server as one of its processes is known."""
         version = self._processes.identify(server, process)
         if version is None:
-            return unlisted(server, process.name or _UNKNOWN_PROCESS)
+            return unlisted(server, process.name or UNKNOWN_PROCESS)
         return replace(server, software_version=version)
 
     def _name_by_standing(
@@ -322,7 +333,7 @@
         incarnation = None
         if origin.startswith(UNLISTED):
             incarnation = origin.removeprefix(UNLISTED)
-        self._answers[server_id] = _Answer(
+        self._answers[server_id] = ProcessAnswer(
             at=self._clock.now(), unlisted=incarnation
         )
         if incarnation is not None:
@@ -375,22 +386,3 @@
         if logged_at is None or now - logged_at >= _LOG_INTERVAL:
             self._logged_at[event, server_id] = now
             log_state_change(event, server=server_id, **fields)
-
-
-def unlisted(
-    server: BackendServer, name: str = _UNKNOWN_PROCESS
-) -> BackendServer:
-    """Return a server of which another process runs than the listed one."""
-    incarnation = f'{server.server_id}/{name}'
-    return replace(server, software_version=UNLISTED + incarnation)
-
-
-def _bound(
-    request: SelectionRequest, software_version: str, excluded: Set[str]
-) -> SelectionRequest:
-    """Return the request for servers of a version, some left out."""
-    return replace(
-        request,
-        software_version=software_version,
-        excluded_servers=request.excluded_servers | excluded,
-    )
--- a/yuccagauge/relay/processes.py
+++ b/yuccagauge/relay/processes.py
@@ -13,6 +13,9 @@
 #: Processes whose software versions are remembered; the oldest is dropped first.
 _MAXIMUM_VERSIONS = 10_000
 
+#: Time in which a process writes two entries, and routers read them.
+_PROOF_TIME = Millis(3600)
+
 #: Gets the id of a server, and when one of its processes is known to have run.
 WrittenVersion = Callable[[str, Sighting], str | None]
 
@@ -148,6 +151,19 @@
         """Return the version of a process, ``None`` if it is not known."""
         return self._versions.get(incarnation)
 
+    def may_be_shown(self, incarnation: str) -> bool:
+        """Return whether a process may soon be known to have its version.
+
+        It is once it has written two entries, if it is named at all.
+        """
+        server_id, _, name = incarnation.rpartition('/')
+        seen = self._sightings.find(server_id, name)
+        return (
+            seen is not None
+            and self._versions.get(incarnation) is None
+            and self._clock.now() - seen.first < _PROOF_TIME
+        )
+
     def identify(
         self, server: BackendServer, process: NamedProcess
     ) -> str | None:
