--- a/features/dispatch/witness.feature
+++ b/features/dispatch/witness.feature
@@ -46,6 +46,42 @@
     When the answers to both end within 10 ms, and the server had ended unheard
     Then nothing proves the answer to it
 
+  # Guards against a part of an answer that looks complete as a process closes
+  # its connections one after the other, and the link loses the later end.
+  Scenario: A connection whose end is lost after its host has the check proves nothing
+    Given a server that answers checks 400 ms late
+    And 1 calls that are sent to it
+    When the server ends 50 ms after its host has the check, and its end is lost
+    Then nothing proves the answer to it
+
+  # Guards against the same as a link delays what is heard: the end of the process
+  # is right behind the acknowledgement, and not yet there as that is looked at.
+  Scenario Outline: A process whose end is right behind the acknowledgement proves nothing
+    Given a server that answers checks 400 ms late
+    And 1 calls that are sent to it
+    When the acknowledgement of the check arrives after <delay> ms, and the end of the server <after> ms later
+    Then nothing proves the answer to it
+
+    Examples:
+      | delay | after |
+      | 60    | 5     |
+      | 97    | 5     |
+      | 97    | 40    |
+      | 197   | 5     |
+
+  # Guards against connections that stay open for as long as the router runs.
+  Scenario: A check whose answer does not end keeps no connection
+    Given a server that answers checks 0 ms late
+    When the answer to a check has a head, and its body does not come
+    Then it is proved by an answer, and the connection has ended
+
+  # Guards against a part of an answer that looks complete because the process
+  # that listens now answers for an earlier one that still served.
+  Scenario: The next process at the port proves nothing for an idle connection's
+    Given a server that answers checks 0 ms late
+    When a call goes out on an idle connection to a process that the next one has replaced at the port, and the earlier one ends amid the answer
+    Then nothing proves the answer to it
+
   # Guards against the same as a peer carries the connection, and is paused.
   Scenario Outline: A connection that a paused peer carries proves nothing
     Given an older connection that a peer carries to a server
@@ -85,3 +121,25 @@
       | check of a call      | answers            | alive            |
       | check of a call      | answers and closes | alive            |
       | check of a call      | does nothing       | not alive        |
+
+  # Guards against parts of answers that look complete: what a process sends on
+  # an idle connection as it stops, or a second copy of an earlier answer, is
+  # taken for the answer to a check that no process got.
+  Scenario Outline: An answer that was sent before the check proves nothing
+    Given an older connection to a process, by the operating system
+    When the process sends an answer that nobody asked for and <event>, and then a <kind> is sent
+    Then the check has the result "<result>"
+
+    Examples:
+      | kind            | event  | result    |
+      | check           | closes |           |
+      | check           | resets |           |
+      | check of a call | closes | not alive |
+      | check of a call | resets | not alive |
+
+  # Guards against the same by the system, which accepts connections for a port
+  # that outlives the process.
+  Scenario: A connection that no process has accepted proves nothing
+    Given an older connection to a process, by the operating system
+    When a check is sent on a connection that no process accepts
+    Then nothing proves by it that a process lives
--- a/features/steps/dispatch_paused_check_steps.py
+++ b/features/steps/dispatch_paused_check_steps.py
@@ -3,6 +3,7 @@
 import socket
 import struct
 import time
+from collections.abc import Callable
 from typing import Any
 
 from behave import given, then, when
@@ -22,6 +23,7 @@
 _HOST = '127.0.0.1'
 _REQUEST_BYTES = 65_536
 _PATIENCE_S = 5
+_ARRIVAL_S = 0.05
 _ANSWER = b'HTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\nok'
 _RESET = struct.pack('ii', 1, 0)
 
@@ -64,6 +66,38 @@
     wait_until(lambda: bool(context.results))
 
 
+@when(
+    'the process sends an answer that nobody asked for and {event}, and then '
+    'a {kind} is sent'
+)
+def check_behind_answer(context: Context, event: str, kind: str) -> None:
+    """Let the answer arrive unread, as in a pause of the router."""
+    is_call = kind == 'check of a call'
+    start = _prepare_call_check(context) if is_call else _prepare_check(context)
+    accepted = context.listener.accept()[0]
+    accepted.sendall(_ANSWER)
+    if event == 'resets':
+        accepted.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+    accepted.close()
+    time.sleep(_ARRIVAL_S)
+    start()
+    wait_until(lambda: bool(context.results))
+
+
+@when('a check is sent on a connection that no process accepts')
+def check_not_accepted(context: Context) -> None:
+    """Leave the connection to the system."""
+    _prepare_check(context)()
+    waited_until = time.monotonic() + _PAUSE_S
+    wait_until(lambda: time.monotonic() > waited_until)
+
+
+@then('nothing proves by it that a process lives')
+def check_no_process(context: Context) -> None:
+    """Guard against a proof by the system."""
+    assert not any(context.results), context.results
+
+
 @then('the check has the result "{result}"')
 def check_result(context: Context, result: str) -> None:
     """Guard against a verdict before what has arrived is read."""
@@ -84,18 +118,29 @@
     return opened[0]
 
 
-def _send_check(context: Context) -> socket.socket:
-    connection = _open(context)
-    WitnessCheck(
-        connection,
+def _prepare_check(context: Context) -> Callable[[], None]:
+    """Return what sends a check."""
+    check = WitnessCheck(
+        _open(context),
         reactor.callLater,
         context.results.append,
         lambda each: each.abort(),
-    ).start(_CHECK)
+    )
+    return lambda: check.start(_CHECK)
+
+
+def _send_check(context: Context) -> socket.socket:
+    _prepare_check(context)()
     return context.listener.accept()[0]
 
 
 def _send_call_check(context: Context) -> socket.socket:
+    _prepare_call_check(context)()
+    return context.listener.accept()[0]
+
+
+def _prepare_call_check(context: Context) -> Callable[[], None]:
+    """Return what sends a check beside a call."""
     witness = CallWitness(context.pool, reactor.callLater, is_fresh=True)
     context.add_cleanup(witness.close)
     opened: list[Any] = []
@@ -103,14 +148,13 @@
     wait_until(lambda: bool(opened))
     context.add_cleanup(opened[0].abort)
     context.add_cleanup(context.listener.accept()[0].close)
-    witness.check(
+    return lambda: witness.check(
         context.endpoint,
         _CALL_CHECK_LIMIT,
         lambda is_alive: context.results.append(
             'alive' if is_alive else 'not alive'
         ),
     )
-    return context.listener.accept()[0]
 
 
 def _has_arrived(accepted: socket.socket) -> bool:
--- a/features/steps/dispatch_witness_steps.py
+++ b/features/steps/dispatch_witness_steps.py
@@ -11,18 +11,29 @@
 from yuccagauge.dispatch.base import BackendMessage
 from yuccagauge.dispatch.connection import next_moment
 from yuccagauge.dispatch.pool import ConnectionPool
-from yuccagauge.dispatch.witness import Witness, WitnessCheck, Witnesses
+from yuccagauge.dispatch.witness import (
+    Witness,
+    WitnessCheck,
+    WitnessedPool,
+    Witnesses,
+)
 from yuccagauge.settings.options import Endpoint
 
 _ROUTER = '10.0.0.1'
 _SERVER = Endpoint('10.1.0.1', 8080)
 _CHECK = BackendMessage(method='GET', path='/h')
+_STALLED_ANSWER = b'HTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\n'
+_ANSWER = _STALLED_ANSWER + b'ok'
 
 #: Time between the ends of two answers, and for all that follows, in seconds.
 _BETWEEN_ENDS_S = 0.01
 _RUN_OUT_S = 0.5
 _STEP_S = 0.001
 
+#: Time after which a connection without news has ended, in seconds: twice the
+#: time for which the pool keeps idle ones.
+_STALL_S = 20
+
 
 class _CheckedServer(Protocol):
     """A connection to a server that answers checks."""
@@ -30,6 +41,7 @@
     def __init__(self, context: Context) -> None:
         """Join the connections of the server."""
         self._context = context
+        self.answer = _ANSWER
         context.connections.append(self)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
@@ -39,7 +51,7 @@
         )
 
     def _answer(self) -> None:
-        self.transport.write(b'HTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\nok')
+        self.transport.write(self.answer)
         if self._context.closes:
             self.transport.loseConnection()
 
@@ -143,6 +155,85 @@
     _run(context, _RUN_OUT_S)
 
 
+@when(
+    'the server ends {delay:d} ms after its host has the check, and its end '
+    'is lost'
+)
+def end_server_after_check(context: Context, delay: int) -> None:
+    """End the server amid the wait, and let nothing be heard of it."""
+    for call in context.calls:
+        _end_answer(context, call)
+    _run(context, delay / 1000)
+    assert not context.proofs, context.proofs
+    context.network.end_host(_SERVER.host, silently=True)
+    _run(context, _RUN_OUT_S)
+
+
+@when(
+    'the acknowledgement of the check arrives after {delay:d} ms, and the end '
+    'of the server {after:d} ms later'
+)
+def end_server_after_late_news(
+    context: Context, delay: int, after: int
+) -> None:
+    """Delay what is heard of the server, its end included."""
+    network = context.network
+    latency_s, network.latency_s = network.latency_s, delay / 1000
+    for call in context.calls:
+        _end_answer(context, call)
+    _run(context, delay / 1000)
+    network.latency_s = latency_s
+    assert not context.proofs, context.proofs
+    assert context.connections[-1].transport.other.acknowledged
+    _run(context, after / 1000 - latency_s)
+    network.end_host(_SERVER.host)
+    _run(context, _RUN_OUT_S)
+
+
+@when('the answer to a check has a head, and its body does not come')
+def stall_check(context: Context) -> None:
+    """Let the server live on, and send no more."""
+    witness = context.witnesses.prepare(_SERVER)
+    _run(context, _BETWEEN_ENDS_S)
+    context.connections[-1].answer = _STALLED_ANSWER
+    _end_answer(context, (witness, next_moment()))
+    _run(context, _STALL_S)
+
+
+@then('it is proved by an answer, and the connection has ended')
+def check_stalled_ended(context: Context) -> None:
+    """Guard against connections that nothing ends."""
+    assert context.proofs == ['older_connection'], context.proofs
+    assert not context.connections[-1].transport.is_open
+
+
+@when(
+    'a call goes out on an idle connection to a process that the next one has '
+    'replaced at the port, and the earlier one ends amid the answer'
+)
+def replace_process(context: Context) -> None:
+    """Let the earlier process keep its connections when the next one listens."""
+    opened: list[Any] = []
+    context.pool.open(_SERVER, fresh=True).addCallback(opened.append)
+    _run(context, _BETWEEN_ENDS_S)
+    context.pool.give_back(_SERVER, opened.pop())
+    earlier = context.connections.pop()
+    factory = Factory()
+    factory.noisy = False
+    factory.buildProtocol = lambda _: _CheckedServer(context)
+    context.network.listen(_SERVER.host, _SERVER.port, factory)
+    witness = context.witnesses.prepare(_SERVER)
+    pool = WitnessedPool(context.pool, witness, context.reactor.callLater)
+    pool.open(_SERVER, fresh=False).addCallback(opened.append)
+    _run(context, _BETWEEN_ENDS_S)
+    assert opened[0].transport.other is earlier.transport
+    moment = next_moment()
+    earlier.transport.abortConnection()
+    _run(context, _BETWEEN_ENDS_S)
+    _end_answer(context, (witness, moment))
+    _run(context, _RUN_OUT_S)
+
+
 @when('a request is sent, and a connection is opened after it')
 def open_younger(context: Context) -> None:
     """Open the connection too late."""
