Take only what follows the check for the answer to it

What callers could see: a part of an answer without framing as the whole, at the relay and at the own interface.

Cause: any head on the older connection counted as the answer to the check. Servers send 408 or 503 unasked on idle connections before they close them, and second copies of answers. A router that reads that together with the end of the call's answer, as after a pause, sends the check in between, and took it for the answer.

Change: on a connection without a peer in between a head counts only if the host of the server has acknowledged the check (TCP_INFO). Through a peer, and where the system does not tell, it counts as before.

--- a/yuccagauge/dispatch/callwitness.py
+++ b/yuccagauge/dispatch/callwitness.py
@@ -12,6 +12,7 @@
 from yuccagauge.dispatch.connection import Connection, next_moment
 from yuccagauge.dispatch.endpoints import ACCEPT_LIMIT
 from yuccagauge.dispatch.pool import ConnectionPool
+from yuccagauge.dispatch.tcpinfo import Delivery
 from yuccagauge.dispatch.timers import Timers
 from yuccagauge.settings.options import Endpoint
 
@@ -59,6 +60,8 @@
         self._moment = 0
         self._on_result: Callable[[bool], None] | None = None
         self._is_closed = False
+        #: Whether the host has the check; ``None`` if that is not known.
+        self._delivery: Delivery | None = None
 
     def open(self, server: Endpoint, *, fresh: bool) -> Deferred[Connection]:
         """Return the connection of the call once the other one is open too.
@@ -98,6 +101,7 @@
             self._report(is_alive=False)
             return
         self._timers.start_limit(_CHECKING, limit, self._report, False)
+        self._delivery = connection.watch_delivery()
         connection.send(_CHECK, self)
 
     def close(self) -> None:
@@ -110,8 +114,12 @@
             self._opening.cancel()
 
     def head(self, head: ResponseHead) -> None:
-        """Report that the process lives, whatever it answers."""
-        self._report(is_alive=True)
+        """Report that the process lives, whatever it answers.
+
+        What was sent before the host of the server had the check is no answer.
+        """
+        delivery = self._delivery
+        self._report(is_alive=delivery is None or delivery.has_arrived)
 
     def data(self, data: bytes) -> None:
         """Ignore what it says."""
--- a/yuccagauge/dispatch/connection.py
+++ b/yuccagauge/dispatch/connection.py
@@ -21,7 +21,7 @@
 
 from yuccagauge.dispatch.base import BackendMessage, ResponseHead
 from yuccagauge.dispatch.errors import BackendProtocolError
-from yuccagauge.dispatch.tcpinfo import acknowledged_bytes
+from yuccagauge.dispatch.tcpinfo import Delivery
 from yuccagauge.settings.options import Endpoint
 
 #: Methods whose requests have no body unless one is given.
@@ -115,14 +115,13 @@
         """Whether it leads to the server without a peer in between."""
         return getattr(self.transport, 'is_direct', True)
 
-    @property
-    def acknowledged_bytes(self) -> int | None:
-        """Number of bytes that the host of the server has acknowledged.
+    def watch_delivery(self) -> Delivery | None:
+        """Return what tells whether the host of the server has the next request.
 
-        ``None`` if the server has closed the connection, or if that is not
-        known, as on a connection that a peer carries.
+        ``None`` if that is not known, as on a connection that a peer carries.
         """
-        return acknowledged_bytes(self.transport) if self.is_direct else None
+        delivery = Delivery(self.transport)
+        return delivery if self.is_direct and delivery.is_known else None
 
     def connectionMade(self) -> None:
         """Send small messages without delay."""
--- a/yuccagauge/dispatch/witness.py
+++ b/yuccagauge/dispatch/witness.py
@@ -12,6 +12,7 @@
 from yuccagauge.dispatch.base import BackendMessage, CallLater, ResponseHead
 from yuccagauge.dispatch.connection import Connection
 from yuccagauge.dispatch.pool import ConnectionPool
+from yuccagauge.dispatch.tcpinfo import Delivery
 from yuccagauge.dispatch.timers import Timers
 from yuccagauge.settings.options import Endpoint
 
@@ -127,14 +128,13 @@
         self._on_idle = on_idle
         self._needs_answer = needs_answer
         self._is_answered = False
-        #: What the host had acknowledged before the check was sent.
-        self._acknowledged = 0
+        #: Whether the host has the check; ``None`` if that is not known.
+        self._delivery: Delivery | None = None
 
     def start(self, message: BackendMessage) -> None:
         """Send a check that any process of the server answers."""
-        acknowledged = self._connection.acknowledged_bytes
-        if acknowledged is not None and not self._needs_answer:
-            self._acknowledged = acknowledged
+        self._delivery = self._connection.watch_delivery()
+        if self._delivery is not None and not self._needs_answer:
             self._start_limit()
         self._connection.send(message, self)
 
@@ -146,7 +146,14 @@
             self._connection.abort()
 
     def head(self, head: ResponseHead) -> None:
-        """Report that the process answers, unless it is another server."""
+        """Report that the process answers, unless it is another server.
+
+        An answer counts only if the host of the server has the check.
+        """
+        if self._delivery is not None and not self._delivery.has_arrived:
+            # It was sent before the check, maybe by a process that has ended.
+            self._report('')
+            return
         self._is_answered = True
         is_other = head.status == _MISDIRECTED
         self._report('' if is_other else 'older_connection')
@@ -167,11 +174,10 @@
 
     def _check_open(self) -> None:
         """Report that the connection is open if the host has the check."""
-        acknowledged = self._connection.acknowledged_bytes
-        if acknowledged is None:
+        if not self._delivery.is_open:
             # Its end is about to be read.
             return
-        if acknowledged > self._acknowledged:
+        if self._delivery.has_arrived:
             self._report('open_connection')
         else:
             self._start_limit()
