Wait for the end of an older connection once its host has the check

What callers could see: a part of a plain answer as the whole, as a link delays what is heard of its server.

Cause: the 100 ms for the end of a process that closes its connections one after the other ran from the sending of the check, and the acknowledgement was looked at when they were over. One that was heard 3 ms before counted at once, with the end of the process right behind it.

Change: the acknowledgement is looked for every 10 ms, and the 100 ms run from there.

--- a/yuccagauge/dispatch/witness.py
+++ b/yuccagauge/dispatch/witness.py
@@ -16,11 +16,14 @@
 from yuccagauge.dispatch.timers import Timers
 from yuccagauge.settings.options import Endpoint
 
-#: A connection that is still open this long after a check was sent, and whose
-#: host has the check, belongs to a process that lives: others reset it. The
-#: answer to the check may take longer, as it waits for a slot of the server.
+#: A connection that is still open this long after its host was heard to have the
+#: check belongs to a process that lives: others reset it. The answer to the
+#: check may take longer, as it waits for a slot of the server.
 OPEN_LIMIT = Millis(100)
 
+#: Time between two looks whether the host has the check.
+_LOOK_INTERVAL = Millis(10)
+
 #: Connections that are kept for the next calls to one server.
 _MAXIMUM_SPARE = 8
 
@@ -92,7 +95,7 @@
     The operating system closes the connections of a process that ends, and
     resets them when something is sent there. So the process lives if it
     answers, and also if its host has acknowledged the check and the connection
-    is still open some time later: the server may be busy, or silent. On a
+    is still open some time after that was heard: the server may be busy, or silent. On a
     connection that a peer carries, only the answer tells: the peer may have
     been paused.
 
@@ -135,7 +138,7 @@
         """Send a check that any process of the server answers."""
         self._delivery = self._connection.watch_delivery()
         if self._delivery is not None and not self._needs_answer:
-            self._start_limit()
+            self._await_delivery()
         self._connection.send(message, self)
 
     def close(self) -> None:
@@ -169,18 +172,20 @@
         """Report that the connection shows nothing any more."""
         self._report('')
 
-    def _start_limit(self) -> None:
-        self._timers.start_limit(_LIMIT, OPEN_LIMIT, self._check_open)
+    def _await_delivery(self) -> None:
+        self._timers.start(_LIMIT, _LOOK_INTERVAL, self._look)
 
-    def _check_open(self) -> None:
-        """Report that the connection is open if the host has the check."""
-        if not self._delivery.is_open:
-            # Its end is about to be read.
-            return
+    def _look(self) -> None:
+        """Wait for the end of the connection once the host has the check."""
         if self._delivery.has_arrived:
-            self._report('open_connection')
+            self._timers.start_limit(_LIMIT, OPEN_LIMIT, self._check_open)
         else:
-            self._start_limit()
+            self._await_delivery()
+
+    def _check_open(self) -> None:
+        """Report that the connection is open, unless its end is to be read."""
+        if self._delivery.is_open:
+            self._report('open_connection')
 
     def _report(self, proof: str) -> None:
         on_result = self._on_result
