End connections whose check is answered with a head and no end

What could be seen: a connection for each such answer that stays open for as long as router and server run.

Cause: a check that has an answer no longer ends its connection, and waits for the rest of the answer without a limit.

Change: the rest of an answer to a check has 2 s.

--- a/yuccagauge/dispatch/witness.py
+++ b/yuccagauge/dispatch/witness.py
@@ -24,6 +24,9 @@
 #: Time between two looks whether the host has the check.
 _LOOK_INTERVAL = Millis(10)
 
+#: Longest time for the rest of an answer to a check.
+_ANSWER_LIMIT = Millis(2_000)
+
 #: Connections that are kept for the next calls to one server.
 _MAXIMUM_SPARE = 8
 
@@ -34,6 +37,7 @@
 _OPENING_LIMIT = Millis(100)
 
 _LIMIT = 'witness'
+_ANSWER = 'answer to a check'
 
 
 class Witness:
@@ -127,6 +131,8 @@
         """Ask nothing yet."""
         self._connection = connection
         self._timers = Timers(call_later)
+        #: Outlive the check.
+        self._answer_timers = Timers(call_later)
         self._on_result: Callable[[str], None] | None = on_result
         self._on_idle = on_idle
         self._needs_answer = needs_answer
@@ -158,6 +164,9 @@
             self._report('')
             return
         self._is_answered = True
+        self._answer_timers.start(
+            _ANSWER, _ANSWER_LIMIT, self._connection.abort
+        )
         is_other = head.status == _MISDIRECTED
         self._report('' if is_other else 'older_connection')
 
@@ -166,10 +175,12 @@
 
     def complete(self) -> None:
         """Let later calls have the connection."""
+        self._answer_timers.close()
         self._on_idle(self._connection)
 
     def lost(self, reason: str) -> None:
         """Report that the connection shows nothing any more."""
+        self._answer_timers.close()
         self._report('')
 
     def _await_delivery(self) -> None:
