End a carried connection whose server sends something unasked

What callers could see: a part of an answer without framing as the whole, as its older connection is carried by a peer.

Cause: a path handed on what the server had sent before anything was sent to it, and the router took that for the answer to its check.

Change: the carrying router ends such a path. One that is paused may still read the check first; that is not covered.

--- a/features/dispatch/witness.feature
+++ b/features/dispatch/witness.feature
@@ -96,6 +96,12 @@
       | answers      | 200   | older_connection |
       | answers      | 0     | older_connection |
 
+  # Guards against an answer that nobody asked for, which the peer passes on late.
+  Scenario: An answer that a paused peer held back before the check proves nothing
+    Given an older connection that a peer carries to a server
+    When the server sends an answer that nobody asked for and ends, and a check is sent while the peer is paused
+    Then the check of the carried connection has the result "nothing"
+
   # Guards against two connections for each call to servers that frame answers.
   Scenario: Calls to a server that frames its answers share one older connection
     Given a server that answers checks 0 ms late
--- a/features/steps/dispatch_carried_check_steps.py
+++ b/features/steps/dispatch_carried_check_steps.py
@@ -39,13 +39,7 @@
     frozen.update(paths.peer_hosts[: bool(pause)])
     if event == 'ends':
         paths.network.end_host(SERVER.host)
-    context.carried_results: list[Any] = []
-    WitnessCheck(
-        context.carried,
-        paths.reactor.callLater,
-        context.carried_results.append,
-        lambda connection: connection.abort(),
-    ).start(_CHECK)
+    _send_check(context)
     paths.run(Millis(pause))
     frozen.clear()
     if event == 'answers':
@@ -54,6 +48,34 @@
     paths.run(Millis(2 * OPEN_LIMIT))
 
 
+@when(
+    'the server sends an answer that nobody asked for and ends, and a check is '
+    'sent while the peer is paused'
+)
+def check_behind_answer(context: Context) -> None:
+    """Let the peer hold the answer back until the check has been sent."""
+    paths = context.paths
+    peers = set(paths.peer_hosts)
+    paths.network.is_cut = lambda host, other: host in peers
+    paths.server_connections[-1].transport.write(_ANSWER)
+    paths.network.end_host(SERVER.host)
+    paths.run(_ARRIVAL)
+    _send_check(context)
+    paths.run(_ARRIVAL)
+    paths.network.is_cut = lambda host, other: False
+    paths.run(Millis(2 * OPEN_LIMIT))
+
+
+def _send_check(context: Context) -> None:
+    context.carried_results: list[Any] = []
+    WitnessCheck(
+        context.carried,
+        context.paths.reactor.callLater,
+        context.carried_results.append,
+        lambda connection: connection.abort(),
+    ).start(_CHECK)
+
+
 @then('the check of the carried connection has the result "{result}"')
 def check_carried_result(context: Context, result: str) -> None:
     """Guard against a proof by a peer that says nothing."""
--- a/yuccagauge/peerpath/carrier.py
+++ b/yuccagauge/peerpath/carrier.py
@@ -179,6 +179,8 @@
         self._attempt: DirectAttempt | None = None
         #: The connection to the server while it is open.
         self._connection: Any = None
+        #: Whether the peer has sent anything for the server.
+        self._has_request = False
         self._has_ended = False
 
     def start(self, attempt: DirectAttempt) -> None:
@@ -214,8 +216,14 @@
         self._end()
 
     def handle_data(self, data: bytes) -> None:
-        """Pass bytes of the server on."""
-        if not self._has_ended:
+        """Pass bytes of the server on.
+
+        What it sends unasked would answer a request that it does not get.
+        """
+        if not self._has_request:
+            count_ignored('unasked-on-path')
+            self.abort()
+        elif not self._has_ended:
             self._answer.receive(data)
             send_payload(self._frames, data)
 
@@ -248,6 +256,7 @@
             count_ignored('unexpected-on-path')
             self.abort()
         elif self._connection is not None:
+            self._has_request = True
             self._connection.write(message.payload)
 
     def _handle_loss(self, frames: FrameProtocol, reason: Failure) -> None:
