Show that whole answers of busy servers are lost through peers

What callers see: 504 out_of_time for a whole answer without framing that a peer carries, if health checks of its server wait 200 ms for a slot or longer.

Cause: since the silence of a peer proves nothing, only the answer to the check does.

--- a/features/relay/checked_ends.feature
+++ b/features/relay/checked_ends.feature
@@ -57,6 +57,23 @@
       | read  |
       | book  |
 
+  # Guards against whole answers that are dropped and run again because peers
+  # carry the calls to busy servers.
+  Scenario Outline: A whole answer of a busy server reaches its caller through a peer
+    Given 3 routers before servers whose answers have no length
+    And the routers have connections for checks
+    And one of the routers reaches the servers through its peers alone
+    And a health check waits <wait> s for a slot
+    When a server leaves while it answers requests of "<route>" that peers carry
+    Then their callers have whole answers of one run
+
+    Examples:
+      | route | wait |
+      | read  | 0.2  |
+      | read  | 0.28 |
+      | book  | 0.2  |
+      | book  | 0.28 |
+
   # Guards against whole answers that are lost after one with a length, as a
   # failure or a health check may have.
   Scenario Outline: A whole answer reaches its caller though an earlier one had a length
