--- a/features/dispatch/witness.feature
+++ b/features/dispatch/witness.feature
@@ -128,6 +128,32 @@
       | check of a call      | answers and closes | alive            |
       | check of a call      | does nothing       | not alive        |
 
+  # Guards against the same by a pause after the acknowledgement was heard.
+  Scenario Outline: What arrived in a pause behind the acknowledgement is read before the verdict
+    Given an older connection to a process, by the operating system
+    When a check is sent on it, its arrival is heard, the process <event>, and the router is paused
+    Then the check has the result "<result>"
+
+    Examples:
+      | event              | result           |
+      | ends               |                  |
+      | answers            | older_connection |
+      | answers and closes | older_connection |
+      | does nothing       | open_connection  |
+
+  # Guards against a proof, or an error, where the system does not tell what the
+  # other host has acknowledged.
+  Scenario Outline: An open connection proves nothing where the system does not tell of it
+    Given an older connection to a process, by the operating system
+    And the system tells <told> of connections
+    When a check is sent on a connection that no process accepts
+    Then nothing proves by it that a process lives
+
+    Examples:
+      | told       |
+      | nothing    |
+      | too little |
+
   # Guards against parts of answers that look complete: what a process sends on
   # an idle connection as it stops, or a second copy of an earlier answer, is
   # taken for the answer to a check that no process got.
--- a/features/steps/dispatch_paused_check_steps.py
+++ b/features/steps/dispatch_paused_check_steps.py
@@ -5,6 +5,7 @@
 import time
 from collections.abc import Callable
 from typing import Any
+from unittest import mock
 
 from behave import given, then, when
 from behave.runner import Context
@@ -12,6 +13,7 @@
 
 from features.loop import wait_until
 from yuccagauge.clock import Millis, in_seconds
+from yuccagauge.dispatch import tcpinfo
 from yuccagauge.dispatch.base import BackendMessage
 from yuccagauge.dispatch.callwitness import CallWitness
 from yuccagauge.dispatch.pool import ConnectionPool
@@ -53,6 +55,40 @@
     accepted = send(context)
     context.add_cleanup(accepted.close)
     wait_until(lambda: _has_arrived(accepted))
+    _pause_behind(context, accepted, event)
+
+
+@when(
+    'a check is sent on it, its arrival is heard, the process {event}, and the '
+    'router is paused'
+)
+def check_heard_while_paused(context: Context, event: str) -> None:
+    """Pause once the router waits for the end of the connection alone."""
+    accepted = _send_check(context)
+    context.add_cleanup(accepted.close)
+    wait_until(lambda: _has_arrived(accepted))
+    _run_for(_ARRIVAL_S)
+    _pause_behind(context, accepted, event)
+
+
+@given('the system tells {told} of connections')
+def hide_information(context: Context, told: str) -> None:
+    """Let the system be another one, or an older one."""
+    option = None if told == 'nothing' else socket.TCP_NODELAY
+    hidden = mock.patch.object(tcpinfo, '_TCP_INFO', option)
+    context.add_cleanup(hidden.stop)
+    hidden.start()
+
+
+def _run_for(seconds: float) -> None:
+    until = time.monotonic() + seconds
+    wait_until(lambda: time.monotonic() > until)
+
+
+def _pause_behind(
+    context: Context, accepted: socket.socket, event: str
+) -> None:
+    """Let something happen to the connection while the router is paused."""
     assert not context.results, context.results
     if event == 'ends':
         accepted.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
@@ -88,8 +124,7 @@
 def check_not_accepted(context: Context) -> None:
     """Leave the connection to the system."""
     _prepare_check(context)()
-    waited_until = time.monotonic() + _PAUSE_S
-    wait_until(lambda: time.monotonic() > waited_until)
+    _run_for(_PAUSE_S)
 
 
 @then('nothing proves by it that a process lives')
