--- a/yuccagauge/dispatch/witness.py
+++ b/yuccagauge/dispatch/witness.py
@@ -12,14 +12,21 @@
 from yuccagauge.dispatch.base import BackendMessage, CallLater, ResponseHead
 from yuccagauge.dispatch.connection import Connection
 from yuccagauge.dispatch.pool import ConnectionPool
+from yuccagauge.dispatch.tcpinfo import Delivery
 from yuccagauge.dispatch.timers import Timers
 from yuccagauge.settings.options import Endpoint
 
-#: A connection that is still open this long after a check was sent, and whose
-#: host has the check, belongs to a process that lives: others reset it. The
-#: answer to the check may take longer, as it waits for a slot of the server.
+#: A connection that is still open this long after its host was heard to have the
+#: check belongs to a process that lives: others reset it. The answer to the
+#: check may take longer, as it waits for a slot of the server.
 OPEN_LIMIT = Millis(100)
 
+#: Time between two looks whether the host has the check.
+_LOOK_INTERVAL = Millis(10)
+
+#: Longest time for the rest of an answer to a check.
+_ANSWER_LIMIT = Millis(2_000)
+
 #: Connections that are kept for the next calls to one server.
 _MAXIMUM_SPARE = 8
 
@@ -30,6 +37,7 @@
 _OPENING_LIMIT = Millis(100)
 
 _LIMIT = 'witness'
+_ANSWER = 'answer to a check'
 
 
 class Witness:
@@ -91,7 +99,7 @@
     The operating system closes the connections of a process that ends, and
     resets them when something is sent there. So the process lives if it
     answers, and also if its host has acknowledged the check and the connection
-    is still open some time later: the server may be busy, or silent. On a
+    is still open some time after that was heard: the server may be busy, or silent. On a
     connection that a peer carries, only the answer tells: the peer may have
     been paused.
 
@@ -123,19 +131,20 @@
         """Ask nothing yet."""
         self._connection = connection
         self._timers = Timers(call_later)
+        #: Outlive the check.
+        self._answer_timers = Timers(call_later)
         self._on_result: Callable[[str], None] | None = on_result
         self._on_idle = on_idle
         self._needs_answer = needs_answer
         self._is_answered = False
-        #: What the host had acknowledged before the check was sent.
-        self._acknowledged = 0
+        #: Whether the host has the check; ``None`` if that is not known.
+        self._delivery: Delivery | None = None
 
     def start(self, message: BackendMessage) -> None:
         """Send a check that any process of the server answers."""
-        acknowledged = self._connection.acknowledged_bytes
-        if acknowledged is not None and not self._needs_answer:
-            self._acknowledged = acknowledged
-            self._start_limit()
+        self._delivery = self._connection.watch_delivery()
+        if self._delivery is not None and not self._needs_answer:
+            self._await_delivery()
         self._connection.send(message, self)
 
     def close(self) -> None:
@@ -146,8 +155,18 @@
             self._connection.abort()
 
     def head(self, head: ResponseHead) -> None:
-        """Report that the process answers, unless it is another server."""
+        """Report that the process answers, unless it is another server.
+
+        An answer counts only if the host of the server has the check.
+        """
+        if self._delivery is not None and not self._delivery.has_arrived:
+            # It was sent before the check, maybe by a process that has ended.
+            self._report('')
+            return
         self._is_answered = True
+        self._answer_timers.start(
+            _ANSWER, _ANSWER_LIMIT, self._connection.abort
+        )
         is_other = head.status == _MISDIRECTED
         self._report('' if is_other else 'older_connection')
 
@@ -156,25 +175,28 @@
 
     def complete(self) -> None:
         """Let later calls have the connection."""
+        self._answer_timers.close()
         self._on_idle(self._connection)
 
     def lost(self, reason: str) -> None:
         """Report that the connection shows nothing any more."""
+        self._answer_timers.close()
         self._report('')
 
-    def _start_limit(self) -> None:
-        self._timers.start_limit(_LIMIT, OPEN_LIMIT, self._check_open)
+    def _await_delivery(self) -> None:
+        self._timers.start(_LIMIT, _LOOK_INTERVAL, self._look)
+
+    def _look(self) -> None:
+        """Wait for the end of the connection once the host has the check."""
+        if self._delivery.has_arrived:
+            self._timers.start_limit(_LIMIT, OPEN_LIMIT, self._check_open)
+        else:
+            self._await_delivery()
 
     def _check_open(self) -> None:
-        """Report that the connection is open if the host has the check."""
-        acknowledged = self._connection.acknowledged_bytes
-        if acknowledged is None:
-            # Its end is about to be read.
-            return
-        if acknowledged > self._acknowledged:
+        """Report that the connection is open, unless its end is to be read."""
+        if self._delivery.is_open:
             self._report('open_connection')
-        else:
-            self._start_limit()
 
     def _report(self, proof: str) -> None:
         on_result = self._on_result
