Open no older connection for each stream at engines that frame their answers

Engines got up to twice the connections of their streams: 252 new ones for 150 streams that began at once at 4 engines, by 3 routers. An engine resets those beyond maxConns, and each new one has a price.

Cause: since a router opens an older connection beside each call, unless the engine stated a known name when it was last asked. It is asked only at the end of an answer that ends with its connection, so that engines whose answers come in chunks are never asked. That such a server needs one older connection for all calls was applied to plain servers only.

Now the framing of engines counts as that of plain servers does. What proves an end is unchanged. The proof by another call's older connection is that of plain servers, and full_polls.feature has 3 more rows for it (an engine whose earlier answers had a length); these guard the change, and were not run on the code before.

full_polls, unstated_ends, unproven_ends, checked_ends, unheard_ends, restarted_servers, paused_router, witness: 114 passed, 2 known red as before. process_review, unstated_starts, broken_streams, endings, crashes: 65 passed, 6 known red as before.

--- a/features/relay/full_polls.feature
+++ b/features/relay/full_polls.feature
@@ -15,3 +15,17 @@
       | talk   | the report |
       | talk   | the entry  |
       | stream | the entry  |
+
+  # Guards against whole answers that are lost because their engine, whose
+  # earlier answers had a length, has one older connection for all calls.
+  Scenario Outline: A whole answer of an engine that takes no further poll reaches its caller though an earlier one had a length
+    Given 3 routers before servers that state their start in "<places>", with an epoch, which take no poll but those that wait
+    And an earlier answer of each server had a length
+    When the servers answer requests of "<route>"
+    Then their callers have whole answers of one run
+
+    Examples:
+      | route  | places     |
+      | talk   | no place   |
+      | talk   | the entry  |
+      | stream | the entry  |
--- a/yuccagauge/relay/evidence.py
+++ b/yuccagauge/relay/evidence.py
@@ -92,12 +92,11 @@
         return True
 
     def record_framing(self, head: ResponseHead) -> None:
-        """Record whether a plain server tells where its answers end."""
-        if not self._is_model:
-            self._context.witnesses.record_framing(
-                self._server.endpoint,
-                is_framed=head.framing is not Framing.CONNECTION,
-            )
+        """Record whether the server tells where its answers end."""
+        self._context.witnesses.record_framing(
+            self._server.endpoint,
+            is_framed=head.framing is not Framing.CONNECTION,
+        )
 
     def take_connection(self) -> Connection | None:
         """Return a connection that is older than the request, if any is."""
