Refuse the rest of a stream while too little is heard of other versions

What callers could see: events of two software versions in one stream (ORDER). A router that reaches neither the store nor its peers, or its peers alone, took up streams that others had begun at engines with newer software: 5, 5 and 3 of 24 streams in three rows of unheard_versions.feature.

A peer that did not answer within 300 ms counted like one that knows no such stream, and the list of versions counted as complete however long ago the store had confirmed it. The stream then went on at the only version that the router knew.

Change: the only known version counts if a peer says that it knows no such stream, and the store has confirmed the entries within 3 s; or, while it is away, if fewer routers are unheard than keep each stream (2). Otherwise 503 stream_unknown, not run, with a Retry-After of 0.5 s. Routers that were seen in the last minute, and have not said that they stop, count as unheard.

Evidence: 3 of 9 rows of unheard_versions.feature failed before, all pass; 6 guard what held, among them that nothing is refused while the store is away for one router or all and another router is killed.

--- a/yuccagauge/exchange/members.py
+++ b/yuccagauge/exchange/members.py
@@ -87,8 +87,19 @@
             Number of other routers that exist at least. A router that starts
             remembers none of those that it cannot reach.
         """
+        live = len(self.live_names(now).ordered) + 1
+        return live / (live + self.missing_count(expected, now))
+
+    def missing_count(self, expected: int, now: Millis) -> int:
+        """Return how many routers are remembered that do not count as alive.
+
+        Parameters
+        ----------
+        expected
+            Number of other routers that exist at least.
+        """
         others = max(expected, len(self._members))
-        return (len(self.live_names(now).ordered) + 1) / (others + 1)
+        return others - len(self.live_names(now).ordered)
 
     def sample(
         self,
--- a/yuccagauge/exchange/origins.py
+++ b/yuccagauge/exchange/origins.py
@@ -1,16 +1,20 @@
 """Keeps the origins of streams at several routers, and asks them for it."""
 
 from collections import defaultdict
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping, Sequence
 from itertools import starmap
 from typing import Any
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, succeed
 from twisted.python.failure import Failure
 
 from yuccagauge.clock import Clock, Millis, in_seconds
 from yuccagauge.exchange.merger import MessageMerger
-from yuccagauge.origins.base import KEY_BYTES, StreamOrigin
+from yuccagauge.origins.base import (
+    KEY_BYTES,
+    OriginNotHeardError,
+    StreamOrigin,
+)
 from yuccagauge.origins.events import REPORTED
 from yuccagauge.origins.log import ROUTERS_PER_WRITER, OriginLog
 from yuccagauge.origins.table import OriginTable
@@ -44,6 +48,10 @@
 #: it, or comes back itself.
 _REPLY_TIMEOUT = Millis(300)
 
+#: Time since the store has confirmed the entries of servers after which one of
+#: another version may stand there unread.
+_CONFIRMATION_LIMIT = Millis(3000)
+
 
 class OriginBroker:
     """Reports the streams that this router begins, and finds those of others.
@@ -63,6 +71,8 @@
         Accept and open connections with other routers.
     reactor, clock
         Schedule the reports and tell the time.
+    expected_peers
+        Number of other routers that exist at least.
     """
 
     def __init__(
@@ -76,6 +86,7 @@
         client: PeerClient,
         reactor: Any,
         clock: Clock,
+        expected_peers: int,
     ) -> None:
         """Create a broker that answers nothing yet."""
         self._name = name
@@ -86,6 +97,7 @@
         self._client = client
         self._reactor = reactor
         self._clock = clock
+        self._expected_peers = expected_peers
         self._table = OriginTable()
         #: Streams that wait to be reported.
         self._unreported: dict[bytes, StreamOrigin] = {}
@@ -101,6 +113,9 @@
         self._writers: tuple[str, ...] = (name,)
         #: Streams that were reported to another router.
         self.reported_streams = 0
+        #: Returns the time since the store has confirmed the entries of servers
+        #: to this router or to a peer that told it.
+        self.confirmation_age: Callable[[], Millis] = lambda: Millis(0)
 
     def start(self) -> None:
         """Begin to answer peers."""
@@ -130,35 +145,73 @@
     def find(self, key: bytes) -> Deferred[StreamOrigin | None]:
         """Return what this router or a peer knows of a stream.
 
-        ``None`` if none of those that answer in time knows it.
+        ``None`` if nobody knows it, since its service had one version only.
+
+        Raises
+        ------
+        OriginNotHeardError
+            If too little is heard to say so.
         """
-        found: Deferred[StreamOrigin | None] = Deferred()
         known = self._table.find(key, self._clock.now())
+        if known is not None:
+            return succeed(known)
         self._refresh_rankings()
-        peers = self._peers_for(key, _ASKED)
-        if known is not None or not peers:
-            found.callback(known)
-            return found
+        return self._ask(key, self._peers_for(key, _ASKED))
+
+    def _ask(
+        self, key: bytes, peers: Sequence[Endpoint]
+    ) -> Deferred[StreamOrigin | None]:
+        """Return what the first peer knows that knows a stream."""
+        found: Deferred[StreamOrigin | None] = Deferred()
         waiting = set(peers)
+        silent: set[Endpoint] = set()
+
+        def end_if_all_heard() -> None:
+            if found.called or waiting:
+                return
+            if self._has_heard_enough(len(peers), len(silent)):
+                found.callback(None)
+            else:
+                found.errback(OriginNotHeardError())
 
         def take(reply: Any, peer: Endpoint) -> None:
             waiting.discard(peer)
-            if found.called:
-                return
-            if isinstance(reply, StreamOriginReply) and reply.is_known:
+            if not isinstance(reply, StreamOriginReply):
+                silent.add(peer)
+            elif reply.is_known and not found.called:
                 origin = _origin(reply)
                 self._table.add(key, origin, self._clock.now(), is_own=False)
                 found.callback(origin)
-            elif not waiting:
-                found.callback(None)
+            end_if_all_heard()
 
         request = StreamOriginRequest(key=key)
         for peer in peers:
             answer = self._client.request(peer, request, _REPLY_TIMEOUT)
             answer.addErrback(self._handle_no_reply, peer)
             answer.addCallback(take, peer)
+        end_if_all_heard()
         return found
 
+    def _has_heard_enough(self, asked: int, silent: int) -> bool:
+        """Return whether a stream of another version would have been heard of.
+
+        The store has the versions that are listed. Streams of processes that
+        are not listed yet are kept by several peers. While the store is away,
+        all of these must not be among those that are not heard.
+
+        Parameters
+        ----------
+        asked, silent
+            Numbers of the peers that were asked, and that did not answer.
+        """
+        missing = self._merger.members.missing_count(
+            self._expected_peers, self._clock.now()
+        )
+        if silent == asked:
+            return not (silent or missing)
+        is_confirmed = self.confirmation_age() < _CONFIRMATION_LIMIT
+        return is_confirmed or silent + missing < _KEEPERS
+
     def _restore(self, key: bytes, origin: StreamOrigin) -> None:
         """Take a stream of the log unless something newer is known."""
         now = self._clock.now()
--- a/yuccagauge/origins/base.py
+++ b/yuccagauge/origins/base.py
@@ -18,6 +18,10 @@
 KEY_BYTES = 16
 
 
+class OriginNotHeardError(Exception):
+    """Nobody who was heard knows a stream, and others may know it."""
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class StreamOrigin:
     """The service and its software version that began a stream."""
--- a/yuccagauge/relay/origins.py
+++ b/yuccagauge/relay/origins.py
@@ -4,10 +4,15 @@
 from typing import Protocol
 
 from twisted.internet.defer import Deferred, succeed
+from twisted.python.failure import Failure
 
 from yuccagauge.clock import Clock, Millis
 from yuccagauge.directory.base import BackendServer, CustomerSpec
-from yuccagauge.origins.base import StreamOrigin, origin_key
+from yuccagauge.origins.base import (
+    OriginNotHeardError,
+    StreamOrigin,
+    origin_key,
+)
 from yuccagauge.origins.events import log_resumption
 from yuccagauge.origins.versions import VersionHistory
 from yuccagauge.relay import refusals
@@ -32,7 +37,13 @@
         """Keep the origin of a stream."""
 
     def find(self, key: bytes) -> Deferred[StreamOrigin | None]:
-        """Return the origin of a stream, ``None`` if nobody knows it."""
+        """Return the origin of a stream, ``None`` if nobody knows it.
+
+        Raises
+        ------
+        OriginNotHeardError
+            If others may know it that were not heard.
+        """
 
 
 class NoOrigins:
@@ -108,8 +119,12 @@
                 self._report(call, 'other_service', None)
                 on_result(None, refusals.not_run('stream_gone', None))
 
-        self._store.find(stream_key(call.fields, call.customer)).addCallback(
-            handle
+        def handle_silence(failure: Failure) -> None:
+            failure.trap(OriginNotHeardError)
+            self._refuse_unknown(call, 'not_heard', on_result)
+
+        self._store.find(stream_key(call.fields, call.customer)).addCallbacks(
+            handle, handle_silence
         )
 
     def _handle_unknown(
@@ -123,13 +138,18 @@
         version = self._history.only_version(call.service, self._clock.now())
         is_split = len(call.route.traffic_shares) > 1
         if version is None or (is_split and not call.fields.resumed_request_id):
-            self._report(call, 'unknown', None)
-            refusal = refusals.not_run('stream_unknown', _UNKNOWN_RETRY_AFTER)
-            on_result(None, refusal)
+            self._refuse_unknown(call, 'unknown', on_result)
             return
         self._report(call, 'only_version', version)
         on_result(version, None)
 
+    def _refuse_unknown(
+        self, call: RelayCall, source: str, on_result: OriginCallback
+    ) -> None:
+        self._report(call, source, None)
+        refusal = refusals.not_run('stream_unknown', _UNKNOWN_RETRY_AFTER)
+        on_result(None, refusal)
+
     def _record(self, call: RelayCall, service: str, version: str) -> None:
         origin = StreamOrigin(service=service, software_version=version)
         self._store.record(stream_key(call.fields, call.customer), origin)
--- a/yuccagauge/relay/peers.py
+++ b/yuccagauge/relay/peers.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from yuccagauge.clock import Clock
+from yuccagauge.directory.state import Topic
 from yuccagauge.exchange.origins import OriginBroker
 from yuccagauge.exchange.service import ExchangeService
 from yuccagauge.origins.log import OriginLog
@@ -58,5 +59,9 @@
         client=client,
         reactor=reactor,
         clock=clock,
+        expected_peers=len(set(section.seeds) - {section.peer_listen}),
+    )
+    broker.confirmation_age = lambda: exchange.confirmation_age(
+        Topic.SERVERS, clock.now()
     )
     return exchange, broker
