Let heartbeats show that a server without a stated start lived on

What callers saw: after three of its connections had broken, a sound request was refused for up to 600 s if the entry of its server states no start (born), though the server lived on.

Cause: only the same born in a later entry, or a completion, cleared a crash. A request that is refused is not completed, and born need not be stated.

A higher count, in an entry written later than the run's end by more than 10 s, is one of an older process, as one process has an id at a time. Two entries have to show that the count rises with the heartbeats, and address, service, software and born in the entry must not have changed since the send; all else is unknown and counts. That a count starts anew with the process is nowhere stated. So this evidence ends a refusal only while no more than three crashes of the request are known: if it is wrong, three engines more get the request, which BUDGET allows. The store is read for it only while a request is refused. design.md, 6.9, has what was weighed.

Rows are added for what the statement can be instead (missing, partial, text, fraction, boolean, negative, constant, a time, too fast, new since), for real restarts between, which count whatever is stated, and for counts that go on over a restart or start at 1000.

The status of a request moved to quarantine/status.py, for the length of the module.

--- a/yuccagauge/directory/settled.py
+++ b/yuccagauge/directory/settled.py
@@ -106,6 +106,14 @@
         self._pairs.pop(server_id, None)
         self._newest.pop(server_id, None)
 
+    def unchanged_since(self, server_id: str) -> Millis | None:
+        """Return since when entries have described a server as the newest does.
+
+        ``None`` if there is no entry.
+        """
+        newest = self._newest.get(server_id)
+        return None if newest is None else newest.since
+
     def written_version(
         self,
         server_id: str,
--- a/yuccagauge/quarantine/base.py
+++ b/yuccagauge/quarantine/base.py
@@ -10,9 +10,8 @@
 union, which may be repeated and done in any order.
 """
 
-import enum
 from collections import OrderedDict
-from collections.abc import Iterable, Set
+from collections.abc import Callable, Iterable, Set
 from itertools import chain
 
 from yuccagauge.clock import Millis
@@ -26,15 +25,13 @@
 from yuccagauge.quarantine.events import QuarantineEvent, log_quarantine
 from yuccagauge.quarantine.listener import CrashListener
 from yuccagauge.quarantine.running import RunningRequests
+from yuccagauge.quarantine.status import (
+    SUSPECT_CRASHES,
+    QuarantineStatus,
+    status_after,
+)
 from yuccagauge.settings.options import Endpoint
 
-#: Crashes after which a request is a suspect, which shares no engine with other
-#: suspects.
-SUSPECT_CRASHES = 2
-
-#: Crashes after which a request is refused.
-REFUSED_CRASHES = 3
-
 #: How long after its last crash a request is refused, and its crashes are kept.
 QUARANTINE_DURATION = Millis(600_000)
 
@@ -45,20 +42,6 @@
 #: lives reports its incarnation well within it.
 WATCH_DURATION = Millis(20_000)
 
-#: An engine that has ended cannot be back and have loaded weights within this
-#: time, so one that reports new weights has reset its runs and lives.
-LOAD_EVIDENCE_TIME = Millis(2000)
-
-
-@enum.unique
-class QuarantineStatus(enum.Enum):
-    """How a request may be run."""
-
-    CLEAR = 'clear'
-    #: The request may run only where no other suspect runs.
-    SUSPECT = 'suspect'
-    REFUSED = 'refused'
-
 
 class Quarantine:
     """Tracks which requests may crash engines, and where requests run.
@@ -87,11 +70,7 @@
     def status(self, fingerprint: bytes, now: Millis) -> QuarantineStatus:
         """Return how a request may be run."""
         entry = self._current_entry(fingerprint, now)
-        if entry is None or len(entry.crashes) < SUSPECT_CRASHES:
-            return QuarantineStatus.CLEAR
-        if len(entry.crashes) < REFUSED_CRASHES:
-            return QuarantineStatus.SUSPECT
-        return QuarantineStatus.REFUSED
+        return status_after(0 if entry is None else len(entry.crashes))
 
     def must_be_stored(self, fingerprint: bytes, now: Millis) -> bool:
         """Return whether routers that start need the crashes of a request."""
@@ -123,7 +102,7 @@
                 age = now - run.ended_at
                 if age >= WATCH_DURATION:
                     self._entries[fingerprint].watched.pop(crash)
-                elif run.evidence is Evidence.INCARNATION:
+                elif self._entries[fingerprint].is_looked_for(run):
                     is_awaited |= delay <= age < delay + duration
         return is_awaited
 
@@ -159,6 +138,7 @@
         *,
         known: Set[str] = frozenset(),
         evidence: Evidence = Evidence.INCARNATION,
+        sent_at: Millis = Millis(0),
     ) -> None:
         """Record a run that ended without a complete answer.
 
@@ -170,6 +150,8 @@
             What ``record_start`` returned for the run.
         evidence
             What may show that the engine did not crash.
+        sent_at
+            When the run was sent; of use to ``Evidence.SURVIVAL``.
         """
         crash = crash_id(engine, incarnation, known)
         entry = self._add_crash(fingerprint, crash, now)
@@ -178,6 +160,7 @@
         entry.watched[crash] = WatchedRun(
             engine=engine,
             incarnation=incarnation,
+            sent_at=sent_at,
             ended_at=now,
             evidence=evidence,
         )
@@ -210,25 +193,45 @@
             that were noticed later stay as they are.
         """
         self._prune_watched(engine)
-        for fingerprint, crash, run in self._watched_runs(engine):
-            is_later = measured_at > run.ended_at
-            if is_later and run.evidence is Evidence.INCARNATION:
-                self._resolve(
-                    fingerprint,
-                    crash,
-                    is_dismissed=run.incarnation == incarnation,
-                    evidence_after_ms=measured_at - run.ended_at,
-                )
+        self._resolve_runs(
+            engine,
+            lambda _, run: run.lives_as(incarnation, measured_at),
+            measured_at,
+        )
+
+    def record_survival(
+        self,
+        engine: Endpoint,
+        incarnation: str,
+        measured_at: Millis,
+        started_before: Millis,
+    ) -> None:
+        """Dismiss the crashes of an engine whose process is older than the run.
+
+        Parameters
+        ----------
+        incarnation
+            The engine without a stated start.
+        measured_at
+            A time at which the process certainly ran.
+        started_before
+            A time before which it had started.
+        """
+        self._resolve_runs(
+            engine,
+            lambda entry, run: (
+                run.is_survived_by(incarnation, started_before, measured_at)
+                if entry.may_have_survivor
+                else None
+            ),
+            measured_at,
+        )
 
     def record_load(self, engine: Endpoint, now: Millis) -> None:
         """Dismiss the crashes of an engine that has loaded weights since."""
-        for fingerprint, crash, run in self._watched_runs(engine):
-            age = now - run.ended_at
-            is_recent = age <= LOAD_EVIDENCE_TIME
-            if is_recent and run.evidence is Evidence.WEIGHTS:
-                self._resolve(
-                    fingerprint, crash, is_dismissed=True, evidence_after_ms=age
-                )
+        self._resolve_runs(
+            engine, lambda _, run: run.is_reset_by_load(now), now
+        )
 
     def record_completion(self, fingerprint: bytes) -> None:
         """Clear the crashes of a request whose answer is complete."""
@@ -309,29 +312,38 @@
         for listener in self.listeners:
             listener.crashes_cleared(fingerprint, cleared)
 
-    def _resolve(
+    def _resolve_runs(
         self,
-        fingerprint: bytes,
-        crash: str,
-        *,
-        is_dismissed: bool,
-        evidence_after_ms: int,
+        engine: Endpoint,
+        judge: Callable[[CrashEntry, WatchedRun], bool | None],
+        evidence_at: Millis,
     ) -> None:
-        """Stop to watch a run; dismiss its crash, or keep it."""
-        entry = self._entries[fingerprint]
-        run = entry.watched.pop(crash)
-        event = QuarantineEvent.CONFIRMED
-        if is_dismissed:
-            event = QuarantineEvent.DISMISSED
-            self._clear_crashes(fingerprint, entry, (crash,))
-        log_quarantine(
-            event,
-            fingerprint,
-            len(entry.crashes),
-            server=run.engine,
-            incarnation=run.incarnation,
-            evidence_after_ms=evidence_after_ms,
-        )
+        """Stop to watch the runs that are judged; dismiss or keep their crashes.
+
+        Parameters
+        ----------
+        judge
+            Returns whether the engine has lived on, ``None`` if it is not known.
+        """
+        for fingerprint, crash, run in self._watched_runs(engine):
+            entry = self._entries[fingerprint]
+            has_lived = judge(entry, run)
+            if has_lived is None:
+                continue
+            entry.watched.pop(crash)
+            if has_lived:
+                self._clear_crashes(fingerprint, entry, (crash,))
+            log_quarantine(
+                QuarantineEvent.DISMISSED
+                if has_lived
+                else QuarantineEvent.CONFIRMED,
+                fingerprint,
+                len(entry.crashes),
+                server=run.engine,
+                incarnation=run.incarnation,
+                evidence=run.evidence.value,
+                evidence_after_ms=evidence_at - run.ended_at,
+            )
 
     def _watched_runs(
         self, engine: Endpoint
--- a/yuccagauge/quarantine/entry.py
+++ b/yuccagauge/quarantine/entry.py
@@ -6,12 +6,21 @@
 from dataclasses import dataclass, field
 
 from yuccagauge.clock import Millis
+from yuccagauge.quarantine.status import (
+    REFUSED_CRASHES,
+    QuarantineStatus,
+    status_after,
+)
 from yuccagauge.settings.options import Endpoint
 
 #: Crashes that count, and crashes that no longer count, which are stored for
 #: one request.
 MAXIMUM_CRASHES = 16
 
+#: An engine that has ended cannot be back and have loaded weights within this
+#: time, so one that reports new weights has reset its runs and lives.
+LOAD_EVIDENCE_TIME = Millis(2000)
+
 #: Size of the digest in a crash id. The id has two characters for each byte,
 #: and peers exchange at most 48 characters.
 _CRASH_ID_BYTES = 8
@@ -21,10 +30,11 @@
 class Evidence(enum.Enum):
     """What may show that the engine of a run lived on."""
 
-    #: Nothing but the completion of the request.
-    COMPLETION = 'completion'
     #: The incarnation that the engine reports later.
     INCARNATION = 'incarnation'
+    #: That the process which runs later had started before the run was sent;
+    #: the engine stated no incarnation.
+    SURVIVAL = 'survival'
     #: New weights: the engine was loading, and may have reset the run.
     WEIGHTS = 'weights'
 
@@ -35,10 +45,44 @@
 
     engine: Endpoint
     incarnation: str
-    #: When this router noticed that the run had ended.
+    #: When this router sent the run, and noticed that it had ended.
+    sent_at: Millis
     ended_at: Millis
     evidence: Evidence
 
+    def lives_as(self, incarnation: str, measured_at: Millis) -> bool | None:
+        """Return whether its engine has lived on, by a later incarnation.
+
+        ``None`` if that is not evidence for the run.
+        """
+        is_later = measured_at > self.ended_at
+        if is_later and self.evidence is Evidence.INCARNATION:
+            return self.incarnation == incarnation
+        return None
+
+    def is_survived_by(
+        self, incarnation: str, started_before: Millis, measured_at: Millis
+    ) -> bool | None:
+        """Return whether a process that ran later had got the run.
+
+        ``None`` if that is not known: another process proves nothing, because
+        its age is known as a lower bound only.
+        """
+        is_engine = (
+            self.evidence is Evidence.SURVIVAL
+            and self.incarnation == incarnation
+        )
+        if is_engine and started_before < self.sent_at:
+            return True if measured_at > self.ended_at else None
+        return None
+
+    def is_reset_by_load(self, now: Millis) -> bool | None:
+        """Return whether a load of weights that ends now has reset the run."""
+        is_recent = now - self.ended_at <= LOAD_EVIDENCE_TIME
+        if is_recent and self.evidence is Evidence.WEIGHTS:
+            return True
+        return None
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class CrashSuspicion:
@@ -71,6 +115,28 @@
         """Ids of all crashes, whether they count or not."""
         return frozenset(self.crashes).union(self.cleared)
 
+    @property
+    def may_have_survivor(self) -> bool:
+        """Whether an engine of unknown start that lived on ends the refusal.
+
+        It rests on what engines need not state, so it counts once: if it is
+        wrong, the request gets to three engines more.
+        """
+        return (
+            status_after(len(self.crashes)) is QuarantineStatus.REFUSED
+            and len(self.known) <= REFUSED_CRASHES
+        )
+
+    def is_looked_for(self, run: WatchedRun) -> bool:
+        """Return whether the store is read for what shows that an engine lived.
+
+        Load pattern: all connections of engines that state no incarnation break
+        at once. A request that is not refused needs no such evidence.
+        """
+        return run.evidence is Evidence.INCARNATION or (
+            run.evidence is Evidence.SURVIVAL and self.may_have_survivor
+        )
+
     def suspicion(self, fingerprint: bytes, now: Millis) -> CrashSuspicion:
         """Return the crashes in the form in which peers get them."""
         return CrashSuspicion(
--- a/yuccagauge/relay/attempt.py
+++ b/yuccagauge/relay/attempt.py
@@ -363,11 +363,11 @@
     def _record_possible_crash(self) -> None:
         """Count a crash, which later evidence may dismiss."""
         server = self._placement.server
-        evidence = Evidence.COMPLETION
+        # Ids are reused, so an id alone does not tell a restart.
+        evidence = Evidence.SURVIVAL
         if self._is_loading_weights():
             evidence = Evidence.WEIGHTS
         elif server.started_at:
-            # Ids are reused, so an id alone does not tell a restart.
             evidence = Evidence.INCARNATION
         self._context.quarantine.record_broken_connection(
             self._call.fingerprint,
@@ -376,6 +376,7 @@
             self._now(),
             known=self._known_crashes,
             evidence=evidence,
+            sent_at=self._sent_at,
         )
         if not self._is_sound:
             self._record_possible_crash_of_parts()
--- a/yuccagauge/relay/router.py
+++ b/yuccagauge/relay/router.py
@@ -26,8 +26,9 @@
 from yuccagauge.relay.paths import RelayPaths
 from yuccagauge.relay.peers import build_peer_services
 from yuccagauge.relay.processes import written_version
-from yuccagauge.relay.reading import LATE_HEARTBEAT_TIME, ReadSchedule
+from yuccagauge.relay.reading import ReadSchedule
 from yuccagauge.relay.relay import Relay
+from yuccagauge.relay.survivors import Survivors
 from yuccagauge.rendezvous import kept_rank
 from yuccagauge.rollout.driver import RolloutDriver
 from yuccagauge.rollout.election import LeaderElection
@@ -247,7 +248,13 @@
     def _connect_components(self) -> None:
         self._directory.listeners.append(self._apply_directory_change)
         server_follower = self._followers[Topic.SERVERS]
-        server_follower.on_entry = self._record_server_entry
+        survivors = Survivors(
+            self._directory,
+            self._context.quarantine,
+            self._clock,
+            self._settings.weights.heartbeat_ms,
+        )
+        server_follower.on_entry = survivors.record_entry
         schedule = ReadSchedule(
             self._settings.relay,
             self._settings.store,
@@ -426,13 +433,3 @@
             )
 
         return record
-
-    def _record_server_entry(self, server_id: str, after: Millis) -> None:
-        """Record that a server's incarnation ran when its entry was written."""
-        server = self._directory.servers.get(server_id)
-        if server is not None and server.started_at:
-            self._context.quarantine.record_incarnation(
-                server.endpoint,
-                server.incarnation,
-                Millis(after - LATE_HEARTBEAT_TIME),
-            )
