Let a peer know where a stream began before its caller has an event

What callers could see: events of two software versions in one stream (ORDER). An engine has restarted with other software and is not listed yet; a router passes on the first events of streams there, and is killed. Callers take them up at routers that know of one version: 4 of 24 streams joined, in each of two rows of unheard_versions.feature.

Cause: the origin of a stream was told to peers 20 ms after its first event had gone to the caller, and it dies with the router. Peers then truly say that they know no such stream, which counts as one of the only version.

Change: at a process that is not listed the first event is held back until a peer has the origin, 100 ms at most; what follows waits behind it. If the attempt breaks meanwhile, what is held is passed on first, so that the origin stays true. Streams at listed processes do not wait.

Evidence: both rows failed before and pass; 147 scenarios of seven features on origins and the relay pass.

--- a/features/origins/unheard_versions.feature
+++ b/features/origins/unheard_versions.feature
@@ -23,6 +23,20 @@
       | the store               | 0.8   | 3.0  |
       | nothing                 | 2.0   | 0.2  |
 
+  # Guards against the same as a router ends before it has told its peers of a
+  # stream whose first event its caller has.
+  Scenario Outline: Streams are not joined as a router ends with their first events
+    Given 4 routers before 4 engines that are listed <entry> s after a start
+    And one router does not reach <cut>
+    And half of the engines have restarted with other software 0.2 s before
+    When streams begin at the other routers, one of which is killed with their first events
+    Then streams of the other version were taken up, and none is joined
+
+    Examples:
+      | cut     | entry |
+      | nothing | 2.0   |
+      | nothing | 0.8   |
+
   # Guards against routers that refuse what they could serve, as one that hears
   # enough knows that there is one software version.
   Scenario Outline: Streams go on at one software version though something is not heard
--- a/features/steps/origins_steps.py
+++ b/features/steps/origins_steps.py
@@ -46,6 +46,11 @@
         """Keep an origin."""
         self.origins[key] = origin
 
+    def keep(self, key: bytes, origin: StreamOrigin) -> Deferred[None]:
+        """Keep an origin at once."""
+        self.record(key, origin)
+        return succeed(None)
+
     def find(self, key: bytes) -> Deferred[StreamOrigin | None]:
         """Return an origin at once."""
         return succeed(self.origins.get(key))
--- a/features/steps/origins_unheard_steps.py
+++ b/features/steps/origins_unheard_steps.py
@@ -24,6 +24,10 @@
 _RUN_OUT_S = 8.0
 
 _STREAMS = 24
+_STEP_S = 0.001
+
+#: The version of the engines that have restarted.
+_NEWER = 'v2'
 
 
 @given('{routers} router does not reach {cut}')
@@ -72,6 +76,25 @@
     fleet.run(_RUN_OUT_S)
 
 
+@when(
+    'streams begin at the other routers, one of which is killed with their '
+    'first events'
+)
+def begin_and_kill_early(context: Context) -> None:
+    """Kill a router that has just passed on an event of the newer version."""
+    fleet = context.fleet
+    fleet.has_own_bodies = True
+    fleet.pause_s = _COME_BACK_S
+    fleet.unreachable = {context.cut_off}
+    for _ in range(_STREAMS):
+        fleet.begin_stream()
+    while not any(_NEWER in stream.versions for stream in fleet.streams):
+        fleet.run(_STEP_S)
+    fleet.unreachable = set(fleet.router_names) - {context.cut_off}
+    fleet.kill_router(_busiest_router(fleet))
+    fleet.run(_RUN_OUT_S)
+
+
 def _busiest_router(fleet: UpgradeFleet) -> str:
     """Return the router with the most streams of the newest version."""
     newest = max(''.join(stream.versions[:1]) for stream in fleet.streams)
--- a/yuccagauge/exchange/origins.py
+++ b/yuccagauge/exchange/origins.py
@@ -134,6 +134,27 @@
         if is_mixed or origin.is_unlisted:
             self._report(key, origin)
 
+    def keep(self, key: bytes, origin: StreamOrigin) -> Deferred[None]:
+        """Keep the origin of a stream; return once a peer keeps it.
+
+        It also returns once no peer can be told any more.
+        """
+        self._table.add(key, origin, self._clock.now(), is_own=True)
+        answers = self._send_reports({key: origin})
+        kept: Deferred[None] = Deferred()
+        open_answers = set(range(len(answers)))
+
+        def end(reply: Any, number: int) -> None:
+            open_answers.discard(number)
+            if not kept.called and (reply is not None or not open_answers):
+                kept.callback(None)
+
+        for number, answer in enumerate(answers):
+            answer.addCallback(end, number)
+        if not answers:
+            kept.callback(None)
+        return kept
+
     def update(self) -> None:
         """Report and fetch what a change of versions or routers asks for."""
         self._report_mixed()
@@ -250,14 +271,22 @@
     def _report(self, key: bytes, origin: StreamOrigin) -> None:
         if not self._unreported:
             self._reactor.callLater(
-                in_seconds(_REPORT_DELAY), self._send_reports
+                in_seconds(_REPORT_DELAY), self._send_unreported
             )
         self._unreported[key] = origin
 
-    def _send_reports(self) -> None:
-        """Send each peer the streams that it keeps, in one message."""
-        self._refresh_rankings()
+    def _send_unreported(self) -> None:
         unreported, self._unreported = self._unreported, {}
+        self._send_reports(unreported)
+
+    def _send_reports(
+        self, unreported: Mapping[bytes, StreamOrigin]
+    ) -> list[Deferred[Any]]:
+        """Send each peer the streams that it keeps, in one message.
+
+        Returns the answers, ``None`` for each peer that sends none.
+        """
+        self._refresh_rankings()
         by_peer: dict[Endpoint, dict[StreamOrigin, list[bytes]]] = defaultdict(
             lambda: defaultdict(list)
         )
@@ -265,13 +294,15 @@
             for peer in self._recipients(key):
                 by_peer[peer][origin].append(key)
             self._log_if_writer(key, origin)
+        answers: list[Deferred[Any]] = []
         for peer, groups in by_peer.items():
             answer = self._client.request(
                 peer, _report_message(groups), _REPLY_TIMEOUT
             )
-            answer.addErrback(self._handle_no_reply, peer)
+            answers.append(answer.addErrback(self._handle_no_reply, peer))
         self.reported_streams += len(unreported)
         REPORTED.add(len(unreported))
+        return answers
 
     def _handle_no_reply(self, failure: Failure, peer: Endpoint) -> None:
         failure.trap(PeerUnavailableError, PeerFailedError)
--- a/yuccagauge/relay/call.py
+++ b/yuccagauge/relay/call.py
@@ -6,7 +6,10 @@
 
 from yuccagauge.clock import Millis
 from yuccagauge.dispatch.base import AnswerSink, ResponseHead
-from yuccagauge.dispatch.errors import ContinuationError
+from yuccagauge.dispatch.errors import (
+    BackendProtocolError,
+    ContinuationError,
+)
 from yuccagauge.dispatch.exchange import Exchange
 from yuccagauge.dispatch.timers import Timers
 from yuccagauge.relay import refusals
@@ -17,6 +20,7 @@
 from yuccagauge.relay.ending import EndProof
 from yuccagauge.relay.exchanges import open_exchange
 from yuccagauge.relay.faults import CallGuard
+from yuccagauge.relay.firstevent import FirstEvent
 from yuccagauge.relay.repeats import CallRepeats
 from yuccagauge.relay.report import CallReporter
 from yuccagauge.relay.response import ResponseForwarder
@@ -81,6 +85,9 @@
         self._beginning_monitor = BeginningMonitor(
             self, self._takeover, self._timers
         )
+        self._first_event = FirstEvent(
+            context.origins, self._timers, self._take_held_data
+        )
 
     def start(self) -> None:
         """Select a server and send the call; the sink receives the answer."""
@@ -155,9 +162,32 @@
     def data(self, data: bytes) -> None:
         """Handle a part of the body of a server's response."""
         self._attempt.record_activity()
+        if self._first_event.holds(data):
+            return
         try:
             if self._takeover.withholds_data(data):
                 return
+            if self._must_wait(data):
+                self._attempt.record_output(self._reporter)
+                self._first_event.hold(
+                    data, self._call, self._attempt.placement.server
+                )
+                return
+        except ContinuationError as error:
+            self._handle_failed_continuation(str(error))
+            return
+        self._take_data(data)
+
+    def _must_wait(self, data: bytes) -> bool:
+        """Return whether data begins a stream whose origin is to be kept."""
+        server = self._attempt.placement.server
+        return self._context.origins.must_be_kept(
+            self._call, server
+        ) and self._response.would_start(data)
+
+    def _take_data(self, data: bytes) -> None:
+        """Forward a part of the body of a server's response."""
+        try:
             is_forwarded = self._forward(data)
         except ContinuationError as error:
             self._handle_failed_continuation(str(error))
@@ -168,9 +198,19 @@
         if is_forwarded:
             self._reporter.record_first_output()
 
+    def _take_held_data(self, data: bytes) -> None:
+        try:
+            self._take_data(data)
+        except BackendProtocolError as error:
+            self._abandon_exchange()
+            self._handle_broken_attempt(str(error))
+
     def complete(self) -> None:
         """Handle the end of a response by its framing."""
         self._attempt.record_activity()
+        self._first_event.release()
+        if self._has_ended:
+            return
         try:
             self._takeover.finish()
         except ContinuationError as error:
@@ -195,6 +235,9 @@
 
     def lost(self, reason: str) -> None:
         """Handle a connection that failed before the response was complete."""
+        self._first_event.release()
+        if self._has_ended:
+            return
         if self._attempt.confirmation.is_refuted:
             self._handle_other_process(reason)
             return
@@ -458,6 +501,7 @@
     ) -> None:
         self._has_ended = True
         self._end_proof.close()
+        self._first_event.close()
         self._takeover.close()
         self._repeats.close()
         self._timers.close()
--- a/yuccagauge/relay/origins.py
+++ b/yuccagauge/relay/origins.py
@@ -9,6 +9,7 @@
 from yuccagauge.clock import Clock, Millis
 from yuccagauge.directory.base import BackendServer, CustomerSpec
 from yuccagauge.origins.base import (
+    UNLISTED,
     OriginNotHeardError,
     StreamOrigin,
     origin_key,
@@ -36,6 +37,12 @@
     def record(self, key: bytes, origin: StreamOrigin) -> None:
         """Keep the origin of a stream."""
 
+    def keep(self, key: bytes, origin: StreamOrigin) -> Deferred[None]:
+        """Keep the origin of a stream; return once another router keeps it.
+
+        It also returns if no other one does.
+        """
+
     def find(self, key: bytes) -> Deferred[StreamOrigin | None]:
         """Return the origin of a stream, ``None`` if nobody knows it.
 
@@ -52,6 +59,10 @@
     def record(self, key: bytes, origin: StreamOrigin) -> None:
         """Keep nothing."""
 
+    def keep(self, key: bytes, origin: StreamOrigin) -> Deferred[None]:
+        """Keep nothing."""
+        return succeed(None)
+
     def find(self, key: bytes) -> Deferred[StreamOrigin | None]:
         """Return that the stream is not known."""
         return succeed(None)
@@ -89,6 +100,26 @@
         if call.route.is_resumable and not call.takes_stream_up:
             self._record(call, server.service, server.software_version)
 
+    def must_be_kept(self, call: RelayCall, server: BackendServer) -> bool:
+        """Return whether a stream must not begin before peers know where.
+
+        Nobody but this router knows of a process that is not listed.
+        """
+        return (
+            call.route.is_resumable
+            and not call.takes_stream_up
+            and server.software_version.startswith(UNLISTED)
+        )
+
+    def keep_beginning(
+        self, call: RelayCall, server: BackendServer
+    ) -> Deferred[None]:
+        """Keep where a stream begins; return once a peer keeps it too."""
+        origin = StreamOrigin(
+            service=server.service, software_version=server.software_version
+        )
+        return self._store.keep(stream_key(call.fields, call.customer), origin)
+
     def renew(self, call: RelayCall, version: str) -> None:
         """Keep the origin of a stream that is taken up for longer.
 
--- a/yuccagauge/relay/response.py
+++ b/yuccagauge/relay/response.py
@@ -260,6 +260,13 @@
             return has_event
         return any(map(has_data, order.release()))
 
+    def would_start(self, data: bytes) -> bool:
+        """Return whether data would be the first that the caller gets."""
+        if self._has_started or self._splitter is None:
+            return False
+        splitter, order = copy.copy(self._splitter), copy.copy(self._order)
+        return any(order.accept(event) for event in splitter.feed(data))
+
     def _check_needs_no_events(self, head: ResponseHead) -> None:
         """Raise an error if only events may follow what the caller has."""
         is_failure = head.status >= _FIRST_ERROR_STATUS
