End an attempt once if what was held back of it is rejected

By reading, no test: an answer that ended while its first event was held back could be taken as whole after its events had been rejected, and the stream sent elsewhere.

--- a/yuccagauge/relay/call.py
+++ b/yuccagauge/relay/call.py
@@ -198,6 +198,12 @@
         if is_forwarded:
             self._reporter.record_first_output()
 
+    def _release_first_event(self) -> bool:
+        """Pass on what is held back; return whether the attempt goes on."""
+        exchange = self._exchange
+        self._first_event.release()
+        return self._exchange is exchange and not self._has_ended
+
     def _take_held_data(self, data: bytes) -> None:
         try:
             self._take_data(data)
@@ -208,8 +214,7 @@
     def complete(self) -> None:
         """Handle the end of a response by its framing."""
         self._attempt.record_activity()
-        self._first_event.release()
-        if self._has_ended:
+        if not self._release_first_event():
             return
         try:
             self._takeover.finish()
@@ -235,8 +240,7 @@
 
     def lost(self, reason: str) -> None:
         """Handle a connection that failed before the response was complete."""
-        self._first_event.release()
-        if self._has_ended:
+        if not self._release_first_event():
             return
         if self._attempt.confirmation.is_refuted:
             self._handle_other_process(reason)
