Wait for as long as routers that do not read the store need for a version

Cause: the wait for the version of a process ended after 3.6 s, which is enough for routers that see two entries in a row. The others need five heartbeats.

--- a/yuccagauge/relay/processes.py
+++ b/yuccagauge/relay/processes.py
@@ -13,8 +13,9 @@
 #: Processes whose software versions are remembered; the oldest is dropped first.
 _MAXIMUM_VERSIONS = 10_000
 
-#: Time in which a process writes two entries, and routers read them.
-_PROOF_TIME = Millis(3600)
+#: Time in which entries show the version of a process: two in a row to routers
+#: that read the store, and five heartbeats without a change to all others.
+_PROOF_TIME = Millis(7200)
 
 #: Gets the id of a server, and when one of its processes is known to have run.
 WrittenVersion = Callable[[str, Sighting], str | None]
