--- a/yuccagauge/dispatch/witness.py
+++ b/yuccagauge/dispatch/witness.py
@@ -99,9 +99,9 @@
     The operating system closes the connections of a process that ends, and
     resets them when something is sent there. So the process lives if it
     answers, and also if its host has acknowledged the check and the connection
-    is still open some time after that was heard: the server may be busy, or silent. On a
-    connection that a peer carries, only the answer tells: the peer may have
-    been paused.
+    is still open some time after that was heard: the server may be busy, or
+    silent. On a connection that a peer carries, only the answer tells: the peer
+    may have been paused.
 
     Parameters
     ----------
