--- a/features/steps/origins_unheard_steps.py
+++ b/features/steps/origins_unheard_steps.py
@@ -63,17 +63,12 @@
 @when('streams begin at the other routers, one of which is killed then')
 def begin_and_kill(context: Context) -> None:
     """Let callers come back to the router that is cut off."""
-    fleet = context.fleet
-    fleet.has_own_bodies = True
-    fleet.pause_s = _COME_BACK_S
-    fleet.unreachable = {context.cut_off}
+    fleet = _prepare_callers(context)
     for _ in range(_STREAMS):
         fleet.begin_stream()
         fleet.run(_BEGIN_S / _STREAMS)
     fleet.run(_KEPT_S)
-    fleet.unreachable = set(fleet.router_names) - {context.cut_off}
-    fleet.kill_router(_busiest_router(fleet))
-    fleet.run(_RUN_OUT_S)
+    _kill_busiest_router(context)
 
 
 @when(
@@ -82,14 +77,26 @@
 )
 def begin_and_kill_early(context: Context) -> None:
     """Kill a router that has just passed on an event of the newer version."""
-    fleet = context.fleet
-    fleet.has_own_bodies = True
-    fleet.pause_s = _COME_BACK_S
-    fleet.unreachable = {context.cut_off}
+    fleet = _prepare_callers(context)
     for _ in range(_STREAMS):
         fleet.begin_stream()
     while not any(_NEWER in stream.versions for stream in fleet.streams):
         fleet.run(_STEP_S)
+    _kill_busiest_router(context)
+
+
+def _prepare_callers(context: Context) -> UpgradeFleet:
+    """Let callers begin streams at the routers that are not cut off."""
+    fleet = context.fleet
+    fleet.has_own_bodies = True
+    fleet.pause_s = _COME_BACK_S
+    fleet.unreachable = {context.cut_off}
+    return fleet
+
+
+def _kill_busiest_router(context: Context) -> None:
+    """Let callers come back to the router that is cut off."""
+    fleet = context.fleet
     fleet.unreachable = set(fleet.router_names) - {context.cut_off}
     fleet.kill_router(_busiest_router(fleet))
     fleet.run(_RUN_OUT_S)
