--- a/review/stand2.py
+++ b/review/stand2.py
@@ -133,19 +133,45 @@
         self.changed = asyncio.Condition()
         self.calls = []
         self.on_call = None
+        #: Whether all calls are reset, as if the store were away.
+        self.is_away = False
+
+    def copy(self):
+        """Return a copy of all records, to come back from."""
+        return {topic: list(records) for topic, records in self.topics.items()}
+
+    def come_back(self, copied):
+        """Answer again, from a copy: what was written since is gone."""
+        self.topics = {topic: list(found) for topic, found in copied.items()}
+        self.era += 1
+        self.is_away = False
+
+    def go_away(self):
+        """Reset all channels, and those that come."""
+        self.is_away = True
+        for writer in tuple(self.writers):
+            writer.transport.abort()
 
     def records(self, topic):
         return self.topics.setdefault(topic, [])
 
     async def put(self, topic, key, value):
         data = json.dumps(value).encode() if value is not None else b''
+        await self.put_bytes(topic, key, data)
+
+    async def put_bytes(self, topic, key, data):
         content = bytes([len(key)]) + key.encode() + data
+        if self.is_away:
+            return
         self.records(topic).append(content)
         async with self.changed:
             self.changed.notify_all()
 
     async def handle(self, request, reader, writer):
         self.calls.append((time.monotonic(), request.path, request.query))
+        if self.is_away:
+            writer.transport.abort()
+            return False
         if self.on_call is not None:
             verdict = await self.on_call(request, writer)
             if verdict is not None:
