--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,107 +1,202 @@
-"""Requests as long as the operator's limit allows end a router by its memory."""
+"""One entry that can't be read as text ends all exchange between routers."""
 
 import asyncio
+import json
 import sys
 import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 from stand2 import (  # noqa: E402
-    Engine, Router, Store, TROUBLE, answer_bytes, config, read_body,
-    read_head, request_bytes, route, run_case,
+    ZONE, Engine, Router, Store, TROUBLE, answer_bytes, config, free_port,
+    head_bytes, read_head, request_bytes, route, run_case,
 )
 
-#: `limits.memoryMb` of the machines: the platform kills a process beyond it.
-MEMORY_MB = 150
-#: `limits.maxBodyBytes` of the configuration is 4,194,304.
-LONG_BODY = 4_194_304
-SHORT_BODY = 600
-#: Clients that send a request each at the same time, and kept channels.
-SENDERS = 24
-KEPT = 8
-WORK_S = 0.5
+STREAMS = 16
+EVENTS = 60
+EVENT_S = 0.05
+#: The proxy resets the channel of a client after this time.
+RESET_S = 0.8
+DEADLINE_S = 10
+KIND = ('Content-Type', 'text/event-stream')
+CHUNKED = ('Transfer-Encoding', 'chunked')
+
+#: An entry of another writer, with bytes that can't be read: its version holds
+#: the bytes ED B3 A9, which are not UTF-8 (a lone surrogate).
+ENTRY = {
+    'service': 'matcher',
+    'address': '127.0.0.1:9',
+    'zone': ZONE,
+    'version': 'v1-\udce9',
+    'slots': 64,
+    'state': 'draining',
+    'coldRemainingMs': 0,
+    'seq': 1,
+}
+
+
+def chunk(data):
+    return b'%x\r\n' % len(data) + data + b'\r\n'
 
 
 async def main(record, folder, parts):
     store = Store()
     await store.start()
-    post = route('post', 'h.example', 'non_idempotent', 'roster')
-    await store.put('keyed.op', 'config', config(1, [post]))
+    brief = route(
+        'brief', 'h.example', 'streaming', 'matcher',
+        canResume=True, sticky=True, gapAimMs=300, sloMs=400, attempts=2,
+    )
+    await store.put('keyed.op', 'config', config(1, [brief]))
+    await store.put('keyed.op', 'version/m0', {'model': 'm0', 'version': 1})
 
     async def run(engine, request, reader, writer):
-        engine.ran.append(request.headers['x-yuccagauge-request-id'])
-        await asyncio.sleep(WORK_S)
-        writer.write(answer_bytes(200, b'y' * 800, engine.echo(request)))
+        name = request.headers['x-yuccagauge-request-id']
+        after = request.headers.get('last-event-id')
+        engine.ran.append(name)
+        version = ('X-Yuccagauge-Weight-Versions', 1)
+        headers = [*engine.echo(request), KIND, CHUNKED, version]
+        writer.write(head_bytes(200, headers))
+        for number in range(int(after) + 1 if after else 0, EVENTS):
+            if writer.transport.is_closing():
+                return False
+            writer.write(chunk(b'id: %d\ndata: t%d\n\n' % (number, number)))
+            await writer.drain()
+            await asyncio.sleep(EVENT_S)
+        writer.write(b'0\r\n\r\n')
         return True
 
-    engines = [Engine(store, f'p-{n}', 'roster', run) for n in range(1, 7)]
-    for engine in engines:
+    for number in (1, 2):
+        engine = Engine(
+            store, f'm-{number}', 'matcher', run, slots=64, model='m0'
+        )
         await engine.start()
-    router = Router(folder, 1, store)
-    parts.append(router)
-    router.start()
-    await router.wait_ready()
-    await asyncio.sleep(1)
-    peak, is_over = 0, False
-    broken = []
-
-    async def watch_memory():
-        """Do what the platform does: kill a process beyond its memory."""
-        nonlocal peak, is_over
-        while True:
-            used = router.rss_mb()
-            peak = max(peak, used)
-            if used > MEMORY_MB and not is_over:
-                is_over = True
-                record(f'the router uses {used:.0f} MB: the platform kills it')
-                router.process.kill()
-            await asyncio.sleep(0.005)
-
-    async def keep_channel(number):
-        """Send one request after the other on a channel that stays open."""
-        reader, writer = await asyncio.open_connection(router.ip, router.front)
-        for turn in range(20):
-            name = f'k{number}-{turn}'
-            writer.write(request_bytes(
-                'post', 'h.example', name, deadline=5000,
-                body=b'x' * SHORT_BODY,
-            ))
+    routers = []
+    for number in (1, 2, 3):
+        seeds = [f'127.0.0.1:{routers[0].peer}'] if routers else ()
+        router = Router(folder, number, store, seeds)
+        routers.append(router)
+        parts.append(router)
+        router.start()
+    for router in routers:
+        await router.wait_ready()
+    await asyncio.sleep(3)
+    if TROUBLE:
+        text = json.dumps(ENTRY, ensure_ascii=False)
+        value = text.encode('utf-8', 'surrogatepass')
+        await store.put_bytes('keyed.servers', 'x-1', value)
+        record(f'another writer writes servers/x-1: {value!r}')
+    await asyncio.sleep(9)
+
+    async def forward(client_reader, client_writer):
+        """Carry a channel to the first router, and reset it after a while."""
+        reader, writer = await asyncio.open_connection(
+            routers[0].ip, routers[0].front
+        )
+
+        async def copy(source, sink):
             try:
-                first, headers = await asyncio.wait_for(read_head(reader), 8)
-                await read_body(reader, headers)
-            except (OSError, EOFError, asyncio.TimeoutError):
-                ran = any(name in engine.ran for engine in engines)
-                record(f'{name}: no answer; run by an engine: {ran}')
-                if ran:
-                    broken.append(name)
-                return
-        writer.close()
-
-    async def send(number):
-        body = b'x' * (LONG_BODY if TROUBLE else SHORT_BODY)
+                while data := await source.read(65536):
+                    sink.write(data)
+                    await sink.drain()
+            except OSError:
+                pass
+
+        tasks = [
+            asyncio.create_task(copy(client_reader, writer)),
+            asyncio.create_task(copy(reader, client_writer)),
+        ]
+        await asyncio.sleep(RESET_S)
+        for each in (writer, client_writer):
+            each.transport.abort()
+        for task in tasks:
+            task.cancel()
+
+    proxy_port = free_port()
+    await asyncio.start_server(forward, '127.0.0.1', proxy_port)
+
+    async def attempt(port, name, extra, got):
+        """Send one attempt; add the numbers of its events to ``got``."""
+        headers = [
+            ('X-Yuccagauge-Model', 'm0'),
+            ('X-Yuccagauge-Token-Usage', '826,73'),
+            ('X-Yuccagauge-Prefix-Hash', f'aa:119,b{name}:79,c{name}:628'),
+            *extra,
+        ]
+        first, rest = 'none', b''
         try:
-            reader, writer = await asyncio.open_connection(
-                router.ip, router.front
-            )
+            reader, writer = await asyncio.open_connection('127.0.0.1', port)
             writer.write(request_bytes(
-                'post', 'h.example', f'r{number}', deadline=10000, body=body,
+                'brief', 'h.example', name, deadline=DEADLINE_S * 1000,
+                headers=headers, body=b'x' * 1700,
             ))
-            first, _ = await asyncio.wait_for(read_head(reader), 12)
-        except (OSError, EOFError, asyncio.TimeoutError) as error:
-            first = type(error).__name__
-        record(f'r{number}: {len(body)} bytes, {first.strip()}')
-
-    watch = asyncio.create_task(watch_memory())
-    tasks = [asyncio.create_task(keep_channel(n)) for n in range(KEPT)]
-    await asyncio.sleep(2.2)
-    tasks += [asyncio.create_task(send(n)) for n in range(SENDERS)]
-    await asyncio.wait(tasks, timeout=40)
-    watch.cancel()
+            first, head = await asyncio.wait_for(read_head(reader), 5)
+            if ' 200' not in first:
+                writer.close()
+                return first, float(head.get('retry-after', 0)), False
+            while True:
+                data = await asyncio.wait_for(reader.read(65536), 5)
+                if not data:
+                    return first, 0, False
+                rest += data
+                *lines, rest = rest.split(b'\n')
+                for line in lines:
+                    if line.startswith(b'id: '):
+                        got.append(int(line[4:]))
+                if rest.endswith(b'0\r\n\r\n') or b'0\r' in lines[-2:]:
+                    writer.close()
+                    return first, 0, True
+        except (OSError, EOFError, asyncio.TimeoutError):
+            return first, 0, False
+
+    async def take_up(number):
+        """Begin a stream at the first router; take it up at the second."""
+        got = []
+        name = f's{number}'
+        await attempt(proxy_port, name, [], got)
+        end = time.monotonic() + DEADLINE_S - RESET_S
+        begun, seen = len(got), []
+        tries = 0
+        while time.monotonic() < end and tries < 4:
+            tries += 1
+            extra = [('Last-Event-Id', got[-1]), ('Resumes', name)]
+            first, wait, is_whole = await attempt(
+                routers[1].front, f'{name}-{tries}', extra, got
+            )
+            seen.append(first.strip())
+            if len(got) > begun:
+                break
+            await asyncio.sleep(max(0.1, wait))
+        is_whole = got == list(range(EVENTS))
+        record(
+            f'{name}: {begun} events at edge-1, then at edge-2 {seen}, '
+            f'{"whole" if is_whole else "not whole"}'
+        )
+        return is_whole
+
+    async def begin(number):
+        """Begin a new stream at the second router."""
+        got = []
+        first, _, is_whole = await attempt(
+            routers[1].front, f'n{number}', [], got
+        )
+        return got == list(range(EVENTS))
+
+    taken = [asyncio.create_task(take_up(n)) for n in range(STREAMS)]
+    await asyncio.sleep(RESET_S)
+    new = [asyncio.create_task(begin(n)) for n in range(STREAMS)]
+    goes_on = sum(await asyncio.gather(*taken))
+    begins = sum(await asyncio.gather(*new))
+    failed = sum(
+        '"duty_failed"' in line and '"exchange"' in line
+        for router in routers
+        for line in router.log_path.read_text(errors='replace').splitlines()
+    )
+    record(f'log: {failed} rounds of exchange between routers failed')
     record(
-        f'at most {peak:.0f} MB; {len(broken)} of {KEPT} kept channels ended '
-        'without the answer to a request that an engine runs'
+        f'{goes_on} of {STREAMS} streams that were taken up go on, '
+        f'{begins} of {STREAMS} new streams begin'
     )
-    return len(broken) > 3
+    return 2 * goes_on < begins
 
 
 run_case(__file__, main)
