--- a/review/10/case.py
+++ b/review/10/case.py
@@ -9,7 +9,8 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 from stand2 import (  # noqa: E402
     ZONE, Engine, Router, Store, TROUBLE, answer_bytes, config, free_port,
-    head_bytes, read_head, request_bytes, route, run_case,
+    head_bytes, read_head, request_bytes, reset, route,
+    run_case,
 )
 
 STREAMS = 16
@@ -107,7 +108,7 @@
         ]
         await asyncio.sleep(RESET_S)
         for each in (writer, client_writer):
-            each.transport.abort()
+            reset(each)
         for task in tasks:
             task.cancel()
 
--- a/review/stand2.py
+++ b/review/stand2.py
@@ -150,7 +150,7 @@
         """Reset all channels, and those that come."""
         self.is_away = True
         for writer in tuple(self.writers):
-            writer.transport.abort()
+            reset(writer)
 
     def records(self, topic):
         return self.topics.setdefault(topic, [])
@@ -170,7 +170,7 @@
     async def handle(self, request, reader, writer):
         self.calls.append((time.monotonic(), request.path, request.query))
         if self.is_away:
-            writer.transport.abort()
+            reset(writer)
             return False
         if self.on_call is not None:
             verdict = await self.on_call(request, writer)
@@ -461,6 +461,14 @@
             self.process.wait()
 
 
+def reset(writer):
+    """Reset a channel, instead of closing it."""
+    sock = writer.get_extra_info('socket')
+    linger = struct.pack('ii', 1, 0)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
 def route(name, host, kind, service, **more):
     found = {
         'name': name,
