--- a/review/stand2.py
+++ b/review/stand2.py
@@ -463,6 +463,8 @@
 
 def reset(writer):
     """Reset a channel, instead of closing it."""
+    if writer.transport.is_closing():
+        return
     sock = writer.get_extra_info('socket')
     linger = struct.pack('ii', 1, 0)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
