Log the marks of answers that are not those of their requests

relay/answers.py has one decision on the owner of an answer, by status, id, stamp, statement and encoding. The connection asks it in place of comparing ids itself, and still skips only answers to other requests; an answer that belongs to nobody is logged as answer_not_owned and passed on as before.

Before, the event did not exist.

--- a/yuccagauge/dispatch/base.py
+++ b/yuccagauge/dispatch/base.py
@@ -140,6 +140,27 @@
         return ''
 
 
+@enum.unique
+class AnswerOwner(enum.Enum):
+    """The request that an answer on a connection belongs to."""
+
+    #: The one that the connection carries.
+    REQUEST = 'request'
+    #: An earlier one, whose answer is late.
+    OTHER_REQUEST = 'other request'
+    #: None; the bytes are no answer of the server.
+    NOBODY = 'nobody'
+
+
+@dataclass(frozen=True, slots=True)
+class OwnerDecision:
+    """Which request an answer belongs to."""
+
+    owner: AnswerOwner
+    #: What decided, for the log.
+    reason: str
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class BackendMessage:
     """A request towards a backend server."""
@@ -150,9 +171,11 @@
     body: bytes = b''
     #: The ``Host`` header; the server's address if empty.
     host: str = ''
-    #: A header that the answer repeats. An answer with another value belongs
-    #: to an earlier request on the connection.
-    echo: Header | None = None
+    #: Decides by the head of an answer whether it is that of this request. It
+    #: always is if servers mark their answers with nothing.
+    find_owner: Callable[[ResponseHead], OwnerDecision] | None = field(
+        default=None, repr=False, compare=False
+    )
 
 
 #: Calls a function after some seconds; ``IReactorTime.callLater``.
--- a/yuccagauge/dispatch/connection.py
+++ b/yuccagauge/dispatch/connection.py
@@ -19,7 +19,11 @@
     _MalformedChunkedDataError,
 )
 
-from yuccagauge.dispatch.base import BackendMessage, ResponseHead
+from yuccagauge.dispatch.base import (
+    AnswerOwner,
+    BackendMessage,
+    ResponseHead,
+)
 from yuccagauge.dispatch.errors import BackendProtocolError
 from yuccagauge.dispatch.tcpinfo import Delivery
 from yuccagauge.settings.options import Endpoint
@@ -251,12 +255,10 @@
 
     def _belongs_elsewhere(self, head: ResponseHead) -> bool:
         """Return whether an answer is a late one to another request."""
-        expected = self._message.echo
-        if expected is None:
+        if self._message.find_owner is None:
             return False
-        name, value = expected
-        found = head.get(name.lower())
-        return bool(found) and found != value.decode('latin-1')
+        decision = self._message.find_owner(head)
+        return decision.owner is AnswerOwner.OTHER_REQUEST
 
     def _count_foreign(self, data: bytes) -> None:
         """Bound the bytes that are read for other requests."""
--- a/yuccagauge/platform/requests.py
+++ b/yuccagauge/platform/requests.py
@@ -11,6 +11,7 @@
     ResponseHead,
 )
 from yuccagauge.platform import names
+from yuccagauge.relay.answers import AnswerMarks, IdMark
 from yuccagauge.relay.base import (
     AttemptRequest,
     CallFieldError,
@@ -36,6 +37,15 @@
 #: A decimal number without sign and exponent. ``float`` accepts more.
 _DECIMAL = re.compile('[0-9]{1,9}([.][0-9]{1,9})?')
 
+_REQUEST_ID = names.REQUEST_ID.lower()
+_SERVER_STAMP = names.SERVER_STAMP.lower()
+_NOT_EXECUTED = names.NOT_EXECUTED.lower()
+_INSTANCE_ID = names.INSTANCE_ID.lower()
+_CONTENT_ENCODING = b'content-encoding'
+
+#: Headers beside the request id that tell the origin of an answer.
+_MARKS = (_SERVER_STAMP, _NOT_EXECUTED, _INSTANCE_ID, _CONTENT_ENCODING)
+
 
 class PlatformCallDecoder:
     """Decodes the fields of a call from the headers of a request."""
@@ -100,7 +110,32 @@
             headers=tuple(headers),
             body=request.body,
             host=host,
-            echo=(names.REQUEST_ID, call.fields.request_id.encode('latin-1')),
+        )
+
+    def parse_marks(self, head: ResponseHead, request_id: str) -> AnswerMarks:
+        """Return what a head states of the origin of its answer.
+
+        Parameters
+        ----------
+        request_id
+            The request that waits for an answer.
+        """
+        stated = dict.fromkeys(_MARKS, '')
+        ids: set[str] = set()
+        for name, value in head.headers:
+            lowered = name.lower()
+            if lowered == _REQUEST_ID:
+                ids.add(value.decode('latin-1').strip())
+            elif lowered in stated:
+                stated[lowered] = value.decode('latin-1').strip()
+        encoding = stated[_CONTENT_ENCODING].lower()
+        return AnswerMarks(
+            status=head.status,
+            id=_id_mark(ids - {''}, request_id),
+            has_stamp=bool(stated[_SERVER_STAMP]),
+            states_not_run=bool(stated[_NOT_EXECUTED]),
+            names_server=bool(stated[_INSTANCE_ID]),
+            is_encoded=encoding not in {'', 'identity'},
         )
 
     def parse_head(self, head: ResponseHead) -> ResponseInfo:
@@ -136,6 +171,15 @@
         return tuple(headers)
 
 
+def _id_mark(found: set[str], request_id: str) -> IdMark:
+    """Return which request the ids in a head name."""
+    if not found:
+        return IdMark.MISSING
+    if found == {request_id}:
+        return IdMark.OWN
+    return IdMark.AMBIGUOUS if request_id in found else IdMark.OTHER
+
+
 def _parse_rate_limit(head: ResponseHead) -> tuple[float | None, str]:
     """Return the rate limit of a response, or its text if it is malformed.
 
--- a/yuccagauge/relay/base.py
+++ b/yuccagauge/relay/base.py
@@ -15,6 +15,7 @@
 )
 from yuccagauge.dispatch.base import BackendMessage, Header, ResponseHead
 from yuccagauge.errors import YuccagaugeError
+from yuccagauge.relay.answers import AnswerMarks
 from yuccagauge.settings.options import Endpoint
 
 _FIRST_VERSION_WITH_CHUNKS = '1.1'
@@ -258,6 +259,9 @@
     def encode_attempt(self, attempt: AttemptRequest) -> BackendMessage:
         """Return the request to the backend server."""
 
+    def parse_marks(self, head: ResponseHead, request_id: str) -> AnswerMarks:
+        """Return what a head states of the origin of its answer."""
+
     def parse_head(self, head: ResponseHead) -> ResponseInfo:
         """Return what the head of a response states."""
 
--- a/yuccagauge/relay/exchanges.py
+++ b/yuccagauge/relay/exchanges.py
@@ -1,14 +1,18 @@
 """Prepares the exchange of one attempt with its backend server."""
 
 from collections.abc import Callable
+from dataclasses import replace
 
 from yuccagauge.clock import Millis
+from yuccagauge.dispatch.base import AnswerOwner, OwnerDecision, ResponseHead
 from yuccagauge.dispatch.connection import ResponseUser
 from yuccagauge.dispatch.exchange import Confirmation, Exchange
 from yuccagauge.dispatch.pool import ConnectionPool
 from yuccagauge.dispatch.witness import WitnessedPool
+from yuccagauge.relay.answers import find_owner
 from yuccagauge.relay.base import AttemptRequest, Placement, RelayCall
 from yuccagauge.relay.context import RelayContext
+from yuccagauge.telemetry.journal import log_decision
 
 
 def open_exchange(
@@ -43,11 +47,38 @@
         priority=call.priority,
         last_event_id=last_event_id,
     )
+    message = context.backend_protocol.encode_attempt(attempt)
+
+    def decide(head: ResponseHead) -> OwnerDecision:
+        return _find_owner(head, call, placement, context)
+
     return Exchange(
         pool,
         placement.server.endpoint,
-        context.backend_protocol.encode_attempt(attempt),
+        replace(message, find_owner=decide),
         user,
         may_send,
         confirm,
     )
+
+
+def _find_owner(
+    head: ResponseHead,
+    call: RelayCall,
+    placement: Placement,
+    context: RelayContext,
+) -> OwnerDecision:
+    """Return which request an answer belongs to; log one of another."""
+    request_id = call.fields.request_id
+    marks = context.backend_protocol.parse_marks(head, request_id)
+    decision = find_owner(marks)
+    if decision.owner is not AnswerOwner.REQUEST:
+        log_decision(
+            'answer_not_owned',
+            request_id,
+            server=placement.server.server_id,
+            owner=decision.owner.value,
+            marks=decision.reason,
+            framing=head.framing.value,
+        )
+    return decision
