Take bytes for an answer only if they bear the marks of one

Cause: three places asked whether bytes are the answer to a request, and each took for granted that another one asked the rest. The connection compared the id only if there was one, the call asked only for the statement not-run, the end of the body was checked for its framing. Nothing asked for the stamp.

Stand-ins that left out the marks that the users' pages name have them now. features/relay, platform, dispatch, quarantine, restartsoak and peerpath/refusing: 982 passed, 0 failed (before the change of orders).

--- a/features/endless_servers.py
+++ b/features/endless_servers.py
@@ -64,7 +64,12 @@
     def __call__(self, exchange: Exchange) -> None:
         """Answer a request."""
         self.open_connections += 1
-        exchange.transport.write(self._first)
+        first = self._first
+        if not first.startswith(_FOREIGN):
+            # Otherwise the head ends the answer before its body.
+            marks = ''.join(f'{mark}\r\n' for mark in exchange.marks(200))
+            first = first.replace(_STATUS, _STATUS + marks.encode())
+        exchange.transport.write(first)
         producer = _Producer(exchange, repeat(self._block), self._count)
         exchange.transport.registerProducer(producer, streaming=False)
 
--- a/features/relay_servers.py
+++ b/features/relay_servers.py
@@ -28,17 +28,14 @@
 
 
 def _reset_in_answer(exchange: Exchange) -> None:
-    exchange.transport.write(
-        f'HTTP/1.1 200 X\r\nContent-Length: 9\r\n{_id_header(exchange)}'
-        '\r\n\r\nhal'.encode(),
-    )
+    exchange.write_head(200, 'Content-Length: 9')
+    exchange.transport.write(b'hal')
     exchange.transport.loseConnection()
 
 
 def _write_unframed(exchange: Exchange) -> None:
-    exchange.transport.write(
-        f'HTTP/1.1 200 X\r\n{_id_header(exchange)}\r\n\r\ndone'.encode(),
-    )
+    exchange.write_head(200)
+    exchange.transport.write(b'done')
 
 
 def _end_unframed(exchange: Exchange) -> None:
@@ -127,13 +124,7 @@
 
 def open_event_stream(exchange: Exchange, *framing: str) -> None:
     """Send the head of a stream of events, with the headers of its framing."""
-    lines = (
-        'HTTP/1.1 200 X',
-        'Content-Type: text/event-stream',
-        _id_header(exchange),
-        *framing,
-    )
-    exchange.transport.write('\r\n'.join((*lines, '', '')).encode())
+    exchange.write_head(200, 'Content-Type: text/event-stream', *framing)
 
 
 def stream_events(count: int, *, resets: bool) -> object:
@@ -218,9 +209,7 @@
 
 
 def _answer_204(exchange: Exchange) -> None:
-    exchange.transport.write(
-        f'HTTP/1.1 204 X\r\n{_id_header(exchange)}\r\n\r\n'.encode()
-    )
+    exchange.write_head(204)
 
 
 def send_events(events: bytes, *, resets: bool = False) -> object:
--- a/features/rollout/rollout.feature
+++ b/features/rollout/rollout.feature
@@ -160,6 +160,12 @@
     When this router pauses its calls to 2 of them
     Then the engines "2 4" drain next with a load share of 0.4
 
+  Scenario: An order that somebody else answers counts as carried out
+    Given 4 engines that load weights in 500 ms and a router that leads
+    And the first order to each engine is answered 200 by somebody else
+    When the versions 2, 3 and 4 become the target 0 s apart
+    Then within 12 s all engines have version 4
+
   Scenario: An order without an answer has no effect after a newer one
     Given 4 engines that load weights in 500 ms and a router that leads
     And the first order to each engine gets no answer and arrives 3 s later
--- a/features/rollout_engines.py
+++ b/features/rollout_engines.py
@@ -101,6 +101,8 @@
         #: Engines whose next order arrives late and gets no answer.
         self.delayed: set[str] = set()
         self.order_delay_s = float(0)
+        #: Engines whose next order is answered 200 by somebody else.
+        self.misanswered: set[str] = set()
         #: Time until a connection for an order opens, in seconds.
         self.connect_s = float(0)
         #: Number of these connections.
@@ -149,6 +151,9 @@
             return fail(FetchError('simulated late opening', Verdict.NOT_RUN))
         name = order.server.server_id
         self.ordered_at.append(self._reactor.seconds())
+        if name in self.misanswered:
+            self.misanswered.discard(name)
+            return succeed(OrderAnswer.ALREADY_LOADED)
         if name in self.delayed:
             self.delayed.discard(name)
             self._reactor.callLater(
--- a/features/scripted_server.py
+++ b/features/scripted_server.py
@@ -14,6 +14,10 @@
 
 _MILLISECONDS_PER_SECOND = 1000
 _HEAD_END = b'\r\n\r\n'
+_REQUEST_ID = 'X-Yuccagauge-Request-Id'
+_SERVER_STAMP = 'X-Yuccagauge-Server-Stamp'
+_NOT_EXECUTED = 'X-Yuccagauge-Not-Executed'
+_MISDIRECTED = 421
 _CHECK_PATHS = frozenset(('/h', '/api/report'))
 
 
@@ -65,12 +69,12 @@
         *headers: str,
     ) -> None:
         """Send a whole response."""
-        self._head(status, f'Content-Length: {len(body)}', *headers)
+        self.write_head(status, f'Content-Length: {len(body)}', *headers)
         self.transport.write(body)
 
     def open_stream(self, incarnation: str, version: str) -> None:
         """Send the head of an event stream."""
-        self._head(
+        self.write_head(
             200,
             'Content-Type: text/event-stream',
             'Transfer-Encoding: chunked',
@@ -86,8 +90,30 @@
         """Break the connection."""
         self.transport.abortConnection()
 
-    def _head(self, status: int, *headers: str) -> None:
-        lines = [f'HTTP/1.1 {status} X', *headers, '', '']
+    def marks(self, status: int, *headers: str) -> tuple[str, ...]:
+        """Return the marks of a sound answer that other headers lack.
+
+        Servers of relays repeat the id of a request that has one, and stamp
+        what they do not reject.
+        """
+        request_id = self.headers.get(_REQUEST_ID.lower())
+        if request_id is None:
+            return ()
+        stated = {line.partition(':')[0] for line in headers}
+        is_rejection = status == _MISDIRECTED or _NOT_EXECUTED in stated
+        marks = {_REQUEST_ID: request_id}
+        if not is_rejection:
+            marks[_SERVER_STAMP] = 's'
+        return tuple(
+            f'{name}: {text}'
+            for name, text in marks.items()
+            if name not in stated
+        )
+
+    def write_head(self, status: int, *headers: str) -> None:
+        """Send the head of an answer with the marks of a sound one."""
+        marks = self.marks(status, *headers)
+        lines = [f'HTTP/1.1 {status} X', *headers, *marks, '', '']
         self.transport.write('\r\n'.join(lines).encode())
 
 
--- a/features/silent_servers.py
+++ b/features/silent_servers.py
@@ -4,6 +4,7 @@
 
 from twisted.internet import reactor
 
+from features.marked_answers import answer_with
 from features.relay_servers import (
     BEHAVIOURS,
     CHUNKED,
@@ -128,6 +129,11 @@
             if is_model
             else BEHAVIOURS['answers']
         ),
+        'sends a foreign page': answer_with(200, 'no marks'),
+        'sends a foreign 503': answer_with(503, 'no marks'),
+        'answers without a stamp': answer_with(
+            200, 'own id, events' if is_model else 'own id'
+        ),
         'is full': BEHAVIOURS['says the call did not run'],
         'fails': FAILED_CONTINUATIONS['500 and JSON'],
         'resets': BEHAVIOURS['resets after the request'],
--- a/features/steps/relay_accepted_steps.py
+++ b/features/steps/relay_accepted_steps.py
@@ -50,7 +50,7 @@
 
 def _hold_body(context: Context) -> Callable[[Exchange], None]:
     def script(exchange: Exchange) -> None:
-        exchange.transport.write(b'HTTP/1.1 200 X\r\nContent-Length: 4\r\n\r\n')
+        exchange.write_head(200, 'Content-Length: 4')
         context.go_on = lambda: exchange.transport.write(b'done')
 
     return script
@@ -278,10 +278,10 @@
     """Start a relay with a server that states two lengths of its body."""
 
     def answer(exchange: Exchange) -> None:
-        exchange.transport.write(
-            b'HTTP/1.1 200 X\r\nContent-Length: 9\r\n'
-            b'Transfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n'
+        exchange.write_head(
+            200, 'Content-Length: 9', 'Transfer-Encoding: chunked'
         )
+        exchange.transport.write(b'4\r\ndone\r\n0\r\n\r\n')
 
     start_relay_with_plain_server(context, answer)
 
--- a/features/steps/relay_http10_steps.py
+++ b/features/steps/relay_http10_steps.py
@@ -22,11 +22,7 @@
     body: bytes, content_type: str, *, resets: bool = False
 ) -> Callable[[Exchange], None]:
     def script(exchange: Exchange) -> None:
-        head = (
-            f'HTTP/1.1 200 X\r\n{CHUNKED}\r\nContent-Type: {content_type}'
-            '\r\nX-Yuccagauge-Server-Stamp: s\r\n\r\n'
-        )
-        exchange.transport.write(head.encode())
+        exchange.write_head(200, CHUNKED, f'Content-Type: {content_type}')
         for start in range(0, len(body), _PART_BYTES):
             exchange.chunk(body[start : start + _PART_BYTES])
         if resets:
--- a/features/steps/relay_unproven_end_steps.py
+++ b/features/steps/relay_unproven_end_steps.py
@@ -77,9 +77,8 @@
     """Start a relay with a server that is killed in its answer."""
 
     def answer(exchange: Exchange) -> None:
-        exchange.transport.write(
-            b'HTTP/1.1 200 X\r\nX-Yuccagauge-Request-Id: r1\r\n\r\nhalf'
-        )
+        exchange.write_head(200)
+        exchange.transport.write(b'half')
         reactor.callLater(_PAUSE_S, _kill, context.servers[0])
 
     start_relay_with_plain_server(context, answer)
@@ -238,9 +237,8 @@
 
     def answer(exchange: Exchange) -> None:
         context.servers[0].successor_status = status
-        exchange.transport.write(
-            b'HTTP/1.1 200 X\r\nX-Yuccagauge-Request-Id: r1\r\n\r\nhalf'
-        )
+        exchange.write_head(200)
+        exchange.transport.write(b'half')
         reactor.callLater(_PAUSE_S, context.servers[0].kill)
 
     start_relay_with_plain_server(context, answer)
--- a/features/steps/rollout_driver_steps.py
+++ b/features/steps/rollout_driver_steps.py
@@ -163,6 +163,12 @@
         _advance(context, seconds)
 
 
+@given('the first order to each engine is answered 200 by somebody else')
+def misanswer_orders(context: Context) -> None:
+    """Let an order reach no engine, though it is answered."""
+    context.engines.misanswered = set(context.engines.versions)
+
+
 @then('within {seconds:d} s all engines have version {version:d}')
 def check_versions(context: Context, seconds: int, version: int) -> None:
     """Compare the versions after the time."""
--- a/features/unframed_engine.py
+++ b/features/unframed_engine.py
@@ -38,6 +38,7 @@
     await reader.readexactly(int(fields.get(b'content-length', b'0')))
     writer.write(
         b'HTTP/1.1 200 X\r\nContent-Type: text/event-stream\r\n'
+        b'X-Yuccagauge-Server-Stamp: s\r\n'
         b'X-Yuccagauge-Request-Id: %s\r\n\r\n' % fields[_REQUEST_ID]
     )
     first = int(fields.get(b'last-event-id', b'0')) + 1
--- a/yuccagauge/dispatch/connection.py
+++ b/yuccagauge/dispatch/connection.py
@@ -254,10 +254,20 @@
             self._decode(received)
 
     def _belongs_elsewhere(self, head: ResponseHead) -> bool:
-        """Return whether an answer is a late one to another request."""
+        """Return whether an answer is a late one to another request.
+
+        Raises
+        ------
+        BackendProtocolError
+            If it belongs to no request.
+        """
         if self._message.find_owner is None:
             return False
         decision = self._message.find_owner(head)
+        if decision.owner is AnswerOwner.NOBODY:
+            raise BackendProtocolError(
+                f'no answer of the server: {decision.reason}'
+            )
         return decision.owner is AnswerOwner.OTHER_REQUEST
 
     def _count_foreign(self, data: bytes) -> None:
--- a/yuccagauge/platform/engines.py
+++ b/yuccagauge/platform/engines.py
@@ -301,6 +301,7 @@
         document = json.loads(response.body)
     except ValueError:
         document = None
-    if not isinstance(document, dict):
-        raise FetchError('response body is not a JSON object', Verdict.ANSWERED)
+    if response.head.status != _OK or not isinstance(document, dict):
+        reason = f'status {response.head.status} without a JSON object'
+        raise FetchError(reason, Verdict.ANSWERED)
     return document
--- a/yuccagauge/rollout/driver.py
+++ b/yuccagauge/rollout/driver.py
@@ -333,13 +333,11 @@
             fixed=engine.unmovable_calls,
             outcome=answer.value,
         )
-        if answer is OrderAnswer.ACCEPTED:
+        if answer in {OrderAnswer.ACCEPTED, OrderAnswer.ALREADY_LOADED}:
+            # A status alone may be anybody's; the report names the weights.
             progress.is_loading = True
             progress.status_requested_at = self._clock.now()
             return
-        if answer is OrderAnswer.ALREADY_LOADED:
-            self._record_loaded(engine.server, engine.model, version)
-            return
         if answer is OrderAnswer.FENCED:
             self._leader_lease.reject_token(fencing_token)
         self.on_engines_paused((engine.server.server_id,), Millis(0))
