Let one unreadable text or part end no exchange between routers

Cause: json.loads lets single surrogates pass, which cannot be encoded. The software version of such an entry went into each full message between routers, and a message is packed as a whole. duty_failed, 120 times in 18 s, was the only sign.

Fix: documents.parse_document reads the JSON of other programs (entries, records, archives, VM list, adoption log, reports, loads) and rejects texts that are no Unicode. A message leaves out the parts that it cannot hold, names the field at a bounded rate and counts them. Steps of the upkeep are independent of each other, failed duties are counted on the metrics address, keys of pages and rows of cache events are read one by one, and numbers of records are bounded (a slots of 400 digits ended calls of its service).

--- a/yuccagauge/adoption/records.py
+++ b/yuccagauge/adoption/records.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from yuccagauge.clock import Millis
+from yuccagauge.documents import parse_document
 from yuccagauge.errors import YuccagaugeError
 from yuccagauge.settings.document import DocumentChange
 from yuccagauge.settings.reader import RawSections
@@ -110,7 +111,7 @@
     unpacker = zlib.decompressobj()
     try:
         text = unpacker.decompress(payload, MAXIMUM_RECORD_BYTES)
-        fields = json.loads(text)
+        fields = parse_document(text)
     except (zlib.error, ValueError, RecursionError) as error:
         raise RecordError(
             f'malformed configuration record: {error!r}'
--- a/yuccagauge/burn/codec.py
+++ b/yuccagauge/burn/codec.py
@@ -6,6 +6,7 @@
 
 from yuccagauge.burn.base import Counts, Series
 from yuccagauge.burn.state import TIERS, Place
+from yuccagauge.documents import parse_document
 from yuccagauge.errors import YuccagaugeError
 
 # Longest decompressed text, in bytes, against a forged message.
@@ -37,7 +38,7 @@
     try:
         text = zlib.decompressobj().decompress(packed, _MAXIMUM_TEXT)
         return tuple(
-            bucket for row in json.loads(text) for bucket in _read_row(row)
+            bucket for row in parse_document(text) for bucket in _read_row(row)
         )
     except (zlib.error, ValueError, TypeError) as error:
         raise BurnFormatError(f'counts cannot be read: {error}') from None
--- a/yuccagauge/membership/vmlist.py
+++ b/yuccagauge/membership/vmlist.py
@@ -1,6 +1,5 @@
 """Follow the platform's VM list, which lags and may be down."""
 
-import json
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
@@ -10,6 +9,7 @@
 from twisted.internet.task import LoopingCall
 from twisted.python.failure import Failure
 
+from yuccagauge.documents import parse_document
 from yuccagauge.errors import UnavailableError
 from yuccagauge.settings.options import Endpoint, parse_endpoint
 from yuccagauge.telemetry.guard import guarded
@@ -116,7 +116,7 @@
         reading = self._http.get(self._url, _TIMEOUT_SECONDS)
         self._reading = reading
         reading.addCallback(_content)
-        reading.addCallback(_parse)
+        reading.addCallback(parse)
         reading.addCallbacks(self._take, self._failed)
 
     def _take(self, vms: tuple[Vm, ...]) -> None:
@@ -145,7 +145,7 @@
     return treq.content(response)
 
 
-def _parse(body: bytes) -> tuple[Vm, ...]:
+def parse(body: bytes) -> tuple[Vm, ...]:
     # A list with a line that cannot be read is not used in part, so that a
     # fault of the platform does not look like VMs that are gone.
     try:
@@ -156,7 +156,7 @@
                 service=line['service'],
                 is_leaving=line['state'] == 'leaving',
             )
-            for line in json.loads(body)['vms']
+            for line in parse_document(body)['vms']
         )
     except (ValueError, KeyError, TypeError) as error:
         raise UnavailableError(f'the VM list cannot be read: {error}') from None
--- a/yuccagauge/peering/admin.py
+++ b/yuccagauge/peering/admin.py
@@ -8,6 +8,7 @@
 
 from tabulate import tabulate
 
+from yuccagauge.documents import parse_document
 from yuccagauge.errors import YuccagaugeError
 from yuccagauge.membership.base import Membership
 from yuccagauge.settings.options import Endpoint, parse_endpoint
@@ -205,7 +206,7 @@
     body = response.read()
     if response.status != _OK:
         raise ValueError(f'answered {response.status} to {path}')
-    document = json.loads(body)
+    document = parse_document(body)
     if not isinstance(document, dict):
         raise ValueError(f'answered no JSON object to {path}')
     return document
--- a/yuccagauge/peering/polling.py
+++ b/yuccagauge/peering/polling.py
@@ -1,6 +1,5 @@
 """Read the load and the cache events of engines over HTTP."""
 
-import json
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
@@ -10,6 +9,7 @@
 from twisted.python.failure import Failure
 
 from yuccagauge.clock import Clock, Millis
+from yuccagauge.documents import parse_document
 from yuccagauge.load.base import EngineReport
 from yuccagauge.settings.options import Endpoint
 from yuccagauge.telemetry.meter import counter
@@ -190,7 +190,7 @@
     ValueError, KeyError, TypeError
         If the answer is not of the form.
     """
-    found = json.loads(body)
+    found = parse_document(body)
     age = max(0, clock.wall_time() - int(found['measured_ms']))
     return EngineReport(
         engine=engine,
@@ -214,7 +214,7 @@
     ValueError, KeyError, TypeError
         If the answer is not of the form.
     """
-    found = json.loads(body)
+    found = parse_document(body)
     incarnation = str(found['incarnation'])
     events = tuple(
         CacheEvent(
--- a/yuccagauge/platform/engines.py
+++ b/yuccagauge/platform/engines.py
@@ -1,7 +1,7 @@
 """Status reports, weights orders and cache events of model engines."""
 
 import json
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from typing import Any
 from urllib.parse import urlencode
 
@@ -17,6 +17,7 @@
 from yuccagauge.dispatch.base import BackendMessage
 from yuccagauge.dispatch.fetch import Fetched, FetchError, fetch
 from yuccagauge.dispatch.pool import ConnectionPool
+from yuccagauge.documents import replace_surrogates
 from yuccagauge.platform import names
 from yuccagauge.platform.requests import PlatformBackendProtocol
 from yuccagauge.relay.adapter import AnswerListener
@@ -41,6 +42,9 @@
 #: several engines at a time.
 _MAXIMUM_ANSWER = 2_097_152
 
+#: Fields of a cache event that are read: number, sign, scope and part.
+_EVENT_FIELDS = 4
+
 #: A sequence number that no cache event has, so that an answer has no events.
 _NO_EVENTS = 1_000_000_000
 
@@ -229,14 +233,7 @@
                 epoch=document['bootEpoch'],
                 next_sequence=document['next'],
                 has_gap=document['lost'],
-                events=tuple(
-                    CacheEvent(
-                        is_stored=row[1] == '+',
-                        cache_scope=row[2],
-                        part_id=row[3],
-                    )
-                    for row in document['events']
-                ),
+                events=tuple(cache_events(document['events'])),
             )
         except (KeyError, TypeError, IndexError) as error:
             raise FetchError(
@@ -280,6 +277,22 @@
         return response
 
 
+def cache_events(rows: Iterable[Any]) -> Iterator[CacheEvent]:
+    """Return the events of the rows that have them.
+
+    A row that is left out is like an event that does not arrive.
+    """
+    for row in rows:
+        if isinstance(row, list) and len(row) >= _EVENT_FIELDS:
+            _, sign, scope, part_id = row[:_EVENT_FIELDS]
+            if isinstance(scope, str) and isinstance(part_id, str):
+                yield CacheEvent(
+                    is_stored=sign == '+',
+                    cache_scope=scope,
+                    part_id=replace_surrogates(part_id),
+                )
+
+
 def _question(server: BackendServer, path: str) -> BackendMessage:
     """Return a request that no other server answers at the same address."""
     expected = (names.EXPECT_INSTANCE, server.server_id.encode())
--- a/yuccagauge/platform/originlog.py
+++ b/yuccagauge/platform/originlog.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable, Iterator, Mapping, Sequence
 
 from yuccagauge.directory.store import StoreUnavailableError
+from yuccagauge.documents import parse_document
 from yuccagauge.origins.base import KEY_BYTES, StreamOrigin
 from yuccagauge.telemetry.journal import log_state_change
 
@@ -35,7 +36,7 @@
     """
     for content in contents:
         try:
-            origin, keys = _decode_record(content)
+            origin, keys = decode_record(content)
         except (struct.error, ValueError, TypeError) as error:
             log_state_change(
                 'record_unreadable', key='origins', reason=str(error)
@@ -54,7 +55,7 @@
         If the answer is malformed.
     """
     try:
-        return int(json.loads(body)['first'])
+        return int(parse_document(body)['first'])
     except (LookupError, TypeError, ValueError) as error:
         kind = type(error).__name__
         raise StoreUnavailableError(f'malformed response: {kind}') from None
@@ -66,8 +67,8 @@
     return _LENGTH.pack(len(content)) + content
 
 
-def _decode_record(content: bytes) -> tuple[StreamOrigin, bytes]:
+def decode_record(content: bytes) -> tuple[StreamOrigin, bytes]:
     end = _NAME_LENGTH.size + _NAME_LENGTH.unpack_from(content)[0]
-    service, version = json.loads(content[_NAME_LENGTH.size : end])
+    service, version = parse_document(content[_NAME_LENGTH.size : end])
     origin = StreamOrigin(service=str(service), software_version=str(version))
     return origin, content[end:]
--- a/yuccagauge/platform/pages.py
+++ b/yuccagauge/platform/pages.py
@@ -9,6 +9,7 @@
 from yuccagauge.directory.records import KeyedRecord
 from yuccagauge.directory.store import StoreUnavailableError
 from yuccagauge.dispatch.fetch import Fetched
+from yuccagauge.documents import replace_surrogates
 
 _RECORD_LENGTH = struct.Struct('>I')
 
@@ -73,7 +74,7 @@
 
 def _decode_newest_record(item: dict[str, Any]) -> KeyedRecord:
     return KeyedRecord(
-        key=str(item['key']),
+        key=replace_surrogates(str(item['key'])),
         offset=int(item['offset']),
         value=base64.b64decode(item['value']),
     )
--- a/yuccagauge/platform/records.py
+++ b/yuccagauge/platform/records.py
@@ -1,6 +1,5 @@
 """Decodes the records of the platform's store into typed values."""
 
-import json
 import math
 from typing import Any
 
@@ -19,6 +18,7 @@
     WeightsTarget,
 )
 from yuccagauge.directory.store import RecordError
+from yuccagauge.documents import parse_document
 from yuccagauge.platform import names
 from yuccagauge.settings.options import parse_endpoint
 from yuccagauge.telemetry.journal import log_state_change
@@ -43,6 +43,10 @@
     ValueError,
 )
 
+#: Largest whole number in a record. Sums and quotients of larger ones may not
+#: fit a floating-point number.
+_MAXIMUM_INTEGER = 2**63 - 1
+
 #: Timeout of a route whose entry has none.
 _DEFAULT_TIMEOUT_MS = 60_000
 
@@ -61,9 +65,9 @@
         """
         try:
             if key == names.CONFIGURATION_KEY:
-                return _decode_configuration(json.loads(value))
+                return _decode_configuration(parse_document(value))
             if key.startswith(names.WEIGHTS_TARGET_KEY_PREFIX):
-                return _decode_weights_target(json.loads(value))
+                return _decode_weights_target(parse_document(value))
         except _DECODING_ERRORS as error:
             _log_malformed_record(key, error)
         return None
@@ -71,7 +75,7 @@
     def decode_server(self, key: str, value: bytes) -> BackendServer | None:
         """Return the server, or ``None`` after logging a malformed entry."""
         try:
-            return _decode_server(key, json.loads(value))
+            return _decode_server(key, parse_document(value))
         except _DECODING_ERRORS as error:
             _log_malformed_record(key, error)
             return None
@@ -221,7 +225,7 @@
 def _heartbeat_count(found: Any) -> int:
     """Return the count; 0 if it is malformed, since servers work without."""
     is_whole = isinstance(found, int) and not isinstance(found, bool)
-    return max(0, found) if is_whole else 0
+    return min(max(0, found), _MAXIMUM_INTEGER) if is_whole else 0
 
 
 def _decode_weights(models: list[dict[str, Any]]) -> dict[str, int]:
@@ -254,4 +258,6 @@
     value = entry.get(key)
     if isinstance(value, bool) or not isinstance(value, int) or value < 0:
         raise RecordError(f'{key} is not a non-negative integer')
+    if value > _MAXIMUM_INTEGER:
+        raise RecordError(f'{key} is out of range')
     return value
--- a/yuccagauge/platform/store.py
+++ b/yuccagauge/platform/store.py
@@ -22,6 +22,7 @@
 from yuccagauge.directory.targetarchive import StoredTarget
 from yuccagauge.dispatch.base import BackendMessage
 from yuccagauge.dispatch.fetch import Fetched, FetchError
+from yuccagauge.documents import parse_document
 from yuccagauge.origins.base import StreamOrigin
 from yuccagauge.platform import (
     leaserecords,
@@ -223,7 +224,7 @@
     def list_versions(self) -> Any:
         """Return the versions of all services that are stored."""
         page = yield self._list_topic(_VERSIONS_TOPIC)
-        return {record.key: _decode_versions(record) for record in page.records}
+        return {record.key: decode_versions(record) for record in page.records}
 
     @inlineCallbacks
     def write_targets(self, model: str, targets: Sequence[StoredTarget]) -> Any:
@@ -366,14 +367,14 @@
         return None
 
 
-def _decode_versions(record: KeyedRecord) -> tuple[str, ...]:
+def decode_versions(record: KeyedRecord) -> tuple[str, ...]:
     """Return the versions.
 
     A malformed record is logged and stands for one that is not known, because
     the service had several.
     """
     try:
-        versions = json.loads(record.value)
+        versions = parse_document(record.value)
     except ValueError as error:
         versions = str(error)
     if isinstance(versions, list):
--- a/yuccagauge/platform/targetrecords.py
+++ b/yuccagauge/platform/targetrecords.py
@@ -9,6 +9,7 @@
 from yuccagauge.directory.heartbeats import SampledHeartbeat
 from yuccagauge.directory.records import KeyedRecord
 from yuccagauge.directory.targetarchive import StoredTarget
+from yuccagauge.documents import parse_document
 from yuccagauge.telemetry.journal import log_state_change
 
 #: Numbers of one range of versions in a record.
@@ -110,7 +111,7 @@
     record: KeyedRecord, is_sound: Callable[[Any], bool]
 ) -> list[Any]:
     try:
-        rows = json.loads(record.value)
+        rows = parse_document(record.value)
     except (RecursionError, TypeError, ValueError):
         rows = None
     if isinstance(rows, list) and all(map(is_sound, rows)):
--- a/yuccagauge/relay/router.py
+++ b/yuccagauge/relay/router.py
@@ -37,7 +37,7 @@
 from yuccagauge.selection.selector import Selector
 from yuccagauge.settings.options import Endpoint
 from yuccagauge.settings.relay import RelaySettings
-from yuccagauge.tasks import PeriodicTask
+from yuccagauge.tasks import PeriodicTask, run_each
 from yuccagauge.telemetry.journal import log_state_change
 
 #: Seconds between checks for lapsed servers and for cache holders to poll.
@@ -217,6 +217,11 @@
         """Whether the router misses no engines that others reach."""
         return not self._exchange.merger.standings.cannot_lead
 
+    @property
+    def peer_names(self) -> frozenset[str]:
+        """The names of the other live routers."""
+        return self._exchange.peer_names.names
+
     @property
     def reported_streams(self) -> int:
         """Streams whose software version other routers were told."""
@@ -364,7 +369,7 @@
         return kept_rank(names, key).index(own_name)
 
     def _router_names(self) -> frozenset[str]:
-        return self._exchange.peer_names.names
+        return self.peer_names
 
     def _listen(self, endpoint: Endpoint, factory: Any) -> None:
         port = self._reactor.listenTCP(
@@ -373,19 +378,30 @@
         self._ports.append(port)
 
     def _run_upkeep(self) -> None:
+        run_each(
+            'upkeep',
+            (
+                self._remove_lapsed_servers,
+                self._record_confirmation,
+                lambda: self._observe_versions(self._clock.now()),
+                self._paths.update,
+                self._cache_feed.update_pollers,
+                self._leaving_checks.update,
+            ),
+        )
+
+    def _remove_lapsed_servers(self) -> None:
         now = self._clock.now()
         lapsed = self._directory.remove_lapsed_servers(now)
         if lapsed:
             log_state_change('servers_lapsed', servers=lapsed)
         self._selector.limits.remove_gone(self._directory.servers, now)
+
+    def _record_confirmation(self) -> None:
         self._directory.settled_entries.record_confirmation(
             self._exchange.confirmed_at(Topic.SERVERS),
             self._settings.weights.heartbeat_ms,
         )
-        self._observe_versions(now)
-        self._paths.update()
-        self._cache_feed.update_pollers()
-        self._leaving_checks.update()
 
     def _observe_versions(self, now: Millis) -> None:
         self._selector.versions.observe(self._directory.servers.values(), now)
--- a/yuccagauge/tasks.py
+++ b/yuccagauge/tasks.py
@@ -1,6 +1,6 @@
 """Tasks that run in the background until they are closed."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from twisted.internet.defer import CancelledError, Deferred, maybeDeferred
@@ -8,6 +8,36 @@
 from twisted.python.failure import Failure
 
 from yuccagauge.telemetry.journal import log_state_change
+from yuccagauge.telemetry.meter import counter
+
+_FAILED_DUTIES = counter(
+    'yuccagauge.duties.failed',
+    'Calls of periodic duties that raised an error, by duty.',
+    '{call}',
+)
+
+
+def run_each(duty: str, steps: Iterable[Callable[[], Any]]) -> None:
+    """Call the independent steps of a duty, whichever of them fail.
+
+    A step that fails again and again would otherwise end those behind it for
+    good.
+    """
+    for step in steps:
+        try:
+            step()
+        except Exception as error:  # noqa: BLE001
+            _record_failure(duty, error)
+
+
+def _record_failure(duty: str, error: BaseException) -> None:
+    _FAILED_DUTIES.add(1, {'duty': duty})
+    log_state_change(
+        'duty_failed',
+        duty=duty,
+        kind=type(error).__name__,
+        reason=str(error),
+    )
 
 
 class PeriodicTask:
@@ -57,12 +87,7 @@
         return maybeDeferred(self._function).addErrback(self._log_failure)
 
     def _log_failure(self, failure: Failure) -> None:
-        log_state_change(
-            'duty_failed',
-            duty=self._name,
-            kind=failure.type.__name__,
-            reason=failure.getErrorMessage(),
-        )
+        _record_failure(self._name, failure.value)
 
 
 class BackgroundTask:
--- a/yuccagauge/wire/codec.py
+++ b/yuccagauge/wire/codec.py
@@ -12,7 +12,10 @@
 
 import capnp
 
+from yuccagauge.clock import Millis, SystemClock
 from yuccagauge.settings.options import Endpoint
+from yuccagauge.telemetry.meter import counter
+from yuccagauge.telemetry.recurring import RecurringLog
 from yuccagauge.wire.base import (
     KINDS,
     PROTOCOL_VERSION,
@@ -47,8 +50,40 @@
     lists: tuple[tuple[str, str, type[Message]], ...]
 
 
+#: Errors of a field that its struct cannot hold.
+_PACKING_ERRORS = (
+    AttributeError,
+    OverflowError,
+    TypeError,
+    ValueError,
+    capnp.KjException,
+)
+
+_LEFT_OUT_PARTS = counter(
+    'yuccagauge.wire.left_out_parts',
+    'Parts that a message could not hold and left out, by field.',
+    '{part}',
+)
+
+#: Time between two log lines about the same field.
+_LOG_INTERVAL = Millis(10_000)
+
+log_limiter = RecurringLog(SystemClock(), _LOG_INTERVAL)
+
+
 def encode(message: Message, sender: str, sequence: int = 0) -> bytes:
-    """Return the packed bytes of a message in its envelope."""
+    """Return the packed bytes of a message in its envelope.
+
+    Parts that cannot be packed are left out, because the others would be lost
+    with them for as long as they are sent.
+    """
+    try:
+        return _encode(message, sender, sequence)
+    except _PACKING_ERRORS:
+        return _encode(_packable(message), sender, sequence)
+
+
+def _encode(message: Message, sender: str, sequence: int) -> bytes:
     envelope = _SCHEMA.Envelope.new_message(
         version=PROTOCOL_VERSION,
         kind=message.kind,
@@ -103,6 +138,32 @@
     )
 
 
+def _packable(message: Message) -> Message:
+    """Return a message without the parts that cannot be packed."""
+    changes: dict[str, tuple[Message, ...]] = {}
+    for name, _, _ in _plan(type(message)).lists:
+        parts = getattr(message, name)
+        kept = tuple(part for part in parts if _is_packable(part, name))
+        if len(kept) < len(parts):
+            changes[name] = kept
+    return dataclasses.replace(message, **changes)
+
+
+def _is_packable(part: Message, field: str) -> bool:
+    try:
+        part_size(part)
+    except _PACKING_ERRORS as error:
+        _LEFT_OUT_PARTS.add(1, {'field': field})
+        log_limiter.write(
+            'part_left_out',
+            field,
+            kind=type(part).__name__,
+            reason=f'{type(error).__name__}: {error}',
+        )
+        return False
+    return True
+
+
 @cache
 def _struct(message: type[Message]) -> Any:
     name = message.__name__.removesuffix('Part')
