Lend the slots of brittle servers to routers

Cause: nothing read Server-Brittle. Each router judged the room of a server by its own calls and by reports of peers that are 250 ms old; a rejection paused the server for 60 ms, at one router, and the call ended the next server.

Fix: which servers are brittle is known as their rate limits are. Their homes lend slots, no more than a server has, over all routers; calls wait in the routers in their order, go out as a slot becomes free, and are refused at once if the wait is too long.

Tests: features/ratelimit/brittle.feature.

--- a/features/run.py
+++ b/features/run.py
@@ -24,6 +24,7 @@
         'features/peerpath/refusing.feature',
         'features/quarantine/fleet.feature',
         'features/quarantine/parts_fleet.feature',
+        'features/ratelimit/brittle.feature',
         'features/ratelimit/fleet.feature',
         'features/weights/beginning.feature',
         'features/weights/evidence.feature',
--- a/yuccagauge/exchange/builder.py
+++ b/yuccagauge/exchange/builder.py
@@ -114,6 +114,11 @@
                         message_parts.MAXIMUM_LIMITS, now
                     )
                 ),
+                brittle=message_parts.limits(
+                    self._selector.brittle.reports(
+                        message_parts.MAXIMUM_LIMITS, now
+                    )
+                ),
             )
         parts.setdefault('leaves', self.is_leaving)
         parts['cannot_lead'] = self._merger.standings.cannot_lead
--- a/yuccagauge/exchange/merger.py
+++ b/yuccagauge/exchange/merger.py
@@ -181,14 +181,20 @@
             self.apply_pause(pause.server, Millis(pause.remaining_ms))
         for notification in message.weights:
             self.apply_weights(notification)
-        for limit in message.limits:
-            self._selector.limits.merge_report(
-                limit_report(limit), message.name, now
-            )
+        self._apply_limits(message, now)
         for report in message.silences:
             self._apply_unresponsive_report(report.server, message.name, now)
         self._apply_crashes(message, told_at, now)
 
+    def _apply_limits(self, message: FleetExchange, now: Millis) -> None:
+        """Apply which servers name a rate limit, and which are brittle."""
+        for limits, parts in (
+            (self._selector.limits, message.limits),
+            (self._selector.brittle, message.brittle),
+        ):
+            for part in parts:
+                limits.merge_report(limit_report(part), message.name, now)
+
     def _apply_crashes(
         self, message: FleetExchange, told_at: Millis, now: Millis
     ) -> None:
--- a/yuccagauge/exchange/notifications.py
+++ b/yuccagauge/exchange/notifications.py
@@ -41,9 +41,14 @@
     unresponsive: set[str] = field(default_factory=set)
     #: Servers whose rate limit has changed.
     limited: set[str] = field(default_factory=set)
+    #: Servers that have become brittle, or are no longer.
+    brittle: set[str] = field(default_factory=set)
 
     def message_parts(
-        self, server_limits: ServerLimits, now: Millis
+        self,
+        server_limits: ServerLimits,
+        brittle_servers: ServerLimits,
+        now: Millis,
     ) -> dict[str, Any]:
         """Return the parts of the message that carries the notifications."""
         return {
@@ -58,4 +63,7 @@
             'limits': parts.limits(
                 server_limits.report_of(name, now) for name in self.limited
             ),
+            'brittle': parts.limits(
+                brittle_servers.report_of(name, now) for name in self.brittle
+            ),
         }
--- a/yuccagauge/exchange/permits.py
+++ b/yuccagauge/exchange/permits.py
@@ -92,6 +92,8 @@
         self._started_at = clock.now()
         #: The schedules of the servers whose home this router is.
         self._schedules: dict[str, PermitSchedule] = {}
+        #: Answers the requests for slots of brittle servers.
+        self.handle_slots: Callable[[Received], PermitReply] | None = None
         self._lost_homes: set[Endpoint] = set()
         #: The name of the home of each server, among these routers.
         self._homes: dict[str, str] = {}
@@ -191,6 +193,8 @@
 
     def _handle_request(self, received: Received) -> PermitReply:
         message = received.message
+        if message.is_for_slots and self.handle_slots is not None:
+            return self.handle_slots(received)
         now = self._clock.now()
         server_id = message.server
         if message.rate_milli:
--- a/yuccagauge/exchange/service.py
+++ b/yuccagauge/exchange/service.py
@@ -21,6 +21,7 @@
     weights_notification_delay,
 )
 from yuccagauge.exchange.permits import PermitBroker
+from yuccagauge.exchange.slots import SlotBroker
 from yuccagauge.exchange.spread import ChangeSpread, successor
 from yuccagauge.quarantine.base import Quarantine
 from yuccagauge.quarantine.parts import PartQuarantine
@@ -112,6 +113,16 @@
             expected_peers=len(self._seeds),
             random_fraction=random_fraction,
         )
+        self._slot_broker = SlotBroker(
+            name,
+            merger=self._merger,
+            selector=selector,
+            client=client,
+            reactor=reactor,
+            clock=clock,
+            expected_peers=len(self._seeds),
+        )
+        self._permit_broker.handle_slots = self._slot_broker.handle_request
         self._builder = MessageBuilder(
             name,
             endpoint,
@@ -165,6 +176,11 @@
         """Number of live routers, including this one."""
         return len(self.peer_names.ordered) + 1
 
+    @property
+    def slot_broker(self) -> SlotBroker:
+        """Borrows and lends the slots of brittle servers."""
+        return self._slot_broker
+
     @property
     def is_isolated(self) -> bool:
         """Whether other routers should be reachable, but none is heard."""
@@ -202,6 +218,7 @@
         self._server.add_handler(FleetExchange, self._handle_message)
         self._started_at = self._clock.now()
         self._permit_broker.start()
+        self._slot_broker.start()
         self._directory.listeners.append(self._spread_change)
         self._server.start()
         self._exchange_task.start(in_seconds(EXCHANGE_PERIOD))
@@ -209,6 +226,7 @@
     def close(self) -> Deferred[Any]:
         """Stop, and close the connections."""
         self._exchange_task.close()
+        self._slot_broker.close()
         if self._delayed_send is not None:
             self._delayed_send.cancel()
             self._delayed_send = None
@@ -280,6 +298,11 @@
         self._notifications.limited.add(server_id)
         self._schedule_send()
 
+    def broadcast_brittle(self, server_id: str) -> None:
+        """Notify all routers that a server is brittle, or no longer."""
+        self._notifications.brittle.add(server_id)
+        self._schedule_send()
+
     def _schedule_send(self, delay: Millis = NOTIFICATION_DELAY) -> None:
         """Send all pending notifications in one message after a delay."""
         delay_s = in_seconds(delay)
@@ -299,13 +322,14 @@
         notifications = self._notifications
         self._notifications = Notifications()
         parts = notifications.message_parts(
-            self._selector.limits, self._clock.now()
+            self._selector.limits, self._selector.brittle, self._clock.now()
         )
         self._broadcast(self._builder.build(**parts))
 
     def _exchange(self) -> None:
         self._period += 1
         self._permit_broker.drop_obsolete()
+        self._slot_broker.update()
         if exchanges_in_period(self._period, self.router_count):
             self._ask_partners()
 
--- a/yuccagauge/platform/names.py
+++ b/yuccagauge/platform/names.py
@@ -23,6 +23,8 @@
 WEIGHT_VERSIONS = b'X-Yuccagauge-Weight-Versions'
 #: Requests a second that an engine takes from all routers together.
 SERVER_LIMIT = b'Server-Limit'
+#: Requests that a brittle engine can reject in a second and go on.
+SERVER_BRITTLE = b'Server-Brittle'
 #: ``1`` in all answers of an engine that leaves.
 SERVER_LEAVING = b'Server-Leaving'
 RETRY_AFTER = b'Retry-After'
--- a/yuccagauge/platform/requests.py
+++ b/yuccagauge/platform/requests.py
@@ -34,6 +34,9 @@
 #: A whole number. ``str.isdigit`` accepts digits that ``int`` does not.
 _INTEGER = re.compile('[0-9]{1,18}')
 
+#: A number of rejections in a second.
+_REJECTIONS = re.compile('[0-9]{1,6}')
+
 #: A decimal number without sign and exponent. ``float`` accepts more.
 _DECIMAL = re.compile('[0-9]{1,9}([.][0-9]{1,9})?')
 
@@ -143,6 +146,7 @@
         weights = head.get(names.WEIGHT_VERSIONS.lower())
         rate_limit, malformed_rate_limit = _parse_rate_limit(head)
         retry_after, malformed_retry_after = _parse_retry_after(head)
+        rejections, malformed_rejections = _parse_rejections(head)
         return ResponseInfo(
             is_not_run=bool(head.get(names.NOT_EXECUTED.lower())),
             is_misdirected=head.status == _MISDIRECTED_REQUEST,
@@ -156,6 +160,8 @@
             is_leaving=head.get(names.SERVER_LEAVING.lower()).strip() == '1',
             retry_after=retry_after,
             malformed_retry_after=malformed_retry_after,
+            allowed_rejections=rejections,
+            malformed_rejections=malformed_rejections,
         )
 
     def end_to_end_headers(self, head: ResponseHead) -> tuple[Header, ...]:
@@ -194,6 +200,16 @@
     return None, stated or 'empty'
 
 
+def _parse_rejections(head: ResponseHead) -> tuple[int | None, str]:
+    """Return how many rejections a brittle server bears, or a malformed text."""
+    stated = _stated(head, names.SERVER_BRITTLE)
+    if stated is None:
+        return None, ''
+    if _REJECTIONS.fullmatch(stated):
+        return int(stated), ''
+    return None, stated or 'empty'
+
+
 def _parse_retry_after(head: ResponseHead) -> tuple[Millis | None, str]:
     """Return the time that a rejection states, or its text if malformed.
 
--- a/yuccagauge/ratelimit/events.py
+++ b/yuccagauge/ratelimit/events.py
@@ -22,11 +22,11 @@
 class LimitEvent(enum.Enum):
     """A change of what a router knows of a server's limit."""
 
-    BEGAN = 'server_limit_began'
-    CHANGED = 'server_limit_changed'
-    ENDED = 'server_limit_ended'
+    BEGAN = 'began'
+    CHANGED = 'changed'
+    ENDED = 'ended'
     #: The server restarted, and has named nothing since.
-    FORGOTTEN = 'server_limit_forgotten'
+    FORGOTTEN = 'forgotten'
 
 
 def event_of(old: float | None, new: float | None) -> LimitEvent:
@@ -44,21 +44,25 @@
     *,
     source: str,
     age: Millis,
+    subject: str,
 ) -> None:
     """Log and count a change.
 
     Parameters
     ----------
     old, new
-        Calls a second; ``None`` without a limit.
+        Calls, or rejections, a second; ``None`` without a limit.
     source
         ``answer``, ``restart``, or the router whose message tells the change.
     age
         Time since the answer that shows the change.
+    subject
+        What the server names, ``limit`` or ``brittle``.
     """
-    _CHANGES.add(1, {'kind': event.value})
+    name = f'server_{subject}_{event.value}'
+    _CHANGES.add(1, {'kind': name})
     log_state_change(
-        event.value,
+        name,
         server=server_id,
         old_per_second=old,
         new_per_second=new,
@@ -67,11 +71,13 @@
     )
 
 
-def log_malformed_limit(server_id: str, value: str) -> None:
-    """Log a limit that is not a positive decimal number."""
-    log_state_change('server_limit_malformed', server=server_id, value=value)
+def log_malformed_limit(subject: str, server_id: str, value: str) -> None:
+    """Log a statement that is not a number in its bounds."""
+    log_state_change(
+        f'server_{subject}_malformed', server=server_id, value=value
+    )
 
 
-def record_limited_servers(count: int) -> None:
-    """Set the gauge of limited servers."""
-    _LIMITED.set(count)
+def record_limited_servers(subject: str, count: int) -> None:
+    """Set the gauge of limited or brittle servers."""
+    _LIMITED.set(count, {'kind': subject})
--- a/yuccagauge/ratelimit/limits.py
+++ b/yuccagauge/ratelimit/limits.py
@@ -49,10 +49,17 @@
 
 
 class ServerLimits:
-    """Tracks which servers name a limit, from their answers and from peers."""
+    """Tracks which servers name a limit, from their answers and from peers.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    subject
+        What servers name: a ``limit``, or how ``brittle`` they are.
+    """
+
+    def __init__(self, subject: str = 'limit') -> None:
         """Start without limits."""
+        self._subject = subject
         self._limits: dict[str, RateLimit] = {}
         self._limited_count = 0
         #: Servers whose malformed limit is logged already.
@@ -105,7 +112,7 @@
         """Log a malformed limit, once for each server; nothing changes."""
         if server_id not in self._malformed:
             self._malformed.add(server_id)
-            log_malformed_limit(server_id, value)
+            log_malformed_limit(self._subject, server_id, value)
 
     def merge_report(self, report: LimitReport, peer: str, now: Millis) -> None:
         """Merge what a peer reports.
@@ -156,6 +163,7 @@
                     None,
                     source='restart',
                     age=Millis(0),
+                    subject=self._subject,
                 )
                 self._update_count()
 
@@ -198,6 +206,7 @@
                 limit.per_second,
                 source=source,
                 age=report.age,
+                subject=self._subject,
             )
             self._update_count()
         return is_changed
@@ -206,7 +215,7 @@
         self._limited_count = sum(
             limit.per_second is not None for limit in self._limits.values()
         )
-        record_limited_servers(self._limited_count)
+        record_limited_servers(self._subject, self._limited_count)
 
 
 def _report(server_id: str, limit: RateLimit, now: Millis) -> LimitReport:
--- a/yuccagauge/ratelimit/waiting.py
+++ b/yuccagauge/ratelimit/waiting.py
@@ -25,6 +25,11 @@
         """Record that a call does not wait any longer."""
         self._calls.get(service, {}).pop(call_id, None)
 
+    def ordered(self, service: str) -> tuple[str, ...]:
+        """Return the calls of a service that wait, oldest first."""
+        calls = self._calls.get(service, {})
+        return tuple(sorted(calls, key=calls.__getitem__))
+
     def position(
         self, service: str, call_id: str, received_at: Millis, now: Millis
     ) -> int:
--- a/yuccagauge/relay/attempt.py
+++ b/yuccagauge/relay/attempt.py
@@ -331,6 +331,9 @@
         self._holds_slot = False
         self._evidence.release()
         self._load().own_calls.pop(self._selection_request.call_id, None)
+        self._context.selector.slots.record_end(
+            self._placement.server.server_id
+        )
         self._context.quarantine.record_end(
             self._call.fingerprint,
             self._placement.server.endpoint,
@@ -345,6 +348,13 @@
             )
         elif info.malformed_rate_limit:
             limits.record_malformed(server_id, info.malformed_rate_limit)
+        brittle = self._context.selector.brittle
+        if info.shows_if_brittle:
+            brittle.record_answer(
+                server_id, info.allowed_rejections, self._sent_at, self._now()
+            )
+        elif info.malformed_rejections:
+            brittle.record_malformed(server_id, info.malformed_rejections[:40])
 
     def _record_statements(self, info: ResponseInfo) -> None:
         """Record what the server that answered states about itself."""
--- a/yuccagauge/relay/base.py
+++ b/yuccagauge/relay/base.py
@@ -225,6 +225,11 @@
     retry_after: Millis | None = None
     #: The time as the server states it, if that is malformed.
     malformed_retry_after: str = ''
+    #: Rejections in a second after which the server ends, because it is
+    #: brittle; ``None`` if it states nothing of the kind.
+    allowed_rejections: int | None = None
+    #: The number as the server states it, if that is malformed.
+    malformed_rejections: str = ''
 
     @property
     def shows_rate_limit(self) -> bool:
@@ -232,12 +237,18 @@
 
         A rejection may come from a part of the server that knows no limit.
         """
-        names_limit = self.is_not_run and self.rate_limit is not None
-        return (
-            (self.has_server_stamp or names_limit)
-            and not self.is_misdirected
-            and not self.malformed_rate_limit
-        )
+        return self._shows(self.rate_limit) and not self.malformed_rate_limit
+
+    @property
+    def shows_if_brittle(self) -> bool:
+        """Whether the response shows if its server is brittle."""
+        stated = self.allowed_rejections
+        return self._shows(stated) and not self.malformed_rejections
+
+    def _shows(self, stated: float | None) -> bool:
+        """Whether the absence of a statement, or the statement, counts."""
+        is_named = self.is_not_run and stated is not None
+        return (self.has_server_stamp or is_named) and not self.is_misdirected
 
 
 class CallDecoder(Protocol):
--- a/yuccagauge/relay/call.py
+++ b/yuccagauge/relay/call.py
@@ -65,6 +65,7 @@
         self._verdict = Verdict.NOT_RUN
         self._repeats = CallRepeats(call, context)
         self._has_ended = False
+        self._waits_for_server = False
         self._guard = CallGuard(call.fields.request_id, self.abort_call)
         self._timers = Timers(self._guard.guard_timers(context.call_later))
         self._end_proof = EndProof(
@@ -127,6 +128,14 @@
             self._abandon_exchange()
             self._refuse(self._unanswered_refusal(code))
 
+    def select_again(self) -> bool:
+        """Select a server now if the call waits; return whether one took it."""
+        if not self._waits_for_server or self._has_ended:
+            return False
+        self._timers.stop('selection')
+        self._select_server()
+        return not self._waits_for_server
+
     def withdraw(self, reason: str) -> None:
         """Leave the server of the latest attempt, which has not begun."""
         verdict = self._exchange.verdict
@@ -377,6 +386,7 @@
         decision = self._context.choose_server(
             self._call, self._selection_request
         )
+        self._waits_for_server = decision.wait_until is not None
         if decision.placement is not None:
             self._send_attempt(decision)
         elif decision.wait_until is not None:
--- a/yuccagauge/relay/context.py
+++ b/yuccagauge/relay/context.py
@@ -28,6 +28,9 @@
     def abort_call(self) -> None:
         """End the call at once, because the router stops."""
 
+    def select_again(self) -> bool:
+        """Select a server now if the call waits; return whether one took it."""
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RetryBudgetSettings:
@@ -133,6 +136,16 @@
             lambda bound: self.selector.choose(bound, stores, now),
         )
 
+    def select_for_waiting_calls(self, server_id: str) -> None:
+        """Select servers for calls that wait, since one can take a call."""
+        server = self.selector.view.servers.get(server_id)
+        if server is None:
+            return
+        for call_id in self.selector.waiting_calls(server.service):
+            call = self.running_calls.get(call_id)
+            if call is not None and not call.select_again():
+                return
+
     def add_jitter(
         self, retry_after: Millis | None, *, share: float = 0.5
     ) -> Millis | None:
--- a/yuccagauge/relay/router.py
+++ b/yuccagauge/relay/router.py
@@ -212,6 +212,11 @@
         """The rate limits that the router knows."""
         return self._selector.limits
 
+    @property
+    def brittle(self) -> ServerLimits:
+        """The brittle servers that the router knows."""
+        return self._selector.brittle
+
     @property
     def can_lead(self) -> bool:
         """Whether the router misses no engines that others reach."""
@@ -290,6 +295,9 @@
         self._cache_feed.on_epoch = processes.record_epoch
         self._context.on_unresponsive = self._exchange.broadcast_unresponsive
         self._selector.limits.on_change = self._exchange.broadcast_limit
+        self._selector.brittle.on_change = self._exchange.broadcast_brittle
+        broker = self._exchange.slot_broker
+        broker.on_free_slot = self._context.select_for_waiting_calls
         self._rollout.on_engines_paused = self._exchange.broadcast_pause
         self._rollout.on_engine_unanswered = self._lead_duty.try_engine
         self._rollout.on_weights_loaded = self._exchange.broadcast_weights
@@ -395,7 +403,8 @@
         lapsed = self._directory.remove_lapsed_servers(now)
         if lapsed:
             log_state_change('servers_lapsed', servers=lapsed)
-        self._selector.limits.remove_gone(self._directory.servers, now)
+        for stated in (self._selector.limits, self._selector.brittle):
+            stated.remove_gone(self._directory.servers, now)
 
     def _record_confirmation(self) -> None:
         self._directory.settled_entries.record_confirmation(
--- a/yuccagauge/selection/rategate.py
+++ b/yuccagauge/selection/rategate.py
@@ -1,13 +1,15 @@
 """Calls to servers with a rate limit: which may be sent, and which wait."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable, Sequence
 
 from yuccagauge.clock import Millis
 from yuccagauge.directory.base import BackendServer
 from yuccagauge.ratelimit.limits import ServerLimits
 from yuccagauge.ratelimit.permits import Permits
+from yuccagauge.ratelimit.slots import Slots
 from yuccagauge.ratelimit.waiting import WaitingCalls
 from yuccagauge.selection.base import SelectionDecision, SelectionRequest
+from yuccagauge.selection.load import ServerLoad
 
 #: Longest wait for a permit that is reserved for a server which is preferred,
 #: while another one takes the call. The next call uses the permit.
@@ -22,17 +24,47 @@
     waits for a permit if that comes in time, and is refused at once otherwise,
     with the time at which its caller can be served. Calls that wait precede
     calls that arrive later.
+
+    Parameters
+    ----------
+    load_of
+        Returns the load of a server.
+    servers_beside
+        Returns the listed servers of the service of a server.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        load_of: Callable[[str], ServerLoad],
+        servers_beside: Callable[[str], Iterable[str]],
+    ) -> None:
         """Create a gate without limits."""
+        self._load_of = load_of
+        self._servers_beside = servers_beside
         self.limits = ServerLimits()
         self.permits = Permits(self.limits.limit_of)
+        #: The servers that are brittle.
+        self.brittle = ServerLimits('brittle')
+        self.slots = Slots(
+            self.is_brittle,
+            lambda server_id: len(load_of(server_id).own_calls),
+        )
         self._waiting = WaitingCalls()
 
     def is_limited(self, server: BackendServer) -> bool:
-        """Return whether a server names a limit."""
-        return self.limits.limit_of(server.server_id) is not None
+        """Return whether a server names a limit, or is brittle."""
+        server_id = server.server_id
+        return self._has_rate(server_id) or self.is_brittle(server_id)
+
+    def is_brittle(self, server_id: str) -> bool:
+        """Return whether a server, or one beside it, states that it is brittle.
+
+        A server that has just started has stated nothing.
+        """
+        return self.brittle.has_limits and any(
+            self.brittle.limit_of(each) is not None
+            for each in self._servers_beside(server_id)
+        )
 
     def sendable(
         self,
@@ -45,15 +77,28 @@
         if not any(map(self.is_limited, servers)):
             return servers
         position = self._position(request, now)
+        brittle = [
+            server.server_id
+            for server in servers
+            if self.is_brittle(server.server_id)
+        ]
+        with_slots = self.slots.sendable(brittle, position, now)
         return [
             server
             for server in servers
             if self.permits.may_send(server.server_id, position, now)
+            and (
+                server.server_id in with_slots
+                or not self.is_brittle(server.server_id)
+            )
         ]
 
     def reserve_preferred(self, server: BackendServer, now: Millis) -> None:
         """Reserve a permit for a server that calls would prefer."""
-        self.permits.reserve(server.server_id, 1, PREFERRED_WAIT, now)
+        if self._has_rate(server.server_id):
+            self.permits.reserve(server.server_id, 1, PREFERRED_WAIT, now)
+        if self.is_brittle(server.server_id):
+            self.slots.reserve(server.server_id, 1, now)
 
     def reserve_soonest(
         self,
@@ -62,8 +107,17 @@
         now: Millis,
     ) -> None:
         """Reserve a permit for a call that no server takes without one."""
+        servers = tuple(servers)
+        self._reserve_slots(servers, request, now)
+        rated = [
+            server.server_id
+            for server in servers
+            if self._has_rate(server.server_id)
+        ]
+        if not rated:
+            return
         soonest = min(
-            (server.server_id for server in servers),
+            rated,
             key=lambda server_id: (
                 self.permits.available_at(server_id, 0, now),
                 server_id,
@@ -81,7 +135,23 @@
         if not self.is_limited(server):
             return now
         position = self._position(request, now)
-        return self.permits.available_at(server.server_id, position, now)
+        server_id = server.server_id
+        available_at = self.permits.available_at(server_id, position, now)
+        if not self.is_brittle(server_id):
+            return available_at
+        remaining = Millis(request.deadline - now)
+        if now - request.received_at > remaining:
+            # Its caller can still be served if it comes back.
+            return max(available_at, Millis(now + remaining // 2))
+        service_ms = self._load_of(server_id).service_ms
+        return max(
+            available_at,
+            self.slots.available_at(server_id, position, service_ms, now),
+        )
+
+    def waiting_calls(self, service: str) -> tuple[str, ...]:
+        """Return the calls of a service that wait, oldest first."""
+        return self._waiting.ordered(service)
 
     def record_decision(
         self,
@@ -90,7 +160,7 @@
         now: Millis,
     ) -> None:
         """Record whether the call waits, in a fleet with limits."""
-        if not self.limits.has_limits:
+        if not (self.limits.has_limits or self.brittle.has_limits):
             return
         service = request.service.name
         if decision.wait_until is None:
@@ -100,6 +170,28 @@
                 service, request.call_id, request.received_at, now
             )
 
+    def _reserve_slots(
+        self,
+        servers: Sequence[BackendServer],
+        request: SelectionRequest,
+        now: Millis,
+    ) -> None:
+        """Ask for a slot for each waiting call, at one server after another."""
+        brittle = [
+            server.server_id
+            for server in servers
+            if self.is_brittle(server.server_id)
+        ]
+        if not brittle:
+            return
+        position = self._position(request, now)
+        wanted = 1 + position // len(brittle)
+        for server_id in brittle:
+            self.slots.reserve(server_id, wanted, now)
+
+    def _has_rate(self, server_id: str) -> bool:
+        return self.limits.limit_of(server_id) is not None
+
     def _position(self, request: SelectionRequest, now: Millis) -> int:
         """Return the number of waiting calls that precede the call."""
         return self._waiting.position(
--- a/yuccagauge/selection/selector.py
+++ b/yuccagauge/selection/selector.py
@@ -8,6 +8,7 @@
 from yuccagauge.origins.versions import VersionHistory
 from yuccagauge.ratelimit.limits import ServerLimits
 from yuccagauge.ratelimit.permits import Permits
+from yuccagauge.ratelimit.slots import Slots
 from yuccagauge.relay.base import Placement
 from yuccagauge.selection import model, plain
 from yuccagauge.selection.base import (
@@ -62,7 +63,7 @@
         #: Estimates how long a late call will wait.
         self.late_waits = LateWaitEstimator()
         self.cache_map = CacheMap()
-        self._rate_gate = RateGate()
+        self._rate_gate = RateGate(self.load_of, self._servers_beside)
         self.statements = ServerStatements()
         #: The software versions that each service had lately.
         self.versions = VersionHistory()
@@ -79,6 +80,16 @@
         """The rates that servers take from all routers together."""
         return self._rate_gate.limits
 
+    @property
+    def brittle(self) -> ServerLimits:
+        """The servers that end if they have to reject too many calls."""
+        return self._rate_gate.brittle
+
+    @property
+    def slots(self) -> Slots:
+        """The slots of brittle servers that this router may use."""
+        return self._rate_gate.slots
+
     @property
     def permits(self) -> Permits:
         """The permits of this router for servers with a rate limit."""
@@ -179,6 +190,10 @@
         self._rate_gate.record_decision(request, decision, now)
         return decision
 
+    def waiting_calls(self, service: str) -> tuple[str, ...]:
+        """Return the calls that wait for a limited server, oldest first."""
+        return self._rate_gate.waiting_calls(service)
+
     def record_send(
         self,
         request: SelectionRequest,
@@ -204,6 +219,14 @@
         for part_id, _ in request.parts:
             self.cache_map.add(server_id, placement.cache_scope, part_id)
 
+    def _servers_beside(self, server_id: str) -> list[str]:
+        """Return the listed servers of the service of a server."""
+        server = self._view.servers.get(server_id)
+        if server is None:
+            return [server_id]
+        beside = self._servers_by_service[server.service]
+        return [each.server_id for each in beside]
+
     def _is_available(self, server: BackendServer, now: Millis) -> bool:
         if now < self.statements.refused_until(server):
             return False
--- a/yuccagauge/wire/fleetmessages.py
+++ b/yuccagauge/wire/fleetmessages.py
@@ -199,6 +199,8 @@
     cannot_lead: bool = False
     #: Whether the sender has just released the leader lease.
     released_lease: bool = False
+    #: Servers that are brittle; the rate is that of the rejections they bear.
+    brittle: tuple[FleetLimit, ...] = ()
 
 
 @register(51)
@@ -213,6 +215,10 @@
     #: The limit that the sender knows, as in ``FleetLimit``.
     rate_milli: int
     age_ms: int
+    #: Whether slots of a brittle server are asked for, and the number that the
+    #: sender occupies.
+    is_for_slots: bool = False
+    occupied: int = 0
 
 
 @register(52)
--- a/yuccagauge/wire/messages.capnp
+++ b/yuccagauge/wire/messages.capnp
@@ -275,6 +275,10 @@
   # The limit that the sender knows, as in FleetLimit.
   rateMilli @3 :UInt32;
   ageMs @4 :UInt32;
+  # Whether slots of a brittle server are asked for, and the number that the
+  # sender occupies.
+  isForSlots @5 :Bool;
+  occupied @6 :UInt32;
 }
 
 struct PermitReply {
@@ -359,6 +363,8 @@
   cannotLead @20 :Bool;
   # Whether the sender has just released the leader lease.
   releasedLease @21 :Bool;
+  # Servers that are brittle; the rate is that of the rejections they bear.
+  brittle @22 :List(FleetLimit);
 }
 
 struct PathOpen {
