Wake calls that wait for a slot instead of looking at them often

Each of a hundred waiting calls was looked at 50 times a second, and the routers were late for it. Calls are woken as a slot is free or the home can be asked again, and look by themselves each 200 ms.

A new home took a server that has stated nothing itself, but one beside it has, for one that was brittle for long, and lent nothing for 1 s at the beginning of the brittle time (16 answers in that second).

features/ratelimit/brittle.feature, the rows of a burst at 3 and at 8 routers and of held messages: 3 passed, 0 failed.

--- a/yuccagauge/exchange/slots.py
+++ b/yuccagauge/exchange/slots.py
@@ -85,6 +85,8 @@
         self.on_free_slot: Callable[[str], None] = lambda server_id: None
         #: The delayed calls that return spare slots, by server.
         self._returns: dict[str, Any] = {}
+        #: Servers that calls look at again after a wait.
+        self._wakes: set[str] = set()
 
     def start(self) -> None:
         """Begin to ask."""
@@ -115,8 +117,7 @@
         if home == self._name:
             count = self._lend(server_id, self._name, occupied, wanted)
             wait = Millis(0) if count or not wanted else FULL_WAIT
-            now = self._clock.now()
-            self._slots.record_grant(server_id, count, wait, now)
+            self._record_grant(server_id, count, wait)
             return
         reply = self._client.request(
             self._endpoint_of(home),
@@ -171,7 +172,7 @@
 
         Nobody has lent slots of a server that was sound until now.
         """
-        changed_at = self._selector.brittle.changed_at(server_id)
+        changed_at = self._selector.brittle_since(server_id)
         is_old_router = changed_at - self._started_at > LEARNING_TIME
         if is_old_router and now - changed_at < LEARNING_TIME:
             return now
@@ -193,9 +194,13 @@
         )
 
     def _handle_reply(self, reply: Any, server_id: str) -> None:
-        self._slots.record_grant(
-            server_id, reply.count, Millis(reply.wait_ms), self._clock.now()
-        )
+        self._record_grant(server_id, reply.count, Millis(reply.wait_ms))
+
+    def _record_grant(self, server_id: str, count: int, wait: Millis) -> None:
+        now = self._clock.now()
+        self._slots.record_grant(server_id, count, wait, now)
+        if wait:
+            self._wake(server_id, wait)
 
     def _handle_no_reply(
         self, failure: Failure, server_id: str, home: str
@@ -205,6 +210,7 @@
         now = self._clock.now()
         self._lost_until[home] = Millis(now + LOST_HOME_TIME)
         self._slots.record_failure(server_id, RETRY_PAUSE, now)
+        self._wake(server_id, RETRY_PAUSE)
         log_state_change(
             'slot_home_lost',
             home=home,
@@ -217,12 +223,24 @@
 
         The call that has just ended is still being handled.
         """
+        self._wake(server_id, Millis(0))
         if server_id not in self._returns:
-            self._reactor.callLater(0, self.on_free_slot, server_id)
             self._returns[server_id] = self._reactor.callLater(
                 in_seconds(SPARE_TIME), self._return_spare, server_id
             )
 
+    def _wake(self, server_id: str, delay: Millis) -> None:
+        """Let calls that wait look at a server again after some time."""
+        if server_id not in self._wakes or not delay:
+            self._wakes.add(server_id)
+            self._reactor.callLater(
+                in_seconds(delay), self._select_for_calls, server_id
+            )
+
+    def _select_for_calls(self, server_id: str) -> None:
+        self._wakes.discard(server_id)
+        self.on_free_slot(server_id)
+
     def _return_spare(self, server_id: str) -> None:
         self._returns.pop(server_id)
         self._slots.return_spare(server_id, self._clock.now())
--- a/yuccagauge/selection/deferral.py
+++ b/yuccagauge/selection/deferral.py
@@ -7,6 +7,10 @@
 #: Longest time before the router decides again about a waiting call.
 RECHECK_INTERVAL = Millis(20)
 
+#: The same for a call that is woken. Many calls wait for few slots, and to look
+#: at each of them often would take the time that the others need.
+WOKEN_RECHECK_INTERVAL = Millis(200)
+
 #: Share of the time to the objective for which a call waits while the router
 #: does not know when a server will be available.
 UNKNOWN_WAIT_SHARE = 0.12
@@ -26,6 +30,7 @@
     *,
     is_rate_limited: bool = False,
     is_stated: bool = False,
+    is_woken: bool = False,
 ) -> SelectionDecision:
     """Return whether a call waits, or when its caller may retry.
 
@@ -45,6 +50,8 @@
         is exact.
     is_stated
         Whether the server has stated the time.
+    is_woken
+        Whether the call is decided about once a server can take it.
     """
     remaining = request.deadline - now
     if available_at is not None and available_at > now:
@@ -53,6 +60,8 @@
             or available_at - now < remaining / 2
         ):
             wait_until = min(available_at, Millis(now + RECHECK_INTERVAL))
+            if is_woken:
+                wait_until = Millis(now + WOKEN_RECHECK_INTERVAL)
             return SelectionDecision(
                 wait_until=wait_until,
                 reason='rate_limit_soon' if is_rate_limited else 'server_soon',
--- a/yuccagauge/selection/rategate.py
+++ b/yuccagauge/selection/rategate.py
@@ -66,6 +66,11 @@
             for each in self._servers_beside(server_id)
         )
 
+    def brittle_since(self, server_id: str) -> Millis:
+        """Return when a server, or one beside it, last became brittle."""
+        beside = self._servers_beside(server_id)
+        return max(map(self.brittle.changed_at, beside), default=Millis(0))
+
     def sendable(
         self,
         servers: Iterable[BackendServer],
--- a/yuccagauge/selection/selector.py
+++ b/yuccagauge/selection/selector.py
@@ -190,6 +190,10 @@
         self._rate_gate.record_decision(request, decision, now)
         return decision
 
+    def brittle_since(self, server_id: str) -> Millis:
+        """Return when a server, or one beside it, last became brittle."""
+        return self._rate_gate.brittle_since(server_id)
+
     def waiting_calls(self, service: str) -> tuple[str, ...]:
         """Return the calls that wait for a limited server, oldest first."""
         return self._rate_gate.waiting_calls(service)
@@ -400,6 +404,8 @@
             now,
             is_rate_limited=passes_at == available_at,
             is_stated=self.statements.refused_until(server) == available_at,
+            is_woken=passes_at == available_at
+            and self._rate_gate.is_brittle(server.server_id),
         )
 
     def _available_at(
