--- a/features/ratelimit/brittle_statements.feature
+++ b/features/ratelimit/brittle_statements.feature
@@ -29,3 +29,8 @@
       | 1000 | a:0:2 b:0:6 c:0:1             | 2 4 0   |
       | 1000 | a:0:6 a:4:0 b:0:6             | 6 0 2   |
       | 1000 | a:9:0 b:0:1 a:5:0 b:0:2       | 0 0 0 1 |
+
+  Scenario: A server that has just started beside brittle ones counts as sound
+    Given two servers of a service, of which one has stated that it is brittle
+    Then no call is sent to either without a slot
+    And a call is sent to a server of another service
--- a/features/steps/ratelimit_brittle_steps.py
+++ b/features/steps/ratelimit_brittle_steps.py
@@ -3,16 +3,21 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from features.brittle_fleet import BrittleFleet
+from features.brittle_fleet import SLOTS, BrittleFleet
+from features.directory_fixtures import service_spec
 from features.steps.ratelimit_fleet_steps import (
     DisturbNothing,
     RouterDisturbance,
     disturbances,
 )
 from yuccagauge.clock import Millis
+from yuccagauge.directory.base import BackendServer, ServerState
 from yuccagauge.dispatch.base import ResponseHead
 from yuccagauge.platform.requests import PlatformBackendProtocol
 from yuccagauge.ratelimit.slotledger import LEARNING_TIME, SlotLedger
+from yuccagauge.selection.base import FleetView, SelectionRequest
+from yuccagauge.selection.selector import Selector
+from yuccagauge.settings.options import Endpoint
 
 _WARM_UP_S = 6.0
 _RUN_OUT_S = 4.5
@@ -244,3 +249,50 @@
 def check_grants(context: Context, grants: str) -> None:
     """Guard against more calls at a time than a server has slots."""
     assert context.grants == grants.split(), context.grants
+
+
+def _choose(context: Context, service: str) -> object:
+    now = context.now
+    request = SelectionRequest(
+        call_id='c',
+        service=service_spec(service),
+        received_at=now,
+        objective_at=Millis(now + 400),
+        deadline=Millis(now + 4000),
+        first_output_deadline=Millis(now + 4000),
+    )
+    return context.selector.choose(request, (), now).placement
+
+
+@given('two servers of a service, of which one has stated that it is brittle')
+def brittle_sibling(context: Context) -> None:
+    """List servers, and record the answer of one."""
+    context.now = Millis(10_000)
+    context.selector = Selector('a', Millis(12_000))
+    servers = {
+        server_id: BackendServer(
+            server_id=server_id,
+            service=service,
+            endpoint=Endpoint('10.1.1.1', 8080 + number),
+            data_centre='a',
+            slots=SLOTS,
+            state=ServerState.READY,
+        )
+        for number, (server_id, service) in enumerate(
+            (('i-1', 'plain'), ('i-2', 'plain'), ('i-3', 'other'))
+        )
+    }
+    context.selector.update_fleet_view(FleetView(servers=servers))
+    context.selector.brittle.record_answer('i-1', 5, Millis(9_900), context.now)
+
+
+@then('no call is sent to either without a slot')
+def check_no_call(context: Context) -> None:
+    """Guard against a burst to a server that has stated nothing yet."""
+    assert _choose(context, 'plain') is None
+
+
+@then('a call is sent to a server of another service')
+def check_other_service(context: Context) -> None:
+    """Guard against limits of servers that are not brittle."""
+    assert _choose(context, 'other') is not None
