Read reports of engines as strictly as other documents

What could be seen: nothing yet.

Cause: json_object of platform/engines.py kept json.loads, and no row of the test named it.

Change: reports are read strictly; a batch of cache events is read leniently, as one row must not end it, and its epoch is made sendable.

--- a/features/exchange/foreign_entries.feature
+++ b/features/exchange/foreign_entries.feature
@@ -36,6 +36,8 @@
       | record of versions    | escape |
       | record of an origin   | escape |
       | load of an engine     | escape |
+      | report of an engine   | raw    |
+      | report of an engine   | escape |
 
   Scenario: One item of a page or a poll ends all others
     Then a page with a key that is no Unicode has all its records
--- a/features/steps/exchange_foreign_steps.py
+++ b/features/steps/exchange_foreign_steps.py
@@ -288,6 +288,12 @@
     ),
     'record of versions': (_decode_record_of_versions, lambda text: [text]),
     'record of an origin': (_decode_origin, lambda text: ['model', text]),
+    'report of an engine': (
+        lambda value: engines.json_object(
+            Fetched(head=ResponseHead(status=200, headers=()), body=value)
+        ),
+        lambda text: {'born': 1, 'stage': text},
+    ),
     'load of an engine': (
         lambda value: parse_report(_PEER, value, SystemClock()),
         lambda text: {**_LOAD, 'incarnation': text},
@@ -339,8 +345,11 @@
         [4, '+', 's', 7, 5, 'm'],
         [5, '-', 's', 'p3', 5, 'm'],
     ]
-    found = tuple(engines.cache_events(rows))
-    assert [event.part_id for event in found] == ['p1', 'p3'], found
+    document = {'bootEpoch': _SURROGATE, 'next': 6, 'lost': False}
+    found = engines.event_batch({**document, 'events': rows})
+    parts = [event.part_id for event in found.events]
+    assert parts == ['p1', 'p3'], found
+    found.epoch.encode()
 
 
 @then(
--- a/yuccagauge/platform/engines.py
+++ b/yuccagauge/platform/engines.py
@@ -17,7 +17,7 @@
 from yuccagauge.dispatch.base import BackendMessage
 from yuccagauge.dispatch.fetch import Fetched, FetchError, fetch
 from yuccagauge.dispatch.pool import ConnectionPool
-from yuccagauge.documents import replace_surrogates
+from yuccagauge.documents import parse_document, replace_surrogates
 from yuccagauge.platform import names
 from yuccagauge.platform.requests import PlatformBackendProtocol
 from yuccagauge.relay.adapter import AnswerListener
@@ -96,7 +96,7 @@
         """Request the report of an engine and return its ``EngineStatus``."""
         message = BackendMessage(method='GET', path=names.REPORT_PATH)
         response = yield self._fetch(server.endpoint, message, _REPLY_TIMEOUT)
-        document = _json_object(response)
+        document = json_object(response)
         try:
             return EngineStatus(
                 is_busy=document['busy'],
@@ -154,7 +154,7 @@
         if response.head.status != _OK:
             return None
         try:
-            return _json_object(response).get('bootEpoch')
+            return json_object(response).get('bootEpoch')
         except FetchError:
             return None
 
@@ -227,18 +227,8 @@
             raise FetchError(
                 f'unexpected status {response.head.status}', Verdict.NOT_RUN
             )
-        document = _json_object(response)
-        try:
-            return CacheEventBatch(
-                epoch=document['bootEpoch'],
-                next_sequence=document['next'],
-                has_gap=document['lost'],
-                events=tuple(cache_events(document['events'])),
-            )
-        except (KeyError, TypeError, IndexError) as error:
-            raise FetchError(
-                f'malformed cache events: {error}', Verdict.ANSWERED
-            ) from None
+        document = json_object(response, parse=json.loads)
+        return event_batch(document)
 
     def _fetch(
         self,
@@ -277,7 +267,31 @@
         return response
 
 
-def cache_events(rows: Iterable[Any]) -> Iterator[CacheEvent]:
+def event_batch(document: dict[str, Any]) -> CacheEventBatch:
+    """Return the cache events of an answer, with texts that can be sent on.
+
+    Raises
+    ------
+    FetchError
+        If a field is missing or of another type.
+    """
+    try:
+        epoch = document['bootEpoch']
+        return CacheEventBatch(
+            epoch=replace_surrogates(epoch)
+            if isinstance(epoch, str)
+            else epoch,
+            next_sequence=document['next'],
+            has_gap=document['lost'],
+            events=tuple(_cache_events(document['events'])),
+        )
+    except (KeyError, TypeError) as error:
+        raise FetchError(
+            f'malformed cache events: {error}', Verdict.ANSWERED
+        ) from None
+
+
+def _cache_events(rows: Iterable[Any]) -> Iterator[CacheEvent]:
     """Return the events of the rows that have them.
 
     A row that is left out is like an event that does not arrive.
@@ -302,16 +316,30 @@
 def _start_time(response: Fetched) -> int:
     """Return the start time that a response states; 0 if it states none."""
     try:
-        born = _json_object(response).get('born')
+        born = json_object(response).get('born')
     except FetchError:
         return 0
     is_time = isinstance(born, int) and not isinstance(born, bool)
     return born if is_time else 0
 
 
-def _json_object(response: Fetched) -> dict[str, Any]:
+def json_object(
+    response: Fetched, parse: Callable[[bytes], Any] = parse_document
+) -> dict[str, Any]:
+    """Return the JSON object of an answer.
+
+    Parameters
+    ----------
+    parse
+        Reads the body; ``json.loads`` if texts are looked at one by one.
+
+    Raises
+    ------
+    FetchError
+        If there is none.
+    """
     try:
-        document = json.loads(response.body)
+        document = parse(response.body)
     except ValueError:
         document = None
     if response.head.status != _OK or not isinstance(document, dict):
